--- /dev/null
+++ b/Libraries/LibBase/log_event.cc
@@ -0,0 +1,45 @@
+#include "LibBase/log_event.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+
+namespace bilberry::base {
+
+namespace {
+
+using enum LogEventId;
+using enum LogSeverity;
+
+constexpr auto kKinds = std::to_array<LogEventKind>({
+    {kHostStarted, kInfo, "host-started"},
+    {kHostReady, kInfo, "host-ready"},
+    {kHostNotReady, kWarning, "host-not-ready"},
+    {kStopOrdered, kInfo, "stop-ordered"},
+    {kHostStopped, kInfo, "host-stopped"},
+    {kConfigurationAdopted, kInfo, "configuration-adopted"},
+    {kLowerRevisionRefused, kError, "lower-revision-refused"},
+    {kConfigurationMalformed, kError, "configuration-malformed"},
+    {kEndpointListed, kInfo, "endpoint-listed"},
+    {kEndpointLeaving, kInfo, "endpoint-leaving"},
+    {kPlatformUnreachable, kWarning, "platform-unreachable"},
+    {kPlatformReachable, kInfo, "platform-reachable"},
+    {kAttemptFailed, kWarning, "attempt-failed"},
+    {kAnswerMismatched, kError, "answer-mismatched"},
+    {kBookingUnresolved, kError, "booking-unresolved"},
+    {kBookingNotRecorded, kWarning, "booking-not-recorded"},
+});
+
+}  // namespace
+
+std::span<const LogEventKind> LogEventKinds() {
+  return kKinds;
+}
+
+const LogEventKind& KindOf(LogEventId id) {
+  const auto* it = std::ranges::find(kKinds, id, &LogEventKind::id);
+  assert(it != kKinds.end());
+  return *it;
+}
+
+}  // namespace bilberry::base
--- /dev/null
+++ b/Libraries/LibBase/log_event.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace bilberry::base {
+
+// Numbers of the log events; docs/EVENTS.md tells what each means and what to
+// do about it. A number is never given a second meaning.
+enum class LogEventId : uint16_t {
+  kHostStarted = 1001,
+  kHostReady = 1002,
+  kHostNotReady = 1003,
+  kStopOrdered = 1004,
+  kHostStopped = 1005,
+  kConfigurationAdopted = 1101,
+  kLowerRevisionRefused = 1102,
+  kConfigurationMalformed = 1103,
+  kEndpointListed = 1201,
+  kEndpointLeaving = 1202,
+  kPlatformUnreachable = 1301,
+  kPlatformReachable = 1302,
+  kAttemptFailed = 1401,
+  kAnswerMismatched = 1402,
+  kBookingUnresolved = 1501,
+  kBookingNotRecorded = 1502,
+};
+
+enum class LogSeverity { kInfo, kWarning, kError };
+
+// A row of the catalogue.
+struct LogEventKind {
+  LogEventId id;
+  LogSeverity severity;
+  std::string_view name;
+};
+
+// All kinds, in the order of their numbers.
+std::span<const LogEventKind> LogEventKinds();
+
+// The row of one kind.
+const LogEventKind& KindOf(LogEventId id);
+
+// One event: its number and the facts of this occurrence.
+struct LogEvent {
+  LogEventId id;
+  std::string detail;
+};
+
+}  // namespace bilberry::base
--- /dev/null
+++ b/Libraries/LibDeclare/configuration_parser.cc
@@ -0,0 +1,175 @@
+#include "LibDeclare/configuration_parser.h"
+
+#include <set>
+
+#include "LibDeclare/object_reader.h"
+
+namespace bilberry::declare {
+
+namespace {
+
+constexpr std::chrono::milliseconds kLongestDeadline = std::chrono::minutes(10);
+constexpr uint32_t kMaxWorkers = 10'000;
+constexpr uint32_t kMaxSlots = 4'096;
+constexpr uint32_t kMaxWeight = 1'000;
+constexpr size_t kMaxStages = 16;
+
+void ReadRank(ObjectReader& reader, const char* key, RankRule& out) {
+  reader.ReadObject(key, Presence::kRequired, [&out](ObjectReader& rank) {
+    rank.Read("minimum_share_percent", out.minimum_share_percent, {0U, 100U},
+              Presence::kRequired);
+    rank.Read("attainment_target_percent", out.attainment_target_percent,
+              {0.0, 100.0}, Presence::kRequired);
+  });
+}
+
+Pool ReadPool(ObjectReader& reader) {
+  Pool pool;
+  reader.ReadName("name", pool.name.value, Presence::kRequired);
+  reader.ReadChoice<PoolKind>(
+      "kind", pool.kind,
+      {{"engine", PoolKind::kEngine}, {"service", PoolKind::kService}},
+      Presence::kRequired);
+  reader.Read("workers", pool.workers, {1U, kMaxWorkers}, Presence::kRequired);
+  reader.Read("slots_per_worker", pool.slots_per_worker, {1U, kMaxSlots},
+              Presence::kRequired);
+  reader.Read("reports_load", pool.reports_load, Presence::kOptional);
+  reader.ReadChoice<FencingSupport>("fencing", pool.fencing,
+                                    {{"ignored", FencingSupport::kIgnored},
+                                     {"checked", FencingSupport::kChecked}},
+                                    Presence::kOptional);
+  return pool;
+}
+
+Stage ReadStage(ObjectReader& reader) {
+  Stage stage;
+  reader.ReadName("name", stage.name.value, Presence::kRequired);
+  reader.ReadChoice<StageKind>("kind", stage.kind,
+                               {{"encode", StageKind::kEncode},
+                                {"retrieve", StageKind::kRetrieve},
+                                {"rerank", StageKind::kRerank},
+                                {"generate", StageKind::kGenerate},
+                                {"call", StageKind::kCall}},
+                               Presence::kRequired);
+  reader.ReadName("pool", stage.pool.value, Presence::kRequired);
+  reader.Read("path", stage.path, Presence::kRequired);
+  if (!stage.path.empty() && stage.path.front() != '/')
+    reader.AddFault("path", "must begin with a slash", "");
+  reader.Read("expected_ms", stage.expected, kLongestDeadline,
+              Presence::kRequired);
+  reader.ReadChoice<Repeatability>(
+      "repeatability", stage.repeatability,
+      {{"repeatable", Repeatability::kRepeatable},
+       {"at-most-once", Repeatability::kAtMostOnce}},
+      Presence::kOptional);
+  reader.ReadChoice<Delivery>(
+      "delivery", stage.delivery,
+      {{"whole", Delivery::kWhole}, {"streamed", Delivery::kStreamed}},
+      Presence::kOptional);
+  return stage;
+}
+
+Pipeline ReadPipeline(ObjectReader& reader) {
+  Pipeline pipeline;
+  reader.ReadName("name", pipeline.name.value, Presence::kRequired);
+  reader.ReadChoice<Rank>("rank", pipeline.rank,
+                          {{"urgent", Rank::kUrgent},
+                           {"ordinary", Rank::kOrdinary},
+                           {"background", Rank::kBackground}},
+                          Presence::kRequired);
+  reader.Read("deadline_ms", pipeline.deadline, kLongestDeadline,
+              Presence::kRequired);
+  reader.ReadObjects("stages", Presence::kRequired,
+                     [&pipeline](ObjectReader& stage) {
+                       pipeline.stages.push_back(ReadStage(stage));
+                     });
+  if (pipeline.stages.empty() || pipeline.stages.size() > kMaxStages)
+    reader.AddFault("stages", "must have 1 to 16 stages", "");
+  for (size_t i = 0; i + 1 < pipeline.stages.size(); ++i) {
+    if (pipeline.stages[i].delivery == Delivery::kStreamed)
+      reader.AddFault("stages", "only the last stage may be streamed",
+                      "set its delivery to whole");
+  }
+  if (pipeline.IsAtMostOnce() && !pipeline.stages.empty() &&
+      pipeline.stages.back().delivery == Delivery::kStreamed)
+    reader.AddFault("stages",
+                    "a pipeline with an at-most-once stage can't be "
+                    "streamed",
+                    "its answer is recorded whole");
+  return pipeline;
+}
+
+template <typename T>
+void CheckUnique(const std::vector<T>& all,
+                 const char* field,
+                 ObjectReader& root) {
+  std::set<std::string> seen;
+  for (const T& one : all) {
+    if (!one.name.value.empty() && !seen.insert(one.name.value).second)
+      root.AddFault(field, "\"" + one.name.value + "\" is declared twice", "");
+  }
+}
+
+void CheckPools(const Configuration& configuration, ObjectReader& root) {
+  for (const Pipeline& pipeline : configuration.pipelines) {
+    for (const Stage& stage : pipeline.stages) {
+      if (configuration.FindPool(stage.pool) == nullptr)
+        root.AddFault("pipelines",
+                      "stage \"" + stage.name.value + "\" of \"" +
+                          pipeline.name.value + "\" names the unknown pool \"" +
+                          stage.pool.value + "\"",
+                      "declare it under pools");
+    }
+  }
+}
+
+void CheckShares(const Configuration& configuration, ObjectReader& root) {
+  uint32_t sum = 0;
+  for (const RankRule& rule : configuration.ranks)
+    sum += rule.minimum_share_percent;
+  if (sum > 100)
+    root.AddFault("ranks", "the minimum shares sum to more than 100 percent",
+                  "");
+}
+
+}  // namespace
+
+ParsedConfiguration ParseConfiguration(std::string_view text) {
+  ParsedConfiguration parsed;
+  Configuration& configuration = parsed.configuration;
+  const auto document = ParseJson(text, parsed.faults);
+  if (!document)
+    return parsed;
+  ObjectReader root(*document, document->root, "", parsed.faults);
+  root.Read("deployment", configuration.deployment, Presence::kRequired);
+  std::vector<std::string> zones;
+  root.ReadStrings("zones", zones, Presence::kRequired);
+  for (std::string& zone : zones)
+    configuration.zones.push_back({std::move(zone)});
+  root.ReadObject("ranks", Presence::kRequired, [&](ObjectReader& ranks) {
+    for (const Rank rank : kRanks)
+      ReadRank(ranks, ToText(rank).data(),
+               configuration.ranks[static_cast<size_t>(rank)]);
+  });
+  root.ReadObjects("pools", Presence::kRequired, [&](ObjectReader& pool) {
+    configuration.pools.push_back(ReadPool(pool));
+  });
+  root.ReadObjects("pipelines", Presence::kRequired, [&](ObjectReader& it) {
+    configuration.pipelines.push_back(ReadPipeline(it));
+  });
+  root.ReadObjects("teams", Presence::kRequired, [&](ObjectReader& it) {
+    Team team;
+    it.ReadName("name", team.name.value, Presence::kRequired);
+    it.Read("weight", team.weight, {1U, kMaxWeight}, Presence::kOptional);
+    configuration.teams.push_back(std::move(team));
+  });
+  root.Finish();
+  CheckUnique(configuration.pools, "pools", root);
+  CheckUnique(configuration.pipelines, "pipelines", root);
+  CheckUnique(configuration.teams, "teams", root);
+  CheckPools(configuration, root);
+  CheckShares(configuration, root);
+  return parsed;
+}
+
+}  // namespace bilberry::declare
--- /dev/null
+++ b/Libraries/LibMembership/configuration_keeper.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "LibBase/ids.h"
+#include "LibDeclare/configuration.h"
+#include "LibDeclare/fault.h"
+
+namespace bilberry::membership {
+
+struct Adopted {};
+struct AlreadyKnown {};
+// The offered revision is below the one in force.
+struct LowerRevision {
+  base::Revision in_force{};
+};
+struct MalformedDocument {
+  declare::Fault fault;
+};
+
+using Adoption =
+    std::variant<Adopted, AlreadyKnown, LowerRevision, MalformedDocument>;
+
+// The configuration in force at this host. Its revision only ever grows.
+class ConfigurationKeeper {
+ public:
+  Adoption Offer(base::Revision revision, std::string document);
+
+  // 0 until the first adoption.
+  base::Revision revision() const { return revision_; }
+  // Null until the first adoption.
+  std::shared_ptr<const declare::Configuration> configuration() const {
+    return configuration_;
+  }
+  // The text as the operator handed it in, for peers that lack it.
+  const std::string& document() const { return document_; }
+
+ private:
+  base::Revision revision_{};
+  std::string document_;
+  std::shared_ptr<const declare::Configuration> configuration_;
+};
+
+}  // namespace bilberry::membership
--- /dev/null
+++ b/Libraries/LibNode/caller_answer.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "LibBase/error.h"
+#include "LibPipeline/executed.h"
+
+namespace bilberry::node {
+
+// Why a request was refused or failed; docs/CALLERS.md lists the codes.
+struct CallerError {
+  std::string code;  // Stable, such as "deadline_unreachable".
+  base::Step step = base::Step::kAdmission;
+  std::string peer;     // The endpoint concerned, or empty.
+  std::string message;  // Names the field, for bad input.
+  // When it is worth asking again; empty when it never is.
+  std::optional<std::chrono::milliseconds> retry_after;
+};
+
+// The one answer to a caller.
+struct CallerAnswer {
+  int status = 200;  // RFC 9110 section 15.
+  std::string request_id;
+  pipeline::Executed executed = pipeline::Executed::kNo;
+  std::optional<CallerError> error;
+  std::string body;  // Of a success.
+};
+
+}  // namespace bilberry::node
--- /dev/null
+++ b/Libraries/LibNode/entry_node.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <optional>
+
+#include "LibBase/time.h"
+#include "LibNode/action.h"
+#include "LibNode/booking_coordinator.h"
+#include "LibNode/event.h"
+#include "LibNode/membership_coordinator.h"
+#include "LibNode/node_context.h"
+#include "LibNode/node_status.h"
+#include "LibNode/run_coordinator.h"
+
+namespace bilberry::node {
+
+// All decisions of one entry host, as a state machine without sockets, threads
+// or clocks: events and the time go in, actions come out.
+class EntryNode {
+ public:
+  explicit EntryNode(NodeOptions options);
+
+  EntryNode(const EntryNode&) = delete;
+  EntryNode& operator=(const EntryNode&) = delete;
+
+  // `now` never goes back from one call to the next.
+  Actions Handle(Event event, base::TimePoint now);
+
+  // When to hand in TimerDue, if nothing else comes before.
+  std::optional<base::TimePoint> NextWakeup() const;
+
+  Readiness readiness() const;
+  NodeStatus Status() const;
+
+ private:
+  void Route(Event event, base::TimePoint now);
+  void HandleStop(base::TimePoint now);
+  // Lets decisions of one coordinator reach the others.
+  void Settle(base::TimePoint now);
+  void NoteReadiness();
+
+  NodeContext context_;
+  BookingCoordinator bookings_;
+  MembershipCoordinator membership_;
+  RunCoordinator runs_;
+  uint64_t seen_changes_ = 0;
+  Readiness last_readiness_ = Readiness::kNoConfiguration;
+  bool has_exited_ = false;
+};
+
+}  // namespace bilberry::node
--- /dev/null
+++ b/Libraries/LibNode/event.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "LibBase/ids.h"
+#include "LibBase/platform.h"
+#include "LibNode/peer_message.h"
+
+// All that can happen to an entry host.
+namespace bilberry::node {
+
+// A request as it came in; nothing of it has been checked.
+struct CallerRequest {
+  base::CallerId caller{};
+  std::string pipeline;
+  std::optional<std::string> team;
+  std::optional<std::string> rank;
+  std::optional<std::string> deadline_ms;
+  std::optional<std::string> idempotency_key;
+  std::string body;
+};
+
+// The caller has closed its connection before its answer.
+struct CallerLeft {
+  base::CallerId caller{};
+};
+
+// A part of a streamed answer, in order.
+struct EndpointChunk {
+  base::AttemptId attempt;
+  std::string echoed_attempt;
+  std::string bytes;
+};
+
+// The end of an endpoint's answer, well framed (RFC 9112 section 8).
+struct EndpointAnswer {
+  base::AttemptId attempt;
+  std::string echoed_attempt;
+  int status = 0;
+  bool said_not_run = false;
+  bool said_leaving = false;
+  std::optional<uint32_t> reported_load;
+  std::string body;  // Empty for a streamed answer.
+};
+
+enum class EndpointFailureKind {
+  kUnreachable,  // No connection; surely nothing was sent.
+  kBroken,       // The connection ended before the answer did.
+};
+
+enum class ConnectionAge { kFresh, kReused };
+
+struct EndpointFailure {
+  base::AttemptId attempt;
+  EndpointFailureKind kind = EndpointFailureKind::kBroken;
+  ConnectionAge connection = ConnectionAge::kFresh;
+  std::string detail;
+};
+
+struct PlatformAnswered {
+  base::OperationId operation{};
+  base::PlatformAnswer answer;
+};
+
+struct PlatformFailed {
+  base::OperationId operation{};
+  base::PlatformFailure failure = base::PlatformFailure::kUnknown;
+};
+
+// A peer's question, to be answered by one AnswerPeer.
+struct PeerRequest {
+  base::OperationId exchange{};
+  PeerMessage message;
+};
+
+struct PeerAnswered {
+  base::OperationId operation{};
+  PeerMessage message;
+};
+
+struct PeerFailed {
+  base::OperationId operation{};
+};
+
+struct TimerDue {};
+
+// Begins a graceful shutdown.
+struct StopOrdered {};
+
+using Event = std::variant<CallerRequest,
+                           CallerLeft,
+                           EndpointChunk,
+                           EndpointAnswer,
+                           EndpointFailure,
+                           PlatformAnswered,
+                           PlatformFailed,
+                           PeerRequest,
+                           PeerAnswered,
+                           PeerFailed,
+                           TimerDue,
+                           StopOrdered>;
+
+}  // namespace bilberry::node
--- /dev/null
+++ b/Libraries/LibPolicy/pool_scheduler.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "LibBase/random.h"
+#include "LibDeclare/configuration.h"
+#include "LibPolicy/first_come_queue.h"
+#include "LibPolicy/round_robin.h"
+#include "LibPolicy/work.h"
+
+namespace bilberry::policy {
+
+// The load of one pool as this host sees it.
+struct PoolLoad {
+  base::PoolName pool;
+  uint32_t endpoints = 0;
+  uint32_t in_flight = 0;
+  uint32_t queued = 0;
+};
+
+// Decides, for one pool, which waiting work goes to which endpoint, and when.
+// Pure: time is passed in, and randomness is seeded.
+class PoolScheduler {
+ public:
+  PoolScheduler(declare::Pool pool,
+                base::ZoneName own_zone,
+                PolicyKind policy,
+                uint64_t seed);
+
+  // Takes on changed sizes and rules; work that waits is kept.
+  void Reconfigure(const declare::Pool& pool);
+
+  // Replaces the endpoints that may be given work. What is in flight at one
+  // that has gone still ends by Finish().
+  void SetEndpoints(const std::vector<EndpointTarget>& endpoints,
+                    base::TimePoint now);
+
+  void Offer(Work work, base::TimePoint now);
+
+  // Takes back work that waits; false when there is none of that run.
+  bool Withdraw(base::RunId run);
+
+  // The next decision, if work waits and an endpoint has room. Call until
+  // empty. Each dispatch is ended by one Finish().
+  std::optional<Dispatch> NextDispatch(base::TimePoint now);
+
+  void Finish(const AttemptReport& report, base::TimePoint now);
+
+  // How long work of this rank and team would wait if it came now.
+  base::Duration EstimatedWait(declare::Rank rank,
+                               const base::TeamName& team,
+                               base::TimePoint now) const;
+
+  // When to call NextDispatch() again though nothing else has happened.
+  std::optional<base::TimePoint> NextWakeup() const;
+
+  // Null when the endpoint isn't in the pool.
+  const EndpointTarget* FindEndpoint(const base::EndpointName& name) const;
+
+  PoolLoad Load() const;
+
+ private:
+  struct EndpointSlot {
+    EndpointTarget target;
+    uint32_t in_flight = 0;
+  };
+
+  EndpointSlot* FindSlot(const base::EndpointName& name);
+
+  declare::Pool pool_;
+  base::ZoneName own_zone_;
+  base::Random random_;
+  std::vector<EndpointSlot> slots_;
+  FirstComeQueue queue_;
+  RoundRobin round_robin_;
+};
+
+}  // namespace bilberry::policy
--- /dev/null
+++ b/Libraries/LibTransport/http_client.cc
@@ -0,0 +1,323 @@
+#include "LibTransport/http_client.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace bilberry::transport {
+
+namespace {
+
+// How long a pooled connection may be idle before it is closed rather than
+// used again.
+constexpr std::chrono::seconds kIdleLimit{5};
+// How long sent bytes may go without acknowledgement (RFC 5482).
+constexpr std::chrono::milliseconds kUserTimeout{2000};
+constexpr std::chrono::milliseconds kConnectTimeout{1000};
+constexpr size_t kMaxIdleHandles = 1024;
+constexpr long kMaxPooledConnections = 2048;
+
+void AppendHeader(curl_slist*& list,
+                  const std::string& name,
+                  const std::string& value) {
+  list = curl_slist_append(list, (name + ": " + value).c_str());
+}
+
+std::string TrimSpaces(std::string_view text) {
+  const size_t first = text.find_first_not_of(" \t\r\n");
+  if (first == std::string_view::npos)
+    return {};
+  const size_t last = text.find_last_not_of(" \t\r\n");
+  return std::string(text.substr(first, last - first + 1));
+}
+
+}  // namespace
+
+struct HttpClient::Transfer {
+  HttpClient* client = nullptr;
+  HttpTransferId id{};
+  HttpRequest request;
+  DoneHandler done;
+  ChunkHandler chunk;
+  CURL* easy = nullptr;
+  curl_slist* headers = nullptr;
+  HttpResponse response;
+};
+
+HttpClient::HttpClient(Reactor& reactor)
+    : reactor_(reactor), multi_(curl_multi_init()) {}
+
+base::Result<std::unique_ptr<HttpClient>> HttpClient::Create(Reactor& reactor) {
+  std::unique_ptr<HttpClient> client(new HttpClient(reactor));
+  if (client->multi_ == nullptr)
+    return base::Error{base::ErrorCode::kSystem, base::Step::kListen, "",
+                       "libcurl can't be set up"};
+  curl_multi_setopt(client->multi_, CURLMOPT_SOCKETFUNCTION, OnSocket);
+  curl_multi_setopt(client->multi_, CURLMOPT_SOCKETDATA, client.get());
+  curl_multi_setopt(client->multi_, CURLMOPT_TIMERFUNCTION, OnTimer);
+  curl_multi_setopt(client->multi_, CURLMOPT_TIMERDATA, client.get());
+  curl_multi_setopt(client->multi_, CURLMOPT_MAXCONNECTS,
+                    kMaxPooledConnections);
+  reactor.Add(*client);
+  return client;
+}
+
+HttpClient::~HttpClient() {
+  reactor_.Remove(*this);
+  for (auto& [id, transfer] : transfers_)
+    Release(*transfer);
+  for (CURL* easy : idle_handles_)
+    curl_easy_cleanup(easy);
+  curl_multi_cleanup(multi_);
+}
+
+CURL* HttpClient::TakeHandle() {
+  if (idle_handles_.empty())
+    return curl_easy_init();
+  CURL* easy = idle_handles_.back();
+  idle_handles_.pop_back();
+  return easy;
+}
+
+HttpTransferId HttpClient::Send(HttpRequest request,
+                                DoneHandler done,
+                                ChunkHandler chunk) {
+  auto transfer = std::make_unique<Transfer>();
+  transfer->client = this;
+  transfer->id = HttpTransferId{++last_id_};
+  transfer->request = std::move(request);
+  transfer->done = std::move(done);
+  transfer->chunk = std::move(chunk);
+  transfer->easy = TakeHandle();
+  SetUp(*transfer);
+  curl_multi_add_handle(multi_, transfer->easy);
+  const HttpTransferId id = transfer->id;
+  transfers_.emplace(id, std::move(transfer));
+  return id;
+}
+
+void HttpClient::SetUp(Transfer& transfer) {
+  CURL* easy = transfer.easy;
+  const HttpRequest& request = transfer.request;
+  const std::string url =
+      "http://" + base::ToText(request.address) + request.path;
+  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+                   static_cast<long>(CURL_HTTP_VERSION_1_1));
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+                   static_cast<long>(kIdleLimit.count()));
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(kConnectTimeout.count()));
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(request.timeout.count()));
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, OnSocketOpened);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+  const bool is_fresh = request.connection == node::ConnectionUse::kFresh;
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, is_fresh ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
+                   is_fresh || IsCondemned(request.address) ? 1L : 0L);
+  if (request.method != HttpMethod::kGet) {
+    curl_easy_setopt(easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request.body.size()));
+  }
+  if (request.method == HttpMethod::kPut)
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, "PUT");
+  // Without this, curl waits a second for "100 Continue" on larger bodies.
+  transfer.headers = curl_slist_append(transfer.headers, "Expect:");
+  for (const HttpHeader& header : request.headers)
+    AppendHeader(transfer.headers, header.name, header.value);
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers);
+}
+
+void HttpClient::Cancel(HttpTransferId id) {
+  const auto it = transfers_.find(id);
+  if (it == transfers_.end())
+    return;
+  Release(*it->second);
+  transfers_.erase(it);
+}
+
+void HttpClient::Release(Transfer& transfer) {
+  curl_multi_remove_handle(multi_, transfer.easy);
+  curl_slist_free_all(transfer.headers);
+  if (idle_handles_.size() < kMaxIdleHandles) {
+    curl_easy_reset(transfer.easy);
+    idle_handles_.push_back(transfer.easy);
+  } else {
+    curl_easy_cleanup(transfer.easy);
+  }
+}
+
+void HttpClient::CondemnConnections(const base::SocketAddress& address) {
+  // libcurl can't close the idle connections of one peer. A connection that is
+  // idle now is over its idle limit once this time has passed.
+  condemned_until_[address] = reactor_.Now() + kIdleLimit;
+}
+
+bool HttpClient::IsCondemned(const base::SocketAddress& address) const {
+  const auto it = condemned_until_.find(address);
+  return it != condemned_until_.end() && reactor_.Now() < it->second;
+}
+
+int HttpClient::handle_input(ACE_HANDLE descriptor) {
+  Act(descriptor, CURL_CSELECT_IN);
+  return 0;
+}
+
+int HttpClient::handle_output(ACE_HANDLE descriptor) {
+  Act(descriptor, CURL_CSELECT_OUT);
+  return 0;
+}
+
+void HttpClient::Act(curl_socket_t socket, int events) {
+  int running = 0;
+  curl_multi_socket_action(multi_, socket, events, &running);
+}
+
+int HttpClient::OnSocket(CURL* /*easy*/,
+                         curl_socket_t socket,
+                         int what,
+                         void* self,
+                         void* /*socket_data*/) {
+  auto& client = *static_cast<HttpClient*>(self);
+  ACE_Reactor_Mask mask = ACE_Event_Handler::NULL_MASK;
+  if (what == CURL_POLL_IN || what == CURL_POLL_INOUT)
+    mask |= ACE_Event_Handler::READ_MASK;
+  if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
+    mask |= ACE_Event_Handler::WRITE_MASK;
+  if (mask == ACE_Event_Handler::NULL_MASK)
+    client.reactor_.Unwatch(socket);
+  else
+    client.reactor_.Watch(socket, client, mask);
+  return 0;
+}
+
+int HttpClient::OnTimer(CURLM* /*multi*/, long timeout_ms, void* self) {
+  auto& client = *static_cast<HttpClient*>(self);
+  if (timeout_ms < 0)
+    client.curl_due_.reset();
+  else
+    client.curl_due_ =
+        client.reactor_.Now() + std::chrono::milliseconds(timeout_ms);
+  return 0;
+}
+
+int HttpClient::OnSocketOpened(void* /*self*/,
+                               curl_socket_t socket,
+                               curlsocktype /*purpose*/) {
+  const auto timeout = static_cast<unsigned int>(kUserTimeout.count());
+  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+  const int on = 1;
+  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  return CURL_SOCKOPT_OK;
+}
+
+size_t HttpClient::OnHeader(char* data,
+                            size_t /*unit*/,
+                            size_t size,
+                            void* transfer) {
+  auto& response = static_cast<Transfer*>(transfer)->response;
+  const std::string_view line(data, size);
+  // A status line begins a new head, as after "100 Continue".
+  if (line.starts_with("HTTP/")) {
+    response.headers.clear();
+    return size;
+  }
+  const size_t colon = line.find(':');
+  if (colon != std::string_view::npos)
+    response.headers.push_back({std::string(line.substr(0, colon)),
+                                TrimSpaces(line.substr(colon + 1))});
+  return size;
+}
+
+size_t HttpClient::OnBody(char* data,
+                          size_t /*unit*/,
+                          size_t size,
+                          void* transfer) {
+  auto& it = *static_cast<Transfer*>(transfer);
+  // Chunks are handed on after curl has returned: a handler may call curl.
+  if (it.chunk)
+    it.client->chunks_.push_back({it.id, std::string(data, size)});
+  else
+    it.response.body.append(data, size);
+  return size;
+}
+
+void HttpClient::RunTurn(base::TimePoint now) {
+  if (curl_due_ && *curl_due_ <= now) {
+    curl_due_.reset();
+    Act(CURL_SOCKET_TIMEOUT, 0);
+  }
+  DeliverChunks();
+  DeliverDone();
+  std::erase_if(condemned_until_,
+                [now](const auto& it) { return it.second <= now; });
+}
+
+std::optional<base::TimePoint> HttpClient::NextTurn() const {
+  return curl_due_;
+}
+
+void HttpClient::DeliverChunks() {
+  for (Chunk& chunk : std::exchange(chunks_, {})) {
+    const auto it = transfers_.find(chunk.id);
+    if (it == transfers_.end())
+      continue;
+    Transfer& transfer = *it->second;
+    long status = 0;
+    curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
+    transfer.response.status = static_cast<int>(status);
+    transfer.chunk(transfer.response, std::move(chunk.bytes));
+  }
+}
+
+void HttpClient::DeliverDone() {
+  int left = 0;
+  while (const CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+    if (message->msg != CURLMSG_DONE)
+      continue;
+    char* data = nullptr;
+    curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &data);
+    auto& transfer = *reinterpret_cast<Transfer*>(data);
+    HttpOutcome outcome = OutcomeOf(transfer, message->data.result);
+    const auto node = transfers_.extract(transfer.id);
+    Release(*node.mapped());
+    node.mapped()->done(std::move(outcome));
+  }
+}
+
+HttpOutcome HttpClient::OutcomeOf(Transfer& transfer, CURLcode code) const {
+  if (code == CURLE_OK) {
+    long status = 0;
+    curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
+    transfer.response.status = static_cast<int>(status);
+    return std::move(transfer.response);
+  }
+  HttpFailure failure;
+  failure.detail = curl_easy_strerror(code);
+  curl_off_t connect_time = 0;
+  curl_easy_getinfo(transfer.easy, CURLINFO_CONNECT_TIME_T, &connect_time);
+  long new_connections = 0;
+  curl_easy_getinfo(transfer.easy, CURLINFO_NUM_CONNECTS, &new_connections);
+  const bool never_connected = new_connections > 0 && connect_time == 0;
+  if (code == CURLE_COULDNT_CONNECT ||
+      (code == CURLE_OPERATION_TIMEDOUT && never_connected))
+    failure.kind = node::EndpointFailureKind::kUnreachable;
+  failure.connection = new_connections > 0 ? node::ConnectionAge::kFresh
+                                           : node::ConnectionAge::kReused;
+  return failure;
+}
+
+}  // namespace bilberry::transport
--- /dev/null
+++ b/Libraries/LibTransport/http_client.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <ace/Event_Handler.h>
+#include <curl/curl.h>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "LibBase/error.h"
+#include "LibBase/ids.h"
+#include "LibNode/action.h"
+#include "LibNode/event.h"
+#include "LibTransport/http_message.h"
+#include "LibTransport/reactor.h"
+
+namespace bilberry::transport {
+
+enum class HttpMethod { kGet, kPost, kPut };
+
+struct HttpRequest {
+  HttpMethod method = HttpMethod::kGet;
+  base::SocketAddress address;
+  std::string path;
+  HttpHeaders headers;
+  std::string body;
+  // 0 for none: the sender cancels when it has waited enough.
+  std::chrono::milliseconds timeout{0};
+  node::ConnectionUse connection = node::ConnectionUse::kPooled;
+};
+
+struct HttpFailure {
+  node::EndpointFailureKind kind = node::EndpointFailureKind::kBroken;
+  node::ConnectionAge connection = node::ConnectionAge::kFresh;
+  std::string detail;
+};
+
+using HttpOutcome = std::variant<HttpResponse, HttpFailure>;
+
+enum class HttpTransferId : uint64_t {};
+
+// HTTP/1.1 requests over libcurl's multi interface, driven by the reactor.
+// Callbacks run in the loop's turn, never inside Send() or Cancel().
+class HttpClient final : public LoopParticipant, private ACE_Event_Handler {
+ public:
+  // Given the response's head and a part of its body, in order.
+  using ChunkHandler =
+      std::function<void(const HttpResponse& head, std::string bytes)>;
+  // Called once, last. The body is empty when chunks were asked for.
+  using DoneHandler = std::function<void(HttpOutcome outcome)>;
+
+  static base::Result<std::unique_ptr<HttpClient>> Create(Reactor& reactor);
+  ~HttpClient() override;
+
+  HttpTransferId Send(HttpRequest request,
+                      DoneHandler done,
+                      ChunkHandler chunk = nullptr);
+
+  // Gives a transfer up; its callbacks won't run. Unknown ids are ignored.
+  void Cancel(HttpTransferId id);
+
+  // Keeps idle connections to this peer from being used again.
+  void CondemnConnections(const base::SocketAddress& address);
+
+  void RunTurn(base::TimePoint now) override;
+  std::optional<base::TimePoint> NextTurn() const override;
+
+ private:
+  struct Transfer;
+  struct Chunk {
+    HttpTransferId id;
+    std::string bytes;
+  };
+
+  explicit HttpClient(Reactor& reactor);
+
+  int handle_input(ACE_HANDLE descriptor) override;
+  int handle_output(ACE_HANDLE descriptor) override;
+
+  static int OnSocket(CURL* easy, curl_socket_t, int what, void* self, void*);
+  static int OnTimer(CURLM* multi, long timeout_ms, void* self);
+  static int OnSocketOpened(void* self, curl_socket_t socket, curlsocktype);
+  static size_t OnHeader(char* data, size_t, size_t size, void* transfer);
+  static size_t OnBody(char* data, size_t, size_t size, void* transfer);
+
+  CURL* TakeHandle();
+  void SetUp(Transfer& transfer);
+  void Act(curl_socket_t socket, int events);
+  void DeliverChunks();
+  void DeliverDone();
+  HttpOutcome OutcomeOf(Transfer& transfer, CURLcode code) const;
+  void Release(Transfer& transfer);
+  bool IsCondemned(const base::SocketAddress& address) const;
+
+  Reactor& reactor_;
+  CURLM* multi_ = nullptr;
+  uint64_t last_id_ = 0;
+  std::unordered_map<HttpTransferId, std::unique_ptr<Transfer>> transfers_;
+  std::vector<CURL*> idle_handles_;
+  std::vector<Chunk> chunks_;
+  std::optional<base::TimePoint> curl_due_;
+  // Until when each peer's requests open connections of their own.
+  std::map<base::SocketAddress, base::TimePoint> condemned_until_;
+};
+
+}  // namespace bilberry::transport
--- /dev/null
+++ b/Libraries/LibTransport/http_message.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bilberry::transport {
+
+struct HttpHeader {
+  std::string name;
+  std::string value;
+};
+
+using HttpHeaders = std::vector<HttpHeader>;
+
+// The first value of a header, names compared without case (RFC 9110 section
+// 5.1); null when there is none.
+const std::string* FindHeader(const HttpHeaders& headers,
+                              std::string_view name);
+
+struct HttpResponse {
+  int status = 200;
+  HttpHeaders headers;
+  std::string body;
+};
+
+// The headers of our own contracts; docs/CONTRACTS.md tells their meaning.
+inline constexpr const char* kTeamHeader = "Bilberry-Team";
+inline constexpr const char* kRankHeader = "Bilberry-Rank";
+inline constexpr const char* kDeadlineHeader = "Bilberry-Deadline-Ms";
+inline constexpr const char* kIdempotencyKeyHeader = "Idempotency-Key";
+inline constexpr const char* kRequestIdHeader = "Bilberry-Request-Id";
+inline constexpr const char* kExecutedHeader = "Bilberry-Executed";
+inline constexpr const char* kAttemptIdHeader = "Bilberry-Attempt-Id";
+inline constexpr const char* kNotRunHeader = "Bilberry-Not-Run";
+inline constexpr const char* kLeavingHeader = "Bilberry-Leaving";
+inline constexpr const char* kLoadHeader = "Bilberry-Load";
+inline constexpr const char* kRetryAfterHeader = "Retry-After";
+inline constexpr const char* kContentTypeHeader = "Content-Type";
+inline constexpr const char* kOperatorTokenHeader = "Bilberry-Operator-Token";
+
+inline constexpr const char* kJsonType = "application/json";
+inline constexpr const char* kTextType = "text/plain; charset=utf-8";
+inline constexpr const char* kEventStreamType = "text/event-stream";
+
+}  // namespace bilberry::transport
--- /dev/null
+++ b/Libraries/LibTransport/node_shell.cc
@@ -0,0 +1,276 @@
+#include "LibTransport/node_shell.h"
+
+#include <charconv>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "LibTransport/caller_answer_codec.h"
+#include "LibTransport/log_writer.h"
+
+namespace bilberry::transport {
+
+namespace {
+
+constexpr std::string_view kPipelinesPath = "/v1/pipelines/";
+
+std::optional<std::string> Copy(const std::string* text) {
+  return text == nullptr ? std::nullopt : std::optional(*text);
+}
+
+std::string TextOrEmpty(const std::string* text) {
+  return text == nullptr ? std::string() : *text;
+}
+
+bool IsTrue(const std::string* text) {
+  return text != nullptr && *text == "true";
+}
+
+std::optional<uint32_t> NumberOf(const std::string* text) {
+  uint32_t number = 0;
+  if (text == nullptr)
+    return std::nullopt;
+  const char* end = text->data() + text->size();
+  const auto [rest, ec] = std::from_chars(text->data(), end, number);
+  if (ec != std::errc() || rest != end)
+    return std::nullopt;
+  return number;
+}
+
+node::Event EventOf(const base::AttemptId& attempt, HttpOutcome outcome) {
+  if (auto* failure = std::get_if<HttpFailure>(&outcome))
+    return node::EndpointFailure{attempt, failure->kind, failure->connection,
+                                 std::move(failure->detail)};
+  auto& response = std::get<HttpResponse>(outcome);
+  node::EndpointAnswer answer;
+  answer.attempt = attempt;
+  answer.echoed_attempt =
+      TextOrEmpty(FindHeader(response.headers, kAttemptIdHeader));
+  answer.status = response.status;
+  answer.said_not_run = IsTrue(FindHeader(response.headers, kNotRunHeader));
+  answer.said_leaving = IsTrue(FindHeader(response.headers, kLeavingHeader));
+  answer.reported_load = NumberOf(FindHeader(response.headers, kLoadHeader));
+  answer.body = std::move(response.body);
+  return answer;
+}
+
+HttpResponse PlainText(int status, std::string text) {
+  return {status, {{kContentTypeHeader, kTextType}}, std::move(text)};
+}
+
+}  // namespace
+
+NodeShell::NodeShell(Reactor& reactor, node::NodeOptions options)
+    : reactor_(reactor),
+      settings_(options.settings),
+      node_(std::move(options)) {}
+
+base::Result<std::unique_ptr<NodeShell>> NodeShell::Create(
+    Reactor& reactor,
+    node::NodeOptions options) {
+  std::unique_ptr<NodeShell> shell(new NodeShell(reactor, std::move(options)));
+  NodeShell* raw = shell.get();
+  const declare::HostSettings& settings = shell->settings_;
+  TRY(http, HttpClient::Create(reactor));
+  shell->http_ = std::move(http);
+  shell->platform_ =
+      std::make_unique<PlatformClient>(*shell->http_, settings.platform);
+  shell->peers_ = std::make_unique<PeerClient>(*shell->http_);
+  TRY(callers,
+      HttpListener::Create(
+          reactor, {settings.callers, settings.max_body_bytes},
+          [raw](IncomingRequest it) { raw->HandleRequest(std::move(it)); },
+          [raw](ExchangeId it) {
+            raw->Feed(
+                node::CallerLeft{base::CallerId{static_cast<uint64_t>(it)}});
+          }));
+  shell->callers_ = std::move(callers);
+  TRY(peer_server,
+      PeerServer::Create(reactor, settings.peers, settings.operator_token,
+                         {[raw](node::PeerMessage it) {
+                            return raw->HandlePeerMessage(std::move(it));
+                          },
+                          [raw] { return raw->node_.Status(); }}));
+  shell->peer_server_ = std::move(peer_server);
+  reactor.Add(*shell);
+  return shell;
+}
+
+NodeShell::~NodeShell() {
+  reactor_.Remove(*this);
+}
+
+void NodeShell::OrderStop() {
+  Feed(node::StopOrdered{});
+}
+
+bool NodeShell::has_finished() const {
+  return has_exited_ && callers_->exchange_count() == 0;
+}
+
+void NodeShell::RunTurn(base::TimePoint now) {
+  const auto due = node_.NextWakeup();
+  if (due && *due <= now)
+    Feed(node::TimerDue{});
+}
+
+std::optional<base::TimePoint> NodeShell::NextTurn() const {
+  return node_.NextWakeup();
+}
+
+void NodeShell::HandleRequest(IncomingRequest request) {
+  if (request.path.starts_with(kPipelinesPath) && request.method == "POST") {
+    HandlePipelineRequest(std::move(request));
+    return;
+  }
+  if (request.path == "/healthz") {
+    callers_->Respond(request.exchange, PlainText(200, "alive\n"));
+    return;
+  }
+  if (request.path == "/readyz") {
+    const node::Readiness readiness = node_.readiness();
+    const int status = readiness == node::Readiness::kReady ? 200 : 503;
+    callers_->Respond(
+        request.exchange,
+        PlainText(status, std::string(node::ToText(readiness)) + "\n"));
+    return;
+  }
+  callers_->Respond(request.exchange, PlainText(404, "not found\n"));
+}
+
+void NodeShell::HandlePipelineRequest(IncomingRequest request) {
+  node::CallerRequest event;
+  event.caller = base::CallerId{static_cast<uint64_t>(request.exchange)};
+  event.pipeline = request.path.substr(kPipelinesPath.size());
+  event.team = Copy(FindHeader(request.headers, kTeamHeader));
+  event.rank = Copy(FindHeader(request.headers, kRankHeader));
+  event.deadline_ms = Copy(FindHeader(request.headers, kDeadlineHeader));
+  event.idempotency_key =
+      Copy(FindHeader(request.headers, kIdempotencyKeyHeader));
+  event.body = std::move(request.body);
+  Feed(std::move(event));
+}
+
+base::Result<node::PeerMessage> NodeShell::HandlePeerMessage(
+    node::PeerMessage message) {
+  peer_answer_.reset();
+  Feed(node::PeerRequest{base::OperationId{++last_exchange_},
+                         std::move(message)});
+  if (!peer_answer_)
+    return base::Error{base::ErrorCode::kRefused, base::Step::kPeerCall, "",
+                       "this message has no answer"};
+  return std::move(*std::exchange(peer_answer_, std::nullopt));
+}
+
+void NodeShell::Feed(node::Event event) {
+  for (node::Action& action : node_.Handle(std::move(event), reactor_.Now()))
+    Perform(std::move(action));
+}
+
+void NodeShell::Perform(node::Action action) {
+  std::visit([this](auto&& it) { Do(std::forward<decltype(it)>(it)); },
+             std::move(action));
+}
+
+void NodeShell::Do(node::SendToEndpoint action) {
+  HttpRequest request;
+  request.method = HttpMethod::kPost;
+  request.address = action.address;
+  request.path = std::move(action.path);
+  request.headers = {{kContentTypeHeader, kJsonType},
+                     {kAttemptIdHeader, base::ToText(action.attempt)}};
+  if (action.idempotency_key)
+    request.headers.push_back(
+        {kIdempotencyKeyHeader, std::move(*action.idempotency_key)});
+  request.body = std::move(action.body);
+  request.connection = action.connection;
+  const base::AttemptId attempt = action.attempt;
+  HttpClient::ChunkHandler on_chunk;
+  if (action.delivery == declare::Delivery::kStreamed) {
+    on_chunk = [this, attempt](const HttpResponse& head, std::string bytes) {
+      // An error's body isn't part of the stream.
+      if (head.status != 200)
+        return;
+      Feed(node::EndpointChunk{
+          attempt, TextOrEmpty(FindHeader(head.headers, kAttemptIdHeader)),
+          std::move(bytes)});
+    };
+  }
+  transfers_[attempt.number] = http_->Send(
+      std::move(request),
+      [this, attempt](HttpOutcome outcome) {
+        transfers_.erase(attempt.number);
+        Feed(EventOf(attempt, std::move(outcome)));
+      },
+      std::move(on_chunk));
+}
+
+void NodeShell::Do(const node::CancelAttempt& action) {
+  const auto node = transfers_.extract(action.attempt.number);
+  if (!node.empty())
+    http_->Cancel(node.mapped());
+}
+
+void NodeShell::Do(const node::CondemnConnections& action) {
+  http_->CondemnConnections(action.address);
+}
+
+void NodeShell::Do(const node::AnswerCaller& action) {
+  callers_->Respond(ExchangeId{static_cast<uint64_t>(action.caller)},
+                    EncodeCallerAnswer(action.answer));
+}
+
+void NodeShell::Do(const node::StreamToCaller& action) {
+  const ExchangeId exchange{static_cast<uint64_t>(action.caller)};
+  if (streams_.try_emplace(action.caller, true).second)
+    callers_->BeginStream(exchange, 200,
+                          {{kContentTypeHeader, kEventStreamType},
+                           {"Cache-Control", "no-store"},
+                           {kRequestIdHeader, action.request_id}});
+  callers_->WriteStream(exchange, action.bytes);
+}
+
+void NodeShell::Do(const node::EndStream& action) {
+  const ExchangeId exchange{static_cast<uint64_t>(action.caller)};
+  streams_.erase(action.caller);
+  callers_->WriteStream(exchange, EncodeEndMark(action.answer));
+  callers_->EndStream(exchange, StreamEnd::kWhole);
+}
+
+void NodeShell::Do(node::SendToPlatform action) {
+  platform_->Send(
+      std::move(action.request), action.timeout,
+      [this, operation = action.operation](PlatformClient::Outcome outcome) {
+        if (auto* answer = std::get_if<base::PlatformAnswer>(&outcome))
+          Feed(node::PlatformAnswered{operation, std::move(*answer)});
+        else
+          Feed(node::PlatformFailed{operation,
+                                    std::get<base::PlatformFailure>(outcome)});
+      });
+}
+
+void NodeShell::Do(const node::SendToPeer& action) {
+  peers_->Send(
+      action.address, action.message, action.timeout,
+      [this,
+       operation = action.operation](base::Result<node::PeerMessage> answer) {
+        if (answer)
+          Feed(node::PeerAnswered{operation, std::move(answer.value())});
+        else
+          Feed(node::PeerFailed{operation});
+      });
+}
+
+void NodeShell::Do(node::AnswerPeer action) {
+  peer_answer_ = std::move(action.message);
+}
+
+void NodeShell::Do(const node::WriteLog& action) {
+  WriteLogLine(action.event);
+}
+
+void NodeShell::Do(const node::Exit& /*action*/) {
+  has_exited_ = true;
+}
+
+}  // namespace bilberry::transport
--- /dev/null
+++ b/Libraries/LibTransport/peer_server.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "LibBase/error.h"
+#include "LibNode/node_status.h"
+#include "LibNode/peer_message.h"
+#include "LibTransport/http_listener.h"
+
+namespace bilberry::transport {
+
+inline constexpr const char* kRpcPath = "/rpc";
+
+// The JSON-RPC server for peers and operators, over the reactor's listener.
+// Operators' methods need the operator token in a header.
+class PeerServer {
+ public:
+  struct Handlers {
+    std::function<base::Result<node::PeerMessage>(node::PeerMessage)> peer;
+    std::function<node::NodeStatus()> status;
+  };
+
+  static base::Result<std::unique_ptr<PeerServer>> Create(
+      Reactor& reactor,
+      const base::SocketAddress& address,
+      std::string operator_token,
+      Handlers handlers);
+  ~PeerServer();
+
+ private:
+  class Connector;
+  class Methods;
+
+  PeerServer();
+  void HandleRequest(const IncomingRequest& request);
+
+  std::string operator_token_;
+  std::unique_ptr<Connector> connector_;
+  std::unique_ptr<Methods> methods_;
+  std::unique_ptr<HttpListener> listener_;
+};
+
+}  // namespace bilberry::transport
--- /dev/null
+++ b/Libraries/LibTransport/status_codec.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <json/value.h>
+
+#include "LibNode/node_status.h"
+
+namespace bilberry::transport {
+
+// A host's status as operators are given it; docs/OPERATORS.md lists the
+// fields.
+Json::Value EncodeStatus(const node::NodeStatus& status);
+
+}  // namespace bilberry::transport
--- /dev/null
+++ b/Libraries/LibTransport/timer_queue.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <functional>
+#include <map>
+
+#include "LibTransport/reactor.h"
+
+namespace bilberry::transport {
+
+// Calls functions at given times, in the loop's turn.
+class TimerQueue final : public LoopParticipant {
+ public:
+  explicit TimerQueue(Reactor& reactor);
+  ~TimerQueue() override;
+
+  void After(base::Duration delay, std::function<void()> call);
+
+  void RunTurn(base::TimePoint now) override;
+  std::optional<base::TimePoint> NextTurn() const override;
+
+ private:
+  Reactor& reactor_;
+  std::multimap<base::TimePoint, std::function<void()>> calls_;
+};
+
+}  // namespace bilberry::transport
--- /dev/null
+++ b/Meta/demo.sh
@@ -0,0 +1,110 @@
+#!/usr/bin/env bash
+# Installs, builds, and shows the whole path: the stand-ins, three entry hosts
+# in three zones, Valbruna's configuration, and one request of each kind.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+Meta/setup.sh
+Meta/build.sh
+
+# Addresses of this run's own, so that two runs don't meet.
+net="127.$((16 + $$ / 250 % 200)).$(($$ % 250))"
+bin=build
+token=demo-token
+work=$(mktemp -d)
+pids=()
+
+stop_all() {
+  for pid in "${pids[@]}"; do
+    kill -TERM "$pid" 2> /dev/null || true
+  done
+  for pid in "${pids[@]}"; do
+    wait "$pid" || echo "process $pid ended with $?"
+  done
+  rm -rf "$work"
+}
+trap stop_all EXIT
+
+start() {
+  local name=$1
+  shift
+  "$@" 2> "$work/$name.log" &
+  pids+=("$!")
+}
+
+wait_for() {
+  for _ in $(seq 100); do
+    if curl -s -o /dev/null --fail "$1"; then
+      return 0
+    fi
+    sleep 0.1
+  done
+  echo "no answer from $1" >&2
+  cat "$work"/*.log >&2
+  return 1
+}
+
+platform="$net.100"
+start platform "$bin/Tests/Standins/platformstandin" --ip "$platform"
+wait_for "http://$platform:7001/counts"
+
+# Pool number, name, endpoints, and whether they report their load.
+octet2=${net#127.}
+octet2=${octet2%%.*}
+pool() {
+  start "$2" "$bin/Tests/Standins/endpointstandin" --pool "$2" --count "$3" \
+    --subnet "127.$octet2.$((250 + $1))" --zones zona-a,zona-b,zona-c \
+    --reports-load="$4" --platform-ip "$platform"
+}
+pool 1 lucignolo 9 false
+pool 2 banco 3 false
+pool 3 magazzino 3 true
+pool 4 fatture 5 true
+pool 5 calendario 5 true
+
+zones=(zona-a zona-b zona-c)
+for i in 1 2 3; do
+  cat > "$work/host-$i.json" << EOF
+{
+  "host": "entry-$i",
+  "zone": "${zones[$((i - 1))]}",
+  "callers": { "ip": "$net.$i", "port": 8080 },
+  "peers": { "ip": "$net.$i", "port": 8081 },
+  "platform": { "ip": "$platform", "port": 7000 },
+  "seed_peers": [
+    { "ip": "$net.1", "port": 8081 },
+    { "ip": "$net.2", "port": 8081 },
+    { "ip": "$net.3", "port": 8081 }
+  ],
+  "operator_token": "$token"
+}
+EOF
+  start "entry-$i" "$bin/Services/bilberryd/bilberryd" \
+    --settings "$work/host-$i.json"
+done
+
+"$bin/Utilities/bilberryctl/bilberryctl" apply \
+  --file Examples/valbruna/configuration.json --platform "$platform:7000" \
+  --expect-revision 0
+for i in 1 2 3; do
+  wait_for "http://$net.$i:8080/readyz"
+done
+
+n=0
+for pipeline in quotation inventory-summary booking-chat booking stock \
+  dispatch invoice events; do
+  host=$((n % 3 + 1))
+  n=$((n + 1))
+  echo "--- $pipeline, at entry-$host"
+  curl -s --fail-with-body -H "Bilberry-Team: parrocchia-san-floriano" \
+    -H "Idempotency-Key: demo-$pipeline" -d '{"event":"procession"}' \
+    "http://$net.$host:8080/v1/pipelines/$pipeline" | tee "$work/answer-$n"
+  echo
+  grep -o '"endpoint":"[^"]*"' "$work/answer-$n" | sort | uniq -c |
+    sed "s/^ */$pipeline answered by /" >> "$work/summary"
+done
+
+echo "--- who answered (stages)"
+cat "$work/summary"
+echo "--- status"
+"$bin/Utilities/bilberryctl/bilberryctl" status --token "$token" \
+  --hosts "$net.1:8081,$net.2:8081,$net.3:8081"
--- /dev/null
+++ b/Tests/LibBooking/test_booking_record.cc
@@ -0,0 +1,39 @@
+#include <doctest/doctest.h>
+
+#include "LibBooking/booking_record.h"
+
+namespace bilberry::booking {
+namespace {
+
+TEST_CASE("records are printed and read alike") {
+  BookingRecord record;
+  record.state = BookingState::kDone;
+  record.digest = "d";
+  record.claim_token = "token";
+  record.claimer = {"entry-1"};
+  record.claimer_incarnation = base::Incarnation{0xffffffffffffffff};
+  record.claimer_address = {"127.0.0.1", 8081};
+  record.status = 200;
+  record.answer = R"({"text": "a \"quoted\" line\n"})";
+  const auto read = ParseRecord(PrintRecord(record));
+  REQUIRE(read);
+  CHECK(read.value() == record);
+}
+
+TEST_CASE("rows that are no records are refused") {
+  for (const char* text : {"", "{}", "[]", "null", R"({"state": "done"})"}) {
+    CAPTURE(text);
+    CHECK_FALSE(ParseRecord(text));
+  }
+}
+
+TEST_SUITE_BEGIN("promise-4");
+
+TEST_CASE("two teams' equal keys are two bookings") {
+  CHECK(RowKeyOf({{"a"}, "k"}) != RowKeyOf({{"b"}, "k"}));
+}
+
+TEST_SUITE_END();
+
+}  // namespace
+}  // namespace bilberry::booking
--- /dev/null
+++ b/Tests/LibDeclare/test_bad_input.cc
@@ -0,0 +1,116 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "LibDeclare/configuration_parser.h"
+#include "LibDeclare/host_settings.h"
+
+namespace bilberry::declare {
+namespace {
+
+constexpr const char* kSound = R"({
+  "deployment": "d", "zones": ["a"],
+  "ranks": {
+    "urgent": {"minimum_share_percent": 50, "attainment_target_percent": 99},
+    "ordinary": {"minimum_share_percent": 20, "attainment_target_percent": 99},
+    "background": {"minimum_share_percent": 5, "attainment_target_percent": 90}
+  },
+  "pools": [
+    {"name": "p", "kind": "service", "workers": 3, "slots_per_worker": 4}
+  ],
+  "pipelines": [
+    {"name": "q", "rank": "urgent", "deadline_ms": 100, "stages": [
+      {"name": "s", "kind": "call", "pool": "p", "path": "/s", "expected_ms": 5}
+    ]}
+  ],
+  "teams": [{"name": "t"}]
+})";
+
+struct BadInput {
+  const char* from;  // What of the sound text is replaced.
+  const char* to;
+  int line;
+  const char* field;
+  const char* reason;  // A part of it.
+};
+
+constexpr BadInput kBadInputs[] = {
+    {R"("deployment": "d",)", "", 1, "deployment", "is missing"},
+    {R"("deployment": "d",)", R"("deployment": 3,)", 2, "deployment", "string"},
+    {R"("zones": ["a"])", R"("zones": "a")", 2, "zones", "array"},
+    {R"("zones": ["a"])", R"("zones": ["a"], "zoo": 1)", 2, "zoo", "unknown"},
+    {R"("zones": ["a"])", R"("zones": ["a"], "zones": [])", 2, "", "JSON"},
+    {R"("minimum_share_percent": 50)", R"("minimum_share_percent": 101)", 4,
+     "ranks.urgent.minimum_share_percent", "from 0 to 100"},
+    {R"("minimum_share_percent": 50)", R"("minimum_share_percent": 90)", 3,
+     "ranks", "more than 100"},
+    {R"("workers": 3)", R"("workers": 0)", 9, "pools[0].workers", "from 1"},
+    {R"("workers": 3)", R"("workers": -1)", 9, "pools[0].workers", "from 1"},
+    {R"("workers": 3)", R"("workers": 2.5)", 9, "pools[0].workers", "whole"},
+    {R"("kind": "service")", R"("kind": "sevice")", 9, "pools[0].kind",
+     "unknown value"},
+    {R"("pool": "p")", R"("pool": "x")", 11, "pipelines", "unknown pool"},
+    {R"("path": "/s")", R"("path": "s")", 13, "pipelines[0].stages[0].path",
+     "slash"},
+    {R"("deadline_ms": 100)", R"("deadline_ms": 0)", 12,
+     "pipelines[0].deadline_ms", "from 1"},
+    {R"("rank": "urgent")", R"("rank": "high")", 12, "pipelines[0].rank",
+     "unknown value"},
+    {R"({"name": "t"})", R"({"name": "t"}, {"name": "t"})", 16, "teams",
+     "declared twice"},
+    {R"({"name": "t"})", R"({"name": "a/b"})", 16, "teams[0].name",
+     "may only hold"},
+    {"})", "", 0, "", "JSON"},
+};
+
+std::string Replaced(const BadInput& bad) {
+  std::string text = kSound;
+  const size_t at = text.rfind(bad.from);
+  if (at == std::string::npos)
+    return text.substr(0, text.size() / 2);
+  return text.replace(at, std::string(bad.from).size(), bad.to);
+}
+
+TEST_CASE("the sound text is sound") {
+  CHECK(ParseConfiguration(kSound).faults.empty());
+}
+
+TEST_CASE("bad configurations are refused with line, field and reason") {
+  for (const BadInput& bad : kBadInputs) {
+    CAPTURE(bad.to);
+    const auto parsed = ParseConfiguration(Replaced(bad));
+    REQUIRE_FALSE(parsed.faults.empty());
+    const Fault& fault = parsed.faults.front();
+    CAPTURE(fault.reason);
+    CHECK(fault.field == bad.field);
+    CHECK(fault.reason.find(bad.reason) != std::string::npos);
+    if (bad.line > 0)
+      CHECK(fault.line == bad.line);
+  }
+}
+
+TEST_CASE("all faults are found at once") {
+  std::string text = kSound;
+  text.replace(text.find("\"workers\": 3"), 12, "\"workers\": 0");
+  text.replace(text.find("\"kind\": \"call\""), 14, "\"kind\": \"cull\"");
+  CHECK(ParseConfiguration(text).faults.size() == 2);
+}
+
+TEST_CASE("deeply nested and empty texts are refused") {
+  CHECK_FALSE(ParseConfiguration("").faults.empty());
+  CHECK_FALSE(ParseConfiguration("[]").faults.empty());
+  CHECK_FALSE(ParseConfiguration(std::string(100'000, '[')).faults.empty());
+}
+
+TEST_CASE("bad settings are refused") {
+  for (
+      const char* text :
+      {"", "{}", "[]", R"({"host": 1})",
+       R"({"host": "h", "zone": "z", "callers": {"ip": "x", "port": 70000}})"}) {
+    CAPTURE(text);
+    CHECK_FALSE(ParseHostSettings(text).faults.empty());
+  }
+}
+
+}  // namespace
+}  // namespace bilberry::declare
--- /dev/null
+++ b/Tests/LibMembership/test_host_list.cc
@@ -0,0 +1,51 @@
+#include <doctest/doctest.h>
+
+#include "LibMembership/host_list.h"
+
+namespace bilberry::membership {
+namespace {
+
+using base::HostEntry;
+using base::HostState;
+using base::Incarnation;
+
+HostEntry Endpoint(uint64_t incarnation, HostState state) {
+  HostEntry entry;
+  entry.name = "e1";
+  entry.pool = {"p"};
+  entry.incarnation = Incarnation{incarnation};
+  entry.state = state;
+  return entry;
+}
+
+TEST_SUITE_BEGIN("promise-5");
+
+TEST_CASE("a leaving endpoint is no longer live") {
+  HostList hosts;
+  CHECK(hosts.Apply({1, {Endpoint(1, HostState::kLive)}}));
+  CHECK(hosts.LiveEndpoints({"p"}).size() == 1);
+  CHECK(hosts.Apply({2, {Endpoint(1, HostState::kLeaving)}}));
+  CHECK(hosts.LiveEndpoints({"p"}).empty());
+}
+
+TEST_CASE("an older list does not revive a leaving endpoint") {
+  HostList hosts;
+  hosts.Apply({1, {Endpoint(1, HostState::kLive)}});
+  CHECK(hosts.MarkLeaving("e1", Incarnation{1}));
+  CHECK_FALSE(hosts.MarkLeaving("e1", Incarnation{1}));
+  CHECK_FALSE(hosts.Apply({2, {Endpoint(1, HostState::kLive)}}));
+  CHECK(hosts.LiveEndpoints({"p"}).empty());
+}
+
+TEST_CASE("a new incarnation is live again") {
+  HostList hosts;
+  hosts.Apply({1, {Endpoint(1, HostState::kLeaving)}});
+  CHECK(hosts.Apply({2, {Endpoint(2, HostState::kLive)}}));
+  CHECK(hosts.LiveEndpoints({"p"}).size() == 1);
+  CHECK_FALSE(hosts.MarkLeaving("e1", Incarnation{1}));
+}
+
+TEST_SUITE_END();
+
+}  // namespace
+}  // namespace bilberry::membership
--- /dev/null
+++ b/Tests/LibTransport/test_whole_path.cc
@@ -0,0 +1,193 @@
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "Fakes/node_harness.h"
+#include "LibTransport/node_shell.h"
+#include "LibTransport/timer_queue.h"
+#include "Standins/endpoint_standin.h"
+#include "Standins/platform_standin.h"
+
+namespace bilberry::transport {
+namespace {
+
+constexpr std::chrono::milliseconds kTurn{50};
+// Far above what is needed, so that a slow machine does not fail the test.
+constexpr std::chrono::seconds kPatience{20};
+
+template <typename T>
+T Sound(base::Result<T> result) {
+  if (!result)
+    FAIL(ToText(result.error()));
+  return std::move(result.value());
+}
+
+// A platform, two pools and one entry host over real sockets, in one loop.
+class SmallWorld {
+ public:
+  SmallWorld() {
+    fakes::PutSmallDeployment(platform->store());
+    Replace(*engine);
+    Replace(*desk);
+    node::NodeOptions options = fakes::MakeOptions("entry-1", 1);
+    options.settings.platform = platform->address();
+    options.settings.callers = FreeAddress();
+    options.settings.peers = FreeAddress();
+    callers = options.settings.callers;
+    shell = Sound(NodeShell::Create(reactor, std::move(options)));
+    WaitUntilReady();
+  }
+
+  HttpResponse Post(const std::string& path, HttpHeaders headers) {
+    HttpRequest request;
+    request.method = HttpMethod::kPost;
+    request.address = callers;
+    request.path = path;
+    request.headers = std::move(headers);
+    request.body = R"("asked")";
+    return Ask(std::move(request));
+  }
+
+  HttpResponse Ask(HttpRequest request) {
+    std::optional<HttpOutcome> outcome;
+    http->Send(std::move(request),
+               [&outcome](HttpOutcome it) { outcome = std::move(it); });
+    const base::TimePoint end = reactor.Now() + kPatience;
+    while (!outcome && reactor.Now() < end)
+      reactor.RunOnce(kTurn);
+    REQUIRE(outcome);
+    REQUIRE(std::holds_alternative<HttpResponse>(*outcome));
+    return std::get<HttpResponse>(std::move(*outcome));
+  }
+
+  Reactor reactor;
+  TimerQueue timers{reactor};
+  std::unique_ptr<HttpClient> http = Sound(HttpClient::Create(reactor));
+  std::unique_ptr<standins::PlatformStandin> platform =
+      Sound(standins::PlatformStandin::Create(reactor,
+                                              {"127.0.0.1", 0},
+                                              {"127.0.0.1", 0}));
+  std::unique_ptr<standins::EndpointStandin> engine =
+      Endpoint("engine-1", "engines");
+  std::unique_ptr<standins::EndpointStandin> desk = Endpoint("desk-1", "desk");
+  base::SocketAddress callers;
+  std::unique_ptr<NodeShell> shell;
+
+ private:
+  std::unique_ptr<standins::EndpointStandin> Endpoint(const char* name,
+                                                      const char* pool) {
+    base::HostEntry entry = fakes::MakeEndpoint(name, pool);
+    entry.address.port = 0;
+    return Sound(standins::EndpointStandin::Create(reactor, timers, entry, {}));
+  }
+
+  // A port that was free a moment ago.
+  base::SocketAddress FreeAddress() {
+    return Sound(HttpListener::Create(reactor, {{"127.0.0.1", 0}},
+                                      [](const IncomingRequest&) {}))
+        ->address();
+  }
+
+  void Replace(const standins::EndpointStandin& standin) {
+    platform->store().PutHost(standin.entry());
+  }
+
+  void WaitUntilReady() {
+    HttpRequest request;
+    request.address = callers;
+    request.path = "/readyz";
+    const base::TimePoint end = reactor.Now() + kPatience;
+    while (Ask(request).status != 200)
+      REQUIRE(reactor.Now() < end);
+  }
+};
+
+TEST_SUITE_BEGIN("contract");
+
+TEST_CASE("a streamed quotation goes through four stages and ends marked") {
+  SmallWorld world;
+  const auto response =
+      world.Post("/v1/pipelines/quotation", {{kTeamHeader, "t"}});
+  CHECK(response.status == 200);
+  CHECK(*FindHeader(response.headers, kContentTypeHeader) == kEventStreamType);
+  CHECK(FindHeader(response.headers, kRequestIdHeader) != nullptr);
+  CHECK(response.body.starts_with("data: token-0\n\n"));
+  for (const char* path : {"/encode", "/retrieve", "/rerank", "/generate"})
+    CHECK(response.body.find(path) != std::string::npos);
+  CHECK(response.body.find("\"asked\"") != std::string::npos);
+  CHECK(response.body.find("event: end\n") != std::string::npos);
+}
+
+TEST_CASE("a booking runs once, and its repeat gets the same answer") {
+  SmallWorld world;
+  const HttpHeaders headers{{kTeamHeader, "t"}, {kIdempotencyKeyHeader, "k"}};
+  const auto first = world.Post("/v1/pipelines/booking", headers);
+  const auto second = world.Post("/v1/pipelines/booking", headers);
+  CHECK(first.status == 200);
+  CHECK(second.status == 200);
+  CHECK(first.body == second.body);
+  CHECK(world.desk->executions_by_key().at("k") == 1);
+  CHECK(*FindHeader(second.headers, kExecutedHeader) == "yes");
+}
+
+TEST_CASE("errors are JSON with their headers") {
+  SmallWorld world;
+  const auto response = world.Post("/v1/pipelines/none", {{kTeamHeader, "t"}});
+  CHECK(response.status == 404);
+  CHECK(*FindHeader(response.headers, kExecutedHeader) == "no");
+  CHECK(response.body.find(R"("code":"unknown_pipeline")") !=
+        std::string::npos);
+}
+
+TEST_CASE("a body over the limit is 413 and runs nothing") {
+  SmallWorld world;
+  HttpRequest request;
+  request.method = HttpMethod::kPost;
+  request.address = world.callers;
+  request.path = "/v1/pipelines/stock";
+  request.headers = {{kTeamHeader, "t"}};
+  request.body = std::string(size_t{2} * 1024 * 1024, 'x');
+  const auto response = world.Ask(std::move(request));
+  CHECK(response.status == 413);
+  CHECK(*FindHeader(response.headers, kExecutedHeader) == "no");
+  CHECK(world.desk->executions() == 0);
+}
+
+TEST_CASE("a planned stop lets the run in flight end") {
+  SmallWorld world;
+  HttpRequest request;
+  request.method = HttpMethod::kPost;
+  request.address = world.callers;
+  request.path = "/v1/pipelines/quotation";
+  request.headers = {{kTeamHeader, "t"}};
+  request.body = "{}";
+  std::optional<HttpOutcome> outcome;
+  bool has_begun = false;
+  std::string stream;
+  world.http->Send(
+      std::move(request),
+      [&outcome](HttpOutcome it) { outcome = std::move(it); },
+      [&](const HttpResponse&, const std::string& bytes) {
+        has_begun = true;
+        stream += bytes;
+      });
+  while (!has_begun)
+    world.reactor.RunOnce(kTurn);
+  world.shell->OrderStop();
+  const base::TimePoint end = world.reactor.Now() + kPatience;
+  while (!world.shell->has_finished() && world.reactor.Now() < end)
+    world.reactor.RunOnce(kTurn);
+  CHECK(world.shell->has_finished());
+  while (!outcome && world.reactor.Now() < end)
+    world.reactor.RunOnce(kTurn);
+  REQUIRE(outcome);
+  CHECK(std::holds_alternative<HttpResponse>(*outcome));
+  CHECK(stream.find("event: end\n") != std::string::npos);
+}
+
+TEST_SUITE_END();
+
+}  // namespace
+}  // namespace bilberry::transport
--- /dev/null
+++ b/Tests/Standins/fault_gate.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "LibBase/error.h"
+#include "LibTransport/http_listener.h"
+#include "LibTransport/timer_queue.h"
+
+namespace bilberry::standins {
+
+enum class FaultKind {
+  kNone,
+  kDown,        // Connections are closed unanswered, without effect.
+  kSlow,        // Takes effect, answered after a delay.
+  kAnswerLost,  // Takes effect; the connection is closed unanswered.
+  kFrozen,      // No effect and no answer; the connection stays open.
+  kSilent,      // Takes effect; no answer; the connection stays open.
+};
+
+// A fault in force: for `count` requests, or until the next order if 0.
+struct Fault {
+  FaultKind kind = FaultKind::kNone;
+  std::chrono::milliseconds delay{0};
+  uint64_t count = 0;
+};
+
+base::Result<Fault> ParseFault(const std::string& text);
+
+// Puts the ordered fault between a stand-in's requests and its answers.
+class FaultGate {
+ public:
+  using Effect = std::function<transport::HttpResponse()>;
+
+  explicit FaultGate(transport::TimerQueue& timers) : timers_(timers) {}
+
+  void Order(Fault fault) { fault_ = fault; }
+
+  // Runs `effect` or not, and answers or not, as the fault has it.
+  void Serve(transport::HttpListener& listener,
+             transport::ExchangeId exchange,
+             const Effect& effect);
+
+ private:
+  FaultKind Take();
+
+  transport::TimerQueue& timers_;
+  Fault fault_;
+};
+
+}  // namespace bilberry::standins
