--- a/Services/bilberryd/main.cc
+++ b/Services/bilberryd/main.cc
@@ -1,6 +1,5 @@
 // The daemon of one entry host.
 
-#include <csignal>
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
@@ -8,22 +7,15 @@
 #include <sstream>
 
 #include "LibDeclare/host_settings.h"
-#include "LibTransport/log_writer.h"
 #include "LibTransport/node_shell.h"
+#include "LibTransport/program.h"
 
 namespace {
 
-constexpr int kExitSettings = 2;
+constexpr int kExitSettings = bilberry::transport::kExitUsage;
 constexpr int kExitListen = 3;
 constexpr std::chrono::milliseconds kLongestWait{100};
 
-// Set by the handler alone; a second signal changes nothing.
-volatile std::sig_atomic_t stop_was_ordered = 0;
-
-void NoteStop(int /*signal*/) {
-  stop_was_ordered = 1;
-}
-
 uint64_t DrawNumber() {
   std::random_device device;
   return (static_cast<uint64_t>(device()) << 32U) | device();
@@ -37,8 +29,7 @@
   options.add_options()("settings", "The host's settings file",
                         cxxopts::value<std::string>())(
       "policy", "present, or baseline to compare with",
-      cxxopts::value<std::string>()->default_value("present"))(
-      "help", "Print this help")("version", "Print the version");
+      cxxopts::value<std::string>()->default_value("present"));
   return options;
 }
 
@@ -50,13 +41,10 @@
     std::cerr << "bilberryd: " << ToText(shell.error()) << "\n";
     return kExitListen;
   }
-  std::signal(SIGTERM, NoteStop);
-  std::signal(SIGINT, NoteStop);
-  std::signal(SIGPIPE, SIG_IGN);
   bool is_stopping = false;
   while (!shell.value()->has_finished()) {
     reactor.RunOnce(kLongestWait);
-    if (stop_was_ordered != 0 && !is_stopping) {
+    if (bilberry::transport::StopWasOrdered() && !is_stopping) {
       is_stopping = true;
       shell.value()->OrderStop();
     }
@@ -100,21 +88,5 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  bilberry::transport::InitializeLog(argv[0]);
-  cxxopts::Options options = MakeOptions();
-  try {
-    const auto flags = options.parse(argc, argv);
-    if (flags.count("help") > 0) {
-      std::cout << options.help();
-      return 0;
-    }
-    if (flags.count("version") > 0) {
-      std::cout << "bilberryd " BILBERRY_VERSION "\n";
-      return 0;
-    }
-    return Run(flags);
-  } catch (const cxxopts::exceptions::exception& exception) {
-    std::cerr << "bilberryd: " << exception.what() << "\n";
-    return kExitSettings;
-  }
+  return bilberry::transport::RunProgram(argc, argv, MakeOptions(), Run);
 }
--- a/Tests/Standins/endpoint_main.cc
+++ b/Tests/Standins/endpoint_main.cc
@@ -1,6 +1,5 @@
 // A pool of endpoint stand-ins as one process.
 
-#include <csignal>
 #include <cxxopts.hpp>
 #include <iostream>
 #include <memory>
@@ -10,6 +9,7 @@
 #include "LibTransport/http_client.h"
 #include "LibTransport/json_text.h"
 #include "LibTransport/platform_codec.h"
+#include "LibTransport/program.h"
 #include "Standins/endpoint_standin.h"
 
 namespace {
@@ -29,7 +29,6 @@
 constexpr std::chrono::milliseconds kLongestWait{100};
 constexpr std::chrono::milliseconds kRegisterTimeout{5000};
 constexpr int kMaxCount = 250;
-volatile std::sig_atomic_t stop_was_ordered = 0;
 
 using Standins = std::vector<std::unique_ptr<EndpointStandin>>;
 
@@ -136,7 +135,7 @@
   const int count = flags["count"].as<int>();
   if (count < 1 || count > kMaxCount) {
     std::cerr << "endpointstandin: --count must be from 1 to 250\n";
-    return 2;
+    return bilberry::transport::kExitUsage;
   }
   for (int i = 1; i <= count; ++i) {
     auto standin = EndpointStandin::Create(reactor, timers, EntryOf(flags, i),
@@ -160,10 +159,8 @@
     return 3;
   }
   control = std::move(listener.value());
-  std::signal(SIGTERM, [](int) { stop_was_ordered = 1; });
-  std::signal(SIGPIPE, SIG_IGN);
   Register(reactor, *http.value(), standins, flags);
-  while (stop_was_ordered == 0)
+  while (!bilberry::transport::StopWasOrdered())
     reactor.RunOnce(kLongestWait);
   return 0;
 }
@@ -193,28 +190,11 @@
       cxxopts::value<std::string>());
   add("platform-control-port", "Its port of orders",
       cxxopts::value<uint16_t>()->default_value("7001"));
-  add("help", "Print this");
-  add("version", "Print the version");
   return options;
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  cxxopts::Options options = MakeOptions();
-  try {
-    const auto flags = options.parse(argc, argv);
-    if (flags.count("help") > 0) {
-      std::cout << options.help();
-      return 0;
-    }
-    if (flags.count("version") > 0) {
-      std::cout << "endpointstandin " BILBERRY_VERSION "\n";
-      return 0;
-    }
-    return Run(flags);
-  } catch (const cxxopts::exceptions::exception& exception) {
-    std::cerr << "endpointstandin: " << exception.what() << "\n";
-    return 2;
-  }
+  return bilberry::transport::RunProgram(argc, argv, MakeOptions(), Run);
 }
--- a/Utilities/bilberryload/main.cc
+++ b/Utilities/bilberryload/main.cc
@@ -1,11 +1,10 @@
 // The load and experiment tool.
 
-#include <csignal>
 #include <cxxopts.hpp>
 #include <iostream>
 
 #include "LibTransport/json_text.h"
-#include "LibTransport/log_writer.h"
+#include "LibTransport/program.h"
 #include "load_generator.h"
 
 namespace {
@@ -14,7 +13,6 @@
 using bilberry::load::LoadPlan;
 using bilberry::load::LoadResult;
 
-constexpr int kExitUsage = 2;
 constexpr uint64_t kMaxRequests = 10'000'000;
 constexpr uint32_t kMaxCallers = 10'000;
 
@@ -36,8 +34,6 @@
       cxxopts::value<uint64_t>()->default_value("1000"));
   add("callers", "Callers at once",
       cxxopts::value<uint32_t>()->default_value("1"));
-  add("help", "Print this");
-  add("version", "Print the version");
   return options;
 }
 
@@ -92,7 +88,7 @@
 int Run(const cxxopts::ParseResult& flags) {
   LoadPlan plan;
   if (!FillPlan(flags, plan))
-    return kExitUsage;
+    return bilberry::transport::kExitUsage;
   const uint64_t wanted = plan.requests;
   bilberry::transport::Reactor reactor;
   auto http = bilberry::transport::HttpClient::Create(reactor);
@@ -109,22 +105,5 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  bilberry::transport::InitializeLog(argv[0]);
-  std::signal(SIGPIPE, SIG_IGN);
-  cxxopts::Options options = MakeOptions();
-  try {
-    const auto flags = options.parse(argc, argv);
-    if (flags.count("help") > 0) {
-      std::cout << options.help();
-      return 0;
-    }
-    if (flags.count("version") > 0) {
-      std::cout << "bilberryload " BILBERRY_VERSION "\n";
-      return 0;
-    }
-    return Run(flags);
-  } catch (const cxxopts::exceptions::exception& exception) {
-    std::cerr << "bilberryload: " << exception.what() << "\n";
-    return kExitUsage;
-  }
+  return bilberry::transport::RunProgram(argc, argv, MakeOptions(), Run);
 }
