LibTransport: Run libmicrohttpd only when it has work

Cause: every loop turn ran both listeners, an epoll_wait and a timeout query each, though most turns are curl's.

--- a/Libraries/LibTransport/http_listener.cc
+++ b/Libraries/LibTransport/http_listener.cc
@@ -133,9 +133,14 @@
 }
 
 void HttpListener::RunTurn(base::TimePoint now) {
+  const bool is_sweep_due = now >= next_sweep_;
+  if (!needs_turn_ && !is_sweep_due)
+    return;
   MHD_run(daemon_);
-  needs_turn_ = false;
-  if (now < next_sweep_)
+  MHD_UNSIGNED_LONG_LONG timeout_ms = 0;
+  needs_turn_ =
+      MHD_get_timeout(daemon_, &timeout_ms) == MHD_YES && timeout_ms == 0;
+  if (!is_sweep_due)
     return;
   next_sweep_ = now + kSweepInterval;
   NoteThoseWhoLeft();
@@ -144,13 +149,9 @@
 std::optional<base::TimePoint> HttpListener::NextTurn() const {
   if (needs_turn_)
     return base::TimePoint();
-  MHD_UNSIGNED_LONG_LONG timeout_ms = 0;
-  std::optional<base::TimePoint> next;
-  if (MHD_get_timeout(daemon_, &timeout_ms) == MHD_YES)
-    next = reactor_.Now() + std::chrono::milliseconds(timeout_ms);
-  if (!exchanges_.empty() && (!next || next_sweep_ < *next))
-    next = next_sweep_;
-  return next;
+  if (exchanges_.empty())
+    return std::nullopt;
+  return next_sweep_;
 }
 
 void HttpListener::NoteThoseWhoLeft() {
--- /dev/null
+++ b/Meta/measure-path.sh
@@ -0,0 +1,71 @@
+#!/usr/bin/env bash
+# Measures what an entry host adds to a one-stage request: the same stand-in
+# endpoint asked directly and through one entry host, in one run.
+# Build first; run when nothing else does.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+net="127.$((16 + $$ / 250 % 200)).$(($$ % 250))"
+bin=build
+work=$(mktemp -d)
+pids=()
+stop_all() {
+  kill -TERM "${pids[@]}" 2> /dev/null || true
+  wait || true
+  rm -rf "$work"
+}
+trap stop_all EXIT
+
+start() {
+  local name=$1
+  shift
+  "$@" 2> "$work/$name.log" &
+  pids+=("$!")
+}
+
+wait_for() {
+  for _ in $(seq 100); do
+    if curl -s -o /dev/null --fail "$1"; then
+      return 0
+    fi
+    sleep 0.1
+  done
+  cat "$work"/*.log >&2
+  return 1
+}
+
+start platform "$bin/Tests/Standins/platformstandin" --ip "$net.100"
+wait_for "http://$net.100:7001/counts"
+start banco "$bin/Tests/Standins/endpointstandin" --pool banco --count 3 \
+  --subnet "$net" --zones zona-a --service-ms 0 --slots 64 \
+  --platform-ip "$net.100"
+cat > "$work/host.json" << EOF
+{
+  "host": "entry-1", "zone": "zona-a",
+  "callers": { "ip": "$net.50", "port": 8080 },
+  "peers": { "ip": "$net.50", "port": 8081 },
+  "platform": { "ip": "$net.100", "port": 7000 },
+  "operator_token": "t"
+}
+EOF
+start entry "$bin/Services/bilberryd/bilberryd" --settings "$work/host.json" \
+  ${POLICY:+--policy "$POLICY"}
+"$bin/Utilities/bilberryctl/bilberryctl" apply --platform "$net.100:7000" \
+  --file Examples/valbruna/configuration.json > /dev/null
+wait_for "http://$net.50:8080/readyz"
+
+load() {
+  "$bin/Utilities/bilberryload/bilberryload" --team malga-nuova "$@"
+}
+for callers in 1 16; do
+  requests=$((callers * 5000))
+  load --target "$net.1:9000" --path /stock --requests 2000 > /dev/null
+  echo "direct, $callers callers: $(load --target "$net.1:9000" \
+    --path /stock --callers "$callers" --requests "$requests")"
+  load --target "$net.50:8080" --pipeline stock --requests 2000 > /dev/null
+  before=$(awk '{ print $14 + $15 }' "/proc/${pids[2]}/stat")
+  echo "through, $callers callers: $(load --target "$net.50:8080" \
+    --pipeline stock --callers "$callers" --requests "$requests")"
+  after=$(awk '{ print $14 + $15 }' "/proc/${pids[2]}/stat")
+  echo "entry host, $callers callers: $(((after - before) * 10000 /
+    requests)) us of processor time a request"
+done
