LibNode: Let digests carry leaving marks, quarantine and load

Cause: peers are to tell each other these each second; the message, its codec and where each part goes are laid down before work is divided. Lists are bounded at 256 items.

--- a/Libraries/LibNode/entry_node.cc
+++ b/Libraries/LibNode/entry_node.cc
@@ -38,6 +38,8 @@
               membership_.HandleFailed(it, now);
           },
           [&](const PeerRequest& it) {
+            if (const auto* digest = std::get_if<Digest>(&it.message))
+              runs_.HandleDigest(*digest, now);
             membership_.HandlePeerRequest(it, now);
           },
           [&](const PeerAnswered& it) {
--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -373,6 +373,19 @@
   runs_.erase(id);
 }
 
+void RunCoordinator::HandleDigest(const Digest& digest, base::TimePoint now) {
+  for (const PoolShare& share : digest.shares) {
+    const auto it = pools_.find(share.pool);
+    if (it != pools_.end())
+      it->second.NotePeerShare(digest.host, share.in_flight, now);
+  }
+}
+
+void RunCoordinator::FillDigest(Digest& digest) const {
+  for (const policy::PoolLoad& load : Loads())
+    digest.shares.push_back({load.pool, load.in_flight, load.queued});
+}
+
 void RunCoordinator::Refresh(base::TimePoint now) {
   const auto configuration = membership_.configuration();
   if (!configuration)
--- a/Libraries/LibNode/run_coordinator.h
+++ b/Libraries/LibNode/run_coordinator.h
@@ -37,6 +37,11 @@
   void HandleDecision(const BookingDecision& decision, base::TimePoint now);
   void HandleTimer(base::TimePoint now);
 
+  // Takes what a peer has told of its load.
+  void HandleDigest(const Digest& digest, base::TimePoint now);
+  // Adds what this host has at each pool.
+  void FillDigest(Digest& digest) const;
+
   // Takes over the configuration and hosts as they are known now.
   void Refresh(base::TimePoint now);
 
--- a/Libraries/LibPolicy/pool_scheduler.cc
+++ b/Libraries/LibPolicy/pool_scheduler.cc
@@ -59,6 +59,12 @@
     --slot->in_flight;
 }
 
+void PoolScheduler::NotePeerShare(const base::HostName& peer,
+                                  uint32_t in_flight,
+                                  base::TimePoint now) {
+  peer_shares_[peer] = {in_flight, now};
+}
+
 base::Duration PoolScheduler::EstimatedWait(declare::Rank /*rank*/,
                                             const base::TeamName& /*team*/,
                                             base::TimePoint /*now*/) const {
--- a/Libraries/LibPolicy/pool_scheduler.h
+++ b/Libraries/LibPolicy/pool_scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -47,6 +48,11 @@
 
   void Finish(const AttemptReport& report, base::TimePoint now);
 
+  // Notes what a peer has in flight at this pool, as it told just now.
+  void NotePeerShare(const base::HostName& peer,
+                     uint32_t in_flight,
+                     base::TimePoint now);
+
   // How long work of this rank and team would wait if it came now.
   base::Duration EstimatedWait(declare::Rank rank,
                                const base::TeamName& team,
@@ -66,12 +72,18 @@
     uint32_t in_flight = 0;
   };
 
+  struct PeerShare {
+    uint32_t in_flight = 0;
+    base::TimePoint heard;
+  };
+
   EndpointSlot* FindSlot(const base::EndpointName& name);
 
   declare::Pool pool_;
   base::ZoneName own_zone_;
   base::Random random_;
   std::vector<EndpointSlot> slots_;
+  std::map<base::HostName, PeerShare> peer_shares_;
   FirstComeQueue queue_;
   RoundRobin round_robin_;
 };
--- a/Libraries/LibTransport/peer_codec.cc
+++ b/Libraries/LibTransport/peer_codec.cc
@@ -19,14 +19,78 @@
           std::move(reason)};
 }
 
+// What a digest's lists may hold; a longer one is malformed.
+constexpr Json::ArrayIndex kMaxDigestItems = 256;
+
+bool IsList(const Json::Value& value) {
+  return value.isArray() && value.size() <= kMaxDigestItems;
+}
+
+Json::Value EncodeDigest(const node::Digest& digest) {
+  Json::Value out;
+  out["host"] = digest.host.value;
+  out["incarnation"] = static_cast<Json::UInt64>(digest.incarnation);
+  out["revision"] = NumberOf(digest.revision);
+  out["leaving"] = Json::arrayValue;
+  for (const node::LeavingMark& mark : digest.leaving) {
+    Json::Value one;
+    one["name"] = mark.name;
+    one["incarnation"] = static_cast<Json::UInt64>(mark.incarnation);
+    out["leaving"].append(std::move(one));
+  }
+  out["quarantined"] = Json::arrayValue;
+  for (const std::string& request : digest.quarantined)
+    out["quarantined"].append(request);
+  out["shares"] = Json::arrayValue;
+  for (const node::PoolShare& share : digest.shares) {
+    Json::Value one;
+    one["pool"] = share.pool.value;
+    one["in_flight"] = share.in_flight;
+    one["queued"] = share.queued;
+    out["shares"].append(std::move(one));
+  }
+  return out;
+}
+
+bool DecodeLists(const Json::Value& value, node::Digest& digest) {
+  if (!IsList(value["leaving"]) || !IsList(value["quarantined"]) ||
+      !IsList(value["shares"]))
+    return false;
+  for (const Json::Value& one : value["leaving"]) {
+    if (!one.isObject() || !one["name"].isString() ||
+        !one["incarnation"].isUInt64())
+      return false;
+    digest.leaving.push_back(
+        {one["name"].asString(),
+         base::Incarnation{one["incarnation"].asUInt64()}});
+  }
+  for (const Json::Value& one : value["quarantined"]) {
+    if (!one.isString())
+      return false;
+    digest.quarantined.push_back(one.asString());
+  }
+  for (const Json::Value& one : value["shares"]) {
+    if (!one.isObject() || !one["pool"].isString() ||
+        !one["in_flight"].isUInt() || !one["queued"].isUInt())
+      return false;
+    digest.shares.push_back({{one["pool"].asString()},
+                             one["in_flight"].asUInt(),
+                             one["queued"].asUInt()});
+  }
+  return true;
+}
+
 base::Result<node::PeerMessage> DecodeDigest(const Json::Value& value) {
   if (!value["host"].isString() || !value["incarnation"].isUInt64() ||
       !value["revision"].isUInt64())
     return Malformed("a digest lacks a field");
-  return node::PeerMessage(
-      node::Digest{{value["host"].asString()},
-                   base::Incarnation{value["incarnation"].asUInt64()},
-                   base::Revision{value["revision"].asUInt64()}});
+  node::Digest digest;
+  digest.host = {value["host"].asString()};
+  digest.incarnation = base::Incarnation{value["incarnation"].asUInt64()};
+  digest.revision = base::Revision{value["revision"].asUInt64()};
+  if (!DecodeLists(value, digest))
+    return Malformed("a digest's list is malformed or too long");
+  return node::PeerMessage(std::move(digest));
 }
 
 base::Result<node::PeerMessage> DecodeQuery(const Json::Value& value) {
@@ -52,10 +116,7 @@
   std::visit(base::Overloaded{
                  [&](const node::Digest& it) {
                    call.method = kDigest;
-                   out["host"] = it.host.value;
-                   out["incarnation"] =
-                       static_cast<Json::UInt64>(it.incarnation);
-                   out["revision"] = NumberOf(it.revision);
+                   out = EncodeDigest(it);
                  },
                  [&](const node::ConfigurationQuery& it) {
                    call.method = kConfigurationQuery;
