LibTransport: Prove the HTTP contract on sockets

Cause: the frame's claims about cut streams, callers that leave, fresh and condemned connections were shown by no test.

--- /dev/null
+++ b/Tests/LibTransport/http_pair.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "LibTransport/http_client.h"
+#include "LibTransport/http_listener.h"
+#include "LibTransport/timer_queue.h"
+
+namespace bilberry::transport {
+
+template <typename T>
+T Sound(base::Result<T> result) {
+  if (!result)
+    FAIL(ToText(result.error()));
+  return std::move(result.value());
+}
+
+// Far above what is needed, so that a slow machine does not fail a test.
+inline constexpr std::chrono::seconds kPatience{20};
+inline constexpr std::chrono::milliseconds kTurn{50};
+
+// A client and a listener in one loop.
+struct HttpPair {
+  explicit HttpPair(HttpListener::RequestHandler handler,
+                    HttpListener::LeftHandler left = nullptr)
+      : listener(Sound(HttpListener::Create(reactor,
+                                            {{"127.0.0.1", 0}},
+                                            std::move(handler),
+                                            std::move(left)))) {}
+
+  // Runs turns until `is_done` says so; false when patience is over.
+  template <typename Condition>
+  bool RunUntil(Condition is_done) {
+    const base::TimePoint end = reactor.Now() + kPatience;
+    while (!is_done() && reactor.Now() < end)
+      reactor.RunOnce(kTurn);
+    return is_done();
+  }
+
+  HttpRequest Request(std::string path = "/") const {
+    HttpRequest request;
+    request.method = HttpMethod::kPost;
+    request.address = listener->address();
+    request.path = std::move(path);
+    return request;
+  }
+
+  HttpOutcome Ask(HttpRequest request) {
+    std::optional<HttpOutcome> outcome;
+    client->Send(std::move(request),
+                 [&outcome](HttpOutcome it) { outcome = std::move(it); });
+    REQUIRE(RunUntil([&] { return outcome.has_value(); }));
+    return std::move(*outcome);
+  }
+
+  Reactor reactor;
+  TimerQueue timers{reactor};
+  std::unique_ptr<HttpClient> client = Sound(HttpClient::Create(reactor));
+  std::unique_ptr<HttpListener> listener;
+};
+
+}  // namespace bilberry::transport
--- a/Tests/LibTransport/test_whole_path.cc
+++ b/Tests/LibTransport/test_whole_path.cc
@@ -9,21 +9,11 @@
 #include "LibTransport/timer_queue.h"
 #include "Standins/endpoint_standin.h"
 #include "Standins/platform_standin.h"
+#include "http_pair.h"
 
 namespace bilberry::transport {
 namespace {
 
-constexpr std::chrono::milliseconds kTurn{50};
-// Far above what is needed, so that a slow machine does not fail the test.
-constexpr std::chrono::seconds kPatience{20};
-
-template <typename T>
-T Sound(base::Result<T> result) {
-  if (!result)
-    FAIL(ToText(result.error()));
-  return std::move(result.value());
-}
-
 // A platform, two pools and one entry host over real sockets, in one loop.
 class SmallWorld {
  public:
