--- a/Tests/Fakes/node_harness.cc
+++ b/Tests/Fakes/node_harness.cc
@@ -65,6 +65,12 @@
           [this](node::SendToPlatform& it) { ServePlatform(it); },
           [this](node::SendToEndpoint& it) { sent_.push_back(std::move(it)); },
           [this](node::AnswerCaller& it) { answers_.push_back(std::move(it)); },
+          [this](node::SendToPeer& it) {
+            peer_calls_.push_back(std::move(it));
+          },
+          [this](node::AnswerPeer& it) {
+            peer_answers_.push_back(std::move(it));
+          },
           [this](auto& it) { others_.emplace_back(std::move(it)); },
       },
       action);
@@ -102,14 +108,13 @@
   RunQueue();
 }
 
-void NodeHarness::Advance(base::Duration duration) {
-  const base::TimePoint end = now_ + duration;
+void NodeHarness::AdvanceTo(base::TimePoint end) {
   for (auto next = node_.NextWakeup(); next && *next <= end;
        next = node_.NextWakeup()) {
     now_ = std::max(now_, *next);
     Feed(node::TimerDue{});
   }
-  now_ = end;
+  now_ = std::max(now_, end);
 }
 
 base::CallerId NodeHarness::Call(const std::string& pipeline,
@@ -144,6 +149,14 @@
   return std::exchange(answers_, {});
 }
 
+std::vector<node::SendToPeer> NodeHarness::TakePeerCalls() {
+  return std::exchange(peer_calls_, {});
+}
+
+std::vector<node::AnswerPeer> NodeHarness::TakePeerAnswers() {
+  return std::exchange(peer_answers_, {});
+}
+
 node::Actions NodeHarness::TakeOthers() {
   return std::exchange(others_, {});
 }
--- a/Tests/Fakes/node_harness.h
+++ b/Tests/Fakes/node_harness.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <optional>
 #include <string>
@@ -31,7 +32,11 @@
 
   void Feed(node::Event event);
   // Lets time pass, with every timer at its time.
-  void Advance(base::Duration duration);
+  void Advance(base::Duration duration) { AdvanceTo(now_ + duration); }
+  void AdvanceTo(base::TimePoint end);
+  // Lets time pass with no timer run, as for a process that is stopped; what is
+  // due is handed in by the next Advance().
+  void Freeze(base::TimePoint until) { now_ = std::max(now_, until); }
 
   void set_mood(PlatformMood mood) { mood_ = mood; }
   // Has held requests answered now, in their order.
@@ -48,6 +53,8 @@
   // What was done since it was last taken.
   std::vector<node::SendToEndpoint> TakeSent();
   std::vector<node::AnswerCaller> TakeAnswers();
+  std::vector<node::SendToPeer> TakePeerCalls();
+  std::vector<node::AnswerPeer> TakePeerAnswers();
   node::Actions TakeOthers();
 
  private:
@@ -64,6 +71,8 @@
   std::vector<node::SendToPlatform> held_;
   std::vector<node::SendToEndpoint> sent_;
   std::vector<node::AnswerCaller> answers_;
+  std::vector<node::SendToPeer> peer_calls_;
+  std::vector<node::AnswerPeer> peer_answers_;
   node::Actions others_;
 };
 
