--- a/Meta/targets.cmake
+++ b/Meta/targets.cmake
@@ -12,6 +12,19 @@
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cc)
   add_executable(${name} ${sources})
   target_link_libraries(${name} PRIVATE ${arg_LINK})
+  bilberry_test_flags(${name})
+endfunction()
+
+# Every program answers --help and --version, and refuses an unknown flag.
+function(bilberry_test_flags name)
+  add_test(NAME ${name}.help COMMAND ${name} --help)
+  add_test(NAME ${name}.version COMMAND ${name} --version)
+  set_tests_properties(${name}.version PROPERTIES
+    PASS_REGULAR_EXPRESSION "^${name} ${PROJECT_VERSION}\n$")
+  add_test(NAME ${name}.bad-flag COMMAND ${name} --no-such-flag)
+  set_tests_properties(${name}.bad-flag PROPERTIES WILL_FAIL ON)
+  set_tests_properties(${name}.help ${name}.version ${name}.bad-flag PROPERTIES
+    LABELS contract)
 endfunction()
 
 # One ctest entry for each labelled test suite of a library's test program, so
--- a/Tests/LibDeclare/test_examples.cc
+++ b/Tests/LibDeclare/test_examples.cc
@@ -61,11 +61,15 @@
                 {"fleet-track", 5, true}});
 }
 
-TEST_CASE("the example of a host's settings is sound") {
-  const auto parsed = ParseHostSettings(ReadExample("valbruna/host.json"));
-  CHECK(parsed.faults.empty());
-  CHECK(parsed.settings.zone.value == "zona-a");
-  CHECK(parsed.settings.seed_peers.size() == 2);
+TEST_CASE("the examples of a host's settings are sound") {
+  for (const auto& [file, zone] : {std::pair{"valbruna/host.json", "zona-a"},
+                                   {"shannonside/host.json", "limerick"}}) {
+    CAPTURE(file);
+    const auto parsed = ParseHostSettings(ReadExample(file));
+    CHECK(parsed.faults.empty());
+    CHECK(parsed.settings.zone.value == zone);
+    CHECK(parsed.settings.seed_peers.size() == 2);
+  }
 }
 
 }  // namespace
