Tests: Add a relay that stands for a link

Cause: cut zones and silent connections need links that a test can cut. The relay passes, swallows both ways or one way, forgets only the old connections, or refuses.

--- /dev/null
+++ b/Tests/Standins/relay.cc
@@ -0,0 +1,191 @@
+#include "Standins/relay.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+#include <vector>
+
+namespace bilberry::standins {
+
+namespace {
+
+constexpr int kBacklog = 128;
+constexpr size_t kBlock = 16384;
+
+sockaddr_in NativeOf(const base::SocketAddress& address) {
+  sockaddr_in native{};
+  native.sin_family = AF_INET;
+  native.sin_port = htons(address.port);
+  inet_pton(AF_INET, address.ip.c_str(), &native.sin_addr);
+  return native;
+}
+
+const sockaddr* Generic(const sockaddr_in& native) {
+  return reinterpret_cast<const sockaddr*>(&native);
+}
+
+}  // namespace
+
+base::Result<std::unique_ptr<Relay>> Relay::Create(
+    transport::Reactor& reactor,
+    const base::SocketAddress& listen,
+    const base::SocketAddress& target) {
+  std::unique_ptr<Relay> relay(new Relay(reactor, target));
+  TRY(relay->Listen(listen));
+  return relay;
+}
+
+base::Result<void> Relay::Listen(const base::SocketAddress& listen) {
+  listen_ = listen;
+  listener_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  sockaddr_in native = NativeOf(listen);
+  if (bind(listener_, Generic(native), sizeof(native)) != 0 ||
+      ::listen(listener_, kBacklog) != 0)
+    return base::Error{base::ErrorCode::kSystem, base::Step::kListen,
+                       base::ToText(listen), std::strerror(errno)};
+  socklen_t size = sizeof(native);
+  getsockname(listener_, reinterpret_cast<sockaddr*>(&native), &size);
+  listen_.port = ntohs(native.sin_port);
+  reactor_.Watch(listener_, *this, ACE_Event_Handler::READ_MASK);
+  return base::Success();
+}
+
+Relay::~Relay() {
+  while (!sides_.empty())
+    Close(sides_.begin()->first);
+  if (listener_ >= 0) {
+    reactor_.Unwatch(listener_);
+    close(listener_);
+  }
+}
+
+void Relay::Order(LinkState state) {
+  state_ = state;
+  if (state == LinkState::kForgetsOld) {
+    for (auto& [descriptor, side] : sides_)
+      side.is_forgotten = true;
+  }
+  if (state == LinkState::kRefusing) {
+    while (!sides_.empty())
+      Close(sides_.begin()->first);
+  }
+}
+
+int Relay::handle_input(ACE_HANDLE descriptor) {
+  if (descriptor == listener_)
+    Accept();
+  else
+    Pass(descriptor);
+  return 0;
+}
+
+int Relay::handle_output(ACE_HANDLE descriptor) {
+  Flush(descriptor);
+  return 0;
+}
+
+void Relay::Accept() {
+  const int caller =
+      accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (caller < 0)
+    return;
+  if (state_ == LinkState::kRefusing) {
+    close(caller);
+    return;
+  }
+  const int onward = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in native = NativeOf(target_);
+  // The target is on this machine: this either succeeds or fails at once.
+  if (connect(onward, Generic(native), sizeof(native)) != 0) {
+    close(onward);
+    close(caller);
+    return;
+  }
+  sides_[caller] = {onward, true, false, ""};
+  sides_[onward] = {caller, false, false, ""};
+  reactor_.Watch(caller, *this, ACE_Event_Handler::READ_MASK);
+  reactor_.Watch(onward, *this, ACE_Event_Handler::READ_MASK);
+}
+
+bool Relay::DoesPass(const Side& from) const {
+  if (from.is_forgotten)
+    return false;
+  switch (state_) {
+    case LinkState::kSound:
+    case LinkState::kForgetsOld:
+      return true;
+    case LinkState::kOneWayOut:
+      return from.is_from_caller;
+    case LinkState::kOneWayBack:
+      return !from.is_from_caller;
+    case LinkState::kSilent:
+    case LinkState::kRefusing:
+      return false;
+  }
+  return false;
+}
+
+void Relay::Pass(int descriptor) {
+  const auto it = sides_.find(descriptor);
+  if (it == sides_.end())
+    return;
+  std::array<char, kBlock> buf{};
+  const ssize_t n = recv(descriptor, buf.data(), buf.size(), MSG_DONTWAIT);
+  if (n < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  const bool does_pass = DoesPass(it->second);
+  if (n <= 0) {
+    // On a silent link, not even the end of a connection gets through.
+    if (does_pass)
+      Close(descriptor);
+    else
+      reactor_.Unwatch(descriptor);
+    return;
+  }
+  if (!does_pass)
+    return;
+  const int peer = it->second.peer;
+  sides_.at(peer).unsent.append(buf.data(), static_cast<size_t>(n));
+  Flush(peer);
+}
+
+void Relay::Flush(int descriptor) {
+  const auto it = sides_.find(descriptor);
+  if (it == sides_.end())
+    return;
+  std::string& unsent = it->second.unsent;
+  const ssize_t n = send(descriptor, unsent.data(), unsent.size(),
+                         MSG_DONTWAIT | MSG_NOSIGNAL);
+  if (n < 0 && errno != EAGAIN) {
+    Close(descriptor);
+    return;
+  }
+  if (n > 0)
+    unsent.erase(0, static_cast<size_t>(n));
+  ACE_Reactor_Mask mask = ACE_Event_Handler::READ_MASK;
+  if (!unsent.empty())
+    mask |= ACE_Event_Handler::WRITE_MASK;
+  reactor_.Watch(descriptor, *this, mask);
+}
+
+void Relay::Close(int descriptor) {
+  const auto it = sides_.find(descriptor);
+  if (it == sides_.end())
+    return;
+  const int peer = it->second.peer;
+  for (const int each : {descriptor, peer}) {
+    reactor_.Unwatch(each);
+    close(each);
+    sides_.erase(each);
+  }
+}
+
+}  // namespace bilberry::standins
--- /dev/null
+++ b/Tests/Standins/relay.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <ace/Event_Handler.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "LibBase/error.h"
+#include "LibBase/ids.h"
+#include "LibTransport/reactor.h"
+
+namespace bilberry::standins {
+
+// What becomes of what passes a link.
+enum class LinkState {
+  kSound,
+  // Swallowed both ways, with every connection left open: what is between the
+  // two ends has lost track of them. New connections are made, and go silent.
+  kSilent,
+  // Old connections are silent for good, new ones work.
+  kForgetsOld,
+  kOneWayOut,   // Only what comes from the connecting end passes.
+  kOneWayBack,  // Only what goes to the connecting end passes.
+  kRefusing,    // Old connections are reset, new ones closed.
+};
+
+// A TCP link between two ends that a test can cut: listens at one address and
+// passes each connection on to another.
+class Relay final : private ACE_Event_Handler {
+ public:
+  static base::Result<std::unique_ptr<Relay>> Create(
+      transport::Reactor& reactor,
+      const base::SocketAddress& listen,
+      const base::SocketAddress& target);
+  ~Relay() override;
+
+  // With the port that was taken.
+  const base::SocketAddress& address() const { return listen_; }
+
+  void Order(LinkState state);
+
+ private:
+  struct Side {
+    int peer = -1;
+    bool is_from_caller = false;
+    bool is_forgotten = false;
+    std::string unsent;  // To be written to this side.
+  };
+
+  Relay(transport::Reactor& reactor, base::SocketAddress target)
+      : reactor_(reactor), target_(std::move(target)) {}
+
+  base::Result<void> Listen(const base::SocketAddress& listen);
+  int handle_input(ACE_HANDLE descriptor) override;
+  int handle_output(ACE_HANDLE descriptor) override;
+  void Accept();
+  void Pass(int descriptor);
+  void Flush(int descriptor);
+  void Close(int descriptor);
+  bool DoesPass(const Side& from) const;
+
+  transport::Reactor& reactor_;
+  base::SocketAddress listen_;
+  base::SocketAddress target_;
+  LinkState state_ = LinkState::kSound;
+  int listener_ = -1;
+  std::map<int, Side> sides_;
+};
+
+}  // namespace bilberry::standins
