--- a/Tests/LibDeclare/test_examples.cc
+++ b/Tests/LibDeclare/test_examples.cc
@@ -62,12 +62,17 @@
 }
 
 TEST_CASE("the examples of a host's settings are sound") {
-  for (const auto& [file, zone] : {std::pair{"valbruna/host.json", "zona-a"},
-                                   {"shannonside/host.json", "limerick"}}) {
-    CAPTURE(file);
-    const auto parsed = ParseHostSettings(ReadExample(file));
+  struct Example {
+    const char* file;
+    const char* zone;
+  };
+  for (const Example& example :
+       {Example{"valbruna/host.json", "zona-a"},
+        Example{"shannonside/host.json", "limerick"}}) {
+    CAPTURE(example.file);
+    const auto parsed = ParseHostSettings(ReadExample(example.file));
     CHECK(parsed.faults.empty());
-    CHECK(parsed.settings.zone.value == zone);
+    CHECK(parsed.settings.zone.value == example.zone);
     CHECK(parsed.settings.seed_peers.size() == 2);
   }
 }
