--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -28,6 +28,9 @@
     {kAnswerMismatched, kError, "answer-mismatched"},
     {kBookingUnresolved, kError, "booking-unresolved"},
     {kBookingNotRecorded, kWarning, "booking-not-recorded"},
+    {kBookingOvertaken, kError, "booking-overtaken"},
+    {kBookingsHandedOver, kInfo, "bookings-handed-over"},
+    {kBookingsLeftBehind, kError, "bookings-left-behind"},
 });
 
 }  // namespace
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -26,6 +26,9 @@
   kAnswerMismatched = 1402,
   kBookingUnresolved = 1501,
   kBookingNotRecorded = 1502,
+  kBookingOvertaken = 1503,
+  kBookingsHandedOver = 1504,
+  kBookingsLeftBehind = 1505,
 };
 
 enum class LogSeverity { kInfo, kWarning, kError };
--- a/Libraries/LibBooking/booking_record.cc
+++ b/Libraries/LibBooking/booking_record.cc
@@ -7,6 +7,7 @@
 #include <optional>
 #include <utility>
 
+#include "LibBooking/byte_text.h"
 #include "LibDeclare/json_document.h"
 
 namespace bilberry::booking {
@@ -53,7 +54,8 @@
   value["claimer_ip"] = record.claimer_address.ip;
   value["claimer_port"] = record.claimer_address.port;
   value["status"] = record.status;
-  value["answer"] = record.answer;
+  value["answer"] = BytesToText(record.answer);
+  value["answer_object"] = record.answer_object;
   Json::StreamWriterBuilder builder;
   builder["indentation"] = "";
   return Json::writeString(builder, value);
@@ -67,8 +69,8 @@
   if (!document || !document->root.isObject())
     return malformed;
   const Json::Value& root = document->root;
-  for (const char* key :
-       {"state", "digest", "claim_token", "claimer", "claimer_ip", "answer"}) {
+  for (const char* key : {"state", "digest", "claim_token", "claimer",
+                          "claimer_ip", "answer", "answer_object"}) {
     if (!root[key].isString())
       return malformed;
   }
@@ -89,7 +91,11 @@
       root["claimer_ip"].asString(),
       static_cast<uint16_t>(root["claimer_port"].asUInt())};
   record.status = root["status"].asInt();
-  record.answer = root["answer"].asString();
+  auto answer = TextToBytes(root["answer"].asString());
+  if (!answer)
+    return malformed;
+  record.answer = std::move(*answer);
+  record.answer_object = root["answer_object"].asString();
   return record;
 }
 
--- a/Libraries/LibBooking/booking_record.h
+++ b/Libraries/LibBooking/booking_record.h
@@ -38,6 +38,8 @@
   // The answer; empty unless kDone.
   int status = 0;
   std::string answer;
+  // Names the object that holds the answer when it is too large for a row.
+  std::string answer_object;
 
   friend bool operator==(const BookingRecord&, const BookingRecord&) = default;
 };
--- a/Libraries/LibNode/booking_coordinator.cc
+++ b/Libraries/LibNode/booking_coordinator.cc
@@ -1,22 +1,31 @@
 #include "LibNode/booking_coordinator.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "LibBase/error.h"
+#include "LibBase/overloaded.h"
 
 namespace bilberry::node {
 
 namespace {
 
+using booking::Booking;
+using booking::BookingPhase;
 using booking::BookingRecord;
 using booking::BookingState;
+using booking::ClaimVerdict;
 using pipeline::Executed;
 
-constexpr std::chrono::milliseconds kTableTimeout{500};
-constexpr std::chrono::milliseconds kRecordRetryDelay{500};
+constexpr std::chrono::milliseconds kTableProbeInterval{500};
+constexpr std::chrono::milliseconds kFetchTimeout{800};
+constexpr std::chrono::milliseconds kQuestionInterval{200};
+constexpr std::chrono::milliseconds kQuestionTimeout{300};
+// Questions that may go unanswered before the claimer is taken for dead.
+constexpr uint32_t kMaxVainQuestions = 2;
 constexpr std::chrono::milliseconds kRetryAfterTableFailure{1000};
-constexpr std::chrono::milliseconds kRetryAfterForeignClaim{500};
+constexpr std::chrono::milliseconds kRetryAfterNotRun{500};
+constexpr std::chrono::milliseconds kRetryAfterFull{1000};
+constexpr std::chrono::milliseconds kRetryAfterUnresolved{5000};
 
 BookingRejected Rejection(
     int status,
@@ -37,212 +46,562 @@
                    std::nullopt);
 }
 
+BookingRejected TableUnavailable() {
+  return Rejection(503, Executed::kNo, "table_unavailable",
+                   "the platform's table did not take the claim",
+                   kRetryAfterTableFailure);
+}
+
+BookingRejected NotRun() {
+  return Rejection(503, Executed::kNo, "booking_not_run",
+                   "the booking under this key did not run", kRetryAfterNotRun);
+}
+
+BookingRejected Unresolved() {
+  return Rejection(504, Executed::kUnknown, "booking_unresolved",
+                   "whether the booking ran is not known",
+                   kRetryAfterUnresolved);
+}
+
+// A claim of another host has been seen, which may have run.
+BookingRejected RefusalOr(const Booking& booking, BookingRejected refusal) {
+  return booking.rival.claim_token.empty() ? std::move(refusal) : Unresolved();
+}
+
+bool IsSettling(const Booking& booking) {
+  return booking.phase == BookingPhase::kNeverSent ||
+         booking.phase == BookingPhase::kHasOutcome;
+}
+
 }  // namespace
 
+std::string BookingCoordinator::NewToken() {
+  return base::ToText(
+      base::AttemptId{context_.incarnation(), context_.random().Next()});
+}
+
 void BookingCoordinator::Begin(base::RunId run,
-                               booking::BookingKey key,
+                               const booking::BookingKey& key,
                                std::string digest,
-                               base::TimePoint /*now*/) {
-  const auto held = holders_.find(key);
-  if (held != holders_.end()) {
-    Claim& holder = claims_.at(held->second);
-    if (holder.record.digest != digest) {
-      auto rejection = DigestConflict();
-      rejection.run = run;
-      decisions_.emplace_back(std::move(rejection));
-      return;
-    }
-    holder.waiting.push_back(run);
+                               base::TimePoint now) {
+  if (Booking* booking = ledger_.Find(key)) {
+    if (booking->record.digest != digest)
+      RejectOne(run, DigestConflict());
+    else
+      JoinRepeat(*booking, run, now);
     return;
   }
-  Claim claim;
-  claim.run = run;
-  claim.key = key;
-  claim.record.digest = std::move(digest);
-  claim.record.claim_token = base::ToText(
-      base::AttemptId{context_.incarnation(), context_.random().Next()});
-  claim.record.claimer = context_.settings().host;
-  claim.record.claimer_incarnation = context_.incarnation();
-  claim.record.claimer_address = context_.settings().peers;
-  SendClaim(claim);
-  holders_.emplace(std::move(key), run);
-  claims_.emplace(run, std::move(claim));
+  if (auto refusal = RefusalOfNew(now)) {
+    RejectOne(run, std::move(*refusal));
+    return;
+  }
+  BookingRecord claim;
+  claim.digest = std::move(digest);
+  claim.claim_token = NewToken();
+  claim.claimer = context_.settings().host;
+  claim.claimer_incarnation = context_.incarnation();
+  claim.claimer_address = context_.settings().peers;
+  SubmitClaim(ledger_.Open(key, std::move(claim), run));
 }
 
-void BookingCoordinator::SendClaim(const Claim& claim) {
-  const base::OperationId operation = context_.NextOperation();
-  claim_operations_.emplace(operation, claim.run);
-  base::WriteRows request;
-  request.writes.push_back({booking::RowKeyOf(claim.key), claim.version,
-                            booking::PrintRecord(claim.record)});
-  context_.Emit(SendToPlatform{operation, std::move(request), kTableTimeout});
+std::optional<BookingRejected> BookingCoordinator::RefusalOfNew(
+    base::TimePoint now) {
+  if (ledger_.is_full() || outbox_.is_full())
+    return Rejection(503, Executed::kNo, "too_many_bookings",
+                     "this entry host is at its limit of bookings",
+                     kRetryAfterFull);
+  if (IsTableGivenUp(now))
+    return TableUnavailable();
+  return std::nullopt;
+}
+
+void BookingCoordinator::JoinRepeat(Booking& booking,
+                                    base::RunId run,
+                                    base::TimePoint now) {
+  const bool is_never_sent = booking.phase == BookingPhase::kNeverSent;
+  if (booking.is_outcome_safe) {
+    decisions_.emplace_back(
+        BookingAnswered{run, booking.record.status, booking.record.answer});
+    return;
+  }
+  if (is_never_sent && IsTableGivenUp(now)) {
+    RejectOne(run, TableUnavailable());
+    return;
+  }
+  if (!ledger_.Join(booking, run))
+    RejectOne(
+        run,
+        Rejection(503, is_never_sent ? Executed::kNo : Executed::kUnknown,
+                  "too_many_repeats", "too many requests wait for this booking",
+                  kRetryAfterFull));
+}
+
+void BookingCoordinator::SubmitClaim(Booking& booking) {
+  const WriteTicket ticket =
+      writer_.Submit({booking::RowKeyOf(booking.key), booking.expected,
+                      booking::PrintRecord(booking.record)});
+  claim_tickets_.emplace(ticket, booking.record.claim_token);
+  tickets_of_claims_.insert_or_assign(booking.record.claim_token, ticket);
+}
+
+Executed BookingCoordinator::Withdraw(base::RunId run, base::TimePoint now) {
+  Booking* booking = ledger_.FindByRun(run);
+  // A decision is on its way that this run will not see.
+  if (booking == nullptr)
+    return Executed::kUnknown;
+  const bool is_own_claim = booking->phase == BookingPhase::kClaiming ||
+                            booking->phase == BookingPhase::kGranted;
+  if (booking->holder == run && is_own_claim) {
+    const bool has_rival = !booking->rival.claim_token.empty();
+    ledger_.RemoveRun(*booking, run);
+    NeverSend(*booking, now);
+    return has_rival ? Executed::kUnknown : Executed::kNo;
+  }
+  const bool was_never_sent = booking->phase == BookingPhase::kNeverSent;
+  ledger_.RemoveRun(*booking, run);
+  if (!is_own_claim && !IsSettling(*booking) && !booking->holder)
+    ledger_.Forget(*booking);
+  return was_never_sent ? Executed::kNo : Executed::kUnknown;
+}
+
+void BookingCoordinator::NeverSend(Booking& booking, base::TimePoint now) {
+  const bool was_granted = booking.phase == BookingPhase::kGranted;
+  RejectAll(booking, RefusalOr(booking, NotRun()));
+  ledger_.MarkNeverSent(booking);
+  if (was_granted) {
+    Settle(booking, now);
+    return;
+  }
+  const WriteTicket ticket = tickets_of_claims_.at(booking.record.claim_token);
+  // While the insert is under way, its end decides what must be written.
+  if (!writer_.Withdraw(ticket))
+    return;
+  claim_tickets_.erase(ticket);
+  tickets_of_claims_.erase(booking.record.claim_token);
+  if (booking.may_stand_in_table)
+    Settle(booking, now);
+  else
+    ledger_.Forget(booking);
+}
+
+void BookingCoordinator::Settle(Booking& booking, base::TimePoint now) {
+  outbox_.Add(
+      {booking::RowKeyOf(booking.key), booking.record, booking.expected}, now);
+}
+
+void BookingCoordinator::Conclude(base::RunId run,
+                                  BookingOutcome outcome,
+                                  base::TimePoint now) {
+  Booking* booking = ledger_.FindByRun(run);
+  if (booking == nullptr || booking->holder != run ||
+      booking->phase != BookingPhase::kGranted)
+    return;
+  if (auto* ran = std::get_if<BookingRan>(&outcome)) {
+    ledger_.Complete(*booking, ran->status, std::move(ran->body));
+    Settle(*booking, now);
+    return;
+  }
+  ledger_.RemoveRun(*booking, run);
+  if (std::holds_alternative<BookingDidNotRun>(outcome)) {
+    NeverSend(*booking, now);
+    return;
+  }
+  context_.Log(base::LogEventId::kBookingUnresolved,
+               booking::RowKeyOf(booking->key));
+  RejectAll(*booking, Unresolved());
+  ledger_.Forget(*booking);
 }
 
 bool BookingCoordinator::HandleAnswered(const PlatformAnswered& event,
-                                        base::TimePoint /*now*/) {
-  const auto* written = std::get_if<base::RowsWritten>(&event.answer);
-  if (record_operations_.erase(event.operation) > 0)
+                                        base::TimePoint now) {
+  if (const auto writes = writer_.HandleAnswered(event)) {
+    HandleWrites(*writes, now);
+    return true;
+  }
+  if (outbox_.HandleAnswered(event, now)) {
+    HandleNotices(now);
     return true;
-  const auto node = claim_operations_.extract(event.operation);
+  }
+  const auto node = fetches_.extract(event.operation);
   if (node.empty())
     return false;
-  const auto it = claims_.find(node.mapped());
-  if (it == claims_.end() || written == nullptr || written->results.empty())
+  Booking* booking = ledger_.FindByToken(node.mapped());
+  const auto* fetched = std::get_if<base::ObjectFetched>(&event.answer);
+  if (booking != nullptr)
+    HandleFetched(*booking,
+                  fetched == nullptr ? base::ObjectFetched{} : *fetched);
+  return true;
+}
+
+bool BookingCoordinator::HandleFailed(const PlatformFailed& event,
+                                      base::TimePoint now) {
+  if (const auto writes = writer_.HandleFailed(event)) {
+    HandleWrites(*writes, now);
+    return true;
+  }
+  if (outbox_.HandleFailed(event, now)) {
+    HandleNotices(now);
     return true;
-  HandleClaimResult(it->second, written->results.front());
+  }
+  const auto node = fetches_.extract(event.operation);
+  if (node.empty())
+    return false;
+  if (Booking* booking = ledger_.FindByToken(node.mapped()))
+    HandleFetched(*booking, {});
   return true;
 }
 
-void BookingCoordinator::HandleClaimResult(
-    Claim& claim,
-    const base::TableWriteResult& result) {
-  if (!result.was_applied) {
-    HandleForeignRecord(claim, result.row);
+void BookingCoordinator::HandleWrites(const std::vector<WriteEnded>& writes,
+                                      base::TimePoint now) {
+  for (const WriteEnded& ended : writes) {
+    NoteTable(ended.result.has_value(), now);
+    if (outbox_.HandleWriteEnded(ended, now))
+      continue;
+    const auto node = claim_tickets_.extract(ended.ticket);
+    if (node.empty())
+      continue;
+    tickets_of_claims_.erase(node.mapped());
+    if (Booking* booking = ledger_.FindByToken(node.mapped()))
+      HandleClaimEnded(*booking, ended, now);
+  }
+  HandleNotices(now);
+}
+
+void BookingCoordinator::NoteTable(bool is_answering, base::TimePoint now) {
+  if (is_answering)
+    table_retry_at_.reset();
+  else if (!table_retry_at_)
+    table_retry_at_ = now + kTableProbeInterval;
+}
+
+bool BookingCoordinator::IsTableGivenUp(base::TimePoint now) {
+  if (!table_retry_at_)
+    return false;
+  if (now < *table_retry_at_)
+    return true;
+  // This one finds out; the others don't wait for it.
+  table_retry_at_ = now + kTableProbeInterval;
+  return false;
+}
+
+void BookingCoordinator::HandleClaimEnded(Booking& booking,
+                                          const WriteEnded& ended,
+                                          base::TimePoint now) {
+  if (!ended.result && ended.failure == base::PlatformFailure::kUnknown)
+    booking.may_stand_in_table = true;
+  if (booking.phase == BookingPhase::kNeverSent)
+    HandleNeverSentClaim(booking, ended, now);
+  else if (ended.result)
+    HandleVerdict(booking, booking::JudgeClaim(booking.record, *ended.result),
+                  now);
+  else
+    HandleClaimFailed(booking, ended.failure, now);
+}
+
+void BookingCoordinator::HandleNeverSentClaim(Booking& booking,
+                                              const WriteEnded& ended,
+                                              base::TimePoint now) {
+  if (!ended.result) {
+    if (booking.may_stand_in_table)
+      Settle(booking, now);
+    else
+      FinishNeverSent(booking, booking.expected, now);
+    return;
+  }
+  const auto verdict = booking::JudgeClaim(booking.record, *ended.result);
+  if (!std::holds_alternative<booking::ClaimOwned>(verdict)) {
+    // The row moved on without this claim, which so can't take effect.
+    FinishNeverSent(booking, booking.expected, now);
     return;
   }
-  claim.version = result.row.version;
-  claim.phase = Phase::kGranted;
-  decisions_.emplace_back(BookingGranted{claim.run});
+  booking.expected = ended.result->row.version;
+  Settle(booking, now);
 }
 
-void BookingCoordinator::HandleForeignRecord(Claim& claim,
-                                             const base::TableRow& row) {
-  const auto parsed = booking::ParseRecord(row.value);
-  if (!parsed) {
-    Reject(claim, Rejection(500, Executed::kUnknown, "booking_unreadable",
-                            "the booking's row can't be read", std::nullopt));
+void BookingCoordinator::HandleClaimFailed(Booking& booking,
+                                           base::PlatformFailure failure,
+                                           base::TimePoint now) {
+  // Repeating the insert settles a lost answer, where reading would not: the
+  // write may still be under way.
+  if (failure == base::PlatformFailure::kUnknown &&
+      !booking.was_insert_repeated) {
+    booking.was_insert_repeated = true;
+    SubmitClaim(booking);
     return;
   }
-  const BookingRecord& record = parsed.value();
-  if (record.digest != claim.record.digest) {
-    Reject(claim, DigestConflict());
+  RejectAll(booking, RefusalOr(booking, TableUnavailable()));
+  ledger_.MarkNeverSent(booking);
+  if (booking.may_stand_in_table)
+    Settle(booking, now);
+  else
+    ledger_.Forget(booking);
+}
+
+void BookingCoordinator::HandleVerdict(Booking& booking,
+                                       ClaimVerdict verdict,
+                                       base::TimePoint /*now*/) {
+  std::visit(
+      base::Overloaded{
+          [&](const booking::ClaimOwned& it) {
+            ledger_.Grant(booking, it.version);
+            decisions_.emplace_back(BookingGranted{*booking.holder});
+          },
+          [&](const booking::ClaimAnew& it) {
+            booking.expected = it.version;
+            booking.may_stand_in_table = false;
+            booking.rival = {};
+            SubmitClaim(booking);
+          },
+          [&](booking::ClaimHeldElsewhere& it) {
+            HandleRival(booking, std::move(it.record));
+          },
+          [&](booking::ClaimAlreadyDone& it) {
+            HandleRivalDone(booking, std::move(it.record));
+          },
+          [&](const booking::ClaimConflicts&) {
+            RejectAll(booking, DigestConflict());
+            ledger_.Forget(booking);
+          },
+          [&](const booking::ClaimUnreadable&) {
+            RejectAll(
+                booking,
+                Rejection(500, Executed::kUnknown, "booking_unreadable",
+                          "the booking's row can't be read", std::nullopt));
+            ledger_.Forget(booking);
+          },
+      },
+      verdict);
+}
+
+void BookingCoordinator::HandleRivalDone(Booking& booking,
+                                         BookingRecord rival) {
+  if (rival.answer_object.empty()) {
+    AnswerAll(booking, rival.status, rival.answer);
+    ledger_.Forget(booking);
     return;
   }
-  switch (record.state) {
-    case BookingState::kNotRun:
-      claim.version = row.version;
-      SendClaim(claim);
-      return;
-    case BookingState::kDone: {
-      decisions_.emplace_back(
-          BookingAnswered{claim.run, record.status, record.answer});
-      for (const base::RunId run : claim.waiting)
-        decisions_.emplace_back(
-            BookingAnswered{run, record.status, record.answer});
-      Forget(claim.run);
-      return;
-    }
-    case BookingState::kClaimed:
-      Reject(claim, Rejection(409, Executed::kUnknown, "booking_under_way",
-                              "another entry host holds this booking",
-                              kRetryAfterForeignClaim));
-      return;
+  booking.phase = BookingPhase::kFetching;
+  const base::OperationId operation = context_.NextOperation();
+  fetches_.emplace(operation, booking.record.claim_token);
+  context_.Emit(SendToPlatform{
+      operation, base::FetchObject{rival.answer_object}, kFetchTimeout});
+  booking.rival = std::move(rival);
+}
+
+void BookingCoordinator::HandleFetched(Booking& booking,
+                                       const base::ObjectFetched& fetched) {
+  if (fetched.content)
+    AnswerAll(booking, booking.rival.status, *fetched.content);
+  else
+    RejectAll(booking,
+              Rejection(503, Executed::kYes, "booking_answer_unread",
+                        "the booking ran; its answer can't be read now",
+                        kRetryAfterTableFailure));
+  ledger_.Forget(booking);
+}
+
+void BookingCoordinator::HandleRival(Booking& booking, BookingRecord rival) {
+  const bool is_own_claim =
+      rival.claimer_incarnation == context_.incarnation() &&
+      rival.claimer == context_.settings().host;
+  // Own claims that the ledger no longer has ended unresolved.
+  if (is_own_claim || booking.vain_questions >= kMaxVainQuestions) {
+    RejectAll(booking, Unresolved());
+    ledger_.Forget(booking);
+    return;
   }
+  booking.phase = BookingPhase::kAsking;
+  booking.rival = std::move(rival);
+  Ask(booking);
 }
 
-void BookingCoordinator::Reject(const Claim& claim,
-                                const BookingRejected& rejection) {
-  BookingRejected one = rejection;
-  one.run = claim.run;
-  decisions_.emplace_back(one);
-  for (const base::RunId run : claim.waiting) {
-    one.run = run;
-    decisions_.emplace_back(one);
+void BookingCoordinator::Ask(Booking& booking) {
+  const base::OperationId operation = context_.NextOperation();
+  questions_.emplace(operation, booking.record.claim_token);
+  context_.Emit(SendToPeer{operation, booking.rival.claimer_address,
+                           BookingQuery{booking.rival.claim_token},
+                           kQuestionTimeout});
+}
+
+bool BookingCoordinator::HandlePeerRequest(const PeerRequest& event,
+                                           base::TimePoint now) {
+  if (const auto* query = std::get_if<BookingQuery>(&event.message)) {
+    context_.Emit(AnswerPeer{event.exchange, ReplyTo(*query)});
+    return true;
   }
-  Forget(claim.run);
+  if (const auto* copies = std::get_if<BookingCopies>(&event.message)) {
+    context_.Emit(AnswerPeer{event.exchange, outbox_.Keep(*copies, now)});
+    return true;
+  }
+  return false;
 }
 
-bool BookingCoordinator::HandleFailed(const PlatformFailed& event,
-                                      base::TimePoint now) {
-  const auto record = record_operations_.extract(event.operation);
-  if (!record.empty()) {
-    context_.Log(base::LogEventId::kBookingNotRecorded, record.mapped().key);
-    unrecorded_.push_back(
-        {std::move(record.mapped()), now + kRecordRetryDelay});
+BookingReply BookingCoordinator::ReplyTo(const BookingQuery& query) {
+  const Booking* booking = ledger_.FindByToken(query.claim_token);
+  if (booking == nullptr)
+    return {};
+  if (booking->phase == BookingPhase::kNeverSent)
+    return {BookingStanding::kNotRun, 0, ""};
+  if (booking->is_outcome_safe)
+    return {BookingStanding::kDone, booking->record.status,
+            booking->record.answer};
+  return {BookingStanding::kRunning, 0, ""};
+}
+
+bool BookingCoordinator::HandlePeerAnswered(const PeerAnswered& event,
+                                            base::TimePoint now) {
+  if (outbox_.HandlePeerAnswered(event, now)) {
+    HandleNotices(now);
     return true;
   }
-  const auto node = claim_operations_.extract(event.operation);
+  const auto node = questions_.extract(event.operation);
   if (node.empty())
     return false;
-  const auto it = claims_.find(node.mapped());
-  if (it == claims_.end())
+  Booking* booking = ledger_.FindByToken(node.mapped());
+  const auto* reply = std::get_if<BookingReply>(&event.message);
+  if (booking != nullptr)
+    HandleReply(*booking, reply == nullptr ? BookingReply{} : *reply, now);
+  return true;
+}
+
+bool BookingCoordinator::HandlePeerFailed(const PeerFailed& event,
+                                          base::TimePoint now) {
+  if (outbox_.HandlePeerFailed(event, now))
     return true;
-  // Forgetting the claim is what keeps its token from ever being sent under.
-  Reject(it->second, Rejection(503, Executed::kNo, "table_unavailable",
-                               "the platform's table did not take the claim",
-                               kRetryAfterTableFailure));
+  const auto node = questions_.extract(event.operation);
+  if (node.empty())
+    return false;
+  if (Booking* booking = ledger_.FindByToken(node.mapped()))
+    HandleVainQuestion(*booking);
   return true;
 }
 
-void BookingCoordinator::Conclude(base::RunId run,
-                                  BookingOutcome outcome,
-                                  base::TimePoint now) {
-  const auto it = claims_.find(run);
-  if (it == claims_.end())
-    return;
-  Claim& claim = it->second;
-  if (const auto* ran = std::get_if<BookingRan>(&outcome)) {
-    claim.record.state = BookingState::kDone;
-    claim.record.status = ran->status;
-    claim.record.answer = ran->body;
-    for (const base::RunId waiter : claim.waiting)
-      decisions_.emplace_back(BookingAnswered{waiter, ran->status, ran->body});
-    claim.waiting.clear();
-    Record(claim, now);
+void BookingCoordinator::HandleReply(Booking& booking,
+                                     const BookingReply& reply,
+                                     base::TimePoint now) {
+  switch (reply.standing) {
+    case BookingStanding::kUnknown:
+      HandleVainQuestion(booking);
+      return;
+    case BookingStanding::kRunning:
+      booking.vain_questions = 0;
+      questions_due_.emplace(now + kQuestionInterval,
+                             booking.record.claim_token);
+      return;
+    case BookingStanding::kNotRun:
+      RejectAll(booking, NotRun());
+      ledger_.Forget(booking);
+      return;
+    case BookingStanding::kDone:
+      AnswerAll(booking, reply.status, reply.answer);
+      ledger_.Forget(booking);
+      return;
+  }
+}
+
+void BookingCoordinator::HandleVainQuestion(Booking& booking) {
+  ++booking.vain_questions;
+  // The claimer may have recorded the outcome meanwhile: the insert shows the
+  // row as it is now. It can't take effect while the claim stands.
+  booking.phase = BookingPhase::kClaiming;
+  booking.was_insert_repeated = false;
+  SubmitClaim(booking);
+}
+
+void BookingCoordinator::HandleNotices(base::TimePoint now) {
+  for (const OutboxNotice& notice : outbox_.TakeNotices()) {
+    if (notice.news == OutboxNews::kWriteFailed)
+      NoteTable(false, now);
+    if (Booking* booking = ledger_.FindByToken(notice.claim_token))
+      HandleNotice(*booking, notice, now);
+  }
+}
+
+void BookingCoordinator::HandleNotice(Booking& booking,
+                                      const OutboxNotice& notice,
+                                      base::TimePoint now) {
+  const bool is_in_table = notice.news == OutboxNews::kRecorded ||
+                           notice.news == OutboxNews::kOvertaken;
+  if (booking.phase == BookingPhase::kNeverSent) {
+    // Only the not_run row itself may be claimed anew: a row that has overtaken
+    // this one is another's claim.
+    if (notice.news == OutboxNews::kRecorded)
+      FinishNeverSent(booking, notice.version, now);
+    else if (notice.news == OutboxNews::kOvertaken)
+      FinishNeverSent(booking, base::RowVersion::kAbsent, now);
+    else if (notice.news == OutboxNews::kWriteFailed)
+      RejectAll(booking, TableUnavailable());
     return;
   }
-  if (std::holds_alternative<BookingDidNotRun>(outcome)) {
-    claim.record.state = BookingState::kNotRun;
-    if (claim.phase == Phase::kGranted)
-      SendRecord({booking::RowKeyOf(claim.key), claim.version,
-                  booking::PrintRecord(claim.record)});
-    Reject(claim, Rejection(503, Executed::kNo, "booking_not_run",
-                            "the booking under this key did not run",
-                            kRetryAfterForeignClaim));
+  if (notice.news == OutboxNews::kWriteFailed)
+    return;
+  booking.is_outcome_safe = true;
+  AnswerAll(booking, booking.record.status, booking.record.answer);
+  if (is_in_table)
+    ledger_.Forget(booking);
+}
+
+void BookingCoordinator::FinishNeverSent(Booking& booking,
+                                         base::RowVersion version,
+                                         base::TimePoint /*now*/) {
+  if (booking.waiting.empty()) {
+    ledger_.Forget(booking);
     return;
   }
-  context_.Log(base::LogEventId::kBookingUnresolved,
-               booking::RowKeyOf(claim.key));
-  Reject(claim,
-         Rejection(504, Executed::kUnknown, "booking_unresolved",
-                   "whether the booking ran is not known", std::nullopt));
+  ledger_.Reopen(booking, NewToken(), version);
+  SubmitClaim(booking);
 }
 
-void BookingCoordinator::Record(Claim& claim, base::TimePoint /*now*/) {
-  SendRecord({booking::RowKeyOf(claim.key), claim.version,
-              booking::PrintRecord(claim.record)});
-  Forget(claim.run);
+void BookingCoordinator::AnswerAll(Booking& booking,
+                                   int status,
+                                   const std::string& body) {
+  for (const base::RunId run : ledger_.TakeRuns(booking))
+    decisions_.emplace_back(BookingAnswered{run, status, body});
 }
 
-void BookingCoordinator::SendRecord(base::TableWrite write) {
-  const base::OperationId operation = context_.NextOperation();
-  base::WriteRows request;
-  request.writes.push_back(write);
-  record_operations_.emplace(operation, std::move(write));
-  context_.Emit(SendToPlatform{operation, std::move(request), kTableTimeout});
+void BookingCoordinator::RejectAll(Booking& booking,
+                                   const BookingRejected& rejection) {
+  for (const base::RunId run : ledger_.TakeRuns(booking))
+    RejectOne(run, rejection);
 }
 
-void BookingCoordinator::Forget(base::RunId run) {
-  const auto it = claims_.find(run);
-  holders_.erase(it->second.key);
-  claims_.erase(it);
+void BookingCoordinator::RejectOne(base::RunId run, BookingRejected rejection) {
+  rejection.run = run;
+  decisions_.emplace_back(std::move(rejection));
+}
+
+void BookingCoordinator::HandOver(base::TimePoint now) {
+  outbox_.HandOver(now);
+}
+
+size_t BookingCoordinator::unsafe_count() const {
+  return outbox_.uncopied_count() + claim_tickets_.size();
 }
 
 void BookingCoordinator::HandleTimer(base::TimePoint now) {
-  std::vector<Unrecorded> later;
-  std::vector<Unrecorded> due;
-  for (Unrecorded& it : unrecorded_)
-    (it.due <= now ? due : later).push_back(std::move(it));
-  unrecorded_ = std::move(later);
-  for (Unrecorded& it : due)
-    SendRecord(std::move(it.write));
+  while (!questions_due_.empty() && questions_due_.begin()->first <= now) {
+    const std::string token = questions_due_.begin()->second;
+    questions_due_.erase(questions_due_.begin());
+    Booking* booking = ledger_.FindByToken(token);
+    if (booking != nullptr && booking->phase == BookingPhase::kAsking)
+      Ask(*booking);
+  }
+}
+
+void BookingCoordinator::Commit(base::TimePoint now) {
+  outbox_.HandleTimer(now);
+  writer_.Flush(now);
 }
 
 std::optional<base::TimePoint> BookingCoordinator::NextWakeup() const {
-  const auto it = std::ranges::min_element(unrecorded_, {}, &Unrecorded::due);
-  if (it == unrecorded_.end())
-    return std::nullopt;
-  return it->due;
+  std::optional<base::TimePoint> next;
+  if (!questions_due_.empty())
+    next = questions_due_.begin()->first;
+  for (const auto& wakeup : {outbox_.NextWakeup(), writer_.NextWakeup()}) {
+    if (wakeup && (!next || *wakeup < *next))
+      next = wakeup;
+  }
+  return next;
 }
 
 std::vector<BookingDecision> BookingCoordinator::TakeDecisions() {
--- a/Libraries/LibNode/booking_coordinator.h
+++ b/Libraries/LibNode/booking_coordinator.h
@@ -1,17 +1,23 @@
 #pragma once
 
-#include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "LibBase/ids.h"
 #include "LibBase/platform.h"
 #include "LibBase/time.h"
+#include "LibBooking/booking_ledger.h"
 #include "LibBooking/booking_record.h"
+#include "LibBooking/claim_verdict.h"
 #include "LibNode/booking_decision.h"
+#include "LibNode/booking_outbox.h"
 #include "LibNode/event.h"
 #include "LibNode/node_context.h"
+#include "LibNode/table_writer.h"
 
 namespace bilberry::node {
 
@@ -19,59 +25,104 @@
 // once. A claim is a conditional insert at the platform's table.
 class BookingCoordinator {
  public:
-  explicit BookingCoordinator(NodeContext& context) : context_(context) {}
+  explicit BookingCoordinator(NodeContext& context)
+      : context_(context), outbox_(context, writer_) {}
 
-  // Asks for the right to run; ends in one decision.
+  // Asks for the right to run; ends in one decision, unless withdrawn.
   void Begin(base::RunId run,
-             booking::BookingKey key,
+             const booking::BookingKey& key,
              std::string digest,
              base::TimePoint now);
 
-  // Ends a granted run, or one whose caller no longer waits for a decision.
+  // The run no longer waits for its decision and won't send. Returns what may
+  // be said of it.
+  pipeline::Executed Withdraw(base::RunId run, base::TimePoint now);
+
+  // Ends a granted run.
   void Conclude(base::RunId run, BookingOutcome outcome, base::TimePoint now);
 
+  // The other entry hosts, as they are known now.
+  void SetPeers(std::vector<CopyHolder> peers) {
+    outbox_.SetPeers(std::move(peers));
+  }
+
+  // Gives what is not recorded to a peer, before a planned stop.
+  void HandOver(base::TimePoint now);
+
   // True when the operation was one of this coordinator's.
   bool HandleAnswered(const PlatformAnswered& event, base::TimePoint now);
   bool HandleFailed(const PlatformFailed& event, base::TimePoint now);
+  bool HandlePeerRequest(const PeerRequest& event, base::TimePoint now);
+  bool HandlePeerAnswered(const PeerAnswered& event, base::TimePoint now);
+  bool HandlePeerFailed(const PeerFailed& event, base::TimePoint now);
   void HandleTimer(base::TimePoint now);
+  // Sends the writes that have come together.
+  void Commit(base::TimePoint now);
   std::optional<base::TimePoint> NextWakeup() const;
 
   std::vector<BookingDecision> TakeDecisions();
 
-  // Outcomes that the table has not yet taken.
-  size_t unrecorded_count() const { return unrecorded_.size(); }
+  // Records that the table has not yet taken.
+  size_t unrecorded_count() const { return outbox_.own_count(); }
+  // Bookings under way, and records that no other host keeps.
+  size_t unsafe_count() const;
 
  private:
-  enum class Phase { kClaiming, kGranted, kRecording };
-
-  struct Claim {
-    base::RunId run{};
-    booking::BookingKey key;
-    booking::BookingRecord record;
-    base::RowVersion version = base::RowVersion::kAbsent;
-    Phase phase = Phase::kClaiming;
-    std::vector<base::RunId> waiting;  // Repeats of the key at this host.
-  };
-
-  struct Unrecorded {
-    base::TableWrite write;
-    base::TimePoint due;
-  };
-
-  void SendClaim(const Claim& claim);
-  void HandleClaimResult(Claim& claim, const base::TableWriteResult& result);
-  void HandleForeignRecord(Claim& claim, const base::TableRow& row);
-  void Reject(const Claim& claim, const BookingRejected& rejection);
-  void Record(Claim& claim, base::TimePoint now);
-  void SendRecord(base::TableWrite write);
-  void Forget(base::RunId run);
+  using Booking = booking::Booking;
+
+  std::string NewToken();
+  void SubmitClaim(Booking& booking);
+  void HandleWrites(const std::vector<WriteEnded>& writes, base::TimePoint now);
+  void HandleClaimEnded(Booking& booking,
+                        const WriteEnded& ended,
+                        base::TimePoint now);
+  void HandleNeverSentClaim(Booking& booking,
+                            const WriteEnded& ended,
+                            base::TimePoint now);
+  void HandleClaimFailed(Booking& booking,
+                         base::PlatformFailure failure,
+                         base::TimePoint now);
+  void HandleVerdict(Booking& booking,
+                     booking::ClaimVerdict verdict,
+                     base::TimePoint now);
+  void HandleRival(Booking& booking, booking::BookingRecord rival);
+  void HandleRivalDone(Booking& booking, booking::BookingRecord rival);
+  void Ask(Booking& booking);
+  void HandleReply(Booking& booking,
+                   const BookingReply& reply,
+                   base::TimePoint now);
+  void HandleVainQuestion(Booking& booking);
+  void HandleFetched(Booking& booking, const base::ObjectFetched& fetched);
+  void HandleNotices(base::TimePoint now);
+  void HandleNotice(Booking& booking,
+                    const OutboxNotice& notice,
+                    base::TimePoint now);
+  void FinishNeverSent(Booking& booking,
+                       base::RowVersion version,
+                       base::TimePoint now);
+  void NeverSend(Booking& booking, base::TimePoint now);
+  void Settle(Booking& booking, base::TimePoint now);
+  void AnswerAll(Booking& booking, int status, const std::string& body);
+  void RejectAll(Booking& booking, const BookingRejected& rejection);
+  void RejectOne(base::RunId run, BookingRejected rejection);
+  BookingReply ReplyTo(const BookingQuery& query);
+  void NoteTable(bool is_answering, base::TimePoint now);
+  // True while claims are refused without asking the table.
+  bool IsTableGivenUp(base::TimePoint now);
+  std::optional<BookingRejected> RefusalOfNew(base::TimePoint now);
+  void JoinRepeat(Booking& booking, base::RunId run, base::TimePoint now);
 
   NodeContext& context_;
-  std::unordered_map<base::RunId, Claim> claims_;
-  std::map<booking::BookingKey, base::RunId> holders_;
-  std::unordered_map<base::OperationId, base::RunId> claim_operations_;
-  std::unordered_map<base::OperationId, base::TableWrite> record_operations_;
-  std::vector<Unrecorded> unrecorded_;
+  TableWriter writer_{context_};
+  BookingOutbox outbox_;
+  booking::BookingLedger ledger_;
+  std::unordered_map<WriteTicket, std::string> claim_tickets_;
+  std::unordered_map<std::string, WriteTicket> tickets_of_claims_;
+  std::unordered_map<base::OperationId, std::string> questions_;
+  std::unordered_map<base::OperationId, std::string> fetches_;
+  std::set<std::pair<base::TimePoint, std::string>> questions_due_;
+  // Set while the table fails: when it is tried again.
+  std::optional<base::TimePoint> table_retry_at_;
   std::vector<BookingDecision> decisions_;
 };
 
--- a/Libraries/LibNode/booking_decision.h
+++ b/Libraries/LibNode/booking_decision.h
@@ -13,7 +13,8 @@
   base::RunId run{};
 };
 
-// The booking has been answered already, by this or another run.
+// The booking has been answered, by this or another run, and the answer is
+// kept outside this process.
 struct BookingAnswered {
   base::RunId run{};
   int status = 200;
@@ -31,7 +32,8 @@
 using BookingDecision =
     std::variant<BookingGranted, BookingAnswered, BookingRejected>;
 
-// How a run that was granted its claim ended.
+// How a run that was granted its claim ended. After BookingRan the run waits
+// for one more decision; after the others it is over.
 struct BookingRan {
   int status = 200;
   std::string body;
--- a/Libraries/LibNode/entry_node.cc
+++ b/Libraries/LibNode/entry_node.cc
@@ -40,23 +40,74 @@
           [&](const PeerRequest& it) {
             if (const auto* digest = std::get_if<Digest>(&it.message))
               runs_.HandleDigest(*digest, now);
-            membership_.HandlePeerRequest(it, now);
+            if (!bookings_.HandlePeerRequest(it, now))
+              membership_.HandlePeerRequest(it, now);
           },
           [&](const PeerAnswered& it) {
-            membership_.HandlePeerAnswered(it, now);
+            if (!bookings_.HandlePeerAnswered(it, now))
+              membership_.HandlePeerAnswered(it, now);
+          },
+          [&](const PeerFailed& it) {
+            if (!bookings_.HandlePeerFailed(it, now))
+              membership_.HandlePeerFailed(it, now);
           },
-          [&](const PeerFailed& it) { membership_.HandlePeerFailed(it, now); },
           [](const TimerDue&) {},
           [&](const StopOrdered&) { HandleStop(now); },
       },
       event);
 }
 
-void EntryNode::HandleStop(base::TimePoint /*now*/) {
+void EntryNode::HandleStop(base::TimePoint now) {
   if (!runs_.is_accepting())
     return;
   context_.Log(base::LogEventId::kStopOrdered, "");
   runs_.StopAccepting();
+  stop_deadline_ = now + LongestDeadline();
+  TellBookingsOfPeers();
+  bookings_.HandOver(now);
+}
+
+base::Duration EntryNode::LongestDeadline() const {
+  base::Duration longest{0};
+  const auto configuration = membership_.configuration();
+  if (!configuration)
+    return longest;
+  for (const declare::Pipeline& pipeline : configuration->pipelines)
+    longest = std::max<base::Duration>(longest, pipeline.deadline);
+  return longest;
+}
+
+void EntryNode::TellBookingsOfPeers() {
+  const declare::HostSettings& own = context_.settings();
+  std::vector<CopyHolder> peers;
+  for (const base::HostEntry& entry : membership_.hosts().LiveEntryHosts()) {
+    if (entry.name != own.host.value)
+      peers.push_back({entry.address, entry.zone != own.zone});
+  }
+  // The list may be out of reach; the zones of seed peers aren't known.
+  if (peers.empty()) {
+    for (const base::SocketAddress& seed : own.seed_peers)
+      peers.push_back({seed, false});
+  }
+  bookings_.SetPeers(std::move(peers));
+}
+
+void EntryNode::FinishStop(base::TimePoint now) {
+  if (!stop_deadline_ || has_exited_)
+    return;
+  const bool is_settled =
+      runs_.run_count() == 0 && bookings_.unsafe_count() == 0;
+  if (!is_settled && now < *stop_deadline_)
+    return;
+  has_exited_ = true;
+  const size_t left = bookings_.unsafe_count() + runs_.lingering_count();
+  if (left > 0)
+    context_.Log(base::LogEventId::kBookingsLeftBehind, std::to_string(left));
+  else if (bookings_.unrecorded_count() > 0)
+    context_.Log(base::LogEventId::kBookingsHandedOver,
+                 std::to_string(bookings_.unrecorded_count()));
+  context_.Log(base::LogEventId::kHostStopped, "");
+  context_.Emit(Exit{});
 }
 
 void EntryNode::Settle(base::TimePoint now) {
@@ -66,6 +117,7 @@
   if (seen_changes_ != membership_.change_count()) {
     seen_changes_ = membership_.change_count();
     runs_.Refresh(now);
+    TellBookingsOfPeers();
   }
   for (auto decisions = bookings_.TakeDecisions(); !decisions.empty();
        decisions = bookings_.TakeDecisions()) {
@@ -73,14 +125,9 @@
       runs_.HandleDecision(decision, now);
   }
   runs_.DispatchAll(now);
+  bookings_.Commit(now);
   NoteReadiness();
-  const bool is_done = !runs_.is_accepting() && runs_.run_count() == 0 &&
-                       bookings_.unrecorded_count() == 0;
-  if (is_done && !has_exited_) {
-    has_exited_ = true;
-    context_.Log(base::LogEventId::kHostStopped, "");
-    context_.Emit(Exit{});
-  }
+  FinishStop(now);
 }
 
 void EntryNode::NoteReadiness() {
@@ -95,8 +142,9 @@
 
 std::optional<base::TimePoint> EntryNode::NextWakeup() const {
   std::optional<base::TimePoint> next;
-  for (const auto& wakeup :
-       {bookings_.NextWakeup(), membership_.NextWakeup(), runs_.NextWakeup()}) {
+  const auto stop = has_exited_ ? std::nullopt : stop_deadline_;
+  for (const auto& wakeup : {bookings_.NextWakeup(), membership_.NextWakeup(),
+                             runs_.NextWakeup(), stop}) {
     if (wakeup && (!next || *wakeup < *next))
       next = wakeup;
   }
--- a/Libraries/LibNode/entry_node.h
+++ b/Libraries/LibNode/entry_node.h
@@ -37,6 +37,10 @@
   // Lets decisions of one coordinator reach the others.
   void Settle(base::TimePoint now);
   void NoteReadiness();
+  base::Duration LongestDeadline() const;
+  void TellBookingsOfPeers();
+  // Exits once nothing is left to do, at the latest at the stop's deadline.
+  void FinishStop(base::TimePoint now);
 
   NodeContext context_;
   BookingCoordinator bookings_;
@@ -44,6 +48,7 @@
   RunCoordinator runs_;
   uint64_t seen_changes_ = 0;
   Readiness last_readiness_ = Readiness::kNoConfiguration;
+  std::optional<base::TimePoint> stop_deadline_;
   bool has_exited_ = false;
 };
 
--- a/Libraries/LibNode/peer_message.h
+++ b/Libraries/LibNode/peer_message.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "LibBase/ids.h"
+#include "LibBooking/settlement.h"
 
 // What entry hosts tell each other; each is a JSON-RPC method or its result.
 namespace bilberry::node {
@@ -52,7 +53,51 @@
   std::string document;
 };
 
-using PeerMessage =
-    std::variant<Digest, ConfigurationQuery, ConfigurationOffer>;
+// Asks the host that holds a claim what became of the booking.
+struct BookingQuery {
+  std::string claim_token;
+
+  friend bool operator==(const BookingQuery&, const BookingQuery&) = default;
+};
+
+enum class BookingStanding : uint8_t {
+  kUnknown,  // This host does not know the claim.
+  kRunning,
+  kNotRun,  // Surely, and it never will under this claim.
+  kDone,
+};
+
+// The claimer's word; status and answer are of kDone.
+struct BookingReply {
+  BookingStanding standing = BookingStanding::kUnknown;
+  int status = 0;
+  std::string answer;
+
+  friend bool operator==(const BookingReply&, const BookingReply&) = default;
+};
+
+// Final records that the table has not taken yet, to be kept and written by the
+// receiver too.
+struct BookingCopies {
+  std::vector<booking::Settlement> settlements;
+
+  friend bool operator==(const BookingCopies&, const BookingCopies&) = default;
+};
+
+// The claim tokens of the copies that are now held.
+struct BookingCopiesHeld {
+  std::vector<std::string> claim_tokens;
+
+  friend bool operator==(const BookingCopiesHeld&,
+                         const BookingCopiesHeld&) = default;
+};
+
+using PeerMessage = std::variant<Digest,
+                                 ConfigurationQuery,
+                                 ConfigurationOffer,
+                                 BookingQuery,
+                                 BookingReply,
+                                 BookingCopies,
+                                 BookingCopiesHeld>;
 
 }  // namespace bilberry::node
--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -22,12 +22,21 @@
 constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
-constexpr int kFirstErrorStatus = 400;
+// How long a sent booking's attempt stays open after its deadline.
+constexpr std::chrono::seconds kBookingLinger{30};
+constexpr size_t kMaxLingering = 1024;
 
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
 }
 
+// A 4xx tells the caller about its request, except for those that are about the
+// moment (RFC 9110 section 15.5.9, RFC 8470 section 5.2, RFC 6585 section 4).
+bool IsDefiniteRefusal(int status) {
+  return status >= 400 && status < 500 && status != 408 && status != 425 &&
+         status != 429;
+}
+
 policy::EndpointTarget TargetOf(const base::HostEntry& entry) {
   return {{entry.name}, entry.zone, entry.address, entry.incarnation};
 }
@@ -95,7 +104,8 @@
                     request.caller});
   ActiveRun& active = it->second;
   callers_.emplace(request.caller, id);
-  deadlines_.emplace(active.run.deadline(), id);
+  active.lapses = active.run.deadline();
+  deadlines_.emplace(active.lapses, id);
   if (!pipeline->IsAtMostOnce()) {
     OfferStage(active, now);
     return;
@@ -158,7 +168,8 @@
 void RunCoordinator::HandleChunk(const EndpointChunk& chunk) {
   ActiveRun* active = FindByAttempt(chunk.attempt);
   // A mismatched stream is ended by its EndpointAnswer.
-  if (active == nullptr || chunk.echoed_attempt != base::ToText(chunk.attempt))
+  if (active == nullptr || active->is_lingering ||
+      chunk.echoed_attempt != base::ToText(chunk.attempt))
     return;
   active->has_stream_begun = true;
   context_.Emit(StreamToCaller{active->caller, RequestIdOf(active->run.id()),
@@ -176,6 +187,10 @@
     if (target != nullptr)
       membership_.NoteLeaving(endpoint, target->incarnation);
   }
+  if (active->is_lingering) {
+    EndLinger(*active, LateOutcomeOf(*active, answer), now);
+    return;
+  }
   if (answer.echoed_attempt != base::ToText(answer.attempt)) {
     context_.Log(base::LogEventId::kAnswerMismatched, endpoint.value);
     FailAttempt(*active, AttemptEffect::kUnknown, AttemptVerdict::kFailed,
@@ -184,6 +199,10 @@
                 now);
     return;
   }
+  if (IsDefiniteRefusal(answer.status)) {
+    PassOnRefusal(*active, answer, now);
+    return;
+  }
   if (!IsSuccess(answer.status)) {
     const bool did_not_run = answer.said_not_run;
     FailAttempt(
@@ -211,6 +230,13 @@
     return;
   const bool was_unreachable =
       failure.kind == EndpointFailureKind::kUnreachable;
+  if (active->is_lingering) {
+    EndLinger(*active,
+              was_unreachable ? BookingOutcome(BookingDidNotRun{})
+                              : BookingOutcome(BookingLeftUnresolved{}),
+              now);
+    return;
+  }
   const std::string endpoint = active->run.attempt_endpoint().value;
   FailAttempt(
       *active,
@@ -265,7 +291,7 @@
   ActiveRun& active = runs_.at(found->second);
   // A booking that has been sent is seen through, so that its outcome is
   // recorded for the caller who asks again.
-  if (active.run.pipeline().IsAtMostOnce() && active.phase == Phase::kSent)
+  if (active.phase == Phase::kRecording || active.run.may_have_booked())
     return;
   if (active.phase == Phase::kSent)
     CancelAttempt(active, AttemptVerdict::kCancelled, now);
@@ -281,7 +307,8 @@
   const auto found = runs_.find(id);
   if (found == runs_.end()) {
     // The caller has been answered meanwhile; nothing will be sent.
-    bookings_.Conclude(id, BookingDidNotRun{}, now);
+    if (std::holds_alternative<BookingGranted>(decision))
+      bookings_.Conclude(id, BookingDidNotRun{}, now);
     return;
   }
   ActiveRun& active = found->second;
@@ -292,14 +319,14 @@
                    answer.status = it.status;
                    answer.executed = Executed::kYes;
                    answer.body = it.body;
-                   End(active, std::move(answer), now);
+                   End(active, std::move(answer));
                  },
                  [&](const BookingRejected& it) {
                    CallerAnswer answer;
                    answer.status = it.status;
                    answer.executed = it.executed;
                    answer.error = it.error;
-                   End(active, std::move(answer), now);
+                   End(active, std::move(answer));
                  },
              },
              decision);
@@ -311,25 +338,109 @@
 }
 
 void RunCoordinator::Lapse(ActiveRun& active, base::TimePoint now) {
+  if (active.is_lingering) {
+    context_.Emit(node::CancelAttempt{*active.run.attempt()});
+    EndLinger(active, BookingLeftUnresolved{}, now);
+    return;
+  }
   const bool was_sent = active.phase == Phase::kSent;
+  if (was_sent && active.run.is_at_booking() &&
+      lingering_count_ < kMaxLingering) {
+    Linger(active, now);
+    return;
+  }
   const std::string endpoint =
       was_sent ? active.run.attempt_endpoint().value : "";
   if (was_sent)
     CancelAttempt(active, AttemptVerdict::kTimedOut, now);
-  const Step step = active.phase == Phase::kClaiming ? Step::kClaim
-                    : was_sent                       ? Step::kEndpointCall
-                                                     : Step::kQueue;
+  const Step step = active.phase == Phase::kClaiming    ? Step::kClaim
+                    : was_sent                          ? Step::kEndpointCall
+                    : active.phase == Phase::kRecording ? Step::kRecord
+                                                        : Step::kQueue;
   Fail(active, kGatewayTimeout,
        {"deadline_exceeded", step, endpoint, "the deadline has passed",
         kRetryAfterFailure},
        now);
 }
 
+void RunCoordinator::Linger(ActiveRun& active, base::TimePoint now) {
+  // To the pool the call is over, so that a hung endpoint doesn't bind slots.
+  ReportAttempt(active, AttemptVerdict::kTimedOut, std::nullopt, now);
+  CallerAnswer answer;
+  answer.status = kGatewayTimeout;
+  answer.executed = Executed::kUnknown;
+  answer.error = {"deadline_exceeded", Step::kEndpointCall,
+                  active.run.attempt_endpoint().value,
+                  "the deadline has passed", kRetryAfterFailure};
+  Answer(active, std::move(answer));
+  active.is_lingering = true;
+  ++lingering_count_;
+  deadlines_.erase({active.lapses, active.run.id()});
+  active.lapses = now + kBookingLinger;
+  deadlines_.emplace(active.lapses, active.run.id());
+}
+
+BookingOutcome RunCoordinator::LateOutcomeOf(
+    const ActiveRun& active,
+    const EndpointAnswer& answer) const {
+  if (answer.echoed_attempt != base::ToText(answer.attempt))
+    return BookingLeftUnresolved{};
+  if (!IsSuccess(answer.status) && answer.said_not_run)
+    return BookingDidNotRun{};
+  // The stages that follow are past the deadline.
+  if (IsSuccess(answer.status) && !active.run.is_last_stage())
+    return BookingLeftUnresolved{};
+  if (IsSuccess(answer.status) || IsDefiniteRefusal(answer.status))
+    return BookingRan{answer.status, answer.body};
+  return BookingLeftUnresolved{};
+}
+
+void RunCoordinator::EndLinger(ActiveRun& active,
+                               const BookingOutcome& outcome,
+                               base::TimePoint now) {
+  attempts_.erase(active.run.attempt()->number);
+  bookings_.Conclude(active.run.id(), outcome, now);
+  Forget(active);
+}
+
+void RunCoordinator::PassOnRefusal(ActiveRun& active,
+                                   const EndpointAnswer& answer,
+                                   base::TimePoint now) {
+  ReportAttempt(active, AttemptVerdict::kSucceeded, answer.reported_load, now);
+  attempts_.erase(answer.attempt.number);
+  if (answer.said_not_run)
+    active.run.FailAttempt(answer.attempt, AttemptEffect::kNotRun);
+  else
+    active.run.AcceptRefusal(answer.attempt);
+  if (active.run.may_have_booked()) {
+    Record(active, {answer.status, answer.body}, now);
+    return;
+  }
+  CallerAnswer passed;
+  passed.status = answer.status;
+  passed.executed = active.run.executed();
+  passed.body = answer.body;
+  if (active.run.pipeline().IsAtMostOnce())
+    bookings_.Conclude(active.run.id(), BookingDidNotRun{}, now);
+  End(active, std::move(passed));
+}
+
+void RunCoordinator::Record(ActiveRun& active,
+                            BookingRan outcome,
+                            base::TimePoint now) {
+  active.phase = Phase::kRecording;
+  bookings_.Conclude(active.run.id(), std::move(outcome), now);
+}
+
 void RunCoordinator::Succeed(ActiveRun& active, base::TimePoint now) {
+  if (active.run.pipeline().IsAtMostOnce()) {
+    Record(active, {200, active.run.input()}, now);
+    return;
+  }
   CallerAnswer answer;
   answer.executed = Executed::kYes;
   answer.body = active.run.input();
-  End(active, std::move(answer), now);
+  End(active, std::move(answer));
 }
 
 void RunCoordinator::Fail(ActiveRun& active,
@@ -343,33 +454,52 @@
   }
   CallerAnswer answer;
   answer.status = status;
-  answer.executed = active.run.executed();
+  answer.executed = active.run.pipeline().IsAtMostOnce()
+                        ? ConcludeFailed(active, now)
+                        : active.run.executed();
   answer.error = std::move(error);
-  End(active, std::move(answer), now);
+  End(active, std::move(answer));
 }
 
-BookingOutcome RunCoordinator::OutcomeOf(const ActiveRun& active,
-                                         const CallerAnswer& answer) const {
-  if (answer.status < kFirstErrorStatus)
-    return BookingRan{answer.status, answer.body};
-  if (active.run.executed() == Executed::kNo)
-    return BookingDidNotRun{};
-  return BookingLeftUnresolved{};
+Executed RunCoordinator::ConcludeFailed(const ActiveRun& active,
+                                        base::TimePoint now) {
+  const base::RunId id = active.run.id();
+  switch (active.phase) {
+    case Phase::kClaiming:
+      return bookings_.Withdraw(id, now);
+    case Phase::kRecording:
+      // It ran, but its answer could be lost with this process.
+      bookings_.Withdraw(id, now);
+      return Executed::kUnknown;
+    case Phase::kQueued:
+    case Phase::kSent:
+      break;
+  }
+  if (active.run.may_have_booked())
+    bookings_.Conclude(id, BookingLeftUnresolved{}, now);
+  else
+    bookings_.Conclude(id, BookingDidNotRun{}, now);
+  return active.run.executed();
 }
 
-void RunCoordinator::End(ActiveRun& active,
-                         CallerAnswer answer,
-                         base::TimePoint now) {
-  const base::RunId id = active.run.id();
-  answer.request_id = RequestIdOf(id);
-  if (active.run.pipeline().IsAtMostOnce())
-    bookings_.Conclude(id, OutcomeOf(active, answer), now);
+void RunCoordinator::End(ActiveRun& active, CallerAnswer answer) {
+  Answer(active, std::move(answer));
+  Forget(active);
+}
+
+void RunCoordinator::Answer(ActiveRun& active, CallerAnswer answer) {
+  answer.request_id = RequestIdOf(active.run.id());
   if (active.has_stream_begun)
     context_.Emit(EndStream{active.caller, std::move(answer)});
   else
     context_.Emit(AnswerCaller{active.caller, std::move(answer)});
-  deadlines_.erase({active.run.deadline(), id});
   callers_.erase(active.caller);
+}
+
+void RunCoordinator::Forget(const ActiveRun& active) {
+  const base::RunId id = active.run.id();
+  lingering_count_ -= active.is_lingering ? 1 : 0;
+  deadlines_.erase({active.lapses, id});
   runs_.erase(id);
 }
 
--- a/Libraries/LibNode/run_coordinator.h
+++ b/Libraries/LibNode/run_coordinator.h
@@ -51,19 +51,25 @@
   void StopAccepting() { is_accepting_ = false; }
   bool is_accepting() const { return is_accepting_; }
   size_t run_count() const { return runs_.size(); }
+  size_t lingering_count() const { return lingering_count_; }
   std::vector<policy::PoolLoad> Loads() const;
   std::optional<base::TimePoint> NextWakeup() const;
 
  private:
-  enum class Phase { kClaiming, kQueued, kSent };
+  // A booking's run waits in kRecording until its answer is safe.
+  enum class Phase { kClaiming, kQueued, kSent, kRecording };
 
   struct ActiveRun {
     pipeline::Run run;
     base::CallerId caller{};
     Phase phase = Phase::kQueued;
     bool has_stream_begun = false;
+    // Answered at its deadline; the attempt is kept open for the outcome.
+    bool is_lingering = false;
+    base::TimePoint lapses{};
   };
 
+  using Executed = pipeline::Executed;
   using RunMap = std::unordered_map<base::RunId, ActiveRun>;
 
   void Admit(const CallerRequest& request,
@@ -89,15 +95,30 @@
                      policy::AttemptVerdict verdict,
                      base::TimePoint now);
   void Lapse(ActiveRun& active, base::TimePoint now);
+  // Answers a sent booking's caller, and leaves its attempt open for a while.
+  void Linger(ActiveRun& active, base::TimePoint now);
+  void EndLinger(ActiveRun& active,
+                 const BookingOutcome& outcome,
+                 base::TimePoint now);
+  BookingOutcome LateOutcomeOf(const ActiveRun& active,
+                               const EndpointAnswer& answer) const;
+  // The endpoint's own 4xx ends the run and is its answer.
+  void PassOnRefusal(ActiveRun& active,
+                     const EndpointAnswer& answer,
+                     base::TimePoint now);
+  // Has a booking's answer recorded; the caller is answered after.
+  void Record(ActiveRun& active, BookingRan outcome, base::TimePoint now);
   void Succeed(ActiveRun& active, base::TimePoint now);
   void Fail(ActiveRun& active,
             int status,
             CallerError error,
             base::TimePoint now);
-  // Tells the ledger how the run ended, answers the caller and forgets it.
-  void End(ActiveRun& active, CallerAnswer answer, base::TimePoint now);
-  BookingOutcome OutcomeOf(const ActiveRun& active,
-                           const CallerAnswer& answer) const;
+  // Tells the ledger that a booking's run failed; returns what may be said.
+  Executed ConcludeFailed(const ActiveRun& active, base::TimePoint now);
+  // Answers the caller and forgets the run.
+  void End(ActiveRun& active, CallerAnswer answer);
+  void Answer(ActiveRun& active, CallerAnswer answer);
+  void Forget(const ActiveRun& active);
   void Refuse(base::CallerId caller, int status, CallerError error);
   std::string RequestIdOf(base::RunId run) const;
   policy::PoolScheduler& PoolOf(const pipeline::Run& run);
@@ -109,6 +130,7 @@
   uint64_t last_run_ = 0;
   uint64_t last_attempt_ = 0;
   RunMap runs_;
+  size_t lingering_count_ = 0;
   std::unordered_map<base::CallerId, base::RunId> callers_;
   std::unordered_map<uint64_t, base::RunId> attempts_;  // By attempt number.
   std::set<std::pair<base::TimePoint, base::RunId>> deadlines_;
--- a/Libraries/LibPipeline/run.cc
+++ b/Libraries/LibPipeline/run.cc
@@ -31,6 +31,7 @@
     return Acceptance::kIgnored;
   attempt_.reset();
   any_stage_ran_ = true;
+  any_booking_ran_ = any_booking_ran_ || is_at_booking();
   input_ = std::move(body);
   if (is_last_stage())
     return Acceptance::kFinished;
@@ -38,15 +39,30 @@
   return Acceptance::kNextStage;
 }
 
+bool Run::AcceptRefusal(const base::AttemptId& attempt) {
+  if (attempt_ != attempt)
+    return false;
+  attempt_.reset();
+  any_stage_ran_ = true;
+  any_booking_ran_ = any_booking_ran_ || is_at_booking();
+  return true;
+}
+
 bool Run::FailAttempt(const base::AttemptId& attempt, AttemptEffect effect) {
   if (attempt_ != attempt)
     return false;
   attempt_.reset();
-  if (effect == AttemptEffect::kUnknown)
+  if (effect == AttemptEffect::kUnknown) {
     any_attempt_unresolved_ = true;
+    any_booking_ran_ = any_booking_ran_ || is_at_booking();
+  }
   return true;
 }
 
+bool Run::may_have_booked() const {
+  return any_booking_ran_ || (attempt_ && is_at_booking());
+}
+
 Executed Run::executed() const {
   if (any_attempt_unresolved_ || attempt_)
     return Executed::kUnknown;
--- a/Libraries/LibPipeline/run.h
+++ b/Libraries/LibPipeline/run.h
@@ -63,12 +63,25 @@
   // the answer of the last.
   Acceptance AcceptAnswer(const base::AttemptId& attempt, std::string body);
 
+  // Takes the endpoint's refusal as the answer of a stage that ran; false when
+  // the attempt isn't the present one.
+  bool AcceptRefusal(const base::AttemptId& attempt);
+
   // Ends the attempt without an answer; false when it isn't the present one.
   bool FailAttempt(const base::AttemptId& attempt, AttemptEffect effect);
 
+  // True when the present stage may not be repeated.
+  bool is_at_booking() const {
+    return stage().repeatability == declare::Repeatability::kAtMostOnce;
+  }
+
   // Over all stages.
   Executed executed() const;
 
+  // True once a stage that may not be repeated has been sent and wasn't surely
+  // left undone.
+  bool may_have_booked() const;
+
  private:
   base::RunId id_;
   std::shared_ptr<const declare::Configuration> configuration_;
@@ -82,6 +95,7 @@
   base::TimePoint attempt_began_;
   bool any_stage_ran_ = false;
   bool any_attempt_unresolved_ = false;
+  bool any_booking_ran_ = false;  // Or may have.
 };
 
 }  // namespace bilberry::pipeline
--- a/Libraries/LibTransport/peer_codec.cc
+++ b/Libraries/LibTransport/peer_codec.cc
@@ -1,6 +1,11 @@
 #include "LibTransport/peer_codec.h"
 
+#include <array>
+#include <utility>
+
 #include "LibBase/overloaded.h"
+#include "LibBooking/byte_text.h"
+#include "LibNode/booking_outbox.h"
 
 namespace bilberry::transport {
 
@@ -9,6 +14,17 @@
 constexpr const char* kDigest = "digest";
 constexpr const char* kConfigurationQuery = "configuration_query";
 constexpr const char* kConfigurationOffer = "configuration_offer";
+constexpr const char* kBookingQuery = "booking_query";
+constexpr const char* kBookingReply = "booking_reply";
+constexpr const char* kBookingCopies = "booking_copies";
+constexpr const char* kBookingCopiesHeld = "booking_copies_held";
+
+constexpr std::array kStandings{
+    std::pair{node::BookingStanding::kUnknown, "unknown"},
+    std::pair{node::BookingStanding::kRunning, "running"},
+    std::pair{node::BookingStanding::kNotRun, "not_run"},
+    std::pair{node::BookingStanding::kDone, "done"},
+};
 
 Json::Value NumberOf(base::Revision revision) {
   return static_cast<Json::UInt64>(revision);
@@ -108,6 +124,81 @@
                                value["document"].asString()});
 }
 
+const char* NameOf(node::BookingStanding standing) {
+  for (const auto& [value, name] : kStandings) {
+    if (value == standing)
+      return name;
+  }
+  return "";
+}
+
+base::Result<node::PeerMessage> DecodeBookingQuery(const Json::Value& value) {
+  if (!value["claim_token"].isString())
+    return Malformed("a booking query lacks its claim token");
+  return node::PeerMessage(node::BookingQuery{value["claim_token"].asString()});
+}
+
+base::Result<node::PeerMessage> DecodeBookingReply(const Json::Value& value) {
+  if (!value["standing"].isString() || !value["status"].isInt() ||
+      !value["answer"].isString())
+    return Malformed("a booking reply lacks a field");
+  const auto answer = booking::TextToBytes(value["answer"].asString());
+  if (!answer)
+    return Malformed("a booking reply's answer can't be read");
+  for (const auto& [standing, name] : kStandings) {
+    if (value["standing"].asString() == name)
+      return node::PeerMessage(
+          node::BookingReply{standing, value["status"].asInt(), *answer});
+  }
+  return Malformed("unknown standing of a booking");
+}
+
+Json::Value EncodeSettlement(const booking::Settlement& settlement) {
+  Json::Value out;
+  out["row_key"] = settlement.row_key;
+  out["record"] = booking::PrintRecord(settlement.record);
+  out["expected"] = static_cast<Json::UInt64>(settlement.expected);
+  return out;
+}
+
+base::Result<booking::Settlement> DecodeSettlement(const Json::Value& value) {
+  if (!value.isObject() || !value["row_key"].isString() ||
+      !value["record"].isString() || !value["expected"].isUInt64())
+    return Malformed("a booking's copy lacks a field");
+  TRY(record, booking::ParseRecord(value["record"].asString()));
+  if (record.state == booking::BookingState::kClaimed)
+    return Malformed("a booking's copy is not final");
+  return booking::Settlement{value["row_key"].asString(), std::move(record),
+                             base::RowVersion{value["expected"].asUInt64()}};
+}
+
+base::Result<node::PeerMessage> DecodeCopies(const Json::Value& value) {
+  const Json::Value& list = value["settlements"];
+  if (!list.isArray() ||
+      list.size() > node::BookingOutbox::kMaxCopiesPerMessage)
+    return Malformed("a list of bookings' copies is malformed or too long");
+  node::BookingCopies copies;
+  for (const Json::Value& one : list) {
+    TRY(settlement, DecodeSettlement(one));
+    copies.settlements.push_back(std::move(settlement));
+  }
+  return node::PeerMessage(std::move(copies));
+}
+
+base::Result<node::PeerMessage> DecodeCopiesHeld(const Json::Value& value) {
+  const Json::Value& list = value["claim_tokens"];
+  if (!list.isArray() ||
+      list.size() > node::BookingOutbox::kMaxCopiesPerMessage)
+    return Malformed("a list of claim tokens is malformed or too long");
+  node::BookingCopiesHeld held;
+  for (const Json::Value& one : list) {
+    if (!one.isString())
+      return Malformed("a claim token must be a string");
+    held.claim_tokens.push_back(one.asString());
+  }
+  return node::PeerMessage(std::move(held));
+}
+
 }  // namespace
 
 PeerCall EncodePeerMessage(const node::PeerMessage& message) {
@@ -127,6 +218,28 @@
                    out["revision"] = NumberOf(it.revision);
                    out["document"] = it.document;
                  },
+                 [&](const node::BookingQuery& it) {
+                   call.method = kBookingQuery;
+                   out["claim_token"] = it.claim_token;
+                 },
+                 [&](const node::BookingReply& it) {
+                   call.method = kBookingReply;
+                   out["standing"] = NameOf(it.standing);
+                   out["status"] = it.status;
+                   out["answer"] = booking::BytesToText(it.answer);
+                 },
+                 [&](const node::BookingCopies& it) {
+                   call.method = kBookingCopies;
+                   out["settlements"] = Json::arrayValue;
+                   for (const booking::Settlement& one : it.settlements)
+                     out["settlements"].append(EncodeSettlement(one));
+                 },
+                 [&](const node::BookingCopiesHeld& it) {
+                   call.method = kBookingCopiesHeld;
+                   out["claim_tokens"] = Json::arrayValue;
+                   for (const std::string& token : it.claim_tokens)
+                     out["claim_tokens"].append(token);
+                 },
              },
              message);
   return call;
@@ -143,6 +256,14 @@
     return DecodeQuery(parameters);
   if (method == kConfigurationOffer)
     return DecodeOffer(parameters);
+  if (method == kBookingQuery)
+    return DecodeBookingQuery(parameters);
+  if (method == kBookingReply)
+    return DecodeBookingReply(parameters);
+  if (method == kBookingCopies)
+    return DecodeCopies(parameters);
+  if (method == kBookingCopiesHeld)
+    return DecodeCopiesHeld(parameters);
   return Malformed("unknown method");
 }
 
--- a/Libraries/LibTransport/peer_server.cc
+++ b/Libraries/LibTransport/peer_server.cc
@@ -49,6 +49,8 @@
         handlers_(std::move(handlers)) {
     Bind("digest", &Methods::HandleDigest);
     Bind("configuration_query", &Methods::HandleConfigurationQuery);
+    Bind("booking_query", &Methods::HandleBookingQuery);
+    Bind("booking_copies", &Methods::HandleBookingCopies);
     Bind("status", &Methods::HandleStatus);
   }
 
@@ -72,6 +74,14 @@
     HandlePeer("configuration_query", request, response);
   }
 
+  void HandleBookingQuery(const Json::Value& request, Json::Value& response) {
+    HandlePeer("booking_query", request, response);
+  }
+
+  void HandleBookingCopies(const Json::Value& request, Json::Value& response) {
+    HandlePeer("booking_copies", request, response);
+  }
+
   void HandlePeer(const char* method,
                   const Json::Value& request,
                   Json::Value& response) {
--- a/Tests/Fakes/node_group.cc
+++ b/Tests/Fakes/node_group.cc
@@ -58,8 +58,10 @@
     if (IsRunning(i) && wakeup)
       next = std::min(next, *wakeup);
   }
-  for (const LostCall& call : lost_calls_)
-    next = std::min(next, call.due);
+  for (const LostCall& call : lost_calls_) {
+    if (IsRunning(call.from))
+      next = std::min(next, call.due);
+  }
   return std::max(next, now_);
 }
 
--- a/Tests/Fakes/node_group.h
+++ b/Tests/Fakes/node_group.h
@@ -41,6 +41,10 @@
   // Starts a new process in the place of a dead one.
   void Replace(size_t index, uint64_t incarnation);
 
+  HostCondition condition(size_t index) const {
+    return hosts_.at(index).condition;
+  }
+
   // What goes from one host to the other is lost, one way.
   void Cut(size_t from, size_t to) { cuts_.emplace(from, to); }
   void HealAll() { cuts_.clear(); }
--- a/Tests/Fakes/node_harness.cc
+++ b/Tests/Fakes/node_harness.cc
@@ -99,6 +99,11 @@
     case PlatformMood::kHeld:
       held_.push_back(action);
       return;
+    case PlatformMood::kEffectLate:
+      late_.push_back(action.request);
+      queue_.emplace_back(
+          node::PlatformFailed{action.operation, PlatformFailure::kUnknown});
+      return;
   }
 }
 
@@ -108,6 +113,11 @@
   RunQueue();
 }
 
+void NodeHarness::ApplyLate() {
+  for (const base::PlatformRequest& request : std::exchange(late_, {}))
+    store_.Apply(request);
+}
+
 void NodeHarness::AdvanceTo(base::TimePoint end) {
   for (auto next = node_.NextWakeup(); next && *next <= end;
        next = node_.NextWakeup()) {
--- a/Tests/Fakes/node_harness.h
+++ b/Tests/Fakes/node_harness.h
@@ -19,6 +19,7 @@
   kAnswerLost,   // Takes effect; the node is told of a failure.
   kRequestLost,  // No effect; the node is told of the same failure.
   kHeld,         // Neither yet: until ReleaseHeld().
+  kEffectLate,   // The node is told of a failure; takes effect in ApplyLate().
 };
 
 // Drives one EntryNode in virtual time: answers it for the platform, and keeps
@@ -41,6 +42,8 @@
   void set_mood(PlatformMood mood) { mood_ = mood; }
   // Has held requests answered now, in their order.
   void ReleaseHeld();
+  // Has the late requests take effect now.
+  void ApplyLate();
 
   // A request of team "t" for `pipeline`, with its own caller id.
   base::CallerId Call(const std::string& pipeline,
@@ -69,6 +72,7 @@
   uint64_t last_caller_ = 0;
   std::deque<node::Event> queue_;
   std::vector<node::SendToPlatform> held_;
+  std::vector<base::PlatformRequest> late_;
   std::vector<node::SendToEndpoint> sent_;
   std::vector<node::AnswerCaller> answers_;
   std::vector<node::SendToPeer> peer_calls_;
--- a/Tests/LibTransport/test_peer_codec.cc
+++ b/Tests/LibTransport/test_peer_codec.cc
@@ -22,6 +22,35 @@
   CHECK(std::get<node::Digest>(decoded.value()) == digest);
 }
 
+TEST_CASE("bookings' messages keep every byte of an answer") {
+  std::string bytes;
+  for (int i = 0; i < 256; ++i)
+    bytes.push_back(static_cast<char>(i));
+  booking::Settlement settlement;
+  settlement.row_key = "booking/t/k";
+  settlement.record.state = booking::BookingState::kDone;
+  settlement.record.claim_token = "token";
+  settlement.record.status = 201;
+  settlement.record.answer = bytes;
+  settlement.expected = base::RowVersion{0xffffffffffffffff};
+  const node::PeerMessage messages[] = {
+      node::BookingQuery{"token"},
+      node::BookingReply{node::BookingStanding::kDone, 409, bytes},
+      node::BookingCopies{{settlement}},
+      node::BookingCopiesHeld{{"token"}},
+  };
+  for (const node::PeerMessage& message : messages) {
+    const PeerCall call = EncodePeerMessage(message);
+    CAPTURE(call.method);
+    const auto wire = ParseCompact(PrintCompact(call.parameters));
+    const auto decoded = DecodePeerMessage(call.method, *wire);
+    REQUIRE(decoded);
+    CHECK(EncodePeerMessage(decoded.value()).parameters == call.parameters);
+    if (const auto* copies = std::get_if<node::BookingCopies>(&decoded.value()))
+      CHECK(copies->settlements.at(0) == settlement);
+  }
+}
+
 TEST_CASE("malformed peer messages are refused") {
   struct Malformed {
     const char* method;
@@ -34,6 +63,14 @@
            Malformed{"digest", R"({"host": "h", "incarnation": -1})"},
            Malformed{"configuration_query", R"({"revision": "1"})"},
            Malformed{"configuration_offer", R"({"revision": 1})"},
+           Malformed{"booking_query", "{}"},
+           Malformed{"booking_reply",
+                     R"({"standing": "x", "status": 1, "answer": ""})"},
+           Malformed{"booking_reply",
+                     R"({"standing": "done", "status": 1, "answer": "Ā"})"},
+           Malformed{"booking_copies", R"({"settlements": 1})"},
+           Malformed{"booking_copies", R"({"settlements": [{}]})"},
+           Malformed{"booking_copies_held", R"({"claim_tokens": [1]})"},
            Malformed{"none", "{}"},
        }) {
     CAPTURE(bad.parameters);
