Tests: Prove the bookings' promises case by case

Cases over the core in virtual time: late, doubled, foreign and broken answers of a booking; an endpoint's own 4xx; a lost, late or frozen claim; a large answer; copies at a peer; the limits of ledger, outbox and waiting repeats; a planned stop without the table.

--- a/Tests/Fakes/node_harness.cc
+++ b/Tests/Fakes/node_harness.cc
@@ -113,6 +113,14 @@
   RunQueue();
 }
 
+void NodeHarness::ReleaseHeldAs(PlatformMood mood) {
+  const PlatformMood kept = std::exchange(mood_, mood);
+  for (const node::SendToPlatform& action : std::exchange(held_, {}))
+    ServePlatform(action);
+  mood_ = kept;
+  RunQueue();
+}
+
 void NodeHarness::ApplyLate() {
   for (const base::PlatformRequest& request : std::exchange(late_, {}))
     store_.Apply(request);
--- a/Tests/Fakes/node_harness.h
+++ b/Tests/Fakes/node_harness.h
@@ -42,6 +42,8 @@
   void set_mood(PlatformMood mood) { mood_ = mood; }
   // Has held requests answered now, in their order.
   void ReleaseHeld();
+  // Serves the held requests in another mood; what follows is held again.
+  void ReleaseHeldAs(PlatformMood mood);
   // Has the late requests take effect now.
   void ApplyLate();
 
--- /dev/null
+++ b/Tests/LibNode/test_bookings.cc
@@ -0,0 +1,379 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+
+#include "Fakes/node_harness.h"
+#include "LibBooking/booking_ledger.h"
+#include "LibNode/booking_outbox.h"
+
+namespace bilberry::node {
+namespace {
+
+using booking::BookingState;
+using fakes::NodeHarness;
+using fakes::PlatformMood;
+using fakes::PlatformStore;
+using pipeline::Executed;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A node that serves the small deployment and knows one peer.
+struct BookingNode {
+  BookingNode() {
+    fakes::PutSmallDeployment(store);
+    harness.Feed(TimerDue{});
+    harness.TakeOthers();
+  }
+
+  static NodeOptions Options() {
+    NodeOptions options = fakes::MakeOptions("entry-1", 1);
+    options.settings.seed_peers = {{"127.0.0.1", 8102}};
+    return options;
+  }
+
+  booking::BookingRecord RecordOf(const std::string& key) const {
+    const auto it = store.rows().find(booking::RowKeyOf({{"t"}, key}));
+    REQUIRE(it != store.rows().end());
+    return booking::ParseRecord(it->second.value).value();
+  }
+
+  // Has the peer keep all copies that were sent to it; returns how many.
+  size_t KeepCopies() {
+    size_t count = 0;
+    for (const SendToPeer& call : harness.TakePeerCalls()) {
+      const auto* copies = std::get_if<BookingCopies>(&call.message);
+      if (copies == nullptr)
+        continue;
+      BookingCopiesHeld held;
+      for (const booking::Settlement& it : copies->settlements)
+        held.claim_tokens.push_back(it.record.claim_token);
+      count += held.claim_tokens.size();
+      harness.Feed(PeerAnswered{call.operation, held});
+    }
+    return count;
+  }
+
+  void Answer(const SendToEndpoint& sent, int status, const std::string& body) {
+    EndpointAnswer answer;
+    answer.attempt = sent.attempt;
+    answer.echoed_attempt = base::ToText(sent.attempt);
+    answer.status = status;
+    answer.body = body;
+    harness.Feed(answer);
+  }
+
+  PlatformStore store;
+  NodeHarness harness{store, Options()};
+};
+
+bool HasExited(const Actions& actions) {
+  return std::ranges::any_of(actions, [](const Action& it) {
+    return std::holds_alternative<Exit>(it);
+  });
+}
+
+TEST_SUITE_BEGIN("promise-1");
+
+TEST_CASE("a booking's late answer is recorded, and given to who asks again") {
+  BookingNode node;
+  node.harness.Call("booking", "k");
+  const auto sent = node.harness.TakeSent();
+  REQUIRE(sent.size() == 1);
+  node.harness.Advance(seconds(3));
+  const auto lapsed = node.harness.TakeAnswers();
+  REQUIRE(lapsed.size() == 1);
+  CHECK(lapsed[0].answer.status == 504);
+  CHECK(lapsed[0].answer.executed == Executed::kUnknown);
+  const auto repeat = node.harness.Call("booking", "k");
+  node.harness.Advance(seconds(1));
+  node.Answer(sent[0], 200, "booked");
+  node.Answer(sent[0], 200, "doubled");
+  const auto answers = node.harness.TakeAnswers();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].caller == repeat);
+  CHECK(answers[0].answer.body == "booked");
+  CHECK(node.RecordOf("k").state == BookingState::kDone);
+}
+
+TEST_CASE("an attempt is not kept open for ever") {
+  BookingNode node;
+  node.harness.Call("booking", "k");
+  node.harness.Advance(seconds(34));
+  size_t cancelled = 0;
+  for (const Action& it : node.harness.TakeOthers())
+    cancelled += std::holds_alternative<CancelAttempt>(it) ? 1 : 0;
+  CHECK(cancelled == 1);
+  CHECK(node.harness.node().Status().runs == 0);
+  node.harness.TakeAnswers();
+  node.harness.Call("booking", "k");
+  CHECK(node.harness.TakeSent().size() == 1);  // The first one's.
+  const auto answers = node.harness.TakeAnswers();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].answer.executed == Executed::kUnknown);
+  CHECK(answers[0].answer.error->retry_after);
+}
+
+struct StatusCase {
+  int status;
+  Executed executed;
+  BookingState state;
+};
+
+TEST_CASE("an endpoint's own 4xx is its answer, but for those of the moment") {
+  for (const StatusCase& it : {
+           StatusCase{400, Executed::kYes, BookingState::kDone},
+           StatusCase{409, Executed::kYes, BookingState::kDone},
+           StatusCase{422, Executed::kYes, BookingState::kDone},
+           StatusCase{408, Executed::kUnknown, BookingState::kClaimed},
+           StatusCase{425, Executed::kUnknown, BookingState::kClaimed},
+           StatusCase{429, Executed::kUnknown, BookingState::kClaimed},
+           StatusCase{500, Executed::kUnknown, BookingState::kClaimed},
+       }) {
+    CAPTURE(it.status);
+    BookingNode node;
+    node.harness.Call("booking", "k");
+    node.Answer(node.harness.TakeSent().at(0), it.status, "none left");
+    const auto answers = node.harness.TakeAnswers();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].answer.executed == it.executed);
+    CHECK(node.RecordOf("k").state == it.state);
+    if (it.state != BookingState::kDone)
+      continue;
+    CHECK(answers[0].answer.status == it.status);
+    CHECK(answers[0].answer.body == "none left");
+    node.harness.Call("booking", "k");
+    CHECK(node.harness.TakeAnswers().at(0).answer.status == it.status);
+  }
+}
+
+TEST_SUITE_END();
+
+TEST_SUITE_BEGIN("promise-3");
+
+TEST_CASE("a repeat that can't wait longer is not told that nothing ran") {
+  BookingNode node;
+  node.harness.Call("booking", "k");
+  node.harness.Advance(seconds(1));
+  node.harness.Feed(
+      CallerRequest{base::CallerId{99}, "booking", "t", {}, "500", "k", "{}"});
+  node.harness.Advance(milliseconds(500));
+  const auto answers = node.harness.TakeAnswers();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].caller == base::CallerId{99});
+  CHECK(answers[0].answer.executed == Executed::kUnknown);
+}
+
+TEST_CASE("a caller that leaves before its booking is sent leaves not_run") {
+  BookingNode node;
+  node.harness.set_mood(PlatformMood::kHeld);
+  const auto caller = node.harness.Call("booking", "k");
+  node.harness.Feed(CallerLeft{caller});
+  node.harness.set_mood(PlatformMood::kSound);
+  node.harness.ReleaseHeld();
+  CHECK(node.harness.TakeSent().empty());
+  CHECK(node.RecordOf("k").state == BookingState::kNotRun);
+  node.harness.Call("booking", "k");
+  CHECK(node.harness.TakeSent().size() == 1);
+}
+
+TEST_CASE("an insert that takes effect after the refusal ends as not_run") {
+  BookingNode node;
+  node.harness.set_mood(PlatformMood::kEffectLate);
+  node.harness.Call("booking", "k");
+  const auto answers = node.harness.TakeAnswers();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].answer.executed == Executed::kNo);
+  CHECK(answers[0].answer.error->retry_after);
+  node.harness.ApplyLate();
+  CHECK(node.RecordOf("k").state == BookingState::kClaimed);
+  node.harness.set_mood(PlatformMood::kSound);
+  node.harness.Advance(seconds(1));
+  CHECK(node.RecordOf("k").state == BookingState::kNotRun);
+  CHECK(node.harness.TakeSent().empty());
+}
+
+TEST_SUITE_END();
+
+TEST_SUITE_BEGIN("promise-4");
+
+TEST_CASE("a claim's lost answer is settled by repeating the insert") {
+  for (const PlatformMood mood :
+       {PlatformMood::kAnswerLost, PlatformMood::kRequestLost}) {
+    BookingNode node;
+    node.harness.set_mood(PlatformMood::kHeld);
+    node.harness.Call("booking", "k");
+    node.harness.ReleaseHeldAs(mood);
+    CHECK(node.harness.TakeSent().empty());
+    node.harness.set_mood(PlatformMood::kSound);
+    node.harness.ReleaseHeld();
+    CHECK(node.harness.TakeSent().size() == 1);
+  }
+}
+
+TEST_CASE("a claim is sent under only while its run lasts") {
+  BookingNode node;
+  node.harness.set_mood(PlatformMood::kHeld);
+  node.harness.Call("booking", "k");
+  node.harness.Freeze(node.harness.now() + seconds(60));
+  node.harness.set_mood(PlatformMood::kSound);
+  node.harness.ReleaseHeld();
+  CHECK(node.harness.TakeSent().empty());
+  CHECK(node.harness.TakeAnswers().at(0).answer.executed == Executed::kNo);
+  CHECK(node.RecordOf("k").state == BookingState::kNotRun);
+}
+
+TEST_CASE("a large answer is kept as an object and found again") {
+  BookingNode node;
+  const std::string large(booking::kMaxInlineAnswerBytes + 1, '\xe9');
+  node.harness.Call("booking", "k");
+  node.Answer(node.harness.TakeSent().at(0), 200, large);
+  CHECK(node.harness.TakeAnswers().at(0).answer.body == large);
+  CHECK(node.RecordOf("k").answer.empty());
+  NodeHarness other(node.store, fakes::MakeOptions("entry-2", 2));
+  other.Feed(TimerDue{});
+  other.Call("booking", "k");
+  CHECK(other.TakeAnswers().at(0).answer.body == large);
+}
+
+TEST_CASE("a caller hears done only when the outcome outlives the host") {
+  BookingNode node;
+  node.harness.Call("booking", "k");
+  node.harness.set_mood(PlatformMood::kUnreachable);
+  node.Answer(node.harness.TakeSent().at(0), 200, "booked");
+  CHECK(node.harness.TakeAnswers().empty());
+  node.harness.Advance(milliseconds(1));
+  REQUIRE(node.KeepCopies() == 1);
+  const auto answers = node.harness.TakeAnswers();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].answer.body == "booked");
+  node.harness.Call("booking", "k");
+  CHECK(node.harness.TakeAnswers().at(0).answer.body == "booked");
+  node.harness.set_mood(PlatformMood::kSound);
+  node.harness.Advance(seconds(1));
+  CHECK(node.RecordOf("k").answer == "booked");
+  CHECK(node.harness.node().Status().unrecorded_bookings == 0);
+}
+
+TEST_CASE("without table and peers a booking that ran is told as unknown") {
+  BookingNode node;
+  node.harness.Call("booking", "k");
+  node.harness.set_mood(PlatformMood::kUnreachable);
+  node.Answer(node.harness.TakeSent().at(0), 200, "booked");
+  node.harness.Advance(seconds(3));
+  const auto answers = node.harness.TakeAnswers();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].answer.executed == Executed::kUnknown);
+  node.harness.set_mood(PlatformMood::kSound);
+  node.harness.Advance(seconds(1));
+  CHECK(node.RecordOf("k").answer == "booked");
+}
+
+TEST_CASE("copies kept for a peer are written once the table is back") {
+  BookingNode node;
+  booking::Settlement settlement;
+  settlement.row_key = booking::RowKeyOf({{"t"}, "k"});
+  settlement.record.state = BookingState::kDone;
+  settlement.record.claim_token = "token";
+  settlement.record.answer = "booked";
+  node.harness.set_mood(PlatformMood::kUnreachable);
+  node.harness.Feed(
+      PeerRequest{base::OperationId{1}, BookingCopies{{settlement}}});
+  const auto held = node.harness.TakePeerAnswers();
+  REQUIRE(held.size() == 1);
+  CHECK(std::get<BookingCopiesHeld>(held[0].message).claim_tokens.size() == 1);
+  node.harness.set_mood(PlatformMood::kSound);
+  node.harness.Advance(seconds(1));
+  CHECK(node.RecordOf("k").answer == "booked");
+}
+
+TEST_CASE("a repeat beyond the limit of those that wait is turned away") {
+  BookingNode node;
+  const size_t limit = booking::BookingLedger::kMaxWaitingRuns;
+  for (size_t i = 0; i < limit + 1; ++i)
+    node.harness.Call("booking", "k");
+  CHECK(node.harness.TakeAnswers().empty());
+  node.harness.Call("booking", "k");
+  const auto refused = node.harness.TakeAnswers();
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].answer.error->code == "too_many_repeats");
+  CHECK(refused[0].answer.executed == Executed::kUnknown);
+  node.harness.AnswerAttempt(node.harness.TakeSent().at(0), "booked");
+  CHECK(node.harness.TakeAnswers().size() == limit + 1);
+}
+
+TEST_CASE("a full ledger refuses as not run and drops nothing") {
+  BookingNode node;
+  const size_t limit = booking::BookingLedger::kMaxBookings;
+  node.harness.set_mood(PlatformMood::kHeld);
+  for (size_t i = 0; i < limit; ++i)
+    node.harness.Call("booking", "k" + std::to_string(i));
+  CHECK(node.harness.TakeAnswers().empty());
+  node.harness.Call("booking", "one-more");
+  const auto refused = node.harness.TakeAnswers();
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].answer.error->code == "too_many_bookings");
+  CHECK(refused[0].answer.executed == Executed::kNo);
+  node.harness.set_mood(PlatformMood::kSound);
+  node.harness.ReleaseHeld();
+  node.harness.Advance(seconds(2));
+  CHECK(node.store.rows().size() >= limit);
+}
+
+TEST_CASE("a full outbox refuses new bookings and drops nothing") {
+  BookingNode node;
+  constexpr size_t kAnswerBytes = size_t{1024} * 1024;
+  const size_t limit = BookingOutbox::kMaxAnswerBytes / kAnswerBytes;
+  for (size_t i = 0; i < limit; ++i) {
+    node.harness.set_mood(PlatformMood::kSound);
+    node.harness.Call("booking", "k" + std::to_string(i));
+    node.harness.Advance(milliseconds(30));
+    node.harness.set_mood(PlatformMood::kHeld);
+    node.Answer(node.harness.TakeSent().at(0), 200,
+                std::string(kAnswerBytes, 'a'));
+  }
+  node.harness.Call("booking", "one-more");
+  auto answers = node.harness.TakeAnswers();
+  REQUIRE_FALSE(answers.empty());
+  CHECK(answers.back().answer.error->code == "too_many_bookings");
+  CHECK(node.harness.node().Status().unrecorded_bookings == limit);
+  node.harness.set_mood(PlatformMood::kSound);
+  node.harness.ReleaseHeld();
+  node.harness.Advance(seconds(2));
+  CHECK(node.harness.node().Status().unrecorded_bookings == 0);
+}
+
+TEST_SUITE_END();
+
+TEST_SUITE_BEGIN("promise-6");
+
+TEST_CASE("a stop without the table hands over and ends") {
+  BookingNode node;
+  node.harness.Call("booking", "k");
+  node.harness.Feed(StopOrdered{});
+  node.harness.set_mood(PlatformMood::kUnreachable);
+  node.Answer(node.harness.TakeSent().at(0), 200, "booked");
+  node.harness.Advance(milliseconds(1));
+  CHECK_FALSE(HasExited(node.harness.TakeOthers()));
+  REQUIRE(node.KeepCopies() == 1);
+  CHECK(node.harness.TakeAnswers().at(0).answer.body == "booked");
+  CHECK(HasExited(node.harness.TakeOthers()));
+}
+
+TEST_CASE("a stop without table and peers ends at the longest deadline") {
+  BookingNode node;
+  node.harness.Call("booking", "k");
+  node.harness.Feed(StopOrdered{});
+  node.harness.set_mood(PlatformMood::kUnreachable);
+  node.Answer(node.harness.TakeSent().at(0), 200, "booked");
+  node.harness.Advance(milliseconds(2999));
+  CHECK_FALSE(HasExited(node.harness.TakeOthers()));
+  node.harness.Advance(milliseconds(1));
+  CHECK(HasExited(node.harness.TakeOthers()));
+  CHECK(node.harness.TakeAnswers().size() == 1);
+}
+
+TEST_SUITE_END();
+
+}  // namespace
+}  // namespace bilberry::node
