Tests: Let the claims of the load test go out before the outage

The commit before was red: the four bookings that were to be in flight when the outage began had claims still waiting for their group, so they were refused ("CHECK( 0 == 4 )"). The scenario now lets 50 ms pass after they are asked.

--- a/Tests/LibNode/test_bookings_load.cc
+++ b/Tests/LibNode/test_bookings_load.cc
@@ -76,6 +76,7 @@
     Load(world, "before-", seconds(2));
     for (int i = 0; i < 4; ++i)
       world.Ask(0, "sent-" + std::to_string(i));
+    world.Advance(milliseconds(50));
     world.SetMoodOfAll(mood);
     Load(world, "during-", seconds(30));
     world.SetMoodOfAll(PlatformMood::kSound);
