LibNode: Leave a booking unresolved when an earlier stage booked

A booking pipeline may have several at-most-once stages. When a late "not run" came for the second of them, the run was recorded as not_run though the first had booked. The stages' table of cases covers it. Answers in a row are written as UTF-8 rather than as escapes, which made six bytes of one.

--- a/Libraries/LibBooking/booking_record.cc
+++ b/Libraries/LibBooking/booking_record.cc
@@ -58,6 +58,8 @@
   value["answer_object"] = record.answer_object;
   Json::StreamWriterBuilder builder;
   builder["indentation"] = "";
+  // Escapes would make six bytes of one in a large answer.
+  builder["emitUTF8"] = true;
   return Json::writeString(builder, value);
 }
 
--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -398,8 +398,16 @@
 void RunCoordinator::EndLinger(ActiveRun& active,
                                const BookingOutcome& outcome,
                                base::TimePoint now) {
-  attempts_.erase(active.run.attempt()->number);
-  bookings_.Conclude(active.run.id(), outcome, now);
+  const base::AttemptId attempt = *active.run.attempt();
+  attempts_.erase(attempt.number);
+  const bool did_not_run = std::holds_alternative<BookingDidNotRun>(outcome);
+  active.run.FailAttempt(
+      attempt, did_not_run ? AttemptEffect::kNotRun : AttemptEffect::kUnknown);
+  // An earlier stage may have booked before this one did not run.
+  if (did_not_run && active.run.may_have_booked())
+    bookings_.Conclude(active.run.id(), BookingLeftUnresolved{}, now);
+  else
+    bookings_.Conclude(active.run.id(), outcome, now);
   Forget(active);
 }
 
--- a/Tests/Fakes/node_harness.cc
+++ b/Tests/Fakes/node_harness.cc
@@ -35,7 +35,16 @@
        "expected_ms": 10}]},
     {"name": "booking", "rank": "urgent", "deadline_ms": 3000, "stages": [
       {"name": "book", "kind": "call", "pool": "desk", "path": "/book",
-       "expected_ms": 10, "repeatability": "at-most-once"}]}
+       "expected_ms": 10, "repeatability": "at-most-once"}]},
+    {"name": "deposit", "rank": "urgent", "deadline_ms": 3000, "stages": [
+      {"name": "price", "kind": "call", "pool": "desk", "path": "/price",
+       "expected_ms": 10},
+      {"name": "reserve", "kind": "call", "pool": "desk", "path": "/reserve",
+       "expected_ms": 10, "repeatability": "at-most-once"},
+      {"name": "charge", "kind": "call", "pool": "desk", "path": "/charge",
+       "expected_ms": 10, "repeatability": "at-most-once"},
+      {"name": "receipt", "kind": "call", "pool": "desk", "path": "/receipt",
+       "expected_ms": 10}]}
   ],
   "teams": [{"name": "t"}, {"name": "u"}]
 })";
--- a/Tests/Fakes/node_harness.h
+++ b/Tests/Fakes/node_harness.h
@@ -90,7 +90,8 @@
 
 // Puts a small configuration in force: the pools "engines" and "desk" with one
 // endpoint each, the pipelines "quotation" (four stages, the last streamed),
-// "stock" (one stage) and "booking" (one stage, at most once), team "t".
+// "stock" (one stage), "booking" (one stage, at most once) and "deposit" (four
+// stages, the second and third at most once), teams "t" and "u".
 void PutSmallDeployment(PlatformStore& store);
 
 }  // namespace bilberry::fakes
--- a/Tests/LibNode/test_bookings.cc
+++ b/Tests/LibNode/test_bookings.cc
@@ -223,6 +223,91 @@
   CHECK(node.RecordOf("k").state == BookingState::kNotRun);
 }
 
+enum class StageEnd { kBroken, kNotRun, kLapsed, kLapsedThenNotRun };
+
+struct StageCase {
+  size_t stage;  // Those before are answered.
+  StageEnd end;
+  Executed executed;
+  BookingState state;
+};
+
+TEST_CASE("a booking of several stages is not run only if none has booked") {
+  constexpr auto kNo = Executed::kNo;
+  constexpr auto kYes = Executed::kYes;
+  constexpr auto kUnknown = Executed::kUnknown;
+  constexpr auto kNotRun = BookingState::kNotRun;
+  constexpr auto kClaimed = BookingState::kClaimed;
+  const StageCase cases[] = {
+      {0, StageEnd::kNotRun, kNo, kNotRun},
+      {0, StageEnd::kBroken, kUnknown, kNotRun},
+      {0, StageEnd::kLapsed, kUnknown, kNotRun},
+      {1, StageEnd::kNotRun, kYes, kNotRun},
+      {1, StageEnd::kBroken, kUnknown, kClaimed},
+      {1, StageEnd::kLapsed, kUnknown, kClaimed},
+      {1, StageEnd::kLapsedThenNotRun, kUnknown, kNotRun},
+      {2, StageEnd::kNotRun, kYes, kClaimed},
+      {2, StageEnd::kLapsedThenNotRun, kUnknown, kClaimed},
+      {3, StageEnd::kBroken, kUnknown, kClaimed},
+      {3, StageEnd::kLapsed, kUnknown, kClaimed},
+  };
+  for (const StageCase& it : cases) {
+    CAPTURE(it.stage);
+    CAPTURE(static_cast<int>(it.end));
+    BookingNode node;
+    node.harness.Call("deposit", "k");
+    for (size_t i = 0; i < it.stage; ++i)
+      node.harness.AnswerAttempt(node.harness.TakeSent().at(0), "{}");
+    const auto sent = node.harness.TakeSent();
+    REQUIRE(sent.size() == 1);
+    if (it.end == StageEnd::kLapsed || it.end == StageEnd::kLapsedThenNotRun)
+      node.harness.Advance(seconds(3));
+    EndpointAnswer refusal;
+    refusal.attempt = sent[0].attempt;
+    refusal.echoed_attempt = base::ToText(sent[0].attempt);
+    refusal.status = 503;
+    refusal.said_not_run = true;
+    if (it.end == StageEnd::kNotRun || it.end == StageEnd::kLapsedThenNotRun)
+      node.harness.Feed(refusal);
+    if (it.end == StageEnd::kBroken) {
+      EndpointFailure failure;
+      failure.attempt = sent[0].attempt;
+      node.harness.Feed(failure);
+    }
+    const auto answers = node.harness.TakeAnswers();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].answer.executed == it.executed);
+    node.harness.Advance(seconds(1));
+    CHECK(node.RecordOf("k").state == it.state);
+  }
+}
+
+TEST_CASE("copies go to another zone first") {
+  BookingNode node;
+  for (const char* zone : {"zone-a", "zone-b"}) {
+    base::HostEntry entry = fakes::MakeEndpoint(std::string("in-") + zone, "");
+    entry.kind = base::HostKind::kEntryHost;
+    entry.zone = {zone};
+    entry.address = {std::string("host in ") + zone, 8081};
+    node.store.PutHost(entry);
+  }
+  node.harness.Advance(seconds(2));
+  node.harness.Call("booking", "k");
+  const auto sent = node.harness.TakeSent();
+  node.harness.set_mood(PlatformMood::kUnreachable);
+  node.harness.TakePeerCalls();
+  node.Answer(sent.at(0), 200, "booked");
+  node.harness.Advance(milliseconds(1));
+  const auto first = node.harness.TakePeerCalls();
+  REQUIRE(first.size() == 1);
+  CHECK(first[0].address.ip == "host in zone-b");
+  node.harness.Feed(PeerFailed{first[0].operation});
+  node.harness.Advance(BookingOutbox::kCopyDelay);
+  const auto second = node.harness.TakePeerCalls();
+  REQUIRE_FALSE(second.empty());
+  CHECK(second[0].address.ip == "host in zone-a");
+}
+
 TEST_CASE("a large answer is kept as an object and found again") {
   BookingNode node;
   const std::string large(booking::kMaxInlineAnswerBytes + 1, '\xe9');
