--- a/Tests/Fakes/node_harness.cc
+++ b/Tests/Fakes/node_harness.cc
@@ -35,7 +35,16 @@
        "expected_ms": 10}]},
     {"name": "booking", "rank": "urgent", "deadline_ms": 3000, "stages": [
       {"name": "book", "kind": "call", "pool": "desk", "path": "/book",
-       "expected_ms": 10, "repeatability": "at-most-once"}]}
+       "expected_ms": 10, "repeatability": "at-most-once"}]},
+    {"name": "deposit", "rank": "urgent", "deadline_ms": 3000, "stages": [
+      {"name": "price", "kind": "call", "pool": "desk", "path": "/price",
+       "expected_ms": 10},
+      {"name": "reserve", "kind": "call", "pool": "desk", "path": "/reserve",
+       "expected_ms": 10, "repeatability": "at-most-once"},
+      {"name": "charge", "kind": "call", "pool": "desk", "path": "/charge",
+       "expected_ms": 10, "repeatability": "at-most-once"},
+      {"name": "receipt", "kind": "call", "pool": "desk", "path": "/receipt",
+       "expected_ms": 10}]}
   ],
   "teams": [{"name": "t"}, {"name": "u"}]
 })";
@@ -99,6 +108,11 @@
     case PlatformMood::kHeld:
       held_.push_back(action);
       return;
+    case PlatformMood::kEffectLate:
+      late_.push_back(action.request);
+      queue_.emplace_back(
+          node::PlatformFailed{action.operation, PlatformFailure::kUnknown});
+      return;
   }
 }
 
@@ -108,6 +122,19 @@
   RunQueue();
 }
 
+void NodeHarness::ReleaseHeldAs(PlatformMood mood) {
+  const PlatformMood kept = std::exchange(mood_, mood);
+  for (const node::SendToPlatform& action : std::exchange(held_, {}))
+    ServePlatform(action);
+  mood_ = kept;
+  RunQueue();
+}
+
+void NodeHarness::ApplyLate() {
+  for (const base::PlatformRequest& request : std::exchange(late_, {}))
+    store_.Apply(request);
+}
+
 void NodeHarness::AdvanceTo(base::TimePoint end) {
   for (auto next = node_.NextWakeup(); next && *next <= end;
        next = node_.NextWakeup()) {
