LibMembership, LibNode: Tell peers by digests, and keep leaving marks

A host asked one random peer for the configuration and told nothing else: loads, leaving marks and quarantined requests stayed at the host that had them, and one open question to the platform held up all others. A leaving mark was dropped when the list had not named its host yet, and a list that began another life left rows behind for good.

--- a/Libraries/LibMembership/host_list.cc
+++ b/Libraries/LibMembership/host_list.cc
@@ -1,5 +1,7 @@
 #include "LibMembership/host_list.h"
 
+#include <utility>
+
 namespace bilberry::membership {
 
 using base::HostEntry;
@@ -7,33 +9,56 @@
 using base::HostState;
 
 bool HostList::Apply(const base::HostsPolled& polled) {
-  bool has_changed = false;
-  for (const HostEntry& entry : polled.changed) {
-    HostEntry next = entry;
-    const auto it = entries_.find(entry.name);
-    if (it != entries_.end() && it->second.incarnation == next.incarnation &&
-        it->second.state == HostState::kLeaving &&
-        next.state == HostState::kLive)
-      next.state = HostState::kLeaving;
-    if (it != entries_.end() && it->second == next)
-      continue;
-    entries_[entry.name] = std::move(next);
-    has_changed = true;
-  }
+  const bool is_whole = version_ == 0 || polled.version < version_;
+  // Who left before this host knew of any list is no news to its peers.
+  const Spreading spreading = is_whole ? Spreading::kKeep : Spreading::kTell;
+  Entries next = is_whole ? Entries() : entries_;
+  for (const HostEntry& entry : polled.changed)
+    Take(entry, spreading, next);
   version_ = polled.version;
+  const bool has_changed = next != entries_;
+  entries_ = std::move(next);
   return has_changed;
 }
 
+void HostList::Take(const HostEntry& entry,
+                    Spreading spreading,
+                    Entries& entries) {
+  if (entry.state != HostState::kLive)
+    marks_.Add({entry.name, entry.incarnation}, spreading);
+  const bool is_leaving = marks_.Has(entry.name, entry.incarnation);
+  const auto present = entries_.find(entry.name);
+  // A stale row: its incarnation has left, and a newer one is known.
+  if (is_leaving && present != entries_.end() &&
+      present->second.incarnation != entry.incarnation) {
+    entries[entry.name] = present->second;
+    return;
+  }
+  if (entry.state == HostState::kGone) {
+    entries.erase(entry.name);
+    return;
+  }
+  HostEntry& row = entries[entry.name];
+  row = entry;
+  if (is_leaving)
+    row.state = HostState::kLeaving;
+}
+
 bool HostList::MarkLeaving(const std::string& name,
                            base::Incarnation incarnation) {
-  const auto it = entries_.find(name);
-  if (it == entries_.end() || it->second.incarnation != incarnation ||
-      it->second.state != HostState::kLive)
+  if (!marks_.Add({name, incarnation}, Spreading::kTell))
     return false;
-  it->second.state = HostState::kLeaving;
+  const auto it = entries_.find(name);
+  if (it != entries_.end() && it->second.incarnation == incarnation)
+    it->second.state = HostState::kLeaving;
   return true;
 }
 
+const HostEntry* HostList::Find(const std::string& name) const {
+  const auto it = entries_.find(name);
+  return it == entries_.end() ? nullptr : &it->second;
+}
+
 std::vector<HostEntry> HostList::LiveEndpoints(
     const base::PoolName& pool) const {
   std::vector<HostEntry> live;
--- a/Libraries/LibMembership/host_list.h
+++ b/Libraries/LibMembership/host_list.h
@@ -7,14 +7,18 @@
 
 #include "LibBase/ids.h"
 #include "LibBase/platform.h"
+#include "LibMembership/leaving_marks.h"
 
 namespace bilberry::membership {
 
 // The endpoints and entry hosts known, with their leaving marks. A leaving mark
-// is kept for the whole incarnation, whatever older lists say.
+// is kept for the whole incarnation, whatever older lists say, and whether the
+// list has named that host yet or not.
 class HostList {
  public:
   // Takes the platform's changes; true when anything is different afterwards.
+  // A version that went backwards is of another life of the list: it replaces
+  // the entries, but no mark.
   bool Apply(const base::HostsPolled& polled);
 
   // Notes that a host leaves, as heard from itself or a peer; true when new.
@@ -25,10 +29,23 @@
 
   std::vector<base::HostEntry> LiveEndpoints(const base::PoolName& pool) const;
   std::vector<base::HostEntry> LiveEntryHosts() const;
+  // Null when it is not listed.
+  const base::HostEntry* Find(const std::string& name) const;
+
+  LeavingMarks& marks() { return marks_; }
+  const LeavingMarks& marks() const { return marks_; }
 
  private:
+  using Entries = std::map<std::string, base::HostEntry>;
+
+  // Adds one row of the list to `entries`.
+  void Take(const base::HostEntry& entry,
+            Spreading spreading,
+            Entries& entries);
+
   uint64_t version_ = 0;
-  std::map<std::string, base::HostEntry> entries_;
+  Entries entries_;
+  LeavingMarks marks_;
 };
 
 }  // namespace bilberry::membership
--- a/Libraries/LibNode/entry_node.cc
+++ b/Libraries/LibNode/entry_node.cc
@@ -40,10 +40,12 @@
           [&](const PeerRequest& it) {
             if (const auto* digest = std::get_if<Digest>(&it.message))
               runs_.HandleDigest(*digest, now);
-            membership_.HandlePeerRequest(it, now);
+            membership_.HandlePeerRequest(it, LocalDigest(), now);
           },
           [&](const PeerAnswered& it) {
-            membership_.HandlePeerAnswered(it, now);
+            const auto* digest = std::get_if<Digest>(&it.message);
+            if (membership_.HandlePeerAnswered(it, now) && digest != nullptr)
+              runs_.HandleDigest(*digest, now);
           },
           [&](const PeerFailed& it) { membership_.HandlePeerFailed(it, now); },
           [](const TimerDue&) {},
@@ -57,11 +59,20 @@
     return;
   context_.Log(base::LogEventId::kStopOrdered, "");
   runs_.StopAccepting();
+  membership_.NoteStopping();
+}
+
+Digest EntryNode::LocalDigest() const {
+  Digest digest;
+  runs_.FillDigest(digest);
+  return digest;
 }
 
 void EntryNode::Settle(base::TimePoint now) {
   bookings_.HandleTimer(now);
   membership_.HandleTimer(now);
+  if (membership_.IsRoundDue(now))
+    membership_.TellPeers(LocalDigest(), now);
   runs_.HandleTimer(now);
   if (seen_changes_ != membership_.change_count()) {
     seen_changes_ = membership_.change_count();
--- a/Libraries/LibNode/entry_node.h
+++ b/Libraries/LibNode/entry_node.h
@@ -37,6 +37,8 @@
   // Lets decisions of one coordinator reach the others.
   void Settle(base::TimePoint now);
   void NoteReadiness();
+  // What other coordinators than membership add to a digest.
+  Digest LocalDigest() const;
 
   NodeContext context_;
   BookingCoordinator bookings_;
--- a/Libraries/LibNode/peer_message.h
+++ b/Libraries/LibNode/peer_message.h
@@ -6,17 +6,12 @@
 #include <vector>
 
 #include "LibBase/ids.h"
+#include "LibMembership/leaving_marks.h"
 
 // What entry hosts tell each other; each is a JSON-RPC method or its result.
 namespace bilberry::node {
 
-// A host or endpoint that is leaving, in this incarnation.
-struct LeavingMark {
-  std::string name;
-  base::Incarnation incarnation{};
-
-  friend bool operator==(const LeavingMark&, const LeavingMark&) = default;
-};
+using membership::LeavingMark;
 
 // What the sender itself has at a pool.
 struct PoolShare {
--- a/Libraries/LibTransport/peer_codec.cc
+++ b/Libraries/LibTransport/peer_codec.cc
@@ -14,6 +14,9 @@
   return static_cast<Json::UInt64>(revision);
 }
 
+// Hosts of another version of these messages are not understood.
+constexpr int kPeerVersion = 1;
+
 base::Error Malformed(std::string reason) {
   return {base::ErrorCode::kMalformed, base::Step::kPeerCall, "",
           std::move(reason)};
@@ -22,33 +25,41 @@
 // What a digest's lists may hold; a longer one is malformed.
 constexpr Json::ArrayIndex kMaxDigestItems = 256;
 
+constexpr size_t kMaxNameBytes = 256;
+
 bool IsList(const Json::Value& value) {
-  return value.isArray() && value.size() <= kMaxDigestItems;
+  return value.isNull() || (value.isArray() && value.size() <= kMaxDigestItems);
+}
+
+// A row of `size` values that begins with a name.
+bool IsRow(const Json::Value& value, Json::ArrayIndex size) {
+  return value.isArray() && value.size() == size && value[0].isString() &&
+         value[0].asString().size() <= kMaxNameBytes;
+}
+
+template <typename... Values>
+Json::Value RowOf(const Values&... values) {
+  Json::Value row(Json::arrayValue);
+  (row.append(values), ...);
+  return row;
 }
 
 Json::Value EncodeDigest(const node::Digest& digest) {
   Json::Value out;
+  out["v"] = kPeerVersion;
   out["host"] = digest.host.value;
   out["incarnation"] = static_cast<Json::UInt64>(digest.incarnation);
   out["revision"] = NumberOf(digest.revision);
-  out["leaving"] = Json::arrayValue;
-  for (const node::LeavingMark& mark : digest.leaving) {
-    Json::Value one;
-    one["name"] = mark.name;
-    one["incarnation"] = static_cast<Json::UInt64>(mark.incarnation);
-    out["leaving"].append(std::move(one));
-  }
-  out["quarantined"] = Json::arrayValue;
+  // Lists that are empty are left out, and rows have no field names: digests
+  // are most of what hosts send each other.
+  for (const node::LeavingMark& mark : digest.leaving)
+    out["leaving"].append(
+        RowOf(mark.name, static_cast<Json::UInt64>(mark.incarnation)));
   for (const std::string& request : digest.quarantined)
     out["quarantined"].append(request);
-  out["shares"] = Json::arrayValue;
-  for (const node::PoolShare& share : digest.shares) {
-    Json::Value one;
-    one["pool"] = share.pool.value;
-    one["in_flight"] = share.in_flight;
-    one["queued"] = share.queued;
-    out["shares"].append(std::move(one));
-  }
+  for (const node::PoolShare& share : digest.shares)
+    out["shares"].append(
+        RowOf(share.pool.value, share.in_flight, share.queued));
   return out;
 }
 
@@ -56,33 +67,32 @@
   if (!IsList(value["leaving"]) || !IsList(value["quarantined"]) ||
       !IsList(value["shares"]))
     return false;
-  for (const Json::Value& one : value["leaving"]) {
-    if (!one.isObject() || !one["name"].isString() ||
-        !one["incarnation"].isUInt64())
+  for (const Json::Value& row : value["leaving"]) {
+    if (!IsRow(row, 2) || !row[1].isUInt64())
       return false;
     digest.leaving.push_back(
-        {one["name"].asString(),
-         base::Incarnation{one["incarnation"].asUInt64()}});
+        {row[0].asString(), base::Incarnation{row[1].asUInt64()}});
   }
   for (const Json::Value& one : value["quarantined"]) {
-    if (!one.isString())
+    if (!one.isString() || one.asString().size() > kMaxNameBytes)
       return false;
     digest.quarantined.push_back(one.asString());
   }
-  for (const Json::Value& one : value["shares"]) {
-    if (!one.isObject() || !one["pool"].isString() ||
-        !one["in_flight"].isUInt() || !one["queued"].isUInt())
+  for (const Json::Value& row : value["shares"]) {
+    if (!IsRow(row, 3) || !row[1].isUInt() || !row[2].isUInt())
       return false;
-    digest.shares.push_back({{one["pool"].asString()},
-                             one["in_flight"].asUInt(),
-                             one["queued"].asUInt()});
+    digest.shares.push_back(
+        {{row[0].asString()}, row[1].asUInt(), row[2].asUInt()});
   }
   return true;
 }
 
 base::Result<node::PeerMessage> DecodeDigest(const Json::Value& value) {
-  if (!value["host"].isString() || !value["incarnation"].isUInt64() ||
-      !value["revision"].isUInt64())
+  if (value["v"] != kPeerVersion)
+    return Malformed("a digest of another version");
+  if (!value["host"].isString() ||
+      value["host"].asString().size() > kMaxNameBytes ||
+      !value["incarnation"].isUInt64() || !value["revision"].isUInt64())
     return Malformed("a digest lacks a field");
   node::Digest digest;
   digest.host = {value["host"].asString()};
--- a/Tests/Fakes/node_group.cc
+++ b/Tests/Fakes/node_group.cc
@@ -13,9 +13,14 @@
   return {"127.0.0.1", static_cast<uint16_t>(kFirstPeerPort + index)};
 }
 
+std::string ZoneName(size_t zone) {
+  return std::string("zone-") + static_cast<char>('a' + zone);
+}
+
 }  // namespace
 
-NodeGroup::NodeGroup(PlatformStore& store, size_t size) : store_(store) {
+NodeGroup::NodeGroup(PlatformStore& store, size_t size, size_t zones)
+    : store_(store), zones_(zones) {
   hosts_.resize(size);
   for (size_t i = 0; i < size; ++i)
     hosts_[i].harness = MakeHost(i, i + 1);
@@ -26,6 +31,7 @@
   node::NodeOptions options =
       MakeOptions("entry-" + std::to_string(index + 1), incarnation);
   options.settings.peers = PeerAddressOf(index);
+  options.settings.zone = {ZoneName(index % zones_)};
   for (size_t i = 0; i < hosts_.size(); ++i) {
     if (i != index)
       options.settings.seed_peers.push_back(PeerAddressOf(i));
@@ -35,6 +41,34 @@
   return harness;
 }
 
+void NodeGroup::List() {
+  for (size_t i = 0; i < size(); ++i) {
+    base::HostEntry entry;
+    entry.name = "entry-" + std::to_string(i + 1);
+    entry.kind = base::HostKind::kEntryHost;
+    entry.zone = {ZoneName(i % zones_)};
+    entry.address = PeerAddressOf(i);
+    entry.incarnation = at(i).node().Status().incarnation;
+    store_.PutHost(std::move(entry));
+  }
+}
+
+void NodeGroup::CutZone(size_t zone) {
+  for (size_t i = 0; i < size(); ++i) {
+    for (size_t j = 0; j < size(); ++j) {
+      if (IsInZone(i, zone) != IsInZone(j, zone))
+        Cut(i, j);
+    }
+  }
+}
+
+void NodeGroup::Observe(size_t from,
+                        size_t to,
+                        const node::PeerMessage& message) const {
+  if (observer_)
+    observer_(from, to, message);
+}
+
 void NodeGroup::Replace(size_t index, uint64_t incarnation) {
   std::erase_if(lost_calls_,
                 [index](const LostCall& it) { return it.from == index; });
@@ -98,6 +132,7 @@
   for (size_t to = 0; to < size(); ++to) {
     if (PeerAddressOf(to) != call.address)
       continue;
+    Observe(from, to, call.message);
     if (hosts_[to].condition == HostCondition::kDead) {
       at(from).Feed(node::PeerFailed{call.operation});
       return;
@@ -111,6 +146,7 @@
       at(from).Feed(node::PeerFailed{call.operation});
       return;
     }
+    Observe(to, from, answers.front().message);
     if (cuts_.contains({to, from}))
       break;
     at(from).Feed(node::PeerAnswered{call.operation, answers.front().message});
--- a/Tests/Fakes/node_group.h
+++ b/Tests/Fakes/node_group.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <set>
 #include <utility>
@@ -18,11 +19,21 @@
 };
 
 // Several entry hosts in one virtual time, over one platform, who call each
-// other over links that a test can cut. Hosts are numbered in their order; each
-// knows the others as seed peers.
+// other over links that a test can cut. Hosts are numbered in their order, are
+// in the zones in turn, and know each other as seed peers.
 class NodeGroup {
  public:
-  NodeGroup(PlatformStore& store, size_t size);
+  // Sees each message that a host sends to another, and each answer.
+  using MessageObserver = std::function<
+      void(size_t from, size_t to, const node::PeerMessage& message)>;
+
+  NodeGroup(PlatformStore& store, size_t size, size_t zones = 1);
+
+  // Puts the hosts on the platform's list.
+  void List();
+  void set_observer(MessageObserver observer) {
+    observer_ = std::move(observer);
+  }
 
   NodeHarness& at(size_t index) { return *hosts_.at(index).harness; }
   size_t size() const { return hosts_.size(); }
@@ -43,6 +54,11 @@
 
   // What goes from one host to the other is lost, one way.
   void Cut(size_t from, size_t to) { cuts_.emplace(from, to); }
+  // Cuts all links of the zone with that number to others, both ways.
+  void CutZone(size_t zone);
+  bool IsInZone(size_t index, size_t zone) const {
+    return index % zones_ == zone;
+  }
   void HealAll() { cuts_.clear(); }
 
  private:
@@ -65,7 +81,11 @@
   void FailLostCalls();
   base::TimePoint NextStep(base::TimePoint end);
 
+  void Observe(size_t from, size_t to, const node::PeerMessage& message) const;
+
   PlatformStore& store_;
+  size_t zones_;
+  MessageObserver observer_;
   base::TimePoint now_;
   std::vector<Host> hosts_;
   std::set<std::pair<size_t, size_t>> cuts_;
--- a/Tests/Fakes/node_harness.cc
+++ b/Tests/Fakes/node_harness.cc
@@ -184,15 +184,30 @@
   return entry;
 }
 
-void PutSmallDeployment(PlatformStore& store) {
-  const std::string object = "configuration/1-small";
-  store.Apply(base::StoreObject{object, kSmallConfiguration});
+std::string SmallConfiguration() {
+  return kSmallConfiguration;
+}
+
+void PutConfiguration(PlatformStore& store,
+                      uint64_t revision,
+                      const std::string& document) {
+  const std::string key(membership::kConfigurationHeadKey);
+  const std::string change = "change-" + std::to_string(revision);
+  const std::string object =
+      "configuration/" + std::to_string(revision) + "-" + change;
+  store.Apply(base::StoreObject{object, document});
+  const auto present = store.rows().find(key);
   base::WriteRows write;
   write.writes.push_back(
-      {std::string(membership::kConfigurationHeadKey),
-       base::RowVersion::kAbsent,
-       membership::PrintHead({base::Revision{1}, object, "small"})});
+      {key,
+       present == store.rows().end() ? base::RowVersion::kAbsent
+                                     : present->second.version,
+       membership::PrintHead({base::Revision{revision}, object, change})});
   store.Apply(write);
+}
+
+void PutSmallDeployment(PlatformStore& store) {
+  PutConfiguration(store, 1, kSmallConfiguration);
   store.PutHost(MakeEndpoint("engine-1", "engines"));
   store.PutHost(MakeEndpoint("desk-1", "desk"));
 }
--- a/Tests/Fakes/node_harness.h
+++ b/Tests/Fakes/node_harness.h
@@ -87,4 +87,12 @@
 // "stock" (one stage) and "booking" (one stage, at most once), team "t".
 void PutSmallDeployment(PlatformStore& store);
 
+// The document of that configuration.
+std::string SmallConfiguration();
+
+// Puts `document` in force as `revision`, whatever was before.
+void PutConfiguration(PlatformStore& store,
+                      uint64_t revision,
+                      const std::string& document);
+
 }  // namespace bilberry::fakes
--- a/Tests/LibMembership/test_host_list.cc
+++ b/Tests/LibMembership/test_host_list.cc
@@ -45,6 +45,36 @@
   CHECK_FALSE(hosts.MarkLeaving("e1", Incarnation{1}));
 }
 
+TEST_CASE("a mark heard before the list names the host holds") {
+  HostList hosts;
+  CHECK(hosts.MarkLeaving("e1", Incarnation{1}));
+  hosts.Apply({1, {Endpoint(1, HostState::kLive)}});
+  CHECK(hosts.LiveEndpoints({"p"}).empty());
+}
+
+TEST_CASE("a list of another life replaces entries, but no mark") {
+  HostList hosts;
+  HostEntry other = Endpoint(7, HostState::kLive);
+  other.name = "e2";
+  hosts.Apply({9, {Endpoint(1, HostState::kLive), other}});
+  hosts.MarkLeaving("e1", Incarnation{1});
+  CHECK(hosts.Apply({3, {Endpoint(1, HostState::kLive)}}));
+  CHECK(hosts.version() == 3);
+  CHECK(hosts.LiveEndpoints({"p"}).empty());
+  CHECK(hosts.Find("e2") == nullptr);
+}
+
+TEST_CASE("a stale list does not bring a left incarnation back") {
+  HostList hosts;
+  hosts.Apply({5, {Endpoint(1, HostState::kLeaving)}});
+  hosts.Apply({6, {Endpoint(1, HostState::kGone)}});
+  CHECK(hosts.Find("e1") == nullptr);
+  hosts.Apply({7, {Endpoint(2, HostState::kLive)}});
+  hosts.Apply({4, {Endpoint(1, HostState::kLive)}});
+  REQUIRE(hosts.LiveEndpoints({"p"}).size() == 1);
+  CHECK(hosts.LiveEndpoints({"p"})[0].incarnation == Incarnation{2});
+}
+
 TEST_SUITE_END();
 
 }  // namespace
--- a/Tests/LibTransport/test_peer_codec.cc
+++ b/Tests/LibTransport/test_peer_codec.cc
@@ -31,7 +31,21 @@
            Malformed{"digest", "{}"},
            Malformed{"digest", "[]"},
            Malformed{"digest", "null"},
-           Malformed{"digest", R"({"host": "h", "incarnation": -1})"},
+           Malformed{"digest",
+                     R"({"v": 1, "host": "h", "incarnation": -1,
+                         "revision": 1})"},
+           Malformed{"digest",
+                     R"({"v": 2, "host": "h", "incarnation": 1,
+                         "revision": 1})"},
+           Malformed{"digest",
+                     R"({"v": 1, "host": "h", "incarnation": 1, "revision": 1,
+                         "leaving": [["e", -1]]})"},
+           Malformed{"digest",
+                     R"({"v": 1, "host": "h", "incarnation": 1, "revision": 1,
+                         "shares": [["p", 1]]})"},
+           Malformed{"digest",
+                     R"({"v": 1, "host": "h", "incarnation": 1, "revision": 1,
+                         "quarantined": "r"})"},
            Malformed{"configuration_query", R"({"revision": "1"})"},
            Malformed{"configuration_offer", R"({"revision": 1})"},
            Malformed{"none", "{}"},
@@ -41,6 +55,23 @@
   }
 }
 
+TEST_CASE("a digest's lists and names have limits") {
+  node::Digest digest;
+  digest.leaving.resize(257);
+  PeerCall call = EncodePeerMessage(digest);
+  CHECK_FALSE(DecodePeerMessage(call.method, call.parameters));
+  digest.leaving.resize(256);
+  call = EncodePeerMessage(digest);
+  CHECK(DecodePeerMessage(call.method, call.parameters));
+  digest.leaving[0].name = std::string(257, 'e');
+  call = EncodePeerMessage(digest);
+  CHECK_FALSE(DecodePeerMessage(call.method, call.parameters));
+  digest.leaving.clear();
+  digest.host.value = std::string(257, 'h');
+  call = EncodePeerMessage(digest);
+  CHECK_FALSE(DecodePeerMessage(call.method, call.parameters));
+}
+
 TEST_SUITE_END();
 
 }  // namespace
