LibNode: Drop pools that no configuration in use declares

A pool that a change removed stayed for good: in the status, in digests and in every dispatch. The former configurations are now noted by weak pointers, which only the runs that began under them hold; when one ends, pools that neither the present nor any former configuration declares go. Ruled out: counting runs by pool, which every place that ends a run would have to keep.

--- a/Libraries/LibNode/entry_node.cc
+++ b/Libraries/LibNode/entry_node.cc
@@ -84,6 +84,7 @@
       runs_.HandleDecision(decision, now);
   }
   runs_.DispatchAll(now);
+  runs_.DropUnusedPools();
   NoteReadiness();
   const bool is_done = !runs_.is_accepting() && runs_.run_count() == 0 &&
                        bookings_.unrecorded_count() == 0;
--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -1,5 +1,6 @@
 #include "LibNode/run_coordinator.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -386,10 +387,38 @@
     digest.shares.push_back({load.pool, load.in_flight, load.queued});
 }
 
+void RunCoordinator::NoteConfiguration(
+    const std::shared_ptr<const declare::Configuration>& configuration) {
+  if (present_configuration_.lock() == configuration)
+    return;
+  former_configurations_.push_back(present_configuration_);
+  present_configuration_ = configuration;
+}
+
+bool RunCoordinator::IsPoolDeclared(const base::PoolName& pool) const {
+  const auto declares = [&pool](const auto& configuration) {
+    const auto held = configuration.lock();
+    return held != nullptr && held->FindPool(pool) != nullptr;
+  };
+  return declares(present_configuration_) ||
+         std::any_of(former_configurations_.begin(),
+                     former_configurations_.end(), declares);
+}
+
+void RunCoordinator::DropUnusedPools() {
+  const auto ended = std::erase_if(former_configurations_,
+                                   [](const auto& it) { return it.expired(); });
+  if (ended == 0)
+    return;
+  std::erase_if(pools_,
+                [this](const auto& it) { return !IsPoolDeclared(it.first); });
+}
+
 void RunCoordinator::Refresh(base::TimePoint now) {
   const auto configuration = membership_.configuration();
   if (!configuration)
     return;
+  NoteConfiguration(configuration);
   for (const declare::Pool& pool : configuration->pools) {
     const auto [it, is_new] =
         pools_.try_emplace(pool.name, pool, context_.settings().zone,
--- a/Libraries/LibNode/run_coordinator.h
+++ b/Libraries/LibNode/run_coordinator.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "LibBase/ids.h"
 #include "LibBase/time.h"
@@ -44,6 +45,9 @@
 
   // Takes over the configuration and hosts as they are known now.
   void Refresh(base::TimePoint now);
+  // Forgets pools that neither the present configuration declares nor that of
+  // any run under way.
+  void DropUnusedPools();
 
   // Sends what waits to where there is room.
   void DispatchAll(base::TimePoint now);
@@ -101,6 +105,9 @@
   void Refuse(base::CallerId caller, int status, CallerError error);
   std::string RequestIdOf(base::RunId run) const;
   policy::PoolScheduler& PoolOf(const pipeline::Run& run);
+  void NoteConfiguration(
+      const std::shared_ptr<const declare::Configuration>& configuration);
+  bool IsPoolDeclared(const base::PoolName& pool) const;
 
   NodeContext& context_;
   BookingCoordinator& bookings_;
@@ -113,6 +120,10 @@
   std::unordered_map<uint64_t, base::RunId> attempts_;  // By attempt number.
   std::set<std::pair<base::TimePoint, base::RunId>> deadlines_;
   std::map<base::PoolName, policy::PoolScheduler> pools_;
+  std::weak_ptr<const declare::Configuration> present_configuration_;
+  // Those before it; each is kept alive by the runs that began under it.
+  std::vector<std::weak_ptr<const declare::Configuration>>
+      former_configurations_;
 };
 
 }  // namespace bilberry::node
