LibNode: Answer for a while after the order to stop

An idle host closed its port in the turn of the order: the balancer, which learns of it by the next look at /readyz, sent on and met refused connections.

The old test of a planned stop asked for the exit with the last answer; that is what was wrong, so it now asks for no exit then and for one when the time is over. Ruled out: serving new runs meanwhile, which would put the exit past the longest deadline (docs/DESIGN.md).

--- a/Libraries/LibNode/entry_node.cc
+++ b/Libraries/LibNode/entry_node.cc
@@ -7,6 +7,14 @@
 
 namespace bilberry::node {
 
+namespace {
+
+// How long a host that stops goes on answering, so that the balancer learns of
+// it by the readiness and not by refused connections.
+constexpr std::chrono::milliseconds kLinger{2000};
+
+}  // namespace
+
 EntryNode::EntryNode(NodeOptions options)
     : context_(std::move(options)),
       bookings_(context_),
@@ -54,14 +62,26 @@
       event);
 }
 
-void EntryNode::HandleStop(base::TimePoint /*now*/) {
+void EntryNode::HandleStop(base::TimePoint now) {
   if (!runs_.is_accepting())
     return;
+  lingers_until_ = now + LingerTime();
   context_.Log(base::LogEventId::kStopOrdered, "");
   runs_.StopAccepting();
   membership_.NoteStopping();
 }
 
+// A host that serves nobody yet is sent nothing.
+base::Duration EntryNode::LingerTime() const {
+  const auto configuration = membership_.configuration();
+  base::Duration longest{};
+  if (configuration) {
+    for (const declare::Pipeline& pipeline : configuration->pipelines)
+      longest = std::max<base::Duration>(longest, pipeline.deadline);
+  }
+  return std::min<base::Duration>(longest, kLinger);
+}
+
 Digest EntryNode::LocalDigest() const {
   Digest digest;
   runs_.FillDigest(digest);
@@ -86,7 +106,10 @@
   runs_.DispatchAll(now);
   runs_.DropUnusedPools();
   NoteReadiness();
-  const bool is_done = !runs_.is_accepting() && runs_.run_count() == 0 &&
+  if (lingers_until_ && *lingers_until_ <= now)
+    lingers_until_.reset();
+  const bool is_done = !runs_.is_accepting() && !lingers_until_ &&
+                       runs_.run_count() == 0 &&
                        bookings_.unrecorded_count() == 0;
   if (is_done && !has_exited_) {
     has_exited_ = true;
@@ -112,6 +135,8 @@
     if (wakeup && (!next || *wakeup < *next))
       next = wakeup;
   }
+  if (lingers_until_)
+    next = next ? std::min(*next, *lingers_until_) : lingers_until_;
   return next;
 }
 
--- a/Libraries/LibNode/entry_node.h
+++ b/Libraries/LibNode/entry_node.h
@@ -34,6 +34,7 @@
  private:
   void Route(Event event, base::TimePoint now);
   void HandleStop(base::TimePoint now);
+  base::Duration LingerTime() const;
   // Lets decisions of one coordinator reach the others.
   void Settle(base::TimePoint now);
   void NoteReadiness();
@@ -46,6 +47,8 @@
   RunCoordinator runs_;
   uint64_t seen_changes_ = 0;
   Readiness last_readiness_ = Readiness::kNoConfiguration;
+  // Set while the host stops: how long it goes on answering at the least.
+  std::optional<base::TimePoint> lingers_until_;
   bool has_exited_ = false;
 };
 
--- a/Libraries/LibTransport/node_shell.cc
+++ b/Libraries/LibTransport/node_shell.cc
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr const char* kConnectionHeader = "Connection";
 constexpr std::string_view kPipelinesPath = "/v1/pipelines/";
 
 std::optional<std::string> Copy(const std::string* text) {
@@ -216,8 +217,11 @@
 }
 
 void NodeShell::Do(const node::AnswerCaller& action) {
-  callers_->Respond(ExchangeId{static_cast<uint64_t>(action.caller)},
-                    EncodeCallerAnswer(action.answer));
+  HttpResponse response = EncodeCallerAnswer(action.answer);
+  // The balancer is to keep no connection to a host that goes.
+  if (node_.readiness() == node::Readiness::kStopping)
+    response.headers.push_back({kConnectionHeader, "close"});
+  callers_->Respond(ExchangeId{static_cast<uint64_t>(action.caller)}, response);
 }
 
 void NodeShell::Do(const node::StreamToCaller& action) {
--- a/Tests/LibNode/test_requests.cc
+++ b/Tests/LibNode/test_requests.cc
@@ -264,7 +264,12 @@
   CHECK(harness.TakeAnswers().at(0).answer.error->code == "stopping");
   harness.AnswerAttempt(sent.at(0), "whole");
   CHECK(harness.TakeAnswers().at(0).answer.body == "whole");
+  for (const Action& action : harness.TakeOthers())
+    CHECK_FALSE(std::holds_alternative<Exit>(action));
+  // The host goes on answering for a while; test_planned_stop.cc has the times.
+  harness.Advance(std::chrono::seconds(2));
   const auto others = harness.TakeOthers();
+  REQUIRE_FALSE(others.empty());
   CHECK(std::holds_alternative<Exit>(others.back()));
 }
 
