LibPolicy: Queue by rank shares and fairly by team

Cause: first come, first served lets any flood starve the rest. Ruled out: deficit round robin, whose quantum must exceed the longest stage; strict priority. Withdrawing is no linear scan any more, at the baseline neither; a pool's queue is bounded. Open: under an urgent flood nearly all that is dispatched is close to its deadline, and much of it is wasted; admission at the door is to mend that.

--- a/Libraries/LibNode/request_checker.cc
+++ b/Libraries/LibNode/request_checker.cc
@@ -61,6 +61,7 @@
   pipeline::RunRequest run;
   run.pipeline = pipeline->name;
   run.team = team->name;
+  run.team_weight = team->weight;
   run.rank = pipeline->rank;
   run.budget = pipeline->deadline;
   if (request.rank) {
--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -112,22 +112,46 @@
   work.run = run.id();
   work.rank = run.request().rank;
   work.team = run.request().team;
+  work.weight = run.request().team_weight;
   work.estimate = run.stage().expected;
   work.offered = now;
   work.deadline = run.deadline();
   work.progress = run.stage_index() == 0 ? policy::Progress::kNew
                                          : policy::Progress::kUnderWay;
   active.phase = Phase::kQueued;
-  PoolOf(run).Offer(std::move(work), now);
+  const auto outcome = PoolOf(run).Offer(std::move(work), now);
+  if (outcome == policy::OfferOutcome::kQueueFull)
+    GiveUp(active,
+           {"too_many_runs", Step::kQueue, "",
+            "too much waits for the pool " + run.stage().pool.value,
+            kRetryAfterFull},
+           now);
 }
 
 void RunCoordinator::DispatchAll(base::TimePoint now) {
   for (auto& [name, pool] : pools_) {
     while (const auto dispatch = pool.NextDispatch(now))
       StartAttempt(*dispatch, pool, now);
+    for (const base::RunId run : pool.TakeLapsed())
+      GiveUp(runs_.at(run),
+             {"deadline_unreachable", Step::kQueue, "",
+              "the deadline can no longer be met", kRetryAfterFailure},
+             now);
   }
 }
 
+// A run that has begun can't be told as refused.
+void RunCoordinator::GiveUp(ActiveRun& active,
+                            CallerError error,
+                            base::TimePoint now) {
+  if (active.run.executed() == Executed::kNo) {
+    Fail(active, kServiceUnavailable, std::move(error), now);
+    return;
+  }
+  error.code = "deadline_exceeded";
+  Fail(active, kGatewayTimeout, std::move(error), now);
+}
+
 void RunCoordinator::StartAttempt(const policy::Dispatch& dispatch,
                                   policy::PoolScheduler& pool,
                                   base::TimePoint now) {
@@ -390,11 +414,12 @@
   const auto configuration = membership_.configuration();
   if (!configuration)
     return;
+  const policy::RankShares shares = policy::SharesOf(*configuration);
   for (const declare::Pool& pool : configuration->pools) {
     const auto [it, is_new] =
         pools_.try_emplace(pool.name, pool, context_.settings().zone,
                            context_.policy(), context_.random().Next());
-    it->second.Reconfigure(pool);
+    it->second.Reconfigure(pool, shares);
   }
   // A pool that is no longer declared stays for the runs that began with it.
   for (auto& [name, pool] : pools_) {
--- a/Libraries/LibNode/run_coordinator.h
+++ b/Libraries/LibNode/run_coordinator.h
@@ -71,6 +71,8 @@
              const std::shared_ptr<const declare::Configuration>& configuration,
              base::TimePoint now);
   void OfferStage(ActiveRun& active, base::TimePoint now);
+  // Ends a run of which nothing is under way, and tells when to come back.
+  void GiveUp(ActiveRun& active, CallerError error, base::TimePoint now);
   void StartAttempt(const policy::Dispatch& dispatch,
                     policy::PoolScheduler& pool,
                     base::TimePoint now);
--- a/Libraries/LibPipeline/run_request.h
+++ b/Libraries/LibPipeline/run_request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -17,6 +18,7 @@
   base::Duration budget{};  // From arrival to the deadline.
   std::optional<std::string> idempotency_key;
   std::string body;
+  uint32_t team_weight = 1;
 };
 
 // A digest of what is asked, to tell a repeat from another request.
--- a/Libraries/LibPolicy/first_come_queue.h
+++ b/Libraries/LibPolicy/first_come_queue.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <deque>
-#include <optional>
+#include <list>
+#include <unordered_map>
 
 #include "LibPolicy/work.h"
 
@@ -10,8 +10,9 @@
 // First come, first served: the baseline to compare with.
 class FirstComeQueue {
  public:
-  void Push(Work work) { items_.push_back(std::move(work)); }
-  const Work* Front() const {
+  void Push(Work work);
+  // Null when nothing waits.
+  const Work* Next() const {
     return items_.empty() ? nullptr : &items_.front();
   }
   Work Pop();
@@ -19,7 +20,8 @@
   size_t size() const { return items_.size(); }
 
  private:
-  std::deque<Work> items_;
+  std::list<Work> items_;
+  std::unordered_map<base::RunId, std::list<Work>::iterator> places_;
 };
 
 }  // namespace bilberry::policy
--- a/Libraries/LibPolicy/pool_scheduler.cc
+++ b/Libraries/LibPolicy/pool_scheduler.cc
@@ -2,16 +2,30 @@
 
 #include <algorithm>
 
+#include "LibBase/overloaded.h"
+
 namespace bilberry::policy {
 
 PoolScheduler::PoolScheduler(declare::Pool pool,
                              base::ZoneName own_zone,
-                             PolicyKind /*policy*/,
+                             PolicyKind policy,
                              uint64_t seed)
-    : pool_(std::move(pool)), own_zone_(std::move(own_zone)), random_(seed) {}
+    : pool_(std::move(pool)),
+      own_zone_(std::move(own_zone)),
+      random_(seed),
+      queue_(MakeQueue(policy)) {}
+
+PoolScheduler::Queue PoolScheduler::MakeQueue(PolicyKind policy) {
+  if (policy == PolicyKind::kBaseline)
+    return FirstComeQueue();
+  return FairQueue();
+}
 
-void PoolScheduler::Reconfigure(const declare::Pool& pool) {
+void PoolScheduler::Reconfigure(const declare::Pool& pool,
+                                const RankShares& shares) {
   pool_ = pool;
+  if (auto* fair = std::get_if<FairQueue>(&queue_))
+    fair->SetShares(shares);
 }
 
 void PoolScheduler::SetEndpoints(const std::vector<EndpointTarget>& endpoints,
@@ -28,28 +42,61 @@
   slots_ = std::move(slots);
 }
 
-void PoolScheduler::Offer(Work work, base::TimePoint /*now*/) {
-  queue_.Push(std::move(work));
+OfferOutcome PoolScheduler::Offer(Work work, base::TimePoint /*now*/) {
+  if (queued() >= kMaxQueued)
+    return OfferOutcome::kQueueFull;
+  std::visit([&](auto& queue) { queue.Push(std::move(work)); }, queue_);
+  return OfferOutcome::kQueued;
 }
 
 bool PoolScheduler::Withdraw(base::RunId run) {
-  return queue_.Remove(run);
+  return std::visit([run](auto& queue) { return queue.Remove(run); }, queue_);
 }
 
-std::optional<Dispatch> PoolScheduler::NextDispatch(base::TimePoint /*now*/) {
-  if (queue_.size() == 0)
-    return std::nullopt;
+size_t PoolScheduler::queued() const {
+  return std::visit([](const auto& queue) { return queue.size(); }, queue_);
+}
+
+const Work* PoolScheduler::NextWork(base::TimePoint now) {
+  return std::visit(base::Overloaded{
+                        [](FirstComeQueue& queue) { return queue.Next(); },
+                        [now](FairQueue& queue) { return queue.Next(now); },
+                    },
+                    queue_);
+}
+
+Work PoolScheduler::PopWork(base::TimePoint now) {
+  return std::visit(base::Overloaded{
+                        [](FirstComeQueue& queue) { return queue.Pop(); },
+                        [now](FairQueue& queue) { return queue.Pop(now); },
+                    },
+                    queue_);
+}
+
+std::optional<size_t> PoolScheduler::ChooseEndpoint() {
   std::vector<Candidate> candidates;
   for (size_t i = 0; i < slots_.size(); ++i) {
     if (slots_[i].in_flight < pool_.slots_per_worker)
       candidates.push_back({i});
   }
-  const auto chosen = round_robin_.Choose(candidates, slots_.size());
+  return round_robin_.Choose(candidates, slots_.size());
+}
+
+std::optional<Dispatch> PoolScheduler::NextDispatch(base::TimePoint now) {
+  if (NextWork(now) == nullptr)
+    return std::nullopt;
+  const auto chosen = ChooseEndpoint();
   if (!chosen)
     return std::nullopt;
   EndpointSlot& slot = slots_[*chosen];
   ++slot.in_flight;
-  return Dispatch{queue_.Pop().run, slot.target.name};
+  return Dispatch{PopWork(now).run, slot.target.name};
+}
+
+std::vector<base::RunId> PoolScheduler::TakeLapsed() {
+  if (auto* fair = std::get_if<FairQueue>(&queue_))
+    return fair->TakeLapsed();
+  return {};
 }
 
 void PoolScheduler::Finish(const AttemptReport& report,
@@ -95,7 +142,7 @@
   PoolLoad load;
   load.pool = pool_.name;
   load.endpoints = static_cast<uint32_t>(slots_.size());
-  load.queued = static_cast<uint32_t>(queue_.size());
+  load.queued = static_cast<uint32_t>(queued());
   for (const EndpointSlot& slot : slots_)
     load.in_flight += slot.in_flight;
   return load;
--- a/Libraries/LibPolicy/pool_scheduler.h
+++ b/Libraries/LibPolicy/pool_scheduler.h
@@ -2,16 +2,22 @@
 
 #include <map>
 #include <optional>
+#include <variant>
 #include <vector>
 
 #include "LibBase/random.h"
 #include "LibDeclare/configuration.h"
+#include "LibPolicy/fair_queue.h"
 #include "LibPolicy/first_come_queue.h"
+#include "LibPolicy/rank_shares.h"
 #include "LibPolicy/round_robin.h"
 #include "LibPolicy/work.h"
 
 namespace bilberry::policy {
 
+// Work that may wait for one pool at one entry host.
+inline constexpr size_t kMaxQueued = 10'000;
+
 // The load of one pool as this host sees it.
 struct PoolLoad {
   base::PoolName pool;
@@ -30,14 +36,14 @@
                 uint64_t seed);
 
   // Takes on changed sizes and rules; work that waits is kept.
-  void Reconfigure(const declare::Pool& pool);
+  void Reconfigure(const declare::Pool& pool, const RankShares& shares);
 
   // Replaces the endpoints that may be given work. What is in flight at one
   // that has gone still ends by Finish().
   void SetEndpoints(const std::vector<EndpointTarget>& endpoints,
                     base::TimePoint now);
 
-  void Offer(Work work, base::TimePoint now);
+  OfferOutcome Offer(Work work, base::TimePoint now);
 
   // Takes back work that waits; false when there is none of that run.
   bool Withdraw(base::RunId run);
@@ -46,6 +52,10 @@
   // empty. Each dispatch is ended by one Finish().
   std::optional<Dispatch> NextDispatch(base::TimePoint now);
 
+  // Runs whose waiting work was dropped, since they can no longer meet their
+  // deadline; empties the list.
+  std::vector<base::RunId> TakeLapsed();
+
   void Finish(const AttemptReport& report, base::TimePoint now);
 
   // Notes what a peer has in flight at this pool, as it told just now.
@@ -77,14 +87,22 @@
     base::TimePoint heard;
   };
 
+  using Queue = std::variant<FirstComeQueue, FairQueue>;
+
+  static Queue MakeQueue(PolicyKind policy);
   EndpointSlot* FindSlot(const base::EndpointName& name);
+  std::optional<size_t> ChooseEndpoint();
+  size_t queued() const;
+  // Null when nothing waits.
+  const Work* NextWork(base::TimePoint now);
+  Work PopWork(base::TimePoint now);
 
   declare::Pool pool_;
   base::ZoneName own_zone_;
   base::Random random_;
   std::vector<EndpointSlot> slots_;
   std::map<base::HostName, PeerShare> peer_shares_;
-  FirstComeQueue queue_;
+  Queue queue_;
   RoundRobin round_robin_;
 };
 
--- a/Libraries/LibPolicy/work.h
+++ b/Libraries/LibPolicy/work.h
@@ -21,6 +21,7 @@
   base::RunId run{};
   declare::Rank rank = declare::Rank::kOrdinary;
   base::TeamName team;
+  uint32_t weight = 1;        // Of the team, as declared.
   base::Duration estimate{};  // Expected service time.
   base::TimePoint offered;
   base::TimePoint deadline;  // Of the whole run.
@@ -31,6 +32,9 @@
   std::vector<base::EndpointName> avoided;
 };
 
+// Whether waiting work was taken in.
+enum class OfferOutcome { kQueued, kQueueFull };
+
 // A decision: send this run's stage to this endpoint now.
 struct Dispatch {
   base::RunId run{};
--- /dev/null
+++ b/Tests/LibPolicy/test_fairness.cc
@@ -0,0 +1,95 @@
+#include <doctest/doctest.h>
+
+#include "LibPolicy/pool_simulation.h"
+
+namespace bilberry::policy {
+namespace {
+
+using declare::Rank;
+
+constexpr PolicyKind kBoth[] = {PolicyKind::kBaseline, PolicyKind::kPresent};
+constexpr double kSteadyLoad = 0.7;
+constexpr double kFloodLoad = 5.0;
+
+Traffic MakeTraffic(const std::string& name, Rank rank, double per_second) {
+  Traffic traffic;
+  traffic.name = name;
+  traffic.rank = rank;
+  traffic.per_second = per_second;
+  return traffic;
+}
+
+// A load of the three ranks, as multiples of the pool's capacity.
+Scenario MakeScenario(PolicyKind policy,
+                      double urgent,
+                      double ordinary,
+                      double background) {
+  Scenario scenario;
+  scenario.policy = policy;
+  const double capacity = scenario.Capacity();
+  scenario.traffic = {
+      MakeTraffic("urgent", Rank::kUrgent, urgent * capacity),
+      MakeTraffic("ordinary", Rank::kOrdinary, ordinary * capacity),
+      MakeTraffic("background", Rank::kBackground, background * capacity)};
+  return scenario;
+}
+
+SimulationResult Simulate(const Scenario& scenario) {
+  return PoolSimulation(scenario).Run();
+}
+
+TEST_SUITE_BEGIN("policy");
+
+TEST_CASE("at a steady load nearly all is in time") {
+  for (const PolicyKind policy : kBoth) {
+    CAPTURE(policy);
+    const auto result = Simulate(MakeScenario(policy, 0.2, 0.3, 0.2));
+    CHECK(result.traffic.at("urgent").InTimePercent() >= 99.5);
+    CHECK(result.Sum().InTimePercent() >= 99.0);
+  }
+}
+
+TEST_CASE("a background flood harms no other rank, unlike at the baseline") {
+  for (const PolicyKind policy : kBoth) {
+    CAPTURE(policy);
+    const auto steady = Simulate(MakeScenario(policy, 0.2, 0.3, 0.2));
+    const auto flood = Simulate(MakeScenario(policy, 0.2, 0.3, kFloodLoad));
+    const double urgent = flood.traffic.at("urgent").InTimePercent();
+    const double loss = steady.traffic.at("ordinary").InTimePercent() -
+                        flood.traffic.at("ordinary").InTimePercent();
+    MESSAGE("urgent in time " << urgent << "%, ordinary loses " << loss);
+    const bool is_met = urgent >= 99.0 && loss <= 2.0;
+    CHECK(is_met == (policy == PolicyKind::kPresent));
+  }
+}
+
+TEST_CASE("two large teams leave the small ones as though alone") {
+  for (const PolicyKind policy : kBoth) {
+    CAPTURE(policy);
+    Scenario scenario;
+    scenario.policy = policy;
+    constexpr size_t kSmallTeams = 8;
+    const double fair_share = scenario.Capacity() / (kSmallTeams + 2);
+    for (size_t i = 0; i < kSmallTeams; ++i)
+      scenario.traffic.push_back(MakeTraffic("small-" + std::to_string(i),
+                                             Rank::kOrdinary,
+                                             kSteadyLoad * fair_share));
+    const auto alone = Simulate(scenario);
+    for (const char* name : {"large-1", "large-2"})
+      scenario.traffic.push_back(
+          MakeTraffic(name, Rank::kOrdinary, 10 * fair_share));
+    const auto together = Simulate(scenario);
+    double worst_loss = 0;
+    for (const auto& [name, result] : alone.traffic)
+      worst_loss =
+          std::max(worst_loss, result.InTimePercent() -
+                                   together.traffic.at(name).InTimePercent());
+    MESSAGE("worst loss of a small team: " << worst_loss << " points");
+    CHECK((worst_loss <= 1.0) == (policy == PolicyKind::kPresent));
+  }
+}
+
+TEST_SUITE_END();
+
+}  // namespace
+}  // namespace bilberry::policy
--- a/Tests/LibPolicy/test_pool_scheduler.cc
+++ b/Tests/LibPolicy/test_pool_scheduler.cc
@@ -2,6 +2,7 @@
 
 #include <set>
 #include <string>
+#include <vector>
 
 #include "LibPolicy/pool_scheduler.h"
 
@@ -10,11 +11,12 @@
 
 using base::TimePoint;
 
-PoolScheduler MakeScheduler(uint32_t slots) {
+PoolScheduler MakeScheduler(uint32_t slots,
+                            PolicyKind policy = PolicyKind::kBaseline) {
   declare::Pool pool;
   pool.name = {"p"};
   pool.slots_per_worker = slots;
-  PoolScheduler scheduler(pool, {"zone"}, PolicyKind::kBaseline, 1);
+  PoolScheduler scheduler(pool, {"zone"}, policy, 1);
   scheduler.SetEndpoints(
       {{{"e1"}, {"zone"}, {}, {}}, {{"e2"}, {"zone"}, {}, {}}}, TimePoint());
   return scheduler;
@@ -59,6 +61,52 @@
   CHECK_FALSE(scheduler.NextDispatch(TimePoint()));
 }
 
+TEST_CASE("work that can't meet its deadline is dropped when it is reached") {
+  PoolScheduler scheduler = MakeScheduler(1, PolicyKind::kPresent);
+  Work lapsed = MakeWork(1);
+  lapsed.estimate = std::chrono::milliseconds(50);
+  lapsed.deadline = TimePoint(std::chrono::milliseconds(49));
+  scheduler.Offer(lapsed, TimePoint());
+  Work sound = MakeWork(2);
+  sound.estimate = std::chrono::milliseconds(50);
+  sound.deadline = TimePoint(std::chrono::milliseconds(50));
+  scheduler.Offer(sound, TimePoint());
+  const auto dispatch = scheduler.NextDispatch(TimePoint());
+  REQUIRE(dispatch);
+  CHECK(dispatch->run == base::RunId{2});
+  CHECK(scheduler.TakeLapsed() == std::vector<base::RunId>{base::RunId{1}});
+  CHECK(scheduler.TakeLapsed().empty());
+}
+
+TEST_CASE("a team's run under way goes before its new ones") {
+  PoolScheduler scheduler = MakeScheduler(1, PolicyKind::kPresent);
+  Work fresh = MakeWork(1);
+  fresh.deadline = TimePoint::max();
+  Work under_way = MakeWork(2);
+  under_way.deadline = TimePoint::max();
+  under_way.progress = Progress::kUnderWay;
+  scheduler.Offer(fresh, TimePoint());
+  scheduler.Offer(under_way, TimePoint());
+  CHECK(scheduler.NextDispatch(TimePoint())->run == base::RunId{2});
+  CHECK(scheduler.NextDispatch(TimePoint())->run == base::RunId{1});
+}
+
+TEST_CASE("a full queue takes nothing more, until some is withdrawn") {
+  for (const PolicyKind policy :
+       {PolicyKind::kBaseline, PolicyKind::kPresent}) {
+    CAPTURE(policy);
+    PoolScheduler scheduler = MakeScheduler(1, policy);
+    for (uint64_t i = 1; i <= kMaxQueued; ++i)
+      REQUIRE(scheduler.Offer(MakeWork(i), TimePoint()) ==
+              OfferOutcome::kQueued);
+    CHECK(scheduler.Offer(MakeWork(kMaxQueued + 1), TimePoint()) ==
+          OfferOutcome::kQueueFull);
+    CHECK(scheduler.Withdraw(base::RunId{kMaxQueued / 2}));
+    CHECK(scheduler.Offer(MakeWork(kMaxQueued + 1), TimePoint()) ==
+          OfferOutcome::kQueued);
+  }
+}
+
 TEST_SUITE_END();
 
 }  // namespace
