LibPolicy: Adapt each endpoint's concurrency limit

Cause: with declared slots alone a pool is overrun or left idle where they are wrong, and each entry host counted just its own calls. A slot belongs to an incarnation; the end of an older one's attempt is not counted against the new one.

--- a/Libraries/LibPolicy/pool_scheduler.cc
+++ b/Libraries/LibPolicy/pool_scheduler.cc
@@ -6,6 +6,13 @@
 
 namespace bilberry::policy {
 
+namespace {
+
+// An endpoint with less than this part of its limit is lightly loaded.
+constexpr double kLightPart = 2;
+
+}  // namespace
+
 PoolScheduler::PoolScheduler(declare::Pool pool,
                              base::ZoneName own_zone,
                              PolicyKind policy,
@@ -13,6 +20,7 @@
     : pool_(std::move(pool)),
       own_zone_(std::move(own_zone)),
       random_(seed),
+      policy_(policy),
       queue_(MakeQueue(policy)) {}
 
 PoolScheduler::Queue PoolScheduler::MakeQueue(PolicyKind policy) {
@@ -31,15 +39,19 @@
 void PoolScheduler::SetEndpoints(const std::vector<EndpointTarget>& endpoints,
                                  base::TimePoint /*now*/) {
   std::vector<EndpointSlot> slots;
+  std::unordered_map<base::EndpointName, size_t> indices;
   slots.reserve(endpoints.size());
   for (const EndpointTarget& target : endpoints) {
-    EndpointSlot slot{target};
-    const EndpointSlot* old = FindSlot(target.name);
-    if (old != nullptr && old->target.incarnation == target.incarnation)
-      slot.in_flight = old->in_flight;
-    slots.push_back(std::move(slot));
+    const auto old = slot_indices_.find(target.name);
+    indices[target.name] = slots.size();
+    if (old != slot_indices_.end() &&
+        slots_[old->second].target().incarnation == target.incarnation)
+      slots.push_back(std::move(slots_[old->second]));
+    else
+      slots.emplace_back(target, pool_.slots_per_worker);
   }
   slots_ = std::move(slots);
+  slot_indices_ = std::move(indices);
 }
 
 OfferOutcome PoolScheduler::Offer(Work work, base::TimePoint /*now*/) {
@@ -73,30 +85,49 @@
                     queue_);
 }
 
-bool PoolScheduler::HasRoom(const EndpointSlot& slot) const {
-  return slot.in_flight < pool_.slots_per_worker;
+double PoolScheduler::PeersMean() const {
+  return slots_.empty()
+             ? 0
+             : peer_shares_.in_flight() / static_cast<double>(slots_.size());
+}
+
+bool PoolScheduler::HasRoom(const EndpointSlot& slot,
+                            base::TimePoint now) const {
+  if (policy_ == PolicyKind::kBaseline)
+    return slot.in_flight() < pool_.slots_per_worker;
+  const double limit = slot.limit().value();
+  const double others = slot.OthersLoad(PeersMean(), now);
+  const size_t peers =
+      std::max<size_t>(peer_shares_.peer_count(), others > 0 ? 1 : 0);
+  // However much the others have, an equal part is this host's.
+  const double own_part = limit / static_cast<double>(peers + 1);
+  const double rest = limit - others;
+  return slot.in_flight() + 1 <= std::max({rest, own_part, 1.0});
 }
 
-std::optional<size_t> PoolScheduler::ChooseEndpoint() {
+std::optional<size_t> PoolScheduler::ChooseEndpoint(base::TimePoint now) {
   std::vector<Candidate> candidates;
   for (size_t i = 0; i < slots_.size(); ++i) {
-    if (HasRoom(slots_[i]))
+    if (HasRoom(slots_[i], now))
       candidates.push_back({i});
   }
   return round_robin_.Choose(candidates, slots_.size());
 }
 
 std::optional<Dispatch> PoolScheduler::NextDispatch(base::TimePoint now) {
+  peer_shares_.Expire(now);
   if (NextWork(now) == nullptr)
     return std::nullopt;
-  const auto chosen = ChooseEndpoint();
+  const auto chosen = ChooseEndpoint(now);
   if (!chosen)
     return std::nullopt;
   EndpointSlot& slot = slots_[*chosen];
-  ++slot.in_flight;
   Work work = PopWork(now);
-  calls_[work.run] = {slot.target.name, std::move(work.stage)};
-  return Dispatch{work.run, slot.target.name};
+  const double load = slot.in_flight() + slot.OthersLoad(PeersMean(), now);
+  calls_[work.run] = {slot.target().name, slot.target().incarnation,
+                      std::move(work.stage), work.service.typical, load};
+  slot.Begin();
+  return Dispatch{work.run, slot.target().name};
 }
 
 std::vector<base::RunId> PoolScheduler::TakeLapsed() {
@@ -111,10 +142,14 @@
     return;
   const Call call = std::move(found->second);
   calls_.erase(found);
-  EndpointSlot* slot = FindSlot(call.endpoint);
-  if (slot != nullptr && slot->in_flight > 0)
-    --slot->in_flight;
   NoteLatency(call, report, now);
+  EndpointSlot* slot = SlotOf(call);
+  if (slot == nullptr)
+    return;
+  slot->End();
+  if (report.reported_load)
+    slot->NoteReport(*report.reported_load, now);
+  AdjustLimit(*slot, call, report, now);
 }
 
 void PoolScheduler::NoteLatency(const Call& call,
@@ -127,14 +162,41 @@
       report.latency >
           stage_times_.EstimateOf(call.stage, base::Duration::max(), now)
               .typical;
-  if (report.verdict == AttemptVerdict::kSucceeded || is_late)
-    stage_times_.Note(call.stage, report.latency, now);
+  if (report.verdict != AttemptVerdict::kSucceeded && !is_late)
+    return;
+  const EndpointSlot* slot = SlotOf(call);
+  const bool is_light =
+      slot != nullptr && kLightPart * call.load <= slot->limit().value() - 1;
+  stage_times_.Note(call.stage, report.latency,
+                    is_light ? EndpointLoad::kLight : EndpointLoad::kHeavy,
+                    call.expected, now);
+}
+
+void PoolScheduler::AdjustLimit(EndpointSlot& slot,
+                                const Call& call,
+                                const AttemptReport& report,
+                                base::TimePoint now) {
+  if (report.verdict == AttemptVerdict::kRefusedNotRun) {
+    slot.limit().NoteOverload(call.expected, now);
+    return;
+  }
+  const auto unloaded = stage_times_.UnloadedOf(call.stage);
+  const bool has_latency = report.verdict == AttemptVerdict::kSucceeded ||
+                           report.verdict == AttemptVerdict::kTimedOut;
+  if (!unloaded || !has_latency)
+    return;
+  const double slowdown = static_cast<double>(report.latency.count()) /
+                          std::max(1.0, static_cast<double>(unloaded->count()));
+  // A lapsed attempt that took less than that tells nothing.
+  if (report.verdict == AttemptVerdict::kTimedOut && slowdown < 1)
+    return;
+  slot.limit().NoteAnswer(slowdown, call.load + 1, report.latency, now);
 }
 
 void PoolScheduler::NotePeerShare(const base::HostName& peer,
                                   uint32_t in_flight,
                                   base::TimePoint now) {
-  peer_shares_[peer] = {in_flight, now};
+  peer_shares_.Note(peer, in_flight, now);
 }
 
 base::Duration PoolScheduler::EstimatedWait(const Claim& claim) const {
@@ -158,18 +220,17 @@
 
 const EndpointTarget* PoolScheduler::FindEndpoint(
     const base::EndpointName& name) const {
-  const auto it = std::ranges::find_if(slots_, [&](const EndpointSlot& slot) {
-    return slot.target.name == name;
-  });
-  return it == slots_.end() ? nullptr : &it->target;
+  const auto found = slot_indices_.find(name);
+  return found == slot_indices_.end() ? nullptr
+                                      : &slots_[found->second].target();
 }
 
-PoolScheduler::EndpointSlot* PoolScheduler::FindSlot(
-    const base::EndpointName& name) {
-  const auto it = std::ranges::find_if(slots_, [&](const EndpointSlot& slot) {
-    return slot.target.name == name;
-  });
-  return it == slots_.end() ? nullptr : &*it;
+EndpointSlot* PoolScheduler::SlotOf(const Call& call) {
+  const auto found = slot_indices_.find(call.endpoint);
+  if (found == slot_indices_.end())
+    return nullptr;
+  EndpointSlot& slot = slots_[found->second];
+  return slot.target().incarnation == call.incarnation ? &slot : nullptr;
 }
 
 PoolLoad PoolScheduler::Load() const {
@@ -178,7 +239,7 @@
   load.endpoints = static_cast<uint32_t>(slots_.size());
   load.queued = static_cast<uint32_t>(queued());
   for (const EndpointSlot& slot : slots_)
-    load.in_flight += slot.in_flight;
+    load.in_flight += slot.in_flight();
   return load;
 }
 
--- a/Libraries/LibPolicy/pool_scheduler.h
+++ b/Libraries/LibPolicy/pool_scheduler.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <map>
 #include <optional>
 #include <unordered_map>
 #include <variant>
@@ -8,8 +7,10 @@
 
 #include "LibBase/random.h"
 #include "LibDeclare/configuration.h"
+#include "LibPolicy/endpoint_slot.h"
 #include "LibPolicy/fair_queue.h"
 #include "LibPolicy/first_come_queue.h"
+#include "LibPolicy/peer_shares.h"
 #include "LibPolicy/rank_shares.h"
 #include "LibPolicy/round_robin.h"
 #include "LibPolicy/stage_times.h"
@@ -82,31 +83,31 @@
   PoolLoad Load() const;
 
  private:
-  struct EndpointSlot {
-    EndpointTarget target;
-    uint32_t in_flight = 0;
-  };
-
   // An attempt that has been sent.
   struct Call {
     base::EndpointName endpoint;
+    base::Incarnation incarnation{};
     StageId stage;
-  };
-
-  struct PeerShare {
-    uint32_t in_flight = 0;
-    base::TimePoint heard;
+    base::Duration expected{};
+    double load = 0;  // Of the endpoint when it was sent.
   };
 
   using Queue = std::variant<FirstComeQueue, FairQueue>;
 
   static Queue MakeQueue(PolicyKind policy);
-  EndpointSlot* FindSlot(const base::EndpointName& name);
-  bool HasRoom(const EndpointSlot& slot) const;
-  std::optional<size_t> ChooseEndpoint();
+  // Null when the endpoint or its incarnation has gone.
+  EndpointSlot* SlotOf(const Call& call);
+  // What peers have at one endpoint on average.
+  double PeersMean() const;
+  bool HasRoom(const EndpointSlot& slot, base::TimePoint now) const;
+  std::optional<size_t> ChooseEndpoint(base::TimePoint now);
   void NoteLatency(const Call& call,
                    const AttemptReport& report,
                    base::TimePoint now);
+  void AdjustLimit(EndpointSlot& slot,
+                   const Call& call,
+                   const AttemptReport& report,
+                   base::TimePoint now);
   size_t queued() const;
   // Null when nothing waits.
   const Work* NextWork(base::TimePoint now);
@@ -115,8 +116,10 @@
   declare::Pool pool_;
   base::ZoneName own_zone_;
   base::Random random_;
+  PolicyKind policy_;
   std::vector<EndpointSlot> slots_;
-  std::map<base::HostName, PeerShare> peer_shares_;
+  std::unordered_map<base::EndpointName, size_t> slot_indices_;
+  PeerShares peer_shares_;
   Queue queue_;
   RoundRobin round_robin_;
   std::unordered_map<base::RunId, Call> calls_;
--- a/Libraries/LibPolicy/stage_times.cc
+++ b/Libraries/LibPolicy/stage_times.cc
@@ -12,20 +12,62 @@
 constexpr std::chrono::seconds kForgetAfter{5};
 constexpr size_t kSlowPercent = 90;
 constexpr size_t kPercent = 100;
+constexpr size_t kBatch = 32;  // Answers.
+constexpr double kBatchWeight = 0.25;
+constexpr double kSampleWeight = 0.05;
+// One slow endpoint must not pass for the pool.
+constexpr double kWidestSample = 2;
 
 }  // namespace
 
+void StageTimes::Restart(Window& window) {
+  window.count = 0;
+  window.batch_sum = 0;
+}
+
 void StageTimes::Note(const StageId& stage,
                       base::Duration latency,
+                      EndpointLoad load,
+                      base::Duration expected,
                       base::TimePoint now) {
-  Window& window = windows_[stage];
+  const auto [it, is_new] = windows_.try_emplace(stage);
+  Window& window = it->second;
+  if (is_new)
+    window.unloaded = std::max(1.0, static_cast<double>(expected.count()));
   if (now - window.updated > kForgetAfter)
-    window.count = 0;
+    Restart(window);
   window.latencies[window.count % kWindow] = latency;
   window.updated = now;
   ++window.count;
   if (window.count % kRecomputeEvery == 0)
     Recompute(window);
+  NoteUnloaded(window, static_cast<double>(latency.count()), load);
+}
+
+// Answers of lightly loaded endpoints lead. Under a lasting load there are
+// none; then a batch that was faster than the figure shows that it is too high.
+void StageTimes::NoteUnloaded(Window& window,
+                              double latency,
+                              EndpointLoad load) {
+  if (load == EndpointLoad::kLight) {
+    const double sample = std::min(latency, kWidestSample * window.unloaded);
+    window.unloaded += kSampleWeight * (sample - window.unloaded);
+  }
+  window.batch_sum += latency;
+  if (window.count % kBatch != 0)
+    return;
+  const double mean = window.batch_sum / kBatch;
+  window.batch_sum = 0;
+  if (mean < window.unloaded)
+    window.unloaded += kBatchWeight * (mean - window.unloaded);
+}
+
+std::optional<base::Duration> StageTimes::UnloadedOf(
+    const StageId& stage) const {
+  const auto found = windows_.find(stage);
+  if (found == windows_.end())
+    return std::nullopt;
+  return base::Duration(static_cast<int64_t>(found->second.unloaded));
 }
 
 void StageTimes::Recompute(Window& window) {
--- a/Libraries/LibPolicy/stage_times.h
+++ b/Libraries/LibPolicy/stage_times.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <compare>
 #include <map>
+#include <optional>
 
 #include "LibBase/ids.h"
 #include "LibBase/time.h"
@@ -23,10 +24,21 @@
   base::Duration slow{};     // Nine in ten take no longer.
 };
 
+// How busy the endpoint was that gave an answer.
+enum class EndpointLoad { kLight, kHeavy };
+
 // Learns from the last answers how long each stage takes.
 class StageTimes {
  public:
-  void Note(const StageId& stage, base::Duration latency, base::TimePoint now);
+  // `expected` is the start for UnloadedOf().
+  void Note(const StageId& stage,
+            base::Duration latency,
+            EndpointLoad load,
+            base::Duration expected,
+            base::TimePoint now);
+
+  // The mean time at an endpoint with little to do; empty before any answer.
+  std::optional<base::Duration> UnloadedOf(const StageId& stage) const;
 
   // What has been learned lately, or else what was declared.
   StageEstimate EstimateOf(const StageId& stage,
@@ -41,9 +53,13 @@
     size_t count = 0;
     base::TimePoint updated;
     StageEstimate estimate;
+    double unloaded = 0;  // Microseconds.
+    double batch_sum = 0;
   };
 
+  static void Restart(Window& window);
   static void Recompute(Window& window);
+  static void NoteUnloaded(Window& window, double latency, EndpointLoad load);
 
   std::map<StageId, Window> windows_;
 };
--- a/Tests/LibPolicy/pool_simulation.cc
+++ b/Tests/LibPolicy/pool_simulation.cc
@@ -21,7 +21,7 @@
   declare::Pool pool;
   pool.name = {"pool"};
   pool.workers = static_cast<uint32_t>(scenario.endpoints);
-  pool.slots_per_worker = scenario.slots;
+  pool.slots_per_worker = scenario.declared_slots;
   return pool;
 }
 
--- a/Tests/LibPolicy/pool_simulation.h
+++ b/Tests/LibPolicy/pool_simulation.h
@@ -41,6 +41,7 @@
   size_t hosts = 3;
   size_t endpoints = 9;
   uint32_t slots = 4;  // Served at once by an endpoint; the rest waits there.
+  uint32_t declared_slots = 4;
   size_t stages = 1;
   std::chrono::milliseconds service{50};
   std::chrono::milliseconds length{20'000};
--- a/Tests/LibPolicy/test_admission.cc
+++ b/Tests/LibPolicy/test_admission.cc
@@ -54,7 +54,8 @@
   CHECK(times.EstimateOf(stage, milliseconds(7), start).slow ==
         milliseconds(7));
   for (int i = 1; i <= 64; ++i)
-    times.Note(stage, milliseconds(i), start);
+    times.Note(stage, milliseconds(i), EndpointLoad::kHeavy, milliseconds(7),
+               start);
   const auto learned = times.EstimateOf(stage, milliseconds(7), start);
   CHECK(learned.typical == milliseconds(33));
   CHECK(learned.slow == milliseconds(58));
