LibPolicy: Choose the better of two, and let limits converge

Cause: endpoints in turn give a slow one its full share. Test that failed first: 'one endpoint ten times slower loses work'. Cause: the entry hosts' limits for one endpoint drifted apart (60 to 28 in sum), and with them their parts of the pool.

--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -1,5 +1,7 @@
 #include "LibNode/run_coordinator.h"
 
+#include <functional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -19,6 +21,8 @@
 constexpr std::chrono::milliseconds kRetryAfterFull{1000};
 constexpr std::chrono::milliseconds kRetryAfterFailure{1000};
 
+constexpr size_t kAffinityPrefixBytes = 256;
+
 constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -28,6 +32,15 @@
   return status >= 200 && status < 300;
 }
 
+// Requests of a team's pipeline that begin alike share a prompt prefix.
+uint64_t AffinityOf(const pipeline::RunRequest& request) {
+  const std::string_view prefix =
+      std::string_view(request.body).substr(0, kAffinityPrefixBytes);
+  std::string key = request.team.value;
+  key.append("/").append(request.pipeline.value).append("/").append(prefix);
+  return std::hash<std::string>()(key);
+}
+
 std::chrono::milliseconds ToMilliseconds(base::Duration duration) {
   return std::chrono::ceil<std::chrono::milliseconds>(duration);
 }
@@ -153,6 +166,7 @@
   work.deadline = run.deadline();
   work.progress = run.stage_index() == 0 ? policy::Progress::kNew
                                          : policy::Progress::kUnderWay;
+  work.affinity = AffinityOf(run.request());
   active.phase = Phase::kQueued;
   const auto outcome = PoolOf(run).Offer(std::move(work), now);
   if (outcome == policy::OfferOutcome::kQueueFull)
--- a/Libraries/LibPolicy/endpoint_slot.cc
+++ b/Libraries/LibPolicy/endpoint_slot.cc
@@ -1,6 +1,9 @@
 #include "LibPolicy/endpoint_slot.h"
 
 #include <algorithm>
+#include <cmath>
+#include <functional>
+#include <utility>
 
 namespace bilberry::policy {
 
@@ -10,18 +13,57 @@
 
 }  // namespace
 
-void EndpointSlot::End() {
-  if (in_flight_ > 0)
-    --in_flight_;
+EndpointSlot::EndpointSlot(EndpointTarget target, uint32_t slots)
+    : target_(std::move(target)),
+      name_hash_(std::hash<std::string>()(target_.name.value)),
+      limit_(slots) {}
+
+void EndpointSlot::Begin(base::RunId run,
+                         base::Duration expected,
+                         base::TimePoint now) {
+  calls_.push_back({run, expected, now});
+}
+
+void EndpointSlot::End(base::RunId run) {
+  std::erase_if(calls_, [run](const Call& call) { return call.run == run; });
 }
 
 void EndpointSlot::NoteReport(uint32_t load, base::TimePoint now) {
-  others_reported_ = std::max(0.0, static_cast<double>(load) - in_flight_);
+  others_reported_ = std::max(0.0, static_cast<double>(load) - in_flight());
   trust_report_until_ = now + kTrustReportFor;
 }
 
-double EndpointSlot::OthersLoad(double peers_mean, base::TimePoint now) const {
-  return now < trust_report_until_ ? others_reported_ : peers_mean;
+double EndpointSlot::OthersLoad(const PeerView& peers,
+                                base::TimePoint now) const {
+  return now < trust_report_until_ ? others_reported_ : peers.mean_load;
+}
+
+bool EndpointSlot::HasRoom(const PeerView& peers, base::TimePoint now) const {
+  const double others = OthersLoad(peers, now);
+  const double rest = limit_.value() - others;
+  if (in_flight() + 1 <= rest)
+    return true;
+  if (peers.own_part == OwnPart::kUsed)
+    return false;
+  // However much the others have, an equal part of the pool is this host's.
+  const size_t hosts = 1 + std::max<size_t>(peers.count, others > 0 ? 1 : 0);
+  return in_flight() + 1 <=
+         std::ceil(limit_.value() / static_cast<double>(hosts));
+}
+
+double EndpointSlot::ExpectedSlowdown(const PeerView& peers,
+                                      base::TimePoint now) const {
+  double slowdown = limit_.SlowdownAt(now);
+  if (!calls_.empty()) {
+    // What has not come back yet tells sooner than the answers do.
+    const Call& oldest = calls_.front();
+    const double age = static_cast<double>((now - oldest.began).count());
+    const double expected =
+        std::max(1.0, static_cast<double>(oldest.expected.count()));
+    slowdown = std::max(slowdown, age / expected);
+  }
+  const double load = in_flight() + OthersLoad(peers, now);
+  return slowdown * (1 + load / limit_.value());
 }
 
 }  // namespace bilberry::policy
--- a/Libraries/LibPolicy/endpoint_slot.h
+++ b/Libraries/LibPolicy/endpoint_slot.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "LibPolicy/concurrency_limit.h"
+#include "LibPolicy/peer_view.h"
 #include "LibPolicy/work.h"
 
 namespace bilberry::policy {
@@ -11,27 +12,42 @@
 // One incarnation of an endpoint, as one entry host sees it.
 class EndpointSlot {
  public:
-  EndpointSlot(EndpointTarget target, uint32_t slots)
-      : target_(std::move(target)), limit_(slots) {}
+  EndpointSlot(EndpointTarget target, uint32_t slots);
 
   const EndpointTarget& target() const { return target_; }
-  uint32_t in_flight() const { return in_flight_; }
+  // Alike at all entry hosts.
+  uint64_t name_hash() const { return name_hash_; }
+  uint32_t in_flight() const { return static_cast<uint32_t>(calls_.size()); }
   ConcurrencyLimit& limit() { return limit_; }
   const ConcurrencyLimit& limit() const { return limit_; }
 
-  void Begin() { ++in_flight_; }
-  void End();
+  void Begin(base::RunId run, base::Duration expected, base::TimePoint now);
+  void End(base::RunId run);
 
   // Notes what the endpoint said that it had, of all entry hosts.
   void NoteReport(uint32_t load, base::TimePoint now);
 
   // What other entry hosts have there: as reported, or else as their shares
   // make it probable.
-  double OthersLoad(double peers_mean, base::TimePoint now) const;
+  double OthersLoad(const PeerView& peers, base::TimePoint now) const;
+
+  // Whether it may be given one more request by this host.
+  bool HasRoom(const PeerView& peers, base::TimePoint now) const;
+
+  // How many times longer than at an unloaded endpoint one more request is
+  // expected to take.
+  double ExpectedSlowdown(const PeerView& peers, base::TimePoint now) const;
 
  private:
+  struct Call {
+    base::RunId run{};
+    base::Duration expected{};
+    base::TimePoint began;
+  };
+
   EndpointTarget target_;
-  uint32_t in_flight_ = 0;
+  uint64_t name_hash_;
+  std::vector<Call> calls_;  // The oldest first.
   ConcurrencyLimit limit_;
   double others_reported_ = 0;
   base::TimePoint trust_report_until_;
--- a/Libraries/LibPolicy/pool_scheduler.cc
+++ b/Libraries/LibPolicy/pool_scheduler.cc
@@ -8,8 +8,8 @@
 
 namespace {
 
-// An endpoint with less than this part of its limit is lightly loaded.
-constexpr double kLightPart = 2;
+// Requests at an endpoint, with which it is lightly loaded.
+constexpr double kLightLoad = 1;
 
 }  // namespace
 
@@ -20,8 +20,8 @@
     : pool_(std::move(pool)),
       own_zone_(std::move(own_zone)),
       random_(seed),
-      policy_(policy),
-      queue_(MakeQueue(policy)) {}
+      queue_(MakeQueue(policy)),
+      choice_(MakeChoice(policy)) {}
 
 PoolScheduler::Queue PoolScheduler::MakeQueue(PolicyKind policy) {
   if (policy == PolicyKind::kBaseline)
@@ -29,6 +29,12 @@
   return FairQueue();
 }
 
+PoolScheduler::Choice PoolScheduler::MakeChoice(PolicyKind policy) {
+  if (policy == PolicyKind::kBaseline)
+    return RoundRobin();
+  return TwoChoices();
+}
+
 void PoolScheduler::Reconfigure(const declare::Pool& pool,
                                 const RankShares& shares) {
   pool_ = pool;
@@ -51,10 +57,18 @@
       slots.emplace_back(target, pool_.slots_per_worker);
   }
   slots_ = std::move(slots);
+  limit_sum_ = 0;
+  for (const EndpointSlot& slot : slots_)
+    limit_sum_ += slot.limit().value();
   slot_indices_ = std::move(indices);
+  if (auto* two = std::get_if<TwoChoices>(&choice_))
+    two->SetEndpoints(slots_, own_zone_);
 }
 
 OfferOutcome PoolScheduler::Offer(Work work, base::TimePoint /*now*/) {
+  // Services have no cache of prefixes.
+  if (pool_.kind != declare::PoolKind::kEngine)
+    work.affinity = 0;
   if (queued() >= kMaxQueued)
     return OfferOutcome::kQueueFull;
   std::visit([&](auto& queue) { queue.Push(std::move(work)); }, queue_);
@@ -85,48 +99,51 @@
                     queue_);
 }
 
-double PoolScheduler::PeersMean() const {
-  return slots_.empty()
-             ? 0
-             : peer_shares_.in_flight() / static_cast<double>(slots_.size());
-}
-
-bool PoolScheduler::HasRoom(const EndpointSlot& slot,
-                            base::TimePoint now) const {
-  if (policy_ == PolicyKind::kBaseline)
-    return slot.in_flight() < pool_.slots_per_worker;
-  const double limit = slot.limit().value();
-  const double others = slot.OthersLoad(PeersMean(), now);
-  const size_t peers =
-      std::max<size_t>(peer_shares_.peer_count(), others > 0 ? 1 : 0);
-  // However much the others have, an equal part is this host's.
-  const double own_part = limit / static_cast<double>(peers + 1);
-  const double rest = limit - others;
-  return slot.in_flight() + 1 <= std::max({rest, own_part, 1.0});
+PeerView PoolScheduler::Peers() const {
+  const auto endpoints =
+      static_cast<double>(std::max<size_t>(slots_.size(), 1));
+  const auto hosts = static_cast<double>(peer_shares_.peer_count() + 1);
+  const double own_part = std::max(limit_sum_ / hosts, 1.0);
+  const bool is_open = static_cast<double>(calls_.size()) < own_part;
+  return {peer_shares_.in_flight() / endpoints, peer_shares_.peer_count(),
+          is_open ? OwnPart::kOpen : OwnPart::kUsed};
 }
 
-std::optional<size_t> PoolScheduler::ChooseEndpoint(base::TimePoint now) {
+std::optional<size_t> PoolScheduler::ChooseInTurn(RoundRobin& turns) const {
   std::vector<Candidate> candidates;
   for (size_t i = 0; i < slots_.size(); ++i) {
-    if (HasRoom(slots_[i], now))
+    if (slots_[i].in_flight() < pool_.slots_per_worker)
       candidates.push_back({i});
   }
-  return round_robin_.Choose(candidates, slots_.size());
+  return turns.Choose(candidates, slots_.size());
+}
+
+std::optional<size_t> PoolScheduler::ChooseEndpoint(const Work& work,
+                                                    base::TimePoint now) {
+  return std::visit(base::Overloaded{
+                        [&](RoundRobin& turns) { return ChooseInTurn(turns); },
+                        [&](const TwoChoices& two) {
+                          return two.Choose(slots_, Peers(), work, now,
+                                            random_);
+                        },
+                    },
+                    choice_);
 }
 
 std::optional<Dispatch> PoolScheduler::NextDispatch(base::TimePoint now) {
   peer_shares_.Expire(now);
-  if (NextWork(now) == nullptr)
+  const Work* next = NextWork(now);
+  if (next == nullptr)
     return std::nullopt;
-  const auto chosen = ChooseEndpoint(now);
+  const auto chosen = ChooseEndpoint(*next, now);
   if (!chosen)
     return std::nullopt;
   EndpointSlot& slot = slots_[*chosen];
   Work work = PopWork(now);
-  const double load = slot.in_flight() + slot.OthersLoad(PeersMean(), now);
+  const double load = slot.in_flight() + slot.OthersLoad(Peers(), now);
+  slot.Begin(work.run, work.service.typical, now);
   calls_[work.run] = {slot.target().name, slot.target().incarnation,
                       std::move(work.stage), work.service.typical, load};
-  slot.Begin();
   return Dispatch{work.run, slot.target().name};
 }
 
@@ -146,10 +163,12 @@
   EndpointSlot* slot = SlotOf(call);
   if (slot == nullptr)
     return;
-  slot->End();
+  slot->End(report.run);
   if (report.reported_load)
     slot->NoteReport(*report.reported_load, now);
+  limit_sum_ -= slot->limit().value();
   AdjustLimit(*slot, call, report, now);
+  limit_sum_ += slot->limit().value();
 }
 
 void PoolScheduler::NoteLatency(const Call& call,
@@ -164,9 +183,7 @@
               .typical;
   if (report.verdict != AttemptVerdict::kSucceeded && !is_late)
     return;
-  const EndpointSlot* slot = SlotOf(call);
-  const bool is_light =
-      slot != nullptr && kLightPart * call.load <= slot->limit().value() - 1;
+  const bool is_light = call.load < kLightLoad;
   stage_times_.Note(call.stage, report.latency,
                     is_light ? EndpointLoad::kLight : EndpointLoad::kHeavy,
                     call.expected, now);
@@ -190,7 +207,7 @@
   // A lapsed attempt that took less than that tells nothing.
   if (report.verdict == AttemptVerdict::kTimedOut && slowdown < 1)
     return;
-  slot.limit().NoteAnswer(slowdown, call.load + 1, report.latency, now);
+  slot.limit().NoteAnswer(slowdown, call.load + 1, now);
 }
 
 void PoolScheduler::NotePeerShare(const base::HostName& peer,
--- a/Libraries/LibPolicy/pool_scheduler.h
+++ b/Libraries/LibPolicy/pool_scheduler.h
@@ -11,9 +11,11 @@
 #include "LibPolicy/fair_queue.h"
 #include "LibPolicy/first_come_queue.h"
 #include "LibPolicy/peer_shares.h"
+#include "LibPolicy/peer_view.h"
 #include "LibPolicy/rank_shares.h"
 #include "LibPolicy/round_robin.h"
 #include "LibPolicy/stage_times.h"
+#include "LibPolicy/two_choices.h"
 #include "LibPolicy/work.h"
 
 namespace bilberry::policy {
@@ -93,14 +95,15 @@
   };
 
   using Queue = std::variant<FirstComeQueue, FairQueue>;
+  using Choice = std::variant<RoundRobin, TwoChoices>;
 
   static Queue MakeQueue(PolicyKind policy);
+  static Choice MakeChoice(PolicyKind policy);
   // Null when the endpoint or its incarnation has gone.
   EndpointSlot* SlotOf(const Call& call);
-  // What peers have at one endpoint on average.
-  double PeersMean() const;
-  bool HasRoom(const EndpointSlot& slot, base::TimePoint now) const;
-  std::optional<size_t> ChooseEndpoint(base::TimePoint now);
+  PeerView Peers() const;
+  std::optional<size_t> ChooseEndpoint(const Work& work, base::TimePoint now);
+  std::optional<size_t> ChooseInTurn(RoundRobin& turns) const;
   void NoteLatency(const Call& call,
                    const AttemptReport& report,
                    base::TimePoint now);
@@ -116,12 +119,12 @@
   declare::Pool pool_;
   base::ZoneName own_zone_;
   base::Random random_;
-  PolicyKind policy_;
   std::vector<EndpointSlot> slots_;
   std::unordered_map<base::EndpointName, size_t> slot_indices_;
+  double limit_sum_ = 0;  // Of all endpoints.
   PeerShares peer_shares_;
   Queue queue_;
-  RoundRobin round_robin_;
+  Choice choice_;
   std::unordered_map<base::RunId, Call> calls_;
   StageTimes stage_times_;
 };
--- /dev/null
+++ b/Libraries/LibPolicy/prefix_affinity.cc
@@ -0,0 +1,53 @@
+#include "LibPolicy/prefix_affinity.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bilberry::policy {
+
+namespace {
+
+// An endpoint may have this much of the mean.
+constexpr double kLoadBound = 1.25;
+
+// The finalizer of SplitMix64 (Steele, Lea, Flood, 2014).
+uint64_t Mix(uint64_t x) {
+  x ^= x >> 30U;
+  x *= 0xbf58476d1ce4e5b9U;
+  x ^= x >> 27U;
+  x *= 0x94d049bb133111ebU;
+  return x ^ (x >> 31U);
+}
+
+double BoundOf(std::span<const EndpointSlot> slots,
+               const std::vector<size_t>& zone) {
+  double in_flight = 1;  // With the work at hand.
+  for (const size_t index : zone)
+    in_flight += slots[index].in_flight();
+  return std::ceil(kLoadBound * in_flight / static_cast<double>(zone.size()));
+}
+
+}  // namespace
+
+std::optional<size_t> PrefixAffinity::Choose(
+    std::span<const EndpointSlot> slots,
+    const std::vector<size_t>& zone,
+    uint64_t affinity,
+    const std::function<bool(size_t)>& is_usable) {
+  if (zone.empty())
+    return std::nullopt;
+  const double bound = BoundOf(slots, zone);
+  std::optional<size_t> best;
+  uint64_t best_weight = 0;
+  for (const size_t index : zone) {
+    const uint64_t weight = Mix(affinity ^ slots[index].name_hash());
+    const bool is_better = !best || weight > best_weight;
+    if (!is_better || slots[index].in_flight() + 1 > bound || !is_usable(index))
+      continue;
+    best = index;
+    best_weight = weight;
+  }
+  return best;
+}
+
+}  // namespace bilberry::policy
--- a/Tests/LibPolicy/pool_simulation.cc
+++ b/Tests/LibPolicy/pool_simulation.cc
@@ -1,5 +1,6 @@
 #include "LibPolicy/pool_simulation.h"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -170,9 +171,20 @@
       DecideAdmission(forecasts, state.deadline - now_));
 }
 
-TrafficResult* PoolSimulation::ResultOf(const RunState& state) {
+bool PoolSimulation::IsCounted(const RunState& state) const {
   if (state.arrived < kStart + scenario_.warm_up ||
       state.deadline >= kStart + scenario_.length)
+    return false;
+  return std::ranges::none_of(
+      scenario_.changes, [&](const EndpointChange& change) {
+        const auto at = kStart + change.at;
+        return state.deadline >= at &&
+               state.arrived < at + scenario_.after_change;
+      });
+}
+
+TrafficResult* PoolSimulation::ResultOf(const RunState& state) {
+  if (!IsCounted(state))
     return nullptr;
   return &result_.traffic[scenario_.traffic[state.traffic].name];
 }
--- a/Tests/LibPolicy/pool_simulation.h
+++ b/Tests/LibPolicy/pool_simulation.h
@@ -47,6 +47,8 @@
   std::chrono::milliseconds length{20'000};
   // Results count from here on.
   std::chrono::milliseconds warm_up{2'000};
+  // Runs that come so soon after a change don't count.
+  std::chrono::milliseconds after_change{0};
   RankShares shares{{50, 20, 5}};
   std::vector<Traffic> traffic;
   std::vector<EndpointChange> changes;
@@ -145,6 +147,7 @@
   void EndRun(uint64_t run, bool is_in_time);
   void ShareLoads();
   void Apply(const EndpointChange& change);
+  bool IsCounted(const RunState& state) const;
   TrafficResult* ResultOf(const RunState& state);
 
   Scenario scenario_;
