LibPolicy: Bound retries by recent first tries

A failed call that is sent again adds load just when a pool has least room. A budget by pool pays for one retry with ten first tries and saves up ten retries at most. It starts empty: with a starting credit, a young host whose pool fails altogether would send more than 1.1 times the first tries. Ruled out: a share of a sliding window, which needs a clock and gives nothing that the capped credit does not.

--- /dev/null
+++ b/Libraries/LibPolicy/retry_budget.cc
@@ -0,0 +1,18 @@
+#include "LibPolicy/retry_budget.h"
+
+#include <algorithm>
+
+namespace bilberry::policy {
+
+void RetryBudget::NoteFirstTry() {
+  credit_ = std::min(credit_ + 1, kMaxSavedRetries * kFirstTriesPerRetry);
+}
+
+bool RetryBudget::TryTake() {
+  if (!HasOne())
+    return false;
+  credit_ -= kFirstTriesPerRetry;
+  return true;
+}
+
+}  // namespace bilberry::policy
--- /dev/null
+++ b/Libraries/LibPolicy/retry_budget.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+
+namespace bilberry::policy {
+
+// How many first tries pay for one retry.
+inline constexpr uint32_t kFirstTriesPerRetry = 10;
+// How many retries can be saved up for a burst of failures.
+inline constexpr uint32_t kMaxSavedRetries = 10;
+
+// Bounds the retries of one pool by its recent first tries: a token bucket that
+// first tries fill and retries empty. It starts empty, so that retries are
+// never more than one in kFirstTriesPerRetry of the first tries so far.
+class RetryBudget {
+ public:
+  void NoteFirstTry();
+  // Pays for one retry; false when the budget is used up.
+  bool TryTake();
+  bool HasOne() const { return credit_ >= kFirstTriesPerRetry; }
+
+ private:
+  uint32_t credit_ = 0;  // In first tries.
+};
+
+}  // namespace bilberry::policy
--- /dev/null
+++ b/Tests/LibPolicy/test_retry_budget.cc
@@ -0,0 +1,34 @@
+#include <doctest/doctest.h>
+
+#include "LibPolicy/retry_budget.h"
+
+namespace bilberry::policy {
+namespace {
+
+TEST_SUITE_BEGIN("policy");
+
+TEST_CASE("ten first tries pay for one retry") {
+  RetryBudget budget;
+  CHECK_FALSE(budget.TryTake());
+  for (uint32_t i = 1; i < kFirstTriesPerRetry; ++i)
+    budget.NoteFirstTry();
+  CHECK_FALSE(budget.TryTake());
+  budget.NoteFirstTry();
+  CHECK(budget.TryTake());
+  CHECK_FALSE(budget.TryTake());
+}
+
+TEST_CASE("long calm saves up no more than a small burst") {
+  RetryBudget budget;
+  for (uint32_t i = 0; i < 100'000; ++i)
+    budget.NoteFirstTry();
+  uint32_t taken = 0;
+  while (budget.TryTake())
+    ++taken;
+  CHECK(taken == kMaxSavedRetries);
+}
+
+TEST_SUITE_END();
+
+}  // namespace
+}  // namespace bilberry::policy
