LibNode: Retry elsewhere, and quarantine requests that crash endpoints

Cause: a failed attempt ended the run, though another endpoint could have answered; and a request that crashes whatever runs it was let in again whenever its caller sent it.

A stage is sent again, to an endpoint that has not failed it, when it may be repeated or surely was not run, within the deadline and the budget; a booking's stage only when surely not run. A refusal by a leaving endpoint costs no budget, since that endpoint gets nothing more. Answers that blame the request (4xx but 429) are final.

A request whose connection broke at two endpoints is refused with 422 quarantined. An endpoint that answers too soon for a restart had not died, so that cut connections alone don't count. Peers are told suspicions by the host that saw them and pass refusals on once, so that they age out.

--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -26,6 +26,9 @@
     {kPlatformReachable, kInfo, "platform-reachable"},
     {kAttemptFailed, kWarning, "attempt-failed"},
     {kAnswerMismatched, kError, "answer-mismatched"},
+    {kRequestQuarantined, kError, "request-quarantined"},
+    {kConnectionsCondemned, kWarning, "connections-condemned"},
+    {kAttemptGivenUp, kWarning, "attempt-given-up"},
     {kBookingUnresolved, kError, "booking-unresolved"},
     {kBookingNotRecorded, kWarning, "booking-not-recorded"},
 });
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -24,6 +24,9 @@
   kPlatformReachable = 1302,
   kAttemptFailed = 1401,
   kAnswerMismatched = 1402,
+  kRequestQuarantined = 1430,
+  kConnectionsCondemned = 1431,
+  kAttemptGivenUp = 1432,
   kBookingUnresolved = 1501,
   kBookingNotRecorded = 1502,
 };
--- a/Libraries/LibNode/peer_message.h
+++ b/Libraries/LibNode/peer_message.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "LibBase/ids.h"
+#include "LibPolicy/quarantine.h"
 
 // What entry hosts tell each other; each is a JSON-RPC method or its result.
 namespace bilberry::node {
@@ -35,6 +36,8 @@
   base::Revision revision{};
   std::vector<LeavingMark> leaving;
   std::vector<std::string> quarantined;  // Digests of requests.
+  // Requests in flight at endpoints that the sender saw die.
+  std::vector<policy::Suspicion> suspected;
   std::vector<PoolShare> shares;
 
   friend bool operator==(const Digest&, const Digest&) = default;
--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -1,5 +1,6 @@
 #include "LibNode/run_coordinator.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -23,11 +24,26 @@
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 constexpr int kFirstErrorStatus = 400;
+constexpr int kFirstServerErrorStatus = 500;
+constexpr int kUnprocessable = 422;
+constexpr int kTooManyRequests = 429;
 
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
 }
 
+// Whether a status is about the request rather than the endpoint (RFC 9110
+// section 15.5), so that every endpoint would answer alike.
+bool IsAboutRequest(int status) {
+  return status >= kFirstErrorStatus && status < kFirstServerErrorStatus &&
+         status != kTooManyRequests;
+}
+
+CallerError QuarantinedError() {
+  return {"quarantined", Step::kAdmission, "",
+          "endpoints died while they ran this request", std::nullopt};
+}
+
 policy::EndpointTarget TargetOf(const base::HostEntry& entry) {
   return {{entry.name}, entry.zone, entry.address, entry.incarnation};
 }
@@ -87,12 +103,17 @@
     pipeline::RunRequest checked,
     const std::shared_ptr<const declare::Configuration>& configuration,
     base::TimePoint now) {
+  std::string digest = pipeline::DigestOf(checked);
+  if (IsQuarantined(digest, now)) {
+    Refuse(request.caller, kUnprocessable, QuarantinedError());
+    return;
+  }
   const auto* pipeline = configuration->FindPipeline(checked.pipeline);
   const base::RunId id{++last_run_};
   const auto [it, is_new] = runs_.try_emplace(
       id, ActiveRun{pipeline::Run(id, configuration, *pipeline,
                                   std::move(checked), now),
-                    request.caller});
+                    request.caller, std::move(digest)});
   ActiveRun& active = it->second;
   callers_.emplace(request.caller, id);
   deadlines_.emplace(active.run.deadline(), id);
@@ -102,8 +123,7 @@
   }
   active.phase = Phase::kClaiming;
   const pipeline::RunRequest& asked = active.run.request();
-  bookings_.Begin(id, {asked.team, *asked.idempotency_key},
-                  pipeline::DigestOf(asked), now);
+  bookings_.Begin(id, {asked.team, *asked.idempotency_key}, active.digest, now);
 }
 
 void RunCoordinator::OfferStage(ActiveRun& active, base::TimePoint now) {
@@ -117,6 +137,7 @@
   work.deadline = run.deadline();
   work.progress = run.stage_index() == 0 ? policy::Progress::kNew
                                          : policy::Progress::kUnderWay;
+  work.avoided = active.avoided;
   active.phase = Phase::kQueued;
   PoolOf(run).Offer(std::move(work), now);
 }
@@ -136,6 +157,9 @@
   const base::AttemptId attempt{context_.incarnation(), ++last_attempt_};
   active.run.BeginAttempt(attempt, dispatch.endpoint, now);
   active.phase = Phase::kSent;
+  if (active.tries == 0)
+    retry_budgets_[active.run.stage().pool].NoteFirstTry();
+  ++active.tries;
   attempts_.emplace(attempt.number, dispatch.run);
   const declare::Stage& stage = active.run.stage();
   const bool is_repeatable =
@@ -178,32 +202,48 @@
   }
   if (answer.echoed_attempt != base::ToText(answer.attempt)) {
     context_.Log(base::LogEventId::kAnswerMismatched, endpoint.value);
-    FailAttempt(*active, AttemptEffect::kUnknown, AttemptVerdict::kFailed,
-                {"answer_mismatched", Step::kEndpointCall, endpoint.value,
-                 "the endpoint answered another attempt", std::nullopt},
-                now);
+    FailAttempt(
+        *active,
+        {.error = {"answer_mismatched", Step::kEndpointCall, endpoint.value,
+                   "the endpoint answered another attempt", std::nullopt}},
+        now);
     return;
   }
+  quarantine_.NoteAnswer(endpoint, active->run.attempt_began(), now);
   if (!IsSuccess(answer.status)) {
-    const bool did_not_run = answer.said_not_run;
-    FailAttempt(
-        *active, did_not_run ? AttemptEffect::kNotRun : AttemptEffect::kUnknown,
-        did_not_run ? AttemptVerdict::kRefusedNotRun : AttemptVerdict::kFailed,
-        {"endpoint_failed", Step::kEndpointCall, endpoint.value,
-         "the endpoint answered with status " + std::to_string(answer.status),
-         kRetryAfterFailure},
-        now);
+    FailAttempt(*active, FailureOf(answer, endpoint), now);
     return;
   }
   ReportAttempt(*active, AttemptVerdict::kSucceeded, answer.reported_load, now);
   attempts_.erase(answer.attempt.number);
   const auto acceptance = active->run.AcceptAnswer(answer.attempt, answer.body);
+  active->tries = 0;
+  active->avoided.clear();
   if (acceptance == pipeline::Acceptance::kNextStage)
     OfferStage(*active, now);
   else if (acceptance == pipeline::Acceptance::kFinished)
     Succeed(*active, now);
 }
 
+RunCoordinator::AttemptFailure RunCoordinator::FailureOf(
+    const EndpointAnswer& answer,
+    const base::EndpointName& endpoint) {
+  AttemptFailure failure;
+  if (answer.said_not_run) {
+    failure.effect = AttemptEffect::kNotRun;
+    failure.verdict = AttemptVerdict::kRefusedNotRun;
+  }
+  if (answer.said_not_run && answer.said_leaving)
+    failure.retry = RetryRule::kFree;
+  else if (IsAboutRequest(answer.status))
+    failure.retry = RetryRule::kNever;
+  failure.error = {
+      "endpoint_failed", Step::kEndpointCall, endpoint.value,
+      "the endpoint answered with status " + std::to_string(answer.status),
+      kRetryAfterFailure};
+  return failure;
+}
+
 void RunCoordinator::HandleFailure(const EndpointFailure& failure,
                                    base::TimePoint now) {
   ActiveRun* active = FindByAttempt(failure.attempt);
@@ -211,14 +251,23 @@
     return;
   const bool was_unreachable =
       failure.kind == EndpointFailureKind::kUnreachable;
-  const std::string endpoint = active->run.attempt_endpoint().value;
-  FailAttempt(
-      *active,
-      was_unreachable ? AttemptEffect::kNotRun : AttemptEffect::kUnknown,
-      was_unreachable ? AttemptVerdict::kUnreachable : AttemptVerdict::kFailed,
-      {was_unreachable ? "endpoint_unreachable" : "endpoint_broke_off",
-       Step::kEndpointCall, endpoint, failure.detail, kRetryAfterFailure},
-      now);
+  AttemptFailure failed;
+  if (was_unreachable) {
+    failed.effect = AttemptEffect::kNotRun;
+    failed.verdict = AttemptVerdict::kUnreachable;
+  }
+  failed.error = {
+      was_unreachable ? "endpoint_unreachable" : "endpoint_broke_off",
+      Step::kEndpointCall, active->run.attempt_endpoint().value, failure.detail,
+      kRetryAfterFailure};
+  if (was_unreachable) {
+    FailAttempt(*active, std::move(failed), now);
+    return;
+  }
+  const std::string digest = active->digest;
+  quarantine_.NoteBreak(digest, active->run.attempt_endpoint(), now);
+  FailAttempt(*active, std::move(failed), now);
+  EndQuarantined(digest, now);
 }
 
 void RunCoordinator::ReportAttempt(const ActiveRun& active,
@@ -234,17 +283,84 @@
 }
 
 void RunCoordinator::FailAttempt(ActiveRun& active,
-                                 AttemptEffect effect,
-                                 AttemptVerdict verdict,
-                                 CallerError error,
+                                 AttemptFailure failure,
                                  base::TimePoint now) {
   const base::AttemptId attempt = *active.run.attempt();
-  ReportAttempt(active, verdict, std::nullopt, now);
+  ReportAttempt(active, failure.verdict, std::nullopt, now);
   attempts_.erase(attempt.number);
-  active.run.FailAttempt(attempt, effect);
+  active.run.FailAttempt(attempt, failure.effect);
+  const CallerError& error = failure.error;
   context_.Log(base::LogEventId::kAttemptFailed,
                error.peer + ": " + error.code + ": " + error.message);
-  Fail(active, kBadGateway, std::move(error), now);
+  active.avoided.push_back(active.run.attempt_endpoint());
+  if (IsQuarantined(active.digest, now)) {
+    context_.Log(base::LogEventId::kRequestQuarantined, active.digest);
+    Fail(active, kUnprocessable, QuarantinedError(), now);
+    return;
+  }
+  if (!MayRetry(active, failure, now)) {
+    Fail(active, kBadGateway, std::move(failure.error), now);
+    return;
+  }
+  if (failure.retry == RetryRule::kFromBudget)
+    retry_budgets_[active.run.stage().pool].TryTake();
+  OfferStage(active, now);
+}
+
+bool RunCoordinator::MayRetry(const ActiveRun& active,
+                              const AttemptFailure& failure,
+                              base::TimePoint now) const {
+  if (context_.policy() == policy::PolicyKind::kBaseline)
+    return false;
+  const declare::Stage& stage = active.run.stage();
+  const bool is_safe =
+      failure.effect == AttemptEffect::kNotRun ||
+      stage.repeatability == declare::Repeatability::kRepeatable;
+  // The caller has a part of the first answer; a second one may differ.
+  if (!is_safe || active.has_stream_begun)
+    return false;
+  if (now + stage.expected > active.run.deadline())
+    return false;
+  if (!HasOtherEndpoint(active))
+    return false;
+  switch (failure.retry) {
+    case RetryRule::kNever:
+      return false;
+    case RetryRule::kFromBudget: {
+      const auto budget = retry_budgets_.find(stage.pool);
+      return budget != retry_budgets_.end() && budget->second.HasOne();
+    }
+    case RetryRule::kFree:
+      return true;
+  }
+  return false;
+}
+
+bool RunCoordinator::HasOtherEndpoint(const ActiveRun& active) const {
+  const auto live = membership_.hosts().LiveEndpoints(active.run.stage().pool);
+  return std::ranges::any_of(live, [&](const base::HostEntry& entry) {
+    const base::EndpointName name{entry.name};
+    return std::ranges::find(active.avoided, name) == active.avoided.end();
+  });
+}
+
+bool RunCoordinator::IsQuarantined(const std::string& digest,
+                                   base::TimePoint now) {
+  return context_.policy() == policy::PolicyKind::kPresent &&
+         quarantine_.IsRefused(digest, now);
+}
+
+void RunCoordinator::EndQuarantined(const std::string& digest,
+                                    base::TimePoint now) {
+  if (!IsQuarantined(digest, now))
+    return;
+  std::vector<base::RunId> waiting;
+  for (const auto& [id, active] : runs_) {
+    if (active.phase == Phase::kQueued && active.digest == digest)
+      waiting.push_back(id);
+  }
+  for (const base::RunId id : waiting)
+    Fail(runs_.at(id), kUnprocessable, QuarantinedError(), now);
 }
 
 void RunCoordinator::CancelAttempt(ActiveRun& active,
@@ -306,6 +422,7 @@
 }
 
 void RunCoordinator::HandleTimer(base::TimePoint now) {
+  quarantine_.Advance(now);
   while (!deadlines_.empty() && deadlines_.begin()->first <= now)
     Lapse(runs_.at(deadlines_.begin()->second), now);
 }
@@ -326,6 +443,7 @@
 }
 
 void RunCoordinator::Succeed(ActiveRun& active, base::TimePoint now) {
+  quarantine_.Clear(active.digest);
   CallerAnswer answer;
   answer.executed = Executed::kYes;
   answer.body = active.run.input();
@@ -374,6 +492,14 @@
 }
 
 void RunCoordinator::HandleDigest(const Digest& digest, base::TimePoint now) {
+  for (const policy::Suspicion& suspicion : digest.suspected) {
+    quarantine_.HearSuspicion(suspicion, now);
+    EndQuarantined(suspicion.request, now);
+  }
+  for (const std::string& request : digest.quarantined) {
+    quarantine_.HearRefused(request, now);
+    EndQuarantined(request, now);
+  }
   for (const PoolShare& share : digest.shares) {
     const auto it = pools_.find(share.pool);
     if (it != pools_.end())
@@ -382,6 +508,8 @@
 }
 
 void RunCoordinator::FillDigest(Digest& digest) const {
+  digest.suspected = quarantine_.SuspicionsToTell();
+  digest.quarantined = quarantine_.RefusalsToTell();
   for (const policy::PoolLoad& load : Loads())
     digest.shares.push_back({load.pool, load.in_flight, load.queued});
 }
--- a/Libraries/LibNode/run_coordinator.h
+++ b/Libraries/LibNode/run_coordinator.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "LibBase/ids.h"
 #include "LibBase/time.h"
@@ -18,6 +19,8 @@
 #include "LibNode/node_context.h"
 #include "LibPipeline/run.h"
 #include "LibPolicy/pool_scheduler.h"
+#include "LibPolicy/quarantine.h"
+#include "LibPolicy/retry_budget.h"
 
 namespace bilberry::node {
 
@@ -60,8 +63,26 @@
   struct ActiveRun {
     pipeline::Run run;
     base::CallerId caller{};
+    std::string digest;  // Of the request.
     Phase phase = Phase::kQueued;
     bool has_stream_begun = false;
+    // Of the present stage: how often it was sent, and where that failed.
+    uint32_t tries = 0;
+    std::vector<base::EndpointName> avoided{};
+  };
+
+  enum class RetryRule {
+    kNever,  // Another endpoint would answer alike.
+    kFromBudget,
+    // The endpoint has left the pool and refuses each request only once.
+    kFree,
+  };
+
+  struct AttemptFailure {
+    pipeline::AttemptEffect effect = pipeline::AttemptEffect::kUnknown;
+    policy::AttemptVerdict verdict = policy::AttemptVerdict::kFailed;
+    RetryRule retry = RetryRule::kFromBudget;
+    CallerError error;
   };
 
   using RunMap = std::unordered_map<base::RunId, ActiveRun>;
@@ -80,14 +101,24 @@
                      policy::AttemptVerdict verdict,
                      std::optional<uint32_t> load,
                      base::TimePoint now);
+  static AttemptFailure FailureOf(const EndpointAnswer& answer,
+                                  const base::EndpointName& endpoint);
+  // Sends the stage to another endpoint if it may, else ends the run.
   void FailAttempt(ActiveRun& active,
-                   pipeline::AttemptEffect effect,
-                   policy::AttemptVerdict verdict,
-                   CallerError error,
+                   AttemptFailure failure,
                    base::TimePoint now);
+  bool MayRetry(const ActiveRun& active,
+                const AttemptFailure& failure,
+                base::TimePoint now) const;
+  // Whether a live endpoint has not failed the present stage yet.
+  bool HasOtherEndpoint(const ActiveRun& active) const;
   void CancelAttempt(ActiveRun& active,
                      policy::AttemptVerdict verdict,
                      base::TimePoint now);
+  // Whether this host refuses the request because of the endpoints it crashed.
+  bool IsQuarantined(const std::string& digest, base::TimePoint now);
+  // Ends the runs of a request that is refused by now and still waits.
+  void EndQuarantined(const std::string& digest, base::TimePoint now);
   void Lapse(ActiveRun& active, base::TimePoint now);
   void Succeed(ActiveRun& active, base::TimePoint now);
   void Fail(ActiveRun& active,
@@ -113,6 +144,8 @@
   std::unordered_map<uint64_t, base::RunId> attempts_;  // By attempt number.
   std::set<std::pair<base::TimePoint, base::RunId>> deadlines_;
   std::map<base::PoolName, policy::PoolScheduler> pools_;
+  std::map<base::PoolName, policy::RetryBudget> retry_budgets_;
+  policy::Quarantine quarantine_;
 };
 
 }  // namespace bilberry::node
--- a/Libraries/LibTransport/peer_codec.cc
+++ b/Libraries/LibTransport/peer_codec.cc
@@ -41,6 +41,13 @@
   out["quarantined"] = Json::arrayValue;
   for (const std::string& request : digest.quarantined)
     out["quarantined"].append(request);
+  out["suspected"] = Json::arrayValue;
+  for (const policy::Suspicion& suspicion : digest.suspected) {
+    Json::Value one;
+    one["request"] = suspicion.request;
+    one["endpoint"] = suspicion.endpoint.value;
+    out["suspected"].append(std::move(one));
+  }
   out["shares"] = Json::arrayValue;
   for (const node::PoolShare& share : digest.shares) {
     Json::Value one;
@@ -52,6 +59,22 @@
   return out;
 }
 
+// Hosts of an earlier version send none.
+bool DecodeSuspected(const Json::Value& value, node::Digest& digest) {
+  if (value.isNull())
+    return true;
+  if (!IsList(value))
+    return false;
+  for (const Json::Value& one : value) {
+    if (!one.isObject() || !one["request"].isString() ||
+        !one["endpoint"].isString())
+      return false;
+    digest.suspected.push_back(
+        {one["request"].asString(), {one["endpoint"].asString()}});
+  }
+  return true;
+}
+
 bool DecodeLists(const Json::Value& value, node::Digest& digest) {
   if (!IsList(value["leaving"]) || !IsList(value["quarantined"]) ||
       !IsList(value["shares"]))
@@ -88,7 +111,8 @@
   digest.host = {value["host"].asString()};
   digest.incarnation = base::Incarnation{value["incarnation"].asUInt64()};
   digest.revision = base::Revision{value["revision"].asUInt64()};
-  if (!DecodeLists(value, digest))
+  if (!DecodeLists(value, digest) ||
+      !DecodeSuspected(value["suspected"], digest))
     return Malformed("a digest's list is malformed or too long");
   return node::PeerMessage(std::move(digest));
 }
--- /dev/null
+++ b/Tests/LibNode/test_retries.cc
@@ -0,0 +1,271 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "Fakes/node_harness.h"
+#include "LibPolicy/retry_budget.h"
+
+namespace bilberry::node {
+namespace {
+
+using fakes::NodeHarness;
+using fakes::PlatformStore;
+using pipeline::Executed;
+
+base::HostEntry EndpointAt(const char* name, const char* pool, uint16_t port) {
+  base::HostEntry entry = fakes::MakeEndpoint(name, pool);
+  entry.address.port = port;
+  return entry;
+}
+
+// A node with two endpoints in each pool, whose budgets allow some retries.
+struct TwoEndpoints {
+  explicit TwoEndpoints(
+      policy::PolicyKind policy = policy::PolicyKind::kPresent)
+      : harness(store, OptionsOf(policy)) {
+    fakes::PutSmallDeployment(store);
+    store.PutHost(EndpointAt("desk-2", "desk", 9002));
+    store.PutHost(EndpointAt("engine-2", "engines", 9003));
+    harness.Feed(TimerDue{});
+    REQUIRE(harness.node().readiness() == Readiness::kReady);
+  }
+
+  static NodeOptions OptionsOf(policy::PolicyKind policy) {
+    NodeOptions options = fakes::MakeOptions("entry-1", 1);
+    options.policy = policy;
+    return options;
+  }
+
+  // Fills the budgets of both pools.
+  void WarmUp() {
+    const uint32_t calls =
+        policy::kFirstTriesPerRetry * policy::kMaxSavedRetries;
+    for (uint32_t i = 0; i < calls; ++i) {
+      harness.Call("quotation");
+      for (int stage = 0; stage < 4; ++stage)
+        harness.AnswerAttempt(harness.TakeSent().at(0), "{}");
+    }
+    harness.TakeAnswers();
+    harness.TakeOthers();
+  }
+
+  PlatformStore store;
+  NodeHarness harness;
+};
+
+EndpointAnswer AnswerTo(const SendToEndpoint& sent, int status) {
+  EndpointAnswer answer;
+  answer.attempt = sent.attempt;
+  answer.echoed_attempt = base::ToText(sent.attempt);
+  answer.status = status;
+  answer.body = "first";
+  return answer;
+}
+
+Event Sound(const SendToEndpoint& sent) {
+  return AnswerTo(sent, 200);
+}
+
+Event Misaddressed(const SendToEndpoint& sent) {
+  EndpointAnswer answer = AnswerTo(sent, 200);
+  answer.echoed_attempt = "another";
+  return answer;
+}
+
+Event Erring(const SendToEndpoint& sent) {
+  return AnswerTo(sent, 500);
+}
+
+Event BlamingRequest(const SendToEndpoint& sent) {
+  return AnswerTo(sent, 400);
+}
+
+Event RefusingNotRun(const SendToEndpoint& sent) {
+  EndpointAnswer answer = AnswerTo(sent, 503);
+  answer.said_not_run = true;
+  return answer;
+}
+
+Event Cut(const SendToEndpoint& sent) {
+  return EndpointFailure{sent.attempt, EndpointFailureKind::kBroken,
+                         ConnectionAge::kFresh, "cut"};
+}
+
+Event Unreachable(const SendToEndpoint& sent) {
+  return EndpointFailure{sent.attempt, EndpointFailureKind::kUnreachable,
+                         ConnectionAge::kFresh, "refused"};
+}
+
+enum class Retried { kNo, kYes };
+
+struct FaultCase {
+  const char* name;
+  const char* pipeline;
+  Event (*first)(const SendToEndpoint& sent);
+  Retried retried;
+  Executed executed;  // When it isn't retried.
+};
+
+TEST_SUITE_BEGIN("policy");
+
+TEST_CASE("only what may be repeated or was not run is sent again, elsewhere") {
+  const FaultCase cases[] = {
+      {"sound", "stock", Sound, Retried::kNo, Executed::kYes},
+      {"wrong id", "stock", Misaddressed, Retried::kYes, Executed::kUnknown},
+      {"error", "stock", Erring, Retried::kYes, Executed::kUnknown},
+      {"bad request", "stock", BlamingRequest, Retried::kNo,
+       Executed::kUnknown},
+      {"refused", "stock", RefusingNotRun, Retried::kYes, Executed::kNo},
+      {"cut", "stock", Cut, Retried::kYes, Executed::kUnknown},
+      {"unreachable", "stock", Unreachable, Retried::kYes, Executed::kNo},
+      {"booking wrong id", "booking", Misaddressed, Retried::kNo,
+       Executed::kUnknown},
+      {"booking error", "booking", Erring, Retried::kNo, Executed::kUnknown},
+      {"booking cut", "booking", Cut, Retried::kNo, Executed::kUnknown},
+      {"booking refused", "booking", RefusingNotRun, Retried::kYes,
+       Executed::kNo},
+      {"booking unreachable", "booking", Unreachable, Retried::kYes,
+       Executed::kNo},
+  };
+  TwoEndpoints two;
+  NodeHarness& harness = two.harness;
+  two.WarmUp();
+  int key = 0;
+  for (const FaultCase& each : cases) {
+    CAPTURE(std::string(each.name));
+    harness.Call(each.pipeline, std::to_string(++key), each.name);
+    const auto first = harness.TakeSent();
+    REQUIRE(first.size() == 1);
+    harness.Feed(each.first(first[0]));
+    const auto second = harness.TakeSent();
+    if (each.retried == Retried::kYes) {
+      REQUIRE(second.size() == 1);
+      CHECK(second[0].address != first[0].address);
+      CHECK(second[0].attempt != first[0].attempt);
+      CHECK(second[0].body == first[0].body);
+      CHECK(harness.TakeAnswers().empty());
+      harness.AnswerAttempt(second[0], "second");
+    }
+    CHECK(second.size() == (each.retried == Retried::kYes ? 1 : 0));
+    // What comes late or doubled reaches nobody.
+    harness.Feed(Sound(first[0]));
+    harness.Feed(each.first(first[0]));
+    const auto answers = harness.TakeAnswers();
+    REQUIRE(answers.size() == 1);
+    if (each.retried == Retried::kYes)
+      CHECK(answers[0].answer.body == "second");
+    else
+      CHECK(answers[0].answer.executed == each.executed);
+    CHECK(harness.TakeSent().empty());
+  }
+}
+
+TEST_CASE("a late answer while the retry is under way is dropped") {
+  TwoEndpoints two;
+  two.WarmUp();
+  two.harness.Call("stock");
+  const auto first = two.harness.TakeSent();
+  two.harness.Feed(Cut(first.at(0)));
+  const auto second = two.harness.TakeSent();
+  two.harness.Feed(Sound(first.at(0)));
+  CHECK(two.harness.TakeAnswers().empty());
+  two.harness.AnswerAttempt(second.at(0), "second");
+  CHECK(two.harness.TakeAnswers().at(0).answer.body == "second");
+}
+
+TEST_CASE("without an endpoint left to try, the answer comes at once") {
+  TwoEndpoints two;
+  two.WarmUp();
+  two.harness.Call("stock");
+  two.harness.Feed(Cut(two.harness.TakeSent().at(0)));
+  two.harness.Feed(Erring(two.harness.TakeSent().at(0)));
+  CHECK(two.harness.TakeSent().empty());
+  const auto answers = two.harness.TakeAnswers();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].answer.status == 502);
+  CHECK(answers[0].answer.executed == Executed::kUnknown);
+  CHECK(answers[0].answer.error->retry_after);
+}
+
+TEST_CASE("a stage that can't end by the deadline is not sent again") {
+  TwoEndpoints two;
+  two.WarmUp();
+  two.harness.Call("stock");
+  const auto sent = two.harness.TakeSent();
+  two.harness.Advance(std::chrono::milliseconds(995));
+  for (const SendToEndpoint& more : two.harness.TakeSent())
+    two.harness.Feed(Cut(more));
+  two.harness.Feed(Cut(sent.at(0)));
+  CHECK(two.harness.TakeSent().empty());
+  CHECK(two.harness.TakeAnswers().size() == 1);
+}
+
+TEST_CASE("a refusal by a leaving endpoint costs no budget") {
+  TwoEndpoints two;
+  two.harness.Call("stock");
+  EndpointAnswer answer = AnswerTo(two.harness.TakeSent().at(0), 503);
+  answer.said_not_run = true;
+  answer.said_leaving = true;
+  two.harness.Feed(answer);
+  CHECK(two.harness.TakeSent().size() == 1);
+}
+
+TEST_CASE("the baseline never sends again") {
+  TwoEndpoints two(policy::PolicyKind::kBaseline);
+  two.WarmUp();
+  two.harness.Call("stock");
+  two.harness.Feed(Cut(two.harness.TakeSent().at(0)));
+  CHECK(two.harness.TakeSent().empty());
+  CHECK(two.harness.TakeAnswers().at(0).answer.status == 502);
+}
+
+TEST_CASE("a pool that fails altogether gets at most 1.1 times the calls") {
+  for (Event (*fault)(const SendToEndpoint&) :
+       {Erring, Cut, Unreachable, RefusingNotRun, Misaddressed}) {
+    TwoEndpoints two;
+    NodeHarness& harness = two.harness;
+    constexpr size_t kCalls = 2000;
+    size_t sent = 0;
+    size_t answered = 0;
+    for (size_t i = 0; i < kCalls; ++i) {
+      harness.Call("stock", std::nullopt, std::to_string(i));
+      for (auto more = harness.TakeSent(); !more.empty();
+           more = harness.TakeSent()) {
+        sent += more.size();
+        for (const SendToEndpoint& each : more)
+          harness.Feed(fault(each));
+      }
+      answered += harness.TakeAnswers().size();
+      harness.Advance(std::chrono::milliseconds(10));
+    }
+    CHECK(answered == kCalls);
+    CHECK(sent * 10 <= kCalls * 11);
+  }
+}
+
+TEST_SUITE_END();
+
+TEST_SUITE_BEGIN("promise-1");
+
+TEST_CASE("a stream that has begun is never begun again") {
+  TwoEndpoints two;
+  NodeHarness& harness = two.harness;
+  two.WarmUp();
+  harness.Call("quotation");
+  for (int stage = 0; stage < 3; ++stage)
+    harness.AnswerAttempt(harness.TakeSent().at(0), "{}");
+  const auto sent = harness.TakeSent();
+  harness.Feed(EndpointChunk{sent.at(0).attempt, base::ToText(sent[0].attempt),
+                             "data: a\n\n"});
+  harness.Feed(Cut(sent[0]));
+  CHECK(harness.TakeSent().empty());
+  const auto others = harness.TakeOthers();
+  const auto* end = std::get_if<EndStream>(&others.back());
+  REQUIRE(end != nullptr);
+  CHECK(end->answer.error);
+}
+
+TEST_SUITE_END();
+
+}  // namespace
+}  // namespace bilberry::node
--- a/Tests/LibTransport/test_peer_codec.cc
+++ b/Tests/LibTransport/test_peer_codec.cc
@@ -15,6 +15,7 @@
   digest.revision = base::Revision{7};
   digest.leaving = {{"banco-1", base::Incarnation{3}}};
   digest.quarantined = {"0123abcd"};
+  digest.suspected = {{"4567cdef", {"banco-2"}}};
   digest.shares = {{{"banco"}, 2, 5}};
   const PeerCall call = EncodePeerMessage(digest);
   const auto decoded = DecodePeerMessage(call.method, call.parameters);
