LibNode: Give up attempts on silent connections early

Cause: an attempt on a connection that something between the two ends has forgotten cost the caller's whole deadline, and the pool kept such connections.

Each repeatable attempt has a limit from what its stage usually takes. At the limit, if a retry may be sent, it is given up; over a reused connection the connections to that endpoint are condemned and the endpoint is not blamed. The shell tells the connection's age when the request goes out (EndpointSending), since an attempt that the core gives up has no failure event to tell it.

Found on the way: when a reused connection ends before the first byte, libcurl sends again over a new one, and if that is refused the failure was taken for unreachable, so that the caller was told that nothing had run. The test 'what was sent over a reused connection may have taken effect' failed (unreachable, not broken) until the client notes that it has sent.

Shown by TestLibNode and TestLibPolicy (policy), in virtual time, and by TestLibTransport (contract) over a relay that forgets old connections.

--- a/Libraries/LibNode/entry_node.cc
+++ b/Libraries/LibNode/entry_node.cc
@@ -26,7 +26,8 @@
       base::Overloaded{
           [&](const CallerRequest& it) { runs_.HandleRequest(it, now); },
           [&](const CallerLeft& it) { runs_.HandleCallerLeft(it.caller, now); },
-          [&](const EndpointChunk& it) { runs_.HandleChunk(it); },
+          [&](const EndpointSending& it) { runs_.HandleSending(it); },
+          [&](const EndpointChunk& it) { runs_.HandleChunk(it, now); },
           [&](const EndpointAnswer& it) { runs_.HandleAnswer(it, now); },
           [&](const EndpointFailure& it) { runs_.HandleFailure(it, now); },
           [&](const PlatformAnswered& it) {
--- a/Libraries/LibNode/event.h
+++ b/Libraries/LibNode/event.h
@@ -53,6 +53,12 @@
 
 enum class ConnectionAge { kFresh, kReused };
 
+// The attempt's request goes out now, over a connection of this age.
+struct EndpointSending {
+  base::AttemptId attempt;
+  ConnectionAge connection = ConnectionAge::kFresh;
+};
+
 struct EndpointFailure {
   base::AttemptId attempt;
   EndpointFailureKind kind = EndpointFailureKind::kBroken;
@@ -92,6 +98,7 @@
 
 using Event = std::variant<CallerRequest,
                            CallerLeft,
+                           EndpointSending,
                            EndpointChunk,
                            EndpointAnswer,
                            EndpointFailure,
--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -44,6 +44,10 @@
           "endpoints died while they ran this request", std::nullopt};
 }
 
+policy::StageKey KeyOf(const declare::Stage& stage) {
+  return {stage.pool, stage.path};
+}
+
 policy::EndpointTarget TargetOf(const base::HostEntry& entry) {
   return {{entry.name}, entry.zone, entry.address, entry.incarnation};
 }
@@ -162,6 +166,9 @@
   ++active.tries;
   attempts_.emplace(attempt.number, dispatch.run);
   const declare::Stage& stage = active.run.stage();
+  active.connection = ConnectionAge::kFresh;
+  if (MayGiveUp(active))
+    attempt_limits_.emplace(GiveUpTime(active), attempt.number);
   const bool is_repeatable =
       stage.repeatability == declare::Repeatability::kRepeatable;
   context_.Emit(SendToEndpoint{
@@ -179,11 +186,21 @@
   return it == runs_.end() ? nullptr : &it->second;
 }
 
-void RunCoordinator::HandleChunk(const EndpointChunk& chunk) {
+void RunCoordinator::HandleSending(const EndpointSending& sending) {
+  ActiveRun* active = FindByAttempt(sending.attempt);
+  if (active != nullptr)
+    active->connection = sending.connection;
+}
+
+void RunCoordinator::HandleChunk(const EndpointChunk& chunk,
+                                 base::TimePoint now) {
   ActiveRun* active = FindByAttempt(chunk.attempt);
   // A mismatched stream is ended by its EndpointAnswer.
   if (active == nullptr || chunk.echoed_attempt != base::ToText(chunk.attempt))
     return;
+  if (!active->has_stream_begun)
+    stage_times_.Record(KeyOf(active->run.stage()),
+                        now - active->run.attempt_began());
   active->has_stream_begun = true;
   context_.Emit(StreamToCaller{active->caller, RequestIdOf(active->run.id()),
                                chunk.bytes});
@@ -214,6 +231,9 @@
     FailAttempt(*active, FailureOf(answer, endpoint), now);
     return;
   }
+  if (!active->has_stream_begun)
+    stage_times_.Record(KeyOf(active->run.stage()),
+                        now - active->run.attempt_began());
   ReportAttempt(*active, AttemptVerdict::kSucceeded, answer.reported_load, now);
   attempts_.erase(answer.attempt.number);
   const auto acceptance = active->run.AcceptAnswer(answer.attempt, answer.body);
@@ -302,11 +322,71 @@
     Fail(active, kBadGateway, std::move(failure.error), now);
     return;
   }
+  Retry(active, failure, now);
+}
+
+void RunCoordinator::Retry(ActiveRun& active,
+                           const AttemptFailure& failure,
+                           base::TimePoint now) {
   if (failure.retry == RetryRule::kFromBudget)
     retry_budgets_[active.run.stage().pool].TryTake();
   OfferStage(active, now);
 }
 
+bool RunCoordinator::MayGiveUp(const ActiveRun& active) const {
+  return context_.policy() == policy::PolicyKind::kPresent &&
+         active.run.stage().repeatability ==
+             declare::Repeatability::kRepeatable &&
+         GiveUpTime(active) < active.run.deadline();
+}
+
+base::TimePoint RunCoordinator::GiveUpTime(const ActiveRun& active) const {
+  const declare::Stage& stage = active.run.stage();
+  return active.run.attempt_began() +
+         stage_times_.LimitOf(KeyOf(stage), stage.expected);
+}
+
+void RunCoordinator::GiveUpSlowAttempts(base::TimePoint now) {
+  while (!attempt_limits_.empty() && attempt_limits_.begin()->first <= now) {
+    const uint64_t number = attempt_limits_.begin()->second;
+    attempt_limits_.erase(attempt_limits_.begin());
+    ActiveRun* active =
+        FindByAttempt(base::AttemptId{context_.incarnation(), number});
+    if (active != nullptr && !active->has_stream_begun)
+      GiveUp(*active, now);
+  }
+}
+
+void RunCoordinator::GiveUp(ActiveRun& active, base::TimePoint now) {
+  AttemptFailure failure;
+  failure.verdict = AttemptVerdict::kTimedOut;
+  // Whether the endpoint or the connection is at fault isn't known yet; on new
+  // connections, a slow endpoint shows.
+  if (active.connection == ConnectionAge::kReused) {
+    CondemnConnections(active);
+    failure.verdict = AttemptVerdict::kCancelled;
+    failure.place = RetryPlace::kAnyEndpoint;
+  }
+  const base::EndpointName endpoint = active.run.attempt_endpoint();
+  if (failure.place == RetryPlace::kOtherEndpoint)
+    active.avoided.push_back(endpoint);
+  // Without a retry, the answer may still come by the deadline.
+  if (!MayRetry(active, failure, now))
+    return;
+  context_.Log(base::LogEventId::kAttemptGivenUp, endpoint.value);
+  CancelAttempt(active, failure.verdict, now);
+  Retry(active, failure, now);
+}
+
+void RunCoordinator::CondemnConnections(const ActiveRun& active) {
+  const base::EndpointName& endpoint = active.run.attempt_endpoint();
+  const auto* target = PoolOf(active.run).FindEndpoint(endpoint);
+  if (target == nullptr)
+    return;
+  context_.Log(base::LogEventId::kConnectionsCondemned, endpoint.value);
+  context_.Emit(node::CondemnConnections{target->address});
+}
+
 bool RunCoordinator::MayRetry(const ActiveRun& active,
                               const AttemptFailure& failure,
                               base::TimePoint now) const {
@@ -321,7 +401,7 @@
     return false;
   if (now + stage.expected > active.run.deadline())
     return false;
-  if (!HasOtherEndpoint(active))
+  if (failure.place == RetryPlace::kOtherEndpoint && !HasOtherEndpoint(active))
     return false;
   switch (failure.retry) {
     case RetryRule::kNever:
@@ -423,6 +503,7 @@
 
 void RunCoordinator::HandleTimer(base::TimePoint now) {
   quarantine_.Advance(now);
+  GiveUpSlowAttempts(now);
   while (!deadlines_.empty() && deadlines_.begin()->first <= now)
     Lapse(runs_.at(deadlines_.begin()->second), now);
 }
@@ -545,6 +626,9 @@
   std::optional<base::TimePoint> next;
   if (!deadlines_.empty())
     next = deadlines_.begin()->first;
+  if (!attempt_limits_.empty() &&
+      (!next || attempt_limits_.begin()->first < *next))
+    next = attempt_limits_.begin()->first;
   for (const auto& [name, pool] : pools_) {
     const auto wakeup = pool.NextWakeup();
     if (wakeup && (!next || *wakeup < *next))
--- a/Libraries/LibNode/run_coordinator.h
+++ b/Libraries/LibNode/run_coordinator.h
@@ -21,6 +21,7 @@
 #include "LibPolicy/pool_scheduler.h"
 #include "LibPolicy/quarantine.h"
 #include "LibPolicy/retry_budget.h"
+#include "LibPolicy/stage_times.h"
 
 namespace bilberry::node {
 
@@ -34,7 +35,8 @@
 
   void HandleRequest(const CallerRequest& request, base::TimePoint now);
   void HandleCallerLeft(base::CallerId caller, base::TimePoint now);
-  void HandleChunk(const EndpointChunk& chunk);
+  void HandleSending(const EndpointSending& sending);
+  void HandleChunk(const EndpointChunk& chunk, base::TimePoint now);
   void HandleAnswer(const EndpointAnswer& answer, base::TimePoint now);
   void HandleFailure(const EndpointFailure& failure, base::TimePoint now);
   void HandleDecision(const BookingDecision& decision, base::TimePoint now);
@@ -69,6 +71,7 @@
     // Of the present stage: how often it was sent, and where that failed.
     uint32_t tries = 0;
     std::vector<base::EndpointName> avoided{};
+    ConnectionAge connection = ConnectionAge::kFresh;  // Of the attempt.
   };
 
   enum class RetryRule {
@@ -78,10 +81,17 @@
     kFree,
   };
 
+  // Where a retry may go.
+  enum class RetryPlace {
+    kOtherEndpoint,
+    kAnyEndpoint,  // The connection was at fault.
+  };
+
   struct AttemptFailure {
     pipeline::AttemptEffect effect = pipeline::AttemptEffect::kUnknown;
     policy::AttemptVerdict verdict = policy::AttemptVerdict::kFailed;
     RetryRule retry = RetryRule::kFromBudget;
+    RetryPlace place = RetryPlace::kOtherEndpoint;
     CallerError error;
   };
 
@@ -107,6 +117,16 @@
   void FailAttempt(ActiveRun& active,
                    AttemptFailure failure,
                    base::TimePoint now);
+  // Queues the stage again; requires MayRetry().
+  void Retry(ActiveRun& active,
+             const AttemptFailure& failure,
+             base::TimePoint now);
+  // Gives up an attempt that takes far longer than usual, if it may be retried.
+  void GiveUp(ActiveRun& active, base::TimePoint now);
+  void GiveUpSlowAttempts(base::TimePoint now);
+  void CondemnConnections(const ActiveRun& active);
+  bool MayGiveUp(const ActiveRun& active) const;
+  base::TimePoint GiveUpTime(const ActiveRun& active) const;
   bool MayRetry(const ActiveRun& active,
                 const AttemptFailure& failure,
                 base::TimePoint now) const;
@@ -143,6 +163,9 @@
   std::unordered_map<base::CallerId, base::RunId> callers_;
   std::unordered_map<uint64_t, base::RunId> attempts_;  // By attempt number.
   std::set<std::pair<base::TimePoint, base::RunId>> deadlines_;
+  // When to give up which attempt, by its number.
+  std::set<std::pair<base::TimePoint, uint64_t>> attempt_limits_;
+  policy::StageTimes stage_times_;
   std::map<base::PoolName, policy::PoolScheduler> pools_;
   std::map<base::PoolName, policy::RetryBudget> retry_budgets_;
   policy::Quarantine quarantine_;
--- /dev/null
+++ b/Libraries/LibPolicy/stage_times.cc
@@ -0,0 +1,43 @@
+#include "LibPolicy/stage_times.h"
+
+#include <algorithm>
+
+namespace bilberry::policy {
+
+namespace {
+
+// Weights of RFC 6298 section 2: a new value counts an eighth in the mean and
+// a quarter in the deviation, of which four are added to the mean.
+constexpr int kMeanShare = 8;
+constexpr int kDeviationShare = 4;
+constexpr int kDeviations = 4;
+
+}  // namespace
+
+void StageTimes::Record(const StageKey& stage, base::Duration time) {
+  // Paths of former configurations; those in use are learned anew.
+  if (estimates_.size() >= kMaxStageTimes && !estimates_.contains(stage))
+    estimates_.clear();
+  const auto [it, is_first] =
+      estimates_.try_emplace(stage, Estimate{time, time / 2});
+  if (is_first)
+    return;
+  Estimate& estimate = it->second;
+  const base::Duration error = time - estimate.mean;
+  estimate.deviation +=
+      (std::chrono::abs(error) - estimate.deviation) / kDeviationShare;
+  estimate.mean += error / kMeanShare;
+}
+
+base::Duration StageTimes::LimitOf(const StageKey& stage,
+                                   base::Duration declared) const {
+  const auto it = estimates_.find(stage);
+  const base::Duration usual_at_most =
+      it == estimates_.end()
+          ? declared * kUnmeasuredFactor
+          : it->second.mean + it->second.deviation * kDeviations;
+  return std::max<base::Duration>(kShortestAttemptLimit,
+                                  usual_at_most * kAttemptLimitFactor);
+}
+
+}  // namespace bilberry::policy
--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -42,6 +42,8 @@
   HttpRequest request;
   DoneHandler done;
   ChunkHandler chunk;
+  SendingHandler sending;
+  bool was_sent = false;
   CURL* easy = nullptr;
   curl_slist* headers = nullptr;
   HttpResponse response;
@@ -84,13 +86,15 @@
 
 HttpTransferId HttpClient::Send(HttpRequest request,
                                 DoneHandler done,
-                                ChunkHandler chunk) {
+                                ChunkHandler chunk,
+                                SendingHandler sending) {
   auto transfer = std::make_unique<Transfer>();
   transfer->client = this;
   transfer->id = HttpTransferId{++last_id_};
   transfer->request = std::move(request);
   transfer->done = std::move(done);
   transfer->chunk = std::move(chunk);
+  transfer->sending = std::move(sending);
   transfer->easy = TakeHandle();
   SetUp(*transfer);
   curl_multi_add_handle(multi_, transfer->easy);
@@ -118,6 +122,8 @@
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
                    static_cast<long>(request.timeout.count()));
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, OnSocketOpened);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, OnSending);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
@@ -224,6 +230,23 @@
   return CURL_SOCKOPT_OK;
 }
 
+int HttpClient::OnSending(void* transfer,
+                          char* /*peer_ip*/,
+                          char* /*own_ip*/,
+                          int /*peer_port*/,
+                          int /*own_port*/) {
+  auto& it = *static_cast<Transfer*>(transfer);
+  it.was_sent = true;
+  if (!it.sending)
+    return CURL_PREREQFUNC_OK;
+  long new_connections = 0;
+  curl_easy_getinfo(it.easy, CURLINFO_NUM_CONNECTS, &new_connections);
+  it.client->sendings_.push_back({it.id, new_connections > 0
+                                             ? node::ConnectionAge::kFresh
+                                             : node::ConnectionAge::kReused});
+  return CURL_PREREQFUNC_OK;
+}
+
 size_t HttpClient::OnHeader(char* data,
                             size_t /*unit*/,
                             size_t size,
@@ -260,6 +283,7 @@
     curl_due_.reset();
     Act(CURL_SOCKET_TIMEOUT, 0);
   }
+  DeliverSendings();
   DeliverChunks();
   DeliverDone();
   std::erase_if(condemned_until_,
@@ -270,6 +294,17 @@
   return curl_due_;
 }
 
+void HttpClient::DeliverSendings() {
+  for (const Sending& sending : std::exchange(sendings_, {})) {
+    const auto it = transfers_.find(sending.id);
+    if (it == transfers_.end())
+      continue;
+    // The handler may cancel this transfer.
+    const SendingHandler handler = it->second->sending;
+    handler(sending.connection);
+  }
+}
+
 void HttpClient::DeliverChunks() {
   for (Chunk& chunk : std::exchange(chunks_, {})) {
     const auto it = transfers_.find(chunk.id);
@@ -312,8 +347,11 @@
   long new_connections = 0;
   curl_easy_getinfo(transfer.easy, CURLINFO_NUM_CONNECTS, &new_connections);
   const bool never_connected = new_connections > 0 && connect_time == 0;
-  if (code == CURLE_COULDNT_CONNECT ||
-      (code == CURLE_OPERATION_TIMEDOUT && never_connected))
+  // When a reused connection ends before the first byte, curl opens another:
+  // what was sent over the first one may have taken effect.
+  if (!transfer.was_sent &&
+      (code == CURLE_COULDNT_CONNECT ||
+       (code == CURLE_OPERATION_TIMEDOUT && never_connected)))
     failure.kind = node::EndpointFailureKind::kUnreachable;
   failure.connection = new_connections > 0 ? node::ConnectionAge::kFresh
                                            : node::ConnectionAge::kReused;
--- a/Libraries/LibTransport/http_client.h
+++ b/Libraries/LibTransport/http_client.h
@@ -52,6 +52,8 @@
   // Given the response's head and a part of its body, in order.
   using ChunkHandler =
       std::function<void(const HttpResponse& head, std::string bytes)>;
+  // Called when the request goes out, before anything is received.
+  using SendingHandler = std::function<void(node::ConnectionAge connection)>;
   // Called once, last. The body is empty when chunks were asked for.
   using DoneHandler = std::function<void(HttpOutcome outcome)>;
 
@@ -60,7 +62,8 @@
 
   HttpTransferId Send(HttpRequest request,
                       DoneHandler done,
-                      ChunkHandler chunk = nullptr);
+                      ChunkHandler chunk = nullptr,
+                      SendingHandler sending = nullptr);
 
   // Gives a transfer up; its callbacks won't run. Unknown ids are ignored.
   void Cancel(HttpTransferId id);
@@ -73,6 +76,10 @@
 
  private:
   struct Transfer;
+  struct Sending {
+    HttpTransferId id;
+    node::ConnectionAge connection;
+  };
   struct Chunk {
     HttpTransferId id;
     std::string bytes;
@@ -86,12 +93,14 @@
   static int OnSocket(CURL* easy, curl_socket_t, int what, void* self, void*);
   static int OnTimer(CURLM* multi, long timeout_ms, void* self);
   static int OnSocketOpened(void* self, curl_socket_t socket, curlsocktype);
+  static int OnSending(void* transfer, char*, char*, int, int);
   static size_t OnHeader(char* data, size_t, size_t size, void* transfer);
   static size_t OnBody(char* data, size_t, size_t size, void* transfer);
 
   CURL* TakeHandle();
   void SetUp(Transfer& transfer);
   void Act(curl_socket_t socket, int events);
+  void DeliverSendings();
   void DeliverChunks();
   void DeliverDone();
   HttpOutcome OutcomeOf(Transfer& transfer, CURLcode code) const;
@@ -103,6 +112,7 @@
   uint64_t last_id_ = 0;
   std::unordered_map<HttpTransferId, std::unique_ptr<Transfer>> transfers_;
   std::vector<CURL*> idle_handles_;
+  std::vector<Sending> sendings_;
   std::vector<Chunk> chunks_;
   std::optional<base::TimePoint> curl_due_;
   // Until when each peer's requests open connections of their own.
--- a/Libraries/LibTransport/node_shell.cc
+++ b/Libraries/LibTransport/node_shell.cc
@@ -202,7 +202,10 @@
         transfers_.erase(attempt.number);
         Feed(EventOf(attempt, std::move(outcome)));
       },
-      std::move(on_chunk));
+      std::move(on_chunk),
+      [this, attempt](node::ConnectionAge connection) {
+        Feed(node::EndpointSending{attempt, connection});
+      });
 }
 
 void NodeShell::Do(const node::CancelAttempt& action) {
