LibNode: Resume broken streams at the caller's byte

Cause: a stream that broke after bytes had gone out was cut short, though engines can go on in the middle.

The rest is asked for by Bilberry-Resume-Offset under a new attempt; only an answer that names the same offset is passed on, any other ends the stream with an error mark. An error mark now begins with a blank line, since the stream may have ended within an event.

--- a/Libraries/LibNode/action.h
+++ b/Libraries/LibNode/action.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <variant>
@@ -29,6 +30,8 @@
   ConnectionUse connection = ConnectionUse::kPooled;
   // The caller's, for stages that may not be repeated.
   std::optional<std::string> idempotency_key;
+  // How much of a stream the caller has already; not 0 asks for the rest.
+  uint64_t resume_offset = 0;
 };
 
 // Gives an attempt up and closes its connection; nothing more is heard of it.
--- a/Libraries/LibNode/event.h
+++ b/Libraries/LibNode/event.h
@@ -33,6 +33,8 @@
   base::AttemptId attempt;
   std::string echoed_attempt;
   std::string bytes;
+  // Where the answer goes on, when the rest of a stream was asked for.
+  std::optional<uint64_t> resumed_from = std::nullopt;
 };
 
 // The end of an endpoint's answer, well framed (RFC 9112 section 8).
@@ -43,6 +45,7 @@
   bool said_not_run = false;
   bool said_leaving = false;
   std::optional<uint32_t> reported_load;
+  std::optional<uint64_t> resumed_from;
   std::string body;  // Empty for a streamed answer.
 };
 
--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -39,6 +39,11 @@
          status != kTooManyRequests;
 }
 
+// A stream begun anew may differ from the part that the caller has.
+bool IsUnresumed(uint64_t wanted, std::optional<uint64_t> resumed_from) {
+  return wanted > 0 && resumed_from != wanted;
+}
+
 CallerError QuarantinedError() {
   return {"quarantined", Step::kAdmission, "",
           "endpoints died while they ran this request", std::nullopt};
@@ -167,6 +172,8 @@
   attempts_.emplace(attempt.number, dispatch.run);
   const declare::Stage& stage = active.run.stage();
   active.connection = ConnectionAge::kFresh;
+  active.has_answer_begun = false;
+  active.resume_offset = active.streamed_bytes;
   if (MayGiveUp(active))
     attempt_limits_.emplace(GiveUpTime(active), attempt.number);
   const bool is_repeatable =
@@ -174,7 +181,8 @@
   context_.Emit(SendToEndpoint{
       attempt, target->address, stage.path, active.run.input(), stage.delivery,
       is_repeatable ? ConnectionUse::kPooled : ConnectionUse::kFresh,
-      is_repeatable ? std::nullopt : active.run.request().idempotency_key});
+      is_repeatable ? std::nullopt : active.run.request().idempotency_key,
+      active.resume_offset});
 }
 
 RunCoordinator::ActiveRun* RunCoordinator::FindByAttempt(
@@ -198,10 +206,16 @@
   // A mismatched stream is ended by its EndpointAnswer.
   if (active == nullptr || chunk.echoed_attempt != base::ToText(chunk.attempt))
     return;
-  if (!active->has_stream_begun)
+  if (IsUnresumed(active->resume_offset, chunk.resumed_from)) {
+    EndUnresumed(*active, now);
+    return;
+  }
+  if (!active->has_answer_begun)
     stage_times_.Record(KeyOf(active->run.stage()),
                         now - active->run.attempt_began());
+  active->has_answer_begun = true;
   active->has_stream_begun = true;
+  active->streamed_bytes += chunk.bytes.size();
   context_.Emit(StreamToCaller{active->caller, RequestIdOf(active->run.id()),
                                chunk.bytes});
 }
@@ -231,7 +245,11 @@
     FailAttempt(*active, FailureOf(answer, endpoint), now);
     return;
   }
-  if (!active->has_stream_begun)
+  if (IsUnresumed(active->resume_offset, answer.resumed_from)) {
+    EndUnresumed(*active, now);
+    return;
+  }
+  if (!active->has_answer_begun)
     stage_times_.Record(KeyOf(active->run.stage()),
                         now - active->run.attempt_began());
   ReportAttempt(*active, AttemptVerdict::kSucceeded, answer.reported_load, now);
@@ -352,7 +370,7 @@
     attempt_limits_.erase(attempt_limits_.begin());
     ActiveRun* active =
         FindByAttempt(base::AttemptId{context_.incarnation(), number});
-    if (active != nullptr && !active->has_stream_begun)
+    if (active != nullptr && !active->has_answer_begun)
       GiveUp(*active, now);
   }
 }
@@ -378,6 +396,16 @@
   Retry(active, failure, now);
 }
 
+void RunCoordinator::EndUnresumed(ActiveRun& active, base::TimePoint now) {
+  const std::string endpoint = active.run.attempt_endpoint().value;
+  CancelAttempt(active, AttemptVerdict::kCancelled, now);
+  Fail(active, kBadGateway,
+       {"stream_not_resumed", Step::kEndpointCall, endpoint,
+        "the endpoint can't give the rest of a broken stream",
+        kRetryAfterFailure},
+       now);
+}
+
 void RunCoordinator::CondemnConnections(const ActiveRun& active) {
   const base::EndpointName& endpoint = active.run.attempt_endpoint();
   const auto* target = PoolOf(active.run).FindEndpoint(endpoint);
@@ -396,8 +424,7 @@
   const bool is_safe =
       failure.effect == AttemptEffect::kNotRun ||
       stage.repeatability == declare::Repeatability::kRepeatable;
-  // The caller has a part of the first answer; a second one may differ.
-  if (!is_safe || active.has_stream_begun)
+  if (!is_safe)
     return false;
   if (now + stage.expected > active.run.deadline())
     return false;
--- a/Libraries/LibNode/run_coordinator.h
+++ b/Libraries/LibNode/run_coordinator.h
@@ -71,7 +71,11 @@
     // Of the present stage: how often it was sent, and where that failed.
     uint32_t tries = 0;
     std::vector<base::EndpointName> avoided{};
-    ConnectionAge connection = ConnectionAge::kFresh;  // Of the attempt.
+    // Of the present attempt.
+    ConnectionAge connection = ConnectionAge::kFresh;
+    bool has_answer_begun = false;
+    uint64_t resume_offset = 0;
+    uint64_t streamed_bytes = 0;  // Given to the caller, of all attempts.
   };
 
   enum class RetryRule {
@@ -124,6 +128,8 @@
   // Gives up an attempt that takes far longer than usual, if it may be retried.
   void GiveUp(ActiveRun& active, base::TimePoint now);
   void GiveUpSlowAttempts(base::TimePoint now);
+  // Ends a stream whose rest can't be had from where the caller has it.
+  void EndUnresumed(ActiveRun& active, base::TimePoint now);
   void CondemnConnections(const ActiveRun& active);
   bool MayGiveUp(const ActiveRun& active) const;
   base::TimePoint GiveUpTime(const ActiveRun& active) const;
--- a/Libraries/LibTransport/caller_answer_codec.cc
+++ b/Libraries/LibTransport/caller_answer_codec.cc
@@ -51,9 +51,10 @@
 }
 
 std::string EncodeEndMark(const node::CallerAnswer& answer) {
-  const char* event = answer.error ? "error" : "end";
-  return std::string("event: ") + event +
-         "\ndata: " + PrintCompact(EncodeBody(answer)) + "\n\n";
+  // A broken stream may have ended within an event, which the blank line ends.
+  const char* event = answer.error ? "\n\nevent: error" : "event: end";
+  return std::string(event) + "\ndata: " + PrintCompact(EncodeBody(answer)) +
+         "\n\n";
 }
 
 }  // namespace bilberry::transport
--- a/Libraries/LibTransport/node_shell.cc
+++ b/Libraries/LibTransport/node_shell.cc
@@ -26,8 +26,9 @@
   return text != nullptr && *text == "true";
 }
 
-std::optional<uint32_t> NumberOf(const std::string* text) {
-  uint32_t number = 0;
+template <typename Number>
+std::optional<Number> NumberOf(const std::string* text) {
+  Number number = 0;
   if (text == nullptr)
     return std::nullopt;
   const char* end = text->data() + text->size();
@@ -49,7 +50,10 @@
   answer.status = response.status;
   answer.said_not_run = IsTrue(FindHeader(response.headers, kNotRunHeader));
   answer.said_leaving = IsTrue(FindHeader(response.headers, kLeavingHeader));
-  answer.reported_load = NumberOf(FindHeader(response.headers, kLoadHeader));
+  answer.reported_load =
+      NumberOf<uint32_t>(FindHeader(response.headers, kLoadHeader));
+  answer.resumed_from =
+      NumberOf<uint64_t>(FindHeader(response.headers, kResumedFromHeader));
   answer.body = std::move(response.body);
   return answer;
 }
@@ -182,6 +186,9 @@
   if (action.idempotency_key)
     request.headers.push_back(
         {kIdempotencyKeyHeader, std::move(*action.idempotency_key)});
+  if (action.resume_offset > 0)
+    request.headers.push_back(
+        {kResumeOffsetHeader, std::to_string(action.resume_offset)});
   request.body = std::move(action.body);
   request.connection = action.connection;
   const base::AttemptId attempt = action.attempt;
@@ -193,7 +200,8 @@
         return;
       Feed(node::EndpointChunk{
           attempt, TextOrEmpty(FindHeader(head.headers, kAttemptIdHeader)),
-          std::move(bytes)});
+          std::move(bytes),
+          NumberOf<uint64_t>(FindHeader(head.headers, kResumedFromHeader))});
     };
   }
   transfers_[attempt.number] = http_->Send(
--- a/Tests/Standins/fault_gate.cc
+++ b/Tests/Standins/fault_gate.cc
@@ -41,25 +41,27 @@
   return kind;
 }
 
-void FaultGate::Serve(transport::HttpListener& listener,
+void FaultGate::Serve(const std::shared_ptr<transport::HttpListener>& listener,
                       transport::ExchangeId exchange,
                       const Effect& effect) {
   const std::chrono::milliseconds delay = fault_.delay;
   switch (Take()) {
     case FaultKind::kNone:
-      listener.Respond(exchange, effect());
+      listener->Respond(exchange, effect());
       return;
     case FaultKind::kDown:
-      listener.Abort(exchange);
+      listener->Abort(exchange);
       return;
     case FaultKind::kSlow:
-      timers_.After(delay, [&listener, exchange, response = effect()] {
-        listener.Respond(exchange, response);
+      timers_.After(delay, [weak = std::weak_ptr(listener), exchange,
+                            response = effect()] {
+        if (const auto present = weak.lock())
+          present->Respond(exchange, response);
       });
       return;
     case FaultKind::kAnswerLost:
       effect();
-      listener.Abort(exchange);
+      listener->Abort(exchange);
       return;
     case FaultKind::kFrozen:
       return;
--- a/Tests/Standins/fault_gate.h
+++ b/Tests/Standins/fault_gate.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -40,7 +41,7 @@
   void Order(Fault fault) { fault_ = fault; }
 
   // Runs `effect` or not, and answers or not, as the fault has it.
-  void Serve(transport::HttpListener& listener,
+  void Serve(const std::shared_ptr<transport::HttpListener>& listener,
              transport::ExchangeId exchange,
              const Effect& effect);
 
--- a/Tests/Standins/platform_standin.cc
+++ b/Tests/Standins/platform_standin.cc
@@ -136,7 +136,7 @@
   TRY(service, transport::HttpListener::Create(
                    reactor, {address, kMaxBody}, [raw](IncomingRequest it) {
                      const auto exchange = it.exchange;
-                     raw->gate_.Serve(*raw->service_, exchange,
+                     raw->gate_.Serve(raw->service_, exchange,
                                       [&] { return raw->Serve(it); });
                    }));
   standin->service_ = std::move(service);
--- a/Tests/Standins/platform_standin.h
+++ b/Tests/Standins/platform_standin.h
@@ -35,7 +35,7 @@
 
   transport::TimerQueue timers_;
   FaultGate gate_;
-  std::unique_ptr<transport::HttpListener> service_;
+  std::shared_ptr<transport::HttpListener> service_;
   std::unique_ptr<transport::HttpListener> control_;
   fakes::PlatformStore store_;
 };
