--- a/Tests/Standins/endpoint_main.cc
+++ b/Tests/Standins/endpoint_main.cc
@@ -1,5 +1,6 @@
 // A pool of endpoint stand-ins as one process.
 
+#include <charconv>
 #include <cxxopts.hpp>
 #include <iostream>
 #include <memory>
@@ -11,12 +12,15 @@
 #include "LibTransport/platform_codec.h"
 #include "LibTransport/program.h"
 #include "Standins/endpoint_standin.h"
+#include "Standins/relay.h"
 
 namespace {
 
 using bilberry::base::HostEntry;
 using bilberry::standins::EndpointModel;
 using bilberry::standins::EndpointStandin;
+using bilberry::standins::LinkState;
+using bilberry::standins::Relay;
 using bilberry::transport::HttpClient;
 using bilberry::transport::HttpListener;
 using bilberry::transport::HttpOutcome;
@@ -30,7 +34,15 @@
 constexpr std::chrono::milliseconds kRegisterTimeout{5000};
 constexpr int kMaxCount = 250;
 
-using Standins = std::vector<std::unique_ptr<EndpointStandin>>;
+constexpr const char* kEveryEndpoint = "all";
+
+// An endpoint, and the link to it, if the pool has links.
+struct LinkedEndpoint {
+  std::unique_ptr<EndpointStandin> endpoint;
+  std::unique_ptr<Relay> link;
+};
+
+using Standins = std::vector<LinkedEndpoint>;
 
 EndpointModel ModelOf(const cxxopts::ParseResult& flags) {
   EndpointModel model;
@@ -38,6 +50,13 @@
   model.service = std::chrono::milliseconds(flags["service-ms"].as<int>());
   model.tokens = flags["tokens"].as<uint32_t>();
   model.between_tokens = std::chrono::milliseconds(flags["token-ms"].as<int>());
+  model.batch_percent = flags["model-batch-percent"].as<uint32_t>();
+  model.per_kilobyte =
+      std::chrono::microseconds(flags["model-kilobyte-us"].as<int>());
+  model.resumes_streams = flags["model-resumes"].as<bool>();
+  model.crash_mark = flags["model-crash-mark"].as<std::string>();
+  model.restart_time =
+      std::chrono::milliseconds(flags["model-restart-ms"].as<int>());
   model.reports_load = flags["reports-load"].as<bool>();
   return model;
 }
@@ -62,8 +81,12 @@
               const Standins& standins,
               const cxxopts::ParseResult& flags) {
   Json::Value hosts(Json::arrayValue);
-  for (const auto& standin : standins)
-    hosts.append(bilberry::transport::EncodeHost(standin->entry()));
+  for (const LinkedEndpoint& standin : standins) {
+    HostEntry entry = standin.endpoint->entry();
+    if (standin.link)
+      entry.address = standin.link->address();
+    hosts.append(bilberry::transport::EncodeHost(entry));
+  }
   HttpRequest request;
   request.method = bilberry::transport::HttpMethod::kPost;
   request.address = {flags["platform-ip"].as<std::string>(),
@@ -82,49 +105,126 @@
     reactor.RunOnce(kLongestWait);
 }
 
-EndpointStandin* Find(const Standins& standins, const std::string& name) {
-  for (const auto& standin : standins) {
-    if (standin->entry().name == name)
-      return standin.get();
-  }
-  return nullptr;
+Json::Value NumberOf(uint64_t number) {
+  return static_cast<Json::UInt64>(number);
 }
 
 HttpResponse Counts(const Standins& standins) {
   Json::Value answer;
   answer["executions"] = Json::objectValue;
+  answer["deaths"] = Json::objectValue;
   answer["executions_by_key"] = Json::objectValue;
-  for (const auto& standin : standins) {
-    answer["executions"][standin->entry().name] =
-        static_cast<Json::UInt64>(standin->executions());
-    for (const auto& [key, count] : standin->executions_by_key()) {
+  for (const LinkedEndpoint& standin : standins) {
+    const EndpointStandin& endpoint = *standin.endpoint;
+    const std::string& name = endpoint.entry().name;
+    answer["executions"][name] = NumberOf(endpoint.executions());
+    answer["deaths"][name] = NumberOf(endpoint.deaths());
+    for (const auto& [key, count] : endpoint.executions_by_key()) {
       Json::Value& sum = answer["executions_by_key"][key];
-      sum = static_cast<Json::UInt64>(sum.asUInt64() + count);
+      sum = NumberOf(sum.asUInt64() + count);
     }
   }
   return {200, {}, bilberry::transport::PrintCompact(answer)};
 }
 
-// POST /faults/NAME, POST /leave/NAME, GET /counts.
+// Microseconds of service by the load tool's request numbers.
+HttpResponse Work(const Standins& standins) {
+  Json::Value answer(Json::objectValue);
+  for (const LinkedEndpoint& standin : standins) {
+    for (const auto& [number, time] : standin.endpoint->work_by_request()) {
+      Json::Value& sum = answer[std::to_string(number)];
+      sum = NumberOf(sum.asUInt64() + static_cast<uint64_t>(time.count()));
+    }
+  }
+  return {200, {}, bilberry::transport::PrintCompact(answer)};
+}
+
+bool ForgetLinks(const LinkedEndpoint& standin) {
+  if (!standin.link)
+    return false;
+  standin.link->Order(LinkState::kForgetsOld);
+  return true;
+}
+
+bool OrderSlowness(EndpointStandin& endpoint, const std::string& body) {
+  uint32_t factor = 0;
+  std::from_chars(body.data(), body.data() + body.size(), factor);
+  if (factor == 0)
+    return false;
+  endpoint.OrderSlowness(factor);
+  return true;
+}
+
+bool OrderFault(EndpointStandin& endpoint, const std::string& body) {
+  const auto fault = bilberry::standins::ParseFault(body);
+  if (!fault)
+    return false;
+  endpoint.OrderFault(fault.value());
+  return true;
+}
+
+// False for an order that is unknown or malformed.
+bool Obey(const LinkedEndpoint& standin,
+          const std::string& order,
+          const std::string& body) {
+  EndpointStandin& endpoint = *standin.endpoint;
+  if (order == "/leave")
+    endpoint.Leave();
+  else if (order == "/die")
+    endpoint.Die();
+  else if (order == "/revive")
+    endpoint.Revive();
+  else if (order == "/forget")
+    return ForgetLinks(standin);
+  else if (order == "/slow")
+    return OrderSlowness(endpoint, body);
+  else if (order == "/faults")
+    return OrderFault(endpoint, body);
+  else
+    return false;
+  return true;
+}
+
+// POST /ORDER/NAME, where NAME is an endpoint's or "all"; GET /counts, /work.
 HttpResponse Control(const Standins& standins, const IncomingRequest& request) {
   if (request.path == "/counts")
     return Counts(standins);
+  if (request.path == "/work")
+    return Work(standins);
   const size_t slash = request.path.find('/', 1);
   if (slash == std::string::npos)
     return {404, {}, ""};
   const std::string order = request.path.substr(0, slash);
-  EndpointStandin* standin = Find(standins, request.path.substr(slash + 1));
-  if (standin == nullptr)
-    return {404, {}, ""};
-  if (order == "/leave") {
-    standin->Leave();
-    return {200, {}, ""};
+  const std::string name = request.path.substr(slash + 1);
+  int status = 404;
+  for (const LinkedEndpoint& standin : standins) {
+    if (name == kEveryEndpoint || name == standin.endpoint->entry().name)
+      status = Obey(standin, order, request.body) ? 200 : 400;
   }
-  const auto fault = bilberry::standins::ParseFault(request.body);
-  if (order != "/faults" || !fault)
-    return {400, {}, ""};
-  standin->OrderFault(fault.value());
-  return {200, {}, ""};
+  return {status, {}, ""};
+}
+
+// With links, the endpoint's listed address is the link's, and its own is the
+// port above.
+bilberry::base::Result<LinkedEndpoint> MakeEndpoint(
+    Reactor& reactor,
+    TimerQueue& timers,
+    const cxxopts::ParseResult& flags,
+    int index) {
+  HostEntry entry = EntryOf(flags, index);
+  const auto listed = entry.address;
+  const bool has_link = flags["links"].as<bool>();
+  if (has_link)
+    ++entry.address.port;
+  LinkedEndpoint linked;
+  TRY(endpoint,
+      EndpointStandin::Create(reactor, timers, entry, ModelOf(flags)));
+  linked.endpoint = std::move(endpoint);
+  if (has_link) {
+    TRY(link, Relay::Create(reactor, listed, entry.address));
+    linked.link = std::move(link);
+  }
+  return linked;
 }
 
 int Run(const cxxopts::ParseResult& flags) {
@@ -138,8 +238,7 @@
     return bilberry::transport::kExitUsage;
   }
   for (int i = 1; i <= count; ++i) {
-    auto standin = EndpointStandin::Create(reactor, timers, EntryOf(flags, i),
-                                           ModelOf(flags));
+    auto standin = MakeEndpoint(reactor, timers, flags, i);
     if (!standin) {
       std::cerr << "endpointstandin: " << ToText(standin.error()) << "\n";
       return 3;
@@ -186,6 +285,18 @@
       cxxopts::value<int>()->default_value("2"));
   add("reports-load", "Tell the load with each answer",
       cxxopts::value<bool>()->default_value("false"));
+  add("model-batch-percent", "What each further request of a batch adds",
+      cxxopts::value<uint32_t>()->default_value("0"));
+  add("model-kilobyte-us", "Time for each KiB of the body",
+      cxxopts::value<int>()->default_value("0"));
+  add("model-resumes", "Go on with streams in the middle",
+      cxxopts::value<bool>()->default_value("true"));
+  add("model-crash-mark", "Text of bodies that kill the endpoint",
+      cxxopts::value<std::string>()->default_value(""));
+  add("model-restart-ms", "How long it is dead then",
+      cxxopts::value<int>()->default_value("3000"));
+  add("links", "Put a link that can be cut before each endpoint",
+      cxxopts::value<bool>()->default_value("false"));
   add("platform-ip", "Where the platform's stand-in is",
       cxxopts::value<std::string>());
   add("platform-control-port", "Its port of orders",
--- /dev/null
+++ b/Utilities/bilberryload/experiment_command.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <cxxopts.hpp>
+
+namespace bilberry::load {
+
+void AddExperimentFlags(cxxopts::Options& options);
+
+// `experiment list`, `experiment NAME` against running processes, and
+// `experiment NAME --compare`; gives the exit code.
+int RunExperiment(const cxxopts::ParseResult& flags);
+
+}  // namespace bilberry::load
--- a/Utilities/bilberryload/main.cc
+++ b/Utilities/bilberryload/main.cc
@@ -5,6 +5,7 @@
 
 #include "LibTransport/json_text.h"
 #include "LibTransport/program.h"
+#include "experiment_command.h"
 #include "load_generator.h"
 
 namespace {
@@ -34,6 +35,7 @@
       cxxopts::value<uint64_t>()->default_value("1000"));
   add("callers", "Callers at once",
       cxxopts::value<uint32_t>()->default_value("1"));
+  bilberry::load::AddExperimentFlags(options);
   return options;
 }
 
@@ -86,6 +88,8 @@
 }
 
 int Run(const cxxopts::ParseResult& flags) {
+  if (flags.count("command") > 0)
+    return bilberry::load::RunExperiment(flags);
   LoadPlan plan;
   if (!FillPlan(flags, plan))
     return bilberry::transport::kExitUsage;
