--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -211,7 +211,7 @@
     return;
   }
   if (!active->has_answer_begun)
-    stage_times_.Record(KeyOf(active->run.stage()),
+    usual_times_.Record(KeyOf(active->run.stage()),
                         now - active->run.attempt_began());
   active->has_answer_begun = true;
   active->has_stream_begun = true;
@@ -250,7 +250,7 @@
     return;
   }
   if (!active->has_answer_begun)
-    stage_times_.Record(KeyOf(active->run.stage()),
+    usual_times_.Record(KeyOf(active->run.stage()),
                         now - active->run.attempt_began());
   ReportAttempt(*active, AttemptVerdict::kSucceeded, answer.reported_load, now);
   attempts_.erase(answer.attempt.number);
@@ -361,7 +361,7 @@
 base::TimePoint RunCoordinator::GiveUpTime(const ActiveRun& active) const {
   const declare::Stage& stage = active.run.stage();
   return active.run.attempt_began() +
-         stage_times_.LimitOf(KeyOf(stage), stage.expected);
+         usual_times_.LimitOf(KeyOf(stage), stage.expected);
 }
 
 void RunCoordinator::GiveUpSlowAttempts(base::TimePoint now) {
@@ -371,11 +371,11 @@
     ActiveRun* active =
         FindByAttempt(base::AttemptId{context_.incarnation(), number});
     if (active != nullptr && !active->has_answer_begun)
-      GiveUp(*active, now);
+      GiveUpAttempt(*active, now);
   }
 }
 
-void RunCoordinator::GiveUp(ActiveRun& active, base::TimePoint now) {
+void RunCoordinator::GiveUpAttempt(ActiveRun& active, base::TimePoint now) {
   AttemptFailure failure;
   failure.verdict = AttemptVerdict::kTimedOut;
   // Whether the endpoint or the connection is at fault isn't known yet; on new
--- a/Libraries/LibNode/run_coordinator.h
+++ b/Libraries/LibNode/run_coordinator.h
@@ -18,10 +18,10 @@
 #include "LibNode/membership_coordinator.h"
 #include "LibNode/node_context.h"
 #include "LibPipeline/run.h"
+#include "LibPolicy/attempt_limits.h"
 #include "LibPolicy/pool_scheduler.h"
 #include "LibPolicy/quarantine.h"
 #include "LibPolicy/retry_budget.h"
-#include "LibPolicy/stage_times.h"
 
 namespace bilberry::node {
 
@@ -126,7 +126,7 @@
              const AttemptFailure& failure,
              base::TimePoint now);
   // Gives up an attempt that takes far longer than usual, if it may be retried.
-  void GiveUp(ActiveRun& active, base::TimePoint now);
+  void GiveUpAttempt(ActiveRun& active, base::TimePoint now);
   void GiveUpSlowAttempts(base::TimePoint now);
   // Ends a stream whose rest can't be had from where the caller has it.
   void EndUnresumed(ActiveRun& active, base::TimePoint now);
@@ -171,7 +171,7 @@
   std::set<std::pair<base::TimePoint, base::RunId>> deadlines_;
   // When to give up which attempt, by its number.
   std::set<std::pair<base::TimePoint, uint64_t>> attempt_limits_;
-  policy::StageTimes stage_times_;
+  policy::AttemptLimits usual_times_;
   std::map<base::PoolName, policy::PoolScheduler> pools_;
   std::map<base::PoolName, policy::RetryBudget> retry_budgets_;
   policy::Quarantine quarantine_;
--- a/Libraries/LibPolicy/stage_times.cc
+++ b/Libraries/LibPolicy/attempt_limits.cc
@@ -1,4 +1,4 @@
-#include "LibPolicy/stage_times.h"
+#include "LibPolicy/attempt_limits.h"
 
 #include <algorithm>
 
@@ -14,9 +14,9 @@
 
 }  // namespace
 
-void StageTimes::Record(const StageKey& stage, base::Duration time) {
+void AttemptLimits::Record(const StageKey& stage, base::Duration time) {
   // Paths of former configurations; those in use are learned anew.
-  if (estimates_.size() >= kMaxStageTimes && !estimates_.contains(stage))
+  if (estimates_.size() >= kMaxAttemptLimits && !estimates_.contains(stage))
     estimates_.clear();
   const auto [it, is_first] =
       estimates_.try_emplace(stage, Estimate{time, time / 2});
@@ -29,8 +29,8 @@
   estimate.mean += error / kMeanShare;
 }
 
-base::Duration StageTimes::LimitOf(const StageKey& stage,
-                                   base::Duration declared) const {
+base::Duration AttemptLimits::LimitOf(const StageKey& stage,
+                                      base::Duration declared) const {
   const auto it = estimates_.find(stage);
   const base::Duration usual_at_most =
       it == estimates_.end()
--- a/Libraries/LibPolicy/stage_times.h
+++ b/Libraries/LibPolicy/attempt_limits.h
@@ -15,7 +15,7 @@
 inline constexpr int kUnmeasuredFactor = 3;
 // No attempt is given up sooner.
 inline constexpr std::chrono::milliseconds kShortestAttemptLimit{100};
-inline constexpr size_t kMaxStageTimes = 4096;
+inline constexpr size_t kMaxAttemptLimits = 4096;
 
 // Stages that do the same work: one path of one pool.
 struct StageKey {
@@ -27,7 +27,7 @@
 
 // Learns how long the endpoints take until a stage's first byte, as RFC 6298
 // does for TCP: by the mean and the mean deviation.
-class StageTimes {
+class AttemptLimits {
  public:
   void Record(const StageKey& stage, base::Duration time);
 
--- a/Tests/LibNode/test_silent_connections.cc
+++ b/Tests/LibNode/test_silent_connections.cc
@@ -1,8 +1,8 @@
 #include <doctest/doctest.h>
 
 #include "Fakes/node_harness.h"
+#include "LibPolicy/attempt_limits.h"
 #include "LibPolicy/retry_budget.h"
-#include "LibPolicy/stage_times.h"
 
 namespace bilberry::node {
 namespace {
--- a/Tests/LibPolicy/test_stage_times.cc
+++ b/Tests/LibPolicy/test_attempt_limits.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "LibPolicy/stage_times.h"
+#include "LibPolicy/attempt_limits.h"
 
 namespace bilberry::policy {
 namespace {
@@ -13,14 +13,14 @@
 TEST_SUITE_BEGIN("policy");
 
 TEST_CASE("an unmeasured stage goes by its declared time") {
-  const StageTimes times;
+  const AttemptLimits times;
   CHECK(times.LimitOf(kGenerate, kDeclared) ==
         kDeclared * kUnmeasuredFactor * kAttemptLimitFactor);
   CHECK(times.LimitOf(kGenerate, milliseconds(1)) == kShortestAttemptLimit);
 }
 
 TEST_CASE("the limit follows what a stage takes, both ways") {
-  StageTimes times;
+  AttemptLimits times;
   for (int i = 0; i < 100; ++i)
     times.Record(kGenerate, milliseconds(200));
   const base::Duration steady = times.LimitOf(kGenerate, kDeclared);
@@ -37,7 +37,7 @@
 }
 
 TEST_CASE("paths and pools are told apart") {
-  StageTimes times;
+  AttemptLimits times;
   times.Record(kGenerate, milliseconds(5000));
   CHECK(times.LimitOf({{"engines"}, "/encode"}, milliseconds(10)) ==
         kShortestAttemptLimit);
