--- a/Libraries/LibNode/event.h
+++ b/Libraries/LibNode/event.h
@@ -33,6 +33,8 @@
   base::AttemptId attempt;
   std::string echoed_attempt;
   std::string bytes;
+  // Where the answer goes on, when the rest of a stream was asked for.
+  std::optional<uint64_t> resumed_from = std::nullopt;
 };
 
 // The end of an endpoint's answer, well framed (RFC 9112 section 8).
@@ -43,6 +45,7 @@
   bool said_not_run = false;
   bool said_leaving = false;
   std::optional<uint32_t> reported_load;
+  std::optional<uint64_t> resumed_from;
   std::string body;  // Empty for a streamed answer.
 };
 
@@ -53,6 +56,12 @@
 
 enum class ConnectionAge { kFresh, kReused };
 
+// The attempt's request goes out now, over a connection of this age.
+struct EndpointSending {
+  base::AttemptId attempt;
+  ConnectionAge connection = ConnectionAge::kFresh;
+};
+
 struct EndpointFailure {
   base::AttemptId attempt;
   EndpointFailureKind kind = EndpointFailureKind::kBroken;
@@ -92,6 +101,7 @@
 
 using Event = std::variant<CallerRequest,
                            CallerLeft,
+                           EndpointSending,
                            EndpointChunk,
                            EndpointAnswer,
                            EndpointFailure,
--- a/Libraries/LibNode/peer_message.h
+++ b/Libraries/LibNode/peer_message.h
@@ -8,6 +8,7 @@
 #include "LibBase/ids.h"
 #include "LibBooking/settlement.h"
 #include "LibMembership/leaving_marks.h"
+#include "LibPolicy/quarantine.h"
 
 // What entry hosts tell each other; each is a JSON-RPC method or its result.
 namespace bilberry::node {
@@ -31,6 +32,8 @@
   base::Revision revision{};
   std::vector<LeavingMark> leaving;
   std::vector<std::string> quarantined;  // Digests of requests.
+  // Requests in flight at endpoints that the sender saw die.
+  std::vector<policy::Suspicion> suspected;
   std::vector<PoolShare> shares;
 
   friend bool operator==(const Digest&, const Digest&) = default;
--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -27,6 +27,7 @@
 constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
+constexpr int kUnprocessable = 422;
 // How long a sent booking's attempt stays open after its deadline.
 constexpr std::chrono::seconds kBookingLinger{30};
 constexpr size_t kMaxLingering = 1024;
@@ -35,6 +36,20 @@
   return status >= 200 && status < 300;
 }
 
+// A stream begun anew may differ from the part that the caller has.
+bool IsUnresumed(uint64_t wanted, std::optional<uint64_t> resumed_from) {
+  return wanted > 0 && resumed_from != wanted;
+}
+
+CallerError QuarantinedError() {
+  return {"quarantined", Step::kAdmission, "",
+          "endpoints died while they ran this request", std::nullopt};
+}
+
+policy::StageKey KeyOf(const declare::Stage& stage) {
+  return {stage.pool, stage.path};
+}
+
 // A 4xx tells the caller about its request, except for those that are about the
 // moment (RFC 9110 section 15.5.9, RFC 8470 section 5.2, RFC 6585 section 4).
 bool IsDefiniteRefusal(int status) {
@@ -114,12 +129,17 @@
     pipeline::RunRequest checked,
     const std::shared_ptr<const declare::Configuration>& configuration,
     base::TimePoint now) {
+  std::string digest = pipeline::DigestOf(checked);
+  if (IsQuarantined(digest, now)) {
+    Refuse(request.caller, kUnprocessable, QuarantinedError());
+    return;
+  }
   const auto* pipeline = configuration->FindPipeline(checked.pipeline);
   const base::RunId id{++last_run_};
   const auto [it, is_new] = runs_.try_emplace(
       id, ActiveRun{pipeline::Run(id, configuration, *pipeline,
                                   std::move(checked), now),
-                    request.caller});
+                    request.caller, std::move(digest)});
   ActiveRun& active = it->second;
   callers_.emplace(request.caller, id);
   active.lapses = active.run.deadline();
@@ -130,8 +150,7 @@
   }
   active.phase = Phase::kClaiming;
   const pipeline::RunRequest& asked = active.run.request();
-  bookings_.Begin(id, {asked.team, *asked.idempotency_key},
-                  pipeline::DigestOf(asked), now);
+  bookings_.Begin(id, {asked.team, *asked.idempotency_key}, active.digest, now);
 }
 
 policy::AdmissionDecision RunCoordinator::DecideAdmission(
@@ -177,6 +196,7 @@
   work.deadline = run.deadline();
   work.progress = run.stage_index() == 0 ? policy::Progress::kNew
                                          : policy::Progress::kUnderWay;
+  work.avoided = active.avoided;
   work.affinity = AffinityOf(run.request());
   active.phase = Phase::kQueued;
   const auto outcome = PoolOf(run).Offer(std::move(work), now);
@@ -220,14 +240,23 @@
   const base::AttemptId attempt{context_.incarnation(), ++last_attempt_};
   active.run.BeginAttempt(attempt, dispatch.endpoint, now);
   active.phase = Phase::kSent;
+  if (active.tries == 0)
+    retry_budgets_[active.run.stage().pool].NoteFirstTry();
+  ++active.tries;
   attempts_.emplace(attempt.number, dispatch.run);
   const declare::Stage& stage = active.run.stage();
+  active.connection = ConnectionAge::kFresh;
+  active.has_answer_begun = false;
+  active.resume_offset = active.streamed_bytes;
+  if (MayGiveUp(active))
+    attempt_limits_.emplace(GiveUpTime(active), attempt.number);
   const bool is_repeatable =
       stage.repeatability == declare::Repeatability::kRepeatable;
   context_.Emit(SendToEndpoint{
       attempt, target->address, stage.path, active.run.input(), stage.delivery,
       is_repeatable ? ConnectionUse::kPooled : ConnectionUse::kFresh,
-      is_repeatable ? std::nullopt : active.run.request().idempotency_key});
+      is_repeatable ? std::nullopt : active.run.request().idempotency_key,
+      active.resume_offset});
 }
 
 RunCoordinator::ActiveRun* RunCoordinator::FindByAttempt(
@@ -239,13 +268,29 @@
   return it == runs_.end() ? nullptr : &it->second;
 }
 
-void RunCoordinator::HandleChunk(const EndpointChunk& chunk) {
+void RunCoordinator::HandleSending(const EndpointSending& sending) {
+  ActiveRun* active = FindByAttempt(sending.attempt);
+  if (active != nullptr)
+    active->connection = sending.connection;
+}
+
+void RunCoordinator::HandleChunk(const EndpointChunk& chunk,
+                                 base::TimePoint now) {
   ActiveRun* active = FindByAttempt(chunk.attempt);
   // A mismatched stream is ended by its EndpointAnswer.
   if (active == nullptr || active->is_lingering ||
       chunk.echoed_attempt != base::ToText(chunk.attempt))
     return;
+  if (IsUnresumed(active->resume_offset, chunk.resumed_from)) {
+    EndUnresumed(*active, now);
+    return;
+  }
+  if (!active->has_answer_begun)
+    usual_times_.Record(KeyOf(active->run.stage()),
+                        now - active->run.attempt_began());
+  active->has_answer_begun = true;
   active->has_stream_begun = true;
+  active->streamed_bytes += chunk.bytes.size();
   context_.Emit(StreamToCaller{active->caller, RequestIdOf(active->run.id()),
                                chunk.bytes});
 }
@@ -267,36 +312,57 @@
   }
   if (answer.echoed_attempt != base::ToText(answer.attempt)) {
     context_.Log(base::LogEventId::kAnswerMismatched, endpoint.value);
-    FailAttempt(*active, AttemptEffect::kUnknown, AttemptVerdict::kFailed,
-                {"answer_mismatched", Step::kEndpointCall, endpoint.value,
-                 "the endpoint answered another attempt", std::nullopt},
-                now);
+    FailAttempt(
+        *active,
+        {.error = {"answer_mismatched", Step::kEndpointCall, endpoint.value,
+                   "the endpoint answered another attempt", std::nullopt}},
+        now);
     return;
   }
+  quarantine_.NoteAnswer(endpoint, active->run.attempt_began(), now);
   if (IsDefiniteRefusal(answer.status)) {
     PassOnRefusal(*active, answer, now);
     return;
   }
   if (!IsSuccess(answer.status)) {
-    const bool did_not_run = answer.said_not_run;
-    FailAttempt(
-        *active, did_not_run ? AttemptEffect::kNotRun : AttemptEffect::kUnknown,
-        did_not_run ? AttemptVerdict::kRefusedNotRun : AttemptVerdict::kFailed,
-        {"endpoint_failed", Step::kEndpointCall, endpoint.value,
-         "the endpoint answered with status " + std::to_string(answer.status),
-         kRetryAfterFailure},
-        now);
+    FailAttempt(*active, FailureOf(answer, endpoint), now);
+    return;
+  }
+  if (IsUnresumed(active->resume_offset, answer.resumed_from)) {
+    EndUnresumed(*active, now);
     return;
   }
+  if (!active->has_answer_begun)
+    usual_times_.Record(KeyOf(active->run.stage()),
+                        now - active->run.attempt_began());
   ReportAttempt(*active, AttemptVerdict::kSucceeded, answer.reported_load, now);
   attempts_.erase(answer.attempt.number);
   const auto acceptance = active->run.AcceptAnswer(answer.attempt, answer.body);
+  active->tries = 0;
+  active->avoided.clear();
   if (acceptance == pipeline::Acceptance::kNextStage)
     OfferStage(*active, now);
   else if (acceptance == pipeline::Acceptance::kFinished)
     Succeed(*active, now);
 }
 
+RunCoordinator::AttemptFailure RunCoordinator::FailureOf(
+    const EndpointAnswer& answer,
+    const base::EndpointName& endpoint) {
+  AttemptFailure failure;
+  if (answer.said_not_run) {
+    failure.effect = AttemptEffect::kNotRun;
+    failure.verdict = AttemptVerdict::kRefusedNotRun;
+  }
+  if (answer.said_not_run && answer.said_leaving)
+    failure.retry = RetryRule::kFree;
+  failure.error = {
+      "endpoint_failed", Step::kEndpointCall, endpoint.value,
+      "the endpoint answered with status " + std::to_string(answer.status),
+      kRetryAfterFailure};
+  return failure;
+}
+
 void RunCoordinator::HandleFailure(const EndpointFailure& failure,
                                    base::TimePoint now) {
   ActiveRun* active = FindByAttempt(failure.attempt);
@@ -304,6 +370,8 @@
     return;
   const bool was_unreachable =
       failure.kind == EndpointFailureKind::kUnreachable;
+  if (!was_unreachable)
+    quarantine_.NoteBreak(active->digest, active->run.attempt_endpoint(), now);
   if (active->is_lingering) {
     EndLinger(*active,
               was_unreachable ? BookingOutcome(BookingDidNotRun{})
@@ -311,14 +379,18 @@
               now);
     return;
   }
-  const std::string endpoint = active->run.attempt_endpoint().value;
-  FailAttempt(
-      *active,
-      was_unreachable ? AttemptEffect::kNotRun : AttemptEffect::kUnknown,
-      was_unreachable ? AttemptVerdict::kUnreachable : AttemptVerdict::kFailed,
-      {was_unreachable ? "endpoint_unreachable" : "endpoint_broke_off",
-       Step::kEndpointCall, endpoint, failure.detail, kRetryAfterFailure},
-      now);
+  AttemptFailure failed;
+  if (was_unreachable) {
+    failed.effect = AttemptEffect::kNotRun;
+    failed.verdict = AttemptVerdict::kUnreachable;
+  }
+  failed.error = {
+      was_unreachable ? "endpoint_unreachable" : "endpoint_broke_off",
+      Step::kEndpointCall, active->run.attempt_endpoint().value, failure.detail,
+      kRetryAfterFailure};
+  const std::string digest = active->digest;
+  FailAttempt(*active, std::move(failed), now);
+  EndQuarantined(digest, now);
 }
 
 void RunCoordinator::ReportAttempt(const ActiveRun& active,
@@ -334,17 +406,151 @@
 }
 
 void RunCoordinator::FailAttempt(ActiveRun& active,
-                                 AttemptEffect effect,
-                                 AttemptVerdict verdict,
-                                 CallerError error,
+                                 AttemptFailure failure,
                                  base::TimePoint now) {
   const base::AttemptId attempt = *active.run.attempt();
-  ReportAttempt(active, verdict, std::nullopt, now);
+  ReportAttempt(active, failure.verdict, std::nullopt, now);
   attempts_.erase(attempt.number);
-  active.run.FailAttempt(attempt, effect);
+  active.run.FailAttempt(attempt, failure.effect);
+  const CallerError& error = failure.error;
   context_.Log(base::LogEventId::kAttemptFailed,
                error.peer + ": " + error.code + ": " + error.message);
-  Fail(active, kBadGateway, std::move(error), now);
+  active.avoided.push_back(active.run.attempt_endpoint());
+  if (IsQuarantined(active.digest, now)) {
+    context_.Log(base::LogEventId::kRequestQuarantined, active.digest);
+    Fail(active, kUnprocessable, QuarantinedError(), now);
+    return;
+  }
+  if (!MayRetry(active, failure, now)) {
+    Fail(active, kBadGateway, std::move(failure.error), now);
+    return;
+  }
+  Retry(active, failure, now);
+}
+
+void RunCoordinator::Retry(ActiveRun& active,
+                           const AttemptFailure& failure,
+                           base::TimePoint now) {
+  if (failure.retry == RetryRule::kFromBudget)
+    retry_budgets_[active.run.stage().pool].TryTake();
+  OfferStage(active, now);
+}
+
+bool RunCoordinator::MayGiveUp(const ActiveRun& active) const {
+  return context_.policy() == policy::PolicyKind::kPresent &&
+         active.run.stage().repeatability ==
+             declare::Repeatability::kRepeatable &&
+         GiveUpTime(active) < active.run.deadline();
+}
+
+base::TimePoint RunCoordinator::GiveUpTime(const ActiveRun& active) const {
+  const declare::Stage& stage = active.run.stage();
+  return active.run.attempt_began() +
+         usual_times_.LimitOf(KeyOf(stage), stage.expected);
+}
+
+void RunCoordinator::GiveUpSlowAttempts(base::TimePoint now) {
+  while (!attempt_limits_.empty() && attempt_limits_.begin()->first <= now) {
+    const uint64_t number = attempt_limits_.begin()->second;
+    attempt_limits_.erase(attempt_limits_.begin());
+    ActiveRun* active =
+        FindByAttempt(base::AttemptId{context_.incarnation(), number});
+    if (active != nullptr && !active->has_answer_begun && !active->is_lingering)
+      GiveUpAttempt(*active, now);
+  }
+}
+
+void RunCoordinator::GiveUpAttempt(ActiveRun& active, base::TimePoint now) {
+  AttemptFailure failure;
+  failure.verdict = AttemptVerdict::kTimedOut;
+  // Whether the endpoint or the connection is at fault isn't known yet; on new
+  // connections, a slow endpoint shows.
+  if (active.connection == ConnectionAge::kReused) {
+    CondemnConnections(active);
+    failure.verdict = AttemptVerdict::kCancelled;
+    failure.place = RetryPlace::kAnyEndpoint;
+  }
+  const base::EndpointName endpoint = active.run.attempt_endpoint();
+  if (failure.place == RetryPlace::kOtherEndpoint)
+    active.avoided.push_back(endpoint);
+  // Without a retry, the answer may still come by the deadline.
+  if (!MayRetry(active, failure, now))
+    return;
+  context_.Log(base::LogEventId::kAttemptGivenUp, endpoint.value);
+  CancelAttempt(active, failure.verdict, now);
+  Retry(active, failure, now);
+}
+
+void RunCoordinator::EndUnresumed(ActiveRun& active, base::TimePoint now) {
+  const std::string endpoint = active.run.attempt_endpoint().value;
+  CancelAttempt(active, AttemptVerdict::kCancelled, now);
+  Fail(active, kBadGateway,
+       {"stream_not_resumed", Step::kEndpointCall, endpoint,
+        "the endpoint can't give the rest of a broken stream",
+        kRetryAfterFailure},
+       now);
+}
+
+void RunCoordinator::CondemnConnections(const ActiveRun& active) {
+  const base::EndpointName& endpoint = active.run.attempt_endpoint();
+  const auto* target = PoolOf(active.run).FindEndpoint(endpoint);
+  if (target == nullptr)
+    return;
+  context_.Log(base::LogEventId::kConnectionsCondemned, endpoint.value);
+  context_.Emit(node::CondemnConnections{target->address});
+}
+
+bool RunCoordinator::MayRetry(const ActiveRun& active,
+                              const AttemptFailure& failure,
+                              base::TimePoint now) const {
+  if (context_.policy() == policy::PolicyKind::kBaseline)
+    return false;
+  const declare::Stage& stage = active.run.stage();
+  const bool is_safe =
+      failure.effect == AttemptEffect::kNotRun ||
+      stage.repeatability == declare::Repeatability::kRepeatable;
+  if (!is_safe)
+    return false;
+  if (now + stage.expected > active.run.deadline())
+    return false;
+  if (failure.place == RetryPlace::kOtherEndpoint && !HasOtherEndpoint(active))
+    return false;
+  switch (failure.retry) {
+    case RetryRule::kFromBudget: {
+      const auto budget = retry_budgets_.find(stage.pool);
+      return budget != retry_budgets_.end() && budget->second.HasOne();
+    }
+    case RetryRule::kFree:
+      return true;
+  }
+  return false;
+}
+
+bool RunCoordinator::HasOtherEndpoint(const ActiveRun& active) const {
+  const auto live = membership_.hosts().LiveEndpoints(active.run.stage().pool);
+  return std::ranges::any_of(live, [&](const base::HostEntry& entry) {
+    const base::EndpointName name{entry.name};
+    return std::ranges::find(active.avoided, name) == active.avoided.end();
+  });
+}
+
+bool RunCoordinator::IsQuarantined(const std::string& digest,
+                                   base::TimePoint now) {
+  return context_.policy() == policy::PolicyKind::kPresent &&
+         quarantine_.IsRefused(digest, now);
+}
+
+void RunCoordinator::EndQuarantined(const std::string& digest,
+                                    base::TimePoint now) {
+  if (!IsQuarantined(digest, now))
+    return;
+  std::vector<base::RunId> waiting;
+  for (const auto& [id, active] : runs_) {
+    if (active.phase == Phase::kQueued && active.digest == digest)
+      waiting.push_back(id);
+  }
+  for (const base::RunId id : waiting)
+    Fail(runs_.at(id), kUnprocessable, QuarantinedError(), now);
 }
 
 void RunCoordinator::CancelAttempt(ActiveRun& active,
@@ -407,6 +613,8 @@
 }
 
 void RunCoordinator::HandleTimer(base::TimePoint now) {
+  quarantine_.Advance(now);
+  GiveUpSlowAttempts(now);
   while (!deadlines_.empty() && deadlines_.begin()->first <= now)
     Lapse(runs_.at(deadlines_.begin()->second), now);
 }
@@ -515,6 +723,7 @@
 }
 
 void RunCoordinator::Succeed(ActiveRun& active, base::TimePoint now) {
+  quarantine_.Clear(active.digest);
   if (active.run.pipeline().IsAtMostOnce()) {
     Record(active, {200, active.run.input()}, now);
     return;
@@ -586,6 +795,14 @@
 }
 
 void RunCoordinator::HandleDigest(const Digest& digest, base::TimePoint now) {
+  for (const policy::Suspicion& suspicion : digest.suspected) {
+    quarantine_.HearSuspicion(suspicion, now);
+    EndQuarantined(suspicion.request, now);
+  }
+  for (const std::string& request : digest.quarantined) {
+    quarantine_.HearRefused(request, now);
+    EndQuarantined(request, now);
+  }
   for (const PoolShare& share : digest.shares) {
     const auto it = pools_.find(share.pool);
     if (it != pools_.end())
@@ -594,6 +811,8 @@
 }
 
 void RunCoordinator::FillDigest(Digest& digest) const {
+  digest.suspected = quarantine_.SuspicionsToTell();
+  digest.quarantined = quarantine_.RefusalsToTell();
   for (const policy::PoolLoad& load : Loads())
     digest.shares.push_back({load.pool, load.in_flight, load.queued});
 }
@@ -658,6 +877,9 @@
   std::optional<base::TimePoint> next;
   if (!deadlines_.empty())
     next = deadlines_.begin()->first;
+  if (!attempt_limits_.empty() &&
+      (!next || attempt_limits_.begin()->first < *next))
+    next = attempt_limits_.begin()->first;
   for (const auto& [name, pool] : pools_) {
     const auto wakeup = pool.NextWakeup();
     if (wakeup && (!next || *wakeup < *next))
--- a/Libraries/LibNode/run_coordinator.h
+++ b/Libraries/LibNode/run_coordinator.h
@@ -19,7 +19,10 @@
 #include "LibNode/node_context.h"
 #include "LibPipeline/run.h"
 #include "LibPolicy/admission.h"
+#include "LibPolicy/attempt_limits.h"
 #include "LibPolicy/pool_scheduler.h"
+#include "LibPolicy/quarantine.h"
+#include "LibPolicy/retry_budget.h"
 
 namespace bilberry::node {
 
@@ -33,7 +36,8 @@
 
   void HandleRequest(const CallerRequest& request, base::TimePoint now);
   void HandleCallerLeft(base::CallerId caller, base::TimePoint now);
-  void HandleChunk(const EndpointChunk& chunk);
+  void HandleSending(const EndpointSending& sending);
+  void HandleChunk(const EndpointChunk& chunk, base::TimePoint now);
   void HandleAnswer(const EndpointAnswer& answer, base::TimePoint now);
   void HandleFailure(const EndpointFailure& failure, base::TimePoint now);
   void HandleDecision(const BookingDecision& decision, base::TimePoint now);
@@ -67,13 +71,42 @@
   struct ActiveRun {
     pipeline::Run run;
     base::CallerId caller{};
+    std::string digest;  // Of the request.
     Phase phase = Phase::kQueued;
     bool has_stream_begun = false;
+    // Of the present stage: how often it was sent, and where that failed.
+    uint32_t tries = 0;
+    std::vector<base::EndpointName> avoided{};
+    // Of the present attempt.
+    ConnectionAge connection = ConnectionAge::kFresh;
+    bool has_answer_begun = false;
+    uint64_t resume_offset = 0;
+    uint64_t streamed_bytes = 0;  // Given to the caller, of all attempts.
     // Answered at its deadline; the attempt is kept open for the outcome.
     bool is_lingering = false;
     base::TimePoint lapses{};
   };
 
+  enum class RetryRule {
+    kFromBudget,
+    // The endpoint has left the pool and refuses each request only once.
+    kFree,
+  };
+
+  // Where a retry may go.
+  enum class RetryPlace {
+    kOtherEndpoint,
+    kAnyEndpoint,  // The connection was at fault.
+  };
+
+  struct AttemptFailure {
+    pipeline::AttemptEffect effect = pipeline::AttemptEffect::kUnknown;
+    policy::AttemptVerdict verdict = policy::AttemptVerdict::kFailed;
+    RetryRule retry = RetryRule::kFromBudget;
+    RetryPlace place = RetryPlace::kOtherEndpoint;
+    CallerError error;
+  };
+
   using Executed = pipeline::Executed;
   using RunMap = std::unordered_map<base::RunId, ActiveRun>;
 
@@ -96,14 +129,36 @@
                      policy::AttemptVerdict verdict,
                      std::optional<uint32_t> load,
                      base::TimePoint now);
+  static AttemptFailure FailureOf(const EndpointAnswer& answer,
+                                  const base::EndpointName& endpoint);
+  // Sends the stage to another endpoint if it may, else ends the run.
   void FailAttempt(ActiveRun& active,
-                   pipeline::AttemptEffect effect,
-                   policy::AttemptVerdict verdict,
-                   CallerError error,
+                   AttemptFailure failure,
                    base::TimePoint now);
+  // Queues the stage again; requires MayRetry().
+  void Retry(ActiveRun& active,
+             const AttemptFailure& failure,
+             base::TimePoint now);
+  // Gives up an attempt that takes far longer than usual, if it may be retried.
+  void GiveUpAttempt(ActiveRun& active, base::TimePoint now);
+  void GiveUpSlowAttempts(base::TimePoint now);
+  // Ends a stream whose rest can't be had from where the caller has it.
+  void EndUnresumed(ActiveRun& active, base::TimePoint now);
+  void CondemnConnections(const ActiveRun& active);
+  bool MayGiveUp(const ActiveRun& active) const;
+  base::TimePoint GiveUpTime(const ActiveRun& active) const;
+  bool MayRetry(const ActiveRun& active,
+                const AttemptFailure& failure,
+                base::TimePoint now) const;
+  // Whether a live endpoint has not failed the present stage yet.
+  bool HasOtherEndpoint(const ActiveRun& active) const;
   void CancelAttempt(ActiveRun& active,
                      policy::AttemptVerdict verdict,
                      base::TimePoint now);
+  // Whether this host refuses the request because of the endpoints it crashed.
+  bool IsQuarantined(const std::string& digest, base::TimePoint now);
+  // Ends the runs of a request that is refused by now and still waits.
+  void EndQuarantined(const std::string& digest, base::TimePoint now);
   void Lapse(ActiveRun& active, base::TimePoint now);
   // Answers a sent booking's caller, and leaves its attempt open for a while.
   void Linger(ActiveRun& active, base::TimePoint now);
@@ -147,7 +202,12 @@
   std::unordered_map<base::CallerId, base::RunId> callers_;
   std::unordered_map<uint64_t, base::RunId> attempts_;  // By attempt number.
   std::set<std::pair<base::TimePoint, base::RunId>> deadlines_;
+  // When to give up which attempt, by its number.
+  std::set<std::pair<base::TimePoint, uint64_t>> attempt_limits_;
+  policy::AttemptLimits usual_times_;
   std::map<base::PoolName, policy::PoolScheduler> pools_;
+  std::map<base::PoolName, policy::RetryBudget> retry_budgets_;
+  policy::Quarantine quarantine_;
   std::weak_ptr<const declare::Configuration> present_configuration_;
   // Those before it; each is kept alive by the runs that began under it.
   std::vector<std::weak_ptr<const declare::Configuration>>
--- a/Libraries/LibTransport/peer_codec.cc
+++ b/Libraries/LibTransport/peer_codec.cc
@@ -73,12 +73,26 @@
         RowOf(mark.name, static_cast<Json::UInt64>(mark.incarnation)));
   for (const std::string& request : digest.quarantined)
     out["quarantined"].append(request);
+  for (const policy::Suspicion& suspicion : digest.suspected)
+    out["suspected"].append(RowOf(suspicion.request, suspicion.endpoint.value));
   for (const node::PoolShare& share : digest.shares)
     out["shares"].append(
         RowOf(share.pool.value, share.in_flight, share.queued));
   return out;
 }
 
+bool DecodeSuspected(const Json::Value& value, node::Digest& digest) {
+  if (!IsList(value))
+    return false;
+  for (const Json::Value& row : value) {
+    if (!IsRow(row, 2) || !row[1].isString() ||
+        row[1].asString().size() > kMaxNameBytes)
+      return false;
+    digest.suspected.push_back({row[0].asString(), {row[1].asString()}});
+  }
+  return true;
+}
+
 bool DecodeLists(const Json::Value& value, node::Digest& digest) {
   if (!IsList(value["leaving"]) || !IsList(value["quarantined"]) ||
       !IsList(value["shares"]))
@@ -114,7 +128,8 @@
   digest.host = {value["host"].asString()};
   digest.incarnation = base::Incarnation{value["incarnation"].asUInt64()};
   digest.revision = base::Revision{value["revision"].asUInt64()};
-  if (!DecodeLists(value, digest))
+  if (!DecodeLists(value, digest) ||
+      !DecodeSuspected(value["suspected"], digest))
     return Malformed("a digest's list is malformed or too long");
   return node::PeerMessage(std::move(digest));
 }
