--- a/Libraries/LibNode/entry_node.h
+++ b/Libraries/LibNode/entry_node.h
@@ -38,8 +38,13 @@
   // Lets decisions of one coordinator reach the others.
   void Settle(base::TimePoint now);
   void NoteReadiness();
+  base::Duration LongestDeadline() const;
+  void TellBookingsOfPeers();
+  // Exits once nothing is left to do, at the latest at the stop's deadline.
+  void FinishStop(base::TimePoint now);
   // What other coordinators than membership add to a digest.
   Digest LocalDigest() const;
+  void HandlePeerAnswered(const PeerAnswered& event, base::TimePoint now);
 
   NodeContext context_;
   BookingCoordinator bookings_;
@@ -47,6 +52,7 @@
   RunCoordinator runs_;
   uint64_t seen_changes_ = 0;
   Readiness last_readiness_ = Readiness::kNoConfiguration;
+  std::optional<base::TimePoint> stop_deadline_;
   // Set while the host stops: how long it goes on answering at the least.
   std::optional<base::TimePoint> lingers_until_;
   bool has_exited_ = false;
--- a/Libraries/LibPolicy/pool_scheduler.h
+++ b/Libraries/LibPolicy/pool_scheduler.h
@@ -1,17 +1,28 @@
 #pragma once
 
-#include <map>
 #include <optional>
+#include <unordered_map>
+#include <variant>
 #include <vector>
 
 #include "LibBase/random.h"
 #include "LibDeclare/configuration.h"
+#include "LibPolicy/endpoint_slot.h"
+#include "LibPolicy/fair_queue.h"
 #include "LibPolicy/first_come_queue.h"
+#include "LibPolicy/peer_shares.h"
+#include "LibPolicy/peer_view.h"
+#include "LibPolicy/rank_shares.h"
 #include "LibPolicy/round_robin.h"
+#include "LibPolicy/stage_times.h"
+#include "LibPolicy/two_choices.h"
 #include "LibPolicy/work.h"
 
 namespace bilberry::policy {
 
+// Work that may wait for one pool at one entry host.
+inline constexpr size_t kMaxQueued = 10'000;
+
 // The load of one pool as this host sees it.
 struct PoolLoad {
   base::PoolName pool;
@@ -30,14 +41,14 @@
                 uint64_t seed);
 
   // Takes on changed sizes and rules; work that waits is kept.
-  void Reconfigure(const declare::Pool& pool);
+  void Reconfigure(const declare::Pool& pool, const RankShares& shares);
 
   // Replaces the endpoints that may be given work. What is in flight at one
   // that has gone still ends by Finish().
   void SetEndpoints(const std::vector<EndpointTarget>& endpoints,
                     base::TimePoint now);
 
-  void Offer(Work work, base::TimePoint now);
+  OfferOutcome Offer(Work work, base::TimePoint now);
 
   // Takes back work that waits; false when there is none of that run.
   bool Withdraw(base::RunId run);
@@ -46,6 +57,10 @@
   // empty. Each dispatch is ended by one Finish().
   std::optional<Dispatch> NextDispatch(base::TimePoint now);
 
+  // Runs whose waiting work was dropped, since they can no longer meet their
+  // deadline; empties the list.
+  std::vector<base::RunId> TakeLapsed();
+
   void Finish(const AttemptReport& report, base::TimePoint now);
 
   // Notes what a peer has in flight at this pool, as it told just now.
@@ -53,10 +68,13 @@
                      uint32_t in_flight,
                      base::TimePoint now);
 
-  // How long work of this rank and team would wait if it came now.
-  base::Duration EstimatedWait(declare::Rank rank,
-                               const base::TeamName& team,
-                               base::TimePoint now) const;
+  // How long such work would wait if it came now; zero at the baseline.
+  base::Duration EstimatedWait(const Claim& claim) const;
+
+  // What a stage takes; `declared` until it has been learned.
+  StageEstimate EstimateOf(const StageId& stage,
+                           base::Duration declared,
+                           base::TimePoint now) const;
 
   // When to call NextDispatch() again though nothing else has happened.
   std::optional<base::TimePoint> NextWakeup() const;
@@ -67,25 +85,48 @@
   PoolLoad Load() const;
 
  private:
-  struct EndpointSlot {
-    EndpointTarget target;
-    uint32_t in_flight = 0;
-  };
-
-  struct PeerShare {
-    uint32_t in_flight = 0;
-    base::TimePoint heard;
+  // An attempt that has been sent.
+  struct Call {
+    base::EndpointName endpoint;
+    base::Incarnation incarnation{};
+    StageId stage;
+    base::Duration expected{};
+    double load = 0;  // Of the endpoint when it was sent.
   };
 
-  EndpointSlot* FindSlot(const base::EndpointName& name);
+  using Queue = std::variant<FirstComeQueue, FairQueue>;
+  using Choice = std::variant<RoundRobin, TwoChoices>;
+
+  static Queue MakeQueue(PolicyKind policy);
+  static Choice MakeChoice(PolicyKind policy);
+  // Null when the endpoint or its incarnation has gone.
+  EndpointSlot* SlotOf(const Call& call);
+  PeerView Peers() const;
+  std::optional<size_t> ChooseEndpoint(const Work& work, base::TimePoint now);
+  std::optional<size_t> ChooseInTurn(RoundRobin& turns) const;
+  void NoteLatency(const Call& call,
+                   const AttemptReport& report,
+                   base::TimePoint now);
+  void AdjustLimit(EndpointSlot& slot,
+                   const Call& call,
+                   const AttemptReport& report,
+                   base::TimePoint now);
+  size_t queued() const;
+  // Null when nothing waits.
+  const Work* NextWork(base::TimePoint now);
+  Work PopWork(base::TimePoint now);
 
   declare::Pool pool_;
   base::ZoneName own_zone_;
   base::Random random_;
   std::vector<EndpointSlot> slots_;
-  std::map<base::HostName, PeerShare> peer_shares_;
-  FirstComeQueue queue_;
-  RoundRobin round_robin_;
+  std::unordered_map<base::EndpointName, size_t> slot_indices_;
+  double limit_sum_ = 0;  // Of all endpoints.
+  PeerShares peer_shares_;
+  Queue queue_;
+  Choice choice_;
+  std::unordered_map<base::RunId, Call> calls_;
+  StageTimes stage_times_;
 };
 
 }  // namespace bilberry::policy
