--- a/Libraries/LibMembership/peer_selector.cc
+++ b/Libraries/LibMembership/peer_selector.cc
@@ -26,7 +26,7 @@
 
 PeerSelector::PeerSelector(base::HostName self,
                            base::ZoneName zone,
-                           base::SocketAddress address,
+                           const base::SocketAddress& address,
                            Addresses seeds)
     : self_(std::move(self)), zone_(std::move(zone)), seeds_(std::move(seeds)) {
   std::erase(seeds_, address);
--- a/Libraries/LibMembership/peer_selector.h
+++ b/Libraries/LibMembership/peer_selector.h
@@ -28,7 +28,7 @@
  public:
   PeerSelector(base::HostName self,
                base::ZoneName zone,
-               base::SocketAddress address,
+               const base::SocketAddress& address,
                std::vector<base::SocketAddress> seeds);
 
   // The list's entry hosts; seeds when it names none, or when nobody listed has
