Tests: Add stops, revivals and late executions to the random faults

The random runs now also stop hosts by plan, start new ones in place of dead ones, and let the service run a call after its connection broke.

--- a/Tests/Fakes/booking_world.cc
+++ b/Tests/Fakes/booking_world.cc
@@ -80,7 +80,7 @@
 
 void BookingWorld::Run(size_t call) {
   BookingCall& it = calls_.at(call);
-  if (it.has_run || it.is_over)
+  if (it.has_run || it.is_refused)
     return;
   ++executions_[*it.sent.idempotency_key];
   it.has_run = true;
@@ -105,6 +105,7 @@
   if (it.is_over || it.has_run)
     return;
   it.is_over = true;
+  it.is_refused = true;
   node::EndpointAnswer answer;
   answer.attempt = it.sent.attempt;
   answer.echoed_attempt = base::ToText(answer.attempt);
@@ -114,6 +115,18 @@
   Collect();
 }
 
+void BookingWorld::FailToConnect(size_t call) {
+  BookingCall& it = calls_.at(call);
+  if (it.is_over || it.has_run)
+    return;
+  it.is_over = true;
+  it.is_refused = true;
+  Tell(call, node::EndpointFailure{it.sent.attempt,
+                                   node::EndpointFailureKind::kUnreachable,
+                                   node::ConnectionAge::kFresh, "refused"});
+  Collect();
+}
+
 void BookingWorld::Break(size_t call) {
   if (calls_.at(call).is_over)
     return;
@@ -134,6 +147,43 @@
     Break(i);
 }
 
+void BookingWorld::CollectExit(size_t host) {
+  const node::Actions others = group_.at(host).TakeOthers();
+  const bool has_exited =
+      std::ranges::any_of(others, [](const node::Action& it) {
+        return std::holds_alternative<node::Exit>(it);
+      });
+  if (!has_exited)
+    return;
+  Kill(host);
+  for (const BookingAsked& asked : asked_) {
+    if (asked.host == host && asked.life == lives_[host] &&
+        asked.answers.empty())
+      violations_.push_back(asked.key + " was unanswered at the host's exit");
+  }
+}
+
+void BookingWorld::OrderStop(size_t host) {
+  group_.at(host).Feed(node::StopOrdered{});
+  Collect();
+}
+
+void BookingWorld::Revive(size_t host) {
+  if (group_.condition(host) != HostCondition::kDead)
+    return;
+  lives_[host] = ++last_life_;
+  frozen_[host] = false;
+  group_.Replace(host, last_life_);
+  Collect();
+}
+
+int BookingWorld::execution_count() const {
+  int sum = 0;
+  for (const auto& [key, count] : executions_)
+    sum += count;
+  return sum;
+}
+
 void BookingWorld::Collect() {
   group_.DeliverPeerCalls();
   for (size_t host = 0; host < kHosts; ++host) {
@@ -147,6 +197,7 @@
       if (it != asked_.end())
         it->answers.push_back(std::move(answer.answer));
     }
+    CollectExit(host);
   }
 }
 
@@ -156,10 +207,7 @@
     group_.at(i).set_mood(PlatformMood::kSound);
     group_.at(i).ApplyLate();
     Thaw(i);
-    if (group_.condition(i) == HostCondition::kDead) {
-      lives_[i] = ++last_life_;
-      group_.Replace(i, last_life_);
-    }
+    Revive(i);
     group_.at(i).ReleaseHeld();
   }
   Collect();
@@ -206,7 +254,7 @@
 }
 
 std::vector<std::string> BookingWorld::Violations() {
-  std::vector<std::string> out;
+  std::vector<std::string> out = violations_;
   for (const auto& [key, count] : executions_) {
     if (count > 1)
       out.push_back(key + " ran " + std::to_string(count) + " times");
--- a/Tests/Fakes/booking_world.h
+++ b/Tests/Fakes/booking_world.h
@@ -25,7 +25,8 @@
   uint64_t life = 0;
   node::SendToEndpoint sent;
   bool has_run = false;
-  bool is_over = false;
+  bool is_refused = false;  // Surely never runs.
+  bool is_over = false;     // The entry host has been told.
 };
 
 // Several entry hosts before a service that counts its executions by key, with
@@ -49,11 +50,16 @@
   void Kill(size_t host) { group_.Kill(host); }
   void Freeze(size_t host);
   void Thaw(size_t host);
+  // Starts a new process in the place of a dead one.
+  void Revive(size_t host);
+  void OrderStop(size_t host);
 
   // What the service does with a call.
   void Run(size_t call);
   void Answer(size_t call);  // Runs it, if it hasn't.
   void RefuseNotRun(size_t call);
+  void FailToConnect(size_t call);
+  // The connection ends; the service may yet run the call.
   void Break(size_t call);
   void AnswerAll();
   void BreakAll();
@@ -65,10 +71,13 @@
   // What does not hold, as it stands after Heal().
   std::vector<std::string> Violations();
 
+  int execution_count() const;
+
  private:
   bool CanHear(const BookingCall& call) const;
   void Tell(size_t call, node::Event event);
   void Collect();
+  void CollectExit(size_t host);
   void CheckAsked(const BookingAsked& asked, std::vector<std::string>& out);
   std::string AnswerOf(const std::string& key) const { return "ran " + key; }
 
@@ -85,6 +94,7 @@
     node::Event event;
   };
   std::vector<Unheard> unheard_;
+  std::vector<std::string> violations_;  // Seen on the way.
 };
 
 }  // namespace bilberry::fakes
--- a/Tests/LibNode/test_bookings_random.cc
+++ b/Tests/LibNode/test_bookings_random.cc
@@ -17,8 +17,9 @@
 constexpr int kSteps = 24;
 constexpr uint64_t kKeys = 3;
 
-// One run of random faults in a random order. At most one host is killed: an
-// outcome outlives its host, but not its host and the copy's together.
+// One run of random faults in a random order. At most one host is killed or
+// stopped: an outcome outlives its host, but not its host and the copy's
+// together.
 class RandomRun {
  public:
   explicit RandomRun(uint64_t seed) : random_(seed) {}
@@ -30,6 +31,8 @@
     return world_.Violations();
   }
 
+  const BookingWorld& world() const { return world_; }
+
  private:
   size_t RandomHost() { return random_.Below(BookingWorld::kHosts); }
 
@@ -43,7 +46,7 @@
     if (world_.calls().empty())
       return;
     const size_t call = random_.Below(world_.calls().size());
-    switch (random_.Below(5)) {
+    switch (random_.Below(6)) {
       case 0:
         world_.Run(call);
         return;
@@ -53,6 +56,9 @@
       case 2:
         world_.Break(call);
         return;
+      case 3:
+        world_.FailToConnect(call);
+        return;
       default:
         world_.Answer(call);
         return;
@@ -71,11 +77,19 @@
     const size_t host = RandomHost();
     const bool is_running =
         world_.group().condition(host) == HostCondition::kRunning;
-    switch (random_.Below(5)) {
+    switch (random_.Below(7)) {
       case 0:
-        if (is_running && !was_killed_)
+        if (is_running && !has_ended_host_)
           world_.Kill(host);
-        was_killed_ = was_killed_ || is_running;
+        has_ended_host_ = has_ended_host_ || is_running;
+        return;
+      case 3:
+        if (is_running && !has_ended_host_)
+          world_.OrderStop(host);
+        has_ended_host_ = has_ended_host_ || is_running;
+        return;
+      case 4:
+        world_.Revive(host);
         return;
       case 1:
         if (is_running)
@@ -127,24 +141,51 @@
 
   base::Random random_;
   BookingWorld world_;
-  bool was_killed_ = false;
+  bool has_ended_host_ = false;
 };
 
-void CheckSeed(uint64_t seed) {
-  const auto violations = RandomRun(seed).Play();
+// How many answers of each kind were given, to see that all are provoked.
+struct Tally {
+  uint64_t no = 0;
+  uint64_t unknown = 0;
+  uint64_t done = 0;
+  uint64_t executions = 0;
+};
+
+void CheckSeed(uint64_t seed, Tally& tally) {
+  RandomRun run(seed);
+  const auto violations = run.Play();
   for (const std::string& violation : violations)
     FAIL_CHECK("BILBERRY_BOOKING_SEED=" << seed << ": " << violation);
+  CHECK(violations.empty());
+  tally.executions += run.world().execution_count();
+  for (const fakes::BookingAsked& asked : run.world().asked()) {
+    if (asked.answers.empty())
+      continue;
+    const pipeline::Executed executed = asked.answers.front().executed;
+    tally.no += executed == pipeline::Executed::kNo ? 1 : 0;
+    tally.unknown += executed == pipeline::Executed::kUnknown ? 1 : 0;
+    tally.done += executed == pipeline::Executed::kYes ? 1 : 0;
+  }
 }
 
 TEST_SUITE_BEGIN("promise-4");
 
 TEST_CASE("bookings keep their promises under random faults") {
   if (const char* seed = std::getenv("BILBERRY_BOOKING_SEED")) {
-    CheckSeed(std::strtoull(seed, nullptr, 10));
+    Tally tally;
+    CheckSeed(std::strtoull(seed, nullptr, 10), tally);
     return;
   }
+  Tally tally;
   for (uint64_t seed = 1; seed <= kSeeds; ++seed)
-    CheckSeed(seed);
+    CheckSeed(seed, tally);
+  MESSAGE("executions " << tally.executions << ", answered done " << tally.done
+                        << ", not run " << tally.no << ", unknown "
+                        << tally.unknown);
+  for (const uint64_t count :
+       {tally.executions, tally.done, tally.no, tally.unknown})
+    CHECK(count >= kSeeds / 4);
 }
 
 TEST_SUITE_END();
