--- a/Libraries/LibNode/entry_node.cc
+++ b/Libraries/LibNode/entry_node.cc
@@ -7,6 +7,14 @@
 
 namespace bilberry::node {
 
+namespace {
+
+// How long a host that stops goes on answering, so that the balancer learns of
+// it by the readiness and not by refused connections.
+constexpr std::chrono::milliseconds kLinger{2000};
+
+}  // namespace
+
 EntryNode::EntryNode(NodeOptions options)
     : context_(std::move(options)),
       bookings_(context_),
@@ -41,12 +49,9 @@
             if (const auto* digest = std::get_if<Digest>(&it.message))
               runs_.HandleDigest(*digest, now);
             if (!bookings_.HandlePeerRequest(it, now))
-              membership_.HandlePeerRequest(it, now);
-          },
-          [&](const PeerAnswered& it) {
-            if (!bookings_.HandlePeerAnswered(it, now))
-              membership_.HandlePeerAnswered(it, now);
+              membership_.HandlePeerRequest(it, LocalDigest(), now);
           },
+          [&](const PeerAnswered& it) { HandlePeerAnswered(it, now); },
           [&](const PeerFailed& it) {
             if (!bookings_.HandlePeerFailed(it, now))
               membership_.HandlePeerFailed(it, now);
@@ -60,21 +65,40 @@
 void EntryNode::HandleStop(base::TimePoint now) {
   if (!runs_.is_accepting())
     return;
+  lingers_until_ = now + LingerTime();
   context_.Log(base::LogEventId::kStopOrdered, "");
   runs_.StopAccepting();
   stop_deadline_ = now + LongestDeadline();
+  membership_.NoteStopping();
   TellBookingsOfPeers();
   bookings_.HandOver(now);
 }
 
+// A host that serves nobody yet is sent nothing.
+base::Duration EntryNode::LingerTime() const {
+  return std::min<base::Duration>(LongestDeadline(), kLinger);
+}
+
+Digest EntryNode::LocalDigest() const {
+  Digest digest;
+  runs_.FillDigest(digest);
+  return digest;
+}
+
+void EntryNode::HandlePeerAnswered(const PeerAnswered& event,
+                                   base::TimePoint now) {
+  if (bookings_.HandlePeerAnswered(event, now))
+    return;
+  const auto* digest = std::get_if<Digest>(&event.message);
+  if (membership_.HandlePeerAnswered(event, now) && digest != nullptr)
+    runs_.HandleDigest(*digest, now);
+}
+
 base::Duration EntryNode::LongestDeadline() const {
-  base::Duration longest{0};
   const auto configuration = membership_.configuration();
   if (!configuration)
-    return longest;
-  for (const declare::Pipeline& pipeline : configuration->pipelines)
-    longest = std::max<base::Duration>(longest, pipeline.deadline);
-  return longest;
+    return base::Duration(0);
+  return configuration->LongestDeadline();
 }
 
 void EntryNode::TellBookingsOfPeers() {
@@ -95,8 +119,10 @@
 void EntryNode::FinishStop(base::TimePoint now) {
   if (!stop_deadline_ || has_exited_)
     return;
-  const bool is_settled =
-      runs_.run_count() == 0 && bookings_.unsafe_count() == 0;
+  if (lingers_until_ && *lingers_until_ <= now)
+    lingers_until_.reset();
+  const bool is_settled = !lingers_until_ && runs_.run_count() == 0 &&
+                          bookings_.unsafe_count() == 0;
   if (!is_settled && now < *stop_deadline_)
     return;
   has_exited_ = true;
@@ -113,6 +139,8 @@
 void EntryNode::Settle(base::TimePoint now) {
   bookings_.HandleTimer(now);
   membership_.HandleTimer(now);
+  if (membership_.IsRoundDue(now))
+    membership_.TellPeers(LocalDigest(), now);
   runs_.HandleTimer(now);
   if (seen_changes_ != membership_.change_count()) {
     seen_changes_ = membership_.change_count();
@@ -126,6 +154,7 @@
   }
   runs_.DispatchAll(now);
   bookings_.Commit(now);
+  runs_.DropUnusedPools();
   NoteReadiness();
   FinishStop(now);
 }
@@ -148,6 +177,8 @@
     if (wakeup && (!next || *wakeup < *next))
       next = wakeup;
   }
+  if (lingers_until_)
+    next = next ? std::min(*next, *lingers_until_) : lingers_until_;
   return next;
 }
 
--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -1,5 +1,8 @@
 #include "LibNode/run_coordinator.h"
 
+#include <algorithm>
+#include <functional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -19,6 +22,8 @@
 constexpr std::chrono::milliseconds kRetryAfterFull{1000};
 constexpr std::chrono::milliseconds kRetryAfterFailure{1000};
 
+constexpr size_t kAffinityPrefixBytes = 256;
+
 constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -37,6 +42,19 @@
          status != 429;
 }
 
+// Requests of a team's pipeline that begin alike share a prompt prefix.
+uint64_t AffinityOf(const pipeline::RunRequest& request) {
+  const std::string_view prefix =
+      std::string_view(request.body).substr(0, kAffinityPrefixBytes);
+  std::string key = request.team.value;
+  key.append("/").append(request.pipeline.value).append("/").append(prefix);
+  return std::hash<std::string>()(key);
+}
+
+std::chrono::milliseconds ToMilliseconds(base::Duration duration) {
+  return std::chrono::ceil<std::chrono::milliseconds>(duration);
+}
+
 policy::EndpointTarget TargetOf(const base::HostEntry& entry) {
   return {{entry.name}, entry.zone, entry.address, entry.incarnation};
 }
@@ -116,28 +134,84 @@
                   pipeline::DigestOf(asked), now);
 }
 
+policy::AdmissionDecision RunCoordinator::DecideAdmission(
+    const pipeline::Run& run,
+    base::TimePoint now) const {
+  // The baseline takes in whatever comes; a run that has begun is seen through.
+  if (context_.policy() == policy::PolicyKind::kBaseline ||
+      run.stage_index() > 0)
+    return policy::Admitted{};
+  policy::Claim claim{run.request().rank, run.request().team,
+                      run.request().team_weight};
+  std::vector<policy::StageForecast> forecasts;
+  for (const declare::Stage& stage : run.pipeline().stages) {
+    const policy::PoolScheduler& pool = pools_.at(stage.pool);
+    forecasts.push_back({pool.EstimatedWait(claim),
+                         pool.EstimateOf({run.pipeline().name, stage.name},
+                                         stage.expected, now)});
+    claim.progress = policy::Progress::kUnderWay;
+  }
+  return policy::DecideAdmission(forecasts, run.deadline() - now);
+}
+
 void RunCoordinator::OfferStage(ActiveRun& active, base::TimePoint now) {
   const pipeline::Run& run = active.run;
+  // A booking comes here only once its claim is granted: before that, whether
+  // it has run under an earlier request is not known.
+  const auto decision = DecideAdmission(run, now);
+  if (const auto* late = std::get_if<policy::DeadlineUnreachable>(&decision)) {
+    GiveUp(active,
+           {"deadline_unreachable", Step::kAdmission, "",
+            "the deadline can't be met", ToMilliseconds(late->retry_after)},
+           now);
+    return;
+  }
   policy::Work work;
   work.run = run.id();
   work.rank = run.request().rank;
   work.team = run.request().team;
-  work.estimate = run.stage().expected;
+  work.weight = run.request().team_weight;
+  work.stage = {run.pipeline().name, run.stage().name};
+  work.service = PoolOf(run).EstimateOf(work.stage, run.stage().expected, now);
   work.offered = now;
   work.deadline = run.deadline();
   work.progress = run.stage_index() == 0 ? policy::Progress::kNew
                                          : policy::Progress::kUnderWay;
+  work.affinity = AffinityOf(run.request());
   active.phase = Phase::kQueued;
-  PoolOf(run).Offer(std::move(work), now);
+  const auto outcome = PoolOf(run).Offer(std::move(work), now);
+  if (outcome == policy::OfferOutcome::kQueueFull)
+    GiveUp(active,
+           {"too_many_runs", Step::kQueue, "",
+            "too much waits for the pool " + run.stage().pool.value,
+            kRetryAfterFull},
+           now);
 }
 
 void RunCoordinator::DispatchAll(base::TimePoint now) {
   for (auto& [name, pool] : pools_) {
     while (const auto dispatch = pool.NextDispatch(now))
       StartAttempt(*dispatch, pool, now);
+    for (const base::RunId run : pool.TakeLapsed())
+      GiveUp(runs_.at(run),
+             {"deadline_unreachable", Step::kQueue, "",
+              "the deadline can no longer be met", kRetryAfterFailure},
+             now);
   }
 }
 
+// A run that has begun can't be told as refused.
+void RunCoordinator::GiveUp(ActiveRun& active,
+                            CallerError error,
+                            base::TimePoint now) {
+  if (active.run.executed() == Executed::kNo) {
+    Fail(active, kServiceUnavailable, std::move(error), now);
+    return;
+  }
+  error.code = "deadline_exceeded";
+  Fail(active, kGatewayTimeout, std::move(error), now);
+}
+
 void RunCoordinator::StartAttempt(const policy::Dispatch& dispatch,
                                   policy::PoolScheduler& pool,
                                   base::TimePoint now) {
@@ -254,7 +328,7 @@
   const auto it = pools_.find(active.run.stage().pool);
   if (it == pools_.end())
     return;
-  it->second.Finish({active.run.attempt_endpoint(), verdict,
+  it->second.Finish({active.run.id(), active.run.attempt_endpoint(), verdict,
                      now - active.run.attempt_began(), load},
                     now);
 }
@@ -524,15 +598,44 @@
     digest.shares.push_back({load.pool, load.in_flight, load.queued});
 }
 
+void RunCoordinator::NoteConfiguration(
+    const std::shared_ptr<const declare::Configuration>& configuration) {
+  if (present_configuration_.lock() == configuration)
+    return;
+  former_configurations_.push_back(present_configuration_);
+  present_configuration_ = configuration;
+}
+
+bool RunCoordinator::IsPoolDeclared(const base::PoolName& pool) const {
+  const auto declares = [&pool](const auto& configuration) {
+    const auto held = configuration.lock();
+    return held != nullptr && held->FindPool(pool) != nullptr;
+  };
+  return declares(present_configuration_) ||
+         std::any_of(former_configurations_.begin(),
+                     former_configurations_.end(), declares);
+}
+
+void RunCoordinator::DropUnusedPools() {
+  const auto ended = std::erase_if(former_configurations_,
+                                   [](const auto& it) { return it.expired(); });
+  if (ended == 0)
+    return;
+  std::erase_if(pools_,
+                [this](const auto& it) { return !IsPoolDeclared(it.first); });
+}
+
 void RunCoordinator::Refresh(base::TimePoint now) {
   const auto configuration = membership_.configuration();
   if (!configuration)
     return;
+  NoteConfiguration(configuration);
+  const policy::RankShares shares = policy::SharesOf(*configuration);
   for (const declare::Pool& pool : configuration->pools) {
     const auto [it, is_new] =
         pools_.try_emplace(pool.name, pool, context_.settings().zone,
                            context_.policy(), context_.random().Next());
-    it->second.Reconfigure(pool);
+    it->second.Reconfigure(pool, shares);
   }
   // A pool that is no longer declared stays for the runs that began with it.
   for (auto& [name, pool] : pools_) {
--- a/Libraries/LibPolicy/pool_scheduler.cc
+++ b/Libraries/LibPolicy/pool_scheduler.cc
@@ -2,73 +2,233 @@
 
 #include <algorithm>
 
+#include "LibBase/overloaded.h"
+
 namespace bilberry::policy {
 
+namespace {
+
+// Requests at an endpoint, with which it is lightly loaded.
+constexpr double kLightLoad = 1;
+
+}  // namespace
+
 PoolScheduler::PoolScheduler(declare::Pool pool,
                              base::ZoneName own_zone,
-                             PolicyKind /*policy*/,
+                             PolicyKind policy,
                              uint64_t seed)
-    : pool_(std::move(pool)), own_zone_(std::move(own_zone)), random_(seed) {}
+    : pool_(std::move(pool)),
+      own_zone_(std::move(own_zone)),
+      random_(seed),
+      queue_(MakeQueue(policy)),
+      choice_(MakeChoice(policy)) {}
+
+PoolScheduler::Queue PoolScheduler::MakeQueue(PolicyKind policy) {
+  if (policy == PolicyKind::kBaseline)
+    return FirstComeQueue();
+  return FairQueue();
+}
+
+PoolScheduler::Choice PoolScheduler::MakeChoice(PolicyKind policy) {
+  if (policy == PolicyKind::kBaseline)
+    return RoundRobin();
+  return TwoChoices();
+}
 
-void PoolScheduler::Reconfigure(const declare::Pool& pool) {
+void PoolScheduler::Reconfigure(const declare::Pool& pool,
+                                const RankShares& shares) {
   pool_ = pool;
+  if (auto* fair = std::get_if<FairQueue>(&queue_))
+    fair->SetShares(shares);
 }
 
 void PoolScheduler::SetEndpoints(const std::vector<EndpointTarget>& endpoints,
                                  base::TimePoint /*now*/) {
   std::vector<EndpointSlot> slots;
+  std::unordered_map<base::EndpointName, size_t> indices;
   slots.reserve(endpoints.size());
   for (const EndpointTarget& target : endpoints) {
-    EndpointSlot slot{target};
-    const EndpointSlot* old = FindSlot(target.name);
-    if (old != nullptr && old->target.incarnation == target.incarnation)
-      slot.in_flight = old->in_flight;
-    slots.push_back(std::move(slot));
+    const auto old = slot_indices_.find(target.name);
+    indices[target.name] = slots.size();
+    if (old != slot_indices_.end() &&
+        slots_[old->second].target().incarnation == target.incarnation)
+      slots.push_back(std::move(slots_[old->second]));
+    else
+      slots.emplace_back(target, pool_.slots_per_worker);
   }
   slots_ = std::move(slots);
+  limit_sum_ = 0;
+  for (const EndpointSlot& slot : slots_)
+    limit_sum_ += slot.limit().value();
+  slot_indices_ = std::move(indices);
+  if (auto* two = std::get_if<TwoChoices>(&choice_))
+    two->SetEndpoints(slots_, own_zone_);
 }
 
-void PoolScheduler::Offer(Work work, base::TimePoint /*now*/) {
-  queue_.Push(std::move(work));
+OfferOutcome PoolScheduler::Offer(Work work, base::TimePoint /*now*/) {
+  // Services have no cache of prefixes.
+  if (pool_.kind != declare::PoolKind::kEngine)
+    work.affinity = 0;
+  if (queued() >= kMaxQueued)
+    return OfferOutcome::kQueueFull;
+  std::visit([&](auto& queue) { queue.Push(std::move(work)); }, queue_);
+  return OfferOutcome::kQueued;
 }
 
 bool PoolScheduler::Withdraw(base::RunId run) {
-  return queue_.Remove(run);
+  return std::visit([run](auto& queue) { return queue.Remove(run); }, queue_);
 }
 
-std::optional<Dispatch> PoolScheduler::NextDispatch(base::TimePoint /*now*/) {
-  if (queue_.size() == 0)
-    return std::nullopt;
+size_t PoolScheduler::queued() const {
+  return std::visit([](const auto& queue) { return queue.size(); }, queue_);
+}
+
+const Work* PoolScheduler::NextWork(base::TimePoint now) {
+  return std::visit(base::Overloaded{
+                        [](FirstComeQueue& queue) { return queue.Next(); },
+                        [now](FairQueue& queue) { return queue.Next(now); },
+                    },
+                    queue_);
+}
+
+Work PoolScheduler::PopWork(base::TimePoint now) {
+  return std::visit(base::Overloaded{
+                        [](FirstComeQueue& queue) { return queue.Pop(); },
+                        [now](FairQueue& queue) { return queue.Pop(now); },
+                    },
+                    queue_);
+}
+
+PeerView PoolScheduler::Peers() const {
+  const auto endpoints =
+      static_cast<double>(std::max<size_t>(slots_.size(), 1));
+  const auto hosts = static_cast<double>(peer_shares_.peer_count() + 1);
+  const double own_part = std::max(limit_sum_ / hosts, 1.0);
+  const bool is_open = static_cast<double>(calls_.size()) < own_part;
+  return {peer_shares_.in_flight() / endpoints, peer_shares_.peer_count(),
+          is_open ? OwnPart::kOpen : OwnPart::kUsed};
+}
+
+std::optional<size_t> PoolScheduler::ChooseInTurn(RoundRobin& turns) const {
   std::vector<Candidate> candidates;
   for (size_t i = 0; i < slots_.size(); ++i) {
-    if (slots_[i].in_flight < pool_.slots_per_worker)
+    if (slots_[i].in_flight() < pool_.slots_per_worker)
       candidates.push_back({i});
   }
-  const auto chosen = round_robin_.Choose(candidates, slots_.size());
+  return turns.Choose(candidates, slots_.size());
+}
+
+std::optional<size_t> PoolScheduler::ChooseEndpoint(const Work& work,
+                                                    base::TimePoint now) {
+  return std::visit(base::Overloaded{
+                        [&](RoundRobin& turns) { return ChooseInTurn(turns); },
+                        [&](const TwoChoices& two) {
+                          return two.Choose(slots_, Peers(), work, now,
+                                            random_);
+                        },
+                    },
+                    choice_);
+}
+
+std::optional<Dispatch> PoolScheduler::NextDispatch(base::TimePoint now) {
+  peer_shares_.Expire(now);
+  const Work* next = NextWork(now);
+  if (next == nullptr)
+    return std::nullopt;
+  const auto chosen = ChooseEndpoint(*next, now);
   if (!chosen)
     return std::nullopt;
   EndpointSlot& slot = slots_[*chosen];
-  ++slot.in_flight;
-  return Dispatch{queue_.Pop().run, slot.target.name};
+  Work work = PopWork(now);
+  const double load = slot.in_flight() + slot.OthersLoad(Peers(), now);
+  slot.Begin(work.run, work.service.typical, now);
+  calls_[work.run] = {slot.target().name, slot.target().incarnation,
+                      std::move(work.stage), work.service.typical, load};
+  return Dispatch{work.run, slot.target().name};
+}
+
+std::vector<base::RunId> PoolScheduler::TakeLapsed() {
+  if (auto* fair = std::get_if<FairQueue>(&queue_))
+    return fair->TakeLapsed();
+  return {};
+}
+
+void PoolScheduler::Finish(const AttemptReport& report, base::TimePoint now) {
+  const auto found = calls_.find(report.run);
+  if (found == calls_.end())
+    return;
+  const Call call = std::move(found->second);
+  calls_.erase(found);
+  NoteLatency(call, report, now);
+  EndpointSlot* slot = SlotOf(call);
+  if (slot == nullptr)
+    return;
+  slot->End(report.run);
+  if (report.reported_load)
+    slot->NoteReport(*report.reported_load, now);
+  limit_sum_ -= slot->limit().value();
+  AdjustLimit(*slot, call, report, now);
+  limit_sum_ += slot->limit().value();
+}
+
+void PoolScheduler::NoteLatency(const Call& call,
+                                const AttemptReport& report,
+                                base::TimePoint now) {
+  // A lapsed attempt took at least this long, which says something only of
+  // those that took long.
+  const bool is_late =
+      report.verdict == AttemptVerdict::kTimedOut &&
+      report.latency >
+          stage_times_.EstimateOf(call.stage, base::Duration::max(), now)
+              .typical;
+  if (report.verdict != AttemptVerdict::kSucceeded && !is_late)
+    return;
+  const bool is_light = call.load < kLightLoad;
+  stage_times_.Note(call.stage, report.latency,
+                    is_light ? EndpointLoad::kLight : EndpointLoad::kHeavy,
+                    call.expected, now);
 }
 
-void PoolScheduler::Finish(const AttemptReport& report,
-                           base::TimePoint /*now*/) {
-  EndpointSlot* slot = FindSlot(report.endpoint);
-  if (slot != nullptr && slot->in_flight > 0)
-    --slot->in_flight;
+void PoolScheduler::AdjustLimit(EndpointSlot& slot,
+                                const Call& call,
+                                const AttemptReport& report,
+                                base::TimePoint now) {
+  if (report.verdict == AttemptVerdict::kRefusedNotRun) {
+    slot.limit().NoteOverload(call.expected, now);
+    return;
+  }
+  const auto unloaded = stage_times_.UnloadedOf(call.stage);
+  const bool has_latency = report.verdict == AttemptVerdict::kSucceeded ||
+                           report.verdict == AttemptVerdict::kTimedOut;
+  if (!unloaded || !has_latency)
+    return;
+  const double slowdown = static_cast<double>(report.latency.count()) /
+                          std::max(1.0, static_cast<double>(unloaded->count()));
+  // A lapsed attempt that took less than that tells nothing.
+  if (report.verdict == AttemptVerdict::kTimedOut && slowdown < 1)
+    return;
+  slot.limit().NoteAnswer(slowdown, call.load + 1, now);
 }
 
 void PoolScheduler::NotePeerShare(const base::HostName& peer,
                                   uint32_t in_flight,
                                   base::TimePoint now) {
-  peer_shares_[peer] = {in_flight, now};
+  peer_shares_.Note(peer, in_flight, now);
+}
+
+base::Duration PoolScheduler::EstimatedWait(const Claim& claim) const {
+  const auto* fair = std::get_if<FairQueue>(&queue_);
+  if (fair == nullptr || fair->size() == 0)
+    return base::Duration(0);
+  // While work waits, what is in flight is all that this host may have.
+  const auto at_once = static_cast<int64_t>(std::max<size_t>(calls_.size(), 1));
+  return fair->Ahead(claim) / at_once;
 }
 
-base::Duration PoolScheduler::EstimatedWait(declare::Rank /*rank*/,
-                                            const base::TeamName& /*team*/,
-                                            base::TimePoint /*now*/) const {
-  return base::Duration(0);
+StageEstimate PoolScheduler::EstimateOf(const StageId& stage,
+                                        base::Duration declared,
+                                        base::TimePoint now) const {
+  return stage_times_.EstimateOf(stage, declared, now);
 }
 
 std::optional<base::TimePoint> PoolScheduler::NextWakeup() const {
@@ -77,27 +237,26 @@
 
 const EndpointTarget* PoolScheduler::FindEndpoint(
     const base::EndpointName& name) const {
-  const auto it = std::ranges::find_if(slots_, [&](const EndpointSlot& slot) {
-    return slot.target.name == name;
-  });
-  return it == slots_.end() ? nullptr : &it->target;
+  const auto found = slot_indices_.find(name);
+  return found == slot_indices_.end() ? nullptr
+                                      : &slots_[found->second].target();
 }
 
-PoolScheduler::EndpointSlot* PoolScheduler::FindSlot(
-    const base::EndpointName& name) {
-  const auto it = std::ranges::find_if(slots_, [&](const EndpointSlot& slot) {
-    return slot.target.name == name;
-  });
-  return it == slots_.end() ? nullptr : &*it;
+EndpointSlot* PoolScheduler::SlotOf(const Call& call) {
+  const auto found = slot_indices_.find(call.endpoint);
+  if (found == slot_indices_.end())
+    return nullptr;
+  EndpointSlot& slot = slots_[found->second];
+  return slot.target().incarnation == call.incarnation ? &slot : nullptr;
 }
 
 PoolLoad PoolScheduler::Load() const {
   PoolLoad load;
   load.pool = pool_.name;
   load.endpoints = static_cast<uint32_t>(slots_.size());
-  load.queued = static_cast<uint32_t>(queue_.size());
+  load.queued = static_cast<uint32_t>(queued());
   for (const EndpointSlot& slot : slots_)
-    load.in_flight += slot.in_flight;
+    load.in_flight += slot.in_flight();
   return load;
 }
 
--- a/Tests/Fakes/node_harness.h
+++ b/Tests/Fakes/node_harness.h
@@ -94,4 +94,12 @@
 // stages, the second and third at most once), teams "t" and "u".
 void PutSmallDeployment(PlatformStore& store);
 
+// The document of that configuration.
+std::string SmallConfiguration();
+
+// Puts `document` in force as `revision`, whatever was before.
+void PutConfiguration(PlatformStore& store,
+                      uint64_t revision,
+                      const std::string& document);
+
 }  // namespace bilberry::fakes
