--- a/Libraries/LibBooking/booking_record.cc
+++ b/Libraries/LibBooking/booking_record.cc
@@ -40,7 +40,7 @@
 
 std::string RowKeyOf(const BookingKey& key) {
   // Team names are declared and hold no slash, so the key can't be ambiguous.
-  return "booking/" + key.team.value + "/" + key.key;
+  return std::string(kRowPrefix) + key.team.value + "/" + key.key;
 }
 
 std::string PrintRecord(const BookingRecord& record) {
--- a/Libraries/LibBooking/booking_record.h
+++ b/Libraries/LibBooking/booking_record.h
@@ -18,6 +18,9 @@
   friend auto operator<=>(const BookingKey&, const BookingKey&) = default;
 };
 
+// All bookings' rows begin so.
+inline constexpr std::string_view kRowPrefix = "booking/";
+
 // The key of the table row that holds the booking.
 std::string RowKeyOf(const BookingKey& key);
 
--- a/Libraries/LibNode/booking_outbox.cc
+++ b/Libraries/LibNode/booking_outbox.cc
@@ -10,7 +10,10 @@
 using booking::SettlementStep;
 
 void BookingOutbox::SetPeers(std::vector<CopyHolder> peers) {
-  std::ranges::stable_partition(peers, &CopyHolder::is_in_other_zone);
+  // The ranges form doesn't compile in clang 14.
+  std::stable_partition(peers.begin(), peers.end(), [](const CopyHolder& it) {
+    return it.is_in_other_zone;
+  });
   peers_ = std::move(peers);
   const auto far = std::ranges::count_if(peers_, &CopyHolder::is_in_other_zone);
   next_peer_ = far == 0 ? 0 : context_.random().Below(far);
--- a/Libraries/LibTransport/peer_codec.cc
+++ b/Libraries/LibTransport/peer_codec.cc
@@ -175,6 +175,9 @@
   if (!value.isObject() || !value["row_key"].isString() ||
       !value["record"].isString() || !value["expected"].isUInt64())
     return Malformed("a booking's copy lacks a field");
+  // It will be written as it is.
+  if (!value["row_key"].asString().starts_with(booking::kRowPrefix))
+    return Malformed("a booking's copy is of another row");
   TRY(record, booking::ParseRecord(value["record"].asString()));
   if (record.state == booking::BookingState::kClaimed)
     return Malformed("a booking's copy is not final");
--- a/Tests/LibNode/test_bookings.cc
+++ b/Tests/LibNode/test_bookings.cc
@@ -442,6 +442,8 @@
   CHECK_FALSE(HasExited(node.harness.TakeOthers()));
   REQUIRE(node.KeepCopies() == 1);
   CHECK(node.harness.TakeAnswers().at(0).answer.body == "booked");
+  // The host goes on refusing callers for a while.
+  node.harness.Advance(milliseconds(2000));
   CHECK(HasExited(node.harness.TakeOthers()));
 }
 
--- a/Tests/LibTransport/test_peer_codec.cc
+++ b/Tests/LibTransport/test_peer_codec.cc
@@ -84,6 +84,9 @@
                      R"({"standing": "done", "status": 1, "answer": "Ā"})"},
            Malformed{"booking_copies", R"({"settlements": 1})"},
            Malformed{"booking_copies", R"({"settlements": [{}]})"},
+           Malformed{"booking_copies",
+                     R"({"settlements": [{"row_key": "configuration/head",
+                        "record": "{}", "expected": 1}]})"},
            Malformed{"booking_copies_held", R"({"claim_tokens": [1]})"},
            Malformed{"none", "{}"},
        }) {
