LibPolicy: Eject endpoints that fail, and probe them

Cause: a dead endpoint went on being given work, and a silent one kept each request to its deadline. Ruled out: a rate of failures over a window, which a quiet endpoint never reaches.

--- /dev/null
+++ b/Libraries/LibPolicy/endpoint_health.cc
@@ -0,0 +1,54 @@
+#include "LibPolicy/endpoint_health.h"
+
+#include <algorithm>
+
+namespace bilberry::policy {
+
+namespace {
+
+constexpr uint32_t kFailuresToEject = 3;
+// After so many, what was before is forgotten.
+constexpr uint32_t kSuccessesToForget = 50;
+constexpr std::chrono::seconds kFirstEjection{1};
+constexpr std::chrono::seconds kLongestEjection{64};
+constexpr uint32_t kMaxDoublings = 6;
+
+}  // namespace
+
+HealthState EndpointHealth::state(base::TimePoint now) const {
+  if (!is_ejected_)
+    return HealthState::kSound;
+  return now < ejected_until_ ? HealthState::kEjected : HealthState::kHalfOpen;
+}
+
+void EndpointHealth::NoteSuccess(base::TimePoint now) {
+  if (state(now) == HealthState::kEjected)
+    return;
+  is_ejected_ = false;
+  failures_in_a_row_ = 0;
+  if (++successes_in_a_row_ >= kSuccessesToForget)
+    ejections_ = 0;
+}
+
+void EndpointHealth::NoteFailure(base::TimePoint now) {
+  if (state(now) == HealthState::kEjected)
+    return;
+  successes_in_a_row_ = 0;
+  ++failures_in_a_row_;
+}
+
+bool EndpointHealth::deserves_ejection() const {
+  return is_ejected_ ? failures_in_a_row_ > 0
+                     : failures_in_a_row_ >= kFailuresToEject;
+}
+
+void EndpointHealth::Eject(base::TimePoint now) {
+  const uint32_t doublings = std::min(ejections_, kMaxDoublings);
+  is_ejected_ = true;
+  ejected_until_ =
+      now + std::min(kFirstEjection * (1U << doublings), kLongestEjection);
+  ++ejections_;
+  failures_in_a_row_ = 0;
+}
+
+}  // namespace bilberry::policy
--- a/Libraries/LibPolicy/endpoint_slot.cc
+++ b/Libraries/LibPolicy/endpoint_slot.cc
@@ -39,6 +39,11 @@
 }
 
 bool EndpointSlot::HasRoom(const PeerView& peers, base::TimePoint now) const {
+  const HealthState health = health_.state(now);
+  if (health == HealthState::kEjected)
+    return false;
+  if (health == HealthState::kHalfOpen)
+    return calls_.empty();
   const double others = OthersLoad(peers, now);
   const double rest = limit_.value() - others;
   if (in_flight() + 1 <= rest)
--- a/Libraries/LibPolicy/endpoint_slot.h
+++ b/Libraries/LibPolicy/endpoint_slot.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "LibPolicy/concurrency_limit.h"
+#include "LibPolicy/endpoint_health.h"
 #include "LibPolicy/peer_view.h"
 #include "LibPolicy/work.h"
 
@@ -21,6 +22,9 @@
   ConcurrencyLimit& limit() { return limit_; }
   const ConcurrencyLimit& limit() const { return limit_; }
 
+  EndpointHealth& health() { return health_; }
+  const EndpointHealth& health() const { return health_; }
+
   void Begin(base::RunId run, base::Duration expected, base::TimePoint now);
   void End(base::RunId run);
 
@@ -49,6 +53,7 @@
   uint64_t name_hash_;
   std::vector<Call> calls_;  // The oldest first.
   ConcurrencyLimit limit_;
+  EndpointHealth health_;
   double others_reported_ = 0;
   base::TimePoint trust_report_until_;
 };
--- a/Libraries/LibPolicy/pool_scheduler.cc
+++ b/Libraries/LibPolicy/pool_scheduler.cc
@@ -10,6 +10,10 @@
 
 // Requests at an endpoint, with which it is lightly loaded.
 constexpr double kLightLoad = 1;
+// An answer that took so many times the median counts as a failure.
+constexpr int kFarTooSlow = 5;
+// So does none within this many times of what nine in ten take.
+constexpr int kTimedOutAfter = 2;
 
 }  // namespace
 
@@ -43,7 +47,7 @@
 }
 
 void PoolScheduler::SetEndpoints(const std::vector<EndpointTarget>& endpoints,
-                                 base::TimePoint /*now*/) {
+                                 base::TimePoint now) {
   std::vector<EndpointSlot> slots;
   std::unordered_map<base::EndpointName, size_t> indices;
   slots.reserve(endpoints.size());
@@ -61,6 +65,7 @@
   for (const EndpointSlot& slot : slots_)
     limit_sum_ += slot.limit().value();
   slot_indices_ = std::move(indices);
+  FindNextReturn(now);
   if (auto* two = std::get_if<TwoChoices>(&choice_))
     two->SetEndpoints(slots_, own_zone_);
 }
@@ -132,6 +137,8 @@
 
 std::optional<Dispatch> PoolScheduler::NextDispatch(base::TimePoint now) {
   peer_shares_.Expire(now);
+  if (next_return_ && now >= *next_return_)
+    FindNextReturn(now);
   const Work* next = NextWork(now);
   if (next == nullptr)
     return std::nullopt;
@@ -169,6 +176,59 @@
   limit_sum_ -= slot->limit().value();
   AdjustLimit(*slot, call, report, now);
   limit_sum_ += slot->limit().value();
+  JudgeHealth(*slot, call, report, now);
+}
+
+void PoolScheduler::JudgeHealth(EndpointSlot& slot,
+                                const Call& call,
+                                const AttemptReport& report,
+                                base::TimePoint now) {
+  const auto estimate = stage_times_.EstimateOf(call.stage, call.expected, now);
+  switch (report.verdict) {
+    case AttemptVerdict::kRefusedNotRun:
+    case AttemptVerdict::kCancelled:
+      return;
+    case AttemptVerdict::kSucceeded:
+      if (report.latency <= kFarTooSlow * estimate.typical) {
+        slot.health().NoteSuccess(now);
+        return;
+      }
+      break;
+    case AttemptVerdict::kTimedOut:
+      // With a short time left any endpoint would have failed.
+      if (report.latency <= kTimedOutAfter * estimate.slow)
+        return;
+      break;
+    case AttemptVerdict::kFailed:
+    case AttemptVerdict::kUnreachable:
+      break;
+  }
+  slot.health().NoteFailure(now);
+  if (!slot.health().deserves_ejection() || !MayEject(slot, now))
+    return;
+  slot.health().Eject(now);
+  FindNextReturn(now);
+}
+
+bool PoolScheduler::MayEject(const EndpointSlot& slot,
+                             base::TimePoint now) const {
+  size_t out_of_service = 1;
+  for (const EndpointSlot& other : slots_) {
+    const bool is_sound = other.health().state(now) == HealthState::kSound;
+    if (&other != &slot && !is_sound)
+      ++out_of_service;
+  }
+  return 2 * out_of_service <= slots_.size();
+}
+
+void PoolScheduler::FindNextReturn(base::TimePoint now) {
+  next_return_.reset();
+  for (const EndpointSlot& slot : slots_) {
+    if (slot.health().state(now) != HealthState::kEjected)
+      continue;
+    const base::TimePoint end = slot.health().ejected_until();
+    next_return_ = next_return_ ? std::min(*next_return_, end) : end;
+  }
 }
 
 void PoolScheduler::NoteLatency(const Call& call,
@@ -232,7 +292,7 @@
 }
 
 std::optional<base::TimePoint> PoolScheduler::NextWakeup() const {
-  return std::nullopt;
+  return queued() > 0 ? next_return_ : std::nullopt;
 }
 
 const EndpointTarget* PoolScheduler::FindEndpoint(
--- a/Libraries/LibPolicy/pool_scheduler.h
+++ b/Libraries/LibPolicy/pool_scheduler.h
@@ -111,6 +111,13 @@
                    const Call& call,
                    const AttemptReport& report,
                    base::TimePoint now);
+  void JudgeHealth(EndpointSlot& slot,
+                   const Call& call,
+                   const AttemptReport& report,
+                   base::TimePoint now);
+  // Whether the pool can spare one more endpoint than those out of service.
+  bool MayEject(const EndpointSlot& slot, base::TimePoint now) const;
+  void FindNextReturn(base::TimePoint now);
   size_t queued() const;
   // Null when nothing waits.
   const Work* NextWork(base::TimePoint now);
@@ -122,6 +129,8 @@
   std::vector<EndpointSlot> slots_;
   std::unordered_map<base::EndpointName, size_t> slot_indices_;
   double limit_sum_ = 0;  // Of all endpoints.
+  // When the next ejection ends.
+  std::optional<base::TimePoint> next_return_;
   PeerShares peer_shares_;
   Queue queue_;
   Choice choice_;
--- a/Tests/LibPolicy/pool_simulation.cc
+++ b/Tests/LibPolicy/pool_simulation.cc
@@ -117,9 +117,6 @@
     case EventKind::kChange:
       Apply(scenario_.changes[event.subject]);
       return;
-    case EventKind::kWake:
-      DispatchAll(event.subject);
-      return;
   }
 }
 
@@ -233,7 +230,9 @@
                         base::Duration(static_cast<int64_t>(
                             static_cast<double>(mean.count()) * factor)),
                         false};
-  if (endpoint.is_dead)
+  if (endpoint.fate == EndpointFate::kSilent)
+    return;
+  if (endpoint.fate == EndpointFate::kRefusing)
     FailLater(attempt);
   else if (endpoint.serving < scenario_.slots)
     Serve(attempt);
@@ -273,7 +272,9 @@
   // Served to the end though nobody waits for it any more.
   if (run == runs_.end() || run->second.attempt != attempt)
     return;
-  if (endpoint.is_dead) {
+  if (endpoint.fate == EndpointFate::kSilent)
+    return;
+  if (endpoint.fate == EndpointFate::kRefusing) {
     HandleFailure(state.run);
     return;
   }
@@ -363,7 +364,7 @@
 void PoolSimulation::Apply(const EndpointChange& change) {
   EndpointState& endpoint = endpoints_[change.endpoint];
   endpoint.slowness = change.slowness;
-  endpoint.is_dead = change.is_dead;
+  endpoint.fate = change.fate;
 }
 
 }  // namespace bilberry::policy
--- a/Tests/LibPolicy/pool_simulation.h
+++ b/Tests/LibPolicy/pool_simulation.h
@@ -25,12 +25,19 @@
   std::chrono::milliseconds until{0};  // 0: to the end.
 };
 
+// What an endpoint does with requests.
+enum class EndpointFate {
+  kServing,
+  kRefusing,  // No connection can be made.
+  kSilent,    // Nothing comes back.
+};
+
 // What happens to one endpoint from a moment on.
 struct EndpointChange {
   std::chrono::milliseconds at{0};
   size_t endpoint = 0;
   double slowness = 1;  // Multiplies service times.
-  bool is_dead = false;
+  EndpointFate fate = EndpointFate::kServing;
 };
 
 // A pool, its entry hosts and what comes to them. Times are those of the
@@ -86,7 +93,7 @@
   SimulationResult Run();
 
  private:
-  enum class EventKind { kArrival, kServed, kDeadline, kShare, kChange, kWake };
+  enum class EventKind { kArrival, kServed, kDeadline, kShare, kChange };
 
   struct Event {
     base::TimePoint at;
@@ -114,7 +121,7 @@
 
   struct EndpointState {
     double slowness = 1;
-    bool is_dead = false;
+    EndpointFate fate = EndpointFate::kServing;
     uint32_t serving = 0;
     std::deque<uint64_t> waiting;  // Attempts.
   };
--- a/Tests/LibPolicy/test_choice.cc
+++ b/Tests/LibPolicy/test_choice.cc
@@ -57,7 +57,7 @@
                          0.3 * scenario.Capacity(), milliseconds(300)},
                         {"ordinary", declare::Rank::kOrdinary,
                          0.4 * scenario.Capacity(), milliseconds(1000)}};
-    scenario.changes = {{seconds(6), 0, 10.0, false}};
+    scenario.changes = {{seconds(6), 0, 10.0}};
     const auto result = PoolSimulation(scenario).Run();
     const double urgent = result.traffic.at("urgent").InTimePercent();
     MESSAGE("policy " << static_cast<int>(policy) << ": urgent in time "
