--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -143,6 +143,19 @@
   return policy::DecideAdmission(forecasts, run.deadline() - now);
 }
 
+base::Duration RunCoordinator::ServiceAfter(const pipeline::Run& run,
+                                            base::TimePoint now) const {
+  const auto& stages = run.pipeline().stages;
+  base::Duration sum{};
+  for (size_t i = run.stage_index() + 1; i < stages.size(); ++i) {
+    sum += pools_.at(stages[i].pool)
+               .EstimateOf({run.pipeline().name, stages[i].name},
+                           stages[i].expected, now)
+               .typical;
+  }
+  return sum;
+}
+
 void RunCoordinator::OfferStage(ActiveRun& active, base::TimePoint now) {
   const pipeline::Run& run = active.run;
   // A booking comes here only once its claim is granted: before that, whether
@@ -162,6 +175,7 @@
   work.weight = run.request().team_weight;
   work.stage = {run.pipeline().name, run.stage().name};
   work.service = PoolOf(run).EstimateOf(work.stage, run.stage().expected, now);
+  work.service_after = ServiceAfter(run, now);
   work.offered = now;
   work.deadline = run.deadline();
   work.progress = run.stage_index() == 0 ? policy::Progress::kNew
--- a/Libraries/LibNode/run_coordinator.h
+++ b/Libraries/LibNode/run_coordinator.h
@@ -74,6 +74,9 @@
   // Whether a new run can meet its deadline.
   policy::AdmissionDecision DecideAdmission(const pipeline::Run& run,
                                             base::TimePoint now) const;
+  // What the stages after the present one are expected to take.
+  base::Duration ServiceAfter(const pipeline::Run& run,
+                              base::TimePoint now) const;
   void OfferStage(ActiveRun& active, base::TimePoint now);
   // Ends a run of which nothing is under way, and tells when to come back.
   void GiveUp(ActiveRun& active, CallerError error, base::TimePoint now);
--- a/Libraries/LibPolicy/fair_queue.cc
+++ b/Libraries/LibPolicy/fair_queue.cc
@@ -38,7 +38,7 @@
 const Work* FairQueue::Next(base::TimePoint now) {
   for (TeamQueue* queue = NextQueue(); queue != nullptr; queue = NextQueue()) {
     const Work* work = queue->Front();
-    if (now + work->service.slow <= work->deadline)
+    if (now + work->service.slow + work->service_after <= work->deadline)
       return work;
     lapsed_.push_back(queue->Drop().run);
   }
--- a/Libraries/LibPolicy/work.h
+++ b/Libraries/LibPolicy/work.h
@@ -25,6 +25,7 @@
   uint32_t weight = 1;  // Of the team, as declared.
   StageId stage;
   StageEstimate service;
+  base::Duration service_after{};  // Of the stages after this one.
   base::TimePoint offered;
   base::TimePoint deadline;  // Of the whole run.
   Progress progress = Progress::kNew;
--- a/Tests/LibPolicy/pool_simulation.cc
+++ b/Tests/LibPolicy/pool_simulation.cc
@@ -196,6 +196,10 @@
   work.stage = StageOf(state.stage);
   work.service =
       hosts_[state.host].EstimateOf(work.stage, scenario_.service, now_);
+  for (size_t i = state.stage + 1; i < scenario_.stages; ++i)
+    work.service_after += hosts_[state.host]
+                              .EstimateOf(StageOf(i), scenario_.service, now_)
+                              .typical;
   work.offered = now_;
   work.deadline = state.deadline;
   work.progress = state.stage == 0 ? Progress::kNew : Progress::kUnderWay;
--- a/Tests/LibPolicy/test_fairness.cc
+++ b/Tests/LibPolicy/test_fairness.cc
@@ -109,6 +109,28 @@
   }
 }
 
+TEST_CASE("when a stage's time doubles little work is wasted") {
+  for (const PolicyKind policy : kBoth) {
+    CAPTURE(policy);
+    Scenario scenario;
+    scenario.policy = policy;
+    scenario.stages = 3;
+    const double capacity = scenario.Capacity();
+    scenario.traffic = {
+        MakeTraffic("urgent", Rank::kUrgent, 0.2 * capacity),
+        MakeTraffic("ordinary", Rank::kOrdinary, 0.3 * capacity),
+        MakeTraffic("background", Rank::kBackground, 0.2 * capacity)};
+    for (size_t i = 0; i < scenario.endpoints; ++i)
+      scenario.changes.push_back({milliseconds(8000), i, 2.0});
+    const auto sum = Simulate(scenario).Sum();
+    const double wasted =
+        static_cast<double>(sum.wasted.count()) /
+        static_cast<double>((sum.served + sum.wasted).count());
+    MESSAGE("wasted " << 100 * wasted << "% of the stage time");
+    CHECK((wasted <= 0.05) == (policy == PolicyKind::kPresent));
+  }
+}
+
 TEST_CASE("two large teams leave the small ones as though alone") {
   for (const PolicyKind policy : kBoth) {
     CAPTURE(policy);
