LibNode: Log ejections, and let a probe go first

Cause: operators could not see why an endpoint gets no work. The test for it found that an ejected endpoint was never probed where the other one looked better: 'an ejection and the return from it are logged' saw no return. A half-open endpoint now wins the draw.

--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -26,6 +26,8 @@
     {kPlatformReachable, kInfo, "platform-reachable"},
     {kAttemptFailed, kWarning, "attempt-failed"},
     {kAnswerMismatched, kError, "answer-mismatched"},
+    {kEndpointEjected, kWarning, "endpoint-ejected"},
+    {kEndpointRestored, kInfo, "endpoint-restored"},
     {kBookingUnresolved, kError, "booking-unresolved"},
     {kBookingNotRecorded, kWarning, "booking-not-recorded"},
 });
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -24,6 +24,8 @@
   kPlatformReachable = 1302,
   kAttemptFailed = 1401,
   kAnswerMismatched = 1402,
+  kEndpointEjected = 1403,
+  kEndpointRestored = 1404,
   kBookingUnresolved = 1501,
   kBookingNotRecorded = 1502,
 };
--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -195,6 +195,11 @@
   for (auto& [name, pool] : pools_) {
     while (const auto dispatch = pool.NextDispatch(now))
       StartAttempt(*dispatch, pool, now);
+    for (const policy::HealthChange& change : pool.TakeHealthChanges())
+      context_.Log(change.state == policy::HealthState::kSound
+                       ? base::LogEventId::kEndpointRestored
+                       : base::LogEventId::kEndpointEjected,
+                   change.endpoint.value);
     for (const base::RunId run : pool.TakeLapsed())
       GiveUp(runs_.at(run),
              {"deadline_unreachable", Step::kQueue, "",
--- a/Libraries/LibPolicy/endpoint_health.h
+++ b/Libraries/LibPolicy/endpoint_health.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 
+#include "LibBase/ids.h"
 #include "LibBase/time.h"
 
 namespace bilberry::policy {
@@ -13,6 +14,12 @@
   kHalfOpen,  // One request at a time, to see whether it is sound again.
 };
 
+// That an endpoint was taken out of service, or is in service again.
+struct HealthChange {
+  base::EndpointName endpoint;
+  HealthState state = HealthState::kSound;
+};
+
 // Ejects an endpoint that fails again and again: a circuit breaker. Each
 // ejection lasts twice as long as the one before.
 class EndpointHealth {
--- a/Libraries/LibPolicy/endpoint_slot.cc
+++ b/Libraries/LibPolicy/endpoint_slot.cc
@@ -58,6 +58,9 @@
 
 double EndpointSlot::ExpectedSlowdown(const PeerView& peers,
                                       base::TimePoint now) const {
+  // What it did before it was ejected must not keep the probe from it.
+  if (health_.state(now) == HealthState::kHalfOpen)
+    return 0;
   double slowdown = limit_.SlowdownAt(now);
   if (!calls_.empty()) {
     // What has not come back yet tells sooner than the answers do.
--- a/Libraries/LibPolicy/pool_scheduler.cc
+++ b/Libraries/LibPolicy/pool_scheduler.cc
@@ -1,6 +1,7 @@
 #include "LibPolicy/pool_scheduler.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "LibBase/overloaded.h"
 
@@ -160,6 +161,10 @@
   return {};
 }
 
+std::vector<HealthChange> PoolScheduler::TakeHealthChanges() {
+  return std::exchange(health_changes_, {});
+}
+
 void PoolScheduler::Finish(const AttemptReport& report, base::TimePoint now) {
   const auto found = calls_.find(report.run);
   if (found == calls_.end())
@@ -190,7 +195,7 @@
       return;
     case AttemptVerdict::kSucceeded:
       if (report.latency <= kFarTooSlow * estimate.typical) {
-        slot.health().NoteSuccess(now);
+        NoteSoundAnswer(slot, now);
         return;
       }
       break;
@@ -207,9 +212,17 @@
   if (!slot.health().deserves_ejection() || !MayEject(slot, now))
     return;
   slot.health().Eject(now);
+  health_changes_.push_back({slot.target().name, HealthState::kEjected});
   FindNextReturn(now);
 }
 
+void PoolScheduler::NoteSoundAnswer(EndpointSlot& slot, base::TimePoint now) {
+  const bool was_probe = slot.health().state(now) == HealthState::kHalfOpen;
+  slot.health().NoteSuccess(now);
+  if (was_probe)
+    health_changes_.push_back({slot.target().name, HealthState::kSound});
+}
+
 bool PoolScheduler::MayEject(const EndpointSlot& slot,
                              base::TimePoint now) const {
   size_t out_of_service = 1;
--- a/Libraries/LibPolicy/pool_scheduler.h
+++ b/Libraries/LibPolicy/pool_scheduler.h
@@ -61,6 +61,9 @@
   // deadline; empties the list.
   std::vector<base::RunId> TakeLapsed();
 
+  // Endpoints taken out of service or back; empties the list.
+  std::vector<HealthChange> TakeHealthChanges();
+
   void Finish(const AttemptReport& report, base::TimePoint now);
 
   // Notes what a peer has in flight at this pool, as it told just now.
@@ -115,6 +118,7 @@
                    const Call& call,
                    const AttemptReport& report,
                    base::TimePoint now);
+  void NoteSoundAnswer(EndpointSlot& slot, base::TimePoint now);
   // Whether the pool can spare one more endpoint than those out of service.
   bool MayEject(const EndpointSlot& slot, base::TimePoint now) const;
   void FindNextReturn(base::TimePoint now);
@@ -128,6 +132,7 @@
   base::Random random_;
   std::vector<EndpointSlot> slots_;
   std::unordered_map<base::EndpointName, size_t> slot_indices_;
+  std::vector<HealthChange> health_changes_;
   double limit_sum_ = 0;  // Of all endpoints.
   // When the next ejection ends.
   std::optional<base::TimePoint> next_return_;
