--- a/Libraries/LibPolicy/fair_queue.cc
+++ b/Libraries/LibPolicy/fair_queue.cc
@@ -19,7 +19,8 @@
 }
 
 void FairQueue::Push(Work work) {
-  QueueOf(work.rank).Push(std::move(work));
+  TeamQueue& queue = QueueOf(work.rank);
+  queue.Push(std::move(work));
 }
 
 TeamQueue* FairQueue::NextQueue() {
--- a/Libraries/LibPolicy/two_choices.cc
+++ b/Libraries/LibPolicy/two_choices.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "LibPolicy/prefix_affinity.h"
+
 namespace bilberry::policy {
 
 namespace {
--- a/Libraries/LibPolicy/two_choices.h
+++ b/Libraries/LibPolicy/two_choices.h
@@ -7,7 +7,6 @@
 #include "LibBase/random.h"
 #include "LibPolicy/endpoint_slot.h"
 #include "LibPolicy/peer_view.h"
-#include "LibPolicy/prefix_affinity.h"
 
 namespace bilberry::policy {
 
@@ -49,7 +48,6 @@
 
   Indices near_;
   Indices far_;
-  PrefixAffinity affinity_;
 };
 
 }  // namespace bilberry::policy
