--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -26,6 +26,8 @@
     {kPlatformReachable, kInfo, "platform-reachable"},
     {kAttemptFailed, kWarning, "attempt-failed"},
     {kAnswerMismatched, kError, "answer-mismatched"},
+    {kEndpointEjected, kWarning, "endpoint-ejected"},
+    {kEndpointRestored, kInfo, "endpoint-restored"},
     {kRequestQuarantined, kError, "request-quarantined"},
     {kConnectionsCondemned, kWarning, "connections-condemned"},
     {kAttemptGivenUp, kWarning, "attempt-given-up"},
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -24,6 +24,8 @@
   kPlatformReachable = 1302,
   kAttemptFailed = 1401,
   kAnswerMismatched = 1402,
+  kEndpointEjected = 1403,
+  kEndpointRestored = 1404,
   kRequestQuarantined = 1430,
   kConnectionsCondemned = 1431,
   kAttemptGivenUp = 1432,
--- a/Libraries/LibPolicy/fair_queue.cc
+++ b/Libraries/LibPolicy/fair_queue.cc
@@ -19,7 +19,8 @@
 }
 
 void FairQueue::Push(Work work) {
-  QueueOf(work.rank).Push(std::move(work));
+  TeamQueue& queue = QueueOf(work.rank);
+  queue.Push(std::move(work));
 }
 
 TeamQueue* FairQueue::NextQueue() {
@@ -38,7 +39,7 @@
 const Work* FairQueue::Next(base::TimePoint now) {
   for (TeamQueue* queue = NextQueue(); queue != nullptr; queue = NextQueue()) {
     const Work* work = queue->Front();
-    if (now + work->service.slow <= work->deadline)
+    if (now + work->service.slow + work->service_after <= work->deadline)
       return work;
     lapsed_.push_back(queue->Drop().run);
   }
