--- a/Libraries/LibDeclare/configuration_parser.cc
+++ b/Libraries/LibDeclare/configuration_parser.cc
@@ -2,6 +2,7 @@
 
 #include <set>
 
+#include "LibDeclare/configuration_words.h"
 #include "LibDeclare/object_reader.h"
 
 namespace bilberry::declare {
@@ -26,65 +27,75 @@
 Pool ReadPool(ObjectReader& reader) {
   Pool pool;
   reader.ReadName("name", pool.name.value, Presence::kRequired);
-  reader.ReadChoice<PoolKind>(
-      "kind", pool.kind,
-      {{"engine", PoolKind::kEngine}, {"service", PoolKind::kService}},
-      Presence::kRequired);
+  reader.ReadChoice("kind", pool.kind, kPoolKindWords, Presence::kRequired);
   reader.Read("workers", pool.workers, {1U, kMaxWorkers}, Presence::kRequired);
   reader.Read("slots_per_worker", pool.slots_per_worker, {1U, kMaxSlots},
               Presence::kRequired);
   reader.Read("reports_load", pool.reports_load, Presence::kOptional);
-  reader.ReadChoice<FencingSupport>("fencing", pool.fencing,
-                                    {{"ignored", FencingSupport::kIgnored},
-                                     {"checked", FencingSupport::kChecked}},
-                                    Presence::kOptional);
+  reader.ReadChoice("fencing", pool.fencing, kFencingSupportWords,
+                    Presence::kOptional);
   return pool;
 }
 
-Stage ReadStage(ObjectReader& reader) {
+template <typename T>
+const std::string& NameOf(const T& declared) {
+  return declared.name.value;
+}
+
+const std::string& NameOf(const base::ZoneName& zone) {
+  return zone.value;
+}
+
+template <typename T>
+void CheckUnique(const std::vector<T>& all,
+                 const char* field,
+                 ObjectReader& reader) {
+  std::set<std::string> seen;
+  for (const T& one : all) {
+    const std::string& name = NameOf(one);
+    if (!name.empty() && !seen.insert(name).second)
+      reader.AddFault(field, "\"" + name + "\" is declared twice",
+                      "remove one or give it another name");
+  }
+}
+
+Stage ReadStage(ObjectReader& reader, const Configuration& configuration) {
   Stage stage;
   reader.ReadName("name", stage.name.value, Presence::kRequired);
-  reader.ReadChoice<StageKind>("kind", stage.kind,
-                               {{"encode", StageKind::kEncode},
-                                {"retrieve", StageKind::kRetrieve},
-                                {"rerank", StageKind::kRerank},
-                                {"generate", StageKind::kGenerate},
-                                {"call", StageKind::kCall}},
-                               Presence::kRequired);
+  reader.ReadChoice("kind", stage.kind, kStageKindWords, Presence::kRequired);
   reader.ReadName("pool", stage.pool.value, Presence::kRequired);
+  if (!stage.pool.value.empty() &&
+      configuration.FindPool(stage.pool) == nullptr)
+    reader.AddFault("pool",
+                    "names the unknown pool \"" + stage.pool.value + "\"",
+                    "declare it under pools");
   reader.Read("path", stage.path, Presence::kRequired);
   if (!stage.path.empty() && stage.path.front() != '/')
-    reader.AddFault("path", "must begin with a slash", "");
+    reader.AddFault("path", "must begin with a slash",
+                    "write \"/" + stage.path + "\"");
   reader.Read("expected_ms", stage.expected, kLongestDeadline,
               Presence::kRequired);
-  reader.ReadChoice<Repeatability>(
-      "repeatability", stage.repeatability,
-      {{"repeatable", Repeatability::kRepeatable},
-       {"at-most-once", Repeatability::kAtMostOnce}},
-      Presence::kOptional);
-  reader.ReadChoice<Delivery>(
-      "delivery", stage.delivery,
-      {{"whole", Delivery::kWhole}, {"streamed", Delivery::kStreamed}},
-      Presence::kOptional);
+  reader.ReadChoice("repeatability", stage.repeatability, kRepeatabilityWords,
+                    Presence::kOptional);
+  reader.ReadChoice("delivery", stage.delivery, kDeliveryWords,
+                    Presence::kOptional);
   return stage;
 }
 
-Pipeline ReadPipeline(ObjectReader& reader) {
+Pipeline ReadPipeline(ObjectReader& reader,
+                      const Configuration& configuration) {
   Pipeline pipeline;
   reader.ReadName("name", pipeline.name.value, Presence::kRequired);
-  reader.ReadChoice<Rank>("rank", pipeline.rank,
-                          {{"urgent", Rank::kUrgent},
-                           {"ordinary", Rank::kOrdinary},
-                           {"background", Rank::kBackground}},
-                          Presence::kRequired);
+  reader.ReadChoice("rank", pipeline.rank, kRankWords, Presence::kRequired);
   reader.Read("deadline_ms", pipeline.deadline, kLongestDeadline,
               Presence::kRequired);
-  reader.ReadObjects("stages", Presence::kRequired,
-                     [&pipeline](ObjectReader& stage) {
-                       pipeline.stages.push_back(ReadStage(stage));
-                     });
+  reader.ReadObjects("stages", Presence::kRequired, [&](ObjectReader& stage) {
+    pipeline.stages.push_back(ReadStage(stage, configuration));
+  });
   if (pipeline.stages.empty() || pipeline.stages.size() > kMaxStages)
-    reader.AddFault("stages", "must have 1 to 16 stages", "");
+    reader.AddFault("stages", "must have 1 to 16 stages",
+                    "add a stage, or split the pipeline");
+  CheckUnique(pipeline.stages, "stages", reader);
   for (size_t i = 0; i + 1 < pipeline.stages.size(); ++i) {
     if (pipeline.stages[i].delivery == Delivery::kStreamed)
       reader.AddFault("stages", "only the last stage may be streamed",
@@ -99,37 +110,13 @@
   return pipeline;
 }
 
-template <typename T>
-void CheckUnique(const std::vector<T>& all,
-                 const char* field,
-                 ObjectReader& root) {
-  std::set<std::string> seen;
-  for (const T& one : all) {
-    if (!one.name.value.empty() && !seen.insert(one.name.value).second)
-      root.AddFault(field, "\"" + one.name.value + "\" is declared twice", "");
-  }
-}
-
-void CheckPools(const Configuration& configuration, ObjectReader& root) {
-  for (const Pipeline& pipeline : configuration.pipelines) {
-    for (const Stage& stage : pipeline.stages) {
-      if (configuration.FindPool(stage.pool) == nullptr)
-        root.AddFault("pipelines",
-                      "stage \"" + stage.name.value + "\" of \"" +
-                          pipeline.name.value + "\" names the unknown pool \"" +
-                          stage.pool.value + "\"",
-                      "declare it under pools");
-    }
-  }
-}
-
 void CheckShares(const Configuration& configuration, ObjectReader& root) {
   uint32_t sum = 0;
   for (const RankRule& rule : configuration.ranks)
     sum += rule.minimum_share_percent;
   if (sum > 100)
     root.AddFault("ranks", "the minimum shares sum to more than 100 percent",
-                  "");
+                  "lower one of them");
 }
 
 }  // namespace
@@ -155,7 +142,7 @@
     configuration.pools.push_back(ReadPool(pool));
   });
   root.ReadObjects("pipelines", Presence::kRequired, [&](ObjectReader& it) {
-    configuration.pipelines.push_back(ReadPipeline(it));
+    configuration.pipelines.push_back(ReadPipeline(it, configuration));
   });
   root.ReadObjects("teams", Presence::kRequired, [&](ObjectReader& it) {
     Team team;
@@ -164,10 +151,12 @@
     configuration.teams.push_back(std::move(team));
   });
   root.Finish();
+  if (configuration.zones.empty() && root.Has("zones"))
+    root.AddFault("zones", "must name at least one zone", "add the zones");
+  CheckUnique(configuration.zones, "zones", root);
   CheckUnique(configuration.pools, "pools", root);
   CheckUnique(configuration.pipelines, "pipelines", root);
   CheckUnique(configuration.teams, "teams", root);
-  CheckPools(configuration, root);
   CheckShares(configuration, root);
   return parsed;
 }
--- a/Libraries/LibDeclare/json_document.cc
+++ b/Libraries/LibDeclare/json_document.cc
@@ -35,7 +35,8 @@
 
 std::optional<JsonDocument> ParseJson(std::string_view text, Faults& faults) {
   if (text.size() > kMaxDocumentBytes) {
-    faults.push_back({0, "", "the document is longer than 4 MiB", ""});
+    faults.push_back(
+        {0, "", "the document is longer than 4 MiB", "split the deployment"});
     return std::nullopt;
   }
   JsonDocument document;
@@ -58,7 +59,8 @@
   if (errors.starts_with(kLinePrefix))
     line = std::atoi(errors.c_str() + kLinePrefix.size());
   std::ranges::replace(errors, '\n', ' ');
-  faults.push_back({line, "", "not valid JSON: " + errors, ""});
+  faults.push_back({line, "", "not valid JSON: " + errors,
+                    "see the place before this line, too"});
   return std::nullopt;
 }
 
--- a/Libraries/LibDeclare/object_reader.cc
+++ b/Libraries/LibDeclare/object_reader.cc
@@ -18,7 +18,7 @@
       faults_(faults) {
   if (!value_.isObject())
     faults_.push_back(
-        {document_.LineOf(value_), path_, "must be an object", ""});
+        {document_.LineOf(value_), path_, "must be an object", "write { … }"});
 }
 
 std::string ObjectReader::PathOf(const char* key) const {
@@ -34,7 +34,7 @@
   if (Has(key))
     return &value_[key];
   if (presence == Presence::kRequired && value_.isObject())
-    AddFault(key, "is missing", "");
+    AddFault(key, "is missing", "add it");
   return nullptr;
 }
 
@@ -51,7 +51,8 @@
   if (value == nullptr)
     return;
   if (!value->isString() || value->asString().empty()) {
-    AddFault(key, "must be a string with at least one character", "");
+    AddFault(key, "must be a string with at least one character",
+             "write it in double quotes");
     return;
   }
   out = value->asString();
@@ -68,7 +69,7 @@
     AddFault(key,
              "may only hold letters, digits, dots, dashes and underscores,"
              " 64 at most",
-             "");
+             "choose another name");
 }
 
 void ObjectReader::Read(const char* key, bool& out, Presence presence) {
@@ -76,7 +77,7 @@
   if (value == nullptr)
     return;
   if (!value->isBool()) {
-    AddFault(key, "must be true or false", "");
+    AddFault(key, "must be true or false", "write it without quotes");
     return;
   }
   out = value->asBool();
@@ -94,7 +95,7 @@
     AddFault(key,
              "must be a whole number from " + std::to_string(range.first) +
                  " to " + std::to_string(range.second),
-             "");
+             "choose a number in that range");
     return;
   }
   out = value->asUInt();
@@ -112,7 +113,7 @@
     AddFault(key,
              "must be a number from " + std::to_string(range.first) + " to " +
                  std::to_string(range.second),
-             "");
+             "choose a number in that range");
     return;
   }
   out = value->asDouble();
@@ -134,7 +135,7 @@
   if (value == nullptr)
     return;
   if (!value->isArray()) {
-    AddFault(key, "must be an array", "");
+    AddFault(key, "must be an array", "write [ … ]");
     return;
   }
   for (Json::ArrayIndex i = 0; i < value->size(); ++i) {
@@ -163,12 +164,12 @@
   if (value == nullptr)
     return;
   if (!value->isArray()) {
-    AddFault(key, "must be an array of strings", "");
+    AddFault(key, "must be an array of strings", "write [\"…\", \"…\"]");
     return;
   }
   for (const Json::Value& element : *value) {
     if (!element.isString() || element.asString().empty()) {
-      AddFault(key, "must be an array of strings", "");
+      AddFault(key, "must be an array of strings", "write [\"…\", \"…\"]");
       return;
     }
     out.push_back(element.asString());
--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -82,8 +82,9 @@
     --settings "$work/host-$i.json"
 done
 
+"$bin/Examples/valbruna/valbruna" > "$work/configuration.json"
 "$bin/Utilities/bilberryctl/bilberryctl" apply \
-  --file Examples/valbruna/configuration.json --platform "$platform:7000" \
+  --file "$work/configuration.json" --platform "$platform:7000" \
   --expect-revision 0
 for i in 1 2 3; do
   wait_for "http://$net.$i:8080/readyz"
--- a/Tests/LibDeclare/test_bad_input.cc
+++ b/Tests/LibDeclare/test_bad_input.cc
@@ -39,6 +39,8 @@
     {R"("deployment": "d",)", R"("deployment": 3,)", 2, "deployment", "string"},
     {R"("zones": ["a"])", R"("zones": "a")", 2, "zones", "array"},
     {R"("zones": ["a"])", R"("zones": ["a"], "zoo": 1)", 2, "zoo", "unknown"},
+    {R"("zones": ["a"])", R"("zones": [])", 2, "zones", "at least one"},
+    {R"("zones": ["a"])", R"("zones": ["a", "a"])", 2, "zones", "twice"},
     {R"("zones": ["a"])", R"("zones": ["a"], "zones": [])", 2, "", "JSON"},
     {R"("minimum_share_percent": 50)", R"("minimum_share_percent": 101)", 4,
      "ranks.urgent.minimum_share_percent", "from 0 to 100"},
@@ -49,9 +51,14 @@
     {R"("workers": 3)", R"("workers": 2.5)", 9, "pools[0].workers", "whole"},
     {R"("kind": "service")", R"("kind": "sevice")", 9, "pools[0].kind",
      "unknown value"},
-    {R"("pool": "p")", R"("pool": "x")", 11, "pipelines", "unknown pool"},
+    {R"("pool": "p")", R"("pool": "x")", 13, "pipelines[0].stages[0].pool",
+     "unknown pool"},
     {R"("path": "/s")", R"("path": "s")", 13, "pipelines[0].stages[0].path",
      "slash"},
+    {R"("expected_ms": 5})",
+     R"("expected_ms": 5},
+      {"name": "s", "kind": "call", "pool": "p", "path": "/", "expected_ms": 5})",
+     12, "pipelines[0].stages", "declared twice"},
     {R"("deadline_ms": 100)", R"("deadline_ms": 0)", 12,
      "pipelines[0].deadline_ms", "from 1"},
     {R"("rank": "urgent")", R"("rank": "high")", 12, "pipelines[0].rank",
@@ -84,6 +91,7 @@
     CAPTURE(fault.reason);
     CHECK(fault.field == bad.field);
     CHECK(fault.reason.find(bad.reason) != std::string::npos);
+    CHECK_FALSE(fault.hint.empty());
     if (bad.line > 0)
       CHECK(fault.line == bad.line);
   }
