--- a/Libraries/LibNode/entry_node.cc
+++ b/Libraries/LibNode/entry_node.cc
@@ -110,6 +110,18 @@
                                      : Readiness::kNoConfiguration;
 }
 
+report::ServiceReport EntryNode::Report(base::TimePoint now) const {
+  report::ServiceReport report = runs_.recorder().Report(now);
+  report.revision = static_cast<uint64_t>(membership_.revision());
+  const auto configuration = membership_.configuration();
+  if (!configuration)
+    return report;
+  for (const declare::Rank rank : declare::kRanks)
+    report.targets[static_cast<size_t>(rank)] =
+        configuration->RuleOf(rank).attainment_target_percent;
+  return report;
+}
+
 NodeStatus EntryNode::Status() const {
   NodeStatus status;
   status.host = context_.settings().host;
--- a/Libraries/LibNode/entry_node.h
+++ b/Libraries/LibNode/entry_node.h
@@ -10,6 +10,7 @@
 #include "LibNode/node_context.h"
 #include "LibNode/node_status.h"
 #include "LibNode/run_coordinator.h"
+#include "LibReport/service_report.h"
 
 namespace bilberry::node {
 
@@ -30,6 +31,8 @@
 
   Readiness readiness() const;
   NodeStatus Status() const;
+  // What this host has served, with the targets in force.
+  report::ServiceReport Report(base::TimePoint now) const;
 
  private:
   void Route(Event event, base::TimePoint now);
--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -23,6 +23,10 @@
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 constexpr int kFirstErrorStatus = 400;
+constexpr int kTooManyRequests = 429;
+constexpr int kFirstServerErrorStatus = 500;
+
+constexpr const char* kCallerLeftCode = "caller_left";
 
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
@@ -32,6 +36,22 @@
   return {{entry.name}, entry.zone, entry.address, entry.incarnation};
 }
 
+report::RunOutcome RunOutcomeOf(const CallerAnswer& answer,
+                                base::TimePoint deadline,
+                                base::TimePoint now) {
+  using report::RunOutcome;
+  if (!answer.error)
+    return now <= deadline ? RunOutcome::kMet : RunOutcome::kLate;
+  if (answer.error->code == kCallerLeftCode)
+    return RunOutcome::kAbandoned;
+  if (answer.status == kGatewayTimeout)
+    return RunOutcome::kLapsed;
+  if (answer.status == kTooManyRequests || answer.status == kServiceUnavailable)
+    return RunOutcome::kRefused;
+  return answer.status < kFirstServerErrorStatus ? RunOutcome::kCallerFault
+                                                 : RunOutcome::kFailed;
+}
+
 }  // namespace
 
 std::string RunCoordinator::RequestIdOf(base::RunId run) const {
@@ -52,27 +72,43 @@
   context_.Emit(AnswerCaller{caller, std::move(answer)});
 }
 
+void RunCoordinator::RecordRefused(const pipeline::RunRequest& request,
+                                   base::TimePoint now) {
+  recorder_.Record({request.pipeline,
+                    request.team,
+                    request.rank,
+                    report::RunOutcome::kRefused,
+                    base::Duration(0),
+                    {}},
+                   now);
+}
+
 void RunCoordinator::HandleRequest(const CallerRequest& request,
                                    base::TimePoint now) {
   const auto configuration = membership_.configuration();
   if (!configuration) {
+    recorder_.NoteRefusedUnready();
     Refuse(request.caller, kServiceUnavailable,
            {"not_ready", Step::kAdmission, "",
             "this entry host has no configuration yet", kRetryAfterNotReady});
     return;
   }
+  auto checked = CheckRequest(request, *configuration);
+  const auto* sound = std::get_if<pipeline::RunRequest>(&checked);
   if (!is_accepting_) {
+    if (sound != nullptr)
+      RecordRefused(*sound, now);
     Refuse(request.caller, kServiceUnavailable,
            {"stopping", Step::kAdmission, "", "this entry host is stopping",
             kRetryAfterNotReady});
     return;
   }
-  auto checked = CheckRequest(request, *configuration);
   if (auto* bad = std::get_if<BadRequest>(&checked)) {
     Refuse(request.caller, bad->status, std::move(bad->error));
     return;
   }
   if (runs_.size() >= context_.settings().max_runs) {
+    RecordRefused(*sound, now);
     Refuse(request.caller, kServiceUnavailable,
            {"too_many_runs", Step::kAdmission, "",
             "this entry host is at its limit of runs", kRetryAfterFull});
@@ -118,6 +154,7 @@
   work.progress = run.stage_index() == 0 ? policy::Progress::kNew
                                          : policy::Progress::kUnderWay;
   active.phase = Phase::kQueued;
+  active.stage_offered = now;
   PoolOf(run).Offer(std::move(work), now);
 }
 
@@ -221,11 +258,15 @@
       now);
 }
 
-void RunCoordinator::ReportAttempt(const ActiveRun& active,
+void RunCoordinator::ReportAttempt(ActiveRun& active,
                                    AttemptVerdict verdict,
                                    std::optional<uint32_t> load,
                                    base::TimePoint now) {
-  const auto it = pools_.find(active.run.stage().pool);
+  const pipeline::Run& run = active.run;
+  active.attempts.push_back({run.stage().name,
+                             run.attempt_began() - active.stage_offered,
+                             now - run.attempt_began()});
+  const auto it = pools_.find(run.stage().pool);
   if (it == pools_.end())
     return;
   it->second.Finish({active.run.attempt_endpoint(), verdict,
@@ -270,7 +311,7 @@
   if (active.phase == Phase::kSent)
     CancelAttempt(active, AttemptVerdict::kCancelled, now);
   Fail(active, kServiceUnavailable,
-       {"caller_left", Step::kQueue, "", "the caller has left", std::nullopt},
+       {kCallerLeftCode, Step::kQueue, "", "the caller has left", std::nullopt},
        now);
 }
 
@@ -362,6 +403,11 @@
                          base::TimePoint now) {
   const base::RunId id = active.run.id();
   answer.request_id = RequestIdOf(id);
+  const pipeline::RunRequest& asked = active.run.request();
+  recorder_.Record({asked.pipeline, asked.team, asked.rank,
+                    RunOutcomeOf(answer, active.run.deadline(), now),
+                    now - active.run.arrived(), std::move(active.attempts)},
+                   now);
   if (active.run.pipeline().IsAtMostOnce())
     bookings_.Conclude(id, OutcomeOf(active, answer), now);
   if (active.has_stream_begun)
--- a/Libraries/LibNode/run_coordinator.h
+++ b/Libraries/LibNode/run_coordinator.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "LibBase/ids.h"
 #include "LibBase/time.h"
@@ -18,6 +19,7 @@
 #include "LibNode/node_context.h"
 #include "LibPipeline/run.h"
 #include "LibPolicy/pool_scheduler.h"
+#include "LibReport/service_recorder.h"
 
 namespace bilberry::node {
 
@@ -52,6 +54,7 @@
   bool is_accepting() const { return is_accepting_; }
   size_t run_count() const { return runs_.size(); }
   std::vector<policy::PoolLoad> Loads() const;
+  const report::ServiceRecorder& recorder() const { return recorder_; }
   std::optional<base::TimePoint> NextWakeup() const;
 
  private:
@@ -62,6 +65,8 @@
     base::CallerId caller{};
     Phase phase = Phase::kQueued;
     bool has_stream_begun = false;
+    base::TimePoint stage_offered = {};
+    std::vector<report::StageTime> attempts = {};  // Those that have ended.
   };
 
   using RunMap = std::unordered_map<base::RunId, ActiveRun>;
@@ -76,7 +81,7 @@
                     base::TimePoint now);
   // Null when nobody waits for this attempt any more.
   ActiveRun* FindByAttempt(const base::AttemptId& attempt);
-  void ReportAttempt(const ActiveRun& active,
+  void ReportAttempt(ActiveRun& active,
                      policy::AttemptVerdict verdict,
                      std::optional<uint32_t> load,
                      base::TimePoint now);
@@ -99,6 +104,8 @@
   BookingOutcome OutcomeOf(const ActiveRun& active,
                            const CallerAnswer& answer) const;
   void Refuse(base::CallerId caller, int status, CallerError error);
+  // Counts a request that is turned away before it becomes a run.
+  void RecordRefused(const pipeline::RunRequest& request, base::TimePoint now);
   std::string RequestIdOf(base::RunId run) const;
   policy::PoolScheduler& PoolOf(const pipeline::Run& run);
 
@@ -113,6 +120,7 @@
   std::unordered_map<uint64_t, base::RunId> attempts_;  // By attempt number.
   std::set<std::pair<base::TimePoint, base::RunId>> deadlines_;
   std::map<base::PoolName, policy::PoolScheduler> pools_;
+  report::ServiceRecorder recorder_;
 };
 
 }  // namespace bilberry::node
--- a/Libraries/LibReport/latency_histogram.cc
+++ b/Libraries/LibReport/latency_histogram.cc
@@ -50,6 +50,23 @@
   bins_->count += other.bins_->count;
 }
 
+std::vector<LatencyHistogram::Bin> LatencyHistogram::FilledBins() const {
+  std::vector<Bin> filled;
+  for (auto&& bin : bh::indexed(bins_->histogram, bh::coverage::all)) {
+    if (*bin > 0)
+      filled.push_back({bin.index(), static_cast<uint64_t>(*bin)});
+  }
+  return filled;
+}
+
+bool LatencyHistogram::AddBin(const Bin& bin) {
+  if (bin.index < -1 || bin.index > static_cast<int>(kBinCount))
+    return false;
+  bins_->histogram.at(bin.index) += bin.count;
+  bins_->count += bin.count;
+  return true;
+}
+
 uint64_t LatencyHistogram::count() const {
   return bins_->count;
 }
--- a/Libraries/LibReport/latency_histogram.h
+++ b/Libraries/LibReport/latency_histogram.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <vector>
 
 #include "LibBase/time.h"
 
@@ -22,6 +23,16 @@
   void Record(base::Duration duration);
   void Merge(const LatencyHistogram& other);
 
+  // The bins that hold something, for another host to merge. Indices go from
+  // -1 (below the range) to the number of bins (above it).
+  struct Bin {
+    int index = 0;
+    uint64_t count = 0;
+  };
+  std::vector<Bin> FilledBins() const;
+  // False, and nothing done, when there is no such bin.
+  bool AddBin(const Bin& bin);
+
   uint64_t count() const;
   // The duration that this fraction, from 0 to 1, does not exceed; 0 when
   // nothing was recorded.
--- /dev/null
+++ b/Tests/LibNode/test_report.cc
@@ -0,0 +1,90 @@
+#include <doctest/doctest.h>
+
+#include "Fakes/node_harness.h"
+#include "Fakes/platform_store.h"
+
+namespace bilberry::node {
+namespace {
+
+using namespace std::chrono_literals;
+using declare::Rank;
+using report::RunOutcome;
+
+struct World {
+  World() {
+    fakes::PutSmallDeployment(store);
+    harness.Advance(2s);
+  }
+
+  report::ServiceReport Report() {
+    return harness.node().Report(harness.now());
+  }
+
+  uint64_t Count(RunOutcome outcome) {
+    uint64_t count = 0;
+    for (const auto& [key, counts] : Report().outcomes)
+      count += counts[static_cast<size_t>(outcome)];
+    return count;
+  }
+
+  fakes::PlatformStore store;
+  fakes::NodeHarness harness{store, fakes::MakeOptions("entry-1", 1)};
+};
+
+TEST_CASE("a run that is answered in time is met, with its stage's time") {
+  World world;
+  world.harness.Call("stock");
+  const auto sent = world.harness.TakeSent();
+  REQUIRE(sent.size() == 1);
+  world.harness.Advance(20ms);
+  world.harness.AnswerAttempt(sent[0], "{}");
+  CHECK(world.Count(RunOutcome::kMet) == 1);
+  const auto report = world.Report();
+  REQUIRE(report.stages.size() == 1);
+  CHECK(report.stages.begin()->second.spent == 20ms);
+  CHECK(report.stages.begin()->second.wasted == 0ms);
+  CHECK(report.teams.begin()->first.name == "t");
+  CHECK(report.revision > 0);
+  CHECK(report.TargetOf(Rank::kUrgent) > 0);
+}
+
+TEST_CASE("a run without an answer lapses, and its time was wasted") {
+  World world;
+  world.harness.Call("stock");
+  REQUIRE(world.harness.TakeSent().size() == 1);
+  world.harness.Advance(1min);
+  CHECK(world.Count(RunOutcome::kLapsed) == 1);
+  const auto report = world.Report();
+  CHECK(report.stages.begin()->second.wasted > 0ms);
+  CHECK(report.stages.begin()->second.level.total.missed == 1);
+}
+
+TEST_CASE("a caller who leaves is neither met nor missed") {
+  World world;
+  const auto caller = world.harness.Call("stock");
+  world.harness.Feed(CallerLeft{caller});
+  CHECK(world.Count(RunOutcome::kAbandoned) == 1);
+  CHECK(world.Report().ranks.begin()->second.level.total.total() == 0);
+}
+
+TEST_CASE("bad input is no miss, and a refusal at a stop is one") {
+  World world;
+  world.harness.Call("no-such-pipeline");
+  CHECK(world.Report().ranks.empty());
+  world.harness.Call("stock");  // Keeps the host from ending.
+  world.harness.Feed(StopOrdered{});
+  world.harness.Call("no-such-pipeline");
+  world.harness.Call("stock");
+  CHECK(world.Count(RunOutcome::kRefused) == 1);
+}
+
+TEST_CASE("a request before there is a configuration is a refusal") {
+  fakes::PlatformStore store;
+  fakes::NodeHarness harness(store, fakes::MakeOptions("entry-1", 1));
+  harness.Advance(2s);
+  harness.Call("stock");
+  CHECK(harness.node().Report(harness.now()).refused_unready == 1);
+}
+
+}  // namespace
+}  // namespace bilberry::node
