LibOperator: Let operators see and compare

bilberryctl's commands move into a library, so that they are tested in one process with a platform and an entry host on sockets. All hosts are asked at once, so that one that hangs costs one timeout. Each kind of bad input has a code of its own. Entry hosts answer /metrics and the operators' method report.

--- a/Libraries/LibOperator/apply_command.cc
+++ b/Libraries/LibOperator/apply_command.cc
@@ -1,15 +1,14 @@
-#include <array>
 #include <cxxopts.hpp>
-#include <iostream>
 #include <random>
 #include <sstream>
 
-#include "LibBase/overloaded.h"
+#include "LibDeclare/configuration_difference.h"
+#include "LibDeclare/configuration_parser.h"
 #include "LibMembership/configuration_head.h"
-#include "commands.h"
-#include "session.h"
+#include "LibOperator/commands.h"
+#include "LibOperator/session.h"
 
-namespace bilberry::ctl {
+namespace bilberry::operators {
 
 namespace {
 
@@ -30,11 +29,6 @@
   return text.str();
 }
 
-ExitCode Complain(ExitCode code, const std::string& reason) {
-  std::cerr << "bilberryctl apply: " << reason << "\n";
-  return code;
-}
-
 std::optional<Head> ReadHead(Session& session,
                              const base::SocketAddress& platform) {
   const Outcome outcome = session.Ask(
@@ -62,7 +56,8 @@
 ExitCode MoveHead(Session& session,
                   const base::SocketAddress& platform,
                   const Head& seen,
-                  const ConfigurationHead& next) {
+                  const ConfigurationHead& next,
+                  Console& console) {
   base::WriteRows write;
   write.writes.push_back({std::string(membership::kConfigurationHeadKey),
                           seen.version, membership::PrintHead(next)});
@@ -76,50 +71,99 @@
     const base::TableWriteResult& result = written->results.front();
     const auto present = membership::ParseHead(result.row.value);
     if (result.was_applied || (present && present.value() == next)) {
-      std::cout << "revision " << RevisionText(next.revision)
-                << " is accepted\n";
+      console.out << "revision " << RevisionText(next.revision)
+                  << " is accepted\n";
       return ExitCode::kDone;
     }
-    return Complain(ExitCode::kConflict,
-                    "another change came first; nothing was changed");
+    return console.Complain(ExitCode::kConflict,
+                            "another change came first; nothing was changed");
   }
-  return Complain(ExitCode::kUnreachable,
-                  "the platform does not answer; change " + next.change +
-                      " may yet be accepted: look with status");
+  return console.Complain(ExitCode::kUnreachable,
+                          "the platform does not answer; change " +
+                              next.change +
+                              " may yet be accepted: look with status");
+}
+
+// The configuration in force, or nothing when it can't be had or read.
+std::optional<declare::Configuration> FetchConfiguration(
+    Session& session,
+    const base::SocketAddress& platform,
+    const ConfigurationHead& head) {
+  const Outcome outcome = session.Ask(platform, base::FetchObject{head.object});
+  const auto* answer = std::get_if<base::PlatformAnswer>(&outcome);
+  const auto* fetched =
+      answer == nullptr ? nullptr : std::get_if<base::ObjectFetched>(answer);
+  if (fetched == nullptr || !fetched->content)
+    return std::nullopt;
+  auto parsed = declare::ParseConfiguration(*fetched->content);
+  if (!parsed.faults.empty())
+    return std::nullopt;
+  return std::move(parsed.configuration);
 }
 
-ExitCode Apply(const std::string& document,
+// Prints what the change does to the configuration in force.
+ExitCode PrintDifferences(Session& session,
+                          const base::SocketAddress& platform,
+                          const ConfigurationHead& head,
+                          const declare::Configuration& next,
+                          Console& console) {
+  std::optional<declare::Configuration> present = declare::Configuration();
+  if (head.revision != base::Revision{})
+    present = FetchConfiguration(session, platform, head);
+  if (!present)
+    return console.Complain(ExitCode::kUnreachable,
+                            "the configuration in force can't be read, so "
+                            "that nothing was changed; apply without "
+                            "--expect-revision to replace it unseen");
+  const auto differences = declare::Compare(*present, next);
+  console.out << differences.size() << " fields differ from revision "
+              << RevisionText(head.revision) << "\n";
+  for (const declare::Difference& difference : differences)
+    console.out << "  " << ToText(difference) << "\n";
+  return ExitCode::kDone;
+}
+
+ExitCode Apply(const SoundConfiguration& sound,
                const base::SocketAddress& platform,
-               std::optional<uint64_t> expected) {
+               std::optional<uint64_t> expected,
+               Console& console) {
   auto session = Session::Create();
   if (!session)
-    return Complain(ExitCode::kUnreachable, ToText(session.error()));
+    return console.Complain(ExitCode::kUnreachable, ToText(session.error()));
   const auto seen = ReadHead(*session.value(), platform);
   if (!seen)
-    return Complain(ExitCode::kUnreachable,
-                    "the platform does not answer; nothing was changed");
+    return console.Complain(
+        ExitCode::kUnreachable,
+        "the platform does not answer; nothing was changed");
   const auto revision = static_cast<uint64_t>(seen->head.revision);
   if (expected && *expected != revision)
-    return Complain(ExitCode::kConflict,
-                    "revision " + std::to_string(revision) +
-                        " is in force, not " + std::to_string(*expected) +
-                        "; nothing was changed");
+    return console.Complain(
+        ExitCode::kConflict,
+        "revision " + std::to_string(revision) + " is in force, not " +
+            std::to_string(*expected) + "; nothing was changed");
+  if (expected) {
+    const ExitCode code = PrintDifferences(
+        *session.value(), platform, seen->head, sound.configuration, console);
+    if (code != ExitCode::kDone)
+      return code;
+  }
   ConfigurationHead next;
   next.revision = base::Revision{revision + 1};
   next.change = DrawChangeId();
   next.object =
       "configuration/" + std::to_string(revision + 1) + "-" + next.change;
-  const Outcome stored =
-      session.value()->Ask(platform, base::StoreObject{next.object, document});
+  const Outcome stored = session.value()->Ask(
+      platform, base::StoreObject{next.object, sound.document});
   if (!std::holds_alternative<base::PlatformAnswer>(stored))
-    return Complain(ExitCode::kUnreachable,
-                    "the object store does not answer; nothing was changed");
-  return MoveHead(*session.value(), platform, *seen, next);
+    return console.Complain(
+        ExitCode::kUnreachable,
+        "the object store does not answer; nothing was changed");
+  return MoveHead(*session.value(), platform, *seen, next, console);
 }
 
 }  // namespace
 
-ExitCode RunApply(int argc, char** argv) {
+ExitCode RunApply(int argc, const char* const* argv, Console& console) {
   cxxopts::Options options("bilberryctl apply",
                            "Puts a configuration in force everywhere.");
   options.add_options()("file", "The configuration",
@@ -129,22 +173,25 @@
       cxxopts::value<uint64_t>())("help", "Print this");
   const auto flags = options.parse(argc, argv);
   if (flags.count("help") > 0) {
-    std::cout << options.help();
+    console.out << options.help();
     return ExitCode::kDone;
   }
   if (flags.count("file") == 0 || flags.count("platform") == 0)
-    return Complain(ExitCode::kUsage, "--file and --platform are needed");
+    return console.Complain(ExitCode::kUsage,
+                            "--file and --platform are needed");
   const auto platform =
-      AddressOf("platform", flags["platform"].as<std::string>());
+      AddressOf("platform", flags["platform"].as<std::string>(), console);
   if (!platform)
     return ExitCode::kUsage;
-  const auto document = ReadSoundConfiguration(flags["file"].as<std::string>());
-  if (!document)
-    return ExitCode::kFaulty;
+  const auto read =
+      ReadSoundConfiguration(flags["file"].as<std::string>(), console);
+  if (const auto* code = std::get_if<ExitCode>(&read))
+    return *code;
   std::optional<uint64_t> expected;
   if (flags.count("expect-revision") > 0)
     expected = flags["expect-revision"].as<uint64_t>();
-  return Apply(*document, *platform, expected);
+  return Apply(std::get<SoundConfiguration>(read), *platform, expected,
+               console);
 }
 
-}  // namespace bilberry::ctl
+}  // namespace bilberry::operators
--- a/Libraries/LibOperator/check_command.cc
+++ b/Libraries/LibOperator/check_command.cc
@@ -1,12 +1,11 @@
 #include <cxxopts.hpp>
-#include <iostream>
 
-#include "commands.h"
-#include "session.h"
+#include "LibOperator/commands.h"
+#include "LibOperator/session.h"
 
-namespace bilberry::ctl {
+namespace bilberry::operators {
 
-ExitCode RunCheck(int argc, char** argv) {
+ExitCode RunCheck(int argc, const char* const* argv, Console& console) {
   cxxopts::Options options("bilberryctl check",
                            "Checks a configuration; prints all its faults.");
   options.add_options()("file", "The configuration",
@@ -14,18 +13,17 @@
   options.parse_positional({"file"});
   const auto flags = options.parse(argc, argv);
   if (flags.count("help") > 0) {
-    std::cout << options.help();
+    console.out << options.help();
     return ExitCode::kDone;
   }
-  if (flags.count("file") == 0) {
-    std::cerr << "bilberryctl check: --file is missing\n";
-    return ExitCode::kUsage;
-  }
+  if (flags.count("file") == 0)
+    return console.Complain(ExitCode::kUsage, "--file is missing");
   const std::string path = flags["file"].as<std::string>();
-  if (!ReadSoundConfiguration(path))
-    return ExitCode::kFaulty;
-  std::cout << path << ": no faults\n";
+  const auto read = ReadSoundConfiguration(path, console);
+  if (const auto* code = std::get_if<ExitCode>(&read))
+    return *code;
+  console.out << path << ": no faults\n";
   return ExitCode::kDone;
 }
 
-}  // namespace bilberry::ctl
+}  // namespace bilberry::operators
--- a/Libraries/LibOperator/commands.h
+++ b/Libraries/LibOperator/commands.h
@@ -1,13 +1,19 @@
 #pragma once
 
-#include "exit_code.h"
+#include "LibOperator/console.h"
+#include "LibOperator/exit_code.h"
 
-namespace bilberry::ctl {
+namespace bilberry::operators {
+
+// The whole command line of bilberryctl.
+ExitCode RunCommandLine(int argc, const char* const* argv, Console& console);
 
 // Each takes the command line with the command's name as argv[0], and may throw
 // cxxopts::exceptions::exception on bad flags.
-ExitCode RunCheck(int argc, char** argv);
-ExitCode RunApply(int argc, char** argv);
-ExitCode RunStatus(int argc, char** argv);
+ExitCode RunCheck(int argc, const char* const* argv, Console& console);
+ExitCode RunApply(int argc, const char* const* argv, Console& console);
+ExitCode RunStatus(int argc, const char* const* argv, Console& console);
+ExitCode RunBookings(int argc, const char* const* argv, Console& console);
+ExitCode RunReport(int argc, const char* const* argv, Console& console);
 
-}  // namespace bilberry::ctl
+}  // namespace bilberry::operators
--- /dev/null
+++ b/Libraries/LibOperator/console.cc
@@ -0,0 +1,10 @@
+#include "LibOperator/console.h"
+
+namespace bilberry::operators {
+
+ExitCode Console::Complain(ExitCode code, const std::string& reason) const {
+  err << "bilberryctl: " << reason << "\n";
+  return code;
+}
+
+}  // namespace bilberry::operators
--- a/Libraries/LibOperator/session.cc
+++ b/Libraries/LibOperator/session.cc
@@ -1,13 +1,13 @@
-#include "session.h"
+#include "LibOperator/session.h"
 
 #include <fstream>
-#include <iostream>
 #include <sstream>
 #include <utility>
 
+#include "LibDeclare/configuration_parser.h"
 #include "LibTransport/peer_client.h"
 
-namespace bilberry::ctl {
+namespace bilberry::operators {
 
 namespace {
 
@@ -37,51 +37,55 @@
   return std::move(*outcome);
 }
 
-base::Result<Json::Value> Session::Call(const base::SocketAddress& host,
-                                        const std::string& method,
-                                        const std::string& operator_token) {
+std::vector<base::Result<Json::Value>> Session::CallAll(
+    const std::vector<base::SocketAddress>& hosts,
+    const std::string& method,
+    const std::string& operator_token) {
   transport::PeerClient client(*http_);
-  std::optional<base::Result<Json::Value>> result;
-  client.Call(host, method, Json::objectValue, operator_token, kTimeout,
-              [&result](base::Result<Json::Value> it) {
-                result.emplace(std::move(it));
-              });
-  while (!result)
+  std::vector<std::optional<base::Result<Json::Value>>> results(hosts.size());
+  size_t missing = hosts.size();
+  for (size_t i = 0; i < hosts.size(); ++i) {
+    client.Call(hosts[i], method, Json::objectValue, operator_token, kTimeout,
+                [&results, &missing, i](base::Result<Json::Value> it) {
+                  results[i].emplace(std::move(it));
+                  --missing;
+                });
+  }
+  while (missing > 0)
     reactor_.RunOnce(kLongestWait);
-  return std::move(*result);
+  std::vector<base::Result<Json::Value>> all;
+  all.reserve(hosts.size());
+  for (auto& result : results)
+    all.push_back(std::move(*result));
+  return all;
 }
 
-base::Result<std::string> ReadFile(const std::string& path) {
+std::variant<SoundConfiguration, ExitCode> ReadSoundConfiguration(
+    const std::string& path,
+    Console& console) {
   std::ifstream file(path);
-  if (!file)
-    return base::Error{base::ErrorCode::kNotFound, base::Step::kConfiguration,
-                       "", path + " can't be read"};
   std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
-std::optional<std::string> ReadSoundConfiguration(const std::string& path) {
-  auto text = ReadFile(path);
-  if (!text) {
-    std::cerr << "bilberryctl: " << ToText(text.error()) << "\n";
-    return std::nullopt;
-  }
-  const auto parsed = declare::ParseConfiguration(text.value());
+  // A folder can be opened, but not read.
+  if (!file || !(text << file.rdbuf()))
+    return console.Complain(
+        ExitCode::kUnreadable,
+        path + " can't be read, or is empty; name another file");
+  auto parsed = declare::ParseConfiguration(text.str());
   for (const declare::Fault& fault : parsed.faults)
-    std::cerr << ToText(path, fault) << "\n";
+    console.err << ToText(path, fault) << "\n";
   if (!parsed.faults.empty())
-    return std::nullopt;
-  return std::move(text.value());
+    return ExitCode::kFaulty;
+  return SoundConfiguration{text.str(), std::move(parsed.configuration)};
 }
 
 std::optional<base::SocketAddress> AddressOf(const std::string& flag,
-                                             const std::string& text) {
+                                             const std::string& text,
+                                             Console& console) {
   auto address = base::ParseSocketAddress(text);
   if (!address)
-    std::cerr << "bilberryctl: --" << flag << " must be IP:PORT, not \"" << text
-              << "\"\n";
+    console.Complain(ExitCode::kUsage,
+                     "--" + flag + " must be IP:PORT, not \"" + text + "\"");
   return address;
 }
 
-}  // namespace bilberry::ctl
+}  // namespace bilberry::operators
--- a/Libraries/LibOperator/session.h
+++ b/Libraries/LibOperator/session.h
@@ -5,17 +5,20 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
+#include <vector>
 
 #include "LibBase/error.h"
 #include "LibBase/platform.h"
-#include "LibDeclare/configuration_parser.h"
+#include "LibDeclare/configuration.h"
+#include "LibOperator/console.h"
 #include "LibTransport/http_client.h"
 #include "LibTransport/platform_client.h"
 #include "LibTransport/reactor.h"
 
-namespace bilberry::ctl {
+namespace bilberry::operators {
 
-// The network as a command uses it: one question at a time, waited for.
+// The network as a command uses it: each question is waited for.
 class Session {
  public:
   static base::Result<std::unique_ptr<Session>> Create();
@@ -23,9 +26,11 @@
   transport::PlatformClient::Outcome Ask(const base::SocketAddress& platform,
                                          base::PlatformRequest request);
 
-  base::Result<Json::Value> Call(const base::SocketAddress& host,
-                                 const std::string& method,
-                                 const std::string& operator_token);
+  // Asks all hosts at once; the results are in the hosts' order.
+  std::vector<base::Result<Json::Value>> CallAll(
+      const std::vector<base::SocketAddress>& hosts,
+      const std::string& method,
+      const std::string& operator_token);
 
  private:
   Session() = default;
@@ -34,13 +39,20 @@
   std::unique_ptr<transport::HttpClient> http_;
 };
 
-base::Result<std::string> ReadFile(const std::string& path);
+// A file that holds a configuration without faults.
+struct SoundConfiguration {
+  std::string document;
+  declare::Configuration configuration;
+};
 
-// The file's document, or nothing after its faults have been printed.
-std::optional<std::string> ReadSoundConfiguration(const std::string& path);
+// Or what to end with, after the file's faults have been printed.
+std::variant<SoundConfiguration, ExitCode> ReadSoundConfiguration(
+    const std::string& path,
+    Console& console);
 
 // The flag's address, or nothing after a complaint has been printed.
 std::optional<base::SocketAddress> AddressOf(const std::string& flag,
-                                             const std::string& text);
+                                             const std::string& text,
+                                             Console& console);
 
-}  // namespace bilberry::ctl
+}  // namespace bilberry::operators
--- a/Libraries/LibOperator/status_command.cc
+++ b/Libraries/LibOperator/status_command.cc
@@ -1,48 +1,79 @@
 #include <cxxopts.hpp>
-#include <iostream>
 
+#include "LibOperator/commands.h"
+#include "LibOperator/host_flags.h"
+#include "LibOperator/session.h"
+#include "LibOperator/status_table.h"
 #include "LibTransport/json_text.h"
-#include "commands.h"
-#include "session.h"
+#include "LibTransport/status_codec.h"
 
-namespace bilberry::ctl {
+namespace bilberry::operators {
 
-ExitCode RunStatus(int argc, char** argv) {
+namespace {
+
+void PrintJson(const std::vector<HostAnswer>& answers, Console& console) {
+  for (const HostAnswer& answer : answers) {
+    Json::Value value;
+    if (answer.status)
+      value = transport::EncodeStatus(answer.status.value());
+    else
+      value["error"] = ToText(answer.status.error());
+    value["address"] = base::ToText(answer.address);
+    console.out << transport::PrintCompact(value) << "\n";
+  }
+}
+
+void PrintTables(const std::vector<HostAnswer>& answers, Console& console) {
+  for (const report::TextTable& table : TablesOf(answers))
+    console.out << report::PrintText(table) << "\n";
+}
+
+std::vector<HostAnswer> AskAll(const HostAddresses& hosts,
+                               const std::string& token,
+                               Session& session) {
+  const auto results = session.CallAll(hosts, "status", token);
+  std::vector<HostAnswer> answers;
+  for (size_t i = 0; i < hosts.size(); ++i) {
+    if (results[i])
+      answers.push_back(
+          {hosts[i], transport::DecodeStatus(results[i].value())});
+    else
+      answers.push_back({hosts[i], results[i].error()});
+  }
+  return answers;
+}
+
+}  // namespace
+
+ExitCode RunStatus(int argc, const char* const* argv, Console& console) {
   cxxopts::Options options("bilberryctl status",
                            "Prints what entry hosts say of themselves.");
-  options.add_options()("hosts", "IP:PORT of each host's port for peers",
-                        cxxopts::value<std::vector<std::string>>())(
-      "token", "The operator token", cxxopts::value<std::string>())(
-      "help", "Print this");
+  AddHostFlags(options);
+  options.add_options()("json", "One JSON object a line, not tables");
   const auto flags = options.parse(argc, argv);
   if (flags.count("help") > 0) {
-    std::cout << options.help();
+    console.out << options.help();
     return ExitCode::kDone;
   }
-  if (flags.count("hosts") == 0 || flags.count("token") == 0) {
-    std::cerr << "bilberryctl status: --hosts and --token are needed\n";
-    return ExitCode::kUsage;
-  }
   auto session = Session::Create();
   if (!session)
-    return ExitCode::kUnreachable;
+    return ComplainOf(session.error(), console);
+  const auto hosts = HostsOf(flags, *session.value(), console);
+  if (const auto* code = std::get_if<ExitCode>(&hosts))
+    return *code;
+  const auto answers =
+      AskAll(std::get<HostAddresses>(hosts), flags["token"].as<std::string>(),
+             *session.value());
+  if (flags.count("json") > 0)
+    PrintJson(answers, console);
+  else
+    PrintTables(answers, console);
   ExitCode code = ExitCode::kDone;
-  for (const auto& text : flags["hosts"].as<std::vector<std::string>>()) {
-    const auto address = AddressOf("hosts", text);
-    if (!address)
-      return ExitCode::kUsage;
-    const auto result = session.value()->Call(*address, "status",
-                                              flags["token"].as<std::string>());
-    if (result) {
-      std::cout << transport::PrintCompact(result.value()) << "\n";
-      continue;
-    }
-    std::cerr << ToText(result.error()) << "\n";
-    code = result.error().code == base::ErrorCode::kRefused
-               ? ExitCode::kRefused
-               : ExitCode::kUnreachable;
+  for (const HostAnswer& answer : answers) {
+    if (!answer.status)
+      code = ComplainOf(answer.status.error(), console);
   }
   return code;
 }
 
-}  // namespace bilberry::ctl
+}  // namespace bilberry::operators
--- a/Libraries/LibTransport/node_shell.cc
+++ b/Libraries/LibTransport/node_shell.cc
@@ -7,6 +7,7 @@
 
 #include "LibTransport/caller_answer_codec.h"
 #include "LibTransport/log_writer.h"
+#include "LibTransport/metrics_text.h"
 
 namespace bilberry::transport {
 
@@ -90,7 +91,8 @@
                          {[raw](node::PeerMessage it) {
                             return raw->HandlePeerMessage(std::move(it));
                           },
-                          [raw] { return raw->node_.Status(); }}));
+                          [raw] { return raw->node_.Status(); },
+                          [raw] { return raw->Report(); }}));
   shell->peer_server_ = std::move(peer_server);
   reactor.Add(*shell);
   return shell;
@@ -118,6 +120,10 @@
   return node_.NextWakeup();
 }
 
+report::ServiceReport NodeShell::Report() const {
+  return node_.Report(reactor_.Now());
+}
+
 void NodeShell::HandleRequest(IncomingRequest request) {
   if (request.path.starts_with(kPipelinesPath) && request.method == "POST") {
     HandlePipelineRequest(std::move(request));
@@ -135,6 +141,13 @@
         PlainText(status, std::string(node::ToText(readiness)) + "\n"));
     return;
   }
+  if (request.path == "/metrics") {
+    callers_->Respond(request.exchange,
+                      {200,
+                       {{kContentTypeHeader, kMetricsType}},
+                       PrintMetrics(node_.Status(), Report())});
+    return;
+  }
   callers_->Respond(request.exchange, PlainText(404, "not found\n"));
 }
 
--- a/Libraries/LibTransport/node_shell.h
+++ b/Libraries/LibTransport/node_shell.h
@@ -35,6 +35,7 @@
   void RunTurn(base::TimePoint now) override;
   std::optional<base::TimePoint> NextTurn() const override;
 
+  report::ServiceReport Report() const;
   void HandleRequest(IncomingRequest request);
   void HandlePipelineRequest(IncomingRequest request);
   base::Result<node::PeerMessage> HandlePeerMessage(node::PeerMessage message);
--- a/Libraries/LibTransport/peer_server.cc
+++ b/Libraries/LibTransport/peer_server.cc
@@ -8,6 +8,7 @@
 
 #include "LibTransport/json_text.h"
 #include "LibTransport/peer_codec.h"
+#include "LibTransport/report_codec.h"
 #include "LibTransport/status_codec.h"
 
 namespace bilberry::transport {
@@ -50,6 +51,7 @@
     Bind("digest", &Methods::HandleDigest);
     Bind("configuration_query", &Methods::HandleConfigurationQuery);
     Bind("status", &Methods::HandleStatus);
+    Bind("report", &Methods::HandleReport);
   }
 
   void set_is_operator(bool is_operator) { is_operator_ = is_operator; }
@@ -87,13 +89,22 @@
     response["value"] = call.parameters;
   }
 
-  void HandleStatus(const Json::Value& /*request*/, Json::Value& response) {
+  void RequireOperator() const {
     if (!is_operator_)
       throw jsonrpc::JsonRpcException(kUnauthorizedCode,
                                       "the operator token is missing or wrong");
+  }
+
+  void HandleStatus(const Json::Value& /*request*/, Json::Value& response) {
+    RequireOperator();
     response = EncodeStatus(handlers_.status());
   }
 
+  void HandleReport(const Json::Value& /*request*/, Json::Value& response) {
+    RequireOperator();
+    response = EncodeReport(handlers_.report());
+  }
+
   Handlers handlers_;
   bool is_operator_ = false;
 };
--- a/Libraries/LibTransport/peer_server.h
+++ b/Libraries/LibTransport/peer_server.h
@@ -7,6 +7,7 @@
 #include "LibBase/error.h"
 #include "LibNode/node_status.h"
 #include "LibNode/peer_message.h"
+#include "LibReport/service_report.h"
 #include "LibTransport/http_listener.h"
 
 namespace bilberry::transport {
@@ -20,6 +21,7 @@
   struct Handlers {
     std::function<base::Result<node::PeerMessage>(node::PeerMessage)> peer;
     std::function<node::NodeStatus()> status;
+    std::function<report::ServiceReport()> report;
   };
 
   static base::Result<std::unique_ptr<PeerServer>> Create(
--- a/Tests/LibTransport/test_whole_path.cc
+++ b/Tests/LibTransport/test_whole_path.cc
@@ -6,6 +6,8 @@
 
 #include "Fakes/node_harness.h"
 #include "LibTransport/node_shell.h"
+#include "LibTransport/peer_client.h"
+#include "LibTransport/report_codec.h"
 #include "LibTransport/timer_queue.h"
 #include "Standins/endpoint_standin.h"
 #include "Standins/platform_standin.h"
@@ -26,6 +28,8 @@
     options.settings.callers = FreeAddress();
     options.settings.peers = FreeAddress();
     callers = options.settings.callers;
+    peers = options.settings.peers;
+    token = options.settings.operator_token;
     shell = Sound(NodeShell::Create(reactor, std::move(options)));
     WaitUntilReady();
   }
@@ -63,6 +67,8 @@
       Endpoint("engine-1", "engines");
   std::unique_ptr<standins::EndpointStandin> desk = Endpoint("desk-1", "desk");
   base::SocketAddress callers;
+  base::SocketAddress peers;
+  std::string token;
   std::unique_ptr<NodeShell> shell;
 
  private:
@@ -177,6 +183,36 @@
   CHECK(stream.find("event: end\n") != std::string::npos);
 }
 
+TEST_CASE("operators get the report by token, scrapers get the metrics") {
+  SmallWorld world;
+  CHECK(world.Post("/v1/pipelines/stock", {{kTeamHeader, "t"}}).status == 200);
+  HttpRequest scrape;
+  scrape.address = world.callers;
+  scrape.path = "/metrics";
+  const auto metrics = world.Ask(std::move(scrape));
+  CHECK(metrics.status == 200);
+  CHECK(metrics.body.find("pipeline=\"stock\",outcome=\"met\"} 1\n") !=
+        std::string::npos);
+  for (const bool has_token : {true, false}) {
+    CAPTURE(has_token);
+    PeerClient client(*world.http);
+    std::optional<base::Result<Json::Value>> result;
+    client.Call(world.peers, "report", Json::objectValue,
+                has_token ? world.token : "wrong", kPatience,
+                [&result](base::Result<Json::Value> it) {
+                  result.emplace(std::move(it));
+                });
+    while (!result)
+      world.reactor.RunOnce(kTurn);
+    REQUIRE(result->has_value() == has_token);
+    if (!has_token)
+      continue;
+    const auto report = DecodeReport(result->value());
+    REQUIRE(report);
+    CHECK(report.value().ranks.begin()->second.level.total.met == 1);
+  }
+}
+
 TEST_SUITE_END();
 
 }  // namespace
