--- a/Libraries/LibDeclare/configuration_printer.cc
+++ b/Libraries/LibDeclare/configuration_printer.cc
@@ -46,7 +46,7 @@
   return "\"" + std::string(key) + "\": " + value;
 }
 
-std::string Field(std::string_view key, std::string_view value) {
+std::string TextField(std::string_view key, std::string_view value) {
   return Field(key, Quote(std::string(value)));
 }
 
@@ -89,45 +89,43 @@
 
 std::string PrintPool(const Pool& pool) {
   std::vector<std::string> fields{
-      Field("name", std::string_view(pool.name.value)),
-      Field("kind", WordOf(kPoolKindWords, pool.kind)),
+      TextField("name", pool.name.value),
+      TextField("kind", WordOf(kPoolKindWords, pool.kind)),
       Field("workers", pool.workers),
       Field("slots_per_worker", pool.slots_per_worker)};
   if (pool.reports_load)
     fields.push_back(Field("reports_load", std::string("true")));
   if (pool.fencing != Pool().fencing)
     fields.push_back(
-        Field("fencing", WordOf(kFencingSupportWords, pool.fencing)));
+        TextField("fencing", WordOf(kFencingSupportWords, pool.fencing)));
   return OneLineObject(fields);
 }
 
 std::string PrintStage(const Stage& stage) {
   std::vector<std::string> fields{
-      Field("name", std::string_view(stage.name.value)),
-      Field("kind", WordOf(kStageKindWords, stage.kind)),
-      Field("pool", std::string_view(stage.pool.value)),
-      Field("path", std::string_view(stage.path)),
+      TextField("name", stage.name.value),
+      TextField("kind", WordOf(kStageKindWords, stage.kind)),
+      TextField("pool", stage.pool.value), TextField("path", stage.path),
       Field("expected_ms", stage.expected)};
   if (stage.repeatability != Stage().repeatability)
-    fields.push_back(Field("repeatability",
-                           WordOf(kRepeatabilityWords, stage.repeatability)));
+    fields.push_back(TextField(
+        "repeatability", WordOf(kRepeatabilityWords, stage.repeatability)));
   if (stage.delivery != Stage().delivery)
-    fields.push_back(Field("delivery", WordOf(kDeliveryWords, stage.delivery)));
+    fields.push_back(
+        TextField("delivery", WordOf(kDeliveryWords, stage.delivery)));
   return OneLineObject(fields);
 }
 
 std::string PrintPipeline(const Pipeline& pipeline) {
-  const std::vector<std::string> head{
-      Field("name", std::string_view(pipeline.name.value)),
-      Field("rank", ToText(pipeline.rank)),
-      Field("deadline_ms", pipeline.deadline)};
+  const std::vector<std::string> head{TextField("name", pipeline.name.value),
+                                      TextField("rank", ToText(pipeline.rank)),
+                                      Field("deadline_ms", pipeline.deadline)};
   return "{\n      " + Join(head, ", ") + ",\n      \"stages\": " +
          PrintArray(pipeline.stages, "      ", &PrintStage) + "\n    }";
 }
 
 std::string PrintTeam(const Team& team) {
-  std::vector<std::string> fields{
-      Field("name", std::string_view(team.name.value))};
+  std::vector<std::string> fields{TextField("name", team.name.value)};
   if (team.weight != Team().weight)
     fields.push_back(Field("weight", team.weight));
   return OneLineObject(fields);
@@ -175,7 +173,7 @@
 std::string PrintConfiguration(const Configuration& configuration,
                                std::string_view heading) {
   std::string text = PrintHeading(heading) + "{\n  ";
-  text += Field("deployment", std::string_view(configuration.deployment));
+  text += TextField("deployment", configuration.deployment);
   text += ",\n  " + Field("zones", PrintZones(configuration)) + ",\n";
   text += kRanksComment;
   text += "  " + Field("ranks", PrintRanks(configuration)) + ",\n";
--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -106,6 +106,9 @@
 
 echo "--- who answered (stages)"
 cat "$work/summary"
-echo "--- status"
-"$bin/Utilities/bilberryctl/bilberryctl" status --token "$token" \
-  --hosts "$net.1:8081,$net.2:8081,$net.3:8081"
+hosts="$net.1:8081,$net.2:8081,$net.3:8081"
+for command in status report; do
+  echo "--- $command"
+  "$bin/Utilities/bilberryctl/bilberryctl" "$command" --token "$token" \
+    --hosts "$hosts"
+done
--- a/Tests/Standins/relay.cc
+++ b/Tests/Standins/relay.cc
@@ -152,6 +152,7 @@
   }
   if (!does_pass)
     return;
+  passed_bytes_ += static_cast<uint64_t>(n);
   const int peer = it->second.peer;
   sides_.at(peer).unsent.append(buf.data(), static_cast<size_t>(n));
   Flush(peer);
--- a/Tests/Standins/relay.h
+++ b/Tests/Standins/relay.h
@@ -41,6 +41,9 @@
 
   void Order(LinkState state);
 
+  // What has passed, both ways together.
+  uint64_t passed_bytes() const { return passed_bytes_; }
+
  private:
   struct Side {
     int peer = -1;
@@ -66,6 +69,7 @@
   base::SocketAddress target_;
   LinkState state_ = LinkState::kSound;
   int listener_ = -1;
+  uint64_t passed_bytes_ = 0;
   std::map<int, Side> sides_;
 };
 
