--- a/Libraries/LibReport/report_page.cc
+++ b/Libraries/LibReport/report_page.cc
@@ -190,12 +190,14 @@
     const double x = kRadius + std::log10(1.0 + runs) / most * kBarWidth;
     const double met = AttainmentPercent(level.total);
     const double y = kRadius + (1 - met / kPercent) * kHeight;
-    body += "<circle class=\"" + std::string(ToText(key.rank)) + "\" cx=\"" +
-            NumberText(x) + "\" cy=\"" + NumberText(y) + "\" r=\"" +
-            NumberText(kRadius) + "\"><title>" + Escape(key.name) + ", " +
-            std::string(ToText(key.rank)) + ": " +
-            std::to_string(level.total.total()) + " runs, " + NumberText(met) +
-            "% met</title></circle>\n";
+    body += "<circle class=\"";
+    body += ToText(key.rank);
+    body += "\" cx=\"" + NumberText(x) + "\" cy=\"" + NumberText(y);
+    body += "\" r=\"" + NumberText(kRadius) + "\"><title>";
+    body += Escape(key.name) + ", ";
+    body += ToText(key.rank);
+    body += ": " + std::to_string(level.total.total()) + " runs, ";
+    body += NumberText(met) + "% met</title></circle>\n";
   }
   return "<h2>Teams, small beside large: runs (logarithmic, to the right) and "
          "deadlines met (0% below, 100% above)</h2>\n<svg width=\"" +
--- a/Tests/LibNode/test_report.cc
+++ b/Tests/LibNode/test_report.cc
@@ -1,7 +1,10 @@
 #include <doctest/doctest.h>
 
+#include <utility>
+
 #include "Fakes/node_harness.h"
 #include "Fakes/platform_store.h"
+#include "LibBooking/booking_record.h"
 
 namespace bilberry::node {
 namespace {
@@ -10,6 +13,12 @@
 using declare::Rank;
 using report::RunOutcome;
 
+booking::BookingRecord Sound(base::Result<booking::BookingRecord> result) {
+  if (!result)
+    FAIL(ToText(result.error()));
+  return std::move(result.value());
+}
+
 struct World {
   World() {
     fakes::PutSmallDeployment(store);
@@ -78,6 +87,27 @@
   CHECK(world.Count(RunOutcome::kRefused) == 1);
 }
 
+TEST_CASE("a booking held elsewhere is a miss, a key used twice is not") {
+  World world;
+  booking::BookingRecord record;
+  record.claimer = {"entry-2"};
+  record.digest = "of another request";
+  auto put = [&](const char* row) {
+    world.store.Apply(base::WriteRows{
+        {{row, base::RowVersion::kAbsent, booking::PrintRecord(record)}}});
+  };
+  put("booking/t/reused");
+  world.harness.Call("booking", "reused");
+  CHECK(world.Count(RunOutcome::kCallerFault) == 1);
+  world.harness.Call("booking", "first");
+  const auto first = world.store.rows().at("booking/t/first");
+  record = Sound(booking::ParseRecord(first.value));
+  record.claimer = {"entry-2"};
+  put("booking/t/held");
+  world.harness.Call("booking", "held");
+  CHECK(world.Count(RunOutcome::kRefused) == 1);
+}
+
 TEST_CASE("a request before there is a configuration is a refusal") {
   fakes::PlatformStore store;
   fakes::NodeHarness harness(store, fakes::MakeOptions("entry-1", 1));
