--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -23,7 +23,6 @@
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 constexpr int kFirstErrorStatus = 400;
-constexpr int kTooManyRequests = 429;
 constexpr int kFirstServerErrorStatus = 500;
 
 constexpr const char* kCallerLeftCode = "caller_left";
@@ -46,10 +45,13 @@
     return RunOutcome::kAbandoned;
   if (answer.status == kGatewayTimeout)
     return RunOutcome::kLapsed;
-  if (answer.status == kTooManyRequests || answer.status == kServiceUnavailable)
+  if (answer.status == kServiceUnavailable)
     return RunOutcome::kRefused;
-  return answer.status < kFirstServerErrorStatus ? RunOutcome::kCallerFault
-                                                 : RunOutcome::kFailed;
+  if (answer.status >= kFirstServerErrorStatus)
+    return RunOutcome::kFailed;
+  // What may be asked again as it is wasn't the caller's fault.
+  return answer.error->retry_after ? RunOutcome::kRefused
+                                   : RunOutcome::kCallerFault;
 }
 
 }  // namespace
