--- /dev/null
+++ b/Meta/measure-control.sh
@@ -0,0 +1,81 @@
+#!/usr/bin/env bash
+# Measures what an entry host spends on control alone: three of them with a
+# platform, a pool and Valbruna's configuration, and no requests. Prints each
+# one's processor time, memory, and share of a core. Build first; run when
+# nothing else does. SECONDS_IDLE (60) is the time that is looked at.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+net="127.$((16 + $$ / 250 % 200)).$(($$ % 250))"
+bin=build
+idle=${SECONDS_IDLE:-60}
+work=$(mktemp -d)
+pids=()
+stop_all() {
+  kill -TERM "${pids[@]}" 2> /dev/null || true
+  wait || true
+  rm -rf "$work"
+}
+trap stop_all EXIT
+
+start() {
+  local name=$1
+  shift
+  "$@" 2> "$work/$name.log" &
+  pids+=("$!")
+}
+
+wait_for() {
+  for _ in $(seq 100); do
+    if curl -s -o /dev/null --fail "$1"; then
+      return 0
+    fi
+    sleep 0.1
+  done
+  cat "$work"/*.log >&2
+  return 1
+}
+
+ticks() {
+  awk '{ print $14 + $15 }' "/proc/$1/stat"
+}
+
+start platform "$bin/Tests/Standins/platformstandin" --ip "$net.100"
+wait_for "http://$net.100:7001/counts"
+start banco "$bin/Tests/Standins/endpointstandin" --pool banco --count 3 \
+  --subnet "$net" --zones zona-a --service-ms 0 --platform-ip "$net.100"
+hosts=()
+for i in 51 52 53; do
+  cat > "$work/host-$i.json" << JSON
+{
+  "host": "entry-$i", "zone": "zona-a",
+  "callers": { "ip": "$net.$i", "port": 8080 },
+  "peers": { "ip": "$net.$i", "port": 8081 },
+  "platform": { "ip": "$net.100", "port": 7000 },
+  "seed_peers": [
+    { "ip": "$net.51", "port": 8081 }, { "ip": "$net.52", "port": 8081 },
+    { "ip": "$net.53", "port": 8081 }
+  ],
+  "operator_token": "t"
+}
+JSON
+  start "entry-$i" "$bin/Services/bilberryd/bilberryd" \
+    --settings "$work/host-$i.json"
+  hosts+=("$!")
+done
+"$bin/Utilities/bilberryctl/bilberryctl" apply --platform "$net.100:7000" \
+  --file Examples/valbruna/configuration.json > /dev/null
+for i in 51 52 53; do
+  wait_for "http://$net.$i:8080/readyz"
+done
+
+declare -A before
+for pid in "${hosts[@]}"; do
+  before[$pid]=$(ticks "$pid")
+done
+sleep "$idle"
+for pid in "${hosts[@]}"; do
+  spent=$((($(ticks "$pid") - before[$pid]) * 10))
+  memory=$(awk '/VmRSS/ { print $2 }' "/proc/$pid/status")
+  echo "entry host: $spent ms of processor time in $idle s," \
+    "$(awk "BEGIN { print $spent / $idle / 10 }")% of a core, $memory KB"
+done
--- a/Tests/Sizes/main.cc
+++ b/Tests/Sizes/main.cc
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 
+#include "Fakes/node_group.h"
 #include "Fakes/node_harness.h"
 #include "LibDeclare/configuration_parser.h"
 #include "LibReport/service_recorder.h"
@@ -29,6 +30,7 @@
 constexpr std::chrono::seconds kIdle{60};
 constexpr std::chrono::seconds kOnTheWire{10};
 constexpr std::chrono::milliseconds kTurn{20};
+constexpr int kLongestSpread = 60;  // Seconds.
 constexpr int kRuns = 1000;
 constexpr int kBookings = 200;
 
@@ -160,6 +162,37 @@
       "");
 }
 
+size_t CountAt(fakes::NodeGroup& group, uint64_t revision) {
+  size_t count = 0;
+  for (size_t i = 0; i < group.size(); ++i) {
+    if (group.at(i).node().Status().revision == base::Revision{revision})
+      ++count;
+  }
+  return count;
+}
+
+// By virtual time: a change that one host alone has from the platform reaches
+// the others through peers.
+void PrintSpread() {
+  fakes::PlatformStore store;
+  fakes::PutSmallDeployment(store);
+  fakes::NodeGroup group(store, kEntryHosts);
+  group.Advance(kLearning);
+  Print("hosts with the first revision", static_cast<double>(CountAt(group, 1)),
+        "of 340");
+  for (size_t i = 1; i < group.size(); ++i)
+    group.at(i).set_mood(fakes::PlatformMood::kUnreachable);
+  PutSecondRevision(store);
+  int seconds = 0;
+  while (CountAt(group, 2) < group.size() && seconds < kLongestSpread) {
+    group.Advance(1s);
+    ++seconds;
+  }
+  Print("hosts with a change that one had of the platform",
+        static_cast<double>(CountAt(group, 2)), "of 340");
+  Print("time until then, by peers alone", seconds, "s of virtual time");
+}
+
 base::SocketAddress FreeAddress(transport::Reactor& reactor) {
   return transport::HttpListener::Create(
              reactor, {{"127.0.0.1", 0}},
@@ -243,6 +276,7 @@
   bilberry::sizes::PrintReport();
   bilberry::sizes::PrintNode();
   bilberry::sizes::PrintBookings();
+  bilberry::sizes::PrintSpread();
   bilberry::sizes::PrintWire();
   return 0;
 }
--- a/Tests/Sizes/planned_deployment.cc
+++ b/Tests/Sizes/planned_deployment.cc
@@ -92,4 +92,14 @@
   }
 }
 
+void PutSecondRevision(fakes::PlatformStore& store) {
+  const std::string key(membership::kConfigurationHeadKey);
+  const base::TableRow& row = store.rows().at(key);
+  auto head = membership::ParseHead(row.value).value();
+  head.revision = base::Revision{2};
+  head.change = "second";
+  store.Apply(
+      base::WriteRows{{{key, row.version, membership::PrintHead(head)}}});
+}
+
 }  // namespace bilberry::sizes
--- a/Tests/Sizes/planned_deployment.h
+++ b/Tests/Sizes/planned_deployment.h
@@ -20,4 +20,7 @@
 // Puts the configuration in force and lists all hosts and workers.
 void PutPlannedDeployment(fakes::PlatformStore& store);
 
+// Puts a second revision in force, with the document of the first.
+void PutSecondRevision(fakes::PlatformStore& store);
+
 }  // namespace bilberry::sizes
