--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -265,7 +265,7 @@
                                    std::optional<uint32_t> load,
                                    base::TimePoint now) {
   const pipeline::Run& run = active.run;
-  active.attempts.push_back({run.stage().name,
+  active.attempts.push_back({run.stage().name, run.stage_index(),
                              run.attempt_began() - active.stage_offered,
                              now - run.attempt_began()});
   const auto it = pools_.find(run.stage().pool);
--- a/Libraries/LibReport/ended_run.h
+++ b/Libraries/LibReport/ended_run.h
@@ -34,6 +34,7 @@
 // One attempt of a stage: how long it waited to be sent, and took then.
 struct StageTime {
   base::StageName stage;
+  size_t position = 0;  // Of the stage in its pipeline.
   base::Duration queue_wait{0};
   base::Duration service{0};
 };
--- a/Libraries/LibReport/report_page.cc
+++ b/Libraries/LibReport/report_page.cc
@@ -211,8 +211,11 @@
 std::string PrintCells(const std::vector<std::string>& cells,
                        const std::string& tag) {
   std::string text = "<tr>";
-  for (const std::string& cell : cells)
-    text += "<" + tag + ">" + Escape(cell) + "</" + tag + ">";
+  for (const std::string& cell : cells) {
+    text += "<" + tag + ">";
+    text += Escape(cell);
+    text += "</" + tag + ">";
+  }
   return text + "</tr>\n";
 }
 
--- a/Libraries/LibReport/report_tables.cc
+++ b/Libraries/LibReport/report_tables.cc
@@ -1,6 +1,7 @@
 #include "LibReport/report_tables.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace bilberry::report {
 
@@ -74,8 +75,8 @@
   return table;
 }
 
-// Stages of urgent pipelines first; a pipeline that was asked for at several
-// ranks stands where its most important rank puts it.
+// Stages of urgent pipelines first, in their order; a pipeline that was asked
+// for at several ranks stands where its most important rank puts it.
 std::vector<StageKey> StagesByRank(const ServiceReport& report) {
   std::map<std::string, declare::Rank> ranks;
   for (const auto& [key, it] : report.pipelines)
@@ -83,9 +84,11 @@
   std::vector<StageKey> keys;
   for (const auto& [key, it] : report.stages)
     keys.push_back(key);
-  std::ranges::stable_sort(keys, {}, [&ranks](const StageKey& key) {
+  std::ranges::stable_sort(keys, {}, [&](const StageKey& key) {
     const auto it = ranks.find(key.pipeline);
-    return it == ranks.end() ? declare::Rank::kBackground : it->second;
+    const auto rank =
+        it == ranks.end() ? declare::Rank::kBackground : it->second;
+    return std::tuple(rank, key.pipeline, report.stages.at(key).position);
   });
   return keys;
 }
--- a/Libraries/LibReport/service_recorder.cc
+++ b/Libraries/LibReport/service_recorder.cc
@@ -73,6 +73,7 @@
              {kOtherName, kOtherName}, kMaxStageNames);
     reached.insert(&stage);
     StageLevel& times = stage.times;
+    times.position = attempt.position;
     ++times.attempts;
     times.queue_wait.Record(attempt.queue_wait);
     times.service.Record(attempt.service);
--- a/Libraries/LibReport/service_report.cc
+++ b/Libraries/LibReport/service_report.cc
@@ -19,6 +19,7 @@
 
 void MergeInto(StageLevel& into, const StageLevel& from) {
   into.level += from.level;
+  into.position = from.position;
   into.attempts += from.attempts;
   into.queue_wait.Merge(from.queue_wait);
   into.service.Merge(from.service);
--- a/Libraries/LibReport/service_report.h
+++ b/Libraries/LibReport/service_report.h
@@ -71,7 +71,8 @@
 
 // Where the time of one stage went.
 struct StageLevel {
-  ServiceLevel level;  // Of the runs that reached the stage.
+  ServiceLevel level;     // Of the runs that reached the stage.
+  uint64_t position = 0;  // Of the stage in its pipeline.
   uint64_t attempts = 0;
   LatencyHistogram queue_wait;
   LatencyHistogram service;
--- a/Libraries/LibTransport/report_codec.cc
+++ b/Libraries/LibTransport/report_codec.cc
@@ -82,6 +82,7 @@
 Json::Value EncodeStage(const StageLevel& stage) {
   Json::Value value;
   value["level"] = EncodeLevel(stage.level);
+  value["position"] = NumberOf(stage.position);
   value["attempts"] = NumberOf(stage.attempts);
   value["queue_wait"] = EncodeHistogram(stage.queue_wait);
   value["service"] = EncodeHistogram(stage.service);
@@ -94,6 +95,7 @@
 StageLevel DecodeStage(const Json::Value& value) {
   StageLevel stage;
   stage.level = DecodeLevel(value["level"]);
+  stage.position = value["position"].asUInt64();
   stage.attempts = value["attempts"].asUInt64();
   stage.queue_wait = DecodeHistogram(value["queue_wait"]);
   stage.service = DecodeHistogram(value["service"]);
@@ -197,6 +199,7 @@
   Json::Value value;
   value["pipeline"] = key.pipeline;
   value["stage"] = key.stage;
+  value["position"] = NumberOf(stage.position);
   value["runs"] = NumberOf(stage.level.total.total());
   value["attainment_percent"] = report::AttainmentPercent(stage.level.total);
   value["attempts"] = NumberOf(stage.attempts);
--- a/Tests/LibOperator/test_commands.cc
+++ b/Tests/LibOperator/test_commands.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <filesystem>
 #include <fstream>
@@ -209,6 +210,24 @@
   CHECK(same.out.starts_with("0 fields differ from revision 2\n"));
 }
 
+TEST_CASE("of operators who apply at once, one wins and the rest are told") {
+  const Servers servers;
+  constexpr size_t kOperators = 6;
+  std::vector<Outcome> outcomes(kOperators);
+  std::vector<std::thread> threads;
+  for (Outcome& outcome : outcomes) {
+    threads.emplace_back([&outcome, &servers] {
+      outcome = Run({"apply", "--file", kExample, "--platform",
+                     servers.platform, "--expect-revision", "1"});
+    });
+  }
+  for (std::thread& thread : threads)
+    thread.join();
+  CHECK(std::ranges::count(outcomes, ExitCode::kDone, &Outcome::code) == 1);
+  CHECK(std::ranges::count(outcomes, ExitCode::kConflict, &Outcome::code) ==
+        kOperators - 1);
+}
+
 TEST_CASE("status and report ask the hosts that the platform lists") {
   const Servers servers;
   const std::vector<std::string> flags{"--platform", servers.platform,
--- a/Tests/LibReport/test_report_page.cc
+++ b/Tests/LibReport/test_report_page.cc
@@ -13,12 +13,9 @@
 using declare::Rank;
 
 EndedRun RunOf(Rank rank, const char* team, RunOutcome outcome) {
-  return {{"p-" + std::string(ToText(rank))},
-          {team},
-          rank,
-          outcome,
-          20ms,
-          {{{"s"}, 2ms, 10ms}}};
+  return {
+      {"p-" + std::string(ToText(rank))},           {team}, rank, outcome, 20ms,
+      {{{"z"}, 0, 2ms, 10ms}, {{"a"}, 1, 1ms, 1ms}}};
 }
 
 ServiceReport SmallReport() {
@@ -44,6 +41,9 @@
   CHECK(tables[0].rows[1][0] == "background");
   CHECK(tables[1].rows[0][0] == "p-urgent");
   CHECK(tables[2].rows[0][0] == "p-urgent");
+  // The order of the pipeline, not of the names.
+  CHECK(tables[2].rows[0][1] == "z");
+  CHECK(tables[2].rows[1][1] == "a");
   CHECK(tables[3].rows[0][0] == "<small&");
   CHECK(tables[3].rows[1][0] == "large");
   // Ten runs, one missed, 80% wanted: half the allowance is used.
--- a/Tests/LibReport/test_service_report.cc
+++ b/Tests/LibReport/test_service_report.cc
@@ -15,8 +15,8 @@
 }
 
 EndedRun RunOf(RunOutcome outcome) {
-  return {{"booking"}, {"malga-nuova"},        Rank::kUrgent, outcome,
-          20ms,        {{{"book"}, 2ms, 10ms}}};
+  return {{"booking"}, {"malga-nuova"},           Rank::kUrgent, outcome,
+          20ms,        {{{"book"}, 0, 2ms, 10ms}}};
 }
 
 TEST_CASE("outcomes count as met, missed or neither") {
@@ -105,7 +105,7 @@
   ServiceRecorder recorder;
   recorder.Record(RunOf(RunOutcome::kMet), At(1s));
   EndedRun missed = RunOf(RunOutcome::kLapsed);
-  missed.attempts.push_back({{"book"}, 1ms, 30ms});
+  missed.attempts.push_back({{"book"}, 0, 1ms, 30ms});
   recorder.Record(missed, At(2s));
   const StageLevel stage =
       recorder.Report(At(2s)).stages.at({"booking", "book"});
--- a/Tests/LibTransport/test_report_codec.cc
+++ b/Tests/LibTransport/test_report_codec.cc
@@ -20,14 +20,14 @@
                    declare::Rank::kUrgent,
                    RunOutcome::kMet,
                    30ms,
-                   {{{"s"}, 2ms, 20ms}}},
+                   {{{"s"}, 0, 2ms, 20ms}}},
                   base::TimePoint(1s));
   recorder.Record({{"r"},
                    {"u"},
                    declare::Rank::kBackground,
                    RunOutcome::kLapsed,
                    9s,
-                   {{{"s"}, 1ms, 8s}}},
+                   {{{"s"}, 0, 1ms, 8s}}},
                   base::TimePoint(2s));
   recorder.NoteRefusedUnready();
   report::ServiceReport report = recorder.Report(base::TimePoint(2s));
--- a/Tests/Sizes/main.cc
+++ b/Tests/Sizes/main.cc
@@ -85,6 +85,7 @@
                            {}};
       for (int stage = 0; stage < 6; ++stage)
         run.attempts.push_back({{"stage-" + std::to_string(stage)},
+                                static_cast<size_t>(stage),
                                 100us * (1 + i % 50),
                                 1ms * (1 + i % 400)});
       recorder.Record(run, base::TimePoint(1s));
