--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -1,5 +1,8 @@
 #include "LibNode/run_coordinator.h"
 
+#include <algorithm>
+#include <functional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -19,18 +22,42 @@
 constexpr std::chrono::milliseconds kRetryAfterFull{1000};
 constexpr std::chrono::milliseconds kRetryAfterFailure{1000};
 
+constexpr size_t kAffinityPrefixBytes = 256;
+
 constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
-constexpr int kFirstErrorStatus = 400;
 constexpr int kFirstServerErrorStatus = 500;
 
 constexpr const char* kCallerLeftCode = "caller_left";
+// How long a sent booking's attempt stays open after its deadline.
+constexpr std::chrono::seconds kBookingLinger{30};
+constexpr size_t kMaxLingering = 1024;
 
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
 }
 
+// A 4xx tells the caller about its request, except for those that are about the
+// moment (RFC 9110 section 15.5.9, RFC 8470 section 5.2, RFC 6585 section 4).
+bool IsDefiniteRefusal(int status) {
+  return status >= 400 && status < 500 && status != 408 && status != 425 &&
+         status != 429;
+}
+
+// Requests of a team's pipeline that begin alike share a prompt prefix.
+uint64_t AffinityOf(const pipeline::RunRequest& request) {
+  const std::string_view prefix =
+      std::string_view(request.body).substr(0, kAffinityPrefixBytes);
+  std::string key = request.team.value;
+  key.append("/").append(request.pipeline.value).append("/").append(prefix);
+  return std::hash<std::string>()(key);
+}
+
+std::chrono::milliseconds ToMilliseconds(base::Duration duration) {
+  return std::chrono::ceil<std::chrono::milliseconds>(duration);
+}
+
 policy::EndpointTarget TargetOf(const base::HostEntry& entry) {
   return {{entry.name}, entry.zone, entry.address, entry.incarnation};
 }
@@ -133,7 +160,8 @@
                     request.caller});
   ActiveRun& active = it->second;
   callers_.emplace(request.caller, id);
-  deadlines_.emplace(active.run.deadline(), id);
+  active.lapses = active.run.deadline();
+  deadlines_.emplace(active.lapses, id);
   if (!pipeline->IsAtMostOnce()) {
     OfferStage(active, now);
     return;
@@ -144,29 +172,85 @@
                   pipeline::DigestOf(asked), now);
 }
 
+policy::AdmissionDecision RunCoordinator::DecideAdmission(
+    const pipeline::Run& run,
+    base::TimePoint now) const {
+  // The baseline takes in whatever comes; a run that has begun is seen through.
+  if (context_.policy() == policy::PolicyKind::kBaseline ||
+      run.stage_index() > 0)
+    return policy::Admitted{};
+  policy::Claim claim{run.request().rank, run.request().team,
+                      run.request().team_weight};
+  std::vector<policy::StageForecast> forecasts;
+  for (const declare::Stage& stage : run.pipeline().stages) {
+    const policy::PoolScheduler& pool = pools_.at(stage.pool);
+    forecasts.push_back({pool.EstimatedWait(claim),
+                         pool.EstimateOf({run.pipeline().name, stage.name},
+                                         stage.expected, now)});
+    claim.progress = policy::Progress::kUnderWay;
+  }
+  return policy::DecideAdmission(forecasts, run.deadline() - now);
+}
+
 void RunCoordinator::OfferStage(ActiveRun& active, base::TimePoint now) {
   const pipeline::Run& run = active.run;
+  // A booking comes here only once its claim is granted: before that, whether
+  // it has run under an earlier request is not known.
+  const auto decision = DecideAdmission(run, now);
+  if (const auto* late = std::get_if<policy::DeadlineUnreachable>(&decision)) {
+    GiveUp(active,
+           {"deadline_unreachable", Step::kAdmission, "",
+            "the deadline can't be met", ToMilliseconds(late->retry_after)},
+           now);
+    return;
+  }
   policy::Work work;
   work.run = run.id();
   work.rank = run.request().rank;
   work.team = run.request().team;
-  work.estimate = run.stage().expected;
+  work.weight = run.request().team_weight;
+  work.stage = {run.pipeline().name, run.stage().name};
+  work.service = PoolOf(run).EstimateOf(work.stage, run.stage().expected, now);
   work.offered = now;
   work.deadline = run.deadline();
   work.progress = run.stage_index() == 0 ? policy::Progress::kNew
                                          : policy::Progress::kUnderWay;
+  work.affinity = AffinityOf(run.request());
   active.phase = Phase::kQueued;
   active.stage_offered = now;
-  PoolOf(run).Offer(std::move(work), now);
+  const auto outcome = PoolOf(run).Offer(std::move(work), now);
+  if (outcome == policy::OfferOutcome::kQueueFull)
+    GiveUp(active,
+           {"too_many_runs", Step::kQueue, "",
+            "too much waits for the pool " + run.stage().pool.value,
+            kRetryAfterFull},
+           now);
 }
 
 void RunCoordinator::DispatchAll(base::TimePoint now) {
   for (auto& [name, pool] : pools_) {
     while (const auto dispatch = pool.NextDispatch(now))
       StartAttempt(*dispatch, pool, now);
+    for (const base::RunId run : pool.TakeLapsed())
+      GiveUp(runs_.at(run),
+             {"deadline_unreachable", Step::kQueue, "",
+              "the deadline can no longer be met", kRetryAfterFailure},
+             now);
   }
 }
 
+// A run that has begun can't be told as refused.
+void RunCoordinator::GiveUp(ActiveRun& active,
+                            CallerError error,
+                            base::TimePoint now) {
+  if (active.run.executed() == Executed::kNo) {
+    Fail(active, kServiceUnavailable, std::move(error), now);
+    return;
+  }
+  error.code = "deadline_exceeded";
+  Fail(active, kGatewayTimeout, std::move(error), now);
+}
+
 void RunCoordinator::StartAttempt(const policy::Dispatch& dispatch,
                                   policy::PoolScheduler& pool,
                                   base::TimePoint now) {
@@ -197,7 +281,8 @@
 void RunCoordinator::HandleChunk(const EndpointChunk& chunk) {
   ActiveRun* active = FindByAttempt(chunk.attempt);
   // A mismatched stream is ended by its EndpointAnswer.
-  if (active == nullptr || chunk.echoed_attempt != base::ToText(chunk.attempt))
+  if (active == nullptr || active->is_lingering ||
+      chunk.echoed_attempt != base::ToText(chunk.attempt))
     return;
   active->has_stream_begun = true;
   context_.Emit(StreamToCaller{active->caller, RequestIdOf(active->run.id()),
@@ -215,6 +300,10 @@
     if (target != nullptr)
       membership_.NoteLeaving(endpoint, target->incarnation);
   }
+  if (active->is_lingering) {
+    EndLinger(*active, LateOutcomeOf(*active, answer), now);
+    return;
+  }
   if (answer.echoed_attempt != base::ToText(answer.attempt)) {
     context_.Log(base::LogEventId::kAnswerMismatched, endpoint.value);
     FailAttempt(*active, AttemptEffect::kUnknown, AttemptVerdict::kFailed,
@@ -223,6 +312,10 @@
                 now);
     return;
   }
+  if (IsDefiniteRefusal(answer.status)) {
+    PassOnRefusal(*active, answer, now);
+    return;
+  }
   if (!IsSuccess(answer.status)) {
     const bool did_not_run = answer.said_not_run;
     FailAttempt(
@@ -250,6 +343,13 @@
     return;
   const bool was_unreachable =
       failure.kind == EndpointFailureKind::kUnreachable;
+  if (active->is_lingering) {
+    EndLinger(*active,
+              was_unreachable ? BookingOutcome(BookingDidNotRun{})
+                              : BookingOutcome(BookingLeftUnresolved{}),
+              now);
+    return;
+  }
   const std::string endpoint = active->run.attempt_endpoint().value;
   FailAttempt(
       *active,
@@ -271,7 +371,7 @@
   const auto it = pools_.find(run.stage().pool);
   if (it == pools_.end())
     return;
-  it->second.Finish({active.run.attempt_endpoint(), verdict,
+  it->second.Finish({active.run.id(), active.run.attempt_endpoint(), verdict,
                      now - active.run.attempt_began(), load},
                     now);
 }
@@ -308,7 +408,7 @@
   ActiveRun& active = runs_.at(found->second);
   // A booking that has been sent is seen through, so that its outcome is
   // recorded for the caller who asks again.
-  if (active.run.pipeline().IsAtMostOnce() && active.phase == Phase::kSent)
+  if (active.phase == Phase::kRecording || active.run.may_have_booked())
     return;
   if (active.phase == Phase::kSent)
     CancelAttempt(active, AttemptVerdict::kCancelled, now);
@@ -324,7 +424,8 @@
   const auto found = runs_.find(id);
   if (found == runs_.end()) {
     // The caller has been answered meanwhile; nothing will be sent.
-    bookings_.Conclude(id, BookingDidNotRun{}, now);
+    if (std::holds_alternative<BookingGranted>(decision))
+      bookings_.Conclude(id, BookingDidNotRun{}, now);
     return;
   }
   ActiveRun& active = found->second;
@@ -354,21 +455,113 @@
 }
 
 void RunCoordinator::Lapse(ActiveRun& active, base::TimePoint now) {
+  if (active.is_lingering) {
+    context_.Emit(node::CancelAttempt{*active.run.attempt()});
+    EndLinger(active, BookingLeftUnresolved{}, now);
+    return;
+  }
   const bool was_sent = active.phase == Phase::kSent;
+  if (was_sent && active.run.is_at_booking() &&
+      lingering_count_ < kMaxLingering) {
+    Linger(active, now);
+    return;
+  }
   const std::string endpoint =
       was_sent ? active.run.attempt_endpoint().value : "";
   if (was_sent)
     CancelAttempt(active, AttemptVerdict::kTimedOut, now);
-  const Step step = active.phase == Phase::kClaiming ? Step::kClaim
-                    : was_sent                       ? Step::kEndpointCall
-                                                     : Step::kQueue;
+  const Step step = active.phase == Phase::kClaiming    ? Step::kClaim
+                    : was_sent                          ? Step::kEndpointCall
+                    : active.phase == Phase::kRecording ? Step::kRecord
+                                                        : Step::kQueue;
   Fail(active, kGatewayTimeout,
        {"deadline_exceeded", step, endpoint, "the deadline has passed",
         kRetryAfterFailure},
        now);
 }
 
+void RunCoordinator::Linger(ActiveRun& active, base::TimePoint now) {
+  // To the pool the call is over, so that a hung endpoint doesn't bind slots.
+  ReportAttempt(active, AttemptVerdict::kTimedOut, std::nullopt, now);
+  CallerAnswer answer;
+  answer.status = kGatewayTimeout;
+  answer.executed = Executed::kUnknown;
+  answer.error = {"deadline_exceeded", Step::kEndpointCall,
+                  active.run.attempt_endpoint().value,
+                  "the deadline has passed", kRetryAfterFailure};
+  Answer(active, std::move(answer), now);
+  active.is_lingering = true;
+  ++lingering_count_;
+  deadlines_.erase({active.lapses, active.run.id()});
+  active.lapses = now + kBookingLinger;
+  deadlines_.emplace(active.lapses, active.run.id());
+}
+
+BookingOutcome RunCoordinator::LateOutcomeOf(
+    const ActiveRun& active,
+    const EndpointAnswer& answer) const {
+  if (answer.echoed_attempt != base::ToText(answer.attempt))
+    return BookingLeftUnresolved{};
+  if (!IsSuccess(answer.status) && answer.said_not_run)
+    return BookingDidNotRun{};
+  // The stages that follow are past the deadline.
+  if (IsSuccess(answer.status) && !active.run.is_last_stage())
+    return BookingLeftUnresolved{};
+  if (IsSuccess(answer.status) || IsDefiniteRefusal(answer.status))
+    return BookingRan{answer.status, answer.body};
+  return BookingLeftUnresolved{};
+}
+
+void RunCoordinator::EndLinger(ActiveRun& active,
+                               const BookingOutcome& outcome,
+                               base::TimePoint now) {
+  const base::AttemptId attempt = *active.run.attempt();
+  attempts_.erase(attempt.number);
+  const bool did_not_run = std::holds_alternative<BookingDidNotRun>(outcome);
+  active.run.FailAttempt(
+      attempt, did_not_run ? AttemptEffect::kNotRun : AttemptEffect::kUnknown);
+  // An earlier stage may have booked before this one did not run.
+  if (did_not_run && active.run.may_have_booked())
+    bookings_.Conclude(active.run.id(), BookingLeftUnresolved{}, now);
+  else
+    bookings_.Conclude(active.run.id(), outcome, now);
+  Forget(active);
+}
+
+void RunCoordinator::PassOnRefusal(ActiveRun& active,
+                                   const EndpointAnswer& answer,
+                                   base::TimePoint now) {
+  ReportAttempt(active, AttemptVerdict::kSucceeded, answer.reported_load, now);
+  attempts_.erase(answer.attempt.number);
+  if (answer.said_not_run)
+    active.run.FailAttempt(answer.attempt, AttemptEffect::kNotRun);
+  else
+    active.run.AcceptRefusal(answer.attempt);
+  if (active.run.may_have_booked()) {
+    Record(active, {answer.status, answer.body}, now);
+    return;
+  }
+  CallerAnswer passed;
+  passed.status = answer.status;
+  passed.executed = active.run.executed();
+  passed.body = answer.body;
+  if (active.run.pipeline().IsAtMostOnce())
+    bookings_.Conclude(active.run.id(), BookingDidNotRun{}, now);
+  End(active, std::move(passed), now);
+}
+
+void RunCoordinator::Record(ActiveRun& active,
+                            BookingRan outcome,
+                            base::TimePoint now) {
+  active.phase = Phase::kRecording;
+  bookings_.Conclude(active.run.id(), std::move(outcome), now);
+}
+
 void RunCoordinator::Succeed(ActiveRun& active, base::TimePoint now) {
+  if (active.run.pipeline().IsAtMostOnce()) {
+    Record(active, {200, active.run.input()}, now);
+    return;
+  }
   CallerAnswer answer;
   answer.executed = Executed::kYes;
   answer.body = active.run.input();
@@ -386,38 +579,61 @@
   }
   CallerAnswer answer;
   answer.status = status;
-  answer.executed = active.run.executed();
+  answer.executed = active.run.pipeline().IsAtMostOnce()
+                        ? ConcludeFailed(active, now)
+                        : active.run.executed();
   answer.error = std::move(error);
   End(active, std::move(answer), now);
 }
 
-BookingOutcome RunCoordinator::OutcomeOf(const ActiveRun& active,
-                                         const CallerAnswer& answer) const {
-  if (answer.status < kFirstErrorStatus)
-    return BookingRan{answer.status, answer.body};
-  if (active.run.executed() == Executed::kNo)
-    return BookingDidNotRun{};
-  return BookingLeftUnresolved{};
+Executed RunCoordinator::ConcludeFailed(const ActiveRun& active,
+                                        base::TimePoint now) {
+  const base::RunId id = active.run.id();
+  switch (active.phase) {
+    case Phase::kClaiming:
+      return bookings_.Withdraw(id, now);
+    case Phase::kRecording:
+      // It ran, but its answer could be lost with this process.
+      bookings_.Withdraw(id, now);
+      return Executed::kUnknown;
+    case Phase::kQueued:
+    case Phase::kSent:
+      break;
+  }
+  if (active.run.may_have_booked())
+    bookings_.Conclude(id, BookingLeftUnresolved{}, now);
+  else
+    bookings_.Conclude(id, BookingDidNotRun{}, now);
+  return active.run.executed();
 }
 
 void RunCoordinator::End(ActiveRun& active,
                          CallerAnswer answer,
                          base::TimePoint now) {
-  const base::RunId id = active.run.id();
-  answer.request_id = RequestIdOf(id);
+  Answer(active, std::move(answer), now);
+  Forget(active);
+}
+
+void RunCoordinator::Answer(ActiveRun& active,
+                            CallerAnswer answer,
+                            base::TimePoint now) {
+  answer.request_id = RequestIdOf(active.run.id());
   const pipeline::RunRequest& asked = active.run.request();
   recorder_.Record({asked.pipeline, asked.team, asked.rank,
                     RunOutcomeOf(answer, active.run.deadline(), now),
                     now - active.run.arrived(), std::move(active.attempts)},
                    now);
-  if (active.run.pipeline().IsAtMostOnce())
-    bookings_.Conclude(id, OutcomeOf(active, answer), now);
   if (active.has_stream_begun)
     context_.Emit(EndStream{active.caller, std::move(answer)});
   else
     context_.Emit(AnswerCaller{active.caller, std::move(answer)});
-  deadlines_.erase({active.run.deadline(), id});
   callers_.erase(active.caller);
+}
+
+void RunCoordinator::Forget(const ActiveRun& active) {
+  const base::RunId id = active.run.id();
+  lingering_count_ -= active.is_lingering ? 1 : 0;
+  deadlines_.erase({active.lapses, id});
   runs_.erase(id);
 }
 
@@ -434,15 +650,44 @@
     digest.shares.push_back({load.pool, load.in_flight, load.queued});
 }
 
+void RunCoordinator::NoteConfiguration(
+    const std::shared_ptr<const declare::Configuration>& configuration) {
+  if (present_configuration_.lock() == configuration)
+    return;
+  former_configurations_.push_back(present_configuration_);
+  present_configuration_ = configuration;
+}
+
+bool RunCoordinator::IsPoolDeclared(const base::PoolName& pool) const {
+  const auto declares = [&pool](const auto& configuration) {
+    const auto held = configuration.lock();
+    return held != nullptr && held->FindPool(pool) != nullptr;
+  };
+  return declares(present_configuration_) ||
+         std::any_of(former_configurations_.begin(),
+                     former_configurations_.end(), declares);
+}
+
+void RunCoordinator::DropUnusedPools() {
+  const auto ended = std::erase_if(former_configurations_,
+                                   [](const auto& it) { return it.expired(); });
+  if (ended == 0)
+    return;
+  std::erase_if(pools_,
+                [this](const auto& it) { return !IsPoolDeclared(it.first); });
+}
+
 void RunCoordinator::Refresh(base::TimePoint now) {
   const auto configuration = membership_.configuration();
   if (!configuration)
     return;
+  NoteConfiguration(configuration);
+  const policy::RankShares shares = policy::SharesOf(*configuration);
   for (const declare::Pool& pool : configuration->pools) {
     const auto [it, is_new] =
         pools_.try_emplace(pool.name, pool, context_.settings().zone,
                            context_.policy(), context_.random().Next());
-    it->second.Reconfigure(pool);
+    it->second.Reconfigure(pool, shares);
   }
   // A pool that is no longer declared stays for the runs that began with it.
   for (auto& [name, pool] : pools_) {
--- a/Libraries/LibOperator/apply_command.cc
+++ b/Libraries/LibOperator/apply_command.cc
@@ -1,10 +1,12 @@
 #include <cxxopts.hpp>
 #include <random>
 #include <sstream>
+#include <utility>
 
+#include "LibBase/overloaded.h"
 #include "LibDeclare/configuration_difference.h"
 #include "LibDeclare/configuration_parser.h"
-#include "LibMembership/configuration_head.h"
+#include "LibMembership/configuration_change.h"
 #include "LibOperator/commands.h"
 #include "LibOperator/session.h"
 
@@ -15,13 +17,6 @@
 using membership::ConfigurationHead;
 using Outcome = transport::PlatformClient::Outcome;
 
-constexpr int kWriteTries = 5;
-
-struct Head {
-  ConfigurationHead head;
-  base::RowVersion version = base::RowVersion::kAbsent;
-};
-
 std::string DrawChangeId() {
   std::random_device device;
   std::ostringstream text;
@@ -29,70 +24,76 @@
   return text.str();
 }
 
-std::optional<Head> ReadHead(Session& session,
-                             const base::SocketAddress& platform) {
+std::string RevisionText(base::Revision revision) {
+  return "revision " + std::to_string(static_cast<uint64_t>(revision));
+}
+
+ExitCode Tell(const membership::ChangeOutcome& outcome, Console& console) {
+  return std::visit(
+      base::Overloaded{
+          [&](const membership::ChangeAccepted& it) {
+            console.out << RevisionText(it.revision) << " is accepted\n";
+            return ExitCode::kDone;
+          },
+          [&](const membership::ChangeLost& it) {
+            return console.Complain(
+                ExitCode::kConflict,
+                "another change came first: " + RevisionText(it.in_force) +
+                    " is in force; nothing was changed");
+          },
+          [&](const membership::ChangeOutdated& it) {
+            return console.Complain(ExitCode::kConflict,
+                                    RevisionText(it.in_force) +
+                                        " is in force, not the expected one; "
+                                        "nothing was changed");
+          },
+          [&](const membership::ChangeNotTried& it) {
+            return console.Complain(ExitCode::kUnreachable,
+                                    it.reason + "; nothing was changed");
+          },
+          [&](const membership::ChangeUndecided& it) {
+            return console.Complain(
+                ExitCode::kUnreachable,
+                "change " + it.change +
+                    " may have been accepted, or may yet be: look with status");
+          },
+      },
+      outcome);
+}
+
+template <typename T>
+const T* AnswerOf(const Outcome& outcome) {
+  const auto* answer = std::get_if<base::PlatformAnswer>(&outcome);
+  return answer == nullptr ? nullptr : std::get_if<T>(answer);
+}
+
+// The head in force, or nothing when it can't be had; revision 0 when there is
+// none.
+std::optional<ConfigurationHead> ReadHead(Session& session,
+                                          const base::SocketAddress& platform) {
   const Outcome outcome = session.Ask(
       platform, base::ReadRow{std::string(membership::kConfigurationHeadKey)});
-  const auto* answer = std::get_if<base::PlatformAnswer>(&outcome);
-  const auto* read =
-      answer == nullptr ? nullptr : std::get_if<base::RowRead>(answer);
+  const auto* read = AnswerOf<base::RowRead>(outcome);
   if (read == nullptr)
     return std::nullopt;
   // Not modified since "absent" means that there is no row.
   if (!read->row || read->row->version == base::RowVersion::kAbsent)
-    return Head{};
+    return ConfigurationHead{};
   auto head = membership::ParseHead(read->row->value);
   if (!head)
     return std::nullopt;
-  return Head{std::move(head.value()), read->row->version};
+  return std::move(head.value());
 }
 
-std::string RevisionText(base::Revision revision) {
-  return std::to_string(static_cast<uint64_t>(revision));
-}
-
-// Moves the head. A lost answer is settled by trying again: if the first try
-// took effect, the row carries this change's id.
-ExitCode MoveHead(Session& session,
-                  const base::SocketAddress& platform,
-                  const Head& seen,
-                  const ConfigurationHead& next,
-                  Console& console) {
-  base::WriteRows write;
-  write.writes.push_back({std::string(membership::kConfigurationHeadKey),
-                          seen.version, membership::PrintHead(next)});
-  for (int i = 0; i < kWriteTries; ++i) {
-    const Outcome outcome = session.Ask(platform, write);
-    const auto* answer = std::get_if<base::PlatformAnswer>(&outcome);
-    const auto* written =
-        answer == nullptr ? nullptr : std::get_if<base::RowsWritten>(answer);
-    if (written == nullptr)
-      continue;
-    const base::TableWriteResult& result = written->results.front();
-    const auto present = membership::ParseHead(result.row.value);
-    if (result.was_applied || (present && present.value() == next)) {
-      console.out << "revision " << RevisionText(next.revision)
-                  << " is accepted\n";
-      return ExitCode::kDone;
-    }
-    return console.Complain(ExitCode::kConflict,
-                            "another change came first; nothing was changed");
-  }
-  return console.Complain(ExitCode::kUnreachable,
-                          "the platform does not answer; change " +
-                              next.change +
-                              " may yet be accepted: look with status");
-}
-
-// The configuration in force, or nothing when it can't be had or read.
+// The configuration of a head, or nothing when it can't be had or read.
 std::optional<declare::Configuration> FetchConfiguration(
     Session& session,
     const base::SocketAddress& platform,
     const ConfigurationHead& head) {
+  if (head.revision == base::Revision{})
+    return declare::Configuration();
   const Outcome outcome = session.Ask(platform, base::FetchObject{head.object});
-  const auto* answer = std::get_if<base::PlatformAnswer>(&outcome);
-  const auto* fetched =
-      answer == nullptr ? nullptr : std::get_if<base::ObjectFetched>(answer);
+  const auto* fetched = AnswerOf<base::ObjectFetched>(outcome);
   if (fetched == nullptr || !fetched->content)
     return std::nullopt;
   auto parsed = declare::ParseConfiguration(*fetched->content);
@@ -101,23 +102,26 @@
   return std::move(parsed.configuration);
 }
 
-// Prints what the change does to the configuration in force.
+// Prints what the change does to the configuration that it was made from. When
+// another one is in force, the change itself will be told so.
 ExitCode PrintDifferences(Session& session,
                           const base::SocketAddress& platform,
-                          const ConfigurationHead& head,
+                          base::Revision expected,
                           const declare::Configuration& next,
                           Console& console) {
-  std::optional<declare::Configuration> present = declare::Configuration();
-  if (head.revision != base::Revision{})
-    present = FetchConfiguration(session, platform, head);
+  const auto head = ReadHead(session, platform);
+  if (head && head->revision != expected)
+    return ExitCode::kDone;
+  const auto present =
+      head ? FetchConfiguration(session, platform, *head) : std::nullopt;
   if (!present)
     return console.Complain(ExitCode::kUnreachable,
                             "the configuration in force can't be read, so "
                             "that nothing was changed; apply without "
                             "--expect-revision to replace it unseen");
   const auto differences = declare::Compare(*present, next);
-  console.out << differences.size() << " fields differ from revision "
-              << RevisionText(head.revision) << "\n";
+  console.out << differences.size() << " fields differ from "
+              << RevisionText(expected) << "\n";
   for (const declare::Difference& difference : differences)
     console.out << "  " << ToText(difference) << "\n";
   return ExitCode::kDone;
@@ -125,40 +129,22 @@
 
 ExitCode Apply(const SoundConfiguration& sound,
                const base::SocketAddress& platform,
-               std::optional<uint64_t> expected,
+               std::optional<base::Revision> expected,
                Console& console) {
   auto session = Session::Create();
   if (!session)
     return console.Complain(ExitCode::kUnreachable, ToText(session.error()));
-  const auto seen = ReadHead(*session.value(), platform);
-  if (!seen)
-    return console.Complain(
-        ExitCode::kUnreachable,
-        "the platform does not answer; nothing was changed");
-  const auto revision = static_cast<uint64_t>(seen->head.revision);
-  if (expected && *expected != revision)
-    return console.Complain(
-        ExitCode::kConflict,
-        "revision " + std::to_string(revision) + " is in force, not " +
-            std::to_string(*expected) + "; nothing was changed");
   if (expected) {
     const ExitCode code = PrintDifferences(
-        *session.value(), platform, seen->head, sound.configuration, console);
+        *session.value(), platform, *expected, sound.configuration, console);
     if (code != ExitCode::kDone)
       return code;
   }
-  ConfigurationHead next;
-  next.revision = base::Revision{revision + 1};
-  next.change = DrawChangeId();
-  next.object =
-      "configuration/" + std::to_string(revision + 1) + "-" + next.change;
-  const Outcome stored = session.value()->Ask(
-      platform, base::StoreObject{next.object, sound.document});
-  if (!std::holds_alternative<base::PlatformAnswer>(stored))
-    return console.Complain(
-        ExitCode::kUnreachable,
-        "the object store does not answer; nothing was changed");
-  return MoveHead(*session.value(), platform, *seen, next, console);
+  membership::ConfigurationChange change(sound.document, DrawChangeId(),
+                                         expected);
+  while (auto request = change.NextRequest())
+    change.HandleReply(session.value()->Ask(platform, std::move(*request)));
+  return Tell(*change.outcome(), console);
 }
 
 }  // namespace
@@ -169,7 +155,8 @@
   options.add_options()("file", "The configuration",
                         cxxopts::value<std::string>())(
       "platform", "IP:PORT of the platform", cxxopts::value<std::string>())(
-      "expect-revision", "The revision that this change was made from",
+      "expect-revision",
+      "The revision that this change was made from; prints what differs first",
       cxxopts::value<uint64_t>())("help", "Print this");
   const auto flags = options.parse(argc, argv);
   if (flags.count("help") > 0) {
@@ -187,9 +174,9 @@
       ReadSoundConfiguration(flags["file"].as<std::string>(), console);
   if (const auto* code = std::get_if<ExitCode>(&read))
     return *code;
-  std::optional<uint64_t> expected;
+  std::optional<base::Revision> expected;
   if (flags.count("expect-revision") > 0)
-    expected = flags["expect-revision"].as<uint64_t>();
+    expected = base::Revision{flags["expect-revision"].as<uint64_t>()};
   return Apply(std::get<SoundConfiguration>(read), *platform, expected,
                console);
 }
--- a/Libraries/LibTransport/peer_codec.cc
+++ b/Libraries/LibTransport/peer_codec.cc
@@ -1,6 +1,11 @@
 #include "LibTransport/peer_codec.h"
 
+#include <array>
+#include <utility>
+
 #include "LibBase/overloaded.h"
+#include "LibBooking/byte_text.h"
+#include "LibNode/booking_outbox.h"
 
 namespace bilberry::transport {
 
@@ -9,11 +14,25 @@
 constexpr const char* kDigest = "digest";
 constexpr const char* kConfigurationQuery = "configuration_query";
 constexpr const char* kConfigurationOffer = "configuration_offer";
+constexpr const char* kBookingQuery = "booking_query";
+constexpr const char* kBookingReply = "booking_reply";
+constexpr const char* kBookingCopies = "booking_copies";
+constexpr const char* kBookingCopiesHeld = "booking_copies_held";
+
+constexpr std::array kStandings{
+    std::pair{node::BookingStanding::kUnknown, "unknown"},
+    std::pair{node::BookingStanding::kRunning, "running"},
+    std::pair{node::BookingStanding::kNotRun, "not_run"},
+    std::pair{node::BookingStanding::kDone, "done"},
+};
 
 Json::Value NumberOf(base::Revision revision) {
   return static_cast<Json::UInt64>(revision);
 }
 
+// Hosts of another version of these messages are not understood.
+constexpr int kPeerVersion = 1;
+
 base::Error Malformed(std::string reason) {
   return {base::ErrorCode::kMalformed, base::Step::kPeerCall, "",
           std::move(reason)};
@@ -22,33 +41,41 @@
 // What a digest's lists may hold; a longer one is malformed.
 constexpr Json::ArrayIndex kMaxDigestItems = 256;
 
+constexpr size_t kMaxNameBytes = 256;
+
 bool IsList(const Json::Value& value) {
-  return value.isArray() && value.size() <= kMaxDigestItems;
+  return value.isNull() || (value.isArray() && value.size() <= kMaxDigestItems);
+}
+
+// A row of `size` values that begins with a name.
+bool IsRow(const Json::Value& value, Json::ArrayIndex size) {
+  return value.isArray() && value.size() == size && value[0].isString() &&
+         value[0].asString().size() <= kMaxNameBytes;
+}
+
+template <typename... Values>
+Json::Value RowOf(const Values&... values) {
+  Json::Value row(Json::arrayValue);
+  (row.append(values), ...);
+  return row;
 }
 
 Json::Value EncodeDigest(const node::Digest& digest) {
   Json::Value out;
+  out["v"] = kPeerVersion;
   out["host"] = digest.host.value;
   out["incarnation"] = static_cast<Json::UInt64>(digest.incarnation);
   out["revision"] = NumberOf(digest.revision);
-  out["leaving"] = Json::arrayValue;
-  for (const node::LeavingMark& mark : digest.leaving) {
-    Json::Value one;
-    one["name"] = mark.name;
-    one["incarnation"] = static_cast<Json::UInt64>(mark.incarnation);
-    out["leaving"].append(std::move(one));
-  }
-  out["quarantined"] = Json::arrayValue;
+  // Lists that are empty are left out, and rows have no field names: digests
+  // are most of what hosts send each other.
+  for (const node::LeavingMark& mark : digest.leaving)
+    out["leaving"].append(
+        RowOf(mark.name, static_cast<Json::UInt64>(mark.incarnation)));
   for (const std::string& request : digest.quarantined)
     out["quarantined"].append(request);
-  out["shares"] = Json::arrayValue;
-  for (const node::PoolShare& share : digest.shares) {
-    Json::Value one;
-    one["pool"] = share.pool.value;
-    one["in_flight"] = share.in_flight;
-    one["queued"] = share.queued;
-    out["shares"].append(std::move(one));
-  }
+  for (const node::PoolShare& share : digest.shares)
+    out["shares"].append(
+        RowOf(share.pool.value, share.in_flight, share.queued));
   return out;
 }
 
@@ -56,33 +83,32 @@
   if (!IsList(value["leaving"]) || !IsList(value["quarantined"]) ||
       !IsList(value["shares"]))
     return false;
-  for (const Json::Value& one : value["leaving"]) {
-    if (!one.isObject() || !one["name"].isString() ||
-        !one["incarnation"].isUInt64())
+  for (const Json::Value& row : value["leaving"]) {
+    if (!IsRow(row, 2) || !row[1].isUInt64())
       return false;
     digest.leaving.push_back(
-        {one["name"].asString(),
-         base::Incarnation{one["incarnation"].asUInt64()}});
+        {row[0].asString(), base::Incarnation{row[1].asUInt64()}});
   }
   for (const Json::Value& one : value["quarantined"]) {
-    if (!one.isString())
+    if (!one.isString() || one.asString().size() > kMaxNameBytes)
       return false;
     digest.quarantined.push_back(one.asString());
   }
-  for (const Json::Value& one : value["shares"]) {
-    if (!one.isObject() || !one["pool"].isString() ||
-        !one["in_flight"].isUInt() || !one["queued"].isUInt())
+  for (const Json::Value& row : value["shares"]) {
+    if (!IsRow(row, 3) || !row[1].isUInt() || !row[2].isUInt())
       return false;
-    digest.shares.push_back({{one["pool"].asString()},
-                             one["in_flight"].asUInt(),
-                             one["queued"].asUInt()});
+    digest.shares.push_back(
+        {{row[0].asString()}, row[1].asUInt(), row[2].asUInt()});
   }
   return true;
 }
 
 base::Result<node::PeerMessage> DecodeDigest(const Json::Value& value) {
-  if (!value["host"].isString() || !value["incarnation"].isUInt64() ||
-      !value["revision"].isUInt64())
+  if (value["v"] != kPeerVersion)
+    return Malformed("a digest of another version");
+  if (!value["host"].isString() ||
+      value["host"].asString().size() > kMaxNameBytes ||
+      !value["incarnation"].isUInt64() || !value["revision"].isUInt64())
     return Malformed("a digest lacks a field");
   node::Digest digest;
   digest.host = {value["host"].asString()};
@@ -108,6 +134,81 @@
                                value["document"].asString()});
 }
 
+const char* NameOf(node::BookingStanding standing) {
+  for (const auto& [value, name] : kStandings) {
+    if (value == standing)
+      return name;
+  }
+  return "";
+}
+
+base::Result<node::PeerMessage> DecodeBookingQuery(const Json::Value& value) {
+  if (!value["claim_token"].isString())
+    return Malformed("a booking query lacks its claim token");
+  return node::PeerMessage(node::BookingQuery{value["claim_token"].asString()});
+}
+
+base::Result<node::PeerMessage> DecodeBookingReply(const Json::Value& value) {
+  if (!value["standing"].isString() || !value["status"].isInt() ||
+      !value["answer"].isString())
+    return Malformed("a booking reply lacks a field");
+  const auto answer = booking::TextToBytes(value["answer"].asString());
+  if (!answer)
+    return Malformed("a booking reply's answer can't be read");
+  for (const auto& [standing, name] : kStandings) {
+    if (value["standing"].asString() == name)
+      return node::PeerMessage(
+          node::BookingReply{standing, value["status"].asInt(), *answer});
+  }
+  return Malformed("unknown standing of a booking");
+}
+
+Json::Value EncodeSettlement(const booking::Settlement& settlement) {
+  Json::Value out;
+  out["row_key"] = settlement.row_key;
+  out["record"] = booking::PrintRecord(settlement.record);
+  out["expected"] = static_cast<Json::UInt64>(settlement.expected);
+  return out;
+}
+
+base::Result<booking::Settlement> DecodeSettlement(const Json::Value& value) {
+  if (!value.isObject() || !value["row_key"].isString() ||
+      !value["record"].isString() || !value["expected"].isUInt64())
+    return Malformed("a booking's copy lacks a field");
+  TRY(record, booking::ParseRecord(value["record"].asString()));
+  if (record.state == booking::BookingState::kClaimed)
+    return Malformed("a booking's copy is not final");
+  return booking::Settlement{value["row_key"].asString(), std::move(record),
+                             base::RowVersion{value["expected"].asUInt64()}};
+}
+
+base::Result<node::PeerMessage> DecodeCopies(const Json::Value& value) {
+  const Json::Value& list = value["settlements"];
+  if (!list.isArray() ||
+      list.size() > node::BookingOutbox::kMaxCopiesPerMessage)
+    return Malformed("a list of bookings' copies is malformed or too long");
+  node::BookingCopies copies;
+  for (const Json::Value& one : list) {
+    TRY(settlement, DecodeSettlement(one));
+    copies.settlements.push_back(std::move(settlement));
+  }
+  return node::PeerMessage(std::move(copies));
+}
+
+base::Result<node::PeerMessage> DecodeCopiesHeld(const Json::Value& value) {
+  const Json::Value& list = value["claim_tokens"];
+  if (!list.isArray() ||
+      list.size() > node::BookingOutbox::kMaxCopiesPerMessage)
+    return Malformed("a list of claim tokens is malformed or too long");
+  node::BookingCopiesHeld held;
+  for (const Json::Value& one : list) {
+    if (!one.isString())
+      return Malformed("a claim token must be a string");
+    held.claim_tokens.push_back(one.asString());
+  }
+  return node::PeerMessage(std::move(held));
+}
+
 }  // namespace
 
 PeerCall EncodePeerMessage(const node::PeerMessage& message) {
@@ -127,6 +228,28 @@
                    out["revision"] = NumberOf(it.revision);
                    out["document"] = it.document;
                  },
+                 [&](const node::BookingQuery& it) {
+                   call.method = kBookingQuery;
+                   out["claim_token"] = it.claim_token;
+                 },
+                 [&](const node::BookingReply& it) {
+                   call.method = kBookingReply;
+                   out["standing"] = NameOf(it.standing);
+                   out["status"] = it.status;
+                   out["answer"] = booking::BytesToText(it.answer);
+                 },
+                 [&](const node::BookingCopies& it) {
+                   call.method = kBookingCopies;
+                   out["settlements"] = Json::arrayValue;
+                   for (const booking::Settlement& one : it.settlements)
+                     out["settlements"].append(EncodeSettlement(one));
+                 },
+                 [&](const node::BookingCopiesHeld& it) {
+                   call.method = kBookingCopiesHeld;
+                   out["claim_tokens"] = Json::arrayValue;
+                   for (const std::string& token : it.claim_tokens)
+                     out["claim_tokens"].append(token);
+                 },
              },
              message);
   return call;
@@ -143,6 +266,14 @@
     return DecodeQuery(parameters);
   if (method == kConfigurationOffer)
     return DecodeOffer(parameters);
+  if (method == kBookingQuery)
+    return DecodeBookingQuery(parameters);
+  if (method == kBookingReply)
+    return DecodeBookingReply(parameters);
+  if (method == kBookingCopies)
+    return DecodeCopies(parameters);
+  if (method == kBookingCopiesHeld)
+    return DecodeCopiesHeld(parameters);
   return Malformed("unknown method");
 }
 
