--- a/Tests/LibOperator/test_commands.cc
+++ b/Tests/LibOperator/test_commands.cc
@@ -215,6 +215,7 @@
   constexpr size_t kOperators = 6;
   std::vector<Outcome> outcomes(kOperators);
   std::vector<std::thread> threads;
+  threads.reserve(kOperators);
   for (Outcome& outcome : outcomes) {
     threads.emplace_back([&outcome, &servers] {
       outcome = Run({"apply", "--file", kExample, "--platform",
