--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -28,6 +28,9 @@
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 constexpr int kUnprocessable = 422;
+constexpr int kFirstServerErrorStatus = 500;
+
+constexpr const char* kCallerLeftCode = "caller_left";
 // How long a sent booking's attempt stays open after its deadline.
 constexpr std::chrono::seconds kBookingLinger{30};
 constexpr size_t kMaxLingering = 1024;
@@ -59,8 +62,8 @@
 
 // Requests of a team's pipeline that begin alike share a prompt prefix.
 uint64_t AffinityOf(const pipeline::RunRequest& request) {
-  const std::string_view prefix =
-      std::string_view(request.body).substr(0, kAffinityPrefixBytes);
+  const std::string_view body = request.body;
+  const std::string_view prefix = body.substr(0, kAffinityPrefixBytes);
   std::string key = request.team.value;
   key.append("/").append(request.pipeline.value).append("/").append(prefix);
   return std::hash<std::string>()(key);
@@ -74,6 +77,25 @@
   return {{entry.name}, entry.zone, entry.address, entry.incarnation};
 }
 
+report::RunOutcome RunOutcomeOf(const CallerAnswer& answer,
+                                base::TimePoint deadline,
+                                base::TimePoint now) {
+  using report::RunOutcome;
+  if (!answer.error)
+    return now <= deadline ? RunOutcome::kMet : RunOutcome::kLate;
+  if (answer.error->code == kCallerLeftCode)
+    return RunOutcome::kAbandoned;
+  if (answer.status == kGatewayTimeout)
+    return RunOutcome::kLapsed;
+  if (answer.status == kServiceUnavailable)
+    return RunOutcome::kRefused;
+  if (answer.status >= kFirstServerErrorStatus)
+    return RunOutcome::kFailed;
+  // What may be asked again as it is wasn't the caller's fault.
+  return answer.error->retry_after ? RunOutcome::kRefused
+                                   : RunOutcome::kCallerFault;
+}
+
 }  // namespace
 
 std::string RunCoordinator::RequestIdOf(base::RunId run) const {
@@ -94,27 +116,43 @@
   context_.Emit(AnswerCaller{caller, std::move(answer)});
 }
 
+void RunCoordinator::RecordRefused(const pipeline::RunRequest& request,
+                                   base::TimePoint now) {
+  recorder_.Record({request.pipeline,
+                    request.team,
+                    request.rank,
+                    report::RunOutcome::kRefused,
+                    base::Duration(0),
+                    {}},
+                   now);
+}
+
 void RunCoordinator::HandleRequest(const CallerRequest& request,
                                    base::TimePoint now) {
   const auto configuration = membership_.configuration();
   if (!configuration) {
+    recorder_.NoteRefusedUnready();
     Refuse(request.caller, kServiceUnavailable,
            {"not_ready", Step::kAdmission, "",
             "this entry host has no configuration yet", kRetryAfterNotReady});
     return;
   }
+  auto checked = CheckRequest(request, *configuration);
+  const auto* sound = std::get_if<pipeline::RunRequest>(&checked);
   if (!is_accepting_) {
+    if (sound != nullptr)
+      RecordRefused(*sound, now);
     Refuse(request.caller, kServiceUnavailable,
            {"stopping", Step::kAdmission, "", "this entry host is stopping",
             kRetryAfterNotReady});
     return;
   }
-  auto checked = CheckRequest(request, *configuration);
   if (auto* bad = std::get_if<BadRequest>(&checked)) {
     Refuse(request.caller, bad->status, std::move(bad->error));
     return;
   }
   if (runs_.size() >= context_.settings().max_runs) {
+    RecordRefused(*sound, now);
     Refuse(request.caller, kServiceUnavailable,
            {"too_many_runs", Step::kAdmission, "",
             "this entry host is at its limit of runs", kRetryAfterFull});
@@ -213,6 +251,7 @@
   work.avoided = active.avoided;
   work.affinity = AffinityOf(run.request());
   active.phase = Phase::kQueued;
+  active.stage_offered = now;
   const auto outcome = PoolOf(run).Offer(std::move(work), now);
   if (outcome == policy::OfferOutcome::kQueueFull)
     GiveUp(active,
@@ -412,11 +451,15 @@
   EndQuarantined(digest, now);
 }
 
-void RunCoordinator::ReportAttempt(const ActiveRun& active,
+void RunCoordinator::ReportAttempt(ActiveRun& active,
                                    AttemptVerdict verdict,
                                    std::optional<uint32_t> load,
                                    base::TimePoint now) {
-  const auto it = pools_.find(active.run.stage().pool);
+  const pipeline::Run& run = active.run;
+  active.attempts.push_back({run.stage().name, run.stage_index(),
+                             run.attempt_began() - active.stage_offered,
+                             now - run.attempt_began()});
+  const auto it = pools_.find(run.stage().pool);
   if (it == pools_.end())
     return;
   it->second.Finish({active.run.id(), active.run.attempt_endpoint(), verdict,
@@ -595,7 +638,7 @@
   if (active.phase == Phase::kSent)
     CancelAttempt(active, AttemptVerdict::kCancelled, now);
   Fail(active, kServiceUnavailable,
-       {"caller_left", Step::kQueue, "", "the caller has left", std::nullopt},
+       {kCallerLeftCode, Step::kQueue, "", "the caller has left", std::nullopt},
        now);
 }
 
@@ -618,14 +661,14 @@
                    answer.status = it.status;
                    answer.executed = Executed::kYes;
                    answer.body = it.body;
-                   End(active, std::move(answer));
+                   End(active, std::move(answer), now);
                  },
                  [&](const BookingRejected& it) {
                    CallerAnswer answer;
                    answer.status = it.status;
                    answer.executed = it.executed;
                    answer.error = it.error;
-                   End(active, std::move(answer));
+                   End(active, std::move(answer), now);
                  },
              },
              decision);
@@ -673,7 +716,7 @@
   answer.error = {"deadline_exceeded", Step::kEndpointCall,
                   active.run.attempt_endpoint().value,
                   "the deadline has passed", kRetryAfterFailure};
-  Answer(active, std::move(answer));
+  Answer(active, std::move(answer), now);
   active.is_lingering = true;
   ++lingering_count_;
   deadlines_.erase({active.lapses, active.run.id()});
@@ -731,7 +774,7 @@
   passed.body = answer.body;
   if (active.run.pipeline().IsAtMostOnce())
     bookings_.Conclude(active.run.id(), BookingDidNotRun{}, now);
-  End(active, std::move(passed));
+  End(active, std::move(passed), now);
 }
 
 void RunCoordinator::Record(ActiveRun& active,
@@ -750,7 +793,7 @@
   CallerAnswer answer;
   answer.executed = Executed::kYes;
   answer.body = active.run.input();
-  End(active, std::move(answer));
+  End(active, std::move(answer), now);
 }
 
 void RunCoordinator::Fail(ActiveRun& active,
@@ -768,7 +811,7 @@
                         ? ConcludeFailed(active, now)
                         : active.run.executed();
   answer.error = std::move(error);
-  End(active, std::move(answer));
+  End(active, std::move(answer), now);
 }
 
 Executed RunCoordinator::ConcludeFailed(const ActiveRun& active,
@@ -792,13 +835,22 @@
   return active.run.executed();
 }
 
-void RunCoordinator::End(ActiveRun& active, CallerAnswer answer) {
-  Answer(active, std::move(answer));
+void RunCoordinator::End(ActiveRun& active,
+                         CallerAnswer answer,
+                         base::TimePoint now) {
+  Answer(active, std::move(answer), now);
   Forget(active);
 }
 
-void RunCoordinator::Answer(ActiveRun& active, CallerAnswer answer) {
+void RunCoordinator::Answer(ActiveRun& active,
+                            CallerAnswer answer,
+                            base::TimePoint now) {
   answer.request_id = RequestIdOf(active.run.id());
+  const pipeline::RunRequest& asked = active.run.request();
+  recorder_.Record({asked.pipeline, asked.team, asked.rank,
+                    RunOutcomeOf(answer, active.run.deadline(), now),
+                    now - active.run.arrived(), std::move(active.attempts)},
+                   now);
   if (active.has_stream_begun)
     context_.Emit(EndStream{active.caller, std::move(answer)});
   else
--- a/Libraries/LibNode/run_coordinator.h
+++ b/Libraries/LibNode/run_coordinator.h
@@ -23,6 +23,7 @@
 #include "LibPolicy/pool_scheduler.h"
 #include "LibPolicy/quarantine.h"
 #include "LibPolicy/retry_budget.h"
+#include "LibReport/service_recorder.h"
 
 namespace bilberry::node {
 
@@ -62,6 +63,7 @@
   size_t run_count() const { return runs_.size(); }
   size_t lingering_count() const { return lingering_count_; }
   std::vector<policy::PoolLoad> Loads() const;
+  const report::ServiceRecorder& recorder() const { return recorder_; }
   std::optional<base::TimePoint> NextWakeup() const;
 
  private:
@@ -82,6 +84,8 @@
     bool has_answer_begun = false;
     uint64_t resume_offset = 0;
     uint64_t streamed_bytes = 0;  // Given to the caller, of all attempts.
+    base::TimePoint stage_offered = {};
+    std::vector<report::StageTime> attempts = {};  // Those that have ended.
     // Answered at its deadline; the attempt is kept open for the outcome.
     bool is_lingering = false;
     base::TimePoint lapses{};
@@ -128,7 +132,7 @@
                     base::TimePoint now);
   // Null when nobody waits for this attempt any more.
   ActiveRun* FindByAttempt(const base::AttemptId& attempt);
-  void ReportAttempt(const ActiveRun& active,
+  void ReportAttempt(ActiveRun& active,
                      policy::AttemptVerdict verdict,
                      std::optional<uint32_t> load,
                      base::TimePoint now);
@@ -184,10 +188,13 @@
   // Tells the ledger that a booking's run failed; returns what may be said.
   Executed ConcludeFailed(const ActiveRun& active, base::TimePoint now);
   // Answers the caller and forgets the run.
-  void End(ActiveRun& active, CallerAnswer answer);
-  void Answer(ActiveRun& active, CallerAnswer answer);
+  void End(ActiveRun& active, CallerAnswer answer, base::TimePoint now);
+  // Answers the caller, and counts the run in the report.
+  void Answer(ActiveRun& active, CallerAnswer answer, base::TimePoint now);
   void Forget(const ActiveRun& active);
   void Refuse(base::CallerId caller, int status, CallerError error);
+  // Counts a request that is turned away before it becomes a run.
+  void RecordRefused(const pipeline::RunRequest& request, base::TimePoint now);
   std::string RequestIdOf(base::RunId run) const;
   policy::PoolScheduler& PoolOf(const pipeline::Run& run);
   void NoteConfiguration(
@@ -211,6 +218,7 @@
   std::map<base::PoolName, policy::PoolScheduler> pools_;
   std::map<base::PoolName, policy::RetryBudget> retry_budgets_;
   policy::Quarantine quarantine_;
+  report::ServiceRecorder recorder_;
   std::weak_ptr<const declare::Configuration> present_configuration_;
   // Those before it; each is kept alive by the runs that began under it.
   std::vector<std::weak_ptr<const declare::Configuration>>
--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -82,8 +82,9 @@
     --settings "$work/host-$i.json"
 done
 
+"$bin/Examples/valbruna/valbruna" > "$work/configuration.json"
 "$bin/Utilities/bilberryctl/bilberryctl" apply \
-  --file Examples/valbruna/configuration.json --platform "$platform:7000" \
+  --file "$work/configuration.json" --platform "$platform:7000" \
   --expect-revision 0
 for i in 1 2 3; do
   wait_for "http://$net.$i:8080/readyz"
@@ -105,6 +106,9 @@
 
 echo "--- who answered (stages)"
 cat "$work/summary"
-echo "--- status"
-"$bin/Utilities/bilberryctl/bilberryctl" status --token "$token" \
-  --hosts "$net.1:8081,$net.2:8081,$net.3:8081"
+hosts="$net.1:8081,$net.2:8081,$net.3:8081"
+for command in status report; do
+  echo "--- $command"
+  "$bin/Utilities/bilberryctl/bilberryctl" "$command" --token "$token" \
+    --hosts "$hosts"
+done
