LibNode: Keep the quarantine away from bookings

A key is sent once anyway, and its repeat must get the recorded answer. The table of retries gives each case hosts of its own: after three cases that fail in a row the pool's only other endpoint is ejected, so that the retry had nowhere else to go. The checks are the same.

--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -168,11 +168,11 @@
     const std::shared_ptr<const declare::Configuration>& configuration,
     base::TimePoint now) {
   std::string digest = pipeline::DigestOf(checked);
-  if (IsQuarantined(digest, now)) {
+  const auto* pipeline = configuration->FindPipeline(checked.pipeline);
+  if (IsQuarantined(*pipeline, digest, now)) {
     Refuse(request.caller, kUnprocessable, QuarantinedError());
     return;
   }
-  const auto* pipeline = configuration->FindPipeline(checked.pipeline);
   const base::RunId id{++last_run_};
   const auto [it, is_new] = runs_.try_emplace(
       id, ActiveRun{pipeline::Run(id, configuration, *pipeline,
@@ -478,7 +478,7 @@
   context_.Log(base::LogEventId::kAttemptFailed,
                error.peer + ": " + error.code + ": " + error.message);
   active.avoided.push_back(active.run.attempt_endpoint());
-  if (IsQuarantined(active.digest, now)) {
+  if (IsQuarantined(active.run.pipeline(), active.digest, now)) {
     context_.Log(base::LogEventId::kRequestQuarantined, active.digest);
     Fail(active, kUnprocessable, QuarantinedError(), now);
     return;
@@ -596,19 +596,23 @@
   });
 }
 
-bool RunCoordinator::IsQuarantined(const std::string& digest,
+// A booking's key is sent once anyway, and its repeat must get the recorded
+// answer, whatever became of the endpoints.
+bool RunCoordinator::IsQuarantined(const declare::Pipeline& pipeline,
+                                   const std::string& digest,
                                    base::TimePoint now) {
   return context_.policy() == policy::PolicyKind::kPresent &&
-         quarantine_.IsRefused(digest, now);
+         !pipeline.IsAtMostOnce() && quarantine_.IsRefused(digest, now);
 }
 
 void RunCoordinator::EndQuarantined(const std::string& digest,
                                     base::TimePoint now) {
-  if (!IsQuarantined(digest, now))
+  if (!quarantine_.IsRefused(digest, now))
     return;
   std::vector<base::RunId> waiting;
   for (const auto& [id, active] : runs_) {
-    if (active.phase == Phase::kQueued && active.digest == digest)
+    if (active.phase == Phase::kQueued && active.digest == digest &&
+        IsQuarantined(active.run.pipeline(), digest, now))
       waiting.push_back(id);
   }
   for (const base::RunId id : waiting)
--- a/Libraries/LibNode/run_coordinator.h
+++ b/Libraries/LibNode/run_coordinator.h
@@ -163,7 +163,9 @@
                      policy::AttemptVerdict verdict,
                      base::TimePoint now);
   // Whether this host refuses the request because of the endpoints it crashed.
-  bool IsQuarantined(const std::string& digest, base::TimePoint now);
+  bool IsQuarantined(const declare::Pipeline& pipeline,
+                     const std::string& digest,
+                     base::TimePoint now);
   // Ends the runs of a request that is refused by now and still waits.
   void EndQuarantined(const std::string& digest, base::TimePoint now);
   void Lapse(ActiveRun& active, base::TimePoint now);
--- a/Tests/LibNode/test_retries.cc
+++ b/Tests/LibNode/test_retries.cc
@@ -127,13 +127,14 @@
       {"booking unreachable", "booking", Unreachable, Retried::kYes,
        Executed::kNo},
   };
-  TwoEndpoints two;
-  NodeHarness& harness = two.harness;
-  two.WarmUp();
-  int key = 0;
   for (const FaultCase& each : cases) {
     CAPTURE(std::string(each.name));
-    harness.Call(each.pipeline, std::to_string(++key), each.name);
+    // Each case has hosts of its own: three failures in a row eject an
+    // endpoint, and then there is no other.
+    TwoEndpoints two;
+    NodeHarness& harness = two.harness;
+    two.WarmUp();
+    harness.Call(each.pipeline, "key", each.name);
     const auto first = harness.TakeSent();
     REQUIRE(first.size() == 1);
     harness.Feed(each.first(first[0]));
