LibNode: Count and log what peers send that can't be read

Cause: malformed messages and those of another version were refused, but left no trace. Over sockets nine kinds of malformed requests get a JSON-RPC error, and the host serves on. Oversized ones are refused by the listener and not counted yet.

--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -24,6 +24,7 @@
     {kEndpointLeaving, kInfo, "endpoint-leaving"},
     {kPlatformUnreachable, kWarning, "platform-unreachable"},
     {kPlatformReachable, kInfo, "platform-reachable"},
+    {kPeerMessagesRefused, kWarning, "peer-messages-refused"},
     {kAttemptFailed, kWarning, "attempt-failed"},
     {kAnswerMismatched, kError, "answer-mismatched"},
     {kEndpointEjected, kWarning, "endpoint-ejected"},
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -22,6 +22,7 @@
   kEndpointLeaving = 1202,
   kPlatformUnreachable = 1301,
   kPlatformReachable = 1302,
+  kPeerMessagesRefused = 1310,
   kAttemptFailed = 1401,
   kAnswerMismatched = 1402,
   kEndpointEjected = 1403,
--- a/Libraries/LibNode/entry_node.cc
+++ b/Libraries/LibNode/entry_node.cc
@@ -57,6 +57,7 @@
             if (!bookings_.HandlePeerFailed(it, now))
               membership_.HandlePeerFailed(it, now);
           },
+          [&](const PeerMessageRefused&) { membership_.NoteRefused(now); },
           [](const TimerDue&) {},
           [&](const StopOrdered&) { HandleStop(now); },
       },
--- a/Libraries/LibNode/event.h
+++ b/Libraries/LibNode/event.h
@@ -94,6 +94,9 @@
   base::OperationId operation{};
 };
 
+// A peer sent what could not be read; it has been told so.
+struct PeerMessageRefused {};
+
 struct TimerDue {};
 
 // Begins a graceful shutdown.
@@ -110,6 +113,7 @@
                            PeerRequest,
                            PeerAnswered,
                            PeerFailed,
+                           PeerMessageRefused,
                            TimerDue,
                            StopOrdered>;
 
--- a/Libraries/LibNode/membership_coordinator.cc
+++ b/Libraries/LibNode/membership_coordinator.cc
@@ -14,6 +14,8 @@
 using membership::ConfigurationHead;
 using membership::LeavingMark;
 
+// A peer that sends nonsense must not fill the log.
+constexpr std::chrono::minutes kRefusedLogInterval{1};
 constexpr std::chrono::milliseconds kPlatformTimeout{800};
 constexpr std::chrono::milliseconds kDocumentTimeout{3000};
 constexpr std::chrono::milliseconds kPeerTimeout{500};
@@ -334,4 +336,13 @@
   NoteNews();
 }
 
+void MembershipCoordinator::NoteRefused(base::TimePoint now) {
+  ++refused_count_;
+  if (now < next_refused_log_)
+    return;
+  next_refused_log_ = now + kRefusedLogInterval;
+  context_.Log(base::LogEventId::kPeerMessagesRefused,
+               std::to_string(refused_count_) + " since the start");
+}
+
 }  // namespace bilberry::node
--- a/Libraries/LibNode/membership_coordinator.h
+++ b/Libraries/LibNode/membership_coordinator.h
@@ -56,6 +56,9 @@
   // Grows whenever configuration() or hosts() changes.
   uint64_t change_count() const { return change_count_; }
 
+  // Counts a peer's message that could not be read; logged once a minute.
+  void NoteRefused(base::TimePoint now);
+
  private:
   enum class QuestionKind { kHosts, kHead, kDocument };
 
@@ -120,6 +123,8 @@
   uint64_t rounds_ = 0;
   bool has_news_ = false;
   bool is_platform_reachable_ = true;
+  uint64_t refused_count_ = 0;
+  base::TimePoint next_refused_log_;
   uint64_t change_count_ = 0;
 };
 
--- a/Libraries/LibTransport/node_shell.cc
+++ b/Libraries/LibTransport/node_shell.cc
@@ -93,7 +93,8 @@
   shell->callers_ = std::move(callers);
   TRY(peer_server,
       PeerServer::Create(reactor, settings.peers, settings.operator_token,
-                         {[raw](node::PeerMessage it) {
+                         {[raw] { raw->Feed(node::PeerMessageRefused{}); },
+                          [raw](node::PeerMessage it) {
                             return raw->HandlePeerMessage(std::move(it));
                           },
                           [raw] { return raw->node_.Status(); },
--- a/Libraries/LibTransport/peer_server.cc
+++ b/Libraries/LibTransport/peer_server.cc
@@ -129,6 +129,7 @@
     Handlers handlers) {
   std::unique_ptr<PeerServer> server(new PeerServer);
   server->operator_token_ = std::move(operator_token);
+  server->refused_ = handlers.refused;
   server->connector_ = std::make_unique<Connector>();
   server->methods_ =
       std::make_unique<Methods>(*server->connector_, std::move(handlers));
@@ -152,6 +153,10 @@
                             IsEqualInConstantTime(*token, operator_token_));
   std::string response;
   connector_->OnRequest(request.body, &response);
+  // libjsonrpccpp prints an object's members in the order of their names, and
+  // a response has no member before "error".
+  if (token == nullptr && response.starts_with(R"({"error")"))
+    refused_();
   listener_->Respond(request.exchange,
                      {200, {{kContentTypeHeader, kJsonType}}, response});
 }
--- a/Libraries/LibTransport/peer_server.h
+++ b/Libraries/LibTransport/peer_server.h
@@ -19,6 +19,8 @@
 class PeerServer {
  public:
   struct Handlers {
+    // Called when a request was refused that no operator sent.
+    std::function<void()> refused;
     std::function<base::Result<node::PeerMessage>(node::PeerMessage)> peer;
     std::function<node::NodeStatus()> status;
     std::function<report::ServiceReport()> report;
@@ -39,6 +41,7 @@
   void HandleRequest(const IncomingRequest& request);
 
   std::string operator_token_;
+  std::function<void()> refused_;
   std::unique_ptr<Connector> connector_;
   std::unique_ptr<Methods> methods_;
   std::unique_ptr<HttpListener> listener_;
--- a/Tests/LibPolicy/test_choice.cc
+++ b/Tests/LibPolicy/test_choice.cc
@@ -36,7 +36,8 @@
   return dispatch ? dispatch->endpoint.value : "";
 }
 
-PoolScheduler MakeEngines(std::vector<EndpointTarget> targets, uint64_t seed) {
+PoolScheduler MakeEngines(const std::vector<EndpointTarget>& targets,
+                          uint64_t seed) {
   declare::Pool pool;
   pool.kind = declare::PoolKind::kEngine;
   pool.slots_per_worker = 8;
--- a/Tests/LibTransport/test_endpoint_standin.cc
+++ b/Tests/LibTransport/test_endpoint_standin.cc
@@ -15,7 +15,7 @@
 using standins::EndpointStandin;
 
 struct StandinPair : HttpPair {
-  explicit StandinPair(EndpointModel model)
+  explicit StandinPair(const EndpointModel& model)
       : HttpPair([](const IncomingRequest&) {}) {
     base::HostEntry entry = fakes::MakeEndpoint("e", "p");
     entry.address.port = 0;
--- a/Tests/LibTransport/test_whole_path.cc
+++ b/Tests/LibTransport/test_whole_path.cc
@@ -151,6 +151,27 @@
   CHECK(world.desk->executions() == 0);
 }
 
+TEST_CASE("what peers send that can't be read is refused and changes nothing") {
+  SmallWorld world;
+  for (const char* body :
+       {"", "{", "[]", "null", R"({"jsonrpc":"1.0","id":1,"method":"digest"})",
+        R"({"jsonrpc":"2.0","id":1,"method":"none","params":{}})",
+        R"({"jsonrpc":"2.0","id":1,"method":"digest","params":{}})",
+        R"({"jsonrpc":"2.0","id":1,"method":"digest",
+            "params":{"v":99,"host":"h","incarnation":1,"revision":9}})",
+        R"({"jsonrpc":"2.0","id":1,"method":"status","params":{}})"}) {
+    CAPTURE(std::string(body));
+    HttpRequest request;
+    request.method = HttpMethod::kPost;
+    request.address = world.peers;
+    request.path = "/rpc";
+    request.body = body;
+    const auto response = world.Ask(std::move(request));
+    CHECK(response.body.starts_with(R"({"error")"));
+  }
+  CHECK(world.Post("/v1/pipelines/stock", {{kTeamHeader, "t"}}).status == 200);
+}
+
 TEST_CASE("a planned stop lets the run in flight end") {
   SmallWorld world;
   HttpRequest request;
--- a/Tests/Standins/endpoint_standin.cc
+++ b/Tests/Standins/endpoint_standin.cc
@@ -219,7 +219,8 @@
     return;
   }
   WriteRest(job, "data: token-" + std::to_string(index) + "\n\n");
-  timers_.After(job.between_tokens, [this, job = std::move(job), index] {
+  const auto delay = job.between_tokens;
+  timers_.After(delay, [this, job = std::move(job), index] {
     SendToken(job, index + 1);
   });
 }
