--- a/Libraries/LibNode/entry_node.cc
+++ b/Libraries/LibNode/entry_node.cc
@@ -67,9 +67,9 @@
 void EntryNode::HandleStop(base::TimePoint now) {
   if (!runs_.is_accepting())
     return;
-  lingers_until_ = now + LingerTime();
   context_.Log(base::LogEventId::kStopOrdered, "");
   runs_.StopAccepting();
+  lingers_until_ = now + LingerTime();
   stop_deadline_ = now + LongestDeadline();
   membership_.NoteStopping();
   TellBookingsOfPeers();
@@ -175,12 +175,10 @@
   std::optional<base::TimePoint> next;
   const auto stop = has_exited_ ? std::nullopt : stop_deadline_;
   for (const auto& wakeup : {bookings_.NextWakeup(), membership_.NextWakeup(),
-                             runs_.NextWakeup(), stop}) {
+                             runs_.NextWakeup(), stop, lingers_until_}) {
     if (wakeup && (!next || *wakeup < *next))
       next = wakeup;
   }
-  if (lingers_until_)
-    next = next ? std::min(*next, *lingers_until_) : lingers_until_;
   return next;
 }
 
--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -3,53 +3,17 @@
 # in three zones, Valbruna's configuration, and one request of each kind.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+source Meta/processes.sh
 Meta/setup.sh
 Meta/build.sh
 
-# Addresses of this run's own, so that two runs don't meet.
-net="127.$((16 + $$ / 250 % 200)).$(($$ % 250))"
-bin=build
 token=demo-token
-work=$(mktemp -d)
-pids=()
-
-stop_all() {
-  for pid in "${pids[@]}"; do
-    kill -TERM "$pid" 2> /dev/null || true
-  done
-  for pid in "${pids[@]}"; do
-    wait "$pid" || echo "process $pid ended with $?"
-  done
-  rm -rf "$work"
-}
-trap stop_all EXIT
-
-start() {
-  local name=$1
-  shift
-  "$@" 2> "$work/$name.log" &
-  pids+=("$!")
-}
-
-wait_for() {
-  for _ in $(seq 100); do
-    if curl -s -o /dev/null --fail "$1"; then
-      return 0
-    fi
-    sleep 0.1
-  done
-  echo "no answer from $1" >&2
-  cat "$work"/*.log >&2
-  return 1
-}
 
 platform="$net.100"
 start platform "$bin/Tests/Standins/platformstandin" --ip "$platform"
 wait_for "http://$platform:7001/counts"
 
 # Pool number, name, endpoints, and whether they report their load.
-octet2=${net#127.}
-octet2=${octet2%%.*}
 pool() {
   start "$2" "$bin/Tests/Standins/endpointstandin" --pool "$2" --count "$3" \
     --subnet "127.$octet2.$((250 + $1))" --zones zona-a,zona-b,zona-c \
--- a/Meta/experiment.sh
+++ b/Meta/experiment.sh
@@ -5,47 +5,12 @@
 #   Meta/experiment.sh NAME [SECONDS] [SEED]
 set -euo pipefail
 cd "$(dirname "$0")/.."
+source Meta/processes.sh
 name=${1:?which experiment}
 seconds=${2:-30}
 seed=${3:-1}
-# Addresses of this run's own, so that two runs don't meet.
-octet2=$((16 + $$ / 250 % 200))
-net="127.$octet2.$(($$ % 250))"
 platform="$net.100"
-bin=build
 load="$bin/Utilities/bilberryload/bilberryload"
-work=$(mktemp -d)
-pids=()
-
-stop_all() {
-  for pid in "${pids[@]}"; do
-    kill -TERM "$pid" 2> /dev/null || true
-  done
-  for pid in "${pids[@]}"; do
-    wait "$pid" || true
-  done
-  pids=()
-}
-trap 'stop_all; rm -rf "$work"' EXIT
-
-start() {
-  local log=$1
-  shift
-  "$@" 2> "$work/$log.log" &
-  pids+=("$!")
-}
-
-wait_for() {
-  for _ in $(seq 100); do
-    if curl -s -o /dev/null --fail "$1"; then
-      return 0
-    fi
-    sleep 0.1
-  done
-  echo "no answer from $1" >&2
-  tail -n 5 "$work"/*.log >&2
-  return 1
-}
 
 # Number, name, endpoints and milliseconds of service of a pool.
 pool() {
--- a/Meta/measure-control.sh
+++ b/Meta/measure-control.sh
@@ -5,35 +5,8 @@
 # nothing else does. SECONDS_IDLE (60) is the time that is looked at.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-net="127.$((16 + $$ / 250 % 200)).$(($$ % 250))"
-bin=build
+source Meta/processes.sh
 idle=${SECONDS_IDLE:-60}
-work=$(mktemp -d)
-pids=()
-stop_all() {
-  kill -TERM "${pids[@]}" 2> /dev/null || true
-  wait || true
-  rm -rf "$work"
-}
-trap stop_all EXIT
-
-start() {
-  local name=$1
-  shift
-  "$@" 2> "$work/$name.log" &
-  pids+=("$!")
-}
-
-wait_for() {
-  for _ in $(seq 100); do
-    if curl -s -o /dev/null --fail "$1"; then
-      return 0
-    fi
-    sleep 0.1
-  done
-  cat "$work"/*.log >&2
-  return 1
-}
 
 ticks() {
   awk '{ print $14 + $15 }' "/proc/$1/stat"
--- a/Meta/measure-path.sh
+++ b/Meta/measure-path.sh
@@ -4,34 +4,7 @@
 # Build first; run when nothing else does.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-net="127.$((16 + $$ / 250 % 200)).$(($$ % 250))"
-bin=build
-work=$(mktemp -d)
-pids=()
-stop_all() {
-  kill -TERM "${pids[@]}" 2> /dev/null || true
-  wait || true
-  rm -rf "$work"
-}
-trap stop_all EXIT
-
-start() {
-  local name=$1
-  shift
-  "$@" 2> "$work/$name.log" &
-  pids+=("$!")
-}
-
-wait_for() {
-  for _ in $(seq 100); do
-    if curl -s -o /dev/null --fail "$1"; then
-      return 0
-    fi
-    sleep 0.1
-  done
-  cat "$work"/*.log >&2
-  return 1
-}
+source Meta/processes.sh
 
 start platform "$bin/Tests/Standins/platformstandin" --ip "$net.100"
 wait_for "http://$net.100:7001/counts"
--- /dev/null
+++ b/Meta/processes.sh
@@ -0,0 +1,42 @@
+# Sourced by the scripts that start processes: starts, awaits and stops them.
+# shellcheck shell=bash
+
+# Addresses of this run's own, so that two runs don't meet.
+octet2=$((16 + $$ / 250 % 200))
+net="127.$octet2.$(($$ % 250))"
+bin=build
+work=$(mktemp -d)
+pids=()
+
+# Runs a program in the background, its log in $work/NAME.log.
+start() {
+  local name=$1
+  shift
+  "$@" 2> "$work/$name.log" &
+  pids+=("$!")
+}
+
+# Waits until an address answers.
+wait_for() {
+  for _ in $(seq 100); do
+    if curl -s -o /dev/null --fail "$1"; then
+      return 0
+    fi
+    sleep 0.1
+  done
+  echo "no answer from $1" >&2
+  tail -n 5 "$work"/*.log >&2
+  return 1
+}
+
+# Ends what was started, by process id, and tells who did not end well.
+stop_all() {
+  for pid in "${pids[@]}"; do
+    kill -TERM "$pid" 2> /dev/null || true
+  done
+  for pid in "${pids[@]}"; do
+    wait "$pid" || echo "process $pid ended with $?" >&2
+  done
+  pids=()
+}
+trap 'stop_all; rm -rf "$work"' EXIT
