Meta: Write entry hosts' settings in one place

Cause: on rereading the change, four scripts each wrote out the same settings file; a field added to the settings would have to be added four times. Meta/processes.sh writes it now, with the platform's address and the operator token. Ruled out as not the same: the host files of the scenarios' runner, which go through relays.

--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -7,9 +7,6 @@
 Meta/setup.sh
 Meta/build.sh
 
-token=demo-token
-
-platform="$net.100"
 start platform "$bin/Tests/Standins/platformstandin" --ip "$platform"
 wait_for "http://$platform:7001/counts"
 
@@ -27,23 +24,10 @@
 
 zones=(zona-a zona-b zona-c)
 for i in 1 2 3; do
-  cat > "$work/host-$i.json" << EOF
-{
-  "host": "entry-$i",
-  "zone": "${zones[$((i - 1))]}",
-  "callers": { "ip": "$net.$i", "port": 8080 },
-  "peers": { "ip": "$net.$i", "port": 8081 },
-  "platform": { "ip": "$platform", "port": 7000 },
-  "seed_peers": [
-    { "ip": "$net.1", "port": 8081 },
-    { "ip": "$net.2", "port": 8081 },
-    { "ip": "$net.3", "port": 8081 }
-  ],
-  "operator_token": "$token"
-}
-EOF
+  write_host_settings "entry-$i" "${zones[$((i - 1))]}" "$net.$i" \
+    "$net.1" "$net.2" "$net.3"
   start "entry-$i" "$bin/Services/bilberryd/bilberryd" \
-    --settings "$work/host-$i.json"
+    --settings "$work/entry-$i.json"
 done
 
 "$bin/Examples/valbruna/valbruna" > "$work/configuration.json"
--- a/Meta/experiment.sh
+++ b/Meta/experiment.sh
@@ -9,7 +9,6 @@
 name=${1:?which experiment}
 seconds=${2:-30}
 seed=${3:-1}
-platform="$net.100"
 load="$bin/Utilities/bilberryload/bilberryload"
 
 # Number, name, endpoints and milliseconds of service of a pool.
@@ -33,22 +32,10 @@
   pool 3 calendario 5 15
   local zones=(zona-a zona-b zona-c)
   for i in 1 2 3; do
-    cat > "$work/host-$i.json" << END
-{
-  "host": "entry-$i", "zone": "${zones[$((i - 1))]}",
-  "callers": { "ip": "$net.$i", "port": 8080 },
-  "peers": { "ip": "$net.$i", "port": 8081 },
-  "platform": { "ip": "$platform", "port": 7000 },
-  "seed_peers": [
-    { "ip": "$net.1", "port": 8081 },
-    { "ip": "$net.2", "port": 8081 },
-    { "ip": "$net.3", "port": 8081 }
-  ],
-  "operator_token": "experiment"
-}
-END
+    write_host_settings "entry-$i" "${zones[$((i - 1))]}" "$net.$i" \
+      "$net.1" "$net.2" "$net.3"
     start "entry-$i" "$bin/Services/bilberryd/bilberryd" \
-      --settings "$work/host-$i.json" --policy "$policy"
+      --settings "$work/entry-$i.json" --policy "$policy"
   done
   "$bin/Utilities/bilberryctl/bilberryctl" apply --platform "$platform:7000" \
     --file "$work/configuration.json" --expect-revision 0 > /dev/null
--- a/Meta/measure-control.sh
+++ b/Meta/measure-control.sh
@@ -18,21 +18,10 @@
   --subnet "$net" --zones zona-a --service-ms 0 --platform-ip "$net.100"
 hosts=()
 for i in 51 52 53; do
-  cat > "$work/host-$i.json" << JSON
-{
-  "host": "entry-$i", "zone": "zona-a",
-  "callers": { "ip": "$net.$i", "port": 8080 },
-  "peers": { "ip": "$net.$i", "port": 8081 },
-  "platform": { "ip": "$net.100", "port": 7000 },
-  "seed_peers": [
-    { "ip": "$net.51", "port": 8081 }, { "ip": "$net.52", "port": 8081 },
-    { "ip": "$net.53", "port": 8081 }
-  ],
-  "operator_token": "t"
-}
-JSON
+  write_host_settings "entry-$i" zona-a "$net.$i" \
+    "$net.51" "$net.52" "$net.53"
   start "entry-$i" "$bin/Services/bilberryd/bilberryd" \
-    --settings "$work/host-$i.json"
+    --settings "$work/entry-$i.json"
   hosts+=("$!")
 done
 "$bin/Utilities/bilberryctl/bilberryctl" apply --platform "$net.100:7000" \
--- a/Meta/measure-path.sh
+++ b/Meta/measure-path.sh
@@ -11,16 +11,8 @@
 start banco "$bin/Tests/Standins/endpointstandin" --pool banco --count 3 \
   --subnet "$net" --zones zona-a --service-ms 0 --slots 64 \
   --platform-ip "$net.100"
-cat > "$work/host.json" << EOF
-{
-  "host": "entry-1", "zone": "zona-a",
-  "callers": { "ip": "$net.50", "port": 8080 },
-  "peers": { "ip": "$net.50", "port": 8081 },
-  "platform": { "ip": "$net.100", "port": 7000 },
-  "operator_token": "t"
-}
-EOF
-start entry "$bin/Services/bilberryd/bilberryd" --settings "$work/host.json" \
+write_host_settings entry-1 zona-a "$net.50"
+start entry "$bin/Services/bilberryd/bilberryd" --settings "$work/entry-1.json" \
   ${POLICY:+--policy "$POLICY"}
 "$bin/Utilities/bilberryctl/bilberryctl" apply --platform "$net.100:7000" \
   --file Examples/valbruna/configuration.json > /dev/null
--- a/Meta/processes.sh
+++ b/Meta/processes.sh
@@ -5,6 +5,8 @@
 octet2=$((16 + $$ / 250 % 200))
 net="127.$octet2.$(($$ % 250))"
 bin=build
+platform="$net.100"
+token=operator-token
 work=$(mktemp -d)
 pids=()
 
@@ -29,6 +31,29 @@
   return 1
 }
 
+# Writes the settings of entry host NAME in ZONE at the IP number, with the rest
+# of the arguments as its seed peers' numbers, to $work/NAME.json. The platform
+# is at $platform, the operator token $token.
+write_host_settings() {
+  local name=$1 zone=$2 ip=$3
+  shift 3
+  local seeds=""
+  for seed_ip in "$@"; do
+    seeds+="${seeds:+, }{ \"ip\": \"$seed_ip\", \"port\": 8081 }"
+  done
+  cat > "$work/$name.json" << EOF
+{
+  "host": "$name",
+  "zone": "$zone",
+  "callers": { "ip": "$ip", "port": 8080 },
+  "peers": { "ip": "$ip", "port": 8081 },
+  "platform": { "ip": "$platform", "port": 7000 },
+  "seed_peers": [$seeds],
+  "operator_token": "$token"
+}
+EOF
+}
+
 # Ends what was started, by process id, and tells who did not end well.
 stop_all() {
   for pid in "${pids[@]}"; do
