--- /dev/null
+++ b/Libraries/LibBase/http_header.cc
@@ -0,0 +1,34 @@
+#include "LibBase/http_header.h"
+
+#include <algorithm>
+
+namespace bilberry::base {
+
+namespace {
+
+char ToLower(char c) {
+  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+}  // namespace
+
+bool IsSameHeader(std::string_view left, std::string_view right) {
+  return std::ranges::equal(
+      left, right, [](char a, char b) { return ToLower(a) == ToLower(b); });
+}
+
+const std::string* FindHeader(const HttpHeaders& headers,
+                              std::string_view name) {
+  const auto it = std::ranges::find_if(
+      headers,
+      [name](const HttpHeader& it) { return IsSameHeader(it.name, name); });
+  return it == headers.end() ? nullptr : &it->value;
+}
+
+size_t CountHeaders(const HttpHeaders& headers, std::string_view name) {
+  return static_cast<size_t>(std::ranges::count_if(
+      headers,
+      [name](const HttpHeader& it) { return IsSameHeader(it.name, name); }));
+}
+
+}  // namespace bilberry::base
--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -24,7 +24,9 @@
     {kEndpointLeaving, kInfo, "endpoint-leaving"},
     {kPlatformUnreachable, kWarning, "platform-unreachable"},
     {kPlatformReachable, kInfo, "platform-reachable"},
+    {kPlatformRowUnreadable, kWarning, "platform-row-unreadable"},
     {kPeerMessagesRefused, kWarning, "peer-messages-refused"},
+    {kDispatcherLost, kWarning, "dispatcher-lost"},
     {kAttemptFailed, kWarning, "attempt-failed"},
     {kAnswerMismatched, kError, "answer-mismatched"},
     {kEndpointEjected, kWarning, "endpoint-ejected"},
@@ -37,6 +39,8 @@
     {kBookingOvertaken, kError, "booking-overtaken"},
     {kBookingsHandedOver, kInfo, "bookings-handed-over"},
     {kBookingsLeftBehind, kError, "bookings-left-behind"},
+    {kRequestRefused, kInfo, "request-refused"},
+    {kRequestEnded, kInfo, "request-ended"},
 });
 
 }  // namespace
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -22,7 +22,9 @@
   kEndpointLeaving = 1202,
   kPlatformUnreachable = 1301,
   kPlatformReachable = 1302,
+  kPlatformRowUnreadable = 1303,
   kPeerMessagesRefused = 1310,
+  kDispatcherLost = 1311,
   kAttemptFailed = 1401,
   kAnswerMismatched = 1402,
   kEndpointEjected = 1403,
@@ -35,6 +37,8 @@
   kBookingOvertaken = 1503,
   kBookingsHandedOver = 1504,
   kBookingsLeftBehind = 1505,
+  kRequestRefused = 1601,
+  kRequestEnded = 1602,
 };
 
 enum class LogSeverity { kInfo, kWarning, kError };
--- /dev/null
+++ b/Libraries/LibDeclare/forward_settings.cc
@@ -0,0 +1,55 @@
+#include "LibDeclare/forward_settings.h"
+
+#include <string>
+
+#include "LibDeclare/object_reader.h"
+
+namespace bilberry::declare {
+
+namespace {
+
+constexpr double kMostCores = 1024;
+constexpr double kFewestCores = 0.01;
+constexpr double kLongestGraceSeconds = 3600;
+
+void ReadAddress(ObjectReader& reader,
+                 const char* key,
+                 base::SocketAddress& address) {
+  std::string text;
+  reader.Read(key, text, Presence::kRequired);
+  if (!reader.Has(key))
+    return;
+  if (const auto parsed = base::ParseSocketAddress(text))
+    address = *parsed;
+  else
+    reader.AddFault(key, "\"" + text + "\" is no address", "IP:PORT");
+}
+
+}  // namespace
+
+ParsedForwardSettings ParseForwardSettings(std::string_view text) {
+  ParsedForwardSettings parsed;
+  ForwardSettings& settings = parsed.settings;
+  const auto document = ParseJson(text, parsed.faults);
+  if (!document)
+    return parsed;
+  ObjectReader root(*document, document->root, "", parsed.faults);
+  root.ReadName("host", settings.host.value, Presence::kRequired);
+  root.ReadName("zone", settings.zone.value, Presence::kRequired);
+  ReadAddress(root, "callers", settings.callers);
+  ReadAddress(root, "readiness", settings.readiness);
+  ReadAddress(root, "peers", settings.peers);
+  ReadAddress(root, "store", settings.store);
+  root.Read("cores", settings.cores, {kFewestCores, kMostCores},
+            Presence::kOptional);
+  double grace_seconds = 0;
+  root.Read("stop_grace_s", grace_seconds, {0, kLongestGraceSeconds},
+            Presence::kOptional);
+  if (root.Has("stop_grace_s"))
+    settings.stop_grace = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::duration<double>(grace_seconds));
+  root.Finish();
+  return parsed;
+}
+
+}  // namespace bilberry::declare
--- /dev/null
+++ b/Libraries/LibForward/dispatcher_ring.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "LibBase/ids.h"
+#include "LibBase/time.h"
+
+namespace bilberry::forward {
+
+// An entry host as its peers know it.
+struct PeerHost {
+  base::HostName name;
+  base::SocketAddress address;
+  base::ZoneName zone;
+  double capacity = 1;  // Cores; dispatchers fall on hosts in proportion.
+
+  friend bool operator==(const PeerHost&, const PeerHost&) = default;
+};
+
+// Which host collects the pieces of a pool: the one with the highest weight
+// (rendezvous hashing) of those that answer. Hosts that know the same hosts
+// choose the same one without talking; when they don't, calls are less full.
+class DispatcherRing {
+ public:
+  explicit DispatcherRing(PeerHost own);
+
+  void SetHosts(std::span<const PeerHost> hosts);
+
+  const PeerHost& DispatcherOf(const base::PoolName& pool,
+                               base::TimePoint now) const;
+  bool IsOwn(const PeerHost& host) const { return host.name == own_.name; }
+  // Null when there is no such host.
+  const PeerHost* Find(const base::HostName& name) const;
+
+  // A host that gave no answer is passed over for a while: for twice as long
+  // by each failure in a row.
+  void NoteFailure(const base::HostName& name, base::TimePoint now);
+  void NoteAnswer(const base::HostName& name);
+
+  size_t host_count() const { return hosts_.size(); }
+
+ private:
+  struct Doubt {
+    uint32_t failures = 0;
+    base::TimePoint until;
+  };
+
+  PeerHost own_;
+  std::vector<PeerHost> hosts_;  // With the own one.
+  std::map<base::HostName, Doubt> doubts_;
+};
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/endpoint_chooser.cc
@@ -0,0 +1,147 @@
+#include "LibForward/endpoint_chooser.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibForward/rendezvous.h"
+
+namespace bilberry::forward {
+
+namespace {
+
+// An endpoint that several requests would share may have this many times the
+// mean in flight, and a few more, before the next one by weight is taken.
+constexpr double kLoadBound = 1.5;
+constexpr double kLoadSlack = 3;
+// How long an endpoint that failed gets no request: doubled by each failure in
+// a row, up to the longest.
+constexpr std::chrono::milliseconds kFirstRest{250};
+constexpr std::chrono::milliseconds kLongestRest{8000};
+// How long one that refused gets none.
+constexpr std::chrono::milliseconds kRefusedRest{50};
+// One failure may be the request's own; this many in a row are the endpoint's.
+constexpr uint32_t kFailuresToRest = 2;
+
+}  // namespace
+
+void EndpointChooser::SetEndpoints(std::span<const ListedEndpoint> endpoints) {
+  std::map<base::EndpointName, Endpoint> present;
+  for (const ListedEndpoint& listed : endpoints) {
+    auto node = endpoints_.extract(listed.name);
+    Endpoint& endpoint = present[listed.name];
+    if (!node.empty())
+      endpoint = std::move(node.mapped());
+    endpoint.listed = listed;
+  }
+  endpoints_ = std::move(present);
+}
+
+EndpointChooser::Candidates EndpointChooser::Usable(
+    const EndpointWish& wish,
+    base::TimePoint now) const {
+  Candidates rested;
+  Candidates resting;
+  for (const auto& [name, endpoint] : endpoints_) {
+    if (endpoint.listed.pool != wish.pool ||
+        endpoint.listed.state != EndpointState::kServing ||
+        std::ranges::find(wish.avoided, name) != wish.avoided.end())
+      continue;
+    (endpoint.rests_until <= now ? rested : resting).push_back(&endpoint);
+  }
+  // One that failed lately may still serve; none at all surely doesn't.
+  return rested.empty() ? resting : rested;
+}
+
+std::optional<ListedEndpoint> EndpointChooser::Choose(const EndpointWish& wish,
+                                                      base::TimePoint now) {
+  const Candidates candidates = Usable(wish, now);
+  if (candidates.empty())
+    return std::nullopt;
+  const Endpoint& chosen = wish.affinity.empty()
+                               ? LeastLoaded(candidates)
+                               : BestFor(wish.affinity, candidates);
+  return chosen.listed;
+}
+
+const EndpointChooser::Endpoint& EndpointChooser::LeastLoaded(
+    const Candidates& candidates) {
+  // Ties are broken at random, so that hosts don't all take the same one.
+  const size_t first = random_.Below(candidates.size());
+  const Endpoint* best = candidates[first];
+  for (size_t i = 1; i < candidates.size(); ++i) {
+    const Endpoint* it = candidates[(first + i) % candidates.size()];
+    if (it->in_flight < best->in_flight)
+      best = it;
+  }
+  return *best;
+}
+
+const EndpointChooser::Endpoint& EndpointChooser::BestFor(
+    std::string_view affinity,
+    const Candidates& candidates) {
+  double in_flight = 1;
+  for (const Endpoint* it : candidates)
+    in_flight += it->in_flight;
+  const double bound =
+      kLoadBound * in_flight / static_cast<double>(candidates.size()) +
+      kLoadSlack;
+  const Endpoint* best = nullptr;
+  uint64_t best_weight = 0;
+  for (const Endpoint* it : candidates) {
+    if (it->in_flight + 1 > bound)
+      continue;
+    const uint64_t weight = RendezvousWeight(affinity, it->listed.name.value);
+    if (best == nullptr || weight > best_weight) {
+      best = it;
+      best_weight = weight;
+    }
+  }
+  // The bound is above the mean, so that one is always below it.
+  return best == nullptr ? *candidates.front() : *best;
+}
+
+void EndpointChooser::NoteBegun(const base::EndpointName& name) {
+  const auto it = endpoints_.find(name);
+  if (it != endpoints_.end())
+    ++it->second.in_flight;
+}
+
+void EndpointChooser::NoteEnded(const base::EndpointName& name,
+                                EndpointVerdict verdict,
+                                base::TimePoint now) {
+  const auto it = endpoints_.find(name);
+  if (it == endpoints_.end())
+    return;
+  Endpoint& endpoint = it->second;
+  if (endpoint.in_flight > 0)
+    --endpoint.in_flight;
+  switch (verdict) {
+    case EndpointVerdict::kAnswered:
+      endpoint.failures = 0;
+      return;
+    case EndpointVerdict::kRefused:
+      endpoint.rests_until = now + kRefusedRest;
+      return;
+    case EndpointVerdict::kFailed: {
+      ++endpoint.failures;
+      if (endpoint.failures < kFailuresToRest)
+        return;
+      const uint32_t doublings =
+          std::min(endpoint.failures - kFailuresToRest, 8U);
+      endpoint.rests_until =
+          now + std::min(kFirstRest * (int64_t{1} << doublings), kLongestRest);
+      return;
+    }
+    case EndpointVerdict::kCancelled:
+      return;
+  }
+}
+
+bool EndpointChooser::HasServing(const base::PoolName& pool) const {
+  return std::ranges::any_of(endpoints_, [&pool](const auto& it) {
+    return it.second.listed.pool == pool &&
+           it.second.listed.state == EndpointState::kServing;
+  });
+}
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/endpoint_directory.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "LibBase/time.h"
+#include "LibForward/feed_row.h"
+
+namespace bilberry::forward {
+
+// The endpoints that the store lists. Entries that vanish while the store can't
+// be read may have lapsed there: they hold until the store has been back for
+// long enough that a living endpoint would be listed again.
+class EndpointDirectory {
+ public:
+  // True when something has changed.
+  bool Apply(bool is_whole, const std::vector<FeedRow>& rows,
+             base::TimePoint now);
+
+  void NoteStoreLost();
+  void NoteStoreBack(base::TimePoint now);
+
+  // Takes out what has been missing for too long; true when something was.
+  bool DropMissing(base::TimePoint now);
+  std::optional<base::TimePoint> NextWakeup() const;
+
+  std::vector<ListedEndpoint> endpoints() const;
+  bool is_empty() const { return endpoints_.empty(); }
+
+ private:
+  bool NoteRemoved(const base::EndpointName& name, base::TimePoint now);
+
+  std::map<base::EndpointName, ListedEndpoint> endpoints_;
+  std::set<base::EndpointName> missing_;
+  bool is_store_lost_ = false;
+  base::TimePoint trusted_from_;  // Removals count at once from then on.
+};
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/event_splitter.cc
@@ -0,0 +1,62 @@
+#include "LibForward/event_splitter.h"
+
+#include <utility>
+
+namespace bilberry::forward {
+
+namespace {
+
+// Behind the first blank line at or after `from`; npos when there is none.
+size_t EndOfEvent(const std::string& text, size_t from) {
+  for (size_t line = from; line < text.size();) {
+    const size_t end = text.find('\n', line);
+    if (end == std::string::npos)
+      return std::string::npos;
+    const bool is_blank =
+        end == line || (end == line + 1 && text[line] == '\r');
+    if (is_blank)
+      return end + 1;
+    line = end + 1;
+  }
+  return std::string::npos;
+}
+
+std::optional<std::string> IdOf(std::string_view event) {
+  constexpr std::string_view kField = "id:";
+  while (!event.empty()) {
+    const size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    if (line.starts_with(kField)) {
+      line.remove_prefix(kField.size());
+      if (line.starts_with(' '))
+        line.remove_prefix(1);
+      if (line.ends_with('\r'))
+        line.remove_suffix(1);
+      return std::string(line);
+    }
+    if (end == std::string_view::npos)
+      break;
+    event.remove_prefix(end + 1);
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::vector<StreamEvent> EventSplitter::Add(std::string_view bytes) {
+  rest_ += bytes;
+  std::vector<StreamEvent> events;
+  size_t begin = 0;
+  for (size_t end = EndOfEvent(rest_, begin); end != std::string::npos;
+       end = EndOfEvent(rest_, begin)) {
+    StreamEvent event;
+    event.bytes = rest_.substr(begin, end - begin);
+    event.id = IdOf(event.bytes);
+    events.push_back(std::move(event));
+    begin = end;
+  }
+  rest_.erase(0, begin);
+  return events;
+}
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/event_splitter.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bilberry::forward {
+
+// One event of a stream (text/event-stream), with its closing blank line.
+struct StreamEvent {
+  std::string bytes;
+  std::optional<std::string> id;
+};
+
+// Cuts the bytes of a stream into whole events.
+class EventSplitter {
+ public:
+  // The events that these bytes complete, in order.
+  std::vector<StreamEvent> Add(std::string_view bytes);
+
+  // Whether bytes wait for the rest of their event.
+  bool is_inside_event() const { return !rest_.empty(); }
+
+ private:
+  std::string rest_;
+};
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/feed_follower.cc
@@ -0,0 +1,80 @@
+#include "LibForward/feed_follower.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace bilberry::forward {
+
+namespace {
+
+// After a failed call the next one waits: twice as long after each failure in a
+// row, up to the longest, and up to half as long again at random so that hosts
+// don't come back together.
+constexpr std::chrono::milliseconds kFirstPause{100};
+constexpr std::chrono::milliseconds kLongestPause{800};
+
+}  // namespace
+
+std::optional<std::variant<ListTable, FollowTable>> FeedFollower::NextCall(
+    base::TimePoint now) {
+  if (is_calling_ || now < not_before_)
+    return std::nullopt;
+  is_calling_ = true;
+  not_before_ = now + pace_.interval;
+  if (phase_ == Phase::kListing)
+    return ListTable{feed_, pages_.empty() ? "" : pages_.back().key};
+  return FollowTable{feed_, version_, pace_.wait};
+}
+
+std::optional<FeedFollower::Update> FeedFollower::HandleListed(
+    TableListed event) {
+  is_calling_ = false;
+  failures_ = 0;
+  // Changes are asked for from the first page on, so that none made between
+  // two pages is missed.
+  if (pages_.empty())
+    version_ = event.version;
+  std::ranges::move(event.rows, std::back_inserter(pages_));
+  if (event.is_truncated && !pages_.empty()) {
+    not_before_ = base::TimePoint();
+    return std::nullopt;
+  }
+  phase_ = Phase::kFollowing;
+  has_list_ = true;
+  return Update{true, std::exchange(pages_, {})};
+}
+
+FeedFollower::Update FeedFollower::HandleChanged(TableChanged event) {
+  is_calling_ = false;
+  failures_ = 0;
+  version_ = std::max(version_, event.version);
+  return {false, std::move(event.rows)};
+}
+
+void FeedFollower::HandleHistoryLost() {
+  is_calling_ = false;
+  phase_ = Phase::kListing;
+  pages_.clear();
+}
+
+void FeedFollower::HandleFailed(base::TimePoint now) {
+  is_calling_ = false;
+  pages_.clear();
+  const auto pause =
+      std::min(kFirstPause * (int64_t{1} << std::min(failures_, 8U)),
+               kLongestPause);
+  ++failures_;
+  const auto spread = static_cast<uint64_t>(pause.count() / 2 + 1);
+  not_before_ = std::max(
+      not_before_,
+      now + pause + std::chrono::milliseconds(random_.Below(spread)));
+}
+
+std::optional<base::TimePoint> FeedFollower::NextWakeup() const {
+  if (is_calling_)
+    return std::nullopt;
+  return not_before_;
+}
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/feed_follower.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "LibBase/random.h"
+#include "LibBase/time.h"
+#include "LibForward/forward_action.h"
+#include "LibForward/forward_event.h"
+
+namespace bilberry::forward {
+
+// How one table is followed.
+struct FeedPace {
+  // Between the beginnings of two calls, at the least.
+  std::chrono::milliseconds interval{0};
+  // How long the store may hold a call until something has changed.
+  std::chrono::milliseconds wait{10'000};
+};
+
+// Follows one table of the store: lists it whole, then asks for changes, one
+// call at a time.
+class FeedFollower {
+ public:
+  // What came of an answer, for those who keep the rows.
+  struct Update {
+    bool is_whole = false;  // The rows are all there are.
+    std::vector<FeedRow> rows;
+  };
+
+  FeedFollower(FeedKind feed, FeedPace pace, uint64_t seed)
+      : feed_(feed), pace_(pace), random_(seed) {}
+
+  // The next call, when one is due.
+  std::optional<std::variant<ListTable, FollowTable>> NextCall(
+      base::TimePoint now);
+
+  // Empty until the last page is there.
+  std::optional<Update> HandleListed(TableListed event);
+  Update HandleChanged(TableChanged event);
+  void HandleHistoryLost();
+  void HandleFailed(base::TimePoint now);
+
+  // Empty while a call is under way.
+  std::optional<base::TimePoint> NextWakeup() const;
+  bool has_list() const { return has_list_; }
+  bool is_failing() const { return failures_ > 0; }
+
+ private:
+  enum class Phase { kListing, kFollowing };
+
+  FeedKind feed_;
+  FeedPace pace_;
+  base::Random random_;
+  Phase phase_ = Phase::kListing;
+  bool is_calling_ = false;
+  bool has_list_ = false;
+  uint32_t failures_ = 0;  // In a row.
+  base::TimePoint not_before_;
+  uint64_t version_ = 0;
+  std::vector<FeedRow> pages_;
+};
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/forward_action.h
@@ -0,0 +1,184 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "LibBase/ids.h"
+#include "LibBase/log_event.h"
+#include "LibForward/forward_event.h"
+
+// All that an entry host that forwards requests can do.
+namespace bilberry::forward {
+
+// Passes a request on to an endpoint. Ends in one AttemptAnswer or
+// AttemptFailure, unless it is cancelled.
+struct SendAttempt {
+  base::AttemptId attempt;
+  base::EndpointName endpoint;
+  base::SocketAddress address;
+  std::shared_ptr<const ForwardedRequest> request;
+  declare::Delivery delivery = declare::Delivery::kWhole;
+  // Whether it may run twice; else it gets a connection of its own, since a
+  // request is sent again when a kept connection turns out to be closed.
+  declare::Repeatability repeatability = declare::Repeatability::kAtMostOnce;
+  base::Duration left{};  // Until the caller's deadline.
+  std::optional<base::TeamName> team;
+  Urgency urgency = Urgency::kMost;
+  std::vector<StageResult> inputs;
+  // Goes on with a stream behind this event.
+  std::optional<std::string> resume_after;
+};
+
+struct CancelAttempt {
+  base::AttemptId attempt;
+};
+
+// Why a request is answered by this host itself.
+enum class OwnAnswerCode {
+  kBadRequest,
+  kUnknownKey,
+  kUnknownPipeline,
+  kBodyTooLarge,
+  kNotReady,          // No configuration yet.
+  kStopping,          // This host stops.
+  kNoEndpoint,        // The pool has none.
+  kTooLate,           // It can't make its deadline.
+  kRefusedByEndpoint, // Endpoints refused it without running it.
+  kStageFailed,
+  kAttemptFailed,     // May have run.
+  kTimeout,           // May have run.
+};
+
+// The final answer of this host itself. kAttemptFailed and kTimeout say nothing
+// of whether the request ran; the others promise that it did not.
+struct AnswerCaller {
+  base::CallerId caller{};
+  std::string request_id;
+  OwnAnswerCode code = OwnAnswerCode::kBadRequest;
+  std::optional<base::Duration> retry_after;
+};
+
+// An endpoint's whole answer.
+struct PassAnswer {
+  base::CallerId caller{};
+  AnswerHead head;
+  std::string body;
+};
+
+struct BeginStream {
+  base::CallerId caller{};
+  AnswerHead head;
+};
+
+struct StreamToCaller {
+  base::CallerId caller{};
+  std::string bytes;
+};
+
+enum class StreamOutcome { kWhole, kCut };
+
+struct EndStream {
+  base::CallerId caller{};
+  StreamOutcome outcome = StreamOutcome::kWhole;
+};
+
+// Ends in one StageCallEnded.
+struct CallStage {
+  StageCall call;
+};
+
+struct FreeResults {
+  FreeOrder order;
+};
+
+// Ends in one PeerJobEnded or PeerJobLost, unless it is cancelled.
+struct AskPeer {
+  AskId ask{};
+  base::SocketAddress address;
+  StageJob job;
+};
+
+struct CancelAsk {
+  AskId ask{};
+};
+
+struct AnswerPeer {
+  PeerExchangeId exchange{};
+  JobOutcome outcome;
+};
+
+struct TellPeerRead {
+  base::SocketAddress address;
+  base::PoolName pool;
+  std::vector<StageResult> results;
+};
+
+// Reads a table from `start_after` on; empty for its beginning.
+struct ListTable {
+  FeedKind feed{};
+  std::string start_after;
+};
+
+// Waits for changes after `version`.
+struct FollowTable {
+  FeedKind feed{};
+  uint64_t version = 0;
+  std::chrono::milliseconds wait{0};
+};
+
+struct WriteOwnRow {
+  PeerHost host;
+};
+struct RemoveOwnRow {
+  base::HostName name;
+};
+
+// One fact of a log line.
+struct LogFact {
+  std::string_view name;
+  std::string value;
+};
+
+struct WriteLog {
+  base::LogEventId id{};
+  std::string request_id;  // Empty when it concerns no request.
+  std::vector<LogFact> facts;
+};
+
+// What callers may send has changed.
+struct ApplyLimits {
+  CallerLimits limits;
+};
+
+// The shutdown is complete.
+struct Exit {};
+
+using Action = std::variant<SendAttempt,
+                            CancelAttempt,
+                            AnswerCaller,
+                            PassAnswer,
+                            BeginStream,
+                            StreamToCaller,
+                            EndStream,
+                            CallStage,
+                            FreeResults,
+                            AskPeer,
+                            CancelAsk,
+                            AnswerPeer,
+                            TellPeerRead,
+                            ListTable,
+                            FollowTable,
+                            WriteOwnRow,
+                            RemoveOwnRow,
+                            WriteLog,
+                            ApplyLimits,
+                            Exit>;
+
+using Actions = std::vector<Action>;
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/forward_context.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "LibBase/ids.h"
+#include "LibForward/dispatcher_ring.h"
+#include "LibForward/forward_action.h"
+
+namespace bilberry::forward {
+
+struct ForwardOptions {
+  PeerHost own;
+  base::Incarnation incarnation{};
+  uint64_t seed = 0;
+  // How long a host that stops may take in all.
+  std::chrono::milliseconds stop_limit{7000};
+  // Hosts that are to be asked for pieces; alone, a host makes all calls for
+  // its own requests (to compare with).
+  bool shares_calls = true;
+};
+
+// What the parts of one entry host share.
+class ForwardContext {
+ public:
+  explicit ForwardContext(ForwardOptions options)
+      : options_(std::move(options)) {}
+
+  const ForwardOptions& options() const { return options_; }
+
+  void Emit(Action action) { actions_.push_back(std::move(action)); }
+  void Log(base::LogEventId id,
+           std::string request_id,
+           std::vector<LogFact> facts = {}) {
+    Emit(WriteLog{id, std::move(request_id), std::move(facts)});
+  }
+  Actions TakeActions() { return std::exchange(actions_, {}); }
+
+ private:
+  ForwardOptions options_;
+  Actions actions_;
+};
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/forward_node.cc
@@ -0,0 +1,138 @@
+#include "LibForward/forward_node.h"
+
+#include <utility>
+
+#include "LibBase/overloaded.h"
+
+namespace bilberry::forward {
+
+namespace {
+
+// How long a host that stops goes on taking requests: the balancer looks at its
+// readiness once a second and sends new callers until the second miss.
+constexpr std::chrono::milliseconds kLinger{2500};
+
+}  // namespace
+
+ForwardNode::ForwardNode(ForwardOptions options)
+    : context_(std::move(options)),
+      store_(context_),
+      stages_(context_),
+      runs_(context_, stages_) {
+  context_.Log(base::LogEventId::kHostStarted, "",
+               {{"host", context_.options().own.name.value},
+                {"zone", context_.options().own.zone.value}});
+}
+
+Actions ForwardNode::Handle(Event event, base::TimePoint now) {
+  Route(std::move(event), now);
+  store_.HandleTimer(now);
+  TakeNews();
+  runs_.HandleTimer(now);
+  stages_.Dispatch(now);
+  // Outcomes of stages lead to further jobs, which are to be in these calls.
+  runs_.Settle(now);
+  stages_.Dispatch(now);
+  runs_.Settle(now);
+  if (is_ready() != was_ready_) {
+    was_ready_ = is_ready();
+    context_.Log(was_ready_ ? base::LogEventId::kHostReady
+                            : base::LogEventId::kHostNotReady,
+                 "");
+  }
+  FinishStop(now);
+  return context_.TakeActions();
+}
+
+void ForwardNode::Route(Event event, base::TimePoint now) {
+  std::visit(
+      base::Overloaded{
+          [&](ForwardedRequest& it) { runs_.Handle(std::move(it), now); },
+          [&](const CallerLeft& it) { runs_.Handle(it, now); },
+          [&](AttemptChunk& it) { runs_.Handle(std::move(it), now); },
+          [&](AttemptAnswer& it) { runs_.Handle(std::move(it), now); },
+          [&](const AttemptFailure& it) { runs_.Handle(it, now); },
+          [&](const StageCallEnded& it) { stages_.Handle(it, now); },
+          [&](const PeerJobAsked& it) { stages_.Handle(it, now); },
+          [&](const PeerJobLeft& it) { stages_.Handle(it); },
+          [&](const PeerResultsRead& it) { stages_.Handle(it, now); },
+          [&](const PeerJobEnded& it) { stages_.Handle(it, now); },
+          [&](const PeerJobLost& it) { stages_.Handle(it, now); },
+          [&](TableListed& it) { store_.Handle(std::move(it), now); },
+          [&](TableChanged& it) { store_.Handle(std::move(it), now); },
+          [&](const TableHistoryLost& it) { store_.Handle(it, now); },
+          [&](const TableCallFailed& it) { store_.Handle(it, now); },
+          [&](const OwnRowWritten& it) { store_.Handle(it); },
+          [&](const OwnRowFailed& it) { store_.Handle(it, now); },
+          [](const TimerDue&) {},
+          [&](const StopOrdered&) { HandleStop(now); },
+      },
+      event);
+}
+
+void ForwardNode::TakeNews() {
+  if (seen_configuration_ != store_.configuration_changes()) {
+    seen_configuration_ = store_.configuration_changes();
+    runs_.SetConfiguration(store_.configuration());
+    stages_.Reconfigure(*store_.configuration());
+    context_.Emit(ApplyLimits{store_.configuration()->limits});
+  }
+  if (seen_endpoints_ != store_.endpoint_changes()) {
+    seen_endpoints_ = store_.endpoint_changes();
+    runs_.SetEndpoints(store_.endpoints());
+    stages_.SetEndpoints(store_.endpoints());
+  }
+  if (seen_hosts_ != store_.host_changes()) {
+    seen_hosts_ = store_.host_changes();
+    stages_.SetHosts(store_.hosts());
+  }
+}
+
+bool ForwardNode::is_ready() const {
+  return store_.configuration() != nullptr && store_.knows_endpoints() &&
+         !is_stopping();
+}
+
+void ForwardNode::HandleStop(base::TimePoint now) {
+  if (is_stopping())
+    return;
+  stop_began_ = now;
+  store_.NoteStopping();
+  context_.Log(base::LogEventId::kStopOrdered, "");
+}
+
+void ForwardNode::FinishStop(base::TimePoint now) {
+  if (!stop_began_ || has_exited_)
+    return;
+  if (now >= *stop_began_ + kLinger)
+    runs_.StopAccepting();
+  const bool is_over = now >= *stop_began_ + context_.options().stop_limit;
+  if (is_over)
+    runs_.EndAll(now);
+  const bool has_lingered = now >= *stop_began_ + kLinger;
+  if (!is_over && (!has_lingered || runs_.run_count() > 0))
+    return;
+  has_exited_ = true;
+  context_.Log(base::LogEventId::kHostStopped, "");
+  context_.Emit(Exit{});
+}
+
+std::optional<base::TimePoint> ForwardNode::NextWakeup() const {
+  std::optional<base::TimePoint> next;
+  const auto consider = [&next](std::optional<base::TimePoint> time) {
+    if (time && (!next || *time < *next))
+      next = time;
+  };
+  consider(store_.NextWakeup());
+  consider(stages_.NextWakeup());
+  consider(runs_.NextWakeup());
+  if (stop_began_ && !has_exited_) {
+    const base::TimePoint lingered = *stop_began_ + kLinger;
+    consider(runs_.is_accepting()
+                 ? lingered
+                 : *stop_began_ + context_.options().stop_limit);
+  }
+  return next;
+}
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/forward_node.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <optional>
+
+#include "LibBase/time.h"
+#include "LibForward/forward_context.h"
+#include "LibForward/forward_event.h"
+#include "LibForward/run_desk.h"
+#include "LibForward/stage_desk.h"
+#include "LibForward/store_desk.h"
+
+namespace bilberry::forward {
+
+// All decisions of an entry host that forwards requests, as a state machine
+// without sockets, threads or clocks: events and the time go in, actions come
+// out.
+class ForwardNode {
+ public:
+  explicit ForwardNode(ForwardOptions options);
+
+  ForwardNode(const ForwardNode&) = delete;
+  ForwardNode& operator=(const ForwardNode&) = delete;
+
+  // `now` never goes back from one call to the next.
+  Actions Handle(Event event, base::TimePoint now);
+  // When to hand in TimerDue, if nothing else comes before.
+  std::optional<base::TimePoint> NextWakeup() const;
+
+  // Whether new callers are welcome: a configuration is in force, endpoints are
+  // known, and no stop was ordered.
+  bool is_ready() const;
+  bool is_stopping() const { return stop_began_.has_value(); }
+
+ private:
+  void Route(Event event, base::TimePoint now);
+  void TakeNews();
+  void HandleStop(base::TimePoint now);
+  void FinishStop(base::TimePoint now);
+
+  ForwardContext context_;
+  StoreDesk store_;
+  StageDesk stages_;
+  RunDesk runs_;
+  uint64_t seen_configuration_ = 0;
+  uint64_t seen_endpoints_ = 0;
+  uint64_t seen_hosts_ = 0;
+  bool was_ready_ = false;
+  std::optional<base::TimePoint> stop_began_;
+  bool has_exited_ = false;
+};
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/forwarded_run.cc
@@ -0,0 +1,101 @@
+#include "LibForward/forwarded_run.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace bilberry::forward {
+
+namespace {
+
+bool Reads(const ForwardedStage& stage, size_t other) {
+  return std::ranges::find(stage.after, other) != stage.after.end();
+}
+
+void Append(const StageState& stage, std::vector<StageResult>& out) {
+  if (stage.results)
+    std::ranges::copy(stage.results->results, std::back_inserter(out));
+}
+
+}  // namespace
+
+std::vector<StageState> InitialStages(const ForwardedPipeline& pipeline,
+                                      const ForwardedRequest& request) {
+  std::vector<StageState> stages(pipeline.stages.size());
+  for (size_t i = 0; i < stages.size(); ++i) {
+    stages[i].pieces =
+        i < request.piece_counts.size() ? request.piece_counts[i] : 0;
+    if (stages[i].pieces == 0)
+      stages[i].phase = StagePhase::kDone;
+  }
+  return stages;
+}
+
+std::vector<size_t> ForwardedRun::ReadyStages() const {
+  std::vector<size_t> ready;
+  for (size_t i = 0; i < stages.size(); ++i) {
+    const bool has_inputs = std::ranges::all_of(
+        pipeline->stages[i].after,
+        [this](size_t it) { return stages[it].phase == StagePhase::kDone; });
+    if (stages[i].phase == StagePhase::kWaiting && has_inputs)
+      ready.push_back(i);
+  }
+  return ready;
+}
+
+bool ForwardedRun::AreStagesDone() const {
+  return std::ranges::all_of(stages, [](const StageState& it) {
+    return it.phase == StagePhase::kDone;
+  });
+}
+
+std::vector<StageResult> ForwardedRun::InputsOf(size_t stage) const {
+  std::vector<StageResult> inputs;
+  for (const size_t before : pipeline->stages[stage].after)
+    Append(stages[before], inputs);
+  return inputs;
+}
+
+std::vector<StageResult> ForwardedRun::FinalInputs() const {
+  std::vector<StageResult> inputs;
+  for (size_t i = 0; i < stages.size(); ++i) {
+    const bool is_read =
+        std::ranges::any_of(pipeline->stages, [i](const ForwardedStage& it) {
+          return Reads(it, i);
+        });
+    if (!is_read)
+      Append(stages[i], inputs);
+  }
+  return inputs;
+}
+
+bool ForwardedRun::IsReadByAll(size_t stage) const {
+  bool is_read = false;
+  for (size_t i = 0; i < stages.size(); ++i) {
+    if (!Reads(pipeline->stages[i], stage))
+      continue;
+    is_read = true;
+    if (stages[i].phase != StagePhase::kDone)
+      return false;
+  }
+  return is_read;
+}
+
+base::Duration ForwardedRun::TimeAfter(size_t stage) const {
+  base::Duration longest{0};
+  for (size_t i = stage + 1; i < stages.size(); ++i) {
+    if (!Reads(pipeline->stages[i], stage) ||
+        stages[i].phase == StagePhase::kDone)
+      continue;
+    const ForwardedPool* pool =
+        configuration->FindPool(pipeline->stages[i].pool);
+    if (pool == nullptr || !pool->pieces)
+      continue;
+    const PieceLimits& limits = *pool->pieces;
+    const uint32_t in_call = std::min(stages[i].pieces, limits.pieces_per_call);
+    longest = std::max(longest, limits.call_time + limits.piece_time * in_call +
+                                    TimeAfter(i));
+  }
+  return longest;
+}
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/forwarded_run.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibForward/event_splitter.h"
+#include "LibForward/forward_configuration.h"
+#include "LibForward/forwarded_request.h"
+#include "LibForward/stage_desk.h"
+
+namespace bilberry::forward {
+
+enum class StagePhase { kWaiting, kAsked, kDone };
+
+struct StageState {
+  StagePhase phase = StagePhase::kWaiting;
+  uint32_t pieces = 0;  // 0: the request leaves the stage out.
+  AskId ask{};
+  std::optional<AskedResults> results;
+};
+
+// One attempt of the request itself at an endpoint of the final pool.
+struct FinalAttempt {
+  base::AttemptId id;
+  base::EndpointName endpoint;
+  EventSplitter splitter;
+};
+
+// What a request has come to: its stages, its attempt and its stream. Holds
+// the configuration that it began with.
+struct ForwardedRun {
+  std::shared_ptr<const ForwardedRequest> request;
+  std::shared_ptr<const ForwardConfiguration> configuration;
+  const ForwardedPipeline* pipeline = nullptr;
+  std::optional<base::TeamName> team;
+  Urgency urgency = Urgency::kMost;
+  base::TimePoint arrived;
+  base::TimePoint target;
+  base::TimePoint deadline;  // The caller's or the pipeline's, whichever first.
+  base::PoolName final_pool;
+  base::ZoneName final_zone;  // Where the request will probably run.
+  std::vector<StageState> stages;
+  std::optional<FinalAttempt> attempt;
+  std::vector<base::EndpointName> tried;
+  uint32_t runs = 0;          // Attempts that may have run.
+  bool has_begun_stream = false;
+  std::optional<std::string> last_event;
+
+  // Stages that can be asked for now.
+  std::vector<size_t> ReadyStages() const;
+  bool AreStagesDone() const;
+  // What a stage reads.
+  std::vector<StageResult> InputsOf(size_t stage) const;
+  // What the request itself reads: the results that no stage reads.
+  std::vector<StageResult> FinalInputs() const;
+  // Whether every stage that reads this one's results is done.
+  bool IsReadByAll(size_t stage) const;
+  // What is left to do after a stage, at the least, without the request itself.
+  base::Duration TimeAfter(size_t stage) const;
+};
+
+// The state of a run that has done nothing yet.
+std::vector<StageState> InitialStages(const ForwardedPipeline& pipeline,
+                                      const ForwardedRequest& request);
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/result_room.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "LibBase/time.h"
+
+namespace bilberry::forward {
+
+// The results that one endpoint holds, as far as this host knows.
+class ResultRoom {
+ public:
+  // Counts room for pieces of a call that is on its way.
+  void Reserve(uint64_t bytes) { reserved_ += bytes; }
+  void Release(uint64_t bytes) { reserved_ -= bytes; }
+
+  void Add(const std::string& handle, uint64_t bytes, base::TimePoint expires);
+  // False when the result isn't known, or known to be freed.
+  bool Remove(const std::string& handle);
+  // Forgets what the endpoint has dropped by itself.
+  void DropExpired(base::TimePoint now);
+
+  uint64_t used_bytes() const { return reserved_ + held_; }
+  // When the next result is dropped; the latest time when there is none.
+  base::TimePoint NextExpiry() const;
+
+ private:
+  struct Held {
+    uint64_t bytes = 0;
+    base::TimePoint expires;
+  };
+
+  std::map<std::string, Held> results_;
+  uint64_t held_ = 0;
+  uint64_t reserved_ = 0;
+};
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/run_desk.cc
@@ -0,0 +1,538 @@
+#include "LibForward/run_desk.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibBase/overloaded.h"
+
+namespace bilberry::forward {
+
+namespace {
+
+// What a request itself takes at the least, from its sending to its first byte.
+constexpr std::chrono::milliseconds kFinalTime{60};
+// When to come back to a host that has no configuration yet.
+constexpr std::chrono::milliseconds kNotReadyRetry{500};
+// When to come back to another host than this one, which stops.
+constexpr std::chrono::milliseconds kStoppingRetry{50};
+constexpr std::chrono::milliseconds kNoEndpointRetry{1000};
+constexpr std::chrono::milliseconds kRefusedRetry{300};
+// A request that no endpoint has run may be sent to this many more than those
+// that may run it.
+constexpr uint32_t kMaxRefusals = 2;
+// For requests that name no deadline on pipelines that have none.
+constexpr std::chrono::seconds kLongestRun{60};
+
+bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
+// Statuses that promise a caller that its request has not run (RFC 9110
+// sections 15.5 and 15.6); an endpoint that ran it may not have them passed on.
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+constexpr int kFirstServerError = 500;
+
+}  // namespace
+
+std::string_view ToText(OwnAnswerCode code) {
+  switch (code) {
+    case OwnAnswerCode::kBadRequest:
+      return "bad_request";
+    case OwnAnswerCode::kUnknownKey:
+      return "unknown_key";
+    case OwnAnswerCode::kUnknownPipeline:
+      return "unknown_pipeline";
+    case OwnAnswerCode::kBodyTooLarge:
+      return "body_too_large";
+    case OwnAnswerCode::kNotReady:
+      return "not_ready";
+    case OwnAnswerCode::kStopping:
+      return "stopping";
+    case OwnAnswerCode::kNoEndpoint:
+      return "no_endpoint";
+    case OwnAnswerCode::kTooLate:
+      return "too_late";
+    case OwnAnswerCode::kRefusedByEndpoint:
+      return "refused_by_endpoint";
+    case OwnAnswerCode::kStageFailed:
+      return "stage_failed";
+    case OwnAnswerCode::kAttemptFailed:
+      return "attempt_failed";
+    case OwnAnswerCode::kTimeout:
+      return "timeout";
+  }
+  return "unknown";
+}
+
+RunDesk::RunDesk(ForwardContext& context, StageDesk& stages)
+    : context_(context),
+      stage_desk_(stages),
+      chooser_(context.options().seed),
+      random_(context.options().seed + 1) {}
+
+void RunDesk::SetConfiguration(
+    std::shared_ptr<const ForwardConfiguration> configuration) {
+  configuration_ = std::move(configuration);
+}
+
+void RunDesk::Refuse(const ForwardedRequest& request,
+                     OwnAnswerCode code,
+                     std::optional<base::Duration> retry_after) {
+  context_.Log(base::LogEventId::kRequestRefused, request.request_id,
+               {{"reason", std::string(ToText(code))},
+                {"revision", std::to_string(
+                                 configuration_ ? configuration_->revision
+                                                : 0)}});
+  context_.Emit(
+      AnswerCaller{request.caller, request.request_id, code, retry_after});
+}
+
+bool RunDesk::FindTeam(const ForwardedRequest& request, ForwardedRun& run) {
+  if (configuration_->teams.empty())
+    return true;
+  if (!request.key)
+    return run.pipeline->allows_anonymous;
+  const ForwardedTeam* team = configuration_->FindTeamOfKey(*request.key);
+  if (team == nullptr)
+    return false;
+  run.team = team->name;
+  run.urgency = team->urgency.value_or(run.urgency);
+  return true;
+}
+
+const base::PoolName& RunDesk::DrawFinalPool(
+    const ForwardedPipeline& pipeline) {
+  uint64_t sum = 0;
+  for (const PoolShare& share : pipeline.final_pools)
+    sum += share.weight;
+  uint64_t draw = random_.Below(std::max<uint64_t>(sum, 1));
+  for (const PoolShare& share : pipeline.final_pools) {
+    if (draw < share.weight)
+      return share.pool;
+    draw -= share.weight;
+  }
+  return pipeline.final_pools.front().pool;
+}
+
+std::optional<ForwardedRun> RunDesk::Check(ForwardedRequest request,
+                                           base::TimePoint now) {
+  if (!configuration_) {
+    Refuse(request, OwnAnswerCode::kNotReady, kNotReadyRetry);
+    return std::nullopt;
+  }
+  if (!is_accepting_) {
+    Refuse(request, OwnAnswerCode::kStopping, kStoppingRetry);
+    return std::nullopt;
+  }
+  if (request.request_id.empty()) {
+    Refuse(request, OwnAnswerCode::kBadRequest, std::nullopt);
+    return std::nullopt;
+  }
+  ForwardedRun run;
+  run.configuration = configuration_;
+  run.pipeline = configuration_->FindPipeline(request.host, request.path);
+  if (run.pipeline == nullptr || run.pipeline->final_pools.empty()) {
+    Refuse(request, OwnAnswerCode::kUnknownPipeline, std::nullopt);
+    return std::nullopt;
+  }
+  run.urgency = run.pipeline->urgency;
+  if (!FindTeam(request, run)) {
+    Refuse(request, OwnAnswerCode::kUnknownKey, std::nullopt);
+    return std::nullopt;
+  }
+  run.arrived = now;
+  run.target = now + run.pipeline->target_latency;
+  base::Duration budget = request.budget.value_or(kLongestRun);
+  if (run.pipeline->timeout.count() > 0)
+    budget = std::min<base::Duration>(budget, run.pipeline->timeout);
+  run.deadline = now + budget;
+  run.final_pool = DrawFinalPool(*run.pipeline);
+  run.stages = InitialStages(*run.pipeline, request);
+  run.last_event = request.last_event;
+  run.request = std::make_shared<const ForwardedRequest>(std::move(request));
+  const auto probable = chooser_.Choose(WishOf(run), now);
+  if (!probable) {
+    Refuse(*run.request, OwnAnswerCode::kNoEndpoint, kNoEndpointRetry);
+    return std::nullopt;
+  }
+  run.final_zone = probable->zone;
+  return run;
+}
+
+void RunDesk::Handle(ForwardedRequest request, base::TimePoint now) {
+  const base::CallerId caller = request.caller;
+  auto run = Check(std::move(request), now);
+  if (!run)
+    return;
+  budgets_[run->final_pool].NoteFirstTry();
+  deadlines_.emplace(run->deadline, caller);
+  runs_.emplace(caller, std::move(*run));
+  Advance(caller, now);
+}
+
+EndpointWish RunDesk::WishOf(const ForwardedRun& run) const {
+  EndpointWish wish;
+  wish.pool = run.final_pool;
+  wish.avoided = run.tried;
+  if (!run.request->prefix.empty())
+    wish.affinity = run.request->prefix.back().id;
+  return wish;
+}
+
+void RunDesk::Advance(base::CallerId caller, base::TimePoint now) {
+  ForwardedRun& run = runs_.at(caller);
+  for (const size_t stage : run.ReadyStages())
+    AskForStage(caller, run, stage, now);
+  if (!run.attempt && run.AreStagesDone())
+    SendFinal(caller, now);
+}
+
+void RunDesk::AskForStage(base::CallerId caller,
+                          ForwardedRun& run,
+                          size_t stage,
+                          base::TimePoint now) {
+  const ForwardedStage& declared = run.pipeline->stages[stage];
+  StageState& state = run.stages[stage];
+  StageJob job;
+  job.request_id = run.request->request_id;
+  job.pool = declared.pool;
+  job.stage = static_cast<uint32_t>(stage);
+  job.piece_count = state.pieces;
+  if (declared.after.empty())
+    job.input = run.request->piece_key;
+  else
+    job.input = run.InputsOf(stage);
+  job.result_bytes = declared.result_bytes;
+  job.urgency = run.urgency;
+  job.until_target = run.target - now;
+  job.until_deadline = run.deadline - now;
+  job.time_after = run.TimeAfter(stage) + kFinalTime;
+  job.reader_zone = run.final_zone;
+  job.progress = declared.after.empty() ? RequestProgress::kNew
+                                        : RequestProgress::kUnderWay;
+  state.phase = StagePhase::kAsked;
+  state.ask = stage_desk_.Ask(std::move(job), now);
+  asks_.emplace(state.ask, std::pair(caller, stage));
+}
+
+void RunDesk::Settle(base::TimePoint now) {
+  for (auto outcomes = stage_desk_.TakeOutcomes(); !outcomes.empty();
+       outcomes = stage_desk_.TakeOutcomes()) {
+    for (auto& [ask, outcome] : outcomes) {
+      const auto node = asks_.extract(ask);
+      if (node.empty())
+        continue;
+      const auto [caller, stage] = node.mapped();
+      if (auto* results = std::get_if<AskedResults>(&outcome)) {
+        TakeResults(caller, stage, std::move(*results), now);
+        continue;
+      }
+      const auto& failure = std::get<JobFailure>(outcome);
+      runs_.at(caller).stages[stage].phase = StagePhase::kDone;
+      AnswerAndEnd(caller,
+                   failure.kind == JobFailureKind::kTooLate
+                       ? OwnAnswerCode::kTooLate
+                   : failure.kind == JobFailureKind::kNoEndpoint
+                       ? OwnAnswerCode::kNoEndpoint
+                       : OwnAnswerCode::kStageFailed,
+                   failure.retry_after, now);
+    }
+  }
+}
+
+void RunDesk::TakeResults(base::CallerId caller,
+                          size_t stage,
+                          AskedResults results,
+                          base::TimePoint now) {
+  ForwardedRun& run = runs_.at(caller);
+  run.stages[stage].phase = StagePhase::kDone;
+  run.stages[stage].results = std::move(results);
+  for (const size_t before : run.pipeline->stages[stage].after) {
+    if (run.IsReadByAll(before))
+      ReleaseStage(run.stages[before], now);
+  }
+  Advance(caller, now);
+}
+
+void RunDesk::SendFinal(base::CallerId caller, base::TimePoint now) {
+  ForwardedRun& run = runs_.at(caller);
+  const auto endpoint = chooser_.Choose(WishOf(run), now);
+  if (!endpoint) {
+    AnswerAndEnd(caller,
+                 run.runs > 0 ? OwnAnswerCode::kAttemptFailed
+                              : OwnAnswerCode::kNoEndpoint,
+                 kNoEndpointRetry, now);
+    return;
+  }
+  SendAttempt send;
+  send.attempt = {context_.options().incarnation, ++last_attempt_};
+  send.endpoint = endpoint->name;
+  send.address = endpoint->address;
+  send.request = run.request;
+  send.delivery = run.pipeline->delivery;
+  send.repeatability = run.pipeline->repeatability;
+  send.left = run.deadline - now;
+  send.team = run.team;
+  send.urgency = run.urgency;
+  send.inputs = run.FinalInputs();
+  if (run.has_begun_stream)
+    send.resume_after = run.last_event;
+  run.attempt = FinalAttempt{send.attempt, endpoint->name, {}};
+  run.tried.push_back(endpoint->name);
+  attempts_.emplace(send.attempt.number, caller);
+  chooser_.NoteBegun(endpoint->name);
+  context_.Emit(std::move(send));
+}
+
+std::optional<base::CallerId> RunDesk::CallerOf(
+    const base::AttemptId& attempt) const {
+  const auto it = attempts_.find(attempt.number);
+  if (it == attempts_.end())
+    return std::nullopt;
+  return it->second;
+}
+
+RunDesk::AnswerMeaning RunDesk::Judge(const ForwardedRun& run,
+                                      const AnswerHead& head) const {
+  if (head.said_not_run)
+    return AnswerMeaning::kNotRun;
+  if (head.echoed_request_id != run.request->request_id || head.is_encoded)
+    return AnswerMeaning::kInvalid;
+  if (!head.is_sealed && IsSuccess(head.status))
+    return AnswerMeaning::kInvalid;
+  if (head.status >= kFirstServerError || PromisesNotRun(head.status))
+    return AnswerMeaning::kFailed;
+  return AnswerMeaning::kPass;
+}
+
+void RunDesk::BeginPassing(ForwardedRun& run,
+                           AnswerHead head,
+                           base::TimePoint now) {
+  // The first event tells that the endpoint has read all its inputs.
+  ReleaseAll(run, now);
+  if (run.has_begun_stream)
+    return;
+  run.has_begun_stream = true;
+  context_.Emit(BeginStream{run.request->caller, std::move(head)});
+}
+
+void RunDesk::Handle(AttemptChunk event, base::TimePoint now) {
+  const auto caller = CallerOf(event.attempt);
+  if (!caller)
+    return;
+  ForwardedRun& run = runs_.at(*caller);
+  if (event.head && Judge(run, *event.head) != AnswerMeaning::kPass) {
+    context_.Emit(CancelAttempt{event.attempt});
+    LoseAttempt(*caller, EndpointVerdict::kFailed, "not its answer", now);
+    return;
+  }
+  if (event.head)
+    BeginPassing(run, std::move(*event.head), now);
+  std::string whole;
+  for (StreamEvent& it : run.attempt->splitter.Add(event.bytes)) {
+    whole += it.bytes;
+    if (it.id)
+      run.last_event = std::move(it.id);
+  }
+  if (!whole.empty())
+    context_.Emit(StreamToCaller{*caller, std::move(whole)});
+}
+
+void RunDesk::Handle(AttemptAnswer event, base::TimePoint now) {
+  const auto caller = CallerOf(event.attempt);
+  if (!caller)
+    return;
+  ForwardedRun& run = runs_.at(*caller);
+  switch (Judge(run, event.head)) {
+    case AnswerMeaning::kNotRun:
+      LoseAttempt(*caller, EndpointVerdict::kRefused,
+                  "refused with " + std::to_string(event.head.status), now);
+      return;
+    case AnswerMeaning::kInvalid:
+      LoseAttempt(*caller, EndpointVerdict::kFailed, "not its answer", now);
+      return;
+    case AnswerMeaning::kFailed:
+      if (!run.has_begun_stream && !PromisesNotRun(event.head.status) &&
+          !MaySendAgain(run, EndpointVerdict::kFailed))
+        break;
+      LoseAttempt(*caller, EndpointVerdict::kFailed,
+                  "answered " + std::to_string(event.head.status), now);
+      return;
+    case AnswerMeaning::kPass:
+      break;
+  }
+  if (run.attempt->splitter.is_inside_event()) {
+    LoseAttempt(*caller, EndpointVerdict::kFailed, "ended inside an event",
+                now);
+    return;
+  }
+  EndAttempt(run, EndpointVerdict::kAnswered, now);
+  std::string outcome = "answered " + std::to_string(event.head.status);
+  if (run.has_begun_stream)
+    context_.Emit(EndStream{*caller, StreamOutcome::kWhole});
+  else
+    context_.Emit(
+        PassAnswer{*caller, std::move(event.head), std::move(event.body)});
+  Finish(*caller, std::move(outcome), now);
+}
+
+void RunDesk::Handle(const AttemptFailure& event, base::TimePoint now) {
+  const auto caller = CallerOf(event.attempt);
+  if (!caller)
+    return;
+  // Without a connection the endpoint can't have run it, but has failed.
+  if (event.kind == AttemptFailureKind::kUnreachable)
+    chooser_.NoteEnded(runs_.at(*caller).attempt->endpoint,
+                       EndpointVerdict::kFailed, now);
+  LoseAttempt(*caller,
+              event.kind == AttemptFailureKind::kUnreachable
+                  ? EndpointVerdict::kRefused
+                  : EndpointVerdict::kFailed,
+              event.detail, now);
+}
+
+void RunDesk::EndAttempt(ForwardedRun& run,
+                         EndpointVerdict verdict,
+                         base::TimePoint now) {
+  chooser_.NoteEnded(run.attempt->endpoint, verdict, now);
+  attempts_.erase(run.attempt->id.number);
+  run.attempt.reset();
+}
+
+bool RunDesk::MaySendAgain(const ForwardedRun& run, EndpointVerdict verdict) {
+  const bool may_have_run = verdict == EndpointVerdict::kFailed;
+  const uint32_t runs = run.runs + (may_have_run ? 1 : 0);
+  const bool may_repeat =
+      run.pipeline->repeatability == declare::Repeatability::kRepeatable ||
+      run.pipeline->may_resume;
+  if (runs > 0 && (!may_repeat || runs >= run.pipeline->max_attempts))
+    return false;
+  return run.tried.size() < run.pipeline->max_attempts + kMaxRefusals &&
+         budgets_[run.final_pool].HasOne();
+}
+
+void RunDesk::LoseAttempt(base::CallerId caller,
+                          EndpointVerdict verdict,
+                          std::string reason,
+                          base::TimePoint now) {
+  ForwardedRun& run = runs_.at(caller);
+  const bool may_send_again = MaySendAgain(run, verdict);
+  context_.Log(base::LogEventId::kAttemptFailed, run.request->request_id,
+               {{"endpoint", run.attempt->endpoint.value},
+                {"reason", std::move(reason)},
+                {"sent_again", may_send_again ? "yes" : "no"}});
+  EndAttempt(run, verdict, now);
+  if (verdict == EndpointVerdict::kFailed)
+    ++run.runs;
+  if (may_send_again) {
+    budgets_[run.final_pool].TryTake();
+    // What may have run may have used its inputs up.
+    if (run.runs > 0) {
+      ReleaseAll(run, now);
+      run.stages = InitialStages(*run.pipeline, *run.request);
+    }
+    Advance(caller, now);
+    return;
+  }
+  AnswerAndEnd(caller,
+               run.runs > 0 ? OwnAnswerCode::kAttemptFailed
+                            : OwnAnswerCode::kRefusedByEndpoint,
+               kRefusedRetry, now);
+}
+
+void RunDesk::AnswerAndEnd(base::CallerId caller,
+                           OwnAnswerCode code,
+                           std::optional<base::Duration> retry_after,
+                           base::TimePoint now) {
+  ForwardedRun& run = runs_.at(caller);
+  if (run.has_begun_stream)
+    context_.Emit(EndStream{caller, StreamOutcome::kCut});
+  else
+    context_.Emit(
+        AnswerCaller{caller, run.request->request_id, code, retry_after});
+  Finish(caller, std::string(ToText(code)), now);
+}
+
+void RunDesk::ReleaseStage(StageState& stage, base::TimePoint now) {
+  if (!stage.results)
+    return;
+  stage_desk_.Release(*stage.results, now);
+  stage.results.reset();
+}
+
+void RunDesk::ReleaseAll(ForwardedRun& run, base::TimePoint now) {
+  for (StageState& stage : run.stages)
+    ReleaseStage(stage, now);
+}
+
+void RunDesk::Finish(base::CallerId caller,
+                     std::string outcome,
+                     base::TimePoint now) {
+  const auto node = runs_.extract(caller);
+  if (node.empty())
+    return;
+  ForwardedRun& run = node.mapped();
+  for (const StageState& stage : run.stages) {
+    if (stage.phase != StagePhase::kAsked)
+      continue;
+    asks_.erase(stage.ask);
+    stage_desk_.Withdraw(stage.ask);
+  }
+  ReleaseAll(run, now);
+  if (run.attempt) {
+    context_.Emit(CancelAttempt{run.attempt->id});
+    EndAttempt(run, EndpointVerdict::kCancelled, now);
+  }
+  const auto [begin, end] = deadlines_.equal_range(run.deadline);
+  for (auto it = begin; it != end; ++it) {
+    if (it->second == caller) {
+      deadlines_.erase(it);
+      break;
+    }
+  }
+  const auto taken =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - run.arrived);
+  context_.Log(base::LogEventId::kRequestEnded, run.request->request_id,
+               {{"outcome", std::move(outcome)},
+                {"pipeline", run.pipeline->name.value},
+                {"ms", std::to_string(taken.count())},
+                {"endpoint", run.tried.empty() ? "" : run.tried.back().value}});
+}
+
+void RunDesk::Handle(const CallerLeft& event, base::TimePoint now) {
+  Finish(event.caller, "caller_left", now);
+}
+
+void RunDesk::HandleTimer(base::TimePoint now) {
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+    const base::CallerId caller = deadlines_.begin()->second;
+    const ForwardedRun& run = runs_.at(caller);
+    const bool may_have_run = run.attempt || run.runs > 0;
+    AnswerAndEnd(
+        caller,
+        may_have_run ? OwnAnswerCode::kTimeout : OwnAnswerCode::kTooLate,
+        kRefusedRetry, now);
+  }
+}
+
+void RunDesk::EndAll(base::TimePoint now) {
+  while (!runs_.empty()) {
+    const auto& [caller, run] = *runs_.begin();
+    const bool may_have_run = run.attempt || run.runs > 0;
+    AnswerAndEnd(
+        caller,
+        may_have_run ? OwnAnswerCode::kAttemptFailed : OwnAnswerCode::kStopping,
+        kStoppingRetry, now);
+  }
+}
+
+std::optional<base::TimePoint> RunDesk::NextWakeup() const {
+  if (deadlines_.empty())
+    return std::nullopt;
+  return deadlines_.begin()->first;
+}
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/run_desk.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "LibBase/random.h"
+#include "LibForward/endpoint_chooser.h"
+#include "LibForward/forward_context.h"
+#include "LibForward/forwarded_run.h"
+#include "LibForward/stage_desk.h"
+#include "LibPolicy/retry_budget.h"
+
+namespace bilberry::forward {
+
+// Callers' requests from their arrival to their answer: stages first, then the
+// request itself, with its attempts and its stream.
+class RunDesk {
+ public:
+  RunDesk(ForwardContext& context, StageDesk& stages);
+
+  void SetConfiguration(
+      std::shared_ptr<const ForwardConfiguration> configuration);
+  void SetEndpoints(std::span<const ListedEndpoint> endpoints) {
+    chooser_.SetEndpoints(endpoints);
+  }
+  // From now on requests are refused as not run.
+  void StopAccepting() { is_accepting_ = false; }
+  bool is_accepting() const { return is_accepting_; }
+
+  void Handle(ForwardedRequest request, base::TimePoint now);
+  void Handle(const CallerLeft& event, base::TimePoint now);
+  void Handle(AttemptChunk event, base::TimePoint now);
+  void Handle(AttemptAnswer event, base::TimePoint now);
+  void Handle(const AttemptFailure& event, base::TimePoint now);
+
+  // Takes on the outcomes of stages.
+  void Settle(base::TimePoint now);
+  // Ends the runs whose deadline has passed.
+  void HandleTimer(base::TimePoint now);
+  // Ends all runs, for a host that must go.
+  void EndAll(base::TimePoint now);
+
+  std::optional<base::TimePoint> NextWakeup() const;
+  size_t run_count() const { return runs_.size(); }
+
+ private:
+  // What an answer means for its run.
+  enum class AnswerMeaning {
+    kPass,     // The caller's answer.
+    kNotRun,   // The endpoint refused it.
+    kInvalid,  // Not this request's answer, or not the endpoint's.
+    kFailed,   // An error of the endpoint's that another may not make.
+  };
+
+  using Runs = std::map<base::CallerId, ForwardedRun>;
+
+  // Empty when the request has been answered.
+  std::optional<ForwardedRun> Check(ForwardedRequest request,
+                                    base::TimePoint now);
+  bool FindTeam(const ForwardedRequest& request, ForwardedRun& run);
+  const base::PoolName& DrawFinalPool(const ForwardedPipeline& pipeline);
+  EndpointWish WishOf(const ForwardedRun& run) const;
+  void Advance(base::CallerId caller, base::TimePoint now);
+  void AskForStage(base::CallerId caller,
+                   ForwardedRun& run,
+                   size_t stage,
+                   base::TimePoint now);
+  void TakeResults(base::CallerId caller,
+                   size_t stage,
+                   AskedResults results,
+                   base::TimePoint now);
+  void SendFinal(base::CallerId caller, base::TimePoint now);
+  AnswerMeaning Judge(const ForwardedRun& run, const AnswerHead& head) const;
+  void BeginPassing(ForwardedRun& run, AnswerHead head, base::TimePoint now);
+  // Ends the attempt without an answer for the caller.
+  void LoseAttempt(base::CallerId caller,
+                   EndpointVerdict verdict,
+                   std::string reason,
+                   base::TimePoint now);
+  bool MaySendAgain(const ForwardedRun& run, EndpointVerdict verdict);
+  void EndAttempt(ForwardedRun& run,
+                  EndpointVerdict verdict,
+                  base::TimePoint now);
+  void ReleaseAll(ForwardedRun& run, base::TimePoint now);
+  void ReleaseStage(StageState& stage, base::TimePoint now);
+  void AnswerAndEnd(base::CallerId caller,
+                    OwnAnswerCode code,
+                    std::optional<base::Duration> retry_after,
+                    base::TimePoint now);
+  // Forgets a run that has been answered or that nobody waits for.
+  void Finish(base::CallerId caller, std::string outcome, base::TimePoint now);
+  void Refuse(const ForwardedRequest& request,
+              OwnAnswerCode code,
+              std::optional<base::Duration> retry_after);
+  std::optional<base::CallerId> CallerOf(const base::AttemptId& attempt) const;
+
+  ForwardContext& context_;
+  StageDesk& stage_desk_;
+  EndpointChooser chooser_;
+  base::Random random_;
+  std::shared_ptr<const ForwardConfiguration> configuration_;
+  Runs runs_;
+  std::multimap<base::TimePoint, base::CallerId> deadlines_;
+  std::map<AskId, std::pair<base::CallerId, size_t>> asks_;
+  std::unordered_map<uint64_t, base::CallerId> attempts_;  // By number.
+  std::map<base::PoolName, policy::RetryBudget> budgets_;
+  uint64_t last_attempt_ = 0;
+  bool is_accepting_ = true;
+};
+
+std::string_view ToText(OwnAnswerCode code);
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/stage_desk.cc
@@ -0,0 +1,261 @@
+#include "LibForward/stage_desk.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibBase/overloaded.h"
+
+namespace bilberry::forward {
+
+namespace {
+
+// After this many lost peers a host does the job itself.
+constexpr uint32_t kMaxHostsLost = 2;
+constexpr std::chrono::milliseconds kRetryAfterLoss{1000};
+
+}  // namespace
+
+StageDesk::StageDesk(ForwardContext& context)
+    : context_(context), ring_(context.options().own) {}
+
+void StageDesk::Reconfigure(const ForwardConfiguration& configuration) {
+  for (const ForwardedPool& pool : configuration.pools) {
+    if (!pool.pieces)
+      continue;
+    const auto [it, is_new] = pools_.try_emplace(pool.name, *pool.pieces);
+    if (!is_new)
+      it->second.dispatcher.Reconfigure(*pool.pieces);
+  }
+  SetEndpoints(std::move(endpoints_));
+}
+
+void StageDesk::SetEndpoints(std::vector<ListedEndpoint> endpoints) {
+  endpoints_ = std::move(endpoints);
+  for (auto& [name, pool] : pools_) {
+    std::vector<ListedEndpoint> own;
+    std::ranges::copy_if(
+        endpoints_, std::back_inserter(own),
+        [&name](const ListedEndpoint& it) { return it.pool == name; });
+    pool.dispatcher.SetEndpoints(own);
+  }
+}
+
+StageDesk::Pool* StageDesk::FindPool(const base::PoolName& name) {
+  const auto it = pools_.find(name);
+  return it == pools_.end() ? nullptr : &it->second;
+}
+
+bool StageDesk::CanServe(const base::PoolName& pool) const {
+  const auto it = pools_.find(pool);
+  return it != pools_.end() && it->second.dispatcher.ServingCount() > 0;
+}
+
+AskId StageDesk::Ask(StageJob job, base::TimePoint now) {
+  const AskId id{++last_ask_};
+  Question question;
+  question.target = now + job.until_target;
+  question.deadline = now + job.until_deadline;
+  question.job = std::move(job);
+  Place(id, questions_.emplace(id, std::move(question)).first->second, now);
+  return id;
+}
+
+void StageDesk::Place(AskId id, Question& question, base::TimePoint now) {
+  StageJob job = question.job;
+  job.until_target = question.target - now;
+  job.until_deadline = question.deadline - now;
+  const bool is_alone = !context_.options().shares_calls ||
+                        question.hosts_lost > kMaxHostsLost;
+  const PeerHost& host =
+      is_alone ? context_.options().own : ring_.DispatcherOf(job.pool, now);
+  question.host = host.name;
+  if (!ring_.IsOwn(host)) {
+    context_.Emit(AskPeer{id, host.address, std::move(job)});
+    return;
+  }
+  Pool* pool = FindPool(job.pool);
+  if (pool == nullptr) {
+    outcomes_.emplace_back(
+        id, JobFailure{JobFailureKind::kNoEndpoint, kRetryAfterLoss});
+    questions_.erase(id);
+    return;
+  }
+  question.local = SubmitHere(*pool, std::move(job), id, now);
+}
+
+JobId StageDesk::SubmitHere(Pool& pool,
+                            StageJob job,
+                            Origin origin,
+                            base::TimePoint now) {
+  const JobId id = pool.dispatcher.Submit(std::move(job), now);
+  pool.origins.emplace(id, origin);
+  return id;
+}
+
+void StageDesk::Withdraw(AskId id) {
+  const auto node = questions_.extract(id);
+  if (node.empty())
+    return;
+  const Question& question = node.mapped();
+  if (!question.local) {
+    context_.Emit(CancelAsk{id});
+    return;
+  }
+  if (Pool* pool = FindPool(question.job.pool)) {
+    pool->dispatcher.Withdraw(*question.local);
+    pool->origins.erase(*question.local);
+  }
+}
+
+std::vector<std::pair<AskId, AskOutcome>> StageDesk::TakeOutcomes() {
+  return std::exchange(outcomes_, {});
+}
+
+void StageDesk::Release(const AskedResults& results, base::TimePoint now) {
+  const PeerHost* host = ring_.Find(results.host);
+  // The endpoint drops the results of a lost host by itself.
+  if (host == nullptr)
+    return;
+  if (!ring_.IsOwn(*host)) {
+    context_.Emit(TellPeerRead{host->address, results.pool, results.results});
+    return;
+  }
+  if (Pool* pool = FindPool(results.pool))
+    pool->dispatcher.Free(results.results, now);
+}
+
+void StageDesk::Handle(const PeerJobAsked& event, base::TimePoint now) {
+  Pool* pool = FindPool(event.job.pool);
+  if (pool == nullptr) {
+    context_.Emit(
+        AnswerPeer{event.exchange,
+                   JobFailure{JobFailureKind::kHostLost, kRetryAfterLoss}});
+    return;
+  }
+  const JobId id = SubmitHere(*pool, event.job, event.exchange, now);
+  peer_jobs_.emplace(event.exchange, std::pair(event.job.pool, id));
+}
+
+void StageDesk::Handle(const PeerJobLeft& event) {
+  const auto node = peer_jobs_.extract(event.exchange);
+  if (node.empty())
+    return;
+  const auto& [name, job] = node.mapped();
+  if (Pool* pool = FindPool(name)) {
+    pool->dispatcher.Withdraw(job);
+    pool->origins.erase(job);
+  }
+}
+
+void StageDesk::Handle(const PeerResultsRead& event, base::TimePoint now) {
+  if (Pool* pool = FindPool(event.pool))
+    pool->dispatcher.Free(event.results, now);
+}
+
+void StageDesk::Handle(const PeerJobEnded& event, base::TimePoint now) {
+  const auto it = questions_.find(event.ask);
+  if (it == questions_.end())
+    return;
+  const auto* failure = std::get_if<JobFailure>(&event.outcome);
+  // A peer that can't serve the pool is like one that can't be reached.
+  if (failure != nullptr && failure->kind == JobFailureKind::kHostLost) {
+    Handle(PeerJobLost{event.ask, "the peer does not serve the pool"}, now);
+    return;
+  }
+  ring_.NoteAnswer(it->second.host);
+  if (failure != nullptr)
+    outcomes_.emplace_back(event.ask, *failure);
+  else
+    outcomes_.emplace_back(
+        event.ask,
+        AskedResults{it->second.host, it->second.job.pool,
+                     std::get<JobResults>(event.outcome).results});
+  questions_.erase(it);
+}
+
+void StageDesk::Handle(const PeerJobLost& event, base::TimePoint now) {
+  const auto it = questions_.find(event.ask);
+  if (it == questions_.end())
+    return;
+  Question& question = it->second;
+  context_.Log(base::LogEventId::kDispatcherLost, question.job.request_id,
+               {{"host", question.host.value},
+                {"pool", question.job.pool.value},
+                {"reason", event.detail}});
+  ring_.NoteFailure(question.host, now);
+  ++question.hosts_lost;
+  Place(event.ask, question, now);
+}
+
+void StageDesk::Handle(const StageCallEnded& event, base::TimePoint now) {
+  const auto node = calls_.extract(event.call);
+  if (node.empty())
+    return;
+  const auto& [name, call] = node.mapped();
+  if (Pool* pool = FindPool(name))
+    pool->dispatcher.FinishCall(call, event.outcome, now);
+}
+
+void StageDesk::Dispatch(base::TimePoint now) {
+  for (auto& [name, pool] : pools_) {
+    MakeCalls(name, pool, now);
+    for (FreeOrder& order : pool.dispatcher.TakeFreeOrders(now))
+      context_.Emit(FreeResults{std::move(order)});
+    GiveOutcomes(pool, now);
+  }
+}
+
+void StageDesk::MakeCalls(const base::PoolName& name,
+                          Pool& pool,
+                          base::TimePoint now) {
+  while (auto call = pool.dispatcher.NextCall(now)) {
+    const StageCallId id{++last_call_};
+    calls_.emplace(id, std::pair(name, call->id));
+    call->id = id;
+    context_.Emit(CallStage{std::move(*call)});
+  }
+}
+
+void StageDesk::GiveOutcomes(Pool& pool, base::TimePoint /*now*/) {
+  for (auto& [job, outcome] : pool.dispatcher.TakeOutcomes()) {
+    const auto node = pool.origins.extract(job);
+    if (!node.empty())
+      GiveOutcome(node.mapped(), std::move(outcome));
+  }
+}
+
+void StageDesk::GiveOutcome(const Origin& origin, JobOutcome outcome) {
+  std::visit(
+      base::Overloaded{
+          [&](PeerExchangeId exchange) {
+            peer_jobs_.erase(exchange);
+            context_.Emit(AnswerPeer{exchange, std::move(outcome)});
+          },
+          [&](AskId ask) {
+            const auto node = questions_.extract(ask);
+            if (node.empty())
+              return;
+            const Question& question = node.mapped();
+            if (const auto* failure = std::get_if<JobFailure>(&outcome)) {
+              outcomes_.emplace_back(ask, *failure);
+              return;
+            }
+            outcomes_.emplace_back(
+                ask, AskedResults{question.host, question.job.pool,
+                                  std::get<JobResults>(outcome).results});
+          },
+      },
+      origin);
+}
+
+std::optional<base::TimePoint> StageDesk::NextWakeup() const {
+  std::optional<base::TimePoint> next;
+  for (const auto& [name, pool] : pools_) {
+    const auto wakeup = pool.dispatcher.NextWakeup();
+    if (wakeup && (!next || *wakeup < *next))
+      next = wakeup;
+  }
+  return next;
+}
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/stage_desk.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "LibForward/dispatcher_ring.h"
+#include "LibForward/forward_context.h"
+#include "LibForward/stage_dispatcher.h"
+
+namespace bilberry::forward {
+
+// The results of a job, and the host that knows of them.
+struct AskedResults {
+  base::HostName host;
+  base::PoolName pool;
+  std::vector<StageResult> results;
+};
+
+using AskOutcome = std::variant<AskedResults, JobFailure>;
+
+// Has jobs done by the dispatchers of their pools, here or at a peer, and does
+// those that peers ask for. A peer that can't be reached is replaced by the
+// next one.
+class StageDesk {
+ public:
+  explicit StageDesk(ForwardContext& context);
+
+  void Reconfigure(const ForwardConfiguration& configuration);
+  void SetEndpoints(std::vector<ListedEndpoint> endpoints);
+  void SetHosts(std::span<const PeerHost> hosts) { ring_.SetHosts(hosts); }
+
+  // Ends in one outcome, unless it is withdrawn.
+  AskId Ask(StageJob job, base::TimePoint now);
+  void Withdraw(AskId id);
+  std::vector<std::pair<AskId, AskOutcome>> TakeOutcomes();
+  // The results have been read, or never will be.
+  void Release(const AskedResults& results, base::TimePoint now);
+
+  void Handle(const PeerJobAsked& event, base::TimePoint now);
+  void Handle(const PeerJobLeft& event);
+  void Handle(const PeerResultsRead& event, base::TimePoint now);
+  void Handle(const PeerJobEnded& event, base::TimePoint now);
+  void Handle(const PeerJobLost& event, base::TimePoint now);
+  void Handle(const StageCallEnded& event, base::TimePoint now);
+
+  // Makes the calls and gives the answers that are due.
+  void Dispatch(base::TimePoint now);
+  std::optional<base::TimePoint> NextWakeup() const;
+
+  // Whether the pool makes pieces and has an endpoint.
+  bool CanServe(const base::PoolName& pool) const;
+
+ private:
+  // A question of this host that has no outcome yet.
+  struct Question {
+    StageJob job;
+    base::TimePoint target;
+    base::TimePoint deadline;
+    base::HostName host;
+    std::optional<JobId> local;  // If this host does it.
+    uint32_t hosts_lost = 0;
+  };
+
+  // Whose job a dispatcher of this host works on.
+  using Origin = std::variant<AskId, PeerExchangeId>;
+
+  struct Pool {
+    explicit Pool(const PieceLimits& limits) : dispatcher(limits) {}
+    StageDispatcher dispatcher;
+    std::map<JobId, Origin> origins;
+  };
+
+  void Place(AskId id, Question& question, base::TimePoint now);
+  JobId SubmitHere(Pool& pool, StageJob job, Origin origin,
+                   base::TimePoint now);
+  void GiveOutcomes(Pool& pool, base::TimePoint now);
+  void GiveOutcome(const Origin& origin, JobOutcome outcome);
+  void MakeCalls(const base::PoolName& name, Pool& pool, base::TimePoint now);
+  Pool* FindPool(const base::PoolName& name);
+
+  ForwardContext& context_;
+  DispatcherRing ring_;
+  std::map<base::PoolName, Pool> pools_;
+  std::vector<ListedEndpoint> endpoints_;
+  std::map<AskId, Question> questions_;
+  std::map<PeerExchangeId, std::pair<base::PoolName, JobId>> peer_jobs_;
+  // Which pool a call belongs to; calls are numbered over all pools.
+  std::map<StageCallId, std::pair<base::PoolName, StageCallId>> calls_;
+  std::vector<std::pair<AskId, AskOutcome>> outcomes_;
+  uint64_t last_ask_ = 0;
+  uint64_t last_call_ = 0;
+};
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/stage_dispatcher.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "LibForward/forward_endpoint.h"
+#include "LibForward/result_room.h"
+#include "LibForward/stage_job.h"
+#include "LibPolicy/retry_budget.h"
+
+namespace bilberry::forward {
+
+// Collects the pieces of many requests, also of other hosts', into calls to the
+// endpoints of one pool. An idle endpoint takes at once what there is; while it
+// is busy, the next call fills. Pure: time is passed in.
+class StageDispatcher {
+ public:
+  explicit StageDispatcher(PieceLimits limits) : limits_(limits) {}
+
+  void Reconfigure(const PieceLimits& limits) { limits_ = limits; }
+  // Replaces the endpoints that may be called. Calls under way end as usual.
+  void SetEndpoints(std::span<const ListedEndpoint> endpoints);
+
+  // Ends in one outcome, unless the job is withdrawn.
+  JobId Submit(StageJob job, base::TimePoint now);
+  // Gives a job up; results of it that come later are freed.
+  void Withdraw(JobId id);
+  // Finished jobs; empties the list.
+  std::vector<std::pair<JobId, JobOutcome>> TakeOutcomes();
+
+  // The next call, if pieces wait and an endpoint is idle. Call until empty.
+  std::optional<StageCall> NextCall(base::TimePoint now);
+  void FinishCall(StageCallId id,
+                  const StageCallOutcome& outcome,
+                  base::TimePoint now);
+
+  // These results won't be read any more.
+  void Free(std::span<const StageResult> results, base::TimePoint now);
+  // What to free now, an order an endpoint.
+  std::vector<FreeOrder> TakeFreeOrders(base::TimePoint now);
+
+  // When to call NextCall() and TakeFreeOrders() though nothing has happened.
+  std::optional<base::TimePoint> NextWakeup() const;
+
+  size_t waiting_pieces() const;
+  // Endpoints that aren't leaving.
+  size_t ServingCount() const;
+
+ private:
+  struct Job {
+    StageJob job;
+    base::TimePoint target;
+    base::TimePoint deadline;
+    std::vector<uint32_t> waiting;     // Pieces that no call holds.
+    std::vector<std::string> handles;  // By piece; empty until it is made.
+    std::vector<base::SocketAddress> makers;
+    uint32_t made = 0;
+    uint32_t repeats = 0;
+  };
+
+  struct Endpoint {
+    ListedEndpoint listed;
+    uint32_t calls = 0;
+    uint32_t failures = 0;  // In a row.
+    base::TimePoint rests_until;
+    base::TimePoint busy_until;  // As expected.
+    ResultRoom room;
+    std::vector<std::string> to_free;
+    std::optional<base::TimePoint> free_due;
+  };
+
+  struct CalledPiece {
+    JobId job{};
+    uint32_t piece = 0;
+    uint64_t result_bytes = 0;
+  };
+
+  struct Call {
+    base::EndpointName endpoint;
+    base::SocketAddress address;
+    std::vector<CalledPiece> pieces;
+  };
+
+  using OrderedJobs = std::vector<std::pair<JobId, Job*>>;
+
+  bool IsIdle(const Endpoint& endpoint, base::TimePoint now) const;
+  bool HasIdleIn(const base::ZoneName& zone, base::TimePoint now) const;
+  base::Duration CallTime(size_t pieces) const;
+  base::Duration WaitFor(const Job& job, base::TimePoint now) const;
+  bool IsOnTime(const Job& job, base::TimePoint now) const;
+  bool GoesBefore(const Job& left, const Job& right, base::TimePoint now) const;
+  void DropLapsed(base::TimePoint now);
+  OrderedJobs JobsInOrder(base::TimePoint now);
+  StageCall MakeCall(Endpoint& endpoint,
+                     const OrderedJobs& jobs,
+                     base::TimePoint now);
+  void TakePieces(Endpoint& endpoint,
+                  JobId id,
+                  Job& job,
+                  StageCall& call,
+                  Call& record,
+                  base::TimePoint now);
+  void NoteMade(const Call& call,
+                const CalledPiece& piece,
+                const std::string& handle,
+                base::TimePoint now);
+  void NoteRefused(const CalledPiece& piece,
+                   PieceRefusal refusal,
+                   base::TimePoint now);
+  void RepeatPiece(const CalledPiece& piece);
+  void Fail(JobId id, JobFailure failure);
+  void FreeMade(const Job& job);
+  void ScheduleFree(Endpoint& endpoint,
+                    const std::string& handle,
+                    base::TimePoint now);
+  Endpoint* FindEndpoint(const base::EndpointName& name);
+  Endpoint* FindByAddress(const base::SocketAddress& address);
+
+  PieceLimits limits_;
+  std::map<base::EndpointName, Endpoint> endpoints_;
+  std::map<JobId, Job> jobs_;
+  std::unordered_map<StageCallId, Call> calls_;
+  std::vector<std::pair<JobId, JobOutcome>> outcomes_;
+  policy::RetryBudget repeats_;
+  uint64_t last_job_ = 0;
+  uint64_t last_call_ = 0;
+  base::TimePoint latest_;  // Of all times passed in.
+};
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/stage_job.cc
@@ -0,0 +1,21 @@
+#include "LibForward/stage_job.h"
+
+namespace bilberry::forward {
+
+std::string_view ToText(JobFailureKind kind) {
+  switch (kind) {
+    case JobFailureKind::kTooLate:
+      return "too_late";
+    case JobFailureKind::kNoEndpoint:
+      return "no_endpoint";
+    case JobFailureKind::kInputGone:
+      return "input_gone";
+    case JobFailureKind::kFailed:
+      return "failed";
+    case JobFailureKind::kHostLost:
+      return "host_lost";
+  }
+  return "failed";
+}
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -0,0 +1,422 @@
+#include "LibTransport/forward_shell.h"
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "LibTransport/stage_job_codec.h"
+
+namespace bilberry::transport {
+
+namespace {
+
+constexpr const char* kConnectionHeader = "Connection";
+constexpr const char* kJobsPath = "/v1/jobs";
+constexpr const char* kResultsReadPath = "/v1/results-read";
+// A peer that has not answered a job by then is taken for lost: jobs end by
+// their own deadline before.
+constexpr std::chrono::milliseconds kPeerSlack{500};
+constexpr std::chrono::milliseconds kTellTimeout{1000};
+constexpr std::chrono::milliseconds kFreeTimeout{1000};
+constexpr std::chrono::milliseconds kStoreTimeout{1500};
+// What the way to the store and back may add to a call that is held there.
+constexpr std::chrono::milliseconds kFollowSlack{1500};
+// Between the order to stop and the end of the grace: time for answers to be
+// written.
+constexpr std::chrono::milliseconds kStopMargin{1000};
+constexpr std::chrono::milliseconds kFlushTime{500};
+// A head at the limit of the configuration needs room for what is made of it.
+constexpr size_t kCallerMemoryBytes = size_t{32} * 1024;
+constexpr size_t kMaxPeerBody = size_t{1024} * 1024;
+
+ExchangeId ExchangeOf(base::CallerId caller) {
+  return ExchangeId{static_cast<uint64_t>(caller)};
+}
+
+base::CallerId CallerOf(ExchangeId exchange) {
+  return base::CallerId{static_cast<uint64_t>(exchange)};
+}
+
+bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
+std::chrono::milliseconds RoundUp(base::Duration duration) {
+  return std::chrono::ceil<std::chrono::milliseconds>(duration);
+}
+
+forward::ForwardOptions NodeOptionsOf(const ForwardShellOptions& options) {
+  const declare::ForwardSettings& settings = options.settings;
+  forward::ForwardOptions node;
+  node.own = {settings.host, settings.peers, settings.zone, settings.cores};
+  node.incarnation = options.incarnation;
+  node.seed = options.seed;
+  node.stop_limit =
+      std::max(settings.stop_grace - kStopMargin, settings.stop_grace / 2);
+  node.shares_calls = options.shares_calls;
+  return node;
+}
+
+}  // namespace
+
+ForwardShell::ForwardShell(Reactor& reactor,
+                           ForwardAdapter& adapter,
+                           const ForwardShellOptions& options)
+    : reactor_(reactor),
+      adapter_(adapter),
+      settings_(options.settings),
+      node_(NodeOptionsOf(options)),
+      log_(options.log_descriptor) {}
+
+base::Result<std::unique_ptr<ForwardShell>> ForwardShell::Create(
+    Reactor& reactor,
+    ForwardAdapter& adapter,
+    const ForwardShellOptions& options) {
+  std::unique_ptr<ForwardShell> shell(
+      new ForwardShell(reactor, adapter, options));
+  TRY(shell->Listen());
+  reactor.Add(*shell);
+  return shell;
+}
+
+base::Result<void> ForwardShell::Listen() {
+  TRY(http, HttpClient::Create(reactor_));
+  http_ = std::move(http);
+  ListenerOptions options;
+  options.address = settings_.callers;
+  options.connection_memory_bytes = kCallerMemoryBytes;
+  options.max_body_bytes = forward::CallerLimits().max_body_bytes;
+  options.head_check = [this](const IncomingRequest& head) {
+    return adapter_.CheckHead(head);
+  };
+  TRY(callers,
+      HttpListener::Create(
+          reactor_, options,
+          [this](IncomingRequest it) { HandleCaller(std::move(it)); },
+          [this](ExchangeId it) { HandleCallerLeft(it); }));
+  callers_ = std::move(callers);
+  ListenerOptions peer_options;
+  peer_options.address = settings_.peers;
+  peer_options.max_body_bytes = kMaxPeerBody;
+  TRY(peers,
+      HttpListener::Create(
+          reactor_, peer_options,
+          [this](const IncomingRequest& it) { HandlePeer(it); },
+          [this](ExchangeId it) {
+            Feed(forward::PeerJobLeft{
+                forward::PeerExchangeId{static_cast<uint64_t>(it)}});
+            peers_->Abort(it);
+          }));
+  peers_ = std::move(peers);
+  ListenerOptions readiness_options;
+  readiness_options.address = settings_.readiness;
+  TRY(readiness,
+      HttpListener::Create(
+          reactor_, readiness_options,
+          [this](const IncomingRequest& it) { HandleReadiness(it); }));
+  readiness_ = std::move(readiness);
+  return base::Success();
+}
+
+ForwardShell::~ForwardShell() {
+  reactor_.Remove(*this);
+}
+
+void ForwardShell::OrderStop() {
+  Feed(forward::StopOrdered{});
+}
+
+bool ForwardShell::has_finished() const {
+  return has_exited_ && (callers_->exchange_count() == 0 ||
+                         reactor_.Now() > exited_at_ + kFlushTime);
+}
+
+void ForwardShell::RunTurn(base::TimePoint now) {
+  const auto due = node_.NextWakeup();
+  if (due && *due <= now)
+    Feed(forward::TimerDue{});
+  log_.Flush();
+}
+
+std::optional<base::TimePoint> ForwardShell::NextTurn() const {
+  return node_.NextWakeup();
+}
+
+void ForwardShell::Feed(forward::Event event) {
+  for (forward::Action& action : node_.Handle(std::move(event), reactor_.Now()))
+    std::visit([this](const auto& it) { Do(it); }, action);
+}
+
+void ForwardShell::HandleCaller(IncomingRequest request) {
+  Feed(adapter_.DecodeRequest(std::move(request)));
+}
+
+void ForwardShell::HandleCallerLeft(ExchangeId exchange) {
+  Feed(forward::CallerLeft{CallerOf(exchange)});
+  EndCaller(exchange);
+}
+
+void ForwardShell::EndCaller(ExchangeId exchange) {
+  if (streams_.erase(CallerOf(exchange)) > 0)
+    callers_->EndStream(exchange, StreamEnd::kCut);
+  else
+    callers_->Abort(exchange);
+}
+
+void ForwardShell::HandleReadiness(const IncomingRequest& request) {
+  if (request.path != adapter_.ReadinessPath()) {
+    readiness_->Respond(request.exchange, {404, {}, ""});
+    return;
+  }
+  readiness_->Respond(request.exchange, {node_.is_ready() ? 200 : 503, {}, ""});
+}
+
+void ForwardShell::HandlePeer(const IncomingRequest& request) {
+  const forward::PeerExchangeId exchange{
+      static_cast<uint64_t>(request.exchange)};
+  if (request.path == kJobsPath) {
+    if (auto job = DecodeStageJob(request.body)) {
+      Feed(forward::PeerJobAsked{exchange, std::move(*job)});
+      return;
+    }
+  } else if (request.path == kResultsReadPath) {
+    if (auto read = DecodeResultsRead(request.body)) {
+      Feed(std::move(*read));
+      peers_->Respond(request.exchange, {204, {}, ""});
+      return;
+    }
+  }
+  peers_->Respond(request.exchange, {400, {}, ""});
+}
+
+void ForwardShell::AddConnectionHeader(HttpHeaders& headers) const {
+  // The balancer is to keep no connection to a host that goes.
+  if (node_.is_stopping())
+    headers.push_back({kConnectionHeader, "close"});
+}
+
+void ForwardShell::Do(const forward::SendAttempt& action) {
+  HttpRequest request = adapter_.EncodeAttempt(action);
+  request.connection =
+      action.repeatability == declare::Repeatability::kRepeatable
+          ? node::ConnectionUse::kPooled
+          : node::ConnectionUse::kFresh;
+  const base::AttemptId id = action.attempt;
+  HttpClient::ChunkHandler on_chunk;
+  if (action.delivery == declare::Delivery::kStreamed)
+    on_chunk = [this, id](const HttpResponse& head, std::string bytes) {
+      HandleAttemptChunk(id, head, std::move(bytes));
+    };
+  attempts_[id.number].transfer = http_->Send(
+      std::move(request),
+      [this, id](HttpOutcome outcome) {
+        HandleAttemptDone(id, std::move(outcome));
+      },
+      std::move(on_chunk));
+}
+
+void ForwardShell::HandleAttemptChunk(const base::AttemptId& attempt,
+                                      const HttpResponse& head,
+                                      std::string bytes) {
+  const auto it = attempts_.find(attempt.number);
+  if (it == attempts_.end())
+    return;
+  // An error's body isn't part of a stream.
+  if (!IsSuccess(head.status)) {
+    it->second.error_body += bytes;
+    return;
+  }
+  forward::AttemptChunk chunk;
+  chunk.attempt = attempt;
+  if (!std::exchange(it->second.has_head, true))
+    chunk.head = adapter_.DecodeHead(head);
+  chunk.bytes = std::move(bytes);
+  Feed(std::move(chunk));
+}
+
+void ForwardShell::HandleAttemptDone(const base::AttemptId& attempt,
+                                     HttpOutcome outcome) {
+  const auto node = attempts_.extract(attempt.number);
+  if (node.empty())
+    return;
+  if (const auto* failure = std::get_if<HttpFailure>(&outcome)) {
+    const auto kind = failure->kind == node::EndpointFailureKind::kUnreachable
+                          ? forward::AttemptFailureKind::kUnreachable
+                          : forward::AttemptFailureKind::kBroken;
+    Feed(forward::AttemptFailure{attempt, kind, failure->detail});
+    return;
+  }
+  auto& response = std::get<HttpResponse>(outcome);
+  if (!node.mapped().error_body.empty())
+    response.body = node.mapped().error_body;
+  forward::AnswerHead head = adapter_.DecodeHead(response);
+  Feed(forward::AttemptAnswer{attempt, std::move(head),
+                              std::move(response.body)});
+}
+
+void ForwardShell::Do(const forward::CancelAttempt& action) {
+  const auto node = attempts_.extract(action.attempt.number);
+  if (!node.empty())
+    http_->Cancel(node.mapped().transfer);
+}
+
+void ForwardShell::Do(const forward::AnswerCaller& action) {
+  HttpResponse response = adapter_.EncodeOwnAnswer(action);
+  AddConnectionHeader(response.headers);
+  callers_->Respond(ExchangeOf(action.caller), response);
+}
+
+void ForwardShell::Do(const forward::PassAnswer& action) {
+  HttpResponse response{action.head.status, action.head.headers, action.body};
+  AddConnectionHeader(response.headers);
+  callers_->Respond(ExchangeOf(action.caller), response);
+}
+
+void ForwardShell::Do(const forward::BeginStream& action) {
+  HttpHeaders headers = action.head.headers;
+  AddConnectionHeader(headers);
+  streams_.emplace(action.caller, true);
+  callers_->BeginStream(ExchangeOf(action.caller), action.head.status, headers);
+}
+
+void ForwardShell::Do(const forward::StreamToCaller& action) {
+  callers_->WriteStream(ExchangeOf(action.caller), action.bytes);
+}
+
+void ForwardShell::Do(const forward::EndStream& action) {
+  streams_.erase(action.caller);
+  callers_->EndStream(ExchangeOf(action.caller),
+                      action.outcome == forward::StreamOutcome::kWhole
+                          ? StreamEnd::kWhole
+                          : StreamEnd::kCut);
+}
+
+void ForwardShell::Do(const forward::CallStage& action) {
+  HttpRequest request = adapter_.EncodeStageCall(action.call);
+  request.timeout = RoundUp(action.call.timeout);
+  http_->Send(std::move(request),
+              [this, id = action.call.id](const HttpOutcome& outcome) {
+                Feed(forward::StageCallEnded{
+                    id, adapter_.DecodeStageCall(outcome)});
+              });
+}
+
+void ForwardShell::Do(const forward::FreeResults& action) {
+  HttpRequest request = adapter_.EncodeFree(action.order);
+  request.timeout = kFreeTimeout;
+  // What is not freed is dropped by the endpoint at the end of its life.
+  http_->Send(std::move(request), [](const HttpOutcome&) {});
+}
+
+void ForwardShell::Do(const forward::AskPeer& action) {
+  HttpRequest request;
+  request.method = HttpMethod::kPost;
+  request.address = action.address;
+  request.path = kJobsPath;
+  request.headers = {{kContentTypeHeader, kJsonType}};
+  request.body = EncodeStageJob(action.job);
+  request.timeout =
+      RoundUp(std::max(action.job.until_deadline, base::Duration(0))) +
+      kPeerSlack;
+  asks_[action.ask] = http_->Send(
+      std::move(request), [this, ask = action.ask](const HttpOutcome& outcome) {
+        asks_.erase(ask);
+        if (const auto* failure = std::get_if<HttpFailure>(&outcome)) {
+          Feed(forward::PeerJobLost{ask, failure->detail});
+          return;
+        }
+        const auto& response = std::get<HttpResponse>(outcome);
+        auto decoded = DecodeJobOutcome(response.body);
+        if (response.status == 200 && decoded)
+          Feed(forward::PeerJobEnded{ask, std::move(*decoded)});
+        else
+          Feed(forward::PeerJobLost{
+              ask, "answered " + std::to_string(response.status)});
+      });
+}
+
+void ForwardShell::Do(const forward::CancelAsk& action) {
+  const auto node = asks_.extract(action.ask);
+  if (!node.empty())
+    http_->Cancel(node.mapped());
+}
+
+void ForwardShell::Do(const forward::AnswerPeer& action) {
+  peers_->Respond(ExchangeId{static_cast<uint64_t>(action.exchange)},
+                  {200,
+                   {{kContentTypeHeader, kJsonType}},
+                   EncodeJobOutcome(action.outcome)});
+}
+
+void ForwardShell::Do(const forward::TellPeerRead& action) {
+  HttpRequest request;
+  request.method = HttpMethod::kPost;
+  request.address = action.address;
+  request.path = kResultsReadPath;
+  request.headers = {{kContentTypeHeader, kJsonType}};
+  request.body = EncodeResultsRead(action.pool, action.results);
+  request.timeout = kTellTimeout;
+  // A peer that isn't told counts the room as used until the results' end.
+  http_->Send(std::move(request), [](const HttpOutcome&) {});
+}
+
+void ForwardShell::Do(const forward::ListTable& action) {
+  HttpRequest request = adapter_.EncodeList(action);
+  request.timeout = kStoreTimeout;
+  http_->Send(std::move(request),
+              [this, feed = action.feed](const HttpOutcome& outcome) {
+                Feed(adapter_.DecodeListed(feed, outcome));
+              });
+}
+
+void ForwardShell::Do(const forward::FollowTable& action) {
+  HttpRequest request = adapter_.EncodeFollow(action);
+  request.timeout = action.wait + kFollowSlack;
+  http_->Send(std::move(request),
+              [this, feed = action.feed](const HttpOutcome& outcome) {
+                Feed(adapter_.DecodeChanged(feed, outcome));
+              });
+}
+
+void ForwardShell::Do(const forward::WriteOwnRow& action) {
+  HttpRequest request = adapter_.EncodeWriteOwnRow(action.host);
+  request.timeout = kStoreTimeout;
+  http_->Send(std::move(request), [this](const HttpOutcome& outcome) {
+    if (const auto* failure = std::get_if<HttpFailure>(&outcome)) {
+      Feed(forward::OwnRowFailed{failure->detail});
+      return;
+    }
+    const int status = std::get<HttpResponse>(outcome).status;
+    if (IsSuccess(status))
+      Feed(forward::OwnRowWritten{});
+    else
+      Feed(forward::OwnRowFailed{"answered " + std::to_string(status)});
+  });
+}
+
+void ForwardShell::Do(const forward::RemoveOwnRow& action) {
+  HttpRequest request = adapter_.EncodeRemoveOwnRow(action.name);
+  request.timeout = kStoreTimeout;
+  // Peers pass over a host that doesn't answer; the row is a hint.
+  http_->Send(std::move(request), [](const HttpOutcome&) {});
+}
+
+void ForwardShell::Do(const forward::WriteLog& action) {
+  log_.Add(action, reactor_.Now());
+}
+
+void ForwardShell::Do(const forward::ApplyLimits& action) {
+  adapter_.SetLimits(action.limits);
+  callers_->SetMaxBodyBytes(action.limits.max_body_bytes);
+  // Callers use connections again that have been idle almost as long.
+  callers_->SetIdleTimeout(
+      std::chrono::ceil<std::chrono::seconds>(action.limits.idle_timeout));
+}
+
+void ForwardShell::Do(const forward::Exit& /*action*/) {
+  has_exited_ = true;
+  exited_at_ = reactor_.Now();
+}
+
+}  // namespace bilberry::transport
--- /dev/null
+++ b/Libraries/LibTransport/forward_shell.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+#include "LibBase/error.h"
+#include "LibDeclare/forward_settings.h"
+#include "LibForward/forward_node.h"
+#include "LibTransport/forward_adapter.h"
+#include "LibTransport/http_client.h"
+#include "LibTransport/http_listener.h"
+#include "LibTransport/json_log.h"
+#include "LibTransport/reactor.h"
+
+namespace bilberry::transport {
+
+struct ForwardShellOptions {
+  declare::ForwardSettings settings;
+  base::Incarnation incarnation{};
+  uint64_t seed = 0;
+  bool shares_calls = true;
+  int log_descriptor = 1;  // Standard output.
+};
+
+// Connects one ForwardNode to the network, in the words of an adapter: turns
+// input into events, and actions into output. It decides nothing.
+class ForwardShell final : private LoopParticipant {
+ public:
+  // `adapter` must outlive the shell.
+  static base::Result<std::unique_ptr<ForwardShell>> Create(
+      Reactor& reactor,
+      ForwardAdapter& adapter,
+      const ForwardShellOptions& options);
+  ~ForwardShell() override;
+
+  void OrderStop();
+  // The node has ended its graceful shutdown, and its answers are out.
+  bool has_finished() const;
+  bool is_ready() const { return node_.is_ready(); }
+
+ private:
+  // An attempt on its way.
+  struct Attempt {
+    HttpTransferId transfer{};
+    bool has_head = false;
+    std::string error_body;  // Of a streamed answer that is no success.
+  };
+
+  ForwardShell(Reactor& reactor,
+               ForwardAdapter& adapter,
+               const ForwardShellOptions& options);
+
+  base::Result<void> Listen();
+  void RunTurn(base::TimePoint now) override;
+  std::optional<base::TimePoint> NextTurn() const override;
+
+  void HandleCaller(IncomingRequest request);
+  void HandleCallerLeft(ExchangeId exchange);
+  void HandleReadiness(const IncomingRequest& request);
+  void HandlePeer(const IncomingRequest& request);
+  void HandleAttemptChunk(const base::AttemptId& attempt,
+                          const HttpResponse& head,
+                          std::string bytes);
+  void HandleAttemptDone(const base::AttemptId& attempt, HttpOutcome outcome);
+  void EndCaller(ExchangeId exchange);
+
+  void Feed(forward::Event event);
+  void Do(const forward::SendAttempt& action);
+  void Do(const forward::CancelAttempt& action);
+  void Do(const forward::AnswerCaller& action);
+  void Do(const forward::PassAnswer& action);
+  void Do(const forward::BeginStream& action);
+  void Do(const forward::StreamToCaller& action);
+  void Do(const forward::EndStream& action);
+  void Do(const forward::CallStage& action);
+  void Do(const forward::FreeResults& action);
+  void Do(const forward::AskPeer& action);
+  void Do(const forward::CancelAsk& action);
+  void Do(const forward::AnswerPeer& action);
+  void Do(const forward::TellPeerRead& action);
+  void Do(const forward::ListTable& action);
+  void Do(const forward::FollowTable& action);
+  void Do(const forward::WriteOwnRow& action);
+  void Do(const forward::RemoveOwnRow& action);
+  void Do(const forward::WriteLog& action);
+  void Do(const forward::ApplyLimits& action);
+  void Do(const forward::Exit& action);
+
+  void AddConnectionHeader(HttpHeaders& headers) const;
+
+  Reactor& reactor_;
+  ForwardAdapter& adapter_;
+  declare::ForwardSettings settings_;
+  forward::ForwardNode node_;
+  JsonLog log_;
+  std::unique_ptr<HttpClient> http_;
+  std::unique_ptr<HttpListener> callers_;
+  std::unique_ptr<HttpListener> readiness_;
+  std::unique_ptr<HttpListener> peers_;
+  std::unordered_map<uint64_t, Attempt> attempts_;  // By number.
+  std::unordered_map<forward::AskId, HttpTransferId> asks_;
+  // Callers whose streams have begun.
+  std::unordered_map<base::CallerId, bool> streams_;
+  bool has_exited_ = false;
+  base::TimePoint exited_at_;
+};
+
+}  // namespace bilberry::transport
--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -17,13 +17,19 @@
 // How long sent bytes may go without acknowledgement (RFC 5482).
 constexpr std::chrono::milliseconds kUserTimeout{2000};
 constexpr std::chrono::milliseconds kConnectTimeout{1000};
+// After this much silence, and as often from then on, the peer is asked whether
+// it still has the connection; kUserTimeout ends the waiting.
+constexpr int kKeepAliveSeconds = 1;
 constexpr size_t kMaxIdleHandles = 1024;
 constexpr long kMaxPooledConnections = 2048;
 
 void AppendHeader(curl_slist*& list,
                   const std::string& name,
                   const std::string& value) {
-  list = curl_slist_append(list, (name + ": " + value).c_str());
+  // curl takes "Name:" as the order to leave a header out, and "Name;" as one
+  // without a value.
+  const std::string line = value.empty() ? name + ";" : name + ": " + value;
+  list = curl_slist_append(list, line.c_str());
 }
 
 std::string TrimSpaces(std::string_view text) {
@@ -132,19 +138,57 @@
   curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, is_fresh ? 1L : 0L);
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
                    is_fresh || IsCondemned(request.address) ? 1L : 0L);
-  if (request.method != HttpMethod::kGet) {
-    curl_easy_setopt(easy, CURLOPT_POST, 1L);
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                     static_cast<curl_off_t>(request.body.size()));
+  if (request.forwarded_method)
+    SetForwardedMethod(transfer);
+  else
+    SetMethod(transfer);
+  SetHeaders(transfer);
+}
+
+void HttpClient::SetMethod(Transfer& transfer) {
+  if (transfer.request.method != HttpMethod::kGet)
+    SetBody(transfer);
+  if (transfer.request.method == HttpMethod::kPut)
+    curl_easy_setopt(transfer.easy, CURLOPT_CUSTOMREQUEST, "PUT");
+}
+
+void HttpClient::SetForwardedMethod(Transfer& transfer) {
+  const std::string& method = *transfer.request.forwarded_method;
+  if (method == "HEAD") {
+    curl_easy_setopt(transfer.easy, CURLOPT_NOBODY, 1L);
+    return;
   }
-  if (request.method == HttpMethod::kPut)
-    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, "PUT");
+  // A method that usually has a body is sent with its length, be it 0.
+  const bool has_body = !transfer.request.body.empty() || method == "POST" ||
+                        method == "PUT" || method == "PATCH";
+  if (has_body)
+    SetBody(transfer);
+  curl_easy_setopt(transfer.easy, CURLOPT_CUSTOMREQUEST, method.c_str());
+}
+
+void HttpClient::SetBody(Transfer& transfer) {
+  curl_easy_setopt(transfer.easy, CURLOPT_POST, 1L);
+  curl_easy_setopt(transfer.easy, CURLOPT_POSTFIELDS,
+                   transfer.request.body.data());
+  curl_easy_setopt(transfer.easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                   static_cast<curl_off_t>(transfer.request.body.size()));
+}
+
+void HttpClient::SetHeaders(Transfer& transfer) {
+  const HttpRequest& request = transfer.request;
   // Without this, curl waits a second for "100 Continue" on larger bodies.
   transfer.headers = curl_slist_append(transfer.headers, "Expect:");
+  if (request.forwarded_method) {
+    // Those that curl would add by itself.
+    for (const char* name : {"Accept", "Content-Type"}) {
+      if (FindHeader(request.headers, name) == nullptr)
+        transfer.headers = curl_slist_append(
+            transfer.headers, (std::string(name) + ":").c_str());
+    }
+  }
   for (const HttpHeader& header : request.headers)
     AppendHeader(transfer.headers, header.name, header.value);
-  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers);
+  curl_easy_setopt(transfer.easy, CURLOPT_HTTPHEADER, transfer.headers);
 }
 
 void HttpClient::Cancel(HttpTransferId id) {
@@ -227,6 +271,12 @@
   setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
   const int on = 1;
   setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  // A peer that is gone shows on a connection that waits for its answer too.
+  setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveSeconds,
+             sizeof(kKeepAliveSeconds));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveSeconds,
+             sizeof(kKeepAliveSeconds));
   return CURL_SOCKOPT_OK;
 }
 
--- a/Libraries/LibTransport/http_client.h
+++ b/Libraries/LibTransport/http_client.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -32,6 +33,9 @@
   std::string body;
   // 0 for none: the sender cancels when it has waited enough.
   std::chrono::milliseconds timeout{0};
+  // For a request that is passed on: its method as it came. No header is added
+  // but what frames the body.
+  std::optional<std::string> forwarded_method;
   node::ConnectionUse connection = node::ConnectionUse::kPooled;
 };
 
@@ -99,6 +103,10 @@
 
   CURL* TakeHandle();
   void SetUp(Transfer& transfer);
+  static void SetMethod(Transfer& transfer);
+  static void SetForwardedMethod(Transfer& transfer);
+  static void SetBody(Transfer& transfer);
+  static void SetHeaders(Transfer& transfer);
   void Act(curl_socket_t socket, int events);
   void DeliverSendings();
   void DeliverChunks();
--- a/Libraries/LibTransport/http_listener.cc
+++ b/Libraries/LibTransport/http_listener.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -20,9 +21,6 @@
 constexpr unsigned int kIdleConnectionSeconds = 60;
 constexpr int kPayloadTooLarge = 413;
 constexpr size_t kStreamBlock = 16384;
-// Of each connection, for heads and for bodies on their way through. It is
-// cleared with every request, so that a large one costs time.
-constexpr size_t kConnectionMemoryBytes = size_t{8} * 1024;
 
 MHD_Result CollectPair(void* out,
                        MHD_ValueKind /*kind*/,
@@ -39,15 +37,10 @@
                             header.value.c_str());
 }
 
-bool IsClosedByPeer(MHD_Connection* connection) {
+pollfd AwaitClose(MHD_Connection* connection) {
   const auto* info =
       MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  if (info == nullptr)
-    return false;
-  char byte = 0;
-  const ssize_t n = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return n == 0 ||
-         (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+  return {info == nullptr ? -1 : info->connect_fd, POLLRDHUP, 0};
 }
 
 }  // namespace
@@ -100,7 +93,9 @@
       nullptr, OnAccess, listener.get(), MHD_OPTION_SOCK_ADDR, &address,
       MHD_OPTION_NOTIFY_COMPLETED, OnCompleted, listener.get(),
       MHD_OPTION_CONNECTION_TIMEOUT, kIdleConnectionSeconds,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemoryBytes,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, options.connection_memory_bytes,
+      MHD_OPTION_URI_LOG_CALLBACK, OnTarget, listener.get(),
+      MHD_OPTION_NOTIFY_CONNECTION, OnConnection, listener.get(),
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
   if (listener->daemon_ == nullptr)
     return failure(std::string("can't listen: ") + std::strerror(errno));
@@ -159,20 +154,44 @@
 }
 
 void HttpListener::NoteThoseWhoLeft() {
-  std::vector<ExchangeId> left;
+  std::vector<ExchangeId> waiting;
+  std::vector<pollfd> descriptors;
   for (auto& [id, exchange] : exchanges_) {
-    if (exchange->is_suspended && !exchange->has_left &&
-        IsClosedByPeer(exchange->connection)) {
-      exchange->has_left = true;
-      left.push_back(id);
-    }
+    if (!exchange->is_suspended || exchange->has_left)
+      continue;
+    waiting.push_back(id);
+    descriptors.push_back(AwaitClose(exchange->connection));
   }
-  for (const ExchangeId id : left) {
+  if (descriptors.empty() ||
+      poll(descriptors.data(), descriptors.size(), 0) <= 0)
+    return;
+  for (size_t i = 0; i < waiting.size(); ++i) {
+    constexpr int kClosed = POLLRDHUP | POLLHUP | POLLERR;
+    // A handler may have ended other exchanges.
+    Exchange* exchange = Find(waiting[i]);
+    if ((descriptors[i].revents & kClosed) == 0 || exchange == nullptr)
+      continue;
+    exchange->has_left = true;
     if (left_handler_)
-      left_handler_(id);
+      left_handler_(waiting[i]);
   }
 }
 
+void* HttpListener::OnTarget(void* self,
+                             const char* target,
+                             MHD_Connection* connection) {
+  static_cast<HttpListener*>(self)->targets_[connection] = target;
+  return nullptr;
+}
+
+void HttpListener::OnConnection(void* self,
+                                MHD_Connection* connection,
+                                void** /*context*/,
+                                MHD_ConnectionNotificationCode code) {
+  if (code == MHD_CONNECTION_NOTIFY_CLOSED)
+    static_cast<HttpListener*>(self)->targets_.erase(connection);
+}
+
 MHD_Result HttpListener::OnAccess(void* self,
                                   MHD_Connection* connection,
                                   const char* url,
@@ -185,28 +204,55 @@
                                                         data, size, exchange);
 }
 
+MHD_Result HttpListener::BeginExchange(MHD_Connection* connection,
+                                       const char* url,
+                                       const char* method,
+                                       void** exchange) {
+  auto fresh = std::make_unique<Exchange>();
+  fresh->listener = this;
+  fresh->id = ExchangeId{++last_id_};
+  fresh->connection = connection;
+  *exchange = fresh.get();
+  fresh->request.exchange = fresh->id;
+  fresh->request.method = method;
+  fresh->request.path = url;
+  const auto target = targets_.extract(connection);
+  if (!target.empty())
+    fresh->request.target = target.mapped();
+  MHD_get_connection_values(connection, MHD_HEADER_KIND, CollectPair,
+                            &fresh->request.headers);
+  MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, CollectPair,
+                            &fresh->request.arguments);
+  if (idle_timeout_)
+    MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                              static_cast<unsigned>(idle_timeout_->count()));
+  Exchange& it = *exchanges_.emplace(fresh->id, std::move(fresh)).first->second;
+  if (!options_.head_check)
+    return MHD_YES;
+  const auto answer = options_.head_check(it.request);
+  if (!answer)
+    return MHD_YES;
+  // An answer in this call has libmicrohttpd close the connection behind it
+  // without reading the body.
+  it.is_answered = true;
+  MHD_Response* response = MHD_create_response_from_buffer(
+      answer->body.size(), const_cast<char*>(answer->body.data()),
+      MHD_RESPMEM_MUST_COPY);
+  AddHeaders(response, answer->headers);
+  const MHD_Result result = MHD_queue_response(
+      connection, static_cast<unsigned>(answer->status), response);
+  MHD_destroy_response(response);
+  return result;
+}
+
 MHD_Result HttpListener::HandleAccess(MHD_Connection* connection,
                                       const char* url,
                                       const char* method,
                                       const char* data,
                                       size_t* size,
                                       void** exchange) {
-  if (*exchange == nullptr) {
-    auto fresh = std::make_unique<Exchange>();
-    fresh->listener = this;
-    fresh->id = ExchangeId{++last_id_};
-    fresh->connection = connection;
-    *exchange = fresh.get();
-    fresh->request.exchange = fresh->id;
-    fresh->request.method = method;
-    fresh->request.path = url;
-    MHD_get_connection_values(connection, MHD_HEADER_KIND, CollectPair,
-                              &fresh->request.headers);
-    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, CollectPair,
-                              &fresh->request.arguments);
-    exchanges_.emplace(fresh->id, std::move(fresh));
-    return MHD_YES;
-  }
+  if (*exchange == nullptr)
+    return BeginExchange(connection, url, method, exchange);
   auto& it = *static_cast<Exchange*>(*exchange);
   if (*size > 0) {
     it.is_too_large = it.is_too_large ||
--- a/Libraries/LibTransport/http_listener.h
+++ b/Libraries/LibTransport/http_listener.h
@@ -24,6 +24,7 @@
   ExchangeId exchange{};
   std::string method;
   std::string path;
+  std::string target;  // Path and query as they came.
   HttpHeaders headers;
   HttpHeaders arguments;  // Of the URL's query.
   std::string body;
@@ -35,6 +36,13 @@
 struct ListenerOptions {
   base::SocketAddress address;  // Port 0 takes a free one.
   size_t max_body_bytes = size_t{1024} * 1024;
+  // Of each connection, for heads and for bodies on their way through. It is
+  // cleared with every request, so that a large one costs time.
+  size_t connection_memory_bytes = size_t{8} * 1024;
+  // Answers a request by its head alone, before its body is read; empty to
+  // take the request.
+  std::function<std::optional<HttpResponse>(const IncomingRequest& head)>
+      head_check = nullptr;
 };
 
 // Answers HTTP requests at one address by libmicrohttpd, driven by the reactor.
@@ -68,6 +76,12 @@
 
   size_t exchange_count() const { return exchanges_.size(); }
 
+  // Hold for connections from their next request on.
+  void SetMaxBodyBytes(size_t bytes) { options_.max_body_bytes = bytes; }
+  void SetIdleTimeout(std::chrono::seconds timeout) {
+    idle_timeout_ = timeout;
+  }
+
   void RunTurn(base::TimePoint now) override;
   std::optional<base::TimePoint> NextTurn() const override;
 
@@ -81,6 +95,11 @@
 
   int handle_input(ACE_HANDLE descriptor) override;
 
+  static void* OnTarget(void* self, const char* target, MHD_Connection*);
+  static void OnConnection(void* self,
+                           MHD_Connection* connection,
+                           void** context,
+                           MHD_ConnectionNotificationCode code);
   static MHD_Result OnAccess(void* self,
                              MHD_Connection* connection,
                              const char* url,
@@ -101,6 +120,10 @@
                           const char* data,
                           size_t* size,
                           void** exchange);
+  MHD_Result BeginExchange(MHD_Connection* connection,
+                           const char* url,
+                           const char* method,
+                           void** exchange);
   Exchange* Find(ExchangeId id);
   void Suspend(Exchange& exchange);
   void Resume(Exchange& exchange);
@@ -112,6 +135,9 @@
   LeftHandler left_handler_;
   MHD_Daemon* daemon_ = nullptr;
   int descriptor_ = -1;
+  std::optional<std::chrono::seconds> idle_timeout_;
+  // Of requests whose head is being read.
+  std::unordered_map<MHD_Connection*, std::string> targets_;
   uint64_t last_id_ = 0;
   bool needs_turn_ = true;
   base::TimePoint next_sweep_;
--- a/Libraries/LibTransport/http_message.h
+++ b/Libraries/LibTransport/http_message.h
@@ -1,22 +1,14 @@
 #pragma once
 
 #include <string>
-#include <string_view>
-#include <vector>
 
-namespace bilberry::transport {
-
-struct HttpHeader {
-  std::string name;
-  std::string value;
-};
+#include "LibBase/http_header.h"
 
-using HttpHeaders = std::vector<HttpHeader>;
+namespace bilberry::transport {
 
-// The first value of a header, names compared without case (RFC 9110 section
-// 5.1); null when there is none.
-const std::string* FindHeader(const HttpHeaders& headers,
-                              std::string_view name);
+using base::FindHeader;
+using base::HttpHeader;
+using base::HttpHeaders;
 
 struct HttpResponse {
   int status = 200;
--- /dev/null
+++ b/Libraries/LibTransport/stage_job_codec.cc
@@ -0,0 +1,179 @@
+#include "LibTransport/stage_job_codec.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibTransport/json_text.h"
+
+namespace bilberry::transport {
+
+namespace {
+
+constexpr forward::JobFailureKind kFailureKinds[] = {
+    forward::JobFailureKind::kTooLate, forward::JobFailureKind::kNoEndpoint,
+    forward::JobFailureKind::kInputGone, forward::JobFailureKind::kFailed,
+    forward::JobFailureKind::kHostLost};
+
+Json::Value JsonOf(const std::vector<forward::StageResult>& results) {
+  Json::Value list(Json::arrayValue);
+  for (const forward::StageResult& it : results) {
+    Json::Value& pair = list.append(Json::Value(Json::arrayValue));
+    pair.append(base::ToText(it.maker));
+    pair.append(it.handle);
+  }
+  return list;
+}
+
+std::optional<std::vector<forward::StageResult>> ResultsOf(
+    const Json::Value& list) {
+  if (!list.isArray())
+    return std::nullopt;
+  std::vector<forward::StageResult> results;
+  for (const Json::Value& pair : list) {
+    if (!pair.isArray() || pair.size() != 2 || !pair[0].isString() ||
+        !pair[1].isString())
+      return std::nullopt;
+    const auto maker = base::ParseSocketAddress(pair[0].asString());
+    if (!maker)
+      return std::nullopt;
+    results.push_back({*maker, pair[1].asString()});
+  }
+  return results;
+}
+
+Json::Value JsonOf(base::Duration duration) {
+  return static_cast<Json::Int64>(duration.count());
+}
+
+bool HasNumbers(const Json::Value& object,
+                std::initializer_list<const char*> keys) {
+  return std::ranges::all_of(
+      keys, [&](const char* key) { return object[key].isInt64(); });
+}
+
+bool HasTexts(const Json::Value& object,
+              std::initializer_list<const char*> keys) {
+  return std::ranges::all_of(
+      keys, [&](const char* key) { return object[key].isString(); });
+}
+
+base::Duration DurationOf(const Json::Value& value) {
+  return base::Duration(value.asInt64());
+}
+
+}  // namespace
+
+std::string EncodeStageJob(const forward::StageJob& job) {
+  Json::Value object;
+  object["request"] = job.request_id;
+  object["pool"] = job.pool.value;
+  object["stage"] = job.stage;
+  object["pieces"] = job.piece_count;
+  if (const auto* key = std::get_if<std::string>(&job.input))
+    object["key"] = *key;
+  else
+    object["inputs"] =
+        JsonOf(std::get<std::vector<forward::StageResult>>(job.input));
+  object["result_bytes"] = static_cast<Json::UInt64>(job.result_bytes);
+  object["urgency"] = static_cast<uint32_t>(job.urgency);
+  object["target_us"] = JsonOf(job.until_target);
+  object["deadline_us"] = JsonOf(job.until_deadline);
+  object["after_us"] = JsonOf(job.time_after);
+  object["reader_zone"] = job.reader_zone.value;
+  object["is_new"] = job.progress == forward::RequestProgress::kNew;
+  return PrintCompact(object);
+}
+
+std::optional<forward::StageJob> DecodeStageJob(std::string_view text) {
+  const auto object = ParseCompact(text);
+  if (!object || !object->isObject())
+    return std::nullopt;
+  const Json::Value& it = *object;
+  if (!HasTexts(it, {"request", "pool", "reader_zone"}) ||
+      !HasNumbers(it, {"stage", "pieces", "result_bytes", "urgency",
+                       "target_us", "deadline_us", "after_us"}) ||
+      !it["is_new"].isBool() || !it["stage"].isUInt() ||
+      !it["pieces"].isUInt() || !it["urgency"].isUInt() ||
+      !it["result_bytes"].isUInt64())
+    return std::nullopt;
+  forward::StageJob job;
+  job.request_id = it["request"].asString();
+  job.pool.value = it["pool"].asString();
+  job.stage = it["stage"].asUInt();
+  job.piece_count = it["pieces"].asUInt();
+  if (it["key"].isString()) {
+    job.input = it["key"].asString();
+  } else {
+    auto inputs = ResultsOf(it["inputs"]);
+    if (!inputs)
+      return std::nullopt;
+    job.input = std::move(*inputs);
+  }
+  job.result_bytes = it["result_bytes"].asUInt64();
+  job.urgency = forward::Urgency{it["urgency"].asUInt()};
+  job.until_target = DurationOf(it["target_us"]);
+  job.until_deadline = DurationOf(it["deadline_us"]);
+  job.time_after = DurationOf(it["after_us"]);
+  job.reader_zone.value = it["reader_zone"].asString();
+  job.progress = it["is_new"].asBool() ? forward::RequestProgress::kNew
+                                       : forward::RequestProgress::kUnderWay;
+  return job;
+}
+
+std::string EncodeJobOutcome(const forward::JobOutcome& outcome) {
+  Json::Value object;
+  if (const auto* done = std::get_if<forward::JobResults>(&outcome)) {
+    object["results"] = JsonOf(done->results);
+  } else {
+    const auto& failure = std::get<forward::JobFailure>(outcome);
+    object["failure"] = std::string(forward::ToText(failure.kind));
+    object["retry_after_us"] = JsonOf(failure.retry_after);
+  }
+  return PrintCompact(object);
+}
+
+std::optional<forward::JobOutcome> DecodeJobOutcome(std::string_view text) {
+  const auto object = ParseCompact(text);
+  if (!object || !object->isObject())
+    return std::nullopt;
+  const Json::Value& it = *object;
+  if (it.isMember("results")) {
+    auto results = ResultsOf(it["results"]);
+    if (!results)
+      return std::nullopt;
+    return forward::JobResults{std::move(*results)};
+  }
+  if (!HasTexts(it, {"failure"}) || !HasNumbers(it, {"retry_after_us"}))
+    return std::nullopt;
+  const std::string name = it["failure"].asString();
+  const auto* kind =
+      std::ranges::find_if(kFailureKinds, [&name](forward::JobFailureKind k) {
+        return forward::ToText(k) == name;
+      });
+  if (kind == std::end(kFailureKinds))
+    return std::nullopt;
+  return forward::JobFailure{*kind, DurationOf(it["retry_after_us"])};
+}
+
+std::string EncodeResultsRead(
+    const base::PoolName& pool,
+    const std::vector<forward::StageResult>& results) {
+  Json::Value object;
+  object["pool"] = pool.value;
+  object["results"] = JsonOf(results);
+  return PrintCompact(object);
+}
+
+std::optional<forward::PeerResultsRead> DecodeResultsRead(
+    std::string_view text) {
+  const auto object = ParseCompact(text);
+  if (!object || !object->isObject() || !HasTexts(*object, {"pool"}))
+    return std::nullopt;
+  auto results = ResultsOf((*object)["results"]);
+  if (!results)
+    return std::nullopt;
+  return forward::PeerResultsRead{{(*object)["pool"].asString()},
+                                  std::move(*results)};
+}
+
+}  // namespace bilberry::transport
