--- a/Libraries/LibBase/http_header.cc
+++ b/Libraries/LibBase/http_header.cc
@@ -19,9 +19,9 @@
 
 const std::string* FindHeader(const HttpHeaders& headers,
                               std::string_view name) {
-  const auto it = std::ranges::find_if(
-      headers,
-      [name](const HttpHeader& it) { return IsSameHeader(it.name, name); });
+  const auto it = std::ranges::find_if(headers, [name](const HttpHeader& it) {
+    return IsSameHeader(it.name, name);
+  });
   return it == headers.end() ? nullptr : &it->value;
 }
 
--- a/Libraries/LibForward/endpoint_chooser.cc
+++ b/Libraries/LibForward/endpoint_chooser.cc
@@ -36,9 +36,8 @@
   endpoints_ = std::move(present);
 }
 
-EndpointChooser::Candidates EndpointChooser::Usable(
-    const EndpointWish& wish,
-    base::TimePoint now) const {
+EndpointChooser::Candidates EndpointChooser::Usable(const EndpointWish& wish,
+                                                    base::TimePoint now) const {
   Candidates rested;
   Candidates resting;
   for (const auto& [name, endpoint] : endpoints_) {
--- a/Libraries/LibForward/endpoint_directory.h
+++ b/Libraries/LibForward/endpoint_directory.h
@@ -16,7 +16,8 @@
 class EndpointDirectory {
  public:
   // True when something has changed.
-  bool Apply(bool is_whole, const std::vector<FeedRow>& rows,
+  bool Apply(bool is_whole,
+             const std::vector<FeedRow>& rows,
              base::TimePoint now);
 
   void NoteStoreLost();
--- a/Libraries/LibForward/feed_follower.cc
+++ b/Libraries/LibForward/feed_follower.cc
@@ -61,14 +61,13 @@
 void FeedFollower::HandleFailed(base::TimePoint now) {
   is_calling_ = false;
   pages_.clear();
-  const auto pause =
-      std::min(kFirstPause * (int64_t{1} << std::min(failures_, 8U)),
-               kLongestPause);
+  const auto pause = std::min(
+      kFirstPause * (int64_t{1} << std::min(failures_, 8U)), kLongestPause);
   ++failures_;
   const auto spread = static_cast<uint64_t>(pause.count() / 2 + 1);
-  not_before_ = std::max(
-      not_before_,
-      now + pause + std::chrono::milliseconds(random_.Below(spread)));
+  not_before_ =
+      std::max(not_before_,
+               now + pause + std::chrono::milliseconds(random_.Below(spread)));
 }
 
 std::optional<base::TimePoint> FeedFollower::NextWakeup() const {
--- a/Libraries/LibForward/forward_action.h
+++ b/Libraries/LibForward/forward_action.h
@@ -44,14 +44,14 @@
   kUnknownKey,
   kUnknownPipeline,
   kBodyTooLarge,
-  kNotReady,          // No configuration yet.
-  kStopping,          // This host stops.
-  kNoEndpoint,        // The pool has none.
-  kTooLate,           // It can't make its deadline.
-  kRefusedByEndpoint, // Endpoints refused it without running it.
+  kNotReady,           // No configuration yet.
+  kStopping,           // This host stops.
+  kNoEndpoint,         // The pool has none.
+  kTooLate,            // It can't make its deadline.
+  kRefusedByEndpoint,  // Endpoints refused it without running it.
   kStageFailed,
-  kAttemptFailed,     // May have run.
-  kTimeout,           // May have run.
+  kAttemptFailed,  // May have run.
+  kTimeout,        // May have run.
 };
 
 // The final answer of this host itself. kAttemptFailed and kTimeout say nothing
--- a/Libraries/LibForward/forward_configuration.cc
+++ b/Libraries/LibForward/forward_configuration.cc
@@ -26,10 +26,9 @@
 
 const ForwardedTeam* ForwardConfiguration::FindTeamOfKey(
     std::string_view key) const {
-  const auto it =
-      std::ranges::find_if(teams, [key](const ForwardedTeam& team) {
-        return std::ranges::find(team.keys, key) != team.keys.end();
-      });
+  const auto it = std::ranges::find_if(teams, [key](const ForwardedTeam& team) {
+    return std::ranges::find(team.keys, key) != team.keys.end();
+  });
   return it == teams.end() ? nullptr : &*it;
 }
 
--- a/Libraries/LibForward/forwarded_request.h
+++ b/Libraries/LibForward/forwarded_request.h
@@ -37,7 +37,8 @@
   std::vector<PrefixPart> prefix;
   uint64_t prompt_tokens = 0;
   uint64_t max_output_tokens = 0;
-  std::optional<std::string> last_event;  // The caller's stream had come so far.
+  std::optional<std::string>
+      last_event;  // The caller's stream had come so far.
 };
 
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/forwarded_run.cc
+++ b/Libraries/LibForward/forwarded_run.cc
@@ -58,10 +58,9 @@
 std::vector<StageResult> ForwardedRun::FinalInputs() const {
   std::vector<StageResult> inputs;
   for (size_t i = 0; i < stages.size(); ++i) {
-    const bool is_read =
-        std::ranges::any_of(pipeline->stages, [i](const ForwardedStage& it) {
-          return Reads(it, i);
-        });
+    const bool is_read = std::ranges::any_of(
+        pipeline->stages,
+        [i](const ForwardedStage& it) { return Reads(it, i); });
     if (!is_read)
       Append(stages[i], inputs);
   }
@@ -92,8 +91,8 @@
       continue;
     const PieceLimits& limits = *pool->pieces;
     const uint32_t in_call = std::min(stages[i].pieces, limits.pieces_per_call);
-    longest = std::max(longest, limits.call_time + limits.piece_time * in_call +
-                                    TimeAfter(i));
+    longest = std::max(
+        longest, limits.call_time + limits.piece_time * in_call + TimeAfter(i));
   }
   return longest;
 }
--- a/Libraries/LibForward/forwarded_run.h
+++ b/Libraries/LibForward/forwarded_run.h
@@ -44,7 +44,7 @@
   std::vector<StageState> stages;
   std::optional<FinalAttempt> attempt;
   std::vector<base::EndpointName> tried;
-  uint32_t runs = 0;          // Attempts that may have run.
+  uint32_t runs = 0;  // Attempts that may have run.
   bool has_begun_stream = false;
   std::optional<std::string> last_event;
 
--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -81,11 +81,11 @@
 void RunDesk::Refuse(const ForwardedRequest& request,
                      OwnAnswerCode code,
                      std::optional<base::Duration> retry_after) {
-  context_.Log(base::LogEventId::kRequestRefused, request.request_id,
-               {{"reason", std::string(ToText(code))},
-                {"revision", std::to_string(
-                                 configuration_ ? configuration_->revision
-                                                : 0)}});
+  context_.Log(
+      base::LogEventId::kRequestRefused, request.request_id,
+      {{"reason", std::string(ToText(code))},
+       {"revision",
+        std::to_string(configuration_ ? configuration_->revision : 0)}});
   context_.Emit(
       AnswerCaller{request.caller, request.request_id, code, retry_after});
 }
--- a/Libraries/LibForward/stage_desk.cc
+++ b/Libraries/LibForward/stage_desk.cc
@@ -64,8 +64,8 @@
   StageJob job = question.job;
   job.until_target = question.target - now;
   job.until_deadline = question.deadline - now;
-  const bool is_alone = !context_.options().shares_calls ||
-                        question.hosts_lost > kMaxHostsLost;
+  const bool is_alone =
+      !context_.options().shares_calls || question.hosts_lost > kMaxHostsLost;
   const PeerHost& host =
       is_alone ? context_.options().own : ring_.DispatcherOf(job.pool, now);
   question.host = host.name;
@@ -167,9 +167,8 @@
     outcomes_.emplace_back(event.ask, *failure);
   else
     outcomes_.emplace_back(
-        event.ask,
-        AskedResults{it->second.host, it->second.job.pool,
-                     std::get<JobResults>(event.outcome).results});
+        event.ask, AskedResults{it->second.host, it->second.job.pool,
+                                std::get<JobResults>(event.outcome).results});
   questions_.erase(it);
 }
 
--- a/Libraries/LibForward/stage_desk.h
+++ b/Libraries/LibForward/stage_desk.h
@@ -74,7 +74,9 @@
   };
 
   void Place(AskId id, Question& question, base::TimePoint now);
-  JobId SubmitHere(Pool& pool, StageJob job, Origin origin,
+  JobId SubmitHere(Pool& pool,
+                   StageJob job,
+                   Origin origin,
                    base::TimePoint now);
   void GiveOutcomes(Pool& pool, base::TimePoint now);
   void GiveOutcome(const Origin& origin, JobOutcome outcome);
--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -115,10 +115,10 @@
     if (endpoint.listed.state != EndpointState::kServing)
       continue;
     const bool is_idle = IsIdle(endpoint, now);
-    until_idle = std::min(until_idle,
-                          is_idle ? base::Duration(0)
-                                  : std::max(base::Duration(0),
-                                             endpoint.busy_until - now));
+    until_idle = std::min(
+        until_idle,
+        is_idle ? base::Duration(0)
+                : std::max(base::Duration(0), endpoint.busy_until - now));
   }
   const size_t per_round =
       ServingCount() * limits_.calls_at_once * limits_.pieces_per_call;
@@ -225,8 +225,7 @@
                                  Call& record,
                                  base::TimePoint now) {
   const uint64_t bytes = job.job.result_bytes;
-  while (!job.waiting.empty() &&
-         call.pieces.size() < limits_.pieces_per_call &&
+  while (!job.waiting.empty() && call.pieces.size() < limits_.pieces_per_call &&
          endpoint.room.used_bytes() + bytes <= limits_.room_bytes) {
     const uint32_t piece = job.waiting.front();
     job.waiting.erase(job.waiting.begin());
@@ -333,8 +332,7 @@
   if (it == jobs_.end())
     return;
   Job& job = it->second;
-  if (job.repeats >= kMaxRepeats * job.job.piece_count ||
-      !repeats_.TryTake()) {
+  if (job.repeats >= kMaxRepeats * job.job.piece_count || !repeats_.TryTake()) {
     Fail(piece.job, {JobFailureKind::kFailed, kNoEndpointRetry});
     return;
   }
@@ -373,8 +371,7 @@
                                    base::TimePoint now) {
   const uint64_t used = endpoint.room.used_bytes();
   endpoint.room.Remove(handle);
-  const bool is_large =
-      used - endpoint.room.used_bytes() >= kLargeResultBytes;
+  const bool is_large = used - endpoint.room.used_bytes() >= kLargeResultBytes;
   endpoint.to_free.push_back(handle);
   const base::TimePoint due = is_large ? now : now + kFreeDelay;
   endpoint.free_due = std::min(endpoint.free_due.value_or(due), due);
@@ -386,8 +383,8 @@
     if (!endpoint.free_due || *endpoint.free_due > now)
       continue;
     endpoint.free_due.reset();
-    orders.push_back({name, endpoint.listed.address,
-                      std::exchange(endpoint.to_free, {})});
+    orders.push_back(
+        {name, endpoint.listed.address, std::exchange(endpoint.to_free, {})});
   }
   return orders;
 }
@@ -427,8 +424,8 @@
 }
 
 size_t StageDispatcher::ServingCount() const {
-  return static_cast<size_t>(std::ranges::count_if(
-      endpoints_, [](const auto& it) {
+  return static_cast<size_t>(
+      std::ranges::count_if(endpoints_, [](const auto& it) {
         return it.second.listed.state == EndpointState::kServing;
       }));
 }
--- a/Libraries/LibForward/store_desk.cc
+++ b/Libraries/LibForward/store_desk.cc
@@ -24,13 +24,15 @@
 
 StoreDesk::StoreDesk(ForwardContext& context)
     : context_(context),
-      followers_{
-          FeedFollower(FeedKind::kConfiguration, kConfigurationPace,
-                       context.options().seed + 2),
-          FeedFollower(FeedKind::kEndpoints, kEndpointPace,
-                       context.options().seed + 3),
-          FeedFollower(FeedKind::kHosts, kHostPace,
-                       context.options().seed + 4)} {}
+      followers_{FeedFollower(FeedKind::kConfiguration,
+                              kConfigurationPace,
+                              context.options().seed + 2),
+                 FeedFollower(FeedKind::kEndpoints,
+                              kEndpointPace,
+                              context.options().seed + 3),
+                 FeedFollower(FeedKind::kHosts,
+                              kHostPace,
+                              context.options().seed + 4)} {}
 
 void StoreDesk::Handle(TableListed event, base::TimePoint now) {
   const FeedKind feed = event.feed;
@@ -58,9 +60,9 @@
 void StoreDesk::Handle(const TableCallFailed& event, base::TimePoint now) {
   FeedFollower& follower = FollowerOf(event.feed);
   if (!follower.is_failing())
-    context_.Log(base::LogEventId::kPlatformUnreachable, "",
-                 {{"feed", std::string(ToText(event.feed))},
-                  {"reason", event.detail}});
+    context_.Log(
+        base::LogEventId::kPlatformUnreachable, "",
+        {{"feed", std::string(ToText(event.feed))}, {"reason", event.detail}});
   follower.HandleFailed(now);
   if (event.feed == FeedKind::kEndpoints)
     directory_.NoteStoreLost();
--- a/Libraries/LibTransport/forward_adapter.h
+++ b/Libraries/LibTransport/forward_adapter.h
@@ -32,7 +32,8 @@
   // Endpoints.
   virtual HttpRequest EncodeAttempt(
       const forward::SendAttempt& attempt) const = 0;
-  virtual forward::AnswerHead DecodeHead(const HttpResponse& response) const = 0;
+  virtual forward::AnswerHead DecodeHead(
+      const HttpResponse& response) const = 0;
   virtual HttpRequest EncodeStageCall(const forward::StageCall& call) const = 0;
   virtual forward::StageCallOutcome DecodeStageCall(
       const HttpOutcome& outcome) const = 0;
@@ -42,9 +43,9 @@
   virtual HttpRequest EncodeList(const forward::ListTable& list) const = 0;
   virtual HttpRequest EncodeFollow(
       const forward::FollowTable& follow) const = 0;
-  virtual HttpRequest EncodeWriteOwnRow(const forward::PeerHost& host) const = 0;
-  virtual HttpRequest EncodeRemoveOwnRow(
-      const base::HostName& host) const = 0;
+  virtual HttpRequest EncodeWriteOwnRow(
+      const forward::PeerHost& host) const = 0;
+  virtual HttpRequest EncodeRemoveOwnRow(const base::HostName& host) const = 0;
   virtual forward::Event DecodeListed(forward::FeedKind feed,
                                       const HttpOutcome& outcome) const = 0;
   virtual forward::Event DecodeChanged(forward::FeedKind feed,
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -90,31 +90,29 @@
   options.head_check = [this](const IncomingRequest& head) {
     return adapter_.CheckHead(head);
   };
-  TRY(callers,
-      HttpListener::Create(
-          reactor_, options,
-          [this](IncomingRequest it) { HandleCaller(std::move(it)); },
-          [this](ExchangeId it) { HandleCallerLeft(it); }));
+  TRY(callers, HttpListener::Create(
+                   reactor_, options,
+                   [this](IncomingRequest it) { HandleCaller(std::move(it)); },
+                   [this](ExchangeId it) { HandleCallerLeft(it); }));
   callers_ = std::move(callers);
   ListenerOptions peer_options;
   peer_options.address = settings_.peers;
   peer_options.max_body_bytes = kMaxPeerBody;
-  TRY(peers,
-      HttpListener::Create(
-          reactor_, peer_options,
-          [this](const IncomingRequest& it) { HandlePeer(it); },
-          [this](ExchangeId it) {
-            Feed(forward::PeerJobLeft{
-                forward::PeerExchangeId{static_cast<uint64_t>(it)}});
-            peers_->Abort(it);
-          }));
+  TRY(peers, HttpListener::Create(
+                 reactor_, peer_options,
+                 [this](const IncomingRequest& it) { HandlePeer(it); },
+                 [this](ExchangeId it) {
+                   Feed(forward::PeerJobLeft{
+                       forward::PeerExchangeId{static_cast<uint64_t>(it)}});
+                   peers_->Abort(it);
+                 }));
   peers_ = std::move(peers);
   ListenerOptions readiness_options;
   readiness_options.address = settings_.readiness;
-  TRY(readiness,
-      HttpListener::Create(
-          reactor_, readiness_options,
-          [this](const IncomingRequest& it) { HandleReadiness(it); }));
+  TRY(readiness, HttpListener::Create(reactor_, readiness_options,
+                                      [this](const IncomingRequest& it) {
+                                        HandleReadiness(it);
+                                      }));
   readiness_ = std::move(readiness);
   return base::Success();
 }
@@ -295,11 +293,10 @@
 void ForwardShell::Do(const forward::CallStage& action) {
   HttpRequest request = adapter_.EncodeStageCall(action.call);
   request.timeout = RoundUp(action.call.timeout);
-  http_->Send(std::move(request),
-              [this, id = action.call.id](const HttpOutcome& outcome) {
-                Feed(forward::StageCallEnded{
-                    id, adapter_.DecodeStageCall(outcome)});
-              });
+  http_->Send(std::move(request), [this, id = action.call.id](
+                                      const HttpOutcome& outcome) {
+    Feed(forward::StageCallEnded{id, adapter_.DecodeStageCall(outcome)});
+  });
 }
 
 void ForwardShell::Do(const forward::FreeResults& action) {
--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -182,8 +182,8 @@
     // Those that curl would add by itself.
     for (const char* name : {"Accept", "Content-Type"}) {
       if (FindHeader(request.headers, name) == nullptr)
-        transfer.headers = curl_slist_append(
-            transfer.headers, (std::string(name) + ":").c_str());
+        transfer.headers = curl_slist_append(transfer.headers,
+                                             (std::string(name) + ":").c_str());
     }
   }
   for (const HttpHeader& header : request.headers)
--- a/Libraries/LibTransport/http_listener.h
+++ b/Libraries/LibTransport/http_listener.h
@@ -78,9 +78,7 @@
 
   // Hold for connections from their next request on.
   void SetMaxBodyBytes(size_t bytes) { options_.max_body_bytes = bytes; }
-  void SetIdleTimeout(std::chrono::seconds timeout) {
-    idle_timeout_ = timeout;
-  }
+  void SetIdleTimeout(std::chrono::seconds timeout) { idle_timeout_ = timeout; }
 
   void RunTurn(base::TimePoint now) override;
   std::optional<base::TimePoint> NextTurn() const override;
