--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -17,6 +17,7 @@
     {kHostNotReady, kWarning, "host-not-ready"},
     {kStopOrdered, kInfo, "stop-ordered"},
     {kHostStopped, kInfo, "host-stopped"},
+    {kSettingsRead, kInfo, "settings-read"},
     {kConfigurationAdopted, kInfo, "configuration-adopted"},
     {kLowerRevisionRefused, kError, "lower-revision-refused"},
     {kConfigurationMalformed, kError, "configuration-malformed"},
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -15,6 +15,7 @@
   kHostNotReady = 1003,
   kStopOrdered = 1004,
   kHostStopped = 1005,
+  kSettingsRead = 1006,
   kConfigurationAdopted = 1101,
   kLowerRevisionRefused = 1102,
   kConfigurationMalformed = 1103,
--- a/Libraries/LibTransport/forward_adapter.h
+++ b/Libraries/LibTransport/forward_adapter.h
@@ -40,6 +40,7 @@
   virtual HttpRequest EncodeFree(const forward::FreeOrder& order) const = 0;
 
   // The store.
+  virtual void SetStore(const base::SocketAddress& address) = 0;
   virtual HttpRequest EncodeList(const forward::ListTable& list) const = 0;
   virtual HttpRequest EncodeFollow(
       const forward::FollowTable& follow) const = 0;
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -125,6 +125,25 @@
   Feed(forward::StopOrdered{});
 }
 
+void ForwardShell::ApplySettings(const declare::ForwardSettings& settings) {
+  const bool has_new_store = settings.store != settings_.store;
+  if (has_new_store)
+    adapter_.SetStore(settings.store);
+  settings_.store = settings.store;
+  const std::string outcome = settings != settings_ ? "needs a restart"
+                              : has_new_store       ? "another store"
+                                                    : "unchanged";
+  log_.Add({base::LogEventId::kSettingsRead, "", {{"outcome", outcome}}},
+           reactor_.Now());
+}
+
+void ForwardShell::NoteBadSettings(std::string reason) {
+  log_.Add({base::LogEventId::kSettingsRead,
+            "",
+            {{"outcome", "refused"}, {"reason", std::move(reason)}}},
+           reactor_.Now());
+}
+
 bool ForwardShell::has_finished() const {
   return has_exited_ && (callers_->exchange_count() == 0 ||
                          reactor_.Now() > exited_at_ + kFlushTime);
--- a/Libraries/LibTransport/forward_shell.h
+++ b/Libraries/LibTransport/forward_shell.h
@@ -37,6 +37,11 @@
   ~ForwardShell() override;
 
   void OrderStop();
+  // Takes on what can change while the host runs; the rest is logged as waiting
+  // for a restart.
+  void ApplySettings(const declare::ForwardSettings& settings);
+  // The settings could not be read again; those in force stay.
+  void NoteBadSettings(std::string reason);
   // The node has ended its graceful shutdown, and its answers are out.
   bool has_finished() const;
   bool is_ready() const { return node_.is_ready(); }
--- a/Libraries/LibTransport/program.cc
+++ b/Libraries/LibTransport/program.cc
@@ -11,12 +11,18 @@
 namespace {
 
 volatile std::sig_atomic_t stop_was_ordered = 0;
+volatile std::sig_atomic_t reload_was_ordered = 0;
 
 void NoteStop(int /*signal*/) {
   stop_was_ordered = 1;
 }
 
+void NoteReload(int /*signal*/) {
+  reload_was_ordered = 1;
+}
+
 void InstallSignals() {
+  std::signal(SIGHUP, NoteReload);
   std::signal(SIGTERM, NoteStop);
   std::signal(SIGINT, NoteStop);
   // A caller that closes early is told by the write's error instead.
@@ -54,4 +60,10 @@
   return stop_was_ordered != 0;
 }
 
+bool TakeReloadOrder() {
+  const bool was_ordered = reload_was_ordered != 0;
+  reload_was_ordered = 0;
+  return was_ordered;
+}
+
 }  // namespace bilberry::transport
--- a/Libraries/LibTransport/program.h
+++ b/Libraries/LibTransport/program.h
@@ -18,4 +18,8 @@
 // True from the first SIGTERM or SIGINT on; a second one changes nothing.
 bool StopWasOrdered();
 
+// True once after each SIGHUP or series of them: the settings are to be read
+// again.
+bool TakeReloadOrder();
+
 }  // namespace bilberry::transport
