--- /dev/null
+++ b/Tests/LibForward/test_forward_node.cc
@@ -0,0 +1,279 @@
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "LibForward/forward_node.h"
+
+namespace bilberry::forward {
+namespace {
+
+using std::chrono::milliseconds;
+
+// One entry host in virtual time, whose actions are kept.
+class NodeBench {
+ public:
+  NodeBench() : node(Options()) {
+    Feed(TimerDue{});
+    Feed(TableListed{FeedKind::kConfiguration,
+                     {{"c", MakeConfiguration()}},
+                     false,
+                     1});
+    Feed(TableListed{FeedKind::kEndpoints,
+                     {{"e1", MakeEndpoint("e1", "llm")},
+                      {"e2", MakeEndpoint("e2", "llm")},
+                      {"m1", MakeEndpoint("m1", "maker")}},
+                     false,
+                     1});
+  }
+
+  static ForwardOptions Options() {
+    ForwardOptions options;
+    options.own = {{"own"}, {"10.0.0.1", 1}, {"z"}, 1};
+    options.incarnation = base::Incarnation{1};
+    return options;
+  }
+
+  static std::shared_ptr<const ForwardConfiguration> MakeConfiguration() {
+    ForwardConfiguration configuration;
+    configuration.revision = 1;
+    ForwardedPipeline pipeline;
+    pipeline.name.value = "draft";
+    pipeline.host = "h";
+    pipeline.path_prefix = "/d/";
+    pipeline.delivery = declare::Delivery::kStreamed;
+    pipeline.timeout = milliseconds(3000);
+    pipeline.target_latency = milliseconds(1000);
+    pipeline.final_pools = {{{"llm"}, 1}};
+    pipeline.stages = {{{"maker"}, {}, 1000}};
+    configuration.pipelines.push_back(pipeline);
+    ForwardedPool maker;
+    maker.name.value = "maker";
+    maker.pieces = PieceLimits{1,
+                               8,
+                               milliseconds(100),
+                               milliseconds(10),
+                               1'000'000,
+                               milliseconds(4000)};
+    configuration.pools = {{{"llm"}, 64, std::nullopt}, maker};
+    return std::make_shared<const ForwardConfiguration>(configuration);
+  }
+
+  static ListedEndpoint MakeEndpoint(const std::string& name,
+                                     const std::string& pool) {
+    return {{name}, {pool}, {"z"}, {"10.0.1." + name.substr(1), 80}};
+  }
+
+  static ForwardedRequest Request(uint64_t caller) {
+    ForwardedRequest request;
+    request.caller = base::CallerId{caller};
+    request.request_id = "r" + std::to_string(caller);
+    request.host = "h";
+    request.path = "/d/x";
+    request.budget = milliseconds(6000);
+    request.piece_counts = {2};
+    request.piece_key = "k";
+    return request;
+  }
+
+  void Feed(Event event) {
+    for (Action& action : node.Handle(std::move(event), now))
+      actions.push_back(std::move(action));
+  }
+
+  // The last action of a kind; null when there was none.
+  template <typename T>
+  const T* Last() const {
+    for (auto it = actions.rbegin(); it != actions.rend(); ++it) {
+      if (const auto* found = std::get_if<T>(&*it))
+        return found;
+    }
+    return nullptr;
+  }
+
+  // Lets the host know a peer, and gives the name of a host that dispatches.
+  void AddPeer() {
+    Feed(TableListed{
+        FeedKind::kHosts,
+        {{"peer", PeerHost{{"peer"}, {"10.0.0.2", 1}, {"z"}, 1000}}},
+        false,
+        1});
+  }
+
+  void EndStage(const StageCall& call) {
+    std::vector<PieceOutcome> pieces;
+    for (size_t i = 0; i < call.pieces.size(); ++i)
+      pieces.emplace_back("h" + std::to_string(i));
+    Feed(StageCallEnded{call.id, pieces});
+  }
+
+  ForwardNode node;
+  base::TimePoint now{milliseconds(1)};
+  std::vector<Action> actions;
+};
+
+AnswerHead GoodHead(const std::string& request) {
+  AnswerHead head;
+  head.status = 200;
+  head.echoed_request_id = request;
+  head.is_sealed = true;
+  return head;
+}
+
+TEST_CASE("a host is ready with a configuration and endpoints") {
+  ForwardNode node(NodeBench::Options());
+  CHECK_FALSE(node.is_ready());
+  node.Handle(TableListed{FeedKind::kConfiguration,
+                          {{"c", NodeBench::MakeConfiguration()}},
+                          false,
+                          1},
+              base::TimePoint());
+  CHECK_FALSE(node.is_ready());
+  NodeBench bench;
+  CHECK(bench.node.is_ready());
+  bench.Feed(StopOrdered{});
+  CHECK_FALSE(bench.node.is_ready());
+}
+
+TEST_CASE("a lower revision never replaces a higher one") {
+  NodeBench bench;
+  auto other = *NodeBench::MakeConfiguration();
+  other.revision = 0;
+  other.pipelines.clear();
+  bench.Feed(TableChanged{
+      FeedKind::kConfiguration,
+      {{"c", std::make_shared<const ForwardConfiguration>(other)}},
+      2});
+  bench.Feed(NodeBench::Request(1));
+  CHECK(bench.Last<CallStage>() != nullptr);
+}
+
+TEST_CASE("the request is sent when its stages are done, with their results") {
+  NodeBench bench;
+  bench.Feed(NodeBench::Request(1));
+  REQUIRE(bench.Last<CallStage>() != nullptr);
+  CHECK(bench.Last<SendAttempt>() == nullptr);
+  bench.now += milliseconds(120);
+  bench.EndStage(bench.Last<CallStage>()->call);
+  const auto* send = bench.Last<SendAttempt>();
+  REQUIRE(send != nullptr);
+  CHECK(send->inputs.size() == 2);
+  // The pipeline's limit counts, not the caller's longer wait.
+  CHECK(send->left == milliseconds(2880));
+}
+
+TEST_CASE("results are freed at the first event, and when the caller leaves") {
+  for (const bool has_event : {false, true}) {
+    CAPTURE(has_event);
+    NodeBench bench;
+    bench.Feed(NodeBench::Request(1));
+    bench.EndStage(bench.Last<CallStage>()->call);
+    const base::AttemptId attempt = bench.Last<SendAttempt>()->attempt;
+    if (has_event)
+      bench.Feed(AttemptChunk{attempt, GoodHead("r1"), "id: 0\n\n"});
+    else
+      bench.Feed(CallerLeft{base::CallerId{1}});
+    bench.now += milliseconds(100);
+    bench.Feed(TimerDue{});
+    REQUIRE(bench.Last<FreeResults>() != nullptr);
+    CHECK(bench.Last<FreeResults>()->order.handles.size() == 2);
+    CHECK((bench.Last<CancelAttempt>() != nullptr) == !has_event);
+  }
+}
+
+TEST_CASE("a stream that may have run is never sent twice") {
+  NodeBench bench;
+  bench.Feed(NodeBench::Request(1));
+  bench.EndStage(bench.Last<CallStage>()->call);
+  bench.Feed(AttemptFailure{bench.Last<SendAttempt>()->attempt,
+                            AttemptFailureKind::kBroken, "reset"});
+  REQUIRE(bench.Last<AnswerCaller>() != nullptr);
+  CHECK(bench.Last<AnswerCaller>()->code == OwnAnswerCode::kAttemptFailed);
+}
+
+TEST_CASE("answers of attempts that are over reach nobody") {
+  NodeBench bench;
+  bench.Feed(NodeBench::Request(1));
+  bench.EndStage(bench.Last<CallStage>()->call);
+  const base::AttemptId attempt = bench.Last<SendAttempt>()->attempt;
+  bench.Feed(CallerLeft{base::CallerId{1}});
+  bench.Feed(AttemptAnswer{attempt, GoodHead("r1"), "late"});
+  CHECK(bench.Last<PassAnswer>() == nullptr);
+}
+
+TEST_CASE("pieces are asked for at the dispatcher, and elsewhere if it's lost") {
+  NodeBench bench;
+  bench.AddPeer();
+  bench.Feed(NodeBench::Request(1));
+  const auto* ask = bench.Last<AskPeer>();
+  REQUIRE(ask != nullptr);
+  CHECK(bench.Last<CallStage>() == nullptr);
+  bench.Feed(PeerJobLost{ask->ask, "no connection"});
+  REQUIRE(bench.Last<CallStage>() != nullptr);
+  // The next request doesn't wait for the lost one again.
+  bench.actions.clear();
+  bench.EndStage(StageCall{StageCallId{1}, {}, {}, std::vector<PieceOrder>(2)});
+  bench.Feed(NodeBench::Request(2));
+  CHECK(bench.Last<AskPeer>() == nullptr);
+  CHECK(bench.Last<CallStage>() != nullptr);
+}
+
+TEST_CASE("a dispatcher's refusal reaches the caller with its time") {
+  NodeBench bench;
+  bench.AddPeer();
+  bench.Feed(NodeBench::Request(1));
+  bench.Feed(PeerJobEnded{
+      bench.Last<AskPeer>()->ask,
+      JobFailure{JobFailureKind::kTooLate, milliseconds(700)}});
+  REQUIRE(bench.Last<AnswerCaller>() != nullptr);
+  CHECK(bench.Last<AnswerCaller>()->code == OwnAnswerCode::kTooLate);
+  CHECK(bench.Last<AnswerCaller>()->retry_after == milliseconds(700));
+}
+
+TEST_CASE("a peer's job is done, and dropped when the peer gives it up") {
+  NodeBench bench;
+  StageJob job;
+  job.pool.value = "maker";
+  job.piece_count = 1;
+  job.until_target = milliseconds(1000);
+  job.until_deadline = milliseconds(3000);
+  bench.Feed(PeerJobAsked{PeerExchangeId{5}, job});
+  bench.EndStage(bench.Last<CallStage>()->call);
+  REQUIRE(bench.Last<AnswerPeer>() != nullptr);
+  CHECK(bench.Last<AnswerPeer>()->exchange == PeerExchangeId{5});
+  bench.actions.clear();
+  bench.Feed(PeerJobAsked{PeerExchangeId{6}, job});
+  bench.Feed(PeerJobLeft{PeerExchangeId{6}});
+  bench.EndStage(bench.Last<CallStage>()->call);
+  CHECK(bench.Last<AnswerPeer>() == nullptr);
+}
+
+TEST_CASE("a request that was never sent is refused at its time limit") {
+  NodeBench bench;
+  bench.Feed(NodeBench::Request(1));
+  bench.now += milliseconds(3000);
+  bench.Feed(TimerDue{});
+  REQUIRE(bench.Last<AnswerCaller>() != nullptr);
+  CHECK(bench.Last<AnswerCaller>()->code == OwnAnswerCode::kTooLate);
+}
+
+TEST_SUITE_BEGIN("policy");
+
+TEST_CASE("pieces of a request that is due soonest are asked for with its time") {
+  NodeBench bench;
+  bench.AddPeer();
+  bench.Feed(NodeBench::Request(1));
+  const StageJob& job = bench.Last<AskPeer>()->job;
+  CHECK(job.until_target == milliseconds(1000));
+  CHECK(job.until_deadline == milliseconds(3000));
+  CHECK(job.piece_count == 2);
+  CHECK(job.progress == RequestProgress::kNew);
+}
+
+TEST_SUITE_END();
+
+}  // namespace
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Tests/LibForward/test_stage_dispatcher.cc
@@ -0,0 +1,286 @@
+#include <doctest/doctest.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "LibForward/stage_dispatcher.h"
+
+namespace bilberry::forward {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr PieceLimits kLimits{1,
+                              4,
+                              milliseconds(100),
+                              milliseconds(10),
+                              1'000'000,
+                              milliseconds(4000)};
+
+ListedEndpoint MakeEndpoint(const std::string& name, const std::string& zone) {
+  ListedEndpoint endpoint;
+  endpoint.name.value = name;
+  endpoint.pool.value = "maker";
+  endpoint.zone.value = zone;
+  endpoint.address = {"10.0.0." + std::to_string(name.back() - '0'), 80};
+  return endpoint;
+}
+
+// One dispatcher in virtual time.
+struct Bench {
+  explicit Bench(size_t endpoints = 1, PieceLimits limits = kLimits)
+      : dispatcher(limits) {
+    std::vector<ListedEndpoint> listed;
+    for (size_t i = 1; i <= endpoints; ++i)
+      listed.push_back(MakeEndpoint("e" + std::to_string(i),
+                                    "z" + std::to_string(i)));
+    dispatcher.SetEndpoints(listed);
+  }
+
+  JobId Submit(uint32_t pieces, StageJob job = {}) {
+    job.pool.value = "maker";
+    job.piece_count = pieces;
+    if (job.until_target == base::Duration(0))
+      job.until_target = milliseconds(2000);
+    if (job.until_deadline == base::Duration(0))
+      job.until_deadline = milliseconds(6000);
+    return dispatcher.Submit(std::move(job), now);
+  }
+
+  // Ends a call with results for all its pieces.
+  void Succeed(const StageCall& call) {
+    std::vector<PieceOutcome> outcomes;
+    for (size_t i = 0; i < call.pieces.size(); ++i)
+      outcomes.emplace_back("h" + std::to_string(++handles));
+    dispatcher.FinishCall(call.id, outcomes, now);
+  }
+
+  StageCall Next() {
+    auto call = dispatcher.NextCall(now);
+    REQUIRE(call.has_value());
+    return std::move(*call);
+  }
+
+  bool IsIdle() { return !dispatcher.NextCall(now).has_value(); }
+
+  StageDispatcher dispatcher;
+  base::TimePoint now{milliseconds(1000)};
+  int handles = 0;
+};
+
+const JobFailure* FailureOf(const JobOutcome& outcome) {
+  return std::get_if<JobFailure>(&outcome);
+}
+
+TEST_SUITE_BEGIN("policy");
+
+TEST_CASE("an idle endpoint takes what there is, a busy one's next call fills") {
+  Bench bench;
+  bench.Submit(1);
+  const StageCall first = bench.Next();
+  CHECK(first.pieces.size() == 1);
+  for (int i = 0; i < 5; ++i)
+    bench.Submit(1);
+  CHECK(bench.IsIdle());
+  bench.now += milliseconds(110);
+  bench.Succeed(first);
+  CHECK(bench.Next().pieces.size() == 4);
+}
+
+TEST_CASE("a job is done when all its pieces are, over several calls") {
+  Bench bench;
+  const JobId job = bench.Submit(6);
+  const StageCall first = bench.Next();
+  bench.Succeed(first);
+  CHECK(bench.dispatcher.TakeOutcomes().empty());
+  bench.Succeed(bench.Next());
+  const auto outcomes = bench.dispatcher.TakeOutcomes();
+  REQUIRE(outcomes.size() == 1);
+  CHECK(outcomes[0].first == job);
+  CHECK(std::get<JobResults>(outcomes[0].second).results.size() == 6);
+}
+
+// Answers a burst of a less urgent kind before an urgent request.
+TEST_CASE("urgent pieces go first, and then those that are due first") {
+  Bench bench;
+  const StageCall busy = (bench.Submit(4), bench.Next());
+  StageJob job;
+  job.urgency = Urgency{2};
+  job.request_id = "ordinary";
+  bench.Submit(4, job);
+  job.urgency = Urgency{0};
+  job.request_id = "urgent";
+  job.until_target = milliseconds(1500);
+  bench.Submit(2, job);
+  job.request_id = "urgent and due";
+  job.until_target = milliseconds(1000);
+  bench.Submit(2, job);
+  bench.now += milliseconds(140);
+  bench.Succeed(busy);
+  const StageCall call = bench.Next();
+  REQUIRE(call.pieces.size() == 4);
+  CHECK(call.pieces[0].request_id == "urgent and due");
+  CHECK(call.pieces[2].request_id == "urgent");
+}
+
+// Answers twice the load that a pool can bear: earliest-first alone then makes
+// everything late.
+TEST_CASE("what can't be on time any more waits behind what can") {
+  Bench bench;
+  StageJob job;
+  job.until_target = milliseconds(50);
+  job.request_id = "late";
+  bench.Submit(4, job);
+  job.until_target = milliseconds(800);
+  job.request_id = "on time";
+  bench.Submit(4, job);
+  CHECK(bench.Next().pieces[0].request_id == "on time");
+}
+
+TEST_CASE("results take room until they are freed") {
+  Bench bench;
+  StageJob job;
+  job.result_bytes = 400'000;
+  bench.Submit(4, job);
+  const StageCall first = bench.Next();
+  CHECK(first.pieces.size() == 2);
+  bench.Succeed(first);
+  // The two results stand in the way of the next two.
+  CHECK(bench.IsIdle());
+  const std::vector<StageResult> read{{first.address, "h1"}};
+  bench.dispatcher.Free(read, bench.now);
+  const auto orders = bench.dispatcher.TakeFreeOrders(bench.now +
+                                                      milliseconds(100));
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].handles == std::vector<std::string>{"h1"});
+  CHECK(bench.Next().pieces.size() == 1);
+}
+
+TEST_CASE("results that nobody frees are dropped at the end of their life") {
+  Bench bench;
+  StageJob job;
+  job.result_bytes = 1'000'000;
+  job.until_target = milliseconds(20'000);
+  job.until_deadline = milliseconds(20'000);
+  bench.Submit(2, job);
+  bench.Succeed(bench.Next());
+  CHECK(bench.IsIdle());
+  REQUIRE(bench.dispatcher.NextWakeup().has_value());
+  bench.now = *bench.dispatcher.NextWakeup();
+  CHECK(bench.Next().pieces.size() == 1);
+}
+
+TEST_CASE("a job that is given up leaves the queue, and its results are freed") {
+  Bench bench;
+  const JobId job = bench.Submit(6);
+  const StageCall call = bench.Next();
+  bench.dispatcher.Withdraw(job);
+  CHECK(bench.dispatcher.waiting_pieces() == 0);
+  bench.Succeed(call);
+  CHECK(bench.IsIdle());
+  const auto orders = bench.dispatcher.TakeFreeOrders(bench.now +
+                                                      milliseconds(100));
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].handles.size() == 4);
+  CHECK(bench.dispatcher.TakeOutcomes().empty());
+}
+
+// Answers a burst beyond what a pool can do before the deadlines.
+TEST_CASE("a new job that can't make its deadline is refused at the door") {
+  Bench bench;
+  StageJob job;
+  job.until_deadline = milliseconds(600);
+  // Five calls of 140 ms wait before the last one.
+  for (int i = 0; i < 5; ++i)
+    bench.Submit(4, job);
+  const auto outcomes = bench.dispatcher.TakeOutcomes();
+  REQUIRE_FALSE(outcomes.empty());
+  const JobFailure* failure = FailureOf(outcomes.back().second);
+  REQUIRE(failure != nullptr);
+  CHECK(failure->kind == JobFailureKind::kTooLate);
+  CHECK(failure->retry_after >= milliseconds(100));
+  CHECK(failure->retry_after <= milliseconds(300));
+}
+
+TEST_CASE("nothing is refused while an endpoint is idle") {
+  Bench bench(2);
+  StageJob job;
+  job.until_deadline = milliseconds(141);
+  bench.Submit(4, job);
+  bench.Next();
+  bench.Submit(4, job);
+  CHECK(bench.dispatcher.TakeOutcomes().empty());
+  CHECK(bench.Next().pieces.size() == 4);
+}
+
+TEST_CASE("pieces that wait until they are too late are dropped") {
+  Bench bench;
+  bench.Submit(4);
+  const StageCall busy = bench.Next();
+  StageJob job;
+  job.until_deadline = milliseconds(260);
+  bench.Submit(1, job);
+  bench.now += milliseconds(200);
+  bench.Succeed(busy);
+  CHECK(bench.IsIdle());
+  bool was_dropped = false;
+  for (const auto& [id, outcome] : bench.dispatcher.TakeOutcomes())
+    was_dropped |= FailureOf(outcome) != nullptr;
+  CHECK(was_dropped);
+}
+
+TEST_CASE("a failed call's pieces go to another endpoint, within the budget") {
+  Bench bench(2);
+  // Ten first tries pay for one repeat.
+  for (int i = 0; i < 5; ++i) {
+    bench.Submit(2);
+    bench.Succeed(bench.Next());
+  }
+  bench.dispatcher.TakeOutcomes();
+  bench.Submit(1);
+  const StageCall call = bench.Next();
+  bench.dispatcher.FinishCall(call.id, StageCallFailure::kBroken, bench.now);
+  CHECK(bench.dispatcher.TakeOutcomes().empty());
+  const StageCall again = bench.Next();
+  CHECK(again.endpoint != call.endpoint);
+  bench.dispatcher.FinishCall(again.id, StageCallFailure::kBroken, bench.now);
+  // The budget is used up.
+  const auto outcomes = bench.dispatcher.TakeOutcomes();
+  REQUIRE(outcomes.size() == 1);
+  CHECK(FailureOf(outcomes[0].second)->kind == JobFailureKind::kFailed);
+}
+
+TEST_CASE("a gone input fails the job at once") {
+  Bench bench;
+  bench.Submit(2);
+  const StageCall call = bench.Next();
+  const std::vector<PieceOutcome> pieces{PieceRefusal::kInputGone, "h1"};
+  bench.dispatcher.FinishCall(call.id, pieces, bench.now);
+  const auto outcomes = bench.dispatcher.TakeOutcomes();
+  REQUIRE(outcomes.size() == 1);
+  CHECK(FailureOf(outcomes[0].second)->kind == JobFailureKind::kInputGone);
+}
+
+TEST_CASE("without endpoints a job is refused at once") {
+  Bench bench(0);
+  bench.Submit(1);
+  const auto outcomes = bench.dispatcher.TakeOutcomes();
+  REQUIRE(outcomes.size() == 1);
+  CHECK(FailureOf(outcomes[0].second)->kind == JobFailureKind::kNoEndpoint);
+}
+
+TEST_CASE("an endpoint that leaves gets no new call") {
+  Bench bench;
+  ListedEndpoint leaving = MakeEndpoint("e1", "z1");
+  leaving.state = EndpointState::kLeaving;
+  bench.Submit(1);
+  const std::vector<ListedEndpoint> listed{leaving, MakeEndpoint("e2", "z2")};
+  bench.dispatcher.SetEndpoints(listed);
+  CHECK(bench.Next().endpoint.value == "e2");
+}
+
+TEST_SUITE_END();
+
+}  // namespace
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Tests/Platform/platform_world.cc
@@ -0,0 +1,169 @@
+#include "platform_world.h"
+
+#include <fcntl.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "platform/wire_names.h"
+
+namespace bilberry::platform {
+
+namespace {
+
+// Log lines of the hosts under test go nowhere.
+int NullDescriptor() {
+  static const int descriptor = open("/dev/null", O_WRONLY | O_CLOEXEC);
+  return descriptor;
+}
+
+}  // namespace
+
+std::string SmallConfiguration(uint64_t revision) {
+  return R"({"version":)" + std::to_string(revision) + R"(,
+    "routes":[
+      {"name":"read","host":"shop.example","pathPrefix":"/read/",
+       "kind":"idempotent","timeoutMs":2000,"targetLatencyMs":300,
+       "priority":1,"service":"desk","maxAttempts":2,"stages":[]},
+      {"name":"book","host":"shop.example","pathPrefix":"/book/",
+       "kind":"non_idempotent","timeoutMs":2000,"targetLatencyMs":300,
+       "priority":1,"service":"desk","maxAttempts":1},
+      {"name":"open","host":"shop.example","pathPrefix":"/open/",
+       "kind":"idempotent","timeoutMs":2000,"targetLatencyMs":300,
+       "priority":1,"service":"desk","maxAttempts":1,"allowAnonymous":true},
+      {"name":"draft","host":"shop.example","pathPrefix":"/draft/",
+       "kind":"streaming","timeoutMs":5000,"targetLatencyMs":1000,
+       "priority":0,"service":"llm","maxAttempts":1,"sticky":true,
+       "stages":[{"service":"maker","after":[],"bytes":8000},
+                 {"service":"maker","after":[0],"bytes":6000}]},
+      {"name":"resume","host":"shop.example","pathPrefix":"/resume/",
+       "kind":"streaming","timeoutMs":5000,"targetLatencyMs":1000,
+       "priority":2,"service":"llm","maxAttempts":2,"sticky":true,
+       "resumable":true,
+       "stages":[{"service":"maker","after":[],"bytes":8000}]}],
+    "services":[
+      {"name":"desk"},{"name":"llm","engine":{"slots":64}},
+      {"name":"maker","pieces":{"slots":1,"queue":2,"batch":8,"callMs":20,
+       "itemMs":1,"roomMb":10,"handleS":4}}],
+    "limits":{"maxHeaderBytes":8192,"maxBodyBytes":65536,
+              "headerTimeoutMs":3000,"idleTimeoutMs":15000},
+    "tenants":[{"name":"sposi","apiKeys":["key-1","key-2"]}]})";
+}
+
+PlatformWorld::PlatformWorld(size_t hosts) {
+  PutConfiguration(7);
+  List(*desk, "desk");
+  List(*other_desk, "desk");
+  List(*engine, "llm");
+  List(*other_engine, "llm");
+  List(*maker, "maker");
+  for (size_t i = 0; i < hosts; ++i)
+    AddHost("entry-" + std::to_string(i + 1));
+  WaitUntilReady();
+}
+
+std::unique_ptr<standins::PieceEndpointStandin> PlatformWorld::MakeEndpoint(
+    const std::string& name,
+    bool needs_inputs) {
+  standins::PieceEndpointModel model;
+  model.name.value = name;
+  model.needs_inputs = needs_inputs;
+  return transport::Sound(standins::PieceEndpointStandin::Create(
+      reactor, {"127.0.0.1", 0}, model));
+}
+
+void PlatformWorld::PutConfiguration(uint64_t revision) {
+  store->Put(wire::kConfigurationTable, wire::kConfigurationKey,
+             SmallConfiguration(revision));
+}
+
+void PlatformWorld::List(const standins::PieceEndpointStandin& endpoint,
+                         const std::string& pool,
+                         const std::string& state) {
+  store->Put(wire::kEndpointTable, endpoint.model().name.value,
+             R"({"service":")" + pool + R"(","address":")" +
+                 base::ToText(endpoint.address()) +
+                 R"(","zone":"z1","state":")" + state + R"(","seq":1})");
+}
+
+base::SocketAddress PlatformWorld::FreeAddress() {
+  return transport::Sound(transport::HttpListener::Create(
+                              reactor, {{"127.0.0.1", 0}},
+                              [](const transport::IncomingRequest&) {}))
+      ->address();
+}
+
+void PlatformWorld::AddHost(const std::string& name) {
+  transport::ForwardShellOptions options;
+  options.settings.host.value = name;
+  options.settings.zone.value = "z1";
+  options.settings.callers = FreeAddress();
+  options.settings.readiness = FreeAddress();
+  options.settings.peers = FreeAddress();
+  options.settings.store = store->address();
+  options.incarnation = base::Incarnation{shells.size() + 1};
+  options.seed = shells.size() + 1;
+  options.log_descriptor = NullDescriptor();
+  settings.push_back(options.settings);
+  adapters.push_back(
+      std::make_unique<PlatformAdapter>(options.settings.store));
+  shells.push_back(transport::Sound(transport::ForwardShell::Create(
+      reactor, *adapters.back(), options)));
+}
+
+void PlatformWorld::WaitUntilReady() {
+  REQUIRE(RunUntil([this] {
+    return std::ranges::all_of(shells,
+                               [](const auto& it) { return it->is_ready(); });
+  }));
+}
+
+void PlatformWorld::RunFor(std::chrono::milliseconds time) {
+  const base::TimePoint end = reactor.Now() + time;
+  while (reactor.Now() < end)
+    reactor.RunOnce(std::chrono::milliseconds(5));
+}
+
+transport::HttpRequest PlatformWorld::Request(const std::string& method,
+                                              const std::string& target,
+                                              size_t host) {
+  transport::HttpRequest request;
+  request.forwarded_method = method;
+  request.address = settings[host].callers;
+  request.path = target;
+  request.connection = node::ConnectionUse::kFresh;
+  request.headers = {
+      {"Host", "shop.example"},
+      {wire::kRequestId, "req-" + std::to_string(++last_request_)},
+      {wire::kTimeLeft, "2000"},
+      {wire::kKey, std::string(wire::kKeyScheme) + "key-1"}};
+  return request;
+}
+
+transport::HttpRequest PlatformWorld::StreamRequest(const std::string& target,
+                                                    size_t host) {
+  transport::HttpRequest request = Request("POST", target, host);
+  request.headers.push_back({wire::kPrefix, "aa:100,bb:50"});
+  request.headers.push_back({wire::kTokenCounts, "200,20"});
+  request.headers.push_back({wire::kPieceCounts, "2,3"});
+  request.headers.push_back({wire::kPieceKey, "5eed"});
+  request.body = "prompt";
+  return request;
+}
+
+transport::HttpOutcome PlatformWorld::Ask(transport::HttpRequest request) {
+  std::optional<transport::HttpOutcome> outcome;
+  http->Send(std::move(request), [&outcome](transport::HttpOutcome it) {
+    outcome = std::move(it);
+  });
+  REQUIRE(RunUntil([&] { return outcome.has_value(); }));
+  return std::move(*outcome);
+}
+
+transport::HttpResponse PlatformWorld::Answer(transport::HttpRequest request) {
+  auto outcome = Ask(std::move(request));
+  REQUIRE(std::holds_alternative<transport::HttpResponse>(outcome));
+  return std::get<transport::HttpResponse>(std::move(outcome));
+}
+
+}  // namespace bilberry::platform
--- /dev/null
+++ b/Tests/Standins/piece_endpoint_standin.cc
@@ -0,0 +1,201 @@
+#include "Standins/piece_endpoint_standin.h"
+
+#include <json/value.h>
+
+#include <cstdlib>
+#include <utility>
+
+#include "LibTransport/json_text.h"
+#include "platform/wire_names.h"
+
+namespace bilberry::standins {
+
+namespace {
+
+namespace wire = platform::wire;
+using transport::HttpResponse;
+using transport::IncomingRequest;
+
+constexpr const char* kOtherRequest = "0000000000000000";
+constexpr uint32_t kCutAt = 2;  // The event that a cut stream ends inside.
+
+HttpResponse NotRun(int status) {
+  return {status, {{wire::kNotRun, "1"}}, ""};
+}
+
+std::string TextOf(const IncomingRequest& request, const char* name) {
+  const std::string* value = base::FindHeader(request.headers, name);
+  return value == nullptr ? "" : *value;
+}
+
+std::string EventText(uint32_t number) {
+  return "id: " + std::to_string(number) + "\ndata: token " +
+         std::to_string(number) + "\n\n";
+}
+
+}  // namespace
+
+PieceEndpointStandin::PieceEndpointStandin(transport::Reactor& reactor,
+                                           PieceEndpointModel model)
+    : timers_(reactor), model_(std::move(model)) {}
+
+base::Result<std::unique_ptr<PieceEndpointStandin>>
+PieceEndpointStandin::Create(transport::Reactor& reactor,
+                             const base::SocketAddress& address,
+                             PieceEndpointModel model) {
+  std::unique_ptr<PieceEndpointStandin> endpoint(
+      new PieceEndpointStandin(reactor, std::move(model)));
+  PieceEndpointStandin* raw = endpoint.get();
+  transport::ListenerOptions options;
+  options.address = address;
+  TRY(service, transport::HttpListener::Create(
+                   reactor, options,
+                   [raw](const IncomingRequest& it) { raw->Handle(it); },
+                   [raw](transport::ExchangeId it) {
+                     ++raw->left_count_;
+                     raw->service_->EndStream(it, transport::StreamEnd::kCut);
+                     raw->service_->Abort(it);
+                   }));
+  endpoint->service_ = std::move(service);
+  return endpoint;
+}
+
+EndpointFault PieceEndpointStandin::TakeFault() {
+  if (fault_count_ == 0)
+    return EndpointFault::kNone;
+  --fault_count_;
+  return fault_;
+}
+
+void PieceEndpointStandin::Handle(const IncomingRequest& request) {
+  const std::string expected = TextOf(request, wire::kOnlyEndpoint);
+  if (!expected.empty() && expected != model_.name.value) {
+    service_->Respond(request.exchange, NotRun(421));
+    return;
+  }
+  if (request.path == wire::kStageFreePath) {
+    Free(request);
+    return;
+  }
+  if (request.path == wire::kStageRunPath) {
+    RunStage(request);
+    return;
+  }
+  arrivals_.push_back(
+      {request.method, request.target, request.headers, request.body});
+  const EndpointFault fault = TakeFault();
+  if (fault == EndpointFault::kRefuses) {
+    service_->Respond(request.exchange, NotRun(503));
+    return;
+  }
+  if (model_.needs_inputs && TextOf(request, wire::kInputs).empty()) {
+    service_->Respond(request.exchange, NotRun(400));
+    return;
+  }
+  if (fault == EndpointFault::kHangs)
+    return;
+  timers_.After(model_.service,
+                [this, request, fault] { Serve(request, fault); });
+}
+
+void PieceEndpointStandin::RunStage(const IncomingRequest& request) {
+  const EndpointFault fault = TakeFault();
+  if (fault == EndpointFault::kRefuses) {
+    service_->Respond(request.exchange, NotRun(503));
+    return;
+  }
+  const auto body = transport::ParseCompact(request.body);
+  const size_t n = body ? (*body)["items"].size() : 0;
+  calls_.push_back(n);
+  if (fault == EndpointFault::kHangs)
+    return;
+  timers_.After(model_.service, [this, n, fault, exchange = request.exchange] {
+    if (fault == EndpointFault::kBreaks) {
+      service_->Abort(exchange);
+      return;
+    }
+    Json::Value answer;
+    for (size_t i = 0; i < n; ++i) {
+      const std::string handle =
+          base::ToText(address()) + "/" + std::to_string(++last_result_);
+      results_.insert(handle);
+      answer["items"][static_cast<Json::ArrayIndex>(i)]["handle"] = handle;
+    }
+    service_->Respond(exchange,
+                      {200,
+                       {{transport::kContentTypeHeader, transport::kJsonType}},
+                       transport::PrintCompact(answer)});
+  });
+}
+
+void PieceEndpointStandin::Free(const IncomingRequest& request) {
+  const auto body = transport::ParseCompact(request.body);
+  if (body) {
+    for (const Json::Value& handle : (*body)["handles"])
+      results_.erase(handle.asString());
+  }
+  service_->Respond(request.exchange, {200, {}, ""});
+}
+
+base::HttpHeaders PieceEndpointStandin::HeadersFor(
+    const IncomingRequest& request,
+    EndpointFault fault) const {
+  base::HttpHeaders headers;
+  headers.push_back({wire::kRequestId, fault == EndpointFault::kNamesAnother
+                                           ? kOtherRequest
+                                           : TextOf(request, wire::kRequestId)});
+  if (fault != EndpointFault::kUnsealed)
+    headers.push_back({wire::kSeal, "seal." + model_.name.value});
+  return headers;
+}
+
+void PieceEndpointStandin::Serve(const IncomingRequest& request,
+                                 EndpointFault fault) {
+  if (fault == EndpointFault::kBreaks) {
+    service_->Abort(request.exchange);
+    return;
+  }
+  if (!TextOf(request, wire::kPrefix).empty() &&
+      fault != EndpointFault::kFails) {
+    BeginStream(request, fault);
+    return;
+  }
+  service_->Respond(request.exchange,
+                    {fault == EndpointFault::kFails ? 500 : 200,
+                     HeadersFor(request, fault),
+                     request.method + " " + request.target + " by " +
+                         model_.name.value});
+}
+
+void PieceEndpointStandin::BeginStream(const IncomingRequest& request,
+                                       EndpointFault fault) {
+  base::HttpHeaders headers = HeadersFor(request, fault);
+  headers.push_back(
+      {transport::kContentTypeHeader, transport::kEventStreamType});
+  service_->BeginStream(request.exchange, 200, headers);
+  auto stream = std::make_shared<Stream>();
+  stream->exchange = request.exchange;
+  const std::string last = TextOf(request, wire::kLastEvent);
+  if (!last.empty())
+    stream->next = static_cast<uint32_t>(std::atoi(last.c_str())) + 1;
+  stream->is_cut = fault == EndpointFault::kCutsStream;
+  GoOn(stream);
+}
+
+void PieceEndpointStandin::GoOn(const std::shared_ptr<Stream>& stream) {
+  if (stream->is_cut && stream->next == kCutAt) {
+    const std::string event = EventText(stream->next);
+    service_->WriteStream(stream->exchange, event.substr(0, event.size() / 2));
+    service_->EndStream(stream->exchange, transport::StreamEnd::kCut);
+    return;
+  }
+  if (stream->next == model_.events) {
+    service_->EndStream(stream->exchange, transport::StreamEnd::kWhole);
+    return;
+  }
+  service_->WriteStream(stream->exchange, EventText(stream->next));
+  ++stream->next;
+  timers_.After(model_.event_gap, [this, stream] { GoOn(stream); });
+}
+
+}  // namespace bilberry::standins
--- /dev/null
+++ b/Tests/Standins/row_store_standin.cc
@@ -0,0 +1,204 @@
+#include "Standins/row_store_standin.h"
+
+#include <ace/Codecs.h>
+#include <json/value.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+#include "LibTransport/json_text.h"
+#include "platform/wire_names.h"
+
+namespace bilberry::standins {
+
+namespace {
+
+namespace wire = platform::wire;
+using transport::HttpResponse;
+using transport::IncomingRequest;
+
+constexpr int kConflict = 412;
+constexpr int kGone = 410;
+
+HttpResponse Json(int status, std::string body) {
+  return {status,
+          {{transport::kContentTypeHeader, transport::kJsonType}},
+          std::move(body)};
+}
+
+std::string ArgumentOf(const IncomingRequest& request, const char* name) {
+  const std::string* value = base::FindHeader(request.arguments, name);
+  return value == nullptr ? "" : *value;
+}
+
+std::string Encode(const std::string& text) {
+  size_t size = 0;
+  const std::unique_ptr<ACE_Byte[]> bytes(
+      ACE_Base64::encode(reinterpret_cast<const ACE_Byte*>(text.data()),
+                         text.size(), &size, false));
+  return {reinterpret_cast<const char*>(bytes.get()), size};
+}
+
+std::string Decode(const std::string& text) {
+  size_t size = 0;
+  const std::unique_ptr<ACE_Byte[]> bytes(ACE_Base64::decode(
+      reinterpret_cast<const ACE_Byte*>(text.c_str()), &size));
+  return {reinterpret_cast<const char*>(bytes.get()), size};
+}
+
+}  // namespace
+
+RowStoreStandin::RowStoreStandin(transport::Reactor& reactor)
+    : timers_(reactor), gate_(timers_) {}
+
+base::Result<std::unique_ptr<RowStoreStandin>> RowStoreStandin::Create(
+    transport::Reactor& reactor,
+    const base::SocketAddress& address) {
+  std::unique_ptr<RowStoreStandin> store(new RowStoreStandin(reactor));
+  RowStoreStandin* raw = store.get();
+  transport::ListenerOptions options;
+  options.address = address;
+  TRY(service, transport::HttpListener::Create(
+                   reactor, options,
+                   [raw](const IncomingRequest& it) { raw->Handle(it); },
+                   [raw](transport::ExchangeId it) {
+                     std::erase_if(raw->held_, [it](const Held& held) {
+                       return held.exchange == it;
+                     });
+                     raw->service_->Abort(it);
+                   }));
+  store->service_ = std::move(service);
+  return store;
+}
+
+void RowStoreStandin::Put(const std::string& table,
+                          const std::string& key,
+                          const std::string& value) {
+  rows_[{table, key}] = {value, ++version_, false};
+  AnswerHeld();
+}
+
+void RowStoreStandin::Remove(const std::string& table, const std::string& key) {
+  rows_[{table, key}] = {"", ++version_, true};
+  AnswerHeld();
+}
+
+bool RowStoreStandin::Has(const std::string& table,
+                          const std::string& key) const {
+  const auto it = rows_.find({table, key});
+  return it != rows_.end() && !it->second.is_removed;
+}
+
+void RowStoreStandin::Handle(const IncomingRequest& request) {
+  ++call_count_;
+  if (request.path == wire::kRowsFollowPath) {
+    Follow(request);
+    return;
+  }
+  gate_.Serve(service_, request.exchange, [this, request] {
+    if (request.path == wire::kRowsListPath)
+      return List(request);
+    if (request.path == wire::kRowsWritePath)
+      return Write(request);
+    return HttpResponse{404, {}, ""};
+  });
+}
+
+std::string RowStoreStandin::PageOf(const std::string& table,
+                                    uint64_t after,
+                                    bool with_removed) const {
+  Json::Value body;
+  Json::Value& rows = body["rows"] = Json::Value(Json::arrayValue);
+  for (const auto& [key, row] : rows_) {
+    if (key.first != table || row.version <= after ||
+        (row.is_removed && !with_removed))
+      continue;
+    Json::Value& it = rows.append(Json::Value());
+    it["table"] = table;
+    it["part"] = "";
+    it["key"] = key.second;
+    it["ver"] = static_cast<Json::UInt64>(row.version);
+    if (row.is_removed)
+      it["removed"] = true;
+    else
+      it["value"] = Encode(row.value);
+  }
+  body["truncated"] = false;
+  body["ver"] = static_cast<Json::UInt64>(version_);
+  body["nowMs"] = 0;
+  return transport::PrintCompact(body);
+}
+
+HttpResponse RowStoreStandin::List(const IncomingRequest& request) const {
+  return Json(200, PageOf(ArgumentOf(request, "table"), 0, false));
+}
+
+bool RowStoreStandin::HasChanged(const std::string& table,
+                                 uint64_t after) const {
+  return std::ranges::any_of(rows_, [&](const auto& it) {
+    return it.first.first == table && it.second.version > after;
+  });
+}
+
+void RowStoreStandin::Follow(const IncomingRequest& request) {
+  const std::string table = ArgumentOf(request, "table");
+  const uint64_t after =
+      std::strtoull(ArgumentOf(request, "after").c_str(), nullptr, 10);
+  if (after < forgotten_) {
+    service_->Respond(request.exchange, {kGone, {}, ""});
+    return;
+  }
+  held_.push_back({request.exchange, table, after});
+  const long wait =
+      std::strtol(ArgumentOf(request, "waitMs").c_str(), nullptr, 10);
+  timers_.After(
+      std::chrono::milliseconds(wait), [this, exchange = request.exchange] {
+        const auto it = std::ranges::find(held_, exchange, &Held::exchange);
+        if (it == held_.end())
+          return;
+        const Held held = *it;
+        held_.erase(it);
+        service_->Respond(exchange,
+                          Json(200, PageOf(held.table, held.after, true)));
+      });
+  AnswerHeld();
+}
+
+void RowStoreStandin::AnswerHeld() {
+  std::vector<Held> due;
+  std::erase_if(held_, [&](const Held& held) {
+    if (!HasChanged(held.table, held.after))
+      return false;
+    due.push_back(held);
+    return true;
+  });
+  for (const Held& held : due)
+    gate_.Serve(service_, held.exchange, [this, held] {
+      return Json(200, PageOf(held.table, held.after, true));
+    });
+}
+
+HttpResponse RowStoreStandin::Write(const IncomingRequest& request) {
+  const auto body = transport::ParseCompact(request.body);
+  if (!body)
+    return {400, {}, ""};
+  for (const Json::Value& row : (*body)["expectedRev"]) {
+    const auto it =
+        rows_.find({row["table"].asString(), row["key"].asString()});
+    const uint64_t version =
+        it == rows_.end() || it->second.is_removed ? 0 : it->second.version;
+    if (version != row["ver"].asUInt64())
+      return {kConflict, {}, ""};
+  }
+  for (const Json::Value& row : (*body)["writes"])
+    Put(row["table"].asString(), row["key"].asString(),
+        Decode(row["value"].asString()));
+  for (const Json::Value& row : (*body)["remove"])
+    Remove(row["table"].asString(), row["key"].asString());
+  Json::Value answer;
+  answer["ver"] = static_cast<Json::UInt64>(version_);
+  return Json(200, transport::PrintCompact(answer));
+}
+
+}  // namespace bilberry::standins
--- /dev/null
+++ b/Tests/Standins/row_store_standin.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibTransport/http_listener.h"
+#include "LibTransport/timer_queue.h"
+#include "Standins/fault_gate.h"
+
+namespace bilberry::standins {
+
+// The store of the users' platform, kept in memory: rows in tables, reads,
+// transactions, and calls that are held until something changes.
+class RowStoreStandin {
+ public:
+  static base::Result<std::unique_ptr<RowStoreStandin>> Create(
+      transport::Reactor& reactor,
+      const base::SocketAddress& address);
+
+  const base::SocketAddress& address() const { return service_->address(); }
+
+  void Put(const std::string& table,
+           const std::string& key,
+           const std::string& value);
+  void Remove(const std::string& table, const std::string& key);
+  bool Has(const std::string& table, const std::string& key) const;
+
+  void OrderFault(Fault fault) { gate_.Order(fault); }
+  // Changes up to now can't be asked for any more.
+  void ForgetHistory() { forgotten_ = version_; }
+  uint64_t call_count() const { return call_count_; }
+
+ private:
+  struct Row {
+    std::string value;
+    uint64_t version = 0;
+    bool is_removed = false;
+  };
+
+  // A call that waits for a change.
+  struct Held {
+    transport::ExchangeId exchange{};
+    std::string table;
+    uint64_t after = 0;
+  };
+
+  using RowKey = std::pair<std::string, std::string>;  // Table and key.
+
+  explicit RowStoreStandin(transport::Reactor& reactor);
+
+  void Handle(const transport::IncomingRequest& request);
+  transport::HttpResponse List(const transport::IncomingRequest& request) const;
+  transport::HttpResponse Write(const transport::IncomingRequest& request);
+  void Follow(const transport::IncomingRequest& request);
+  std::string PageOf(const std::string& table,
+                     uint64_t after,
+                     bool with_removed) const;
+  bool HasChanged(const std::string& table, uint64_t after) const;
+  void AnswerHeld();
+
+  transport::TimerQueue timers_;
+  FaultGate gate_;
+  std::shared_ptr<transport::HttpListener> service_;
+  std::map<RowKey, Row> rows_;
+  std::vector<Held> held_;
+  uint64_t version_ = 0;
+  uint64_t forgotten_ = 0;
+  uint64_t call_count_ = 0;
+};
+
+}  // namespace bilberry::standins
