LibForward: Send turns of a session to the engine that has read it

Ruled out: full engines (in flight stayed far below the bound) and hosts that choose differently (the weights are the same everywhere).

--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -35,6 +35,14 @@
 
 constexpr int kFirstServerError = 500;
 
+// The longest prefix that other requests may share: the last part is the
+// request's own, the one before it is its session's.
+std::string_view SharedPartOf(const std::vector<PrefixPart>& prefix) {
+  if (prefix.empty())
+    return {};
+  return prefix.size() == 1 ? prefix.front().id : prefix[prefix.size() - 2].id;
+}
+
 }  // namespace
 
 std::string_view ToText(OwnAnswerCode code) {
@@ -175,8 +183,7 @@
   EndpointWish wish;
   wish.pool = run.final_pool;
   wish.avoided = run.tried;
-  if (!run.request->prefix.empty())
-    wish.affinity = run.request->prefix.back().id;
+  wish.affinity = SharedPartOf(run.request->prefix);
   return wish;
 }
 
--- a/Tests/LibForward/test_forward_node.cc
+++ b/Tests/LibForward/test_forward_node.cc
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -261,6 +262,26 @@
 
 TEST_SUITE_BEGIN("policy");
 
+// Answers a session whose turns share all but their last part.
+TEST_CASE("turns of a session go to the engine that has read it") {
+  NodeBench bench;
+  std::set<std::string> engines;
+  for (uint64_t i = 1; i <= 6; ++i) {
+    ForwardedRequest request = NodeBench::Request(i);
+    request.piece_counts = {};
+    request.prefix = {{"common", 2500},
+                      {"session", 3800},
+                      {"own-" + std::to_string(i), 2900}};
+    bench.Feed(std::move(request));
+    const auto* send = bench.Last<SendAttempt>();
+    REQUIRE(send != nullptr);
+    engines.insert(send->endpoint.value);
+    const base::AttemptId attempt = send->attempt;
+    bench.Feed(AttemptAnswer{attempt, GoodHead("r" + std::to_string(i)), ""});
+  }
+  CHECK(engines.size() == 1);
+}
+
 TEST_CASE(
     "pieces of a request that is due soonest are asked for with its time") {
   NodeBench bench;
