--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -21,8 +21,8 @@
 constexpr std::chrono::milliseconds kCallSlack{400};
 // Small results are freed together, after at most this time.
 constexpr std::chrono::milliseconds kFreeDelay{40};
-// A result of this size is freed at once: it takes a noticeable part of an
-// endpoint's room.
+// Results of this size are freed at once, since they take a noticeable part of
+// an endpoint's room, and made beside their readers.
 constexpr uint64_t kLargeResultBytes = 500'000;
 // When a pool without endpoints is to be tried again.
 constexpr std::chrono::milliseconds kNoEndpointRetry{1000};
@@ -89,13 +89,6 @@
          endpoint.calls < limits_.calls_at_once && endpoint.rests_until <= now;
 }
 
-bool StageDispatcher::HasIdleIn(const base::ZoneName& zone,
-                                base::TimePoint now) const {
-  return std::ranges::any_of(endpoints_, [&](const auto& it) {
-    return it.second.listed.zone == zone && IsIdle(it.second, now);
-  });
-}
-
 base::Duration StageDispatcher::CallTime(size_t pieces) const {
   const size_t in_call = std::min<size_t>(pieces, limits_.pieces_per_call);
   return limits_.call_time + limits_.piece_time * in_call;
@@ -188,16 +181,49 @@
   return std::nullopt;
 }
 
+// Results are large: they are made in their reader's zone as long as that can
+// be done on time.
+bool StageDispatcher::MayTake(const Endpoint& endpoint,
+                              const Job& job,
+                              base::TimePoint now) const {
+  const base::ZoneName& zone = job.job.reader_zone;
+  if (zone.value.empty() || zone == endpoint.listed.zone ||
+      job.job.result_bytes < kLargeResultBytes)
+    return true;
+  const auto begins = NextTurnIn(zone, now);
+  if (!begins)
+    return true;
+  // A full call before it, and one more turn in case that one is full too.
+  const base::Duration needed =
+      CallTime(limits_.pieces_per_call) * 2 + job.job.time_after;
+  return *begins + needed > job.target;
+}
+
+// When an endpoint of the zone can be called next; empty when it has none.
+std::optional<base::TimePoint> StageDispatcher::NextTurnIn(
+    const base::ZoneName& zone,
+    base::TimePoint now) const {
+  std::optional<base::TimePoint> next;
+  for (const auto& [name, endpoint] : endpoints_) {
+    if (endpoint.listed.zone != zone ||
+        endpoint.listed.state != EndpointState::kServing)
+      continue;
+    base::TimePoint turn = std::max(now, endpoint.rests_until);
+    if (endpoint.calls >= limits_.calls_at_once)
+      turn = std::max(turn, endpoint.busy_until);
+    if (!next || turn < *next)
+      next = turn;
+  }
+  return next;
+}
+
 StageCall StageDispatcher::MakeCall(Endpoint& endpoint,
                                     const OrderedJobs& jobs,
                                     base::TimePoint now) {
   StageCall call;
   Call record;
   for (const auto& [id, job] : jobs) {
-    const base::ZoneName& zone = job->job.reader_zone;
-    // An idle endpoint beside the reader will take it.
-    if (!zone.value.empty() && zone != endpoint.listed.zone &&
-        HasIdleIn(zone, now))
+    if (!MayTake(endpoint, *job, now))
       continue;
     TakePieces(endpoint, id, *job, call, record, now);
     if (call.pieces.size() >= limits_.pieces_per_call)
--- a/Libraries/LibForward/stage_dispatcher.h
+++ b/Libraries/LibForward/stage_dispatcher.h
@@ -89,7 +89,11 @@
   using OrderedJobs = std::vector<std::pair<JobId, Job*>>;
 
   bool IsIdle(const Endpoint& endpoint, base::TimePoint now) const;
-  bool HasIdleIn(const base::ZoneName& zone, base::TimePoint now) const;
+  bool MayTake(const Endpoint& endpoint,
+               const Job& job,
+               base::TimePoint now) const;
+  std::optional<base::TimePoint> NextTurnIn(const base::ZoneName& zone,
+                                            base::TimePoint now) const;
   base::Duration CallTime(size_t pieces) const;
   base::Duration WaitFor(const Job& job, base::TimePoint now) const;
   bool IsOnTime(const Job& job, base::TimePoint now) const;
--- a/Tests/LibForward/test_stage_dispatcher.cc
+++ b/Tests/LibForward/test_stage_dispatcher.cc
@@ -268,6 +268,24 @@
   CHECK(FailureOf(outcomes[0].second)->kind == JobFailureKind::kNoEndpoint);
 }
 
+// Answers large results, which are priced when they cross zones.
+TEST_CASE("large results are made beside their reader while there is time") {
+  Bench bench(2);
+  StageJob job;
+  job.result_bytes = 600'000;
+  job.reader_zone.value = "z2";
+  bench.Submit(1, job);
+  const StageCall first = bench.Next();
+  CHECK(first.endpoint.value == "e2");
+  // The reader's zone is busy now; there is time to wait for it.
+  bench.Submit(1, job);
+  CHECK(bench.IsIdle());
+  // No time to wait.
+  job.until_target = milliseconds(350);
+  bench.Submit(1, job);
+  CHECK(bench.Next().endpoint.value == "e1");
+}
+
 TEST_CASE("an endpoint that leaves gets no new call") {
   Bench bench;
   ListedEndpoint leaving = MakeEndpoint("e1", "z1");
