--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -28,6 +28,7 @@
     {kPlatformRowUnreadable, kWarning, "platform-row-unreadable"},
     {kPeerMessagesRefused, kWarning, "peer-messages-refused"},
     {kDispatcherLost, kWarning, "dispatcher-lost"},
+    {kDispatcherBack, kInfo, "dispatcher-back"},
     {kAttemptFailed, kWarning, "attempt-failed"},
     {kAnswerMismatched, kError, "answer-mismatched"},
     {kEndpointEjected, kWarning, "endpoint-ejected"},
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -26,6 +26,7 @@
   kPlatformRowUnreadable = 1303,
   kPeerMessagesRefused = 1310,
   kDispatcherLost = 1311,
+  kDispatcherBack = 1312,
   kAttemptFailed = 1401,
   kAnswerMismatched = 1402,
   kEndpointEjected = 1403,
--- a/Libraries/LibForward/dispatcher_ring.cc
+++ b/Libraries/LibForward/dispatcher_ring.cc
@@ -7,13 +7,6 @@
 
 namespace bilberry::forward {
 
-namespace {
-
-constexpr std::chrono::milliseconds kFirstDoubt{500};
-constexpr std::chrono::milliseconds kLongestDoubt{8000};
-
-}  // namespace
-
 DispatcherRing::DispatcherRing(PeerHost own)
     : own_(std::move(own)), hosts_{own_} {}
 
@@ -25,13 +18,22 @@
   }
 }
 
-const PeerHost& DispatcherRing::DispatcherOf(const base::PoolName& pool,
-                                             base::TimePoint now) const {
+const PeerHost& DispatcherRing::DispatcherOf(const base::PoolName& pool) const {
+  return BestOf(pool, silent_);
+}
+
+const PeerHost& DispatcherRing::IdealDispatcherOf(
+    const base::PoolName& pool) const {
+  return BestOf(pool, {});
+}
+
+const PeerHost& DispatcherRing::BestOf(
+    const base::PoolName& pool,
+    const std::set<base::HostName>& passed_over) const {
   const PeerHost* best = &own_;
   double best_weight = -1;
   for (const PeerHost& it : hosts_) {
-    const auto doubt = doubts_.find(it.name);
-    if (doubt != doubts_.end() && doubt->second.until > now)
+    if (passed_over.contains(it.name))
       continue;
     const double weight =
         WeightedRendezvous(pool.value, it.name.value, it.capacity);
@@ -48,20 +50,4 @@
   return it == hosts_.end() ? nullptr : &*it;
 }
 
-void DispatcherRing::NoteFailure(const base::HostName& name,
-                                 base::TimePoint now) {
-  Doubt& doubt = doubts_[name];
-  // Calls that failed together are one failure.
-  if (doubt.until > now)
-    return;
-  const auto length =
-      kFirstDoubt * (int64_t{1} << std::min(doubt.failures, 8U));
-  doubt.until = now + std::min(length, kLongestDoubt);
-  ++doubt.failures;
-}
-
-void DispatcherRing::NoteAnswer(const base::HostName& name) {
-  doubts_.erase(name);
-}
-
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/dispatcher_ring.h
+++ b/Libraries/LibForward/dispatcher_ring.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -29,28 +29,29 @@
 
   void SetHosts(std::span<const PeerHost> hosts);
 
-  const PeerHost& DispatcherOf(const base::PoolName& pool,
-                               base::TimePoint now) const;
+  const PeerHost& DispatcherOf(const base::PoolName& pool) const;
+  // The one that would be chosen if every host answered.
+  const PeerHost& IdealDispatcherOf(const base::PoolName& pool) const;
   bool IsOwn(const PeerHost& host) const { return host.name == own_.name; }
   // Null when there is no such host.
   const PeerHost* Find(const base::HostName& name) const;
 
-  // A host that gave no answer is passed over for a while: for twice as long
-  // by each failure in a row.
-  void NoteFailure(const base::HostName& name, base::TimePoint now);
-  void NoteAnswer(const base::HostName& name);
+  // A host that gave no answer is passed over until it answers.
+  void NoteSilent(const base::HostName& name) { silent_.insert(name); }
+  void NoteAnswer(const base::HostName& name) { silent_.erase(name); }
+  bool IsSilent(const base::HostName& name) const {
+    return silent_.contains(name);
+  }
 
   size_t host_count() const { return hosts_.size(); }
 
  private:
-  struct Doubt {
-    uint32_t failures = 0;
-    base::TimePoint until;
-  };
+  const PeerHost& BestOf(const base::PoolName& pool,
+                         const std::set<base::HostName>& passed_over) const;
 
   PeerHost own_;
   std::vector<PeerHost> hosts_;  // With the own one.
-  std::map<base::HostName, Doubt> doubts_;
+  std::set<base::HostName> silent_;
 };
 
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/endpoint_chooser.cc
+++ b/Libraries/LibForward/endpoint_chooser.cc
@@ -21,6 +21,14 @@
 constexpr std::chrono::milliseconds kRefusedRest{50};
 // One failure may be the request's own; this many in a row are the endpoint's.
 constexpr uint32_t kFailuresToRest = 2;
+// So many endpoints of one zone in a row that can't be reached are the zone's
+// fault.
+constexpr uint32_t kUnreachableToRest = 2;
+
+std::chrono::milliseconds RestAfter(uint32_t doublings) {
+  return std::min(kFirstRest * (int64_t{1} << std::min(doublings, 8U)),
+                  kLongestRest);
+}
 
 }  // namespace
 
@@ -36,6 +44,31 @@
   endpoints_ = std::move(present);
 }
 
+bool EndpointChooser::IsRested(const Endpoint& endpoint,
+                               base::TimePoint now) const {
+  if (endpoint.rests_until > now)
+    return false;
+  const auto it = zones_.find(endpoint.listed.zone);
+  if (it == zones_.end() || it->second.unreachable < kUnreachableToRest)
+    return true;
+  if (it->second.rests_until > now)
+    return false;
+  // One request at a time finds out whether the zone is back.
+  return std::ranges::none_of(endpoints_, [&endpoint](const auto& other) {
+    return other.second.listed.zone == endpoint.listed.zone &&
+           other.second.in_flight > 0;
+  });
+}
+
+void EndpointChooser::NoteUnreachable(Endpoint& endpoint, base::TimePoint now) {
+  ++endpoint.failures;
+  endpoint.rests_until = now + RestAfter(endpoint.failures - 1);
+  Zone& zone = zones_[endpoint.listed.zone];
+  ++zone.unreachable;
+  if (zone.unreachable >= kUnreachableToRest)
+    zone.rests_until = now + RestAfter(zone.unreachable - kUnreachableToRest);
+}
+
 EndpointChooser::Candidates EndpointChooser::Usable(const EndpointWish& wish,
                                                     base::TimePoint now) const {
   Candidates rested;
@@ -45,7 +78,7 @@
         endpoint.listed.state != EndpointState::kServing ||
         std::ranges::find(wish.avoided, name) != wish.avoided.end())
       continue;
-    (endpoint.rests_until <= now ? rested : resting).push_back(&endpoint);
+    (IsRested(endpoint, now) ? rested : resting).push_back(&endpoint);
   }
   // One that failed lately may still serve; none at all surely doesn't.
   return rested.empty() ? resting : rested;
@@ -117,6 +150,10 @@
   switch (verdict) {
     case EndpointVerdict::kAnswered:
       endpoint.failures = 0;
+      zones_.erase(endpoint.listed.zone);
+      return;
+    case EndpointVerdict::kUnreachable:
+      NoteUnreachable(endpoint, now);
       return;
     case EndpointVerdict::kRefused:
       endpoint.rests_until = now + kRefusedRest;
@@ -125,10 +162,8 @@
       ++endpoint.failures;
       if (endpoint.failures < kFailuresToRest)
         return;
-      const uint32_t doublings =
-          std::min(endpoint.failures - kFailuresToRest, 8U);
       endpoint.rests_until =
-          now + std::min(kFirstRest * (int64_t{1} << doublings), kLongestRest);
+          now + RestAfter(endpoint.failures - kFailuresToRest);
       return;
     }
     case EndpointVerdict::kCancelled:
--- a/Libraries/LibForward/endpoint_chooser.h
+++ b/Libraries/LibForward/endpoint_chooser.h
@@ -17,7 +17,8 @@
   kAnswered,
   kRefused,  // Not run; the endpoint is full or leaving.
   kFailed,
-  kCancelled,  // By us; says nothing about the endpoint.
+  kUnreachable,  // No connection could be made.
+  kCancelled,    // By us; says nothing about the endpoint.
 };
 
 struct EndpointWish {
@@ -56,8 +57,16 @@
     base::TimePoint rests_until;
   };
 
+  // A zone whose endpoints can't be reached, one after the other.
+  struct Zone {
+    uint32_t unreachable = 0;  // In a row.
+    base::TimePoint rests_until;
+  };
+
   using Candidates = std::vector<const Endpoint*>;
 
+  bool IsRested(const Endpoint& endpoint, base::TimePoint now) const;
+  void NoteUnreachable(Endpoint& endpoint, base::TimePoint now);
   Candidates Usable(const EndpointWish& wish, base::TimePoint now) const;
   const Endpoint& LeastLoaded(const Candidates& candidates);
   static const Endpoint& BestFor(std::string_view affinity,
@@ -65,6 +74,7 @@
 
   base::Random random_;
   std::map<base::EndpointName, Endpoint> endpoints_;
+  std::map<base::ZoneName, Zone> zones_;
 };
 
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/forward_action.h
+++ b/Libraries/LibForward/forward_action.h
@@ -117,6 +117,12 @@
   std::vector<StageResult> results;
 };
 
+// Ends in one PeerAlive or PeerSilent.
+struct AskWhetherAlive {
+  base::HostName host;
+  base::SocketAddress address;
+};
+
 // Reads a table from `start_after` on; empty for its beginning.
 struct ListTable {
   FeedKind feed{};
@@ -170,6 +176,7 @@
                             CancelAsk,
                             AnswerPeer,
                             TellPeerRead,
+                            AskWhetherAlive,
                             ListTable,
                             FollowTable,
                             WriteOwnRow,
--- a/Libraries/LibForward/forward_event.h
+++ b/Libraries/LibForward/forward_event.h
@@ -93,6 +93,15 @@
   std::string detail;
 };
 
+// A peer has answered that it is there, or has not answered in time.
+struct PeerAlive {
+  base::HostName host;
+};
+struct PeerSilent {
+  base::HostName host;
+  std::string detail;
+};
+
 // One page of a table, as asked for.
 struct TableListed {
   FeedKind feed{};
@@ -138,6 +147,8 @@
                            PeerResultsRead,
                            PeerJobEnded,
                            PeerJobLost,
+                           PeerAlive,
+                           PeerSilent,
                            TableListed,
                            TableChanged,
                            TableHistoryLost,
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -58,6 +58,8 @@
           [&](const PeerResultsRead& it) { stages_.Handle(it, now); },
           [&](const PeerJobEnded& it) { stages_.Handle(it, now); },
           [&](const PeerJobLost& it) { stages_.Handle(it, now); },
+          [&](const PeerAlive& it) { stages_.Handle(it); },
+          [&](const PeerSilent& it) { stages_.Handle(it, now); },
           [&](TableListed& it) { store_.Handle(std::move(it), now); },
           [&](TableChanged& it) { store_.Handle(std::move(it), now); },
           [&](const TableHistoryLost& it) { store_.Handle(it, now); },
--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -388,13 +388,9 @@
   const auto caller = CallerOf(event.attempt);
   if (!caller)
     return;
-  // Without a connection the endpoint can't have run it, but has failed.
-  if (event.kind == AttemptFailureKind::kUnreachable)
-    chooser_.NoteEnded(runs_.at(*caller).attempt->endpoint,
-                       EndpointVerdict::kFailed, now);
   LoseAttempt(*caller,
               event.kind == AttemptFailureKind::kUnreachable
-                  ? EndpointVerdict::kRefused
+                  ? EndpointVerdict::kUnreachable
                   : EndpointVerdict::kFailed,
               event.detail, now);
 }
@@ -415,7 +411,10 @@
       run.pipeline->may_resume;
   if (runs > 0 && (!may_repeat || runs >= run.pipeline->max_attempts))
     return false;
-  return run.tried.size() < run.pipeline->max_attempts + kMaxRefusals &&
+  if (run.tried.size() >= run.pipeline->max_attempts + kMaxRefusals)
+    return false;
+  // What never arrived costs the pool nothing.
+  return verdict == EndpointVerdict::kUnreachable ||
          budgets_[run.final_pool].HasOne();
 }
 
@@ -433,7 +432,8 @@
   if (verdict == EndpointVerdict::kFailed)
     ++run.runs;
   if (may_send_again) {
-    budgets_[run.final_pool].TryTake();
+    if (verdict != EndpointVerdict::kUnreachable)
+      budgets_[run.final_pool].TryTake();
     // What may have run may have used its inputs up.
     if (run.runs > 0) {
       ReleaseAll(run, now);
--- a/Libraries/LibForward/stage_desk.cc
+++ b/Libraries/LibForward/stage_desk.cc
@@ -27,6 +27,7 @@
       it->second.dispatcher.Reconfigure(*pool.pieces);
   }
   SetEndpoints(std::move(endpoints_));
+  WatchDispatchers();
 }
 
 void StageDesk::SetEndpoints(std::vector<ListedEndpoint> endpoints) {
@@ -68,9 +69,10 @@
   const bool is_alone =
       !context_.options().shares_calls || question.hosts_lost > kMaxHostsLost;
   const PeerHost& host =
-      is_alone ? context_.options().own : ring_.DispatcherOf(job.pool, now);
+      is_alone ? context_.options().own : ring_.DispatcherOf(job.pool);
   question.host = host.name;
   if (!ring_.IsOwn(host)) {
+    watch_.NoteUse(now);
     context_.Emit(AskPeer{id, host.address, std::move(job)});
     return;
   }
@@ -182,9 +184,69 @@
                {{"host", question.host.value},
                 {"pool", question.job.pool.value},
                 {"reason", event.detail}});
-  ring_.NoteFailure(question.host, now);
+  ring_.NoteSilent(question.host);
+  WatchDispatchers();
+  Move(event.ask, question, now);
+}
+
+void StageDesk::Move(AskId id, Question& question, base::TimePoint now) {
   ++question.hosts_lost;
-  Place(event.ask, question, now);
+  Place(id, question, now);
+}
+
+void StageDesk::Handle(const PeerAlive& event) {
+  watch_.NoteEnded(event.host);
+  if (!ring_.IsSilent(event.host))
+    return;
+  ring_.NoteAnswer(event.host);
+  WatchDispatchers();
+  context_.Log(base::LogEventId::kDispatcherBack, "",
+               {{"host", event.host.value}});
+}
+
+void StageDesk::Handle(const PeerSilent& event, base::TimePoint now) {
+  watch_.NoteEnded(event.host);
+  if (ring_.IsSilent(event.host))
+    return;
+  ring_.NoteSilent(event.host);
+  WatchDispatchers();
+  context_.Log(base::LogEventId::kDispatcherLost, "",
+               {{"host", event.host.value}, {"reason", event.detail}});
+  std::vector<AskId> waiting;
+  for (const auto& [id, question] : questions_) {
+    if (!question.local && question.host == event.host)
+      waiting.push_back(id);
+  }
+  for (const AskId id : waiting) {
+    context_.Emit(CancelAsk{id});
+    Move(id, questions_.at(id), now);
+  }
+}
+
+void StageDesk::SetHosts(std::span<const PeerHost> hosts) {
+  ring_.SetHosts(hosts);
+  WatchDispatchers();
+}
+
+void StageDesk::WatchDispatchers() {
+  std::set<base::HostName> hosts;
+  for (const auto& [name, pool] : pools_) {
+    for (const PeerHost* host :
+         {&ring_.DispatcherOf(name), &ring_.IdealDispatcherOf(name)}) {
+      if (!ring_.IsOwn(*host))
+        hosts.insert(host->name);
+    }
+  }
+  watch_.Watch(hosts);
+}
+
+void StageDesk::AskPeers(base::TimePoint now) {
+  for (const base::HostName& name : watch_.TakeDue(now)) {
+    if (const PeerHost* host = ring_.Find(name))
+      context_.Emit(AskWhetherAlive{name, host->address});
+    else
+      watch_.NoteEnded(name);
+  }
 }
 
 void StageDesk::Handle(const StageCallEnded& event, base::TimePoint now) {
@@ -197,6 +259,7 @@
 }
 
 void StageDesk::Dispatch(base::TimePoint now) {
+  AskPeers(now);
   for (auto& [name, pool] : pools_) {
     MakeCalls(name, pool, now);
     for (FreeOrder& order : pool.dispatcher.TakeFreeOrders(now))
@@ -249,7 +312,7 @@
 }
 
 std::optional<base::TimePoint> StageDesk::NextWakeup() const {
-  std::optional<base::TimePoint> next;
+  std::optional<base::TimePoint> next = watch_.NextWakeup();
   for (const auto& [name, pool] : pools_) {
     const auto wakeup = pool.dispatcher.NextWakeup();
     if (wakeup && (!next || *wakeup < *next))
--- a/Libraries/LibForward/stage_desk.h
+++ b/Libraries/LibForward/stage_desk.h
@@ -8,6 +8,7 @@
 
 #include "LibForward/dispatcher_ring.h"
 #include "LibForward/forward_context.h"
+#include "LibForward/peer_watch.h"
 #include "LibForward/stage_dispatcher.h"
 
 namespace bilberry::forward {
@@ -30,7 +31,7 @@
 
   void Reconfigure(const ForwardConfiguration& configuration);
   void SetEndpoints(std::vector<ListedEndpoint> endpoints);
-  void SetHosts(std::span<const PeerHost> hosts) { ring_.SetHosts(hosts); }
+  void SetHosts(std::span<const PeerHost> hosts);
 
   // Ends in one outcome, unless it is withdrawn.
   AskId Ask(StageJob job, base::TimePoint now);
@@ -44,6 +45,8 @@
   void Handle(const PeerResultsRead& event, base::TimePoint now);
   void Handle(const PeerJobEnded& event, base::TimePoint now);
   void Handle(const PeerJobLost& event, base::TimePoint now);
+  void Handle(const PeerAlive& event);
+  void Handle(const PeerSilent& event, base::TimePoint now);
   void Handle(const StageCallEnded& event, base::TimePoint now);
 
   // Makes the calls and gives the answers that are due.
@@ -82,9 +85,14 @@
   void GiveOutcome(const Origin& origin, JobOutcome outcome);
   void MakeCalls(const base::PoolName& name, Pool& pool, base::TimePoint now);
   Pool* FindPool(const base::PoolName& name);
+  void WatchDispatchers();
+  void AskPeers(base::TimePoint now);
+  // Gives a question to the next host.
+  void Move(AskId id, Question& question, base::TimePoint now);
 
   ForwardContext& context_;
   DispatcherRing ring_;
+  PeerWatch watch_;
   std::map<base::PoolName, Pool> pools_;
   std::vector<ListedEndpoint> endpoints_;
   std::map<AskId, Question> questions_;
--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -13,6 +13,8 @@
 // a row, up to the longest.
 constexpr std::chrono::milliseconds kFirstRest{100};
 constexpr std::chrono::milliseconds kLongestRest{3200};
+// So many failed calls in a row are the endpoint's fault.
+constexpr uint32_t kFailuresToProbe = 2;
 // How long an endpoint without room, or that is full, gets no call.
 constexpr std::chrono::milliseconds kFullRest{30};
 // A call is given up after this many times what it should take, and what
@@ -181,6 +183,11 @@
   return std::nullopt;
 }
 
+// One piece finds out whether an endpoint that failed is back.
+size_t StageDispatcher::PiecesFor(const Endpoint& endpoint) const {
+  return endpoint.failures >= kFailuresToProbe ? 1 : limits_.pieces_per_call;
+}
+
 // Results are large: they are made in their reader's zone as long as that can
 // be done on time.
 bool StageDispatcher::MayTake(const Endpoint& endpoint,
@@ -226,7 +233,7 @@
     if (!MayTake(endpoint, *job, now))
       continue;
     TakePieces(endpoint, id, *job, call, record, now);
-    if (call.pieces.size() >= limits_.pieces_per_call)
+    if (call.pieces.size() >= PiecesFor(endpoint))
       break;
   }
   if (call.pieces.empty())
@@ -251,7 +258,7 @@
                                  Call& record,
                                  base::TimePoint now) {
   const uint64_t bytes = job.job.result_bytes;
-  while (!job.waiting.empty() && call.pieces.size() < limits_.pieces_per_call &&
+  while (!job.waiting.empty() && call.pieces.size() < PiecesFor(endpoint) &&
          endpoint.room.used_bytes() + bytes <= limits_.room_bytes) {
     const uint32_t piece = job.waiting.front();
     job.waiting.erase(job.waiting.begin());
--- a/Libraries/LibForward/stage_dispatcher.h
+++ b/Libraries/LibForward/stage_dispatcher.h
@@ -89,6 +89,7 @@
   using OrderedJobs = std::vector<std::pair<JobId, Job*>>;
 
   bool IsIdle(const Endpoint& endpoint, base::TimePoint now) const;
+  size_t PiecesFor(const Endpoint& endpoint) const;
   bool MayTake(const Endpoint& endpoint,
                const Job& job,
                base::TimePoint now) const;
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -13,7 +13,11 @@
 
 constexpr const char* kConnectionHeader = "Connection";
 constexpr const char* kJobsPath = "/v1/jobs";
+constexpr const char* kAlivePath = "/v1/alive";
 constexpr const char* kResultsReadPath = "/v1/results-read";
+// A host answers this at once; a lost packet is sent again after 200 ms (the
+// kernel's shortest retransmission time).
+constexpr std::chrono::milliseconds kAliveTimeout{350};
 // A peer that has not answered a job by then is taken for lost: jobs end by
 // their own deadline before.
 constexpr std::chrono::milliseconds kPeerSlack{500};
@@ -197,6 +201,9 @@
       Feed(forward::PeerJobAsked{exchange, std::move(*job)});
       return;
     }
+  } else if (request.path == kAlivePath) {
+    peers_->Respond(request.exchange, {204, {}, ""});
+    return;
   } else if (request.path == kResultsReadPath) {
     if (auto read = DecodeResultsRead(request.body)) {
       Feed(std::move(*read));
@@ -377,6 +384,20 @@
   http_->Send(std::move(request), [](const HttpOutcome&) {});
 }
 
+void ForwardShell::Do(const forward::AskWhetherAlive& action) {
+  HttpRequest request;
+  request.address = action.address;
+  request.path = kAlivePath;
+  request.timeout = kAliveTimeout;
+  http_->Send(std::move(request),
+              [this, host = action.host](const HttpOutcome& outcome) {
+                if (const auto* failure = std::get_if<HttpFailure>(&outcome))
+                  Feed(forward::PeerSilent{host, failure->detail});
+                else
+                  Feed(forward::PeerAlive{host});
+              });
+}
+
 void ForwardShell::Do(const forward::ListTable& action) {
   HttpRequest request = adapter_.EncodeList(action);
   request.timeout = kStoreTimeout;
--- a/Libraries/LibTransport/forward_shell.h
+++ b/Libraries/LibTransport/forward_shell.h
@@ -86,6 +86,7 @@
   void Do(const forward::CancelAsk& action);
   void Do(const forward::AnswerPeer& action);
   void Do(const forward::TellPeerRead& action);
+  void Do(const forward::AskWhetherAlive& action);
   void Do(const forward::ListTable& action);
   void Do(const forward::FollowTable& action);
   void Do(const forward::WriteOwnRow& action);
--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -15,8 +15,10 @@
 // used again.
 constexpr std::chrono::seconds kIdleLimit{5};
 // How long sent bytes may go without acknowledgement (RFC 5482).
-constexpr std::chrono::milliseconds kUserTimeout{2000};
-constexpr std::chrono::milliseconds kConnectTimeout{1000};
+constexpr std::chrono::milliseconds kUserTimeout{1500};
+// Two retransmissions of the opening packet would come after 1 s and 3 s; a
+// host that is there answers within a few milliseconds.
+constexpr std::chrono::milliseconds kConnectTimeout{400};
 // After this much silence, and as often from then on, the peer is asked whether
 // it still has the connection; kUserTimeout ends the waiting.
 constexpr int kKeepAliveSeconds = 1;
--- a/Tests/LibForward/test_forward_node.cc
+++ b/Tests/LibForward/test_forward_node.cc
@@ -221,6 +221,38 @@
   CHECK(bench.Last<CallStage>() != nullptr);
 }
 
+TEST_CASE("a dispatcher that is silent is left at once, and taken up again") {
+  NodeBench bench;
+  bench.AddPeer();
+  bench.Feed(NodeBench::Request(1));
+  REQUIRE(bench.Last<AskPeer>() != nullptr);
+  const AskId ask = bench.Last<AskPeer>()->ask;
+  REQUIRE(bench.Last<AskWhetherAlive>() != nullptr);
+  bench.actions.clear();
+  bench.now += milliseconds(350);
+  bench.Feed(PeerSilent{{"peer"}, "no answer"});
+  REQUIRE(bench.Last<CancelAsk>() != nullptr);
+  CHECK(bench.Last<CancelAsk>()->ask == ask);
+  CHECK(bench.Last<CallStage>() != nullptr);
+  // It is asked on, and its answer brings it back.
+  CHECK(bench.Last<AskWhetherAlive>() != nullptr);
+  bench.Feed(PeerAlive{{"peer"}});
+  bench.Feed(NodeBench::Request(2));
+  CHECK(bench.Last<AskPeer>() != nullptr);
+}
+
+TEST_CASE("endpoints that can't be reached cost no retry of the budget") {
+  NodeBench bench;
+  ForwardedRequest request = NodeBench::Request(1);
+  request.piece_counts = {};
+  bench.Feed(std::move(request));
+  const SendAttempt first = *bench.Last<SendAttempt>();
+  bench.Feed(AttemptFailure{first.attempt, AttemptFailureKind::kUnreachable,
+                            "no connection"});
+  CHECK(bench.Last<AnswerCaller>() == nullptr);
+  CHECK(bench.Last<SendAttempt>()->endpoint != first.endpoint);
+}
+
 TEST_CASE("a dispatcher's refusal reaches the caller with its time") {
   NodeBench bench;
   bench.AddPeer();
