--- a/Libraries/LibForward/peer_watch.cc
+++ b/Libraries/LibForward/peer_watch.cc
@@ -24,11 +24,13 @@
 
 void PeerWatch::NoteUse(base::TimePoint now) {
   used_until_ = now + kUseLasts;
+  is_used_ = true;
 }
 
 std::vector<base::HostName> PeerWatch::TakeDue(base::TimePoint now) {
   std::vector<base::HostName> due;
-  if (now > used_until_)
+  is_used_ = now <= used_until_;
+  if (!is_used_)
     return due;
   for (auto& [host, question] : questions_) {
     if (question.is_open || question.due > now)
@@ -48,9 +50,10 @@
 
 std::optional<base::TimePoint> PeerWatch::NextWakeup() const {
   std::optional<base::TimePoint> next;
+  if (!is_used_)
+    return next;
   for (const auto& [host, question] : questions_) {
-    if (!question.is_open && question.due <= used_until_ &&
-        (!next || question.due < *next))
+    if (!question.is_open && (!next || question.due < *next))
       next = question.due;
   }
   return next;
--- a/Libraries/LibForward/peer_watch.h
+++ b/Libraries/LibForward/peer_watch.h
@@ -34,6 +34,7 @@
 
   std::map<base::HostName, Question> questions_;
   base::TimePoint used_until_;
+  bool is_used_ = false;  // When it was last looked at.
 };
 
 }  // namespace bilberry::forward
--- a/Tests/LibForward/test_forward_node.cc
+++ b/Tests/LibForward/test_forward_node.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <set>
@@ -7,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "LibBase/random.h"
 #include "LibForward/forward_node.h"
 
 namespace bilberry::forward {
@@ -253,6 +255,34 @@
   CHECK(bench.Last<SendAttempt>()->endpoint != first.endpoint);
 }
 
+// A wake-up that is due already would have the loop turn without end.
+TEST_CASE("a host is never woken for nothing") {
+  NodeBench bench;
+  bench.AddPeer();
+  base::Random random(7);
+  uint64_t caller = 0;
+  for (int i = 0; i < 2000; ++i) {
+    // Requests in a burst, and then none for long.
+    if (i < 200 && random.Below(2) == 0)
+      bench.Feed(NodeBench::Request(++caller));
+    if (const auto* ask = bench.Last<AskPeer>(); ask != nullptr && i % 7 == 0)
+      bench.Feed(PeerJobLost{ask->ask, "lost"});
+    if (bench.Last<AskWhetherAlive>() != nullptr && i % 3 == 0)
+      bench.Feed(PeerAlive{{"peer"}});
+    if (const auto* call = bench.Last<CallStage>();
+        call != nullptr && i % 5 == 0)
+      bench.EndStage(call->call);
+    const auto next = bench.node.NextWakeup();
+    if (next)
+      bench.now = std::max(bench.now, *next);
+    bench.now += milliseconds(random.Below(20));
+    bench.Feed(TimerDue{});
+    const auto after = bench.node.NextWakeup();
+    if (after)
+      CHECK(*after > bench.now);
+  }
+}
+
 TEST_CASE("a dispatcher's refusal reaches the caller with its time") {
   NodeBench bench;
   bench.AddPeer();
