--- a/Libraries/LibForward/forward_action.h
+++ b/Libraries/LibForward/forward_action.h
@@ -91,6 +91,8 @@
   StageCall call;
 };
 
+// Ends in one ResultsFreed, or in nothing: the endpoint then drops them at the
+// end of their life.
 struct FreeResults {
   FreeOrder order;
 };
--- a/Libraries/LibForward/forward_event.h
+++ b/Libraries/LibForward/forward_event.h
@@ -66,6 +66,10 @@
   StageCallOutcome outcome;
 };
 
+struct ResultsFreed {
+  FreeOrder order;
+};
+
 // A peer wants a job done here; answered by one AnswerPeer.
 struct PeerJobAsked {
   PeerExchangeId exchange{};
@@ -142,6 +146,7 @@
                            AttemptAnswer,
                            AttemptFailure,
                            StageCallEnded,
+                           ResultsFreed,
                            PeerJobAsked,
                            PeerJobLeft,
                            PeerResultsRead,
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -53,6 +53,7 @@
           [&](AttemptAnswer& it) { runs_.Handle(std::move(it), now); },
           [&](const AttemptFailure& it) { runs_.Handle(it, now); },
           [&](const StageCallEnded& it) { stages_.Handle(it, now); },
+          [&](const ResultsFreed& it) { stages_.Handle(it); },
           [&](const PeerJobAsked& it) { stages_.Handle(it, now); },
           [&](const PeerJobLeft& it) { stages_.Handle(it); },
           [&](const PeerResultsRead& it) { stages_.Handle(it, now); },
--- a/Libraries/LibForward/result_room.cc
+++ b/Libraries/LibForward/result_room.cc
@@ -11,13 +11,17 @@
     held_ += bytes;
 }
 
-bool ResultRoom::Remove(const std::string& handle) {
+void ResultRoom::Remove(const std::string& handle) {
   const auto it = results_.find(handle);
   if (it == results_.end())
-    return false;
+    return;
   held_ -= it->second.bytes;
   results_.erase(it);
-  return true;
+}
+
+uint64_t ResultRoom::SizeOf(const std::string& handle) const {
+  const auto it = results_.find(handle);
+  return it == results_.end() ? 0 : it->second.bytes;
 }
 
 void ResultRoom::DropExpired(base::TimePoint now) {
--- a/Libraries/LibForward/result_room.h
+++ b/Libraries/LibForward/result_room.h
@@ -16,8 +16,10 @@
   void Release(uint64_t bytes) { reserved_ -= bytes; }
 
   void Add(const std::string& handle, uint64_t bytes, base::TimePoint expires);
-  // False when the result isn't known, or known to be freed.
-  bool Remove(const std::string& handle);
+  // Ignores results that aren't known.
+  void Remove(const std::string& handle);
+  // 0 when it isn't known.
+  uint64_t SizeOf(const std::string& handle) const;
   // Forgets what the endpoint has dropped by itself.
   void DropExpired(base::TimePoint now);
 
--- a/Libraries/LibForward/stage_desk.cc
+++ b/Libraries/LibForward/stage_desk.cc
@@ -194,6 +194,11 @@
   Place(id, question, now);
 }
 
+void StageDesk::Handle(const ResultsFreed& event) {
+  if (Pool* pool = FindPool(event.order.pool))
+    pool->dispatcher.NoteFreed(event.order);
+}
+
 void StageDesk::Handle(const PeerAlive& event) {
   watch_.NoteEnded(event.host);
   if (!ring_.IsSilent(event.host))
--- a/Libraries/LibForward/stage_desk.h
+++ b/Libraries/LibForward/stage_desk.h
@@ -45,6 +45,7 @@
   void Handle(const PeerResultsRead& event, base::TimePoint now);
   void Handle(const PeerJobEnded& event, base::TimePoint now);
   void Handle(const PeerJobLost& event, base::TimePoint now);
+  void Handle(const ResultsFreed& event);
   void Handle(const PeerAlive& event);
   void Handle(const PeerSilent& event, base::TimePoint now);
   void Handle(const StageCallEnded& event, base::TimePoint now);
--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -22,7 +22,7 @@
 constexpr int kCallPatience = 3;
 constexpr std::chrono::milliseconds kCallSlack{400};
 // Small results are freed together, after at most this time.
-constexpr std::chrono::milliseconds kFreeDelay{40};
+constexpr std::chrono::milliseconds kFreeDelay{10};
 // Results of this size are freed at once, since they take a noticeable part of
 // an endpoint's room, and made beside their readers.
 constexpr uint64_t kLargeResultBytes = 500'000;
@@ -402,9 +402,7 @@
 void StageDispatcher::ScheduleFree(Endpoint& endpoint,
                                    const std::string& handle,
                                    base::TimePoint now) {
-  const uint64_t used = endpoint.room.used_bytes();
-  endpoint.room.Remove(handle);
-  const bool is_large = used - endpoint.room.used_bytes() >= kLargeResultBytes;
+  const bool is_large = endpoint.room.SizeOf(handle) >= kLargeResultBytes;
   endpoint.to_free.push_back(handle);
   const base::TimePoint due = is_large ? now : now + kFreeDelay;
   endpoint.free_due = std::min(endpoint.free_due.value_or(due), due);
@@ -416,12 +414,20 @@
     if (!endpoint.free_due || *endpoint.free_due > now)
       continue;
     endpoint.free_due.reset();
-    orders.push_back(
-        {name, endpoint.listed.address, std::exchange(endpoint.to_free, {})});
+    orders.push_back({endpoint.listed.pool, name, endpoint.listed.address,
+                      std::exchange(endpoint.to_free, {})});
   }
   return orders;
 }
 
+void StageDispatcher::NoteFreed(const FreeOrder& order) {
+  Endpoint* endpoint = FindEndpoint(order.endpoint);
+  if (endpoint == nullptr)
+    return;
+  for (const std::string& handle : order.handles)
+    endpoint->room.Remove(handle);
+}
+
 std::optional<base::TimePoint> StageDispatcher::NextWakeup() const {
   std::optional<base::TimePoint> next;
   const auto consider = [&next](base::TimePoint time) {
--- a/Libraries/LibForward/stage_dispatcher.h
+++ b/Libraries/LibForward/stage_dispatcher.h
@@ -43,6 +43,8 @@
   void Free(std::span<const StageResult> results, base::TimePoint now);
   // What to free now, an order an endpoint.
   std::vector<FreeOrder> TakeFreeOrders(base::TimePoint now);
+  // The endpoint has done so: the room is there again.
+  void NoteFreed(const FreeOrder& order);
 
   // When to call NextCall() and TakeFreeOrders() though nothing has happened.
   std::optional<base::TimePoint> NextWakeup() const;
--- a/Libraries/LibForward/stage_job.h
+++ b/Libraries/LibForward/stage_job.h
@@ -105,6 +105,7 @@
 
 // Results of one endpoint that nobody will read.
 struct FreeOrder {
+  base::PoolName pool;
   base::EndpointName endpoint;
   base::SocketAddress address;
   std::vector<std::string> handles;
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -328,8 +328,12 @@
 void ForwardShell::Do(const forward::FreeResults& action) {
   HttpRequest request = adapter_.EncodeFree(action.order);
   request.timeout = kFreeTimeout;
-  // What is not freed is dropped by the endpoint at the end of its life.
-  http_->Send(std::move(request), [](const HttpOutcome&) {});
+  http_->Send(std::move(request),
+              [this, order = action.order](const HttpOutcome& outcome) {
+                const auto* response = std::get_if<HttpResponse>(&outcome);
+                if (response != nullptr && IsSuccess(response->status))
+                  Feed(forward::ResultsFreed{order});
+              });
 }
 
 void ForwardShell::Do(const forward::AskPeer& action) {
--- a/Tests/LibForward/test_stage_dispatcher.cc
+++ b/Tests/LibForward/test_stage_dispatcher.cc
@@ -147,10 +147,14 @@
   CHECK(bench.IsIdle());
   const std::vector<StageResult> read{{first.address, "h1"}};
   bench.dispatcher.Free(read, bench.now);
+  // Not before the endpoint has done so.
+  CHECK(bench.IsIdle());
   const auto orders =
       bench.dispatcher.TakeFreeOrders(bench.now + milliseconds(100));
   REQUIRE(orders.size() == 1);
   CHECK(orders[0].handles == std::vector<std::string>{"h1"});
+  CHECK(bench.IsIdle());
+  bench.dispatcher.NoteFreed(orders[0]);
   CHECK(bench.Next().pieces.size() == 1);
 }
 
