LibForward: Fill less of the room after refusals for room

Cause: results differ in size around the declared mean (an endpoint at 2.6 of 3 MB by the mean refuses).

--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -21,6 +21,11 @@
 // fetching its inputs and the way there may take.
 constexpr int kCallPatience = 3;
 constexpr std::chrono::milliseconds kCallSlack{400};
+// The usable part of an endpoint's room after a piece was refused for room, at
+// the least, and what each call adds to it.
+constexpr double kRoomShrink = 0.95;
+constexpr double kLeastUsableRoom = 0.6;
+constexpr double kRoomGrowth = 0.005;
 // Small results are freed together, after at most this time.
 constexpr std::chrono::milliseconds kFreeDelay{10};
 // Results of this size are freed at once, since they take a noticeable part of
@@ -183,6 +188,16 @@
   return std::nullopt;
 }
 
+// Results differ in size, and only their mean is known: the part of the room
+// that is filled shrinks with each refusal for room and grows again slowly. An
+// empty endpoint takes one piece in any case.
+bool StageDispatcher::HasRoomFor(const Endpoint& endpoint,
+                                 uint64_t bytes) const {
+  const uint64_t used = endpoint.room.used_bytes();
+  const double usable = usable_room_ * static_cast<double>(limits_.room_bytes);
+  return used == 0 || static_cast<double>(used + bytes) <= usable;
+}
+
 // One piece finds out whether an endpoint that failed is back.
 size_t StageDispatcher::PiecesFor(const Endpoint& endpoint) const {
   return endpoint.failures >= kFailuresToProbe ? 1 : limits_.pieces_per_call;
@@ -259,7 +274,7 @@
                                  base::TimePoint now) {
   const uint64_t bytes = job.job.result_bytes;
   while (!job.waiting.empty() && call.pieces.size() < PiecesFor(endpoint) &&
-         endpoint.room.used_bytes() + bytes <= limits_.room_bytes) {
+         HasRoomFor(endpoint, bytes)) {
     const uint32_t piece = job.waiting.front();
     job.waiting.erase(job.waiting.begin());
     endpoint.room.Reserve(bytes);
@@ -304,6 +319,7 @@
   }
   if (endpoint != nullptr)
     endpoint->failures = 0;
+  usable_room_ = std::min(usable_room_ + kRoomGrowth, 1.0);
   for (size_t i = 0; i < pieces->size(); ++i) {
     const CalledPiece& piece = call.pieces[i];
     if (const auto* handle = std::get_if<std::string>(&(*pieces)[i])) {
@@ -311,8 +327,11 @@
       continue;
     }
     const auto refusal = std::get<PieceRefusal>((*pieces)[i]);
-    if (refusal == PieceRefusal::kNoRoom && endpoint != nullptr)
-      endpoint->rests_until = now + kFullRest;
+    if (refusal == PieceRefusal::kNoRoom) {
+      usable_room_ = std::max(usable_room_ * kRoomShrink, kLeastUsableRoom);
+      if (endpoint != nullptr)
+        endpoint->rests_until = now + kFullRest;
+    }
     NoteRefused(piece, refusal, now);
   }
 }
--- a/Libraries/LibForward/stage_dispatcher.h
+++ b/Libraries/LibForward/stage_dispatcher.h
@@ -91,6 +91,7 @@
   using OrderedJobs = std::vector<std::pair<JobId, Job*>>;
 
   bool IsIdle(const Endpoint& endpoint, base::TimePoint now) const;
+  bool HasRoomFor(const Endpoint& endpoint, uint64_t bytes) const;
   size_t PiecesFor(const Endpoint& endpoint) const;
   bool MayTake(const Endpoint& endpoint,
                const Job& job,
@@ -134,6 +135,7 @@
   std::unordered_map<StageCallId, Call> calls_;
   std::vector<std::pair<JobId, JobOutcome>> outcomes_;
   policy::RetryBudget repeats_;
+  double usable_room_ = 1;  // The part of each endpoint's room that is filled.
   uint64_t last_job_ = 0;
   uint64_t last_call_ = 0;
   base::TimePoint latest_;  // Of all times passed in.
--- a/Tests/LibForward/test_stage_dispatcher.cc
+++ b/Tests/LibForward/test_stage_dispatcher.cc
@@ -158,6 +158,29 @@
   CHECK(bench.Next().pieces.size() == 1);
 }
 
+// Answers results that are larger than the configuration says.
+TEST_CASE("after refusals for room less of it is filled") {
+  Bench bench;
+  for (int i = 0; i < 5; ++i) {
+    bench.Submit(2);
+    bench.Succeed(bench.Next());
+  }
+  StageJob job;
+  job.result_bytes = 330'000;
+  bench.Submit(3, job);
+  StageCall call = bench.Next();
+  CHECK(call.pieces.size() == 3);
+  bench.dispatcher.FinishCall(
+      call.id,
+      std::vector<PieceOutcome>{PieceRefusal::kNoRoom, PieceRefusal::kNoRoom,
+                                PieceRefusal::kNoRoom},
+      bench.now);
+  bench.now += milliseconds(50);
+  bench.dispatcher.TakeOutcomes();
+  bench.Submit(3, job);
+  CHECK(bench.Next().pieces.size() == 2);
+}
+
 TEST_CASE("results that nobody frees are dropped at the end of their life") {
   Bench bench;
   StageJob job;
