--- a/Libraries/LibForward/forward_configuration.h
+++ b/Libraries/LibForward/forward_configuration.h
@@ -45,6 +45,9 @@
   Urgency urgency = Urgency::kMost;
   std::chrono::milliseconds timeout{0};  // Of the whole answer; 0 is none.
   std::chrono::milliseconds target_latency{0};
+  // How long callers wait for the first event of a stream; 0 for as long as
+  // for its end.
+  std::chrono::milliseconds first_event_limit{0};
   uint32_t max_attempts = 1;
   std::vector<PoolShare> final_pools;
   std::vector<ForwardedStage> stages;
--- a/Libraries/LibForward/forwarded_run.cc
+++ b/Libraries/LibForward/forwarded_run.cc
@@ -79,20 +79,25 @@
   return is_read;
 }
 
-base::Duration ForwardedRun::TimeAfter(size_t stage) const {
+base::Duration CallTimeOf(const PieceLimits& limits, uint32_t pieces) {
+  return limits.call_time +
+         limits.piece_time * std::min(pieces, limits.pieces_per_call);
+}
+
+base::Duration ForwardedRun::TimeAfter(
+    size_t stage,
+    const std::function<base::Duration(const base::PoolName&)>& excess) const {
   base::Duration longest{0};
   for (size_t i = stage + 1; i < stages.size(); ++i) {
     if (!Reads(pipeline->stages[i], stage) ||
         stages[i].phase == StagePhase::kDone)
       continue;
-    const ForwardedPool* pool =
-        configuration->FindPool(pipeline->stages[i].pool);
+    const base::PoolName& name = pipeline->stages[i].pool;
+    const ForwardedPool* pool = configuration->FindPool(name);
     if (pool == nullptr || !pool->pieces)
       continue;
-    const PieceLimits& limits = *pool->pieces;
-    const uint32_t in_call = std::min(stages[i].pieces, limits.pieces_per_call);
-    longest = std::max(
-        longest, limits.call_time + limits.piece_time * in_call + TimeAfter(i));
+    longest = std::max(longest, CallTimeOf(*pool->pieces, stages[i].pieces) +
+                                    excess(name) + TimeAfter(i, excess));
   }
   return longest;
 }
--- a/Libraries/LibForward/forwarded_run.h
+++ b/Libraries/LibForward/forwarded_run.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -18,6 +19,7 @@
   StagePhase phase = StagePhase::kWaiting;
   uint32_t pieces = 0;  // 0: the request leaves the stage out.
   AskId ask{};
+  base::TimePoint asked;
   std::optional<AskedResults> results;
 };
 
@@ -25,6 +27,7 @@
 struct FinalAttempt {
   base::AttemptId id;
   base::EndpointName endpoint;
+  base::TimePoint sent;
   EventSplitter splitter;
 };
 
@@ -39,6 +42,8 @@
   base::TimePoint arrived;
   base::TimePoint target;
   base::TimePoint deadline;  // The caller's or the pipeline's, whichever first.
+  // By when the answer must have begun.
+  base::TimePoint begin_deadline;
   base::PoolName final_pool;
   base::ZoneName final_zone;  // Where the request will probably run.
   std::vector<StageState> stages;
@@ -57,10 +62,16 @@
   std::vector<StageResult> FinalInputs() const;
   // Whether every stage that reads this one's results is done.
   bool IsReadByAll(size_t stage) const;
-  // What is left to do after a stage, at the least, without the request itself.
-  base::Duration TimeAfter(size_t stage) const;
+  // What is left to do after a stage, without the request itself, when jobs of
+  // a pool take `excess` longer than the calls that they need.
+  base::Duration TimeAfter(
+      size_t stage,
+      const std::function<base::Duration(const base::PoolName&)>& excess) const;
 };
 
+// What the calls for so many pieces take at an idle pool.
+base::Duration CallTimeOf(const PieceLimits& limits, uint32_t pieces);
+
 // The state of a run that has done nothing yet.
 std::vector<StageState> InitialStages(const ForwardedPipeline& pipeline,
                                       const ForwardedRequest& request);
--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -34,6 +34,10 @@
 }
 
 constexpr int kFirstServerError = 500;
+// Retry times are up to this much longer at random, so that those who were
+// refused together don't come back together.
+constexpr uint64_t kRetrySpreadPercent = 25;
+constexpr int64_t kPercent = 100;
 
 // The longest prefix that other requests may share: the last part is the
 // request's own, the one before it is its session's.
@@ -155,6 +159,10 @@
   if (run.pipeline->timeout.count() > 0)
     budget = std::min<base::Duration>(budget, run.pipeline->timeout);
   run.deadline = now + budget;
+  run.begin_deadline = run.deadline;
+  if (run.pipeline->first_event_limit.count() > 0)
+    run.begin_deadline =
+        std::min(run.deadline, now + run.pipeline->first_event_limit);
   run.final_pool = DrawFinalPool(*run.pipeline);
   run.stages = InitialStages(*run.pipeline, request);
   run.last_event = request.last_event;
@@ -174,7 +182,7 @@
   if (!run)
     return;
   budgets_[run->final_pool].NoteFirstTry();
-  deadlines_.emplace(run->deadline, caller);
+  deadlines_.emplace(run->begin_deadline, caller);
   runs_.emplace(caller, std::move(*run));
   Advance(caller, now);
 }
@@ -213,16 +221,46 @@
   job.result_bytes = declared.result_bytes;
   job.urgency = run.urgency;
   job.until_target = run.target - now;
-  job.until_deadline = run.deadline - now;
-  job.time_after = run.TimeAfter(stage) + kFinalTime;
+  job.until_deadline = run.begin_deadline - now;
+  job.time_after = TimeAfter(run, stage, now);
   job.reader_zone = run.final_zone;
   job.progress = declared.after.empty() ? RequestProgress::kNew
                                         : RequestProgress::kUnderWay;
   state.phase = StagePhase::kAsked;
+  state.asked = now;
   state.ask = stage_desk_.Ask(std::move(job), now);
   asks_.emplace(state.ask, std::pair(caller, stage));
 }
 
+base::Duration RunDesk::TimeAfter(const ForwardedRun& run,
+                                  size_t stage,
+                                  base::TimePoint now) const {
+  const auto excess = [&](const base::PoolName& pool) {
+    const auto it = job_excess_.find({pool, run.urgency});
+    return it == job_excess_.end() ? base::Duration(0) : it->second.At(now);
+  };
+  const auto first_byte = first_byte_.find(run.pipeline->name);
+  const base::Duration final_time = first_byte == first_byte_.end()
+                                        ? base::Duration(0)
+                                        : first_byte->second.At(now);
+  return run.TimeAfter(stage, excess) +
+         std::max<base::Duration>(final_time, kFinalTime);
+}
+
+void RunDesk::NoteJobTime(const ForwardedRun& run,
+                          size_t stage,
+                          base::TimePoint now) {
+  const base::PoolName& name = run.pipeline->stages[stage].pool;
+  const ForwardedPool* pool = run.configuration->FindPool(name);
+  if (pool == nullptr || !pool->pieces)
+    return;
+  const StageState& state = run.stages[stage];
+  const base::Duration excess =
+      now - state.asked - CallTimeOf(*pool->pieces, state.pieces);
+  job_excess_[{name, run.urgency}].Note(std::max(excess, base::Duration(0)),
+                                        now);
+}
+
 void RunDesk::Settle(base::TimePoint now) {
   for (auto outcomes = stage_desk_.TakeOutcomes(); !outcomes.empty();
        outcomes = stage_desk_.TakeOutcomes()) {
@@ -253,6 +291,7 @@
                           AskedResults results,
                           base::TimePoint now) {
   ForwardedRun& run = runs_.at(caller);
+  NoteJobTime(run, stage, now);
   run.stages[stage].phase = StagePhase::kDone;
   run.stages[stage].results = std::move(results);
   for (const size_t before : run.pipeline->stages[stage].after) {
@@ -285,7 +324,7 @@
   send.inputs = run.FinalInputs();
   if (run.has_begun_stream)
     send.resume_after = run.last_event;
-  run.attempt = FinalAttempt{send.attempt, endpoint->name, {}};
+  run.attempt = FinalAttempt{send.attempt, endpoint->name, now, {}};
   run.tried.push_back(endpoint->name);
   attempts_.emplace(send.attempt.number, caller);
   chooser_.NoteBegun(endpoint->name);
@@ -313,9 +352,14 @@
   return AnswerMeaning::kPass;
 }
 
+void RunDesk::NoteFirstByte(const ForwardedRun& run, base::TimePoint now) {
+  first_byte_[run.pipeline->name].Note(now - run.attempt->sent, now);
+}
+
 void RunDesk::BeginPassing(ForwardedRun& run,
                            AnswerHead head,
                            base::TimePoint now) {
+  NoteFirstByte(run, now);
   // The first event tells that the endpoint has read all its inputs.
   ReleaseAll(run, now);
   if (run.has_begun_stream)
@@ -453,6 +497,10 @@
                            std::optional<base::Duration> retry_after,
                            base::TimePoint now) {
   ForwardedRun& run = runs_.at(caller);
+  if (retry_after)
+    *retry_after += *retry_after *
+                    static_cast<int64_t>(random_.Below(kRetrySpreadPercent)) /
+                    kPercent;
   if (run.has_begun_stream)
     context_.Emit(EndStream{caller, StreamOutcome::kCut});
   else
@@ -473,6 +521,14 @@
     ReleaseStage(stage, now);
 }
 
+void RunDesk::ForgetDeadline(base::TimePoint time, base::CallerId caller) {
+  const auto [begin, end] = deadlines_.equal_range(time);
+  const auto it = std::find_if(
+      begin, end, [caller](const auto& it) { return it.second == caller; });
+  if (it != end)
+    deadlines_.erase(it);
+}
+
 void RunDesk::Finish(base::CallerId caller,
                      std::string outcome,
                      base::TimePoint now) {
@@ -491,13 +547,8 @@
     context_.Emit(CancelAttempt{run.attempt->id});
     EndAttempt(run, EndpointVerdict::kCancelled, now);
   }
-  const auto [begin, end] = deadlines_.equal_range(run.deadline);
-  for (auto it = begin; it != end; ++it) {
-    if (it->second == caller) {
-      deadlines_.erase(it);
-      break;
-    }
-  }
+  ForgetDeadline(run.begin_deadline, caller);
+  ForgetDeadline(run.deadline, caller);
   const auto taken =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - run.arrived);
   context_.Log(base::LogEventId::kRequestEnded, run.request->request_id,
@@ -515,6 +566,12 @@
   while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
     const base::CallerId caller = deadlines_.begin()->second;
     const ForwardedRun& run = runs_.at(caller);
+    // It has begun in time, and now has the time for its end.
+    if (run.has_begun_stream && now < run.deadline) {
+      deadlines_.erase(deadlines_.begin());
+      deadlines_.emplace(run.deadline, caller);
+      continue;
+    }
     const bool may_have_run = run.attempt || run.runs > 0;
     AnswerAndEnd(
         caller,
--- a/Libraries/LibForward/run_desk.h
+++ b/Libraries/LibForward/run_desk.h
@@ -10,6 +10,7 @@
 #include "LibForward/endpoint_chooser.h"
 #include "LibForward/forward_context.h"
 #include "LibForward/forwarded_run.h"
+#include "LibForward/recent_delay.h"
 #include "LibForward/stage_desk.h"
 #include "LibPolicy/retry_budget.h"
 
@@ -72,8 +73,13 @@
                    size_t stage,
                    AskedResults results,
                    base::TimePoint now);
+  void NoteJobTime(const ForwardedRun& run, size_t stage, base::TimePoint now);
+  base::Duration TimeAfter(const ForwardedRun& run,
+                           size_t stage,
+                           base::TimePoint now) const;
   void SendFinal(base::CallerId caller, base::TimePoint now);
   AnswerMeaning Judge(const ForwardedRun& run, const AnswerHead& head) const;
+  void NoteFirstByte(const ForwardedRun& run, base::TimePoint now);
   void BeginPassing(ForwardedRun& run, AnswerHead head, base::TimePoint now);
   // Ends the attempt without an answer for the caller.
   void LoseAttempt(base::CallerId caller,
@@ -92,6 +98,7 @@
                     base::TimePoint now);
   // Forgets a run that has been answered or that nobody waits for.
   void Finish(base::CallerId caller, std::string outcome, base::TimePoint now);
+  void ForgetDeadline(base::TimePoint time, base::CallerId caller);
   void Refuse(const ForwardedRequest& request,
               OwnAnswerCode code,
               std::optional<base::Duration> retry_after);
@@ -107,6 +114,10 @@
   std::map<AskId, std::pair<base::CallerId, size_t>> asks_;
   std::unordered_map<uint64_t, base::CallerId> attempts_;  // By number.
   std::map<base::PoolName, policy::RetryBudget> budgets_;
+  // By how much jobs take longer than their calls, since they wait.
+  std::map<std::pair<base::PoolName, Urgency>, RecentDelay> job_excess_;
+  // From the sending of a request to its first byte.
+  std::map<base::PipelineName, RecentDelay> first_byte_;
   uint64_t last_attempt_ = 0;
   bool is_accepting_ = true;
 };
--- a/Libraries/LibForward/stage_desk.cc
+++ b/Libraries/LibForward/stage_desk.cc
@@ -116,9 +116,9 @@
 
 void StageDesk::Release(const AskedResults& results, base::TimePoint now) {
   const PeerHost* host = ring_.Find(results.host);
-  // The endpoint drops the results of a lost host by itself.
-  if (host == nullptr)
-    return;
+  // In place of a host that is gone, the next dispatcher frees them.
+  if (host == nullptr || ring_.IsSilent(host->name))
+    host = &ring_.DispatcherOf(results.pool);
   if (!ring_.IsOwn(*host)) {
     context_.Emit(TellPeerRead{host->address, results.pool, results.results});
     return;
--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -65,15 +65,14 @@
         id, JobFailure{JobFailureKind::kNoEndpoint, kNoEndpointRetry});
     return id;
   }
-  const base::Duration needed = WaitFor(record, now) +
-                                CallTime(record.waiting.size()) +
-                                record.job.time_after;
+  const base::Duration wait = WaitFor(record, now);
+  const base::Duration needed =
+      wait + CallTime(record.waiting.size()) + record.job.time_after;
   if (record.job.progress == RequestProgress::kNew &&
       now + needed > record.deadline) {
-    const base::Duration over = now + needed - record.deadline;
     outcomes_.emplace_back(
         id, JobFailure{JobFailureKind::kTooLate,
-                       std::max<base::Duration>(over, kShortestRetry)});
+                       std::max<base::Duration>(wait, kShortestRetry)});
     return id;
   }
   jobs_.emplace(id, std::move(record));
@@ -120,12 +119,21 @@
         is_idle ? base::Duration(0)
                 : std::max(base::Duration(0), endpoint.busy_until - now));
   }
-  const size_t per_round =
-      ServingCount() * limits_.calls_at_once * limits_.pieces_per_call;
-  const size_t rounds = ahead / std::max<size_t>(per_round, 1);
+  const size_t rounds = ahead / PiecesPerRound();
   return until_idle + CallTime(limits_.pieces_per_call) * rounds;
 }
 
+// Until all that waits now has been called for.
+base::Duration StageDispatcher::DrainTime() const {
+  return CallTime(limits_.pieces_per_call) *
+         (1 + waiting_pieces() / PiecesPerRound());
+}
+
+size_t StageDispatcher::PiecesPerRound() const {
+  return std::max<size_t>(
+      ServingCount() * limits_.calls_at_once * limits_.pieces_per_call, 1);
+}
+
 bool StageDispatcher::IsOnTime(const Job& job, base::TimePoint now) const {
   return now + CallTime(job.waiting.size()) + job.job.time_after <= job.target;
 }
@@ -152,7 +160,7 @@
       lapsed.push_back(id);
   }
   for (const JobId id : lapsed)
-    Fail(id, {JobFailureKind::kTooLate, CallTime(limits_.pieces_per_call)});
+    Fail(id, {JobFailureKind::kTooLate, DrainTime()});
 }
 
 StageDispatcher::OrderedJobs StageDispatcher::JobsInOrder(base::TimePoint now) {
@@ -366,8 +374,7 @@
                                   base::TimePoint /*now*/) {
   switch (refusal) {
     case PieceRefusal::kLate:
-      Fail(piece.job,
-           {JobFailureKind::kTooLate, CallTime(limits_.pieces_per_call)});
+      Fail(piece.job, {JobFailureKind::kTooLate, DrainTime()});
       return;
     case PieceRefusal::kInputGone:
       Fail(piece.job, {JobFailureKind::kInputGone, kShortestRetry});
--- a/Libraries/LibForward/stage_dispatcher.h
+++ b/Libraries/LibForward/stage_dispatcher.h
@@ -100,6 +100,8 @@
                                             base::TimePoint now) const;
   base::Duration CallTime(size_t pieces) const;
   base::Duration WaitFor(const Job& job, base::TimePoint now) const;
+  base::Duration DrainTime() const;
+  size_t PiecesPerRound() const;
   bool IsOnTime(const Job& job, base::TimePoint now) const;
   bool GoesBefore(const Job& left, const Job& right, base::TimePoint now) const;
   void DropLapsed(base::TimePoint now);
