LibTransport: Tell connections that never came about, and let go of sockets

Two faults, found on the second site's zone cut and by the test for it: - a connection's time limit passed for a broken answer, so that requests that were surely not sent ended 502 instead of going to another endpoint; - curl closes a socket before it says that it is watched no more; the reactor keeps the handler of a closed one, and its end called a handler that was gone (a segfault at the stop, seen once before and not traced then).

--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <utility>
@@ -130,6 +131,8 @@
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
                    static_cast<long>(request.timeout.count()));
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, OnSocketOpened);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, OnSocketClosing);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, OnSending);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeader);
@@ -282,6 +285,14 @@
   return CURL_SOCKOPT_OK;
 }
 
+// curl tells of a socket that is to be watched no more only after closing it,
+// and the reactor can't let go of a closed one: it would keep a handler that
+// may be gone.
+int HttpClient::OnSocketClosing(void* self, curl_socket_t socket) {
+  static_cast<HttpClient*>(self)->reactor_.Unwatch(socket);
+  return close(socket);
+}
+
 int HttpClient::OnSending(void* transfer,
                           char* /*peer_ip*/,
                           char* /*own_ip*/,
@@ -394,16 +405,11 @@
   }
   HttpFailure failure;
   failure.detail = curl_easy_strerror(code);
-  curl_off_t connect_time = 0;
-  curl_easy_getinfo(transfer.easy, CURLINFO_CONNECT_TIME_T, &connect_time);
   long new_connections = 0;
   curl_easy_getinfo(transfer.easy, CURLINFO_NUM_CONNECTS, &new_connections);
-  const bool never_connected = new_connections > 0 && connect_time == 0;
   // When a reused connection ends before the first byte, curl opens another:
   // what was sent over the first one may have taken effect.
-  if (!transfer.was_sent &&
-      (code == CURLE_COULDNT_CONNECT ||
-       (code == CURLE_OPERATION_TIMEDOUT && never_connected)))
+  if (!transfer.was_sent)
     failure.kind = node::EndpointFailureKind::kUnreachable;
   failure.connection = new_connections > 0 ? node::ConnectionAge::kFresh
                                            : node::ConnectionAge::kReused;
