LibTransport: Keep what ACE holds alive, and let go of closed descriptors

Cause, by strace of the crash: libcurl closes a socket that never connected and only then says that it is watched no more; ACE's epoll reactor can't remove a closed descriptor and goes on holding its handler, which is gone at the end. The reactor now registers objects of its own.

--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -3,7 +3,6 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <utility>
@@ -131,8 +130,6 @@
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
                    static_cast<long>(request.timeout.count()));
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, OnSocketOpened);
-  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, OnSocketClosing);
-  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, OnSending);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeader);
@@ -285,14 +282,6 @@
   return CURL_SOCKOPT_OK;
 }
 
-// curl tells of a socket that is to be watched no more only after closing it,
-// and the reactor can't let go of a closed one: it would keep a handler that
-// may be gone.
-int HttpClient::OnSocketClosing(void* self, curl_socket_t socket) {
-  static_cast<HttpClient*>(self)->reactor_.Unwatch(socket);
-  return close(socket);
-}
-
 int HttpClient::OnSending(void* transfer,
                           char* /*peer_ip*/,
                           char* /*own_ip*/,
--- a/Libraries/LibTransport/http_client.h
+++ b/Libraries/LibTransport/http_client.h
@@ -97,7 +97,6 @@
   static int OnSocket(CURL* easy, curl_socket_t, int what, void* self, void*);
   static int OnTimer(CURLM* multi, long timeout_ms, void* self);
   static int OnSocketOpened(void* self, curl_socket_t socket, curlsocktype);
-  static int OnSocketClosing(void* self, curl_socket_t socket);
   static int OnSending(void* transfer, char*, char*, int, int);
   static size_t OnHeader(char* data, size_t, size_t size, void* transfer);
   static size_t OnBody(char* data, size_t, size_t size, void* transfer);
--- a/Libraries/LibTransport/reactor.cc
+++ b/Libraries/LibTransport/reactor.cc
@@ -7,6 +7,30 @@
 
 namespace bilberry::transport {
 
+namespace {
+
+constexpr ACE_Reactor_Mask kAllWithoutCall =
+    ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL;
+
+}  // namespace
+
+// What ACE's reactor is given in place of a handler. libcurl closes a socket
+// before it says that it is watched no more, and ACE can't let go of a closed
+// descriptor: it goes on holding what was registered, also when that is gone.
+class Reactor::Registration final : public ACE_Event_Handler {
+ public:
+  int handle_input(ACE_HANDLE descriptor) override {
+    return handler == nullptr ? 0 : handler->handle_input(descriptor);
+  }
+  int handle_output(ACE_HANDLE descriptor) override {
+    return handler == nullptr ? 0 : handler->handle_output(descriptor);
+  }
+
+  ACE_Event_Handler* handler = nullptr;  // Null while nobody watches.
+  // ACE holds it with an old mask, for a descriptor that was closed.
+  bool is_left_behind = false;
+};
+
 Reactor::Reactor()
     : origin_(std::chrono::steady_clock::now()),
       reactor_(std::make_unique<ACE_Reactor>(new ACE_Dev_Poll_Reactor, true)) {}
@@ -23,12 +47,26 @@
                     ACE_Reactor_Mask mask) {
   // The epoll reactor adds to an earlier mask, so that is dropped first.
   Unwatch(descriptor);
-  reactor_->register_handler(descriptor, &handler, mask);
+  auto& registration = registrations_[descriptor];
+  if (registration == nullptr)
+    registration = std::make_unique<Registration>();
+  registration->handler = &handler;
+  if (registration->is_left_behind) {
+    // The number is in use again: once it is registered, ACE can let go of it.
+    reactor_->register_handler(descriptor, registration.get(), mask);
+    reactor_->remove_handler(descriptor, kAllWithoutCall);
+    registration->is_left_behind = false;
+  }
+  reactor_->register_handler(descriptor, registration.get(), mask);
 }
 
 void Reactor::Unwatch(int descriptor) {
-  reactor_->remove_handler(descriptor, ACE_Event_Handler::ALL_EVENTS_MASK |
-                                           ACE_Event_Handler::DONT_CALL);
+  const auto it = registrations_.find(descriptor);
+  if (it == registrations_.end() || it->second->handler == nullptr)
+    return;
+  it->second->handler = nullptr;
+  it->second->is_left_behind =
+      reactor_->remove_handler(descriptor, kAllWithoutCall) != 0;
 }
 
 void Reactor::Add(LoopParticipant& participant) {
--- a/Libraries/LibTransport/reactor.h
+++ b/Libraries/LibTransport/reactor.h
@@ -4,6 +4,7 @@
 #include <ace/Reactor.h>
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -47,9 +48,13 @@
   void RunOnce(std::chrono::milliseconds longest);
 
  private:
+  class Registration;
+
   base::Duration WaitFor(base::Duration longest) const;
 
   std::chrono::steady_clock::time_point origin_;
+  // By descriptor. ACE's reactor holds on to them, so that it goes first.
+  std::map<int, std::unique_ptr<Registration>> registrations_;
   std::unique_ptr<ACE_Reactor> reactor_;
   std::vector<LoopParticipant*> participants_;
 };
