--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -13,6 +13,9 @@
 // a row, up to the longest.
 constexpr std::chrono::milliseconds kFirstRest{100};
 constexpr std::chrono::milliseconds kLongestRest{3200};
+// Failed calls whose pieces can be asked for again before the budget has to be
+// earned.
+constexpr uint32_t kSavedCalls = 2;
 // So many failed calls in a row are the endpoint's fault.
 constexpr uint32_t kFailuresToProbe = 2;
 // How long an endpoint without room, or that is full, gets no call.
@@ -37,6 +40,11 @@
 
 }  // namespace
 
+// A call that fails may take a full load of pieces with it, which are all to be
+// tried once more.
+StageDispatcher::StageDispatcher(PieceLimits limits)
+    : limits_(limits), repeats_(kSavedCalls * limits.pieces_per_call) {}
+
 void StageDispatcher::SetEndpoints(std::span<const ListedEndpoint> endpoints) {
   std::map<base::EndpointName, Endpoint> present;
   for (const ListedEndpoint& listed : endpoints) {
@@ -206,9 +214,12 @@
   return used == 0 || static_cast<double>(used + bytes) <= usable;
 }
 
-// One piece finds out whether an endpoint that failed is back.
+// One piece finds out whether an endpoint that failed is back, or one of a zone
+// in which another can't be reached.
 size_t StageDispatcher::PiecesFor(const Endpoint& endpoint) const {
-  return endpoint.failures >= kFailuresToProbe ? 1 : limits_.pieces_per_call;
+  const bool is_doubtful = endpoint.failures >= kFailuresToProbe ||
+                           unreachable_zones_.contains(endpoint.listed.zone);
+  return is_doubtful ? 1 : limits_.pieces_per_call;
 }
 
 // Pieces that would carry much across zones are made in their reader's zone as
@@ -311,22 +322,15 @@
   }
   const auto* pieces = std::get_if<std::vector<PieceOutcome>>(&outcome);
   if (pieces == nullptr || pieces->size() != call.pieces.size()) {
-    if (endpoint != nullptr) {
-      const bool is_full =
-          pieces == nullptr &&
-          std::get<StageCallFailure>(outcome) == StageCallFailure::kNotRun;
-      const base::Duration rest = std::min<base::Duration>(
-          kFirstRest * (int64_t{1} << std::min(endpoint->failures, 8U)),
-          kLongestRest);
-      ++endpoint->failures;
-      endpoint->rests_until = now + (is_full ? kFullRest : rest);
-    }
-    for (const CalledPiece& piece : call.pieces)
-      RepeatPiece(piece);
+    const auto* failure = std::get_if<StageCallFailure>(&outcome);
+    NoteCallFailed(
+        call, failure == nullptr ? StageCallFailure::kBroken : *failure, now);
     return;
   }
-  if (endpoint != nullptr)
+  if (endpoint != nullptr) {
     endpoint->failures = 0;
+    unreachable_zones_.erase(endpoint->listed.zone);
+  }
   usable_room_ = std::min(usable_room_ + kRoomGrowth, 1.0);
   for (size_t i = 0; i < pieces->size(); ++i) {
     const CalledPiece& piece = call.pieces[i];
@@ -344,6 +348,37 @@
   }
 }
 
+void StageDispatcher::NoteCallFailed(const Call& call,
+                                     StageCallFailure failure,
+                                     base::TimePoint now) {
+  if (Endpoint* endpoint = FindEndpoint(call.endpoint)) {
+    if (failure == StageCallFailure::kNotRun) {
+      endpoint->rests_until = now + kFullRest;
+    } else {
+      const auto rest =
+          kFirstRest * (int64_t{1} << std::min(endpoint->failures, 8U));
+      endpoint->rests_until =
+          now + std::min<base::Duration>(rest, kLongestRest);
+      ++endpoint->failures;
+    }
+    if (failure == StageCallFailure::kUnreachable)
+      unreachable_zones_.insert(endpoint->listed.zone);
+  }
+  for (const CalledPiece& piece : call.pieces) {
+    if (failure == StageCallFailure::kUnreachable)
+      PutBack(piece);
+    else
+      RepeatPiece(piece);
+  }
+}
+
+// What never arrived is no repeat; its deadline bounds how often it is tried.
+void StageDispatcher::PutBack(const CalledPiece& piece) {
+  const auto it = jobs_.find(piece.job);
+  if (it != jobs_.end())
+    it->second.waiting.insert(it->second.waiting.begin(), piece.piece);
+}
+
 void StageDispatcher::NoteMade(const Call& call,
                                const CalledPiece& piece,
                                const std::string& handle,
@@ -396,7 +431,7 @@
     return;
   }
   ++job.repeats;
-  job.waiting.insert(job.waiting.begin(), piece.piece);
+  PutBack(piece);
 }
 
 void StageDispatcher::Fail(JobId id, JobFailure failure) {
--- a/Libraries/LibForward/stage_dispatcher.h
+++ b/Libraries/LibForward/stage_dispatcher.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <unordered_map>
 #include <utility>
@@ -20,7 +21,7 @@
 // is busy, the next call fills. Pure: time is passed in.
 class StageDispatcher {
  public:
-  explicit StageDispatcher(PieceLimits limits) : limits_(limits) {}
+  explicit StageDispatcher(PieceLimits limits);
 
   void Reconfigure(const PieceLimits& limits) { limits_ = limits; }
   // Replaces the endpoints that may be called. Calls under way end as usual.
@@ -122,6 +123,10 @@
   void NoteRefused(const CalledPiece& piece,
                    PieceRefusal refusal,
                    base::TimePoint now);
+  void NoteCallFailed(const Call& call,
+                      StageCallFailure failure,
+                      base::TimePoint now);
+  void PutBack(const CalledPiece& piece);
   void RepeatPiece(const CalledPiece& piece);
   void Fail(JobId id, JobFailure failure);
   void FreeMade(const Job& job);
@@ -133,6 +138,8 @@
 
   PieceLimits limits_;
   std::map<base::EndpointName, Endpoint> endpoints_;
+  // Zones of endpoints that could not be reached, until one of them answers.
+  std::set<base::ZoneName> unreachable_zones_;
   std::map<JobId, Job> jobs_;
   std::unordered_map<StageCallId, Call> calls_;
   std::vector<std::pair<JobId, JobOutcome>> outcomes_;
--- a/Libraries/LibForward/stage_job.h
+++ b/Libraries/LibForward/stage_job.h
@@ -98,8 +98,9 @@
 using PieceOutcome = std::variant<std::string, PieceRefusal>;
 
 enum class StageCallFailure {
-  kNotRun,  // The endpoint says so, or no connection was made.
-  kBroken,  // The pieces may have been worked on.
+  kNotRun,       // The endpoint says so.
+  kUnreachable,  // No connection was made; it surely got nothing.
+  kBroken,       // The pieces may have been worked on.
 };
 
 // One outcome for each piece, in the order of the call.
--- a/Libraries/LibPolicy/retry_budget.cc
+++ b/Libraries/LibPolicy/retry_budget.cc
@@ -5,7 +5,7 @@
 namespace bilberry::policy {
 
 void RetryBudget::NoteFirstTry() {
-  credit_ = std::min(credit_ + 1, kMaxSavedRetries * kFirstTriesPerRetry);
+  credit_ = std::min(credit_ + 1, max_saved_ * kFirstTriesPerRetry);
 }
 
 bool RetryBudget::TryTake() {
--- a/Libraries/LibPolicy/retry_budget.h
+++ b/Libraries/LibPolicy/retry_budget.h
@@ -14,12 +14,18 @@
 // never more than one in kFirstTriesPerRetry of the first tries so far.
 class RetryBudget {
  public:
+  RetryBudget() = default;
+  // With room for `max_saved` retries, all of them saved up at the start.
+  explicit RetryBudget(uint32_t max_saved)
+      : max_saved_(max_saved), credit_(max_saved * kFirstTriesPerRetry) {}
+
   void NoteFirstTry();
   // Pays for one retry; false when the budget is used up.
   bool TryTake();
   bool HasOne() const { return credit_ >= kFirstTriesPerRetry; }
 
  private:
+  uint32_t max_saved_ = kMaxSavedRetries;
   uint32_t credit_ = 0;  // In first tries.
 };
 
