--- a/Libraries/LibForward/dispatcher_ring.h
+++ b/Libraries/LibForward/dispatcher_ring.h
@@ -43,8 +43,6 @@
     return silent_.contains(name);
   }
 
-  size_t host_count() const { return hosts_.size(); }
-
  private:
   const PeerHost& BestOf(const base::PoolName& pool,
                          const std::set<base::HostName>& passed_over) const;
--- a/Libraries/LibForward/feed_follower.cc
+++ b/Libraries/LibForward/feed_follower.cc
@@ -41,7 +41,6 @@
     return std::nullopt;
   }
   phase_ = Phase::kFollowing;
-  has_list_ = true;
   return Update{true, std::exchange(pages_, {})};
 }
 
--- a/Libraries/LibForward/feed_follower.h
+++ b/Libraries/LibForward/feed_follower.h
@@ -46,7 +46,6 @@
 
   // Empty while a call is under way.
   std::optional<base::TimePoint> NextWakeup() const;
-  bool has_list() const { return has_list_; }
   bool is_failing() const { return failures_ > 0; }
 
  private:
@@ -57,7 +56,6 @@
   base::Random random_;
   Phase phase_ = Phase::kListing;
   bool is_calling_ = false;
-  bool has_list_ = false;
   uint32_t failures_ = 0;  // In a row.
   base::TimePoint not_before_;
   uint64_t version_ = 0;
--- a/Libraries/LibForward/stage_desk.cc
+++ b/Libraries/LibForward/stage_desk.cc
@@ -269,7 +269,7 @@
     MakeCalls(name, pool, now);
     for (FreeOrder& order : pool.dispatcher.TakeFreeOrders(now))
       context_.Emit(FreeResults{std::move(order)});
-    GiveOutcomes(pool, now);
+    GiveOutcomes(pool);
   }
 }
 
@@ -284,7 +284,7 @@
   }
 }
 
-void StageDesk::GiveOutcomes(Pool& pool, base::TimePoint /*now*/) {
+void StageDesk::GiveOutcomes(Pool& pool) {
   for (auto& [job, outcome] : pool.dispatcher.TakeOutcomes()) {
     const auto node = pool.origins.extract(job);
     if (!node.empty())
--- a/Libraries/LibForward/stage_desk.h
+++ b/Libraries/LibForward/stage_desk.h
@@ -82,7 +82,7 @@
                    StageJob job,
                    Origin origin,
                    base::TimePoint now);
-  void GiveOutcomes(Pool& pool, base::TimePoint now);
+  void GiveOutcomes(Pool& pool);
   void GiveOutcome(const Origin& origin, JobOutcome outcome);
   void MakeCalls(const base::PoolName& name, Pool& pool, base::TimePoint now);
   Pool* FindPool(const base::PoolName& name);
--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -344,7 +344,7 @@
       if (endpoint != nullptr)
         endpoint->rests_until = now + kFullRest;
     }
-    NoteRefused(piece, refusal, now);
+    NoteRefused(piece, refusal);
   }
 }
 
@@ -405,8 +405,7 @@
 }
 
 void StageDispatcher::NoteRefused(const CalledPiece& piece,
-                                  PieceRefusal refusal,
-                                  base::TimePoint /*now*/) {
+                                  PieceRefusal refusal) {
   switch (refusal) {
     case PieceRefusal::kLate:
       Fail(piece.job, {JobFailureKind::kTooLate, DrainTime()});
--- a/Libraries/LibForward/stage_dispatcher.h
+++ b/Libraries/LibForward/stage_dispatcher.h
@@ -120,9 +120,7 @@
                 const CalledPiece& piece,
                 const std::string& handle,
                 base::TimePoint now);
-  void NoteRefused(const CalledPiece& piece,
-                   PieceRefusal refusal,
-                   base::TimePoint now);
+  void NoteRefused(const CalledPiece& piece, PieceRefusal refusal);
   void NoteCallFailed(const Call& call,
                       StageCallFailure failure,
                       base::TimePoint now);
