--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -43,6 +43,10 @@
     {kBookingsLeftBehind, kError, "bookings-left-behind"},
     {kRequestRefused, kInfo, "request-refused"},
     {kRequestEnded, kInfo, "request-ended"},
+    {kStageEnded, kInfo, "stage-ended"},
+    {kAttemptSent, kInfo, "attempt-sent"},
+    {kStageCallEnded, kInfo, "stage-call-ended"},
+    {kJobRefused, kInfo, "job-refused"},
 });
 
 }  // namespace
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -41,6 +41,10 @@
   kBookingsLeftBehind = 1505,
   kRequestRefused = 1601,
   kRequestEnded = 1602,
+  kStageEnded = 1603,
+  kAttemptSent = 1604,
+  kStageCallEnded = 1605,
+  kJobRefused = 1606,
 };
 
 enum class LogSeverity { kInfo, kWarning, kError };
--- /dev/null
+++ b/Libraries/LibEmulation/emulated_callers.cc
@@ -0,0 +1,185 @@
+#include "LibEmulation/emulated_callers.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace bilberry::emulation {
+
+namespace {
+
+constexpr uint64_t kMostPieces = 40;
+constexpr double kMostTimesMean = 4;
+
+}  // namespace
+
+EmulatedCallers::EmulatedCallers(Timeline& timeline,
+                                 const LoadSheet& sheet,
+                                 EmulationReport& report,
+                                 uint64_t seed)
+    : timeline_(timeline), sheet_(sheet), report_(report), random_(seed) {}
+
+void EmulatedCallers::Begin(Send send, Leave leave) {
+  send_ = std::move(send);
+  leave_ = std::move(leave);
+  begins_ = timeline_.now();
+  report_.seconds.resize(static_cast<size_t>(
+      std::chrono::ceil<std::chrono::seconds>(sheet_.lasts).count()));
+  for (const CallerKind& kind : sheet_.kinds)
+    ScheduleNext(kind);
+}
+
+void EmulatedCallers::ScheduleNext(const CallerKind& kind) {
+  const double rate = sheet_.RateOf(kind, timeline_.now() - begins_);
+  const double wait = -std::log(1 - random_.Fraction()) / rate;
+  const auto delay = std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(wait));
+  if (timeline_.now() + delay >= begins_ + sheet_.lasts)
+    return;
+  timeline_.After(delay, [this, &kind] {
+    Come(kind);
+    ScheduleNext(kind);
+  });
+}
+
+uint32_t EmulatedCallers::DrawPieces(const PieceDemand& demand) {
+  if (random_.Fraction() >= demand.share)
+    return 0;
+  if (demand.mean_pieces <= 1)
+    return 1;
+  // From a half to one and a half of the mean, in whole pieces.
+  const double drawn = demand.mean_pieces * (0.5 + random_.Fraction());
+  const auto whole = static_cast<uint64_t>(drawn + random_.Fraction());
+  return static_cast<uint32_t>(std::clamp<uint64_t>(whole, 1, kMostPieces));
+}
+
+uint64_t EmulatedCallers::DrawTokens(double mean) {
+  const double drawn = -std::log(1 - random_.Fraction()) * mean;
+  return static_cast<uint64_t>(std::min(drawn, mean * kMostTimesMean));
+}
+
+forward::ForwardedRequest EmulatedCallers::DrawRequest(
+    const CallerKind& kind) {
+  forward::ForwardedRequest request;
+  request.host = kind.name;
+  request.path = "/";
+  const uint64_t session = random_.Below(kind.sessions);
+  const std::string common =
+      kind.name + "-common-" + std::to_string(session % kind.common_parts);
+  request.prefix = {
+      {common, static_cast<uint64_t>(kind.common_tokens)},
+      {kind.name + "-session-" + std::to_string(session),
+       static_cast<uint64_t>(kind.session_tokens)},
+      {"own-" + std::to_string(last_caller_ + 1), DrawTokens(kind.own_tokens)}};
+  for (const PieceDemand& demand : kind.stages)
+    request.piece_counts.push_back(DrawPieces(demand));
+  request.piece_key = "key";
+  return request;
+}
+
+void EmulatedCallers::Come(const CallerKind& kind) {
+  Caller caller;
+  caller.kind = &kind;
+  caller.came = timeline_.now();
+  caller.events = std::max(1.0, kind.events * (0.5 + random_.Fraction()));
+  caller.request = DrawRequest(kind);
+  Count(caller, &KindTally::asked);
+  report_.worth_asked += kind.worth;
+  SendOnce(std::move(caller));
+}
+
+void EmulatedCallers::SendOnce(Caller caller) {
+  const base::CallerId id{++last_caller_};
+  caller.sent = timeline_.now();
+  caller.request.caller = id;
+  caller.request.request_id = "request-" + std::to_string(last_caller_);
+  caller.request.budget = caller.kind->deadline;
+  const auto patience = base::Duration(static_cast<int64_t>(
+      static_cast<double>(caller.kind->target.count()) * sheet_.patience));
+  timeline_.After(std::min(patience, caller.kind->deadline),
+                  [this, id] { LeaveIfNotBegun(id); });
+  by_request_[caller.request.request_id] = id;
+  forward::ForwardedRequest request = caller.request;
+  callers_.emplace(id, std::move(caller));
+  send_(std::move(request));
+}
+
+void EmulatedCallers::LeaveIfNotBegun(base::CallerId id) {
+  const auto it = callers_.find(id);
+  if (it == callers_.end() || it->second.has_begun)
+    return;
+  if (const auto caller = Take(id))
+    Count(*caller, &KindTally::left);
+  leave_(id);
+}
+
+std::optional<EmulatedCallers::Caller> EmulatedCallers::Take(
+    base::CallerId id) {
+  auto node = callers_.extract(id);
+  if (node.empty())
+    return std::nullopt;
+  by_request_.erase(node.mapped().request.request_id);
+  return std::move(node.mapped());
+}
+
+void EmulatedCallers::Count(const Caller& caller, uint64_t KindTally::*field) {
+  ++(report_.kinds[caller.kind->name].*field);
+  const auto second = std::chrono::duration_cast<std::chrono::seconds>(
+      caller.came - begins_);
+  ++(report_.seconds.at(static_cast<size_t>(second.count())).*field);
+}
+
+void EmulatedCallers::NoteRefused(base::CallerId id,
+                                  std::optional<base::Duration> retry_after) {
+  auto caller = Take(id);
+  if (!caller)
+    return;
+  Count(*caller, &KindTally::refusals);
+  report_.kinds[caller->kind->name].refused_in +=
+      timeline_.now() - caller->sent;
+  if (!retry_after || caller->returns >= sheet_.returns) {
+    Count(*caller, &KindTally::refused);
+    return;
+  }
+  ++caller->returns;
+  timeline_.After(*retry_after,
+                  [this, caller = std::move(*caller)] { SendOnce(caller); });
+}
+
+void EmulatedCallers::NoteFailed(base::CallerId id) {
+  if (const auto caller = Take(id))
+    Count(*caller, &KindTally::failed);
+}
+
+void EmulatedCallers::NoteBegun(base::CallerId id) {
+  const auto it = callers_.find(id);
+  if (it == callers_.end())
+    return;
+  Caller& caller = it->second;
+  caller.has_begun = true;
+  caller.is_on_time = timeline_.now() <= caller.came + caller.kind->target;
+}
+
+void EmulatedCallers::NoteDone(base::CallerId id) {
+  const auto caller = Take(id);
+  if (!caller)
+    return;
+  Count(*caller, caller->is_on_time ? &KindTally::on_time : &KindTally::late);
+  report_.worth_earned +=
+      caller->is_on_time ? caller->kind->worth : caller->kind->late_worth;
+}
+
+double EmulatedCallers::EventsOf(const std::string& request_id) const {
+  const auto it = by_request_.find(request_id);
+  return it == by_request_.end() ? 1 : callers_.at(it->second).events;
+}
+
+const PieceDemand* EmulatedCallers::DemandOf(const std::string& request_id,
+                                             uint32_t stage) const {
+  const auto it = by_request_.find(request_id);
+  return it == by_request_.end()
+             ? nullptr
+             : &callers_.at(it->second).kind->stages.at(stage);
+}
+
+}  // namespace bilberry::emulation
--- /dev/null
+++ b/Libraries/LibEmulation/emulated_maker.cc
@@ -0,0 +1,126 @@
+#include "LibEmulation/emulated_maker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bilberry::emulation {
+
+EmulatedMaker::EmulatedMaker(Timeline& timeline,
+                             forward::ListedEndpoint listed,
+                             forward::PieceLimits limits,
+                             PoolTally& tally,
+                             uint64_t seed)
+    : timeline_(timeline),
+      listed_(std::move(listed)),
+      limits_(limits),
+      tally_(tally),
+      random_(seed) {}
+
+double EmulatedMaker::Spread() {
+  return 0.5 + random_.Fraction();
+}
+
+void EmulatedMaker::Take(forward::StageCall call,
+                         Inspect inspect,
+                         Finished finished) {
+  waiting_.push_back(
+      {std::move(call), std::move(inspect), std::move(finished)});
+  if (!is_busy_)
+    BeginNext();
+}
+
+void EmulatedMaker::BeginNext() {
+  if (waiting_.empty())
+    return;
+  is_busy_ = true;
+  const Waiting waiting = std::move(waiting_.front());
+  waiting_.pop_front();
+  std::vector<PieceWork> works;
+  base::Duration fetch{0};
+  base::Duration work = limits_.call_time;
+  for (const forward::PieceOrder& piece : waiting.call.pieces) {
+    works.push_back(waiting.inspect(piece));
+    if (!works.back().fetch_time)
+      continue;
+    fetch = std::max(fetch, *works.back().fetch_time);
+    work += base::Duration(
+        static_cast<int64_t>(static_cast<double>(limits_.piece_time.count()) *
+                             works.back().work_factor * Spread()));
+  }
+  ++tally_.calls;
+  tally_.pieces += waiting.call.pieces.size();
+  tally_.busy += fetch + work;
+  timeline_.After(fetch + work, [this, waiting, works] { End(waiting, works); });
+}
+
+void EmulatedMaker::End(const Waiting& waiting,
+                        const std::vector<PieceWork>& works) {
+  DropExpired();
+  const base::Duration share =
+      limits_.call_time / static_cast<int64_t>(works.size()) +
+      limits_.piece_time;
+  std::vector<forward::PieceOutcome> outcomes;
+  for (const PieceWork& work : works) {
+    const auto bytes = static_cast<uint64_t>(
+        static_cast<double>(work.result_bytes) * Spread());
+    if (!work.fetch_time) {
+      ++tally_.inputs_gone;
+      outcomes.emplace_back(forward::PieceRefusal::kInputGone);
+    } else if (kept_bytes_ + bytes > limits_.room_bytes) {
+      ++tally_.no_room;
+      tally_.unused += share;
+      outcomes.emplace_back(forward::PieceRefusal::kNoRoom);
+    } else {
+      std::string handle =
+          listed_.name.value + "-" + std::to_string(++last_handle_);
+      kept_bytes_ += bytes;
+      kept_.emplace(handle, KeptResult{bytes,
+                                       timeline_.now() + limits_.result_life,
+                                       share, false});
+      outcomes.emplace_back(std::move(handle));
+    }
+  }
+  is_busy_ = false;
+  waiting.finished(std::move(outcomes));
+  BeginNext();
+}
+
+void EmulatedMaker::Drop(std::map<std::string, KeptResult>::iterator it) {
+  kept_bytes_ -= it->second.bytes;
+  if (!it->second.was_read)
+    tally_.unused += it->second.made_in;
+  kept_.erase(it);
+}
+
+void EmulatedMaker::DropExpired() {
+  for (auto it = kept_.begin(); it != kept_.end();) {
+    const auto next = std::next(it);
+    if (it->second.expires <= timeline_.now())
+      Drop(it);
+    it = next;
+  }
+}
+
+void EmulatedMaker::Free(const std::vector<std::string>& handles) {
+  for (const std::string& handle : handles) {
+    const auto it = kept_.find(handle);
+    if (it != kept_.end())
+      Drop(it);
+  }
+}
+
+const KeptResult* EmulatedMaker::Read(const std::string& handle) {
+  DropExpired();
+  const auto it = kept_.find(handle);
+  if (it == kept_.end())
+    return nullptr;
+  it->second.was_read = true;
+  return &it->second;
+}
+
+void EmulatedMaker::CountUnread() {
+  while (!kept_.empty())
+    Drop(kept_.begin());
+}
+
+}  // namespace bilberry::emulation
--- /dev/null
+++ b/Libraries/LibEmulation/emulation.cc
@@ -0,0 +1,442 @@
+#include "LibEmulation/emulation.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bilberry::emulation {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Hosts find one another before the first callers come.
+constexpr seconds kLead{2};
+// Those who came last are still answered.
+constexpr seconds kTail{16};
+constexpr milliseconds kStoreDelay{4};
+// An answer of a host that is gone is waited for this long.
+constexpr milliseconds kAliveTimeout{350};
+// Between a caller and its host.
+constexpr milliseconds kCallerDelay{1};
+// What endpoints read results with.
+constexpr double kFetchBytesPerMicrosecond = 1250;
+constexpr uint16_t kPort = 80;
+constexpr uint64_t kHostsPerByte = 250;
+
+base::SocketAddress AddressOf(int network, size_t index) {
+  return {"10." + std::to_string(network) + "." +
+              std::to_string(index / kHostsPerByte) + "." +
+              std::to_string(index % kHostsPerByte + 1),
+          kPort};
+}
+
+// Each attempt's number is unique within its host alone.
+uint64_t AttemptKey(size_t host, const base::AttemptId& attempt) {
+  constexpr uint64_t kMostAttempts = 100'000'000;
+  return host * kMostAttempts + attempt.number;
+}
+
+}  // namespace
+
+Emulation::Emulation(LoadSheet sheet, EmulationOptions options)
+    : sheet_(std::move(sheet)),
+      options_(options),
+      random_(options.seed),
+      configuration_(ConfigurationOf(sheet_)),
+      callers_(timeline_, sheet_, report_, options.seed + 1) {
+  report_.sheet = sheet_.name;
+  report_.hosts = sheet_.hosts;
+  report_.lasted = sheet_.lasts;
+  AddMakers();
+  AddEngines();
+  AddHosts();
+}
+
+base::ZoneName Emulation::ZoneOf(size_t index) const {
+  return {"zone-" + std::to_string(index % sheet_.zones)};
+}
+
+base::Duration Emulation::DelayBetween(const base::ZoneName& left,
+                                       const base::ZoneName& right) const {
+  return left == right ? sheet_.in_zone : sheet_.between_zones;
+}
+
+void Emulation::AddMakers() {
+  size_t index = 0;
+  for (const MakerPool& pool : sheet_.makers) {
+    PoolTally& tally = report_.pools[pool.name];
+    tally.endpoints = pool.endpoints;
+    tally.pieces_per_call = pool.limits.pieces_per_call;
+    for (uint32_t i = 0; i < pool.endpoints; ++i) {
+      const forward::ListedEndpoint listed{
+          {pool.name + "-" + std::to_string(i)},
+          {pool.name},
+          ZoneOf(i),
+          AddressOf(1, index++)};
+      makers_.push_back(std::make_unique<EmulatedMaker>(
+          timeline_, listed, pool.limits, tally, random_.Next()));
+      makers_by_address_[listed.address] = makers_.back().get();
+    }
+  }
+}
+
+void Emulation::AddEngines() {
+  for (uint32_t i = 0; i < sheet_.engines.endpoints; ++i) {
+    const forward::ListedEndpoint listed{
+        {sheet_.engines.name + "-" + std::to_string(i)},
+        {sheet_.engines.name},
+        ZoneOf(i),
+        AddressOf(2, i)};
+    engines_.push_back(
+        std::make_unique<EmulatedEngine>(listed, sheet_.engines));
+    engines_by_name_[listed.name] = engines_.back().get();
+  }
+}
+
+void Emulation::AddHosts() {
+  for (uint32_t i = 0; i < sheet_.hosts; ++i) {
+    Host host;
+    host.self = {{"host-" + std::to_string(i)}, AddressOf(3, i), ZoneOf(i), 1};
+    forward::ForwardOptions options;
+    options.own = host.self;
+    options.incarnation = base::Incarnation{i + 1};
+    options.seed = random_.Next();
+    options.shares_calls = options_.shares_calls;
+    host.node = std::make_unique<forward::ForwardNode>(options);
+    hosts_.push_back(std::move(host));
+  }
+}
+
+EmulationReport Emulation::Run() {
+  for (size_t i = 0; i < hosts_.size(); ++i)
+    Feed(i, forward::TimerDue{});
+  timeline_.RunUntil(timeline_.now() + kLead);
+  callers_.Begin(
+      [this](forward::ForwardedRequest it) { SendToHost(std::move(it)); },
+      [this](base::CallerId id) {
+        const auto it = host_of_caller_.find(id);
+        if (it != host_of_caller_.end())
+          FeedAfter(kCallerDelay, it->second, forward::CallerLeft{id});
+      });
+  for (const HostLoss& loss : sheet_.losses)
+    timeline_.After(loss.at, [this, loss] { LoseHost(loss.host); });
+  timeline_.RunUntil(timeline_.now() + sheet_.lasts + kTail);
+  for (const auto& maker : makers_)
+    maker->CountUnread();
+  for (const Host& host : hosts_) {
+    report_.messages += host.messages;
+    report_.most_messages = std::max(report_.most_messages, host.messages);
+  }
+  return std::move(report_);
+}
+
+void Emulation::LoseHost(size_t host) {
+  hosts_.at(host).is_alive = false;
+  std::vector<base::CallerId> callers;
+  for (const auto& [caller, at] : host_of_caller_) {
+    if (at == host)
+      callers.push_back(caller);
+  }
+  for (const base::CallerId caller : callers)
+    callers_.NoteFailed(caller);
+}
+
+void Emulation::Feed(size_t host, forward::Event event) {
+  if (!hosts_[host].is_alive)
+    return;
+  const forward::Actions actions =
+      hosts_[host].node->Handle(std::move(event), timeline_.now());
+  for (const forward::Action& action : actions)
+    std::visit([this, host](const auto& it) { Do(host, it); }, action);
+  ScheduleWakeup(host);
+}
+
+void Emulation::FeedAfter(base::Duration delay,
+                          size_t host,
+                          forward::Event event) {
+  timeline_.After(delay, [this, host, event = std::move(event)] {
+    Feed(host, event);
+  });
+}
+
+void Emulation::ScheduleWakeup(size_t index) {
+  Host& host = hosts_[index];
+  const auto next = host.node->NextWakeup();
+  if (!next || (host.wakes_at && *host.wakes_at <= *next))
+    return;
+  const base::TimePoint time = std::max(*next, timeline_.now());
+  host.wakes_at = time;
+  timeline_.At(time, [this, index, time] {
+    if (hosts_[index].wakes_at != time)
+      return;
+    hosts_[index].wakes_at.reset();
+    Feed(index, forward::TimerDue{});
+  });
+}
+
+std::optional<size_t> Emulation::DrawLiveHost() {
+  std::vector<size_t> live;
+  for (size_t i = 0; i < hosts_.size(); ++i) {
+    if (hosts_[i].is_alive)
+      live.push_back(i);
+  }
+  if (live.empty())
+    return std::nullopt;
+  return live[random_.Below(live.size())];
+}
+
+void Emulation::SendToHost(forward::ForwardedRequest request) {
+  const auto host = DrawLiveHost();
+  if (!host)
+    return;
+  host_of_caller_[request.caller] = *host;
+  FeedAfter(kCallerDelay, *host, std::move(request));
+}
+
+std::optional<size_t> Emulation::FindHost(
+    const base::SocketAddress& address) const {
+  const auto it = std::ranges::find_if(
+      hosts_, [&](const Host& it) { return it.self.address == address; });
+  if (it == hosts_.end())
+    return std::nullopt;
+  return static_cast<size_t>(it - hosts_.begin());
+}
+
+void Emulation::FeedPeer(size_t from, size_t to, forward::Event event) {
+  ++hosts_[to].messages;
+  FeedAfter(DelayBetween(hosts_[from].self.zone, hosts_[to].self.zone), to,
+            std::move(event));
+}
+
+void Emulation::Do(size_t host, const forward::SendAttempt& action) {
+  EmulatedEngine* engine = engines_by_name_.at(action.endpoint);
+  const base::Duration way =
+      DelayBetween(hosts_[host].self.zone, engine->listed().zone);
+  const auto fetch = Fetch(action.inputs, engine->listed().zone);
+  if (!fetch) {
+    FeedAfter(way * 2, host,
+              forward::AttemptFailure{action.attempt,
+                                      forward::AttemptFailureKind::kBroken,
+                                      "an input is gone"});
+    return;
+  }
+  const EngineTimes times =
+      engine->Run(*action.request, callers_.EventsOf(action.request->request_id),
+                  timeline_.now() + way + *fetch, parts_read_);
+  report_.tokens_read_again += times.tokens_read_again;
+  const uint64_t key = AttemptKey(host, action.attempt);
+  attempts_[key] = {host, action.request->caller, engine};
+  forward::AnswerHead head;
+  head.status = 200;
+  head.echoed_request_id = action.request->request_id;
+  head.is_sealed = true;
+  const base::AttemptId attempt = action.attempt;
+  timeline_.At(times.first_event + way, [this, key, host, attempt, head] {
+    if (attempts_.contains(key))
+      Feed(host, forward::AttemptChunk{attempt, head, "id: 0\n\n"});
+  });
+  timeline_.At(times.end + way, [this, key, host, attempt, head] {
+    if (!attempts_.contains(key))
+      return;
+    EndAttempt(key);
+    Feed(host, forward::AttemptAnswer{attempt, head, ""});
+  });
+}
+
+void Emulation::EndAttempt(uint64_t number) {
+  const auto node = attempts_.extract(number);
+  if (!node.empty())
+    node.mapped().engine->NoteEnded();
+}
+
+void Emulation::Do(size_t host, const forward::CancelAttempt& action) {
+  EndAttempt(AttemptKey(host, action.attempt));
+}
+
+void Emulation::Do(size_t /*host*/, const forward::AnswerCaller& action) {
+  host_of_caller_.erase(action.caller);
+  const bool may_have_run =
+      action.code == forward::OwnAnswerCode::kAttemptFailed ||
+      action.code == forward::OwnAnswerCode::kTimeout ||
+      action.code == forward::OwnAnswerCode::kStageFailed;
+  if (may_have_run)
+    callers_.NoteFailed(action.caller);
+  else
+    callers_.NoteRefused(action.caller, action.retry_after);
+}
+
+void Emulation::Do(size_t /*host*/, const forward::BeginStream& action) {
+  callers_.NoteBegun(action.caller);
+}
+
+void Emulation::Do(size_t /*host*/, const forward::EndStream& action) {
+  host_of_caller_.erase(action.caller);
+  if (action.outcome == forward::StreamOutcome::kWhole)
+    callers_.NoteDone(action.caller);
+  else
+    callers_.NoteFailed(action.caller);
+}
+
+std::optional<base::Duration> Emulation::Fetch(
+    const std::vector<forward::StageResult>& results,
+    const base::ZoneName& reader) {
+  uint64_t bytes = 0;
+  base::Duration way{0};
+  for (const forward::StageResult& result : results) {
+    const auto maker = makers_by_address_.find(result.maker);
+    if (maker == makers_by_address_.end())
+      return std::nullopt;
+    const KeptResult* kept = maker->second->Read(result.handle);
+    if (kept == nullptr)
+      return std::nullopt;
+    bytes += kept->bytes;
+    const base::ZoneName& zone = maker->second->listed().zone;
+    way = std::max(way, DelayBetween(zone, reader) * 2);
+    if (zone != reader)
+      report_.bytes_between_zones += kept->bytes;
+  }
+  return way + base::Duration(static_cast<int64_t>(
+                   static_cast<double>(bytes) / kFetchBytesPerMicrosecond));
+}
+
+PieceWork Emulation::Inspect(const EmulatedMaker& maker,
+                             const forward::PieceOrder& piece) {
+  PieceWork work;
+  const auto* results =
+      std::get_if<std::vector<forward::StageResult>>(&piece.input);
+  work.fetch_time = results == nullptr
+                        ? base::Duration(0)
+                        : Fetch(*results, maker.listed().zone);
+  if (const PieceDemand* demand =
+          callers_.DemandOf(piece.request_id, piece.stage)) {
+    work.work_factor = demand->work_factor;
+    work.result_bytes = demand->result_bytes;
+  }
+  return work;
+}
+
+void Emulation::Do(size_t host, const forward::CallStage& action) {
+  EmulatedMaker* maker = makers_by_address_.at(action.call.address);
+  const base::Duration way =
+      DelayBetween(hosts_[host].self.zone, maker->listed().zone);
+  const forward::StageCallId id = action.call.id;
+  timeline_.After(way, [this, host, maker, way, id, call = action.call] {
+    maker->Take(
+        call,
+        [this, maker](const forward::PieceOrder& it) {
+          return Inspect(*maker, it);
+        },
+        [this, host, way, id](forward::StageCallOutcome outcome) {
+          FeedAfter(way, host,
+                    forward::StageCallEnded{id, std::move(outcome)});
+        });
+  });
+}
+
+void Emulation::Do(size_t host, const forward::FreeResults& action) {
+  EmulatedMaker* maker = makers_by_address_.at(action.order.address);
+  const base::Duration way =
+      DelayBetween(hosts_[host].self.zone, maker->listed().zone);
+  timeline_.After(way, [this, host, maker, way, order = action.order] {
+    maker->Free(order.handles);
+    FeedAfter(way, host, forward::ResultsFreed{order});
+  });
+}
+
+void Emulation::Do(size_t host, const forward::AskPeer& action) {
+  const auto to = FindHost(action.address);
+  if (!to)
+    return;
+  const forward::PeerExchangeId exchange{++last_exchange_};
+  questions_[exchange] = {host, *to, action.ask};
+  exchanges_[{host, action.ask}] = exchange;
+  FeedPeer(host, *to, forward::PeerJobAsked{exchange, action.job});
+}
+
+void Emulation::Do(size_t host, const forward::CancelAsk& action) {
+  const auto it = exchanges_.find({host, action.ask});
+  if (it == exchanges_.end())
+    return;
+  const forward::PeerExchangeId exchange = it->second;
+  exchanges_.erase(it);
+  const size_t to = questions_.at(exchange).asked;
+  questions_.erase(exchange);
+  FeedPeer(host, to, forward::PeerJobLeft{exchange});
+}
+
+void Emulation::Do(size_t host, const forward::AnswerPeer& action) {
+  const auto node = questions_.extract(action.exchange);
+  if (node.empty())
+    return;
+  const Question& question = node.mapped();
+  exchanges_.erase({question.asker, question.ask});
+  FeedPeer(host, question.asker,
+           forward::PeerJobEnded{question.ask, action.outcome});
+}
+
+void Emulation::Do(size_t host, const forward::TellPeerRead& action) {
+  if (const auto to = FindHost(action.address))
+    FeedPeer(host, *to, forward::PeerResultsRead{action.pool, action.results});
+}
+
+void Emulation::Do(size_t host, const forward::AskWhetherAlive& action) {
+  const auto to = FindHost(action.address);
+  if (to)
+    ++hosts_[*to].messages;
+  if (!to || !hosts_[*to].is_alive) {
+    FeedAfter(kAliveTimeout, host,
+              forward::PeerSilent{action.host, "no answer"});
+    return;
+  }
+  FeedAfter(DelayBetween(hosts_[host].self.zone, hosts_[*to].self.zone) * 2,
+            host, forward::PeerAlive{action.host});
+}
+
+std::vector<forward::FeedRow> Emulation::RowsOf(forward::FeedKind feed) const {
+  std::vector<forward::FeedRow> rows;
+  switch (feed) {
+    case forward::FeedKind::kConfiguration:
+      rows.push_back({"configuration", configuration_});
+      break;
+    case forward::FeedKind::kEndpoints:
+      for (const auto& maker : makers_)
+        rows.push_back({maker->listed().name.value, maker->listed()});
+      for (const auto& engine : engines_)
+        rows.push_back({engine->listed().name.value, engine->listed()});
+      break;
+    case forward::FeedKind::kHosts:
+      for (const forward::PeerHost& host : host_rows_)
+        rows.push_back({host.name.value, host});
+      break;
+  }
+  return rows;
+}
+
+void Emulation::Do(size_t host, const forward::ListTable& action) {
+  FeedAfter(kStoreDelay, host,
+            forward::TableListed{action.feed, RowsOf(action.feed), false,
+                                 host_rows_.size() + 1});
+}
+
+void Emulation::Do(size_t host, const forward::FollowTable& action) {
+  const uint64_t version = host_rows_.size() + 1;
+  if (action.feed == forward::FeedKind::kHosts && action.version < version) {
+    FeedAfter(
+        kStoreDelay, host,
+        forward::TableChanged{action.feed, RowsOf(action.feed), version});
+    return;
+  }
+  // Nothing else changes in a run.
+  FeedAfter(kStoreDelay + action.wait, host,
+            forward::TableChanged{action.feed, {}, action.version});
+}
+
+void Emulation::Do(size_t host, const forward::WriteOwnRow& action) {
+  timeline_.After(kStoreDelay, [this, host, row = action.host] {
+    host_rows_.push_back(row);
+    Feed(host, forward::OwnRowWritten{});
+  });
+}
+
+}  // namespace bilberry::emulation
--- /dev/null
+++ b/Libraries/LibEmulation/emulation.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "LibBase/random.h"
+#include "LibEmulation/emulated_callers.h"
+#include "LibEmulation/emulated_engine.h"
+#include "LibEmulation/emulated_maker.h"
+#include "LibEmulation/emulation_report.h"
+#include "LibEmulation/load_sheet.h"
+#include "LibEmulation/timeline.h"
+#include "LibForward/forward_node.h"
+
+namespace bilberry::emulation {
+
+struct EmulationOptions {
+  uint64_t seed = 1;
+  // Otherwise each host makes all calls for its own requests.
+  bool shares_calls = true;
+};
+
+// Plays a sheet in virtual time: the hosts are the real ForwardNodes; store,
+// network, endpoints and callers are emulated. The same seed gives the same
+// run.
+class Emulation {
+ public:
+  Emulation(LoadSheet sheet, EmulationOptions options);
+
+  Emulation(const Emulation&) = delete;
+  Emulation& operator=(const Emulation&) = delete;
+
+  // Once.
+  EmulationReport Run();
+
+ private:
+  struct Host {
+    forward::PeerHost self;
+    std::unique_ptr<forward::ForwardNode> node;
+    bool is_alive = true;
+    std::optional<base::TimePoint> wakes_at;
+    uint64_t messages = 0;  // Of peers.
+  };
+
+  // A question of one host to another.
+  struct Question {
+    size_t asker = 0;
+    size_t asked = 0;
+    forward::AskId ask{};
+  };
+
+  struct Attempt {
+    size_t host = 0;
+    base::CallerId caller{};
+    EmulatedEngine* engine = nullptr;
+  };
+
+  void AddHosts();
+  void AddMakers();
+  void AddEngines();
+  base::ZoneName ZoneOf(size_t index) const;
+  base::Duration DelayBetween(const base::ZoneName& left,
+                              const base::ZoneName& right) const;
+
+  void Feed(size_t host, forward::Event event);
+  void FeedAfter(base::Duration delay, size_t host, forward::Event event);
+  void ScheduleWakeup(size_t host);
+  void SendToHost(forward::ForwardedRequest request);
+  std::optional<size_t> DrawLiveHost();
+  std::optional<size_t> FindHost(const base::SocketAddress& address) const;
+  // Delivers between hosts, and counts.
+  void FeedPeer(size_t from, size_t to, forward::Event event);
+
+  void Do(size_t host, const forward::SendAttempt& action);
+  void Do(size_t host, const forward::CancelAttempt& action);
+  void Do(size_t host, const forward::AnswerCaller& action);
+  void Do(size_t host, const forward::BeginStream& action);
+  void Do(size_t host, const forward::EndStream& action);
+  void Do(size_t host, const forward::CallStage& action);
+  void Do(size_t host, const forward::FreeResults& action);
+  void Do(size_t host, const forward::AskPeer& action);
+  void Do(size_t host, const forward::CancelAsk& action);
+  void Do(size_t host, const forward::AnswerPeer& action);
+  void Do(size_t host, const forward::TellPeerRead& action);
+  void Do(size_t host, const forward::AskWhetherAlive& action);
+  void Do(size_t host, const forward::ListTable& action);
+  void Do(size_t host, const forward::FollowTable& action);
+  void Do(size_t host, const forward::WriteOwnRow& action);
+  // Nothing that the emulation plays depends on the others.
+  template <typename T>
+  void Do(size_t host, const T& action) {
+    static_cast<void>(host);
+    static_cast<void>(action);
+  }
+
+  void EndAttempt(uint64_t number);
+  std::vector<forward::FeedRow> RowsOf(forward::FeedKind feed) const;
+  PieceWork Inspect(const EmulatedMaker& maker,
+                    const forward::PieceOrder& piece);
+  // How long reading these results takes; empty when one is gone.
+  std::optional<base::Duration> Fetch(
+      const std::vector<forward::StageResult>& results,
+      const base::ZoneName& reader);
+  void LoseHost(size_t host);
+
+  LoadSheet sheet_;
+  EmulationOptions options_;
+  EmulationReport report_;
+  Timeline timeline_;
+  base::Random random_;
+  std::shared_ptr<const forward::ForwardConfiguration> configuration_;
+  std::vector<Host> hosts_;
+  std::vector<std::unique_ptr<EmulatedMaker>> makers_;
+  std::map<base::SocketAddress, EmulatedMaker*> makers_by_address_;
+  std::vector<std::unique_ptr<EmulatedEngine>> engines_;
+  std::map<base::EndpointName, EmulatedEngine*> engines_by_name_;
+  EmulatedCallers callers_;
+  std::map<base::CallerId, size_t> host_of_caller_;
+  std::map<uint64_t, Attempt> attempts_;
+  std::map<forward::PeerExchangeId, Question> questions_;
+  std::map<std::pair<size_t, forward::AskId>, forward::PeerExchangeId>
+      exchanges_;
+  std::vector<forward::PeerHost> host_rows_;
+  std::set<std::string> parts_read_;
+  uint64_t last_exchange_ = 0;
+};
+
+}  // namespace bilberry::emulation
--- /dev/null
+++ b/Libraries/LibEmulation/emulation_report.cc
@@ -0,0 +1,112 @@
+#include "LibEmulation/emulation_report.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+namespace bilberry::emulation {
+
+namespace {
+
+constexpr double kMicrosecondsPerSecond = 1e6;
+constexpr double kBytesPerGigabyte = 1e9;
+constexpr int kPercent = 100;
+constexpr int kBarLength = 50;
+
+double Share(double part, double whole) {
+  return whole > 0 ? part / whole : 0;
+}
+
+double Seconds(base::Duration duration) {
+  return static_cast<double>(duration.count()) / kMicrosecondsPerSecond;
+}
+
+void PrintKinds(const EmulationReport& report, std::ostream& out) {
+  out << "kind       asked  on time %  late %  refused %  left %  failed %  "
+         "refusals  ms to refuse\n";
+  for (const auto& [name, tally] : report.kinds) {
+    const auto asked = static_cast<double>(tally.asked);
+    const auto percent = [asked](uint64_t n) {
+      return kPercent * Share(static_cast<double>(n), asked);
+    };
+    out << std::left << std::setw(9) << name << std::right << std::setw(7)
+        << tally.asked << std::setw(11) << percent(tally.on_time)
+        << std::setw(8) << percent(tally.late) << std::setw(11)
+        << percent(tally.refused) << std::setw(8) << percent(tally.left)
+        << std::setw(10) << percent(tally.failed) << std::setw(10)
+        << tally.refusals << std::setw(14)
+        << Share(Seconds(tally.refused_in) * 1000,
+                 static_cast<double>(tally.refusals))
+        << "\n";
+  }
+}
+
+void PrintPools(const EmulationReport& report, std::ostream& out) {
+  out << "pool      endpoints  fill %  busy %  unused %  no room  inputs gone\n";
+  for (const auto& [name, tally] : report.pools) {
+    const double available =
+        static_cast<double>(tally.endpoints) * Seconds(report.lasted);
+    out << std::left << std::setw(10) << name << std::right << std::setw(9)
+        << tally.endpoints << std::setw(8) << kPercent * tally.fill()
+        << std::setw(8) << kPercent * Share(Seconds(tally.busy), available)
+        << std::setw(10)
+        << kPercent * Share(Seconds(tally.unused), Seconds(tally.busy))
+        << std::setw(9) << tally.no_room << std::setw(13) << tally.inputs_gone
+        << "\n";
+  }
+}
+
+void PrintSeconds(const EmulationReport& report, std::ostream& out) {
+  out << "second  asked  on time (#) and late (-)\n";
+  for (size_t i = 0; i < report.seconds.size(); ++i) {
+    const KindTally& tally = report.seconds[i];
+    const auto asked = static_cast<double>(tally.asked);
+    const auto bar = [asked](uint64_t n) {
+      return static_cast<size_t>(kBarLength *
+                                 Share(static_cast<double>(n), asked));
+    };
+    out << std::setw(6) << i << std::setw(7) << tally.asked << "  "
+        << std::string(bar(tally.on_time), '#')
+        << std::string(bar(tally.late), '-') << "\n";
+  }
+}
+
+}  // namespace
+
+double KindTally::on_time_share() const {
+  return Share(static_cast<double>(on_time), static_cast<double>(asked));
+}
+
+double PoolTally::fill() const {
+  return Share(static_cast<double>(pieces),
+               static_cast<double>(calls * pieces_per_call));
+}
+
+double EmulationReport::worth_share() const {
+  return Share(worth_earned, worth_asked);
+}
+
+std::string Print(const EmulationReport& report) {
+  std::ostringstream out;
+  out << std::fixed << std::setprecision(1);
+  out << report.sheet << " on " << report.hosts << " hosts, "
+      << Seconds(report.lasted) << " s\n";
+  PrintKinds(report, out);
+  PrintPools(report, out);
+  PrintSeconds(report, out);
+  const double host_seconds = report.hosts * Seconds(report.lasted);
+  out << std::setprecision(3) << "worth " << report.worth_share()
+      << ", results between zones "
+      << static_cast<double>(report.bytes_between_zones) / kBytesPerGigabyte
+      << " GB, shared tokens read again " << std::setprecision(0)
+      << report.tokens_read_again / 1000 << "k, messages a host and second "
+      << std::setprecision(1)
+      << Share(static_cast<double>(report.messages), host_seconds)
+      << ", at the busiest "
+      << Share(static_cast<double>(report.most_messages),
+               Seconds(report.lasted))
+      << "\n";
+  return out.str();
+}
+
+}  // namespace bilberry::emulation
--- /dev/null
+++ b/Libraries/LibEmulation/emulation_report.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "LibBase/time.h"
+
+namespace bilberry::emulation {
+
+// How the callers of one kind fared. Each caller counts once, however often it
+// came back.
+struct KindTally {
+  uint64_t asked = 0;
+  uint64_t on_time = 0;
+  uint64_t late = 0;
+  uint64_t refused = 0;
+  uint64_t left = 0;  // Gave up waiting.
+  uint64_t failed = 0;
+  uint64_t refusals = 0;     // Also of those who came back.
+  base::Duration refused_in{};  // Sum of what refusals took.
+
+  double on_time_share() const;
+};
+
+// What the endpoints of one pool did.
+struct PoolTally {
+  uint64_t endpoints = 0;
+  uint64_t pieces_per_call = 0;
+  uint64_t calls = 0;
+  uint64_t pieces = 0;
+  base::Duration busy{};
+  base::Duration unused{};  // Work on results that nobody read.
+  uint64_t no_room = 0;     // Pieces.
+  uint64_t inputs_gone = 0;
+
+  double fill() const;
+};
+
+struct EmulationReport {
+  std::string sheet;
+  uint32_t hosts = 0;
+  base::Duration lasted{};
+  std::map<std::string, KindTally> kinds;
+  std::map<std::string, PoolTally> pools;
+  // Callers by the second in which they first came.
+  std::vector<KindTally> seconds;
+  double worth_earned = 0;
+  double worth_asked = 0;
+  uint64_t bytes_between_zones = 0;  // Results.
+  double tokens_read_again = 0;      // Of shared parts.
+  uint64_t messages = 0;             // Between hosts.
+  uint64_t most_messages = 0;        // Taken by one host.
+
+  double worth_share() const;
+};
+
+// A table of the kinds, one of the pools, and a line a second.
+std::string Print(const EmulationReport& report);
+
+}  // namespace bilberry::emulation
--- /dev/null
+++ b/Libraries/LibEmulation/load_sheet.cc
@@ -0,0 +1,188 @@
+#include "LibEmulation/load_sheet.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bilberry::emulation {
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr uint32_t kSheetHosts = 8;
+
+uint32_t Scaled(uint32_t count, double scale) {
+  return std::max(1U, static_cast<uint32_t>(std::lround(count * scale)));
+}
+
+MakerPool MakeMakers(std::string name,
+                     uint32_t endpoints,
+                     uint32_t pieces_per_call,
+                     base::Duration piece_time,
+                     uint64_t room_bytes) {
+  MakerPool pool;
+  pool.name = std::move(name);
+  pool.endpoints = endpoints;
+  pool.limits = {1,          pieces_per_call,   milliseconds(150), piece_time,
+                 room_bytes, milliseconds(4000)};
+  return pool;
+}
+
+// The chain that quotations and summaries go through: an order, the six parts
+// that it names, and where each of them was.
+std::vector<PieceDemand> MakeChain(size_t first) {
+  return {{"billing", {}, 1, 1, 8'000, 0.3},
+          {"returns", {first}, 1, 6, 60'000, 1},
+          {"tracking", {first + 1}, 1, 16, 6'000, 1}};
+}
+
+CallerKind MakeQuotes(double scale) {
+  CallerKind kind;
+  kind.name = "quote";
+  kind.per_second = 9.5 * scale;
+  kind.target = milliseconds(3000);
+  kind.deadline = milliseconds(8000);
+  kind.urgency = forward::Urgency{2};
+  kind.worth = 2.3;
+  kind.late_worth = 0.51;
+  kind.stages = {{"billing", {}, 0.4, 1.5, 3'000'000, 1}};
+  std::ranges::copy(MakeChain(1), std::back_inserter(kind.stages));
+  kind.own_tokens = 2890;
+  kind.common_parts = 4;
+  kind.common_tokens = 2520;
+  kind.sessions = Scaled(111, scale);
+  kind.session_tokens = 3780;
+  kind.events = 17;
+  return kind;
+}
+
+CallerKind MakeSummaries(double scale) {
+  CallerKind kind;
+  kind.name = "summary";
+  kind.per_second = 11.5 * scale;
+  kind.target = milliseconds(1500);
+  kind.deadline = milliseconds(6000);
+  kind.urgency = forward::Urgency{1};
+  kind.worth = 2.5;
+  kind.late_worth = 0.38;
+  kind.stages = MakeChain(0);
+  kind.own_tokens = 1800;
+  kind.common_parts = 40;
+  kind.common_tokens = 340;
+  kind.sessions = Scaled(136, scale);
+  kind.session_tokens = 230;
+  kind.events = 8;
+  return kind;
+}
+
+CallerKind MakeChats(double scale) {
+  CallerKind kind;
+  kind.name = "chat";
+  kind.per_second = 8.2 * scale;
+  kind.target = milliseconds(600);
+  kind.deadline = milliseconds(15000);
+  kind.urgency = forward::Urgency{0};
+  kind.worth = 1.5;
+  kind.late_worth = 0.087;
+  kind.stages = {{"billing", {}, 0.7, 2.5, 3'000'000, 1}};
+  kind.own_tokens = 543;
+  kind.common_parts = 8;
+  kind.common_tokens = 103;
+  kind.sessions = Scaled(64, scale);
+  kind.session_tokens = 69;
+  kind.events = 91;
+  return kind;
+}
+
+forward::ForwardedPipeline PipelineOf(const CallerKind& kind,
+                                      const LoadSheet& sheet) {
+  forward::ForwardedPipeline pipeline;
+  pipeline.name.value = kind.name;
+  pipeline.host = kind.name;
+  pipeline.path_prefix = "/";
+  pipeline.delivery = declare::Delivery::kStreamed;
+  pipeline.urgency = kind.urgency;
+  pipeline.timeout = std::chrono::duration_cast<milliseconds>(kind.deadline);
+  pipeline.target_latency =
+      std::chrono::duration_cast<milliseconds>(kind.target);
+  pipeline.first_event_limit =
+      milliseconds(static_cast<int64_t>(static_cast<double>(
+          pipeline.target_latency.count()) * sheet.patience));
+  pipeline.final_pools = {{{sheet.engines.name}, 1}};
+  for (const PieceDemand& demand : kind.stages)
+    pipeline.stages.push_back(
+        {{demand.pool}, demand.after, demand.result_bytes});
+  return pipeline;
+}
+
+}  // namespace
+
+double LoadSheet::RateOf(const CallerKind& kind, base::Duration at) const {
+  double rate = kind.per_second;
+  for (const Burst& burst : bursts) {
+    const bool is_now = at >= burst.begins && at < burst.begins + burst.lasts;
+    if (is_now && (burst.kind.empty() || burst.kind == kind.name))
+      rate *= burst.factor;
+  }
+  return rate;
+}
+
+std::shared_ptr<const forward::ForwardConfiguration> ConfigurationOf(
+    const LoadSheet& sheet) {
+  auto configuration = std::make_shared<forward::ForwardConfiguration>();
+  configuration->revision = 1;
+  for (const CallerKind& kind : sheet.kinds)
+    configuration->pipelines.push_back(PipelineOf(kind, sheet));
+  for (const MakerPool& pool : sheet.makers)
+    configuration->pools.push_back(
+        {{pool.name}, pool.limits.calls_at_once, pool.limits});
+  configuration->pools.push_back({{sheet.engines.name}, 64, std::nullopt});
+  return configuration;
+}
+
+LoadSheet HireFirms(uint32_t hosts) {
+  const double scale = static_cast<double>(hosts) / kSheetHosts;
+  LoadSheet sheet;
+  sheet.name = "steady";
+  sheet.hosts = hosts;
+  sheet.zones = 3;
+  sheet.in_zone = microseconds(200);
+  sheet.between_zones = microseconds(1400);
+  sheet.lasts = seconds(30);
+  sheet.kinds = {MakeQuotes(scale), MakeSummaries(scale), MakeChats(scale)};
+  sheet.makers = {
+      MakeMakers("billing", Scaled(3, scale), 8, microseconds(16'000),
+                 36'000'000),
+      MakeMakers("returns", Scaled(5, scale), 14, microseconds(9'200),
+                 2'400'000),
+      MakeMakers("tracking", Scaled(5, scale), 36, microseconds(3'600),
+                 640'000)};
+  sheet.engines.name = "drafting";
+  sheet.engines.endpoints = Scaled(9, scale);
+  sheet.engines.read_tokens_per_ms = 42.6;
+  sheet.engines.event_time = microseconds(16'650);
+  sheet.engines.event_time_per_request = microseconds(90);
+  sheet.engines.kept_tokens = 250'000;
+  return sheet;
+}
+
+std::vector<LoadSheet> HireFirmDays(uint32_t hosts) {
+  const LoadSheet steady = HireFirms(hosts);
+  LoadSheet peak = steady;
+  peak.name = "peak";
+  peak.bursts = {{"", seconds(4), seconds(20), 1.5}};
+  LoadSheet two_bursts = steady;
+  two_bursts.name = "two-bursts";
+  two_bursts.bursts = {{"quote", seconds(4), seconds(7), 2.4},
+                       {"quote", seconds(6), seconds(5), 2.0},
+                       {"summary", seconds(16), seconds(5), 2.2}};
+  LoadSheet hosts_lost = steady;
+  hosts_lost.name = "hosts-lost";
+  for (uint32_t i = 0; i < hosts / 4; ++i)
+    hosts_lost.losses.push_back({i, seconds(10) + seconds(i)});
+  return {steady, peak, two_bursts, hosts_lost};
+}
+
+}  // namespace bilberry::emulation
--- /dev/null
+++ b/Libraries/LibEmulation/load_sheet.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibForward/forward_configuration.h"
+
+// A load and the system that it is played on: hosts, endpoints, callers.
+namespace bilberry::emulation {
+
+// Pieces that a kind of request asks for at one stage.
+struct PieceDemand {
+  std::string pool;
+  std::vector<size_t> after;
+  double share = 1;  // Of the requests that ask for any.
+  double mean_pieces = 1;
+  uint64_t result_bytes = 0;
+  double work_factor = 1;  // Against the pool's time for a piece.
+};
+
+// Callers of one pipeline.
+struct CallerKind {
+  std::string name;
+  double per_second = 0;
+  base::Duration target{};  // Until the first event.
+  base::Duration deadline{};
+  forward::Urgency urgency{};
+  double worth = 1;
+  double late_worth = 0;
+  std::vector<PieceDemand> stages;
+  double own_tokens = 0;  // Mean of what no other request shares.
+  // Parts of prompts that requests share: so many different ones, each of so
+  // many tokens.
+  uint32_t common_parts = 1;
+  double common_tokens = 0;
+  uint32_t sessions = 1;
+  double session_tokens = 0;
+  double events = 1;
+};
+
+// More callers for a while.
+struct Burst {
+  std::string kind;  // Empty for all.
+  base::Duration begins{};
+  base::Duration lasts{};
+  double factor = 1;
+};
+
+// A host that dies without a word.
+struct HostLoss {
+  uint32_t host = 0;
+  base::Duration at{};
+};
+
+// Endpoints that make pieces, dealt to the zones in turn.
+struct MakerPool {
+  std::string name;
+  uint32_t endpoints = 0;
+  forward::PieceLimits limits;
+};
+
+// Endpoints that read prompts and stream events, dealt to the zones in turn.
+struct EnginePool {
+  std::string name;
+  uint32_t endpoints = 0;
+  double read_tokens_per_ms = 1;
+  base::Duration event_time{};  // Of one event, with nothing else running.
+  // How much longer for each other request that runs.
+  base::Duration event_time_per_request{};
+  double kept_tokens = 0;  // Of shared parts.
+};
+
+struct LoadSheet {
+  std::string name;
+  uint32_t hosts = 1;
+  uint32_t zones = 1;
+  base::Duration in_zone{};  // One way.
+  base::Duration between_zones{};
+  base::Duration lasts{};
+  std::vector<CallerKind> kinds;
+  std::vector<MakerPool> makers;
+  EnginePool engines;
+  std::vector<Burst> bursts;
+  std::vector<HostLoss> losses;
+  // How often a refused caller comes again.
+  uint32_t returns = 1;
+  // Callers leave a stream that has not begun after this many times its target.
+  double patience = 4;
+
+  // Of callers of this kind at this time, with the bursts.
+  double RateOf(const CallerKind& kind, base::Duration at) const;
+};
+
+// What the hosts are told of the sheet.
+std::shared_ptr<const forward::ForwardConfiguration> ConfigurationOf(
+    const LoadSheet& sheet);
+
+// Quotations, summaries and chats of hire firms; endpoints and callers in
+// proportion to the hosts.
+LoadSheet HireFirms(uint32_t hosts);
+
+// The same firms on several days, by name: "steady", "peak", "two-bursts",
+// "hosts-lost".
+std::vector<LoadSheet> HireFirmDays(uint32_t hosts);
+
+}  // namespace bilberry::emulation
--- a/Libraries/LibForward/forward_context.h
+++ b/Libraries/LibForward/forward_context.h
@@ -12,6 +12,12 @@
 
 namespace bilberry::forward {
 
+// A time as log lines hold it, in whole milliseconds.
+inline std::string ToMilliseconds(base::Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 struct ForwardOptions {
   PeerHost own;
   base::Incarnation incarnation{};
--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -270,6 +270,7 @@
       if (node.empty())
         continue;
       const auto [caller, stage] = node.mapped();
+      LogStage(runs_.at(caller), stage, outcome, now);
       if (auto* results = std::get_if<AskedResults>(&outcome)) {
         TakeResults(caller, stage, std::move(*results), now);
         continue;
@@ -287,6 +288,33 @@
   }
 }
 
+void RunDesk::LogStage(const ForwardedRun& run,
+                       size_t stage,
+                       const AskOutcome& outcome,
+                       base::TimePoint now) {
+  const StageState& state = run.stages[stage];
+  std::vector<LogFact> facts{
+      {"stage", std::to_string(stage)},
+      {"pool", run.pipeline->stages[stage].pool.value},
+      {"pieces", std::to_string(state.pieces)},
+      {"ms", ToMilliseconds(now - state.asked)}};
+  std::visit(base::Overloaded{
+                 [&facts](const AskedResults& it) {
+                   facts.push_back({"outcome", "made"});
+                   facts.push_back({"dispatcher", it.host.value});
+                 },
+                 [&facts](const JobFailure& it) {
+                   facts.push_back(
+                       {"outcome", std::string(ToText(it.kind))});
+                   facts.push_back(
+                       {"retry_ms", ToMilliseconds(it.retry_after)});
+                 },
+             },
+             outcome);
+  context_.Log(base::LogEventId::kStageEnded, run.request->request_id,
+               std::move(facts));
+}
+
 void RunDesk::TakeResults(base::CallerId caller,
                           size_t stage,
                           AskedResults results,
@@ -329,6 +357,12 @@
   run.tried.push_back(endpoint->name);
   attempts_.emplace(send.attempt.number, caller);
   chooser_.NoteBegun(endpoint->name);
+  context_.Log(base::LogEventId::kAttemptSent, run.request->request_id,
+               {{"endpoint", endpoint->name.value},
+                {"zone", endpoint->zone.value},
+                {"team", run.team ? run.team->value : ""},
+                {"resumed", run.has_begun_stream ? "yes" : "no"},
+                {"left_ms", ToMilliseconds(send.left)}});
   context_.Emit(std::move(send));
 }
 
@@ -550,12 +584,10 @@
   }
   ForgetDeadline(run.begin_deadline, caller);
   ForgetDeadline(run.deadline, caller);
-  const auto taken =
-      std::chrono::duration_cast<std::chrono::milliseconds>(now - run.arrived);
   context_.Log(base::LogEventId::kRequestEnded, run.request->request_id,
                {{"outcome", std::move(outcome)},
                 {"pipeline", run.pipeline->name.value},
-                {"ms", std::to_string(taken.count())},
+                {"ms", ToMilliseconds(now - run.arrived)},
                 {"endpoint", run.tried.empty() ? "" : run.tried.back().value}});
 }
 
--- a/Libraries/LibForward/run_desk.h
+++ b/Libraries/LibForward/run_desk.h
@@ -73,6 +73,10 @@
                    size_t stage,
                    AskedResults results,
                    base::TimePoint now);
+  void LogStage(const ForwardedRun& run,
+                size_t stage,
+                const AskOutcome& outcome,
+                base::TimePoint now);
   void NoteJobTime(const ForwardedRun& run, size_t stage, base::TimePoint now);
   base::Duration TimeAfter(const ForwardedRun& run,
                            size_t stage,
--- a/Libraries/LibForward/stage_desk.cc
+++ b/Libraries/LibForward/stage_desk.cc
@@ -13,6 +13,19 @@
 constexpr uint32_t kMaxHostsLost = 2;
 constexpr std::chrono::milliseconds kRetryAfterLoss{1000};
 
+// Each request once, in the order of the call; a request's pieces lie together.
+std::string RequestsOf(const StageCall& call) {
+  std::string ids;
+  const std::string* last = nullptr;
+  for (const PieceOrder& piece : call.pieces) {
+    if (last != nullptr && *last == piece.request_id)
+      continue;
+    last = &piece.request_id;
+    ids += (ids.empty() ? "" : " ") + piece.request_id;
+  }
+  return ids;
+}
+
 }  // namespace
 
 StageDesk::StageDesk(ForwardContext& context)
@@ -90,8 +103,9 @@
                             StageJob job,
                             Origin origin,
                             base::TimePoint now) {
+  std::string request_id = job.request_id;
   const JobId id = pool.dispatcher.Submit(std::move(job), now);
-  pool.origins.emplace(id, origin);
+  pool.submitted.emplace(id, SubmittedJob{origin, std::move(request_id)});
   return id;
 }
 
@@ -106,7 +120,7 @@
   }
   if (Pool* pool = FindPool(question.job.pool)) {
     pool->dispatcher.Withdraw(*question.local);
-    pool->origins.erase(*question.local);
+    pool->submitted.erase(*question.local);
   }
 }
 
@@ -146,7 +160,7 @@
   const auto& [name, job] = node.mapped();
   if (Pool* pool = FindPool(name)) {
     pool->dispatcher.Withdraw(job);
-    pool->origins.erase(job);
+    pool->submitted.erase(job);
   }
 }
 
@@ -258,9 +272,35 @@
   const auto node = calls_.extract(event.call);
   if (node.empty())
     return;
-  const auto& [name, call] = node.mapped();
-  if (Pool* pool = FindPool(name))
-    pool->dispatcher.FinishCall(call, event.outcome, now);
+  const OpenCall& call = node.mapped();
+  LogCall(call, event.outcome, now);
+  if (Pool* pool = FindPool(call.pool))
+    pool->dispatcher.FinishCall(call.id, event.outcome, now);
+}
+
+void StageDesk::LogCall(const OpenCall& call,
+                        const StageCallOutcome& outcome,
+                        base::TimePoint now) {
+  std::vector<LogFact> facts{{"pool", call.pool.value},
+                             {"endpoint", call.endpoint.value},
+                             {"pieces", std::to_string(call.pieces)},
+                             {"ms", ToMilliseconds(now - call.sent)},
+                             {"requests", call.requests}};
+  std::visit(base::Overloaded{
+                 [&facts](const std::vector<PieceOutcome>& it) {
+                   facts.push_back(
+                       {"made", std::to_string(std::ranges::count_if(
+                                    it, [](const PieceOutcome& piece) {
+                                      return std::holds_alternative<
+                                          std::string>(piece);
+                                    }))});
+                 },
+                 [&facts](StageCallFailure it) {
+                   facts.push_back({"failure", std::string(ToText(it))});
+                 },
+             },
+             outcome);
+  context_.Log(base::LogEventId::kStageCallEnded, "", std::move(facts));
 }
 
 void StageDesk::Dispatch(base::TimePoint now) {
@@ -269,7 +309,7 @@
     MakeCalls(name, pool, now);
     for (FreeOrder& order : pool.dispatcher.TakeFreeOrders(now))
       context_.Emit(FreeResults{std::move(order)});
-    GiveOutcomes(pool);
+    GiveOutcomes(name, pool);
   }
 }
 
@@ -278,20 +318,37 @@
                           base::TimePoint now) {
   while (auto call = pool.dispatcher.NextCall(now)) {
     const StageCallId id{++last_call_};
-    calls_.emplace(id, std::pair(name, call->id));
+    calls_.emplace(id, OpenCall{name, call->id, call->endpoint, now,
+                                call->pieces.size(), RequestsOf(*call)});
     call->id = id;
     context_.Emit(CallStage{std::move(*call)});
   }
 }
 
-void StageDesk::GiveOutcomes(Pool& pool) {
+void StageDesk::GiveOutcomes(const base::PoolName& name, Pool& pool) {
   for (auto& [job, outcome] : pool.dispatcher.TakeOutcomes()) {
-    const auto node = pool.origins.extract(job);
-    if (!node.empty())
-      GiveOutcome(node.mapped(), std::move(outcome));
+    const auto node = pool.submitted.extract(job);
+    if (node.empty())
+      continue;
+    if (const auto* failure = std::get_if<JobFailure>(&outcome))
+      LogRefused(name, pool, node.mapped().request_id, *failure);
+    GiveOutcome(node.mapped().origin, std::move(outcome));
   }
 }
 
+void StageDesk::LogRefused(const base::PoolName& name,
+                           const Pool& pool,
+                           const std::string& request_id,
+                           const JobFailure& failure) {
+  context_.Log(
+      base::LogEventId::kJobRefused, request_id,
+      {{"pool", name.value},
+       {"reason", std::string(ToText(failure.kind))},
+       {"waiting_pieces", std::to_string(pool.dispatcher.waiting_pieces())},
+       {"endpoints", std::to_string(pool.dispatcher.ServingCount())},
+       {"retry_ms", ToMilliseconds(failure.retry_after)}});
+}
+
 void StageDesk::GiveOutcome(const Origin& origin, JobOutcome outcome) {
   std::visit(
       base::Overloaded{
--- a/Libraries/LibForward/stage_desk.h
+++ b/Libraries/LibForward/stage_desk.h
@@ -71,10 +71,25 @@
   // Whose job a dispatcher of this host works on.
   using Origin = std::variant<AskId, PeerExchangeId>;
 
+  // A call that a dispatcher of this host has made.
+  struct OpenCall {
+    base::PoolName pool;
+    StageCallId id{};  // The dispatcher's own.
+    base::EndpointName endpoint;
+    base::TimePoint sent;
+    size_t pieces = 0;
+    std::string requests;  // Ids, with spaces between.
+  };
+
+  struct SubmittedJob {
+    Origin origin;
+    std::string request_id;
+  };
+
   struct Pool {
     explicit Pool(const PieceLimits& limits) : dispatcher(limits) {}
     StageDispatcher dispatcher;
-    std::map<JobId, Origin> origins;
+    std::map<JobId, SubmittedJob> submitted;
   };
 
   void Place(AskId id, Question& question, base::TimePoint now);
@@ -82,7 +97,14 @@
                    StageJob job,
                    Origin origin,
                    base::TimePoint now);
-  void GiveOutcomes(Pool& pool);
+  void LogCall(const OpenCall& call,
+               const StageCallOutcome& outcome,
+               base::TimePoint now);
+  void GiveOutcomes(const base::PoolName& name, Pool& pool);
+  void LogRefused(const base::PoolName& name,
+                  const Pool& pool,
+                  const std::string& request_id,
+                  const JobFailure& failure);
   void GiveOutcome(const Origin& origin, JobOutcome outcome);
   void MakeCalls(const base::PoolName& name, Pool& pool, base::TimePoint now);
   Pool* FindPool(const base::PoolName& name);
@@ -99,7 +121,7 @@
   std::map<AskId, Question> questions_;
   std::map<PeerExchangeId, std::pair<base::PoolName, JobId>> peer_jobs_;
   // Which pool a call belongs to; calls are numbered over all pools.
-  std::map<StageCallId, std::pair<base::PoolName, StageCallId>> calls_;
+  std::map<StageCallId, OpenCall> calls_;
   std::vector<std::pair<AskId, AskOutcome>> outcomes_;
   uint64_t last_ask_ = 0;
   uint64_t last_call_ = 0;
--- a/Libraries/LibForward/stage_job.cc
+++ b/Libraries/LibForward/stage_job.cc
@@ -18,4 +18,16 @@
   return "failed";
 }
 
+std::string_view ToText(StageCallFailure failure) {
+  switch (failure) {
+    case StageCallFailure::kNotRun:
+      return "not_run";
+    case StageCallFailure::kUnreachable:
+      return "unreachable";
+    case StageCallFailure::kBroken:
+      return "broken";
+  }
+  return "broken";
+}
+
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/stage_job.h
+++ b/Libraries/LibForward/stage_job.h
@@ -103,6 +103,8 @@
   kBroken,       // The pieces may have been worked on.
 };
 
+std::string_view ToText(StageCallFailure failure);
+
 // One outcome for each piece, in the order of the call.
 using StageCallOutcome =
     std::variant<std::vector<PieceOutcome>, StageCallFailure>;
--- a/Utilities/bilberryload/experiment_command.cc
+++ b/Utilities/bilberryload/experiment_command.cc
@@ -111,8 +111,10 @@
 
 void AddExperimentFlags(cxxopts::Options& options) {
   auto add = options.add_options("experiment");
-  add("command", "\"experiment\"", cxxopts::value<std::string>());
-  add("name", "The experiment, or \"list\"", cxxopts::value<std::string>());
+  add("command", "\"experiment\" or \"emulate\"",
+      cxxopts::value<std::string>());
+  add("name", "The experiment or the emulated day, or \"list\"",
+      cxxopts::value<std::string>());
   add("pool", "NAME=IP:PORT of each pool's port of orders",
       cxxopts::value<Texts>());
   add("seconds", "How long requests are sent",
@@ -122,12 +124,11 @@
   add("compare", "BASELINE.json,PRESENT.json: print two results",
       cxxopts::value<Texts>());
   options.parse_positional({"command", "name"});
-  options.positional_help("[experiment NAME|list]");
+  options.positional_help("[experiment|emulate NAME|list]");
 }
 
 int RunExperiment(const cxxopts::ParseResult& flags) {
-  if (flags["command"].as<std::string>() != "experiment" ||
-      flags.count("name") == 0)
+  if (flags.count("name") == 0)
     return Complain("the command is: experiment NAME, or experiment list");
   const std::string name = flags["name"].as<std::string>();
   if (name == "list")
--- a/Utilities/bilberryload/main.cc
+++ b/Utilities/bilberryload/main.cc
@@ -5,6 +5,7 @@
 
 #include "LibTransport/json_text.h"
 #include "LibTransport/program.h"
+#include "emulate_command.h"
 #include "experiment_command.h"
 #include "load_generator.h"
 
@@ -36,6 +37,7 @@
   add("callers", "Callers at once",
       cxxopts::value<uint32_t>()->default_value("1"));
   bilberry::load::AddExperimentFlags(options);
+  bilberry::load::AddEmulationFlags(options);
   return options;
 }
 
@@ -87,9 +89,19 @@
   std::cout << bilberry::transport::PrintCompact(out) << "\n";
 }
 
+int RunCommand(const cxxopts::ParseResult& flags) {
+  const auto command = flags["command"].as<std::string>();
+  if (command == "experiment")
+    return bilberry::load::RunExperiment(flags);
+  if (command == "emulate")
+    return bilberry::load::RunEmulation(flags);
+  std::cerr << "bilberryload: there is no command \"" << command << "\"\n";
+  return bilberry::transport::kExitUsage;
+}
+
 int Run(const cxxopts::ParseResult& flags) {
   if (flags.count("command") > 0)
-    return bilberry::load::RunExperiment(flags);
+    return RunCommand(flags);
   LoadPlan plan;
   if (!FillPlan(flags, plan))
     return bilberry::transport::kExitUsage;
