--- a/Libraries/LibEmulation/emulated_callers.cc
+++ b/Libraries/LibEmulation/emulated_callers.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "LibEmulation/draw.h"
+
 namespace bilberry::emulation {
 
 namespace {
@@ -31,13 +33,14 @@
 
 void EmulatedCallers::ScheduleNext(const CallerKind& kind) {
   const double rate = sheet_.RateOf(kind, timeline_.now() - begins_);
-  const double wait = -std::log(1 - random_.Fraction()) / rate;
+  const double wait = DrawExponential(random_, sheet_.clump / rate);
   const auto delay = std::chrono::duration_cast<base::Duration>(
       std::chrono::duration<double>(wait));
   if (timeline_.now() + delay >= begins_ + sheet_.lasts)
     return;
   timeline_.After(delay, [this, &kind] {
-    Come(kind);
+    for (int n = DrawClump(random_, sheet_.clump); n > 0; --n)
+      Come(kind);
     ScheduleNext(kind);
   });
 }
@@ -45,16 +48,13 @@
 uint32_t EmulatedCallers::DrawPieces(const PieceDemand& demand) {
   if (random_.Fraction() >= demand.share)
     return 0;
-  if (demand.mean_pieces <= 1)
-    return 1;
-  // From a half to one and a half of the mean, in whole pieces.
-  const double drawn = demand.mean_pieces * (0.5 + random_.Fraction());
-  const auto whole = static_cast<uint64_t>(drawn + random_.Fraction());
+  const double drawn = DrawAround(random_, demand.mean_pieces, demand.spread);
+  const auto whole = static_cast<uint64_t>(std::lround(drawn));
   return static_cast<uint32_t>(std::clamp<uint64_t>(whole, 1, kMostPieces));
 }
 
 uint64_t EmulatedCallers::DrawTokens(double mean) {
-  const double drawn = -std::log(1 - random_.Fraction()) * mean;
+  const double drawn = DrawExponential(random_, mean);
   return static_cast<uint64_t>(std::min(drawn, mean * kMostTimesMean));
 }
 
--- a/Libraries/LibEmulation/emulated_maker.cc
+++ b/Libraries/LibEmulation/emulated_maker.cc
@@ -3,8 +3,17 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibEmulation/draw.h"
+
 namespace bilberry::emulation {
 
+namespace {
+
+// Of the work and the size of results, as DrawAround() takes it.
+constexpr double kSpread = 0.5;
+
+}  // namespace
+
 EmulatedMaker::EmulatedMaker(Timeline& timeline,
                              forward::ListedEndpoint listed,
                              forward::PieceLimits limits,
@@ -17,7 +26,7 @@
       random_(seed) {}
 
 double EmulatedMaker::Spread() {
-  return 0.5 + random_.Fraction();
+  return DrawAround(random_, 1, kSpread);
 }
 
 void EmulatedMaker::Take(forward::StageCall call,
--- a/Libraries/LibEmulation/emulated_maker.h
+++ b/Libraries/LibEmulation/emulated_maker.h
@@ -65,7 +65,7 @@
   void End(const Waiting& waiting, const std::vector<PieceWork>& works);
   void Drop(std::map<std::string, KeptResult>::iterator it);
   void DropExpired();
-  // Between a half and one and a half of the mean.
+  // A factor around 1.
   double Spread();
 
   Timeline& timeline_;
--- a/Libraries/LibEmulation/load_sheet.cc
+++ b/Libraries/LibEmulation/load_sheet.cc
@@ -35,7 +35,7 @@
 std::vector<PieceDemand> MakeChain(size_t first) {
   return {{"billing", {}, 1, 1, 8'000, 0.3},
           {"returns", {first}, 1, 6, 60'000, 1},
-          {"tracking", {first + 1}, 1, 16, 6'000, 1}};
+          {"tracking", {first + 1}, 1, 16, 6'000, 1, 0.4}};
 }
 
 CallerKind MakeQuotes(double scale) {
@@ -47,7 +47,7 @@
   kind.urgency = forward::Urgency{2};
   kind.worth = 2.3;
   kind.late_worth = 0.51;
-  kind.stages = {{"billing", {}, 0.4, 1.5, 3'000'000, 1}};
+  kind.stages = {{"billing", {}, 0.4, 1.5, 3'000'000, 1, 0.6}};
   std::ranges::copy(MakeChain(1), std::back_inserter(kind.stages));
   kind.own_tokens = 2890;
   kind.common_parts = 4;
@@ -86,7 +86,7 @@
   kind.urgency = forward::Urgency{0};
   kind.worth = 1.5;
   kind.late_worth = 0.087;
-  kind.stages = {{"billing", {}, 0.7, 2.5, 3'000'000, 1}};
+  kind.stages = {{"billing", {}, 0.7, 2.5, 3'000'000, 1, 0.6}};
   kind.own_tokens = 543;
   kind.common_parts = 8;
   kind.common_tokens = 103;
@@ -151,6 +151,7 @@
   sheet.in_zone = microseconds(200);
   sheet.between_zones = microseconds(1400);
   sheet.lasts = seconds(30);
+  sheet.clump = 3;
   sheet.kinds = {MakeQuotes(scale), MakeSummaries(scale), MakeChats(scale)};
   sheet.makers = {
       MakeMakers("billing", Scaled(3, scale), 8, microseconds(16'000),
--- a/Libraries/LibEmulation/load_sheet.h
+++ b/Libraries/LibEmulation/load_sheet.h
@@ -18,6 +18,7 @@
   double mean_pieces = 1;
   uint64_t result_bytes = 0;
   double work_factor = 1;  // Against the pool's time for a piece.
+  double spread = 0;       // Of the pieces, as DrawAround() takes it.
 };
 
 // Callers of one pipeline.
@@ -84,6 +85,7 @@
   EnginePool engines;
   std::vector<Burst> bursts;
   std::vector<HostLoss> losses;
+  double clump = 1;  // How many callers come at once, in the mean.
   // How often a refused caller comes again.
   uint32_t returns = 1;
   // Callers leave a stream that has not begun after this many times its target.
--- a/Libraries/LibForward/forwarded_run.cc
+++ b/Libraries/LibForward/forwarded_run.cc
@@ -42,12 +42,46 @@
   return ready;
 }
 
+base::TimePoint ForwardedRun::EndOfOthers(
+    size_t stage,
+    base::TimePoint now,
+    const std::function<base::Duration(size_t)>& time_of) const {
+  base::TimePoint last = now;
+  std::vector<base::TimePoint> ends(stages.size(), now);
+  std::vector<bool> waits_for_it(stages.size(), false);
+  waits_for_it[stage] = true;
+  // Only earlier stages are read, so that their ends are known here.
+  for (size_t i = 0; i < stages.size(); ++i) {
+    const std::vector<size_t>& after = pipeline->stages[i].after;
+    waits_for_it[i] =
+        i == stage || std::ranges::any_of(after, [&waits_for_it](size_t it) {
+          return waits_for_it[it];
+        });
+    if (waits_for_it[i] || stages[i].phase == StagePhase::kDone)
+      continue;
+    base::TimePoint begin = now;
+    for (const size_t before : after)
+      begin = std::max(begin, ends[before]);
+    if (stages[i].phase == StagePhase::kAsked)
+      begin = stages[i].asked;
+    ends[i] = std::max(now, begin + time_of(i));
+    last = std::max(last, ends[i]);
+  }
+  return last;
+}
+
 bool ForwardedRun::AreStagesDone() const {
   return std::ranges::all_of(stages, [](const StageState& it) {
     return it.phase == StagePhase::kDone;
   });
 }
 
+bool ForwardedRun::HasBegun() const {
+  return std::ranges::any_of(stages, [](const StageState& it) {
+    return it.phase == StagePhase::kDone && it.pieces > 0;
+  });
+}
+
 std::vector<StageResult> ForwardedRun::InputsOf(size_t stage) const {
   std::vector<StageResult> inputs;
   for (const size_t before : pipeline->stages[stage].after)
@@ -55,6 +89,20 @@
   return inputs;
 }
 
+std::optional<base::TimePoint> ForwardedRun::InputsGone(size_t stage) const {
+  std::optional<base::TimePoint> gone;
+  for (const size_t before : pipeline->stages[stage].after) {
+    const ForwardedPool* pool =
+        configuration->FindPool(pipeline->stages[before].pool);
+    if (!stages[before].results || pool == nullptr || !pool->pieces)
+      continue;
+    const base::TimePoint dropped =
+        stages[before].done + pool->pieces->result_life;
+    gone = std::min(gone.value_or(dropped), dropped);
+  }
+  return gone;
+}
+
 std::vector<StageResult> ForwardedRun::FinalInputs() const {
   std::vector<StageResult> inputs;
   for (size_t i = 0; i < stages.size(); ++i) {
--- a/Libraries/LibForward/forwarded_run.h
+++ b/Libraries/LibForward/forwarded_run.h
@@ -20,6 +20,7 @@
   uint32_t pieces = 0;  // 0: the request leaves the stage out.
   AskId ask{};
   base::TimePoint asked;
+  base::TimePoint done;
   std::optional<AskedResults> results;
 };
 
@@ -47,17 +48,29 @@
   base::PoolName final_pool;
   base::ZoneName final_zone;  // Where the request will probably run.
   std::vector<StageState> stages;
+  // When a stage that would be done too early is looked at again.
+  std::optional<base::TimePoint> looked_at_again;
   std::optional<FinalAttempt> attempt;
   std::vector<base::EndpointName> tried;
   uint32_t runs = 0;  // Attempts that may have run.
   bool has_begun_stream = false;
   std::optional<std::string> last_event;
 
-  // Stages that can be asked for now.
+  // Stages whose inputs are there and that have not been asked for.
   std::vector<size_t> ReadyStages() const;
+  // When the stages that don't read this one's results will be done, if each
+  // takes the time that `time_of` gives; `now` if they are.
+  base::TimePoint EndOfOthers(
+      size_t stage,
+      base::TimePoint now,
+      const std::function<base::Duration(size_t)>& time_of) const;
   bool AreStagesDone() const;
+  // Whether any stage is done that the request needs.
+  bool HasBegun() const;
   // What a stage reads.
   std::vector<StageResult> InputsOf(size_t stage) const;
+  // When the first of them is dropped; empty when it reads none.
+  std::optional<base::TimePoint> InputsGone(size_t stage) const;
   // What the request itself reads: the results that no stage reads.
   std::vector<StageResult> FinalInputs() const;
   // What one piece of a stage reads, and what is read of its result, about.
--- /dev/null
+++ b/Libraries/LibForward/piece_endpoint.cc
@@ -0,0 +1,88 @@
+#include "LibForward/piece_endpoint.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bilberry::forward {
+
+namespace {
+
+// How long an endpoint that failed a call gets none: doubled by each failure in
+// a row, up to the longest.
+constexpr std::chrono::milliseconds kFirstRest{100};
+constexpr std::chrono::milliseconds kLongestRest{3200};
+constexpr uint32_t kMostDoublings = 8;
+// So many failed calls in a row are the endpoint's fault.
+constexpr uint32_t kFailuresToProbe = 2;
+// How long an endpoint without room, or that is full, gets no call.
+constexpr std::chrono::milliseconds kFullRest{30};
+// Small results are freed together, after at most this time.
+constexpr std::chrono::milliseconds kFreeDelay{10};
+// Results of this size are freed at once, since they take a noticeable part of
+// an endpoint's room.
+constexpr uint64_t kLargeBytes = 400'000;
+
+}  // namespace
+
+bool PieceEndpoint::IsIdle(uint32_t calls_at_once, base::TimePoint now) const {
+  return is_serving() && calls_ < calls_at_once && rests_until_ <= now;
+}
+
+base::TimePoint PieceEndpoint::NextTurn(uint32_t calls_at_once,
+                                        base::TimePoint now) const {
+  const base::TimePoint rested = std::max(now, rests_until_);
+  return calls_ < calls_at_once ? rested : std::max(rested, busy_until_);
+}
+
+void PieceEndpoint::NoteCalled(base::TimePoint busy_until) {
+  ++calls_;
+  busy_until_ = busy_until;
+}
+
+void PieceEndpoint::NoteFailed(base::TimePoint now) {
+  const auto rest =
+      kFirstRest * (int64_t{1} << std::min(failures_, kMostDoublings));
+  rests_until_ = now + std::min<base::Duration>(rest, kLongestRest);
+  ++failures_;
+}
+
+void PieceEndpoint::NoteFull(base::TimePoint now) {
+  rests_until_ = now + kFullRest;
+}
+
+bool PieceEndpoint::is_doubtful() const {
+  return failures_ >= kFailuresToProbe;
+}
+
+void PieceEndpoint::ScheduleFree(const std::string& handle,
+                                 base::TimePoint now) {
+  const bool is_large = room_.SizeOf(handle) >= kLargeBytes;
+  to_free_.push_back(handle);
+  const base::TimePoint due = is_large ? now : now + kFreeDelay;
+  free_due_ = std::min(free_due_.value_or(due), due);
+}
+
+std::optional<FreeOrder> PieceEndpoint::TakeFreeOrder(base::TimePoint now) {
+  if (!free_due_ || *free_due_ > now)
+    return std::nullopt;
+  free_due_.reset();
+  return FreeOrder{listed_.pool, listed_.name, listed_.address,
+                   std::exchange(to_free_, {})};
+}
+
+std::optional<base::TimePoint> PieceEndpoint::NextChange(
+    bool has_waiting,
+    uint32_t calls_at_once,
+    base::TimePoint now) const {
+  std::optional<base::TimePoint> next = free_due_;
+  if (!has_waiting || calls_ >= calls_at_once)
+    return next;
+  // Waits for its rest to end, or for room.
+  const base::TimePoint change =
+      rests_until_ > now ? rests_until_ : room_.NextExpiry();
+  if (change != base::TimePoint::max() && (!next || change < *next))
+    next = change;
+  return next;
+}
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/piece_endpoint.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibForward/forward_endpoint.h"
+#include "LibForward/result_room.h"
+#include "LibForward/stage_job.h"
+
+namespace bilberry::forward {
+
+// An endpoint that makes pieces, as its dispatcher sees it: the calls that it
+// works on, its failures, the room that results take there, and what is to be
+// freed.
+class PieceEndpoint {
+ public:
+  explicit PieceEndpoint(ListedEndpoint listed) : listed_(std::move(listed)) {}
+
+  const ListedEndpoint& listed() const { return listed_; }
+  void SetListed(ListedEndpoint listed) { listed_ = std::move(listed); }
+  bool is_serving() const { return listed_.state == EndpointState::kServing; }
+
+  // Whether it takes a call now.
+  bool IsIdle(uint32_t calls_at_once, base::TimePoint now) const;
+  // When it takes its next call, if all goes as expected.
+  base::TimePoint NextTurn(uint32_t calls_at_once, base::TimePoint now) const;
+  void NoteCalled(base::TimePoint busy_until);
+  void NoteCallEnded() { --calls_; }
+
+  void NoteAnswered() { failures_ = 0; }
+  // Gives it no call for a while: longer with each failure in a row.
+  void NoteFailed(base::TimePoint now);
+  // It is full, or has no room: it gets no call for a moment.
+  void NoteFull(base::TimePoint now);
+  // Whether its last calls failed, so that one piece is to try it.
+  bool is_doubtful() const;
+
+  ResultRoom& room() { return room_; }
+  const ResultRoom& room() const { return room_; }
+
+  void ScheduleFree(const std::string& handle, base::TimePoint now);
+  // Empty before it is due.
+  std::optional<FreeOrder> TakeFreeOrder(base::TimePoint now);
+
+  // When something changes here by itself: what is to be freed, or, if pieces
+  // wait, that it can take a call. Empty when that is when a call ends.
+  std::optional<base::TimePoint> NextChange(bool has_waiting,
+                                            uint32_t calls_at_once,
+                                            base::TimePoint now) const;
+
+ private:
+  ListedEndpoint listed_;
+  uint32_t calls_ = 0;
+  uint32_t failures_ = 0;  // In a row.
+  base::TimePoint rests_until_;
+  base::TimePoint busy_until_;  // As expected.
+  ResultRoom room_;
+  std::vector<std::string> to_free_;
+  std::optional<base::TimePoint> free_due_;
+};
+
+}  // namespace bilberry::forward
--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -11,6 +11,8 @@
 
 // What a request itself takes at the least, from its sending to its first byte.
 constexpr std::chrono::milliseconds kFinalTime{60};
+// By how much a stage is done before the rest, if all goes as expected.
+constexpr std::chrono::milliseconds kDoneBefore{50};
 // When to come back to a host that has no configuration yet.
 constexpr std::chrono::milliseconds kNotReadyRetry{500};
 // When to come back to another host than this one, which stops.
@@ -197,12 +199,48 @@
 
 void RunDesk::Advance(base::CallerId caller, base::TimePoint now) {
   ForwardedRun& run = runs_.at(caller);
-  for (const size_t stage : run.ReadyStages())
-    AskForStage(caller, run, stage, now);
+  for (const size_t stage : run.ReadyStages()) {
+    const base::TimePoint due = DueTime(run, stage, now);
+    if (due <= now)
+      AskForStage(caller, run, stage, now);
+    else
+      LookAgain(caller, run, due);
+  }
   if (!run.attempt && run.AreStagesDone())
     SendFinal(caller, now);
 }
 
+// Results take up room at their makers until all is there that the request
+// reads. What takes less time than the rest is asked for so late that it is
+// done just before.
+base::TimePoint RunDesk::DueTime(const ForwardedRun& run,
+                                 size_t stage,
+                                 base::TimePoint now) const {
+  const auto time_of = [&](size_t it) { return TimeOf(run, it, now); };
+  return run.EndOfOthers(stage, now, time_of) - time_of(stage) -
+         kDoneBefore;
+}
+
+void RunDesk::LookAgain(base::CallerId caller,
+                        ForwardedRun& run,
+                        base::TimePoint time) {
+  if (run.looked_at_again && *run.looked_at_again <= time)
+    return;
+  if (run.looked_at_again)
+    Forget(looks_, *run.looked_at_again, caller);
+  run.looked_at_again = time;
+  looks_.emplace(time, caller);
+}
+
+void RunDesk::HandleLooks(base::TimePoint now) {
+  while (!looks_.empty() && looks_.begin()->first <= now) {
+    const base::CallerId caller = looks_.begin()->second;
+    looks_.erase(looks_.begin());
+    runs_.at(caller).looked_at_again.reset();
+    Advance(caller, now);
+  }
+}
+
 void RunDesk::AskForStage(base::CallerId caller,
                           ForwardedRun& run,
                           size_t stage,
@@ -222,23 +260,42 @@
   job.urgency = run.urgency;
   job.until_target = run.target - now;
   job.until_deadline = run.begin_deadline - now;
+  if (const auto gone = run.InputsGone(stage))
+    job.until_inputs_gone = *gone - now;
   job.time_after = TimeAfter(run, stage, now);
   job.reader_zone = run.final_zone;
   job.crossing_bytes = run.BytesMoved(stage);
-  job.progress = declared.after.empty() ? RequestProgress::kNew
-                                        : RequestProgress::kUnderWay;
+  job.progress = run.HasBegun() ? RequestProgress::kUnderWay
+                                : RequestProgress::kNew;
   state.phase = StagePhase::kAsked;
   state.asked = now;
   state.ask = stage_desk_.Ask(std::move(job), now);
   asks_.emplace(state.ask, std::pair(caller, stage));
 }
 
+base::Duration RunDesk::ExcessOf(const base::PoolName& pool,
+                                 Urgency urgency,
+                                 base::TimePoint now) const {
+  const auto it = job_excess_.find({pool, urgency});
+  return it == job_excess_.end() ? base::Duration(0) : it->second.At(now);
+}
+
+base::Duration RunDesk::TimeOf(const ForwardedRun& run,
+                               size_t stage,
+                               base::TimePoint now) const {
+  const base::PoolName& name = run.pipeline->stages[stage].pool;
+  const ForwardedPool* pool = run.configuration->FindPool(name);
+  if (pool == nullptr || !pool->pieces)
+    return base::Duration(0);
+  return CallTimeOf(*pool->pieces, run.stages[stage].pieces) +
+         ExcessOf(name, run.urgency, now);
+}
+
 base::Duration RunDesk::TimeAfter(const ForwardedRun& run,
                                   size_t stage,
                                   base::TimePoint now) const {
   const auto excess = [&](const base::PoolName& pool) {
-    const auto it = job_excess_.find({pool, run.urgency});
-    return it == job_excess_.end() ? base::Duration(0) : it->second.At(now);
+    return ExcessOf(pool, run.urgency, now);
   };
   const auto first_byte = first_byte_.find(run.pipeline->name);
   const base::Duration final_time = first_byte == first_byte_.end()
@@ -322,6 +379,7 @@
   ForwardedRun& run = runs_.at(caller);
   NoteJobTime(run, stage, now);
   run.stages[stage].phase = StagePhase::kDone;
+  run.stages[stage].done = now;
   run.stages[stage].results = std::move(results);
   for (const size_t before : run.pipeline->stages[stage].after) {
     if (run.IsReadByAll(before))
@@ -556,12 +614,14 @@
     ReleaseStage(stage, now);
 }
 
-void RunDesk::ForgetDeadline(base::TimePoint time, base::CallerId caller) {
-  const auto [begin, end] = deadlines_.equal_range(time);
+void RunDesk::Forget(Times& times,
+                     base::TimePoint time,
+                     base::CallerId caller) {
+  const auto [begin, end] = times.equal_range(time);
   const auto it = std::find_if(
       begin, end, [caller](const auto& it) { return it.second == caller; });
   if (it != end)
-    deadlines_.erase(it);
+    times.erase(it);
 }
 
 void RunDesk::Finish(base::CallerId caller,
@@ -582,8 +642,10 @@
     context_.Emit(CancelAttempt{run.attempt->id});
     EndAttempt(run, EndpointVerdict::kCancelled, now);
   }
-  ForgetDeadline(run.begin_deadline, caller);
-  ForgetDeadline(run.deadline, caller);
+  Forget(deadlines_, run.begin_deadline, caller);
+  Forget(deadlines_, run.deadline, caller);
+  if (run.looked_at_again)
+    Forget(looks_, *run.looked_at_again, caller);
   context_.Log(base::LogEventId::kRequestEnded, run.request->request_id,
                {{"outcome", std::move(outcome)},
                 {"pipeline", run.pipeline->name.value},
@@ -596,6 +658,7 @@
 }
 
 void RunDesk::HandleTimer(base::TimePoint now) {
+  HandleLooks(now);
   while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
     const base::CallerId caller = deadlines_.begin()->second;
     const ForwardedRun& run = runs_.at(caller);
@@ -625,9 +688,12 @@
 }
 
 std::optional<base::TimePoint> RunDesk::NextWakeup() const {
-  if (deadlines_.empty())
-    return std::nullopt;
-  return deadlines_.begin()->first;
+  std::optional<base::TimePoint> next;
+  for (const Times* times : {&deadlines_, &looks_}) {
+    if (!times->empty() && (!next || times->begin()->first < *next))
+      next = times->begin()->first;
+  }
+  return next;
 }
 
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/run_desk.h
+++ b/Libraries/LibForward/run_desk.h
@@ -57,6 +57,7 @@
   };
 
   using Runs = std::map<base::CallerId, ForwardedRun>;
+  using Times = std::multimap<base::TimePoint, base::CallerId>;
 
   // Empty when the request has been answered.
   std::optional<ForwardedRun> Check(ForwardedRequest request,
@@ -65,6 +66,14 @@
   const base::PoolName& DrawFinalPool(const ForwardedPipeline& pipeline);
   EndpointWish WishOf(const ForwardedRun& run) const;
   void Advance(base::CallerId caller, base::TimePoint now);
+  base::TimePoint DueTime(const ForwardedRun& run,
+                          size_t stage,
+                          base::TimePoint now) const;
+  // Comes back to the run at this time.
+  void LookAgain(base::CallerId caller,
+                 ForwardedRun& run,
+                 base::TimePoint time);
+  void HandleLooks(base::TimePoint now);
   void AskForStage(base::CallerId caller,
                    ForwardedRun& run,
                    size_t stage,
@@ -78,6 +87,15 @@
                 const AskOutcome& outcome,
                 base::TimePoint now);
   void NoteJobTime(const ForwardedRun& run, size_t stage, base::TimePoint now);
+  // By how much jobs of a pool take longer than their calls, lately.
+  base::Duration ExcessOf(const base::PoolName& pool,
+                          Urgency urgency,
+                          base::TimePoint now) const;
+  // What a stage takes, with the wait for its turn.
+  base::Duration TimeOf(const ForwardedRun& run,
+                        size_t stage,
+                        base::TimePoint now) const;
+  // What is left to do when a stage is done.
   base::Duration TimeAfter(const ForwardedRun& run,
                            size_t stage,
                            base::TimePoint now) const;
@@ -102,7 +120,7 @@
                     base::TimePoint now);
   // Forgets a run that has been answered or that nobody waits for.
   void Finish(base::CallerId caller, std::string outcome, base::TimePoint now);
-  void ForgetDeadline(base::TimePoint time, base::CallerId caller);
+  static void Forget(Times& times, base::TimePoint time, base::CallerId caller);
   void Refuse(const ForwardedRequest& request,
               OwnAnswerCode code,
               std::optional<base::Duration> retry_after);
@@ -114,7 +132,8 @@
   base::Random random_;
   std::shared_ptr<const ForwardConfiguration> configuration_;
   Runs runs_;
-  std::multimap<base::TimePoint, base::CallerId> deadlines_;
+  Times deadlines_;
+  Times looks_;
   std::map<AskId, std::pair<base::CallerId, size_t>> asks_;
   std::unordered_map<uint64_t, base::CallerId> attempts_;  // By number.
   std::map<base::PoolName, policy::RetryBudget> budgets_;
--- /dev/null
+++ b/Libraries/LibForward/service_order.cc
@@ -0,0 +1,81 @@
+#include "LibForward/service_order.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bilberry::forward {
+
+namespace {
+
+// What a pool does of what it could: calls begin a little after the one before,
+// and a job's pieces may be in several.
+constexpr double kEfficiency = 0.75;
+constexpr int64_t kPercent = 100;
+// A pool with jobs that are late gives so much of its time to those that come
+// meanwhile and can be on time.
+constexpr int64_t kShareOfNewcomersPercent = 50;
+
+}  // namespace
+
+base::Duration PoolPace::TimeFor(uint64_t pieces) const {
+  const double rounds =
+      static_cast<double>(pieces) / static_cast<double>(pieces_per_round);
+  return base::Duration(static_cast<int64_t>(
+      static_cast<double>(round_time.count()) * rounds /
+      (kEfficiency * fullness)));
+}
+
+ServiceOrder OrderOfService(std::vector<QueuedJob> jobs, const PoolPace& pace) {
+  std::ranges::stable_sort(
+      jobs, [](const QueuedJob& left, const QueuedJob& right) {
+        return std::pair(left.urgency, left.target) <
+               std::pair(right.urgency, right.target);
+      });
+  ServiceOrder order;
+  uint64_t ahead = 0;
+  for (QueuedJob& job : jobs) {
+    const base::TimePoint turn = pace.next_turn + pace.TimeFor(ahead);
+    if (turn + job.needed > job.target) {
+      order.late.push_back(job);
+      continue;
+    }
+    ahead += job.pieces;
+    order.on_time.push_back(job);
+  }
+  std::ranges::stable_partition(order.late, [](const QueuedJob& it) {
+    return it.progress == RequestProgress::kUnderWay;
+  });
+  return order;
+}
+
+base::Duration WaitBehind(const ServiceOrder& order,
+                          Urgency urgency,
+                          const PoolPace& pace,
+                          base::TimePoint now) {
+  uint64_t ahead = 0;
+  for (const QueuedJob& job : order.on_time) {
+    if (job.urgency <= urgency)
+      ahead += job.pieces;
+  }
+  return pace.next_turn - now + pace.TimeFor(ahead);
+}
+
+base::Duration TimeOfLate(uint64_t pieces, const PoolPace& pace) {
+  return pace.round_time * static_cast<int64_t>(pieces) * kPercent /
+         ((kPercent - kShareOfNewcomersPercent) *
+          static_cast<int64_t>(pace.pieces_per_round));
+}
+
+base::Duration WaitOfLate(const ServiceOrder& order,
+                          const PoolPace& pace,
+                          base::TimePoint now) {
+  uint64_t on_time = 0;
+  for (const QueuedJob& job : order.on_time)
+    on_time += job.pieces;
+  uint64_t late = 0;
+  for (const QueuedJob& job : order.late)
+    late += job.pieces;
+  return pace.next_turn - now + pace.TimeFor(on_time) + TimeOfLate(late, pace);
+}
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/service_order.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "LibBase/time.h"
+#include "LibForward/stage_job.h"
+
+namespace bilberry::forward {
+
+// A job that waits for its turn, as far as the order goes by it.
+struct QueuedJob {
+  JobId id{};
+  Urgency urgency = Urgency::kMost;
+  base::TimePoint target;
+  // From its turn until its request is answered.
+  base::Duration needed{};
+  uint32_t pieces = 0;
+  RequestProgress progress = RequestProgress::kNew;
+};
+
+// What the pool that they wait for can do.
+struct PoolPace {
+  base::TimePoint next_turn;
+  base::Duration round_time{};     // Of a full call.
+  uint32_t pieces_per_round = 1;  // Over all endpoints.
+  // What calls make of it lately: results may leave no room for full ones.
+  double fullness = 1;
+
+  // Until so many pieces have had their turn.
+  base::Duration TimeFor(uint64_t pieces) const;
+};
+
+// Which jobs are served first. Those that can be on time, given what goes
+// before them, go before those that can't: a late answer is worth little to
+// its caller, and serving it first makes the next one late as well. Answers
+// the load of a burst beyond what the pool can do.
+struct ServiceOrder {
+  std::vector<QueuedJob> on_time;
+  std::vector<QueuedJob> late;
+};
+
+ServiceOrder OrderOfService(std::vector<QueuedJob> jobs, const PoolPace& pace);
+
+// Until a job has its turn that would be served behind all of this urgency.
+base::Duration WaitBehind(const ServiceOrder& order,
+                          Urgency urgency,
+                          const PoolPace& pace,
+                          base::TimePoint now);
+
+// What so many pieces take that can't be on time, beside those that can.
+base::Duration TimeOfLate(uint64_t pieces, const PoolPace& pace);
+
+// Until one has its turn that can't be on time: behind all that waits, and
+// behind those on time that come meanwhile.
+base::Duration WaitOfLate(const ServiceOrder& order,
+                          const PoolPace& pace,
+                          base::TimePoint now);
+
+}  // namespace bilberry::forward
--- a/Libraries/LibForward/stage_desk.cc
+++ b/Libraries/LibForward/stage_desk.cc
@@ -70,6 +70,8 @@
   Question question;
   question.target = now + job.until_target;
   question.deadline = now + job.until_deadline;
+  if (job.until_inputs_gone)
+    question.inputs_gone = now + *job.until_inputs_gone;
   question.job = std::move(job);
   Place(id, questions_.emplace(id, std::move(question)).first->second, now);
   return id;
@@ -79,6 +81,8 @@
   StageJob job = question.job;
   job.until_target = question.target - now;
   job.until_deadline = question.deadline - now;
+  if (question.inputs_gone)
+    job.until_inputs_gone = *question.inputs_gone - now;
   const bool is_alone =
       !context_.options().shares_calls || question.hosts_lost > kMaxHostsLost;
   const PeerHost& host =
@@ -285,6 +289,9 @@
                              {"endpoint", call.endpoint.value},
                              {"pieces", std::to_string(call.pieces)},
                              {"ms", ToMilliseconds(now - call.sent)},
+                             {"left_waiting", std::to_string(call.waiting_pieces)},
+                             {"room_used_percent", std::to_string(call.room_percent)},
+                             {"room_usable_percent", std::to_string(call.usable_percent)},
                              {"requests", call.requests}};
   std::visit(base::Overloaded{
                  [&facts](const std::vector<PieceOutcome>& it) {
@@ -319,7 +326,9 @@
   while (auto call = pool.dispatcher.NextCall(now)) {
     const StageCallId id{++last_call_};
     calls_.emplace(id, OpenCall{name, call->id, call->endpoint, now,
-                                call->pieces.size(), RequestsOf(*call)});
+                                call->pieces.size(), RequestsOf(*call),
+                                call->room_percent, call->usable_percent,
+                                call->waiting_pieces});
     call->id = id;
     context_.Emit(CallStage{std::move(*call)});
   }
--- a/Libraries/LibForward/stage_desk.h
+++ b/Libraries/LibForward/stage_desk.h
@@ -63,6 +63,7 @@
     StageJob job;
     base::TimePoint target;
     base::TimePoint deadline;
+    std::optional<base::TimePoint> inputs_gone;
     base::HostName host;
     std::optional<JobId> local;  // If this host does it.
     uint32_t hosts_lost = 0;
@@ -79,6 +80,9 @@
     base::TimePoint sent;
     size_t pieces = 0;
     std::string requests;  // Ids, with spaces between.
+    uint32_t room_percent = 0;
+    uint32_t usable_percent = 0;
+    uint32_t waiting_pieces = 0;
   };
 
   struct SubmittedJob {
--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -9,17 +9,9 @@
 
 // A piece that endpoints failed is asked for again this often at the most.
 constexpr uint32_t kMaxRepeats = 2;
-// How long an endpoint that failed a call gets none: doubled by each failure in
-// a row, up to the longest.
-constexpr std::chrono::milliseconds kFirstRest{100};
-constexpr std::chrono::milliseconds kLongestRest{3200};
 // Failed calls whose pieces can be asked for again before the budget has to be
 // earned.
 constexpr uint32_t kSavedCalls = 2;
-// So many failed calls in a row are the endpoint's fault.
-constexpr uint32_t kFailuresToProbe = 2;
-// How long an endpoint without room, or that is full, gets no call.
-constexpr std::chrono::milliseconds kFullRest{30};
 // A call is given up after this many times what it should take, and what
 // fetching its inputs and the way there may take.
 constexpr int kCallPatience = 3;
@@ -29,15 +21,19 @@
 constexpr double kRoomShrink = 0.95;
 constexpr double kLeastUsableRoom = 0.6;
 constexpr double kRoomGrowth = 0.005;
-// Small results are freed together, after at most this time.
-constexpr std::chrono::milliseconds kFreeDelay{10};
-// Results of this size are freed at once, since they take a noticeable part of
-// an endpoint's room; and pieces that carry so much are made in their zone.
-constexpr uint64_t kLargeBytes = 400'000;
+// Pieces that carry so much are made in their zone.
+constexpr uint64_t kLargeBytes = 300'000;
+// The inputs of a piece must still be there when it is made; the first of them
+// may have been made this long before the last.
+constexpr std::chrono::milliseconds kFetchMargin{500};
 // When a pool without endpoints is to be tried again.
 constexpr std::chrono::milliseconds kNoEndpointRetry{1000};
 constexpr std::chrono::milliseconds kShortestRetry{100};
 
+constexpr uint64_t kPercent = 100;
+// How much one call counts for the fullness of the next ones.
+constexpr double kFullnessWeight = 0.1;
+
 }  // namespace
 
 // A call that fails may take a full load of pieces with it, which are all to be
@@ -46,13 +42,15 @@
     : limits_(limits), repeats_(kSavedCalls * limits.pieces_per_call) {}
 
 void StageDispatcher::SetEndpoints(std::span<const ListedEndpoint> endpoints) {
-  std::map<base::EndpointName, Endpoint> present;
+  std::map<base::EndpointName, PieceEndpoint> present;
   for (const ListedEndpoint& listed : endpoints) {
     auto node = endpoints_.extract(listed.name);
-    Endpoint& endpoint = present[listed.name];
-    if (!node.empty())
-      endpoint = std::move(node.mapped());
-    endpoint.listed = listed;
+    if (node.empty()) {
+      present.emplace(listed.name, PieceEndpoint(listed));
+      continue;
+    }
+    node.mapped().SetListed(listed);
+    present.insert(std::move(node));
   }
   endpoints_ = std::move(present);
 }
@@ -61,8 +59,10 @@
   latest_ = now;
   const JobId id{++last_job_};
   Job record;
-  record.target = now + job.until_target;
+  record.target = now + std::min(job.until_target, job.until_deadline);
   record.deadline = now + job.until_deadline;
+  record.inputs_gone = job.until_inputs_gone ? now + *job.until_inputs_gone
+                                             : base::TimePoint::max();
   record.handles.resize(job.piece_count);
   record.makers.resize(job.piece_count);
   for (uint32_t i = 0; i < job.piece_count; ++i)
@@ -73,14 +73,8 @@
         id, JobFailure{JobFailureKind::kNoEndpoint, kNoEndpointRetry});
     return id;
   }
-  const base::Duration wait = WaitFor(record, now);
-  const base::Duration needed =
-      wait + CallTime(record.waiting.size()) + record.job.time_after;
-  if (record.job.progress == RequestProgress::kNew &&
-      now + needed > record.deadline) {
-    outcomes_.emplace_back(
-        id, JobFailure{JobFailureKind::kTooLate,
-                       std::max<base::Duration>(wait, kShortestRetry)});
+  if (const auto refusal = RefusalOf(id, record, now)) {
+    outcomes_.emplace_back(id, *refusal);
     return id;
   }
   jobs_.emplace(id, std::move(record));
@@ -97,89 +91,110 @@
   return std::exchange(outcomes_, {});
 }
 
-bool StageDispatcher::IsIdle(const Endpoint& endpoint,
-                             base::TimePoint now) const {
-  return endpoint.listed.state == EndpointState::kServing &&
-         endpoint.calls < limits_.calls_at_once && endpoint.rests_until <= now;
-}
-
 base::Duration StageDispatcher::CallTime(size_t pieces) const {
   const size_t in_call = std::min<size_t>(pieces, limits_.pieces_per_call);
   return limits_.call_time + limits_.piece_time * in_call;
 }
 
-// Until a job that comes now has its turn: what waits before it, in full calls
-// over all endpoints, after the calls that are under way.
-base::Duration StageDispatcher::WaitFor(const Job& job,
-                                        base::TimePoint now) const {
-  size_t ahead = 0;
-  for (const auto& [id, other] : jobs_) {
-    if (!GoesBefore(job, other, now))
-      ahead += other.waiting.size();
-  }
-  base::Duration until_idle = base::Duration::max();
+PoolPace StageDispatcher::PaceAt(base::TimePoint now) const {
+  PoolPace pace;
+  pace.next_turn = base::TimePoint::max();
   for (const auto& [name, endpoint] : endpoints_) {
-    if (endpoint.listed.state != EndpointState::kServing)
-      continue;
-    const bool is_idle = IsIdle(endpoint, now);
-    until_idle = std::min(
-        until_idle,
-        is_idle ? base::Duration(0)
-                : std::max(base::Duration(0), endpoint.busy_until - now));
+    if (endpoint.is_serving())
+      pace.next_turn = std::min(pace.next_turn,
+                                endpoint.NextTurn(limits_.calls_at_once, now));
   }
-  const size_t rounds = ahead / PiecesPerRound();
-  return until_idle + CallTime(limits_.pieces_per_call) * rounds;
-}
-
-// Until all that waits now has been called for.
-base::Duration StageDispatcher::DrainTime() const {
-  return CallTime(limits_.pieces_per_call) *
-         (1 + waiting_pieces() / PiecesPerRound());
-}
-
-size_t StageDispatcher::PiecesPerRound() const {
-  return std::max<size_t>(
-      ServingCount() * limits_.calls_at_once * limits_.pieces_per_call, 1);
+  if (pace.next_turn == base::TimePoint::max())
+    pace.next_turn = now;
+  pace.round_time = CallTime(limits_.pieces_per_call);
+  pace.pieces_per_round =
+      std::max(static_cast<uint32_t>(ServingCount()) * limits_.calls_at_once *
+                   limits_.pieces_per_call,
+               1U);
+  pace.fullness = fullness_;
+  return pace;
+}
+
+// Only calls that leave something waiting tell what the pool can do; while none
+// do, what was learned fades.
+void StageDispatcher::NoteFullness(size_t pieces) {
+  const double full = static_cast<double>(limits_.pieces_per_call) /
+                      static_cast<double>(CallTime(limits_.pieces_per_call).count());
+  const double made = static_cast<double>(pieces) /
+                      static_cast<double>(CallTime(pieces).count());
+  const double sample = waiting_pieces() > 0 ? made / full : 1;
+  fullness_ += kFullnessWeight * (sample - fullness_);
+}
+
+QueuedJob StageDispatcher::Queued(JobId id, const Job& job) const {
+  return {id, job.job.urgency, job.target,
+          CallTime(job.waiting.size()) + job.job.time_after,
+          static_cast<uint32_t>(job.waiting.size()), job.job.progress};
+}
+
+ServiceOrder StageDispatcher::OrderAt(base::TimePoint now) const {
+  std::vector<QueuedJob> queued;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.waiting.empty())
+      queued.push_back(Queued(id, job));
+  }
+  return OrderOfService(std::move(queued), PaceAt(now));
+}
+
+// A request is refused before anything of it runs when it can't make its
+// deadline, neither on time nor behind those that are.
+std::optional<JobFailure> StageDispatcher::RefusalOf(JobId id,
+                                                     const Job& job,
+                                                     base::TimePoint now) {
+  const PoolPace pace = PaceAt(now);
+  const ServiceOrder order = OrderAt(now);
+  const QueuedJob queued = Queued(id, job);
+  const base::Duration on_time = WaitBehind(order, queued.urgency, pace, now);
+  if (now + on_time + queued.needed <= job.target)
+    return std::nullopt;
+  const base::Duration wait = WaitOfLate(order, pace, now);
+  if (now + wait + queued.needed <= job.deadline &&
+      now + wait + kFetchMargin <= job.inputs_gone)
+    return std::nullopt;
+  return JobFailure{JobFailureKind::kTooLate, ReturnAfter(job, now)};
 }
 
-bool StageDispatcher::IsOnTime(const Job& job, base::TimePoint now) const {
-  return now + CallTime(job.waiting.size()) + job.job.time_after <= job.target;
+// Those who are refused are told to come back one behind the other, as fast as
+// the pool can serve them beside those who come for the first time: together
+// they would find it full again.
+base::Duration StageDispatcher::ReturnAfter(const Job& job,
+                                            base::TimePoint now) {
+  const PoolPace pace = PaceAt(now);
+  const base::TimePoint drained = now + WaitOfLate(OrderAt(now), pace, now);
+  const base::TimePoint turn = std::max(drained, next_return_);
+  next_return_ = turn + TimeOfLate(job.job.piece_count, pace);
+  return std::max<base::Duration>(turn - now, kShortestRetry);
 }
 
-// What can still be on time goes before what can't: a late answer is worth
-// little to its caller, and serving it first makes the next one late as well.
-bool StageDispatcher::GoesBefore(const Job& left,
-                                 const Job& right,
-                                 base::TimePoint now) const {
-  const bool left_on_time = IsOnTime(left, now);
-  const bool right_on_time = IsOnTime(right, now);
-  if (left_on_time != right_on_time)
-    return left_on_time;
-  if (left.job.urgency != right.job.urgency)
-    return left.job.urgency < right.job.urgency;
-  return left.target < right.target;
+// A job that has had no turn by then can't be served any more.
+base::TimePoint StageDispatcher::LapseOf(const Job& job) const {
+  const base::TimePoint too_late =
+      job.deadline - job.job.time_after - CallTime(1) + base::Duration(1);
+  return std::min(too_late, job.inputs_gone - kFetchMargin);
 }
 
 void StageDispatcher::DropLapsed(base::TimePoint now) {
   std::vector<JobId> lapsed;
   for (const auto& [id, job] : jobs_) {
-    if (!job.waiting.empty() &&
-        now + CallTime(1) + job.job.time_after > job.deadline)
+    if (!job.waiting.empty() && now >= LapseOf(job))
       lapsed.push_back(id);
   }
   for (const JobId id : lapsed)
-    Fail(id, {JobFailureKind::kTooLate, DrainTime()});
+    Fail(id, {JobFailureKind::kTooLate, ReturnAfter(jobs_.at(id), now)});
 }
 
 StageDispatcher::OrderedJobs StageDispatcher::JobsInOrder(base::TimePoint now) {
+  const ServiceOrder order = OrderAt(now);
   OrderedJobs jobs;
-  for (auto& [id, job] : jobs_) {
-    if (!job.waiting.empty())
-      jobs.emplace_back(id, &job);
-  }
-  std::ranges::stable_sort(jobs, [&](const auto& left, const auto& right) {
-    return GoesBefore(*left.second, *right.second, now);
-  });
+  for (const QueuedJob& it : order.on_time)
+    jobs.emplace_back(it.id, &jobs_.at(it.id));
+  for (const QueuedJob& it : order.late)
+    jobs.emplace_back(it.id, &jobs_.at(it.id));
   return jobs;
 }
 
@@ -190,8 +205,8 @@
   DropLapsed(now);
   OrderedJobs jobs;
   for (auto& [name, endpoint] : endpoints_) {
-    endpoint.room.DropExpired(now);
-    if (!IsIdle(endpoint, now))
+    endpoint.room().DropExpired(now);
+    if (!endpoint.IsIdle(limits_.calls_at_once, now))
       continue;
     if (jobs.empty())
       jobs = JobsInOrder(now);
@@ -207,28 +222,28 @@
 // Results differ in size, and only their mean is known: the part of the room
 // that is filled shrinks with each refusal for room and grows again slowly. An
 // empty endpoint takes one piece in any case.
-bool StageDispatcher::HasRoomFor(const Endpoint& endpoint,
+bool StageDispatcher::HasRoomFor(const PieceEndpoint& endpoint,
                                  uint64_t bytes) const {
-  const uint64_t used = endpoint.room.used_bytes();
+  const uint64_t used = endpoint.room().used_bytes();
   const double usable = usable_room_ * static_cast<double>(limits_.room_bytes);
   return used == 0 || static_cast<double>(used + bytes) <= usable;
 }
 
 // One piece finds out whether an endpoint that failed is back, or one of a zone
 // in which another can't be reached.
-size_t StageDispatcher::PiecesFor(const Endpoint& endpoint) const {
-  const bool is_doubtful = endpoint.failures >= kFailuresToProbe ||
-                           unreachable_zones_.contains(endpoint.listed.zone);
+size_t StageDispatcher::PiecesFor(const PieceEndpoint& endpoint) const {
+  const bool is_doubtful = endpoint.is_doubtful() ||
+                           unreachable_zones_.contains(endpoint.listed().zone);
   return is_doubtful ? 1 : limits_.pieces_per_call;
 }
 
 // Pieces that would carry much across zones are made in their reader's zone as
 // long as that can be done on time.
-bool StageDispatcher::MayTake(const Endpoint& endpoint,
+bool StageDispatcher::MayTake(const PieceEndpoint& endpoint,
                               const Job& job,
                               base::TimePoint now) const {
   const base::ZoneName& zone = job.job.reader_zone;
-  if (zone.value.empty() || zone == endpoint.listed.zone ||
+  if (zone.value.empty() || zone == endpoint.listed().zone ||
       job.job.crossing_bytes < kLargeBytes)
     return true;
   const auto begins = NextTurnIn(zone, now);
@@ -246,19 +261,16 @@
     base::TimePoint now) const {
   std::optional<base::TimePoint> next;
   for (const auto& [name, endpoint] : endpoints_) {
-    if (endpoint.listed.zone != zone ||
-        endpoint.listed.state != EndpointState::kServing)
+    if (endpoint.listed().zone != zone || !endpoint.is_serving())
       continue;
-    base::TimePoint turn = std::max(now, endpoint.rests_until);
-    if (endpoint.calls >= limits_.calls_at_once)
-      turn = std::max(turn, endpoint.busy_until);
+    const base::TimePoint turn = endpoint.NextTurn(limits_.calls_at_once, now);
     if (!next || turn < *next)
       next = turn;
   }
   return next;
 }
 
-StageCall StageDispatcher::MakeCall(Endpoint& endpoint,
+StageCall StageDispatcher::MakeCall(PieceEndpoint& endpoint,
                                     const OrderedJobs& jobs,
                                     base::TimePoint now) {
   StageCall call;
@@ -273,19 +285,23 @@
   if (call.pieces.empty())
     return call;
   call.id = StageCallId{++last_call_};
-  call.endpoint = endpoint.listed.name;
-  call.address = endpoint.listed.address;
+  call.endpoint = endpoint.listed().name;
+  call.address = endpoint.listed().address;
   const base::Duration expected = CallTime(call.pieces.size());
   call.timeout = expected * kCallPatience + kCallSlack;
   record.endpoint = call.endpoint;
   record.address = call.address;
-  ++endpoint.calls;
-  endpoint.busy_until = now + expected;
+  endpoint.NoteCalled(now + expected);
+  call.room_percent = static_cast<uint32_t>(
+      kPercent * endpoint.room().used_bytes() / limits_.room_bytes);
+  call.usable_percent = static_cast<uint32_t>(kPercent * usable_room_);
+  call.waiting_pieces = static_cast<uint32_t>(waiting_pieces());
+  NoteFullness(call.pieces.size());
   calls_.emplace(call.id, std::move(record));
   return call;
 }
 
-void StageDispatcher::TakePieces(Endpoint& endpoint,
+void StageDispatcher::TakePieces(PieceEndpoint& endpoint,
                                  JobId id,
                                  Job& job,
                                  StageCall& call,
@@ -296,7 +312,7 @@
          HasRoomFor(endpoint, bytes)) {
     const uint32_t piece = job.waiting.front();
     job.waiting.erase(job.waiting.begin());
-    endpoint.room.Reserve(bytes);
+    endpoint.room().Reserve(bytes);
     record.pieces.push_back({id, piece, bytes});
     call.pieces.push_back({job.job.request_id, job.job.stage, piece,
                            job.deadline - now - job.job.time_after,
@@ -314,11 +330,11 @@
   if (node.empty())
     return;
   const Call& call = node.mapped();
-  Endpoint* endpoint = FindEndpoint(call.endpoint);
+  PieceEndpoint* endpoint = FindEndpoint(call.endpoint);
   if (endpoint != nullptr) {
-    --endpoint->calls;
+    endpoint->NoteCallEnded();
     for (const CalledPiece& piece : call.pieces)
-      endpoint->room.Release(piece.result_bytes);
+      endpoint->room().Release(piece.result_bytes);
   }
   const auto* pieces = std::get_if<std::vector<PieceOutcome>>(&outcome);
   if (pieces == nullptr || pieces->size() != call.pieces.size()) {
@@ -328,10 +344,11 @@
     return;
   }
   if (endpoint != nullptr) {
-    endpoint->failures = 0;
-    unreachable_zones_.erase(endpoint->listed.zone);
+    endpoint->NoteAnswered();
+    unreachable_zones_.erase(endpoint->listed().zone);
   }
-  usable_room_ = std::min(usable_room_ + kRoomGrowth, 1.0);
+  usable_room_ = std::min(usable_room_ + kRoomGrowth, 1.3);
+  bool found_no_room = false;
   for (size_t i = 0; i < pieces->size(); ++i) {
     const CalledPiece& piece = call.pieces[i];
     if (const auto* handle = std::get_if<std::string>(&(*pieces)[i])) {
@@ -339,30 +356,27 @@
       continue;
     }
     const auto refusal = std::get<PieceRefusal>((*pieces)[i]);
-    if (refusal == PieceRefusal::kNoRoom) {
-      usable_room_ = std::max(usable_room_ * kRoomShrink, kLeastUsableRoom);
-      if (endpoint != nullptr)
-        endpoint->rests_until = now + kFullRest;
-    }
+    found_no_room = found_no_room || refusal == PieceRefusal::kNoRoom;
     NoteRefused(piece, refusal);
   }
+  if (!found_no_room)
+    return;
+  // Once a call, since all its pieces found the same room.
+  usable_room_ = std::max(usable_room_ * kRoomShrink, kLeastUsableRoom);
+  if (endpoint != nullptr)
+    endpoint->NoteFull(now);
 }
 
 void StageDispatcher::NoteCallFailed(const Call& call,
                                      StageCallFailure failure,
                                      base::TimePoint now) {
-  if (Endpoint* endpoint = FindEndpoint(call.endpoint)) {
-    if (failure == StageCallFailure::kNotRun) {
-      endpoint->rests_until = now + kFullRest;
-    } else {
-      const auto rest =
-          kFirstRest * (int64_t{1} << std::min(endpoint->failures, 8U));
-      endpoint->rests_until =
-          now + std::min<base::Duration>(rest, kLongestRest);
-      ++endpoint->failures;
-    }
+  if (PieceEndpoint* endpoint = FindEndpoint(call.endpoint)) {
+    if (failure == StageCallFailure::kNotRun)
+      endpoint->NoteFull(now);
+    else
+      endpoint->NoteFailed(now);
     if (failure == StageCallFailure::kUnreachable)
-      unreachable_zones_.insert(endpoint->listed.zone);
+      unreachable_zones_.insert(endpoint->listed().zone);
   }
   for (const CalledPiece& piece : call.pieces) {
     if (failure == StageCallFailure::kUnreachable)
@@ -383,13 +397,13 @@
                                const CalledPiece& piece,
                                const std::string& handle,
                                base::TimePoint now) {
-  Endpoint* endpoint = FindEndpoint(call.endpoint);
+  PieceEndpoint* endpoint = FindEndpoint(call.endpoint);
   if (endpoint != nullptr)
-    endpoint->room.Add(handle, piece.result_bytes, now + limits_.result_life);
+    endpoint->room().Add(handle, piece.result_bytes, now + limits_.result_life);
   const auto it = jobs_.find(piece.job);
   if (it == jobs_.end()) {
     if (endpoint != nullptr)
-      ScheduleFree(*endpoint, handle, now);
+      endpoint->ScheduleFree(handle, now);
     return;
   }
   Job& job = it->second;
@@ -408,7 +422,9 @@
                                   PieceRefusal refusal) {
   switch (refusal) {
     case PieceRefusal::kLate:
-      Fail(piece.job, {JobFailureKind::kTooLate, DrainTime()});
+      if (const auto it = jobs_.find(piece.job); it != jobs_.end())
+        Fail(piece.job,
+             {JobFailureKind::kTooLate, ReturnAfter(it->second, latest_)});
       return;
     case PieceRefusal::kInputGone:
       Fail(piece.job, {JobFailureKind::kInputGone, kShortestRetry});
@@ -445,8 +461,8 @@
   for (size_t i = 0; i < job.handles.size(); ++i) {
     if (job.handles[i].empty())
       continue;
-    if (Endpoint* endpoint = FindByAddress(job.makers[i]))
-      ScheduleFree(*endpoint, job.handles[i], latest_);
+    if (PieceEndpoint* endpoint = FindByAddress(job.makers[i]))
+      endpoint->ScheduleFree(job.handles[i], latest_);
   }
 }
 
@@ -454,38 +470,26 @@
                            base::TimePoint now) {
   latest_ = now;
   for (const StageResult& result : results) {
-    if (Endpoint* endpoint = FindByAddress(result.maker))
-      ScheduleFree(*endpoint, result.handle, now);
+    if (PieceEndpoint* endpoint = FindByAddress(result.maker))
+      endpoint->ScheduleFree(result.handle, now);
   }
 }
 
-void StageDispatcher::ScheduleFree(Endpoint& endpoint,
-                                   const std::string& handle,
-                                   base::TimePoint now) {
-  const bool is_large = endpoint.room.SizeOf(handle) >= kLargeBytes;
-  endpoint.to_free.push_back(handle);
-  const base::TimePoint due = is_large ? now : now + kFreeDelay;
-  endpoint.free_due = std::min(endpoint.free_due.value_or(due), due);
-}
-
 std::vector<FreeOrder> StageDispatcher::TakeFreeOrders(base::TimePoint now) {
   std::vector<FreeOrder> orders;
   for (auto& [name, endpoint] : endpoints_) {
-    if (!endpoint.free_due || *endpoint.free_due > now)
-      continue;
-    endpoint.free_due.reset();
-    orders.push_back({endpoint.listed.pool, name, endpoint.listed.address,
-                      std::exchange(endpoint.to_free, {})});
+    if (auto order = endpoint.TakeFreeOrder(now))
+      orders.push_back(std::move(*order));
   }
   return orders;
 }
 
 void StageDispatcher::NoteFreed(const FreeOrder& order) {
-  Endpoint* endpoint = FindEndpoint(order.endpoint);
+  PieceEndpoint* endpoint = FindEndpoint(order.endpoint);
   if (endpoint == nullptr)
     return;
   for (const std::string& handle : order.handles)
-    endpoint->room.Remove(handle);
+    endpoint->room().Remove(handle);
 }
 
 std::optional<base::TimePoint> StageDispatcher::NextWakeup() const {
@@ -496,21 +500,14 @@
   };
   const bool is_waiting = waiting_pieces() > 0;
   for (const auto& [name, endpoint] : endpoints_) {
-    if (endpoint.free_due)
-      consider(*endpoint.free_due);
-    if (!is_waiting || endpoint.calls >= limits_.calls_at_once)
-      continue;
-    // Waits for its rest to end, or for room.
-    if (endpoint.rests_until > latest_)
-      consider(endpoint.rests_until);
-    else if (const auto expiry = endpoint.room.NextExpiry();
-             expiry != base::TimePoint::max())
-      consider(expiry);
+    const auto change =
+        endpoint.NextChange(is_waiting, limits_.calls_at_once, latest_);
+    if (change)
+      consider(*change);
   }
   for (const auto& [id, job] : jobs_) {
     if (!job.waiting.empty())
-      consider(job.deadline - job.job.time_after - CallTime(1) +
-               base::Duration(1));
+      consider(LapseOf(job));
   }
   return next;
 }
@@ -525,20 +522,20 @@
 size_t StageDispatcher::ServingCount() const {
   return static_cast<size_t>(
       std::ranges::count_if(endpoints_, [](const auto& it) {
-        return it.second.listed.state == EndpointState::kServing;
+        return it.second.is_serving();
       }));
 }
 
-StageDispatcher::Endpoint* StageDispatcher::FindEndpoint(
+PieceEndpoint* StageDispatcher::FindEndpoint(
     const base::EndpointName& name) {
   const auto it = endpoints_.find(name);
   return it == endpoints_.end() ? nullptr : &it->second;
 }
 
-StageDispatcher::Endpoint* StageDispatcher::FindByAddress(
+PieceEndpoint* StageDispatcher::FindByAddress(
     const base::SocketAddress& address) {
   const auto it = std::ranges::find_if(endpoints_, [&](const auto& it) {
-    return it.second.listed.address == address;
+    return it.second.listed().address == address;
   });
   return it == endpoints_.end() ? nullptr : &it->second;
 }
--- a/Libraries/LibForward/stage_dispatcher.h
+++ b/Libraries/LibForward/stage_dispatcher.h
@@ -9,8 +9,8 @@
 #include <utility>
 #include <vector>
 
-#include "LibForward/forward_endpoint.h"
-#include "LibForward/result_room.h"
+#include "LibForward/piece_endpoint.h"
+#include "LibForward/service_order.h"
 #include "LibForward/stage_job.h"
 #include "LibPolicy/retry_budget.h"
 
@@ -59,6 +59,7 @@
     StageJob job;
     base::TimePoint target;
     base::TimePoint deadline;
+    base::TimePoint inputs_gone;
     std::vector<uint32_t> waiting;     // Pieces that no call holds.
     std::vector<std::string> handles;  // By piece; empty until it is made.
     std::vector<base::SocketAddress> makers;
@@ -66,17 +67,6 @@
     uint32_t repeats = 0;
   };
 
-  struct Endpoint {
-    ListedEndpoint listed;
-    uint32_t calls = 0;
-    uint32_t failures = 0;  // In a row.
-    base::TimePoint rests_until;
-    base::TimePoint busy_until;  // As expected.
-    ResultRoom room;
-    std::vector<std::string> to_free;
-    std::optional<base::TimePoint> free_due;
-  };
-
   struct CalledPiece {
     JobId job{};
     uint32_t piece = 0;
@@ -91,31 +81,35 @@
 
   using OrderedJobs = std::vector<std::pair<JobId, Job*>>;
 
-  bool IsIdle(const Endpoint& endpoint, base::TimePoint now) const;
-  bool HasRoomFor(const Endpoint& endpoint, uint64_t bytes) const;
-  size_t PiecesFor(const Endpoint& endpoint) const;
-  bool MayTake(const Endpoint& endpoint,
+  bool HasRoomFor(const PieceEndpoint& endpoint, uint64_t bytes) const;
+  size_t PiecesFor(const PieceEndpoint& endpoint) const;
+  bool MayTake(const PieceEndpoint& endpoint,
                const Job& job,
                base::TimePoint now) const;
   std::optional<base::TimePoint> NextTurnIn(const base::ZoneName& zone,
                                             base::TimePoint now) const;
   base::Duration CallTime(size_t pieces) const;
-  base::Duration WaitFor(const Job& job, base::TimePoint now) const;
-  base::Duration DrainTime() const;
-  size_t PiecesPerRound() const;
-  bool IsOnTime(const Job& job, base::TimePoint now) const;
-  bool GoesBefore(const Job& left, const Job& right, base::TimePoint now) const;
+  PoolPace PaceAt(base::TimePoint now) const;
+  QueuedJob Queued(JobId id, const Job& job) const;
+  ServiceOrder OrderAt(base::TimePoint now) const;
+  // Empty when the job is welcome.
+  std::optional<JobFailure> RefusalOf(JobId id,
+                                      const Job& job,
+                                      base::TimePoint now);
+  base::Duration ReturnAfter(const Job& job, base::TimePoint now);
+  base::TimePoint LapseOf(const Job& job) const;
   void DropLapsed(base::TimePoint now);
   OrderedJobs JobsInOrder(base::TimePoint now);
-  StageCall MakeCall(Endpoint& endpoint,
+  StageCall MakeCall(PieceEndpoint& endpoint,
                      const OrderedJobs& jobs,
                      base::TimePoint now);
-  void TakePieces(Endpoint& endpoint,
+  void TakePieces(PieceEndpoint& endpoint,
                   JobId id,
                   Job& job,
                   StageCall& call,
                   Call& record,
                   base::TimePoint now);
+  void NoteFullness(size_t pieces);
   void NoteMade(const Call& call,
                 const CalledPiece& piece,
                 const std::string& handle,
@@ -128,14 +122,11 @@
   void RepeatPiece(const CalledPiece& piece);
   void Fail(JobId id, JobFailure failure);
   void FreeMade(const Job& job);
-  void ScheduleFree(Endpoint& endpoint,
-                    const std::string& handle,
-                    base::TimePoint now);
-  Endpoint* FindEndpoint(const base::EndpointName& name);
-  Endpoint* FindByAddress(const base::SocketAddress& address);
+  PieceEndpoint* FindEndpoint(const base::EndpointName& name);
+  PieceEndpoint* FindByAddress(const base::SocketAddress& address);
 
   PieceLimits limits_;
-  std::map<base::EndpointName, Endpoint> endpoints_;
+  std::map<base::EndpointName, PieceEndpoint> endpoints_;
   // Zones of endpoints that could not be reached, until one of them answers.
   std::set<base::ZoneName> unreachable_zones_;
   std::map<JobId, Job> jobs_;
@@ -143,6 +134,10 @@
   std::vector<std::pair<JobId, JobOutcome>> outcomes_;
   policy::RetryBudget repeats_;
   double usable_room_ = 1;  // The part of each endpoint's room that is filled.
+  // When the next one that is refused is to come back.
+  base::TimePoint next_return_;
+  // What calls make of full ones while more waits; 1 if all are full.
+  double fullness_ = 1;
   uint64_t last_job_ = 0;
   uint64_t last_call_ = 0;
   base::TimePoint latest_;  // Of all times passed in.
--- a/Libraries/LibForward/stage_job.h
+++ b/Libraries/LibForward/stage_job.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -36,6 +37,8 @@
   Urgency urgency = Urgency::kMost;
   base::Duration until_target{};
   base::Duration until_deadline{};
+  // Until the first of its inputs is dropped by the endpoint that made it.
+  std::optional<base::Duration> until_inputs_gone;
   // What the request needs after this stage, at the least.
   base::Duration time_after{};
   // Where the results will be read, and those that they are made from are;
@@ -89,6 +92,10 @@
   base::SocketAddress address;
   std::vector<PieceOrder> pieces;
   base::Duration timeout{};
+  // What the decision went by, for the log.
+  uint32_t room_percent = 0;    // In use at the endpoint, with this call.
+  uint32_t usable_percent = 0;  // Of its room.
+  uint32_t waiting_pieces = 0;  // Left for other calls.
 };
 
 // Why an endpoint made no result of a piece.
--- a/Libraries/LibTransport/stage_job_codec.cc
+++ b/Libraries/LibTransport/stage_job_codec.cc
@@ -78,6 +78,8 @@
   object["urgency"] = static_cast<uint32_t>(job.urgency);
   object["target_us"] = JsonOf(job.until_target);
   object["deadline_us"] = JsonOf(job.until_deadline);
+  if (job.until_inputs_gone)
+    object["inputs_gone_us"] = JsonOf(*job.until_inputs_gone);
   object["after_us"] = JsonOf(job.time_after);
   object["reader_zone"] = job.reader_zone.value;
   object["crossing_bytes"] = static_cast<Json::UInt64>(job.crossing_bytes);
@@ -114,6 +116,8 @@
   job.urgency = forward::Urgency{it["urgency"].asUInt()};
   job.until_target = DurationOf(it["target_us"]);
   job.until_deadline = DurationOf(it["deadline_us"]);
+  if (it.isMember("inputs_gone_us"))
+    job.until_inputs_gone = DurationOf(it["inputs_gone_us"]);
   job.time_after = DurationOf(it["after_us"]);
   job.reader_zone.value = it["reader_zone"].asString();
   job.crossing_bytes = it["crossing_bytes"].asUInt64();
--- a/Tests/LibForward/test_stage_dispatcher.cc
+++ b/Tests/LibForward/test_stage_dispatcher.cc
@@ -221,14 +221,77 @@
     bench.Submit(4, job);
   const auto outcomes = bench.dispatcher.TakeOutcomes();
   REQUIRE_FALSE(outcomes.empty());
-  const JobFailure* failure = FailureOf(outcomes.back().second);
+  const JobFailure* failure = FailureOf(outcomes.front().second);
   REQUIRE(failure != nullptr);
   CHECK(failure->kind == JobFailureKind::kTooLate);
-  // When the four calls that wait before it are done.
+  // When the calls that wait before it are done.
   CHECK(failure->retry_after >= milliseconds(420));
   CHECK(failure->retry_after <= milliseconds(560));
 }
 
+// Answers those who are refused in one burst and would come back in another.
+TEST_CASE("those who are refused are told to come back one behind the other") {
+  Bench bench;
+  StageJob job;
+  job.until_deadline = milliseconds(600);
+  for (int i = 0; i < 12; ++i)
+    bench.Submit(4, job);
+  base::Duration last{0};
+  size_t refused = 0;
+  for (const auto& [id, outcome] : bench.dispatcher.TakeOutcomes()) {
+    const JobFailure* failure = FailureOf(outcome);
+    REQUIRE(failure != nullptr);
+    // Its call takes 140 ms, beside those who come for the first time.
+    CHECK(failure->retry_after >= last + milliseconds(140));
+    last = failure->retry_after;
+    ++refused;
+  }
+  CHECK(refused >= 7);
+}
+
+// Answers work under way whose inputs would be gone before its turn.
+TEST_CASE("a job whose inputs will be gone is refused, not called in vain") {
+  Bench bench;
+  StageJob job;
+  job.progress = RequestProgress::kUnderWay;
+  for (int i = 0; i < 4; ++i)
+    bench.Submit(4, job);
+  job.until_inputs_gone = milliseconds(700);
+  job.until_target = milliseconds(200);
+  bench.Submit(4, job);
+  const auto outcomes = bench.dispatcher.TakeOutcomes();
+  REQUIRE(outcomes.size() == 1);
+  CHECK(FailureOf(outcomes[0].second)->kind == JobFailureKind::kTooLate);
+  // One that came in time waits no longer than its inputs live.
+  job.until_inputs_gone = milliseconds(1200);
+  bench.Submit(4, job);
+  bench.now += milliseconds(900);
+  bench.Next();
+  CHECK(bench.dispatcher.TakeOutcomes().size() == 1);
+}
+
+// Answers room that calls of many pieces find too small: each refused piece
+// shrank what later calls filled.
+TEST_CASE("a call that finds no room for many pieces shrinks the next once") {
+  PieceLimits limits = kLimits;
+  limits.pieces_per_call = 20;
+  limits.room_bytes = 20'000;
+  Bench bench(1, limits);
+  StageJob job;
+  job.result_bytes = 1000;
+  job.until_target = milliseconds(20'000);
+  job.until_deadline = milliseconds(60'000);
+  const JobId first = bench.Submit(20, job);
+  const StageCall call = bench.Next();
+  REQUIRE(call.pieces.size() == 20);
+  bench.dispatcher.FinishCall(
+      call.id, std::vector<PieceOutcome>(20, PieceRefusal::kNoRoom), bench.now);
+  bench.dispatcher.Withdraw(first);
+  bench.now += milliseconds(100);
+  bench.Submit(20, job);
+  CHECK(bench.Next().pieces.size() >= 18);
+}
+
 TEST_CASE("nothing is refused while an endpoint is idle") {
   Bench bench(2);
   StageJob job;
