--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -241,6 +241,7 @@
 // long as that can be done on time.
 bool StageDispatcher::MayTake(const PieceEndpoint& endpoint,
                               const Job& job,
+                              base::Duration queue_time,
                               base::TimePoint now) const {
   const base::ZoneName& zone = job.job.reader_zone;
   if (zone.value.empty() || zone == endpoint.listed().zone ||
@@ -249,9 +250,9 @@
   const auto begins = NextTurnIn(zone, now);
   if (!begins)
     return true;
-  // A full call before it, and one more turn in case that one is full too.
+  // What waits goes before it, and one more turn in case that call is full.
   const base::Duration needed =
-      CallTime(limits_.pieces_per_call) * 2 + job.job.time_after;
+      queue_time + CallTime(limits_.pieces_per_call) * 2 + job.job.time_after;
   return *begins + needed > job.target;
 }
 
@@ -275,8 +276,9 @@
                                     base::TimePoint now) {
   StageCall call;
   Call record;
+  const base::Duration queue_time = PaceAt(now).TimeFor(waiting_pieces());
   for (const auto& [id, job] : jobs) {
-    if (!MayTake(endpoint, *job, now))
+    if (!MayTake(endpoint, *job, queue_time, now))
       continue;
     TakePieces(endpoint, id, *job, call, record, now);
     if (call.pieces.size() >= PiecesFor(endpoint))
--- a/Libraries/LibForward/stage_dispatcher.h
+++ b/Libraries/LibForward/stage_dispatcher.h
@@ -85,6 +85,7 @@
   size_t PiecesFor(const PieceEndpoint& endpoint) const;
   bool MayTake(const PieceEndpoint& endpoint,
                const Job& job,
+               base::Duration queue_time,
                base::TimePoint now) const;
   std::optional<base::TimePoint> NextTurnIn(const base::ZoneName& zone,
                                             base::TimePoint now) const;
