LibForward: Learn what late jobs can count on

Now what those on time leave of calls is learned, and a late job that could not have its turn in time is refused when it asks.

--- a/Libraries/LibEmulation/emulated_callers.cc
+++ b/Libraries/LibEmulation/emulated_callers.cc
@@ -58,8 +58,7 @@
   return static_cast<uint64_t>(std::min(drawn, mean * kMostTimesMean));
 }
 
-forward::ForwardedRequest EmulatedCallers::DrawRequest(
-    const CallerKind& kind) {
+forward::ForwardedRequest EmulatedCallers::DrawRequest(const CallerKind& kind) {
   forward::ForwardedRequest request;
   request.host = kind.name;
   request.path = "/";
@@ -124,8 +123,8 @@
 
 void EmulatedCallers::Count(const Caller& caller, uint64_t KindTally::*field) {
   ++(report_.kinds[caller.kind->name].*field);
-  const auto second = std::chrono::duration_cast<std::chrono::seconds>(
-      caller.came - begins_);
+  const auto second =
+      std::chrono::duration_cast<std::chrono::seconds>(caller.came - begins_);
   ++(report_.seconds.at(static_cast<size_t>(second.count())).*field);
 }
 
--- a/Libraries/LibEmulation/emulated_maker.cc
+++ b/Libraries/LibEmulation/emulated_maker.cc
@@ -59,7 +59,8 @@
   ++tally_.calls;
   tally_.pieces += waiting.call.pieces.size();
   tally_.busy += fetch + work;
-  timeline_.After(fetch + work, [this, waiting, works] { End(waiting, works); });
+  timeline_.After(fetch + work,
+                  [this, waiting, works] { End(waiting, works); });
 }
 
 void EmulatedMaker::End(const Waiting& waiting,
@@ -83,9 +84,9 @@
       std::string handle =
           listed_.name.value + "-" + std::to_string(++last_handle_);
       kept_bytes_ += bytes;
-      kept_.emplace(handle, KeptResult{bytes,
-                                       timeline_.now() + limits_.result_life,
-                                       share, false});
+      kept_.emplace(handle,
+                    KeptResult{bytes, timeline_.now() + limits_.result_life,
+                               share, false});
       outcomes.emplace_back(std::move(handle));
     }
   }
--- a/Libraries/LibEmulation/emulation.cc
+++ b/Libraries/LibEmulation/emulation.cc
@@ -155,9 +155,8 @@
 void Emulation::FeedAfter(base::Duration delay,
                           size_t host,
                           forward::Event event) {
-  timeline_.After(delay, [this, host, event = std::move(event)] {
-    Feed(host, event);
-  });
+  timeline_.After(
+      delay, [this, host, event = std::move(event)] { Feed(host, event); });
 }
 
 void Emulation::ScheduleWakeup(size_t index) {
@@ -221,9 +220,9 @@
                                       "an input is gone"});
     return;
   }
-  const EngineTimes times =
-      engine->Run(*action.request, callers_.EventsOf(action.request->request_id),
-                  timeline_.now() + way + *fetch, parts_read_);
+  const EngineTimes times = engine->Run(
+      *action.request, callers_.EventsOf(action.request->request_id),
+      timeline_.now() + way + *fetch, parts_read_);
   report_.tokens_read_again += times.tokens_read_again;
   const uint64_t key = AttemptKey(host, action.attempt);
   attempts_[key] = {host, action.request->caller, engine};
@@ -296,8 +295,8 @@
     if (zone != reader)
       report_.bytes_between_zones += kept->bytes;
   }
-  return way + base::Duration(static_cast<int64_t>(
-                   static_cast<double>(bytes) / kFetchBytesPerMicrosecond));
+  return way + base::Duration(static_cast<int64_t>(static_cast<double>(bytes) /
+                                                   kFetchBytesPerMicrosecond));
 }
 
 PieceWork Emulation::Inspect(const EmulatedMaker& maker,
@@ -305,9 +304,8 @@
   PieceWork work;
   const auto* results =
       std::get_if<std::vector<forward::StageResult>>(&piece.input);
-  work.fetch_time = results == nullptr
-                        ? base::Duration(0)
-                        : Fetch(*results, maker.listed().zone);
+  work.fetch_time = results == nullptr ? base::Duration(0)
+                                       : Fetch(*results, maker.listed().zone);
   if (const PieceDemand* demand =
           callers_.DemandOf(piece.request_id, piece.stage)) {
     work.work_factor = demand->work_factor;
@@ -328,8 +326,7 @@
           return Inspect(*maker, it);
         },
         [this, host, way, id](forward::StageCallOutcome outcome) {
-          FeedAfter(way, host,
-                    forward::StageCallEnded{id, std::move(outcome)});
+          FeedAfter(way, host, forward::StageCallEnded{id, std::move(outcome)});
         });
   });
 }
@@ -422,9 +419,8 @@
 void Emulation::Do(size_t host, const forward::FollowTable& action) {
   const uint64_t version = host_rows_.size() + 1;
   if (action.feed == forward::FeedKind::kHosts && action.version < version) {
-    FeedAfter(
-        kStoreDelay, host,
-        forward::TableChanged{action.feed, RowsOf(action.feed), version});
+    FeedAfter(kStoreDelay, host,
+              forward::TableChanged{action.feed, RowsOf(action.feed), version});
     return;
   }
   // Nothing else changes in a run.
--- a/Libraries/LibEmulation/emulation_report.cc
+++ b/Libraries/LibEmulation/emulation_report.cc
@@ -42,7 +42,8 @@
 }
 
 void PrintPools(const EmulationReport& report, std::ostream& out) {
-  out << "pool      endpoints  fill %  busy %  unused %  no room  inputs gone\n";
+  out << "pool      endpoints  fill %  busy %  unused %  no room  inputs "
+         "gone\n";
   for (const auto& [name, tally] : report.pools) {
     const double available =
         static_cast<double>(tally.endpoints) * Seconds(report.lasted);
--- a/Libraries/LibEmulation/emulation_report.h
+++ b/Libraries/LibEmulation/emulation_report.h
@@ -18,7 +18,7 @@
   uint64_t refused = 0;
   uint64_t left = 0;  // Gave up waiting.
   uint64_t failed = 0;
-  uint64_t refusals = 0;     // Also of those who came back.
+  uint64_t refusals = 0;        // Also of those who came back.
   base::Duration refused_in{};  // Sum of what refusals took.
 
   double on_time_share() const;
--- a/Libraries/LibEmulation/load_sheet.cc
+++ b/Libraries/LibEmulation/load_sheet.cc
@@ -25,8 +25,8 @@
   MakerPool pool;
   pool.name = std::move(name);
   pool.endpoints = endpoints;
-  pool.limits = {1,          pieces_per_call,   milliseconds(150), piece_time,
-                 room_bytes, milliseconds(4000)};
+  pool.limits = {1,          pieces_per_call, milliseconds(150),
+                 piece_time, room_bytes,      milliseconds(4000)};
   return pool;
 }
 
@@ -107,9 +107,8 @@
   pipeline.timeout = std::chrono::duration_cast<milliseconds>(kind.deadline);
   pipeline.target_latency =
       std::chrono::duration_cast<milliseconds>(kind.target);
-  pipeline.first_event_limit =
-      milliseconds(static_cast<int64_t>(static_cast<double>(
-          pipeline.target_latency.count()) * sheet.patience));
+  pipeline.first_event_limit = milliseconds(static_cast<int64_t>(
+      static_cast<double>(pipeline.target_latency.count()) * sheet.patience));
   pipeline.final_pools = {{{sheet.engines.name}, 1}};
   for (const PieceDemand& demand : kind.stages)
     pipeline.stages.push_back(
@@ -153,13 +152,12 @@
   sheet.lasts = seconds(30);
   sheet.clump = 3;
   sheet.kinds = {MakeQuotes(scale), MakeSummaries(scale), MakeChats(scale)};
-  sheet.makers = {
-      MakeMakers("billing", Scaled(3, scale), 8, microseconds(16'000),
-                 36'000'000),
-      MakeMakers("returns", Scaled(5, scale), 14, microseconds(9'200),
-                 2'400'000),
-      MakeMakers("tracking", Scaled(5, scale), 36, microseconds(3'600),
-                 640'000)};
+  sheet.makers = {MakeMakers("billing", Scaled(3, scale), 8,
+                             microseconds(16'000), 36'000'000),
+                  MakeMakers("returns", Scaled(5, scale), 14,
+                             microseconds(9'200), 2'400'000),
+                  MakeMakers("tracking", Scaled(5, scale), 36,
+                             microseconds(3'600), 640'000)};
   sheet.engines.name = "drafting";
   sheet.engines.endpoints = Scaled(9, scale);
   sheet.engines.read_tokens_per_ms = 42.6;
--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -217,8 +217,7 @@
                                  size_t stage,
                                  base::TimePoint now) const {
   const auto time_of = [&](size_t it) { return TimeOf(run, it, now); };
-  return run.EndOfOthers(stage, now, time_of) - time_of(stage) -
-         kDoneBefore;
+  return run.EndOfOthers(stage, now, time_of) - time_of(stage) - kDoneBefore;
 }
 
 void RunDesk::LookAgain(base::CallerId caller,
@@ -265,8 +264,8 @@
   job.time_after = TimeAfter(run, stage, now);
   job.reader_zone = run.final_zone;
   job.crossing_bytes = run.BytesMoved(stage);
-  job.progress = run.HasBegun() ? RequestProgress::kUnderWay
-                                : RequestProgress::kNew;
+  job.progress =
+      run.HasBegun() ? RequestProgress::kUnderWay : RequestProgress::kNew;
   state.phase = StagePhase::kAsked;
   state.asked = now;
   state.ask = stage_desk_.Ask(std::move(job), now);
@@ -350,24 +349,22 @@
                        const AskOutcome& outcome,
                        base::TimePoint now) {
   const StageState& state = run.stages[stage];
-  std::vector<LogFact> facts{
-      {"stage", std::to_string(stage)},
-      {"pool", run.pipeline->stages[stage].pool.value},
-      {"pieces", std::to_string(state.pieces)},
-      {"ms", ToMilliseconds(now - state.asked)}};
-  std::visit(base::Overloaded{
-                 [&facts](const AskedResults& it) {
-                   facts.push_back({"outcome", "made"});
-                   facts.push_back({"dispatcher", it.host.value});
-                 },
-                 [&facts](const JobFailure& it) {
-                   facts.push_back(
-                       {"outcome", std::string(ToText(it.kind))});
-                   facts.push_back(
-                       {"retry_ms", ToMilliseconds(it.retry_after)});
-                 },
-             },
-             outcome);
+  std::vector<LogFact> facts{{"stage", std::to_string(stage)},
+                             {"pool", run.pipeline->stages[stage].pool.value},
+                             {"pieces", std::to_string(state.pieces)},
+                             {"ms", ToMilliseconds(now - state.asked)}};
+  std::visit(
+      base::Overloaded{
+          [&facts](const AskedResults& it) {
+            facts.push_back({"outcome", "made"});
+            facts.push_back({"dispatcher", it.host.value});
+          },
+          [&facts](const JobFailure& it) {
+            facts.push_back({"outcome", std::string(ToText(it.kind))});
+            facts.push_back({"retry_ms", ToMilliseconds(it.retry_after)});
+          },
+      },
+      outcome);
   context_.Log(base::LogEventId::kStageEnded, run.request->request_id,
                std::move(facts));
 }
--- a/Libraries/LibForward/service_order.cc
+++ b/Libraries/LibForward/service_order.cc
@@ -9,28 +9,27 @@
 
 // What a pool does of what it could: calls begin a little after the one before,
 // and a job's pieces may be in several.
-constexpr double kEfficiency = 0.75;
-constexpr int64_t kPercent = 100;
-// A pool with jobs that are late gives so much of its time to those that come
-// meanwhile and can be on time.
-constexpr int64_t kShareOfNewcomersPercent = 50;
+constexpr double kEfficiency = 0.6;
+// Jobs that are late count on this much of a pool, however little those on time
+// leave of it just now.
+constexpr double kLeastLeft = 0.05;
 
 }  // namespace
 
 base::Duration PoolPace::TimeFor(uint64_t pieces) const {
   const double rounds =
       static_cast<double>(pieces) / static_cast<double>(pieces_per_round);
-  return base::Duration(static_cast<int64_t>(
-      static_cast<double>(round_time.count()) * rounds /
-      (kEfficiency * fullness)));
+  return base::Duration(
+      static_cast<int64_t>(static_cast<double>(round_time.count()) * rounds /
+                           (kEfficiency * fullness)));
 }
 
 ServiceOrder OrderOfService(std::vector<QueuedJob> jobs, const PoolPace& pace) {
-  std::ranges::stable_sort(
-      jobs, [](const QueuedJob& left, const QueuedJob& right) {
-        return std::pair(left.urgency, left.target) <
-               std::pair(right.urgency, right.target);
-      });
+  std::ranges::stable_sort(jobs,
+                           [](const QueuedJob& left, const QueuedJob& right) {
+                             return std::pair(left.urgency, left.target) <
+                                    std::pair(right.urgency, right.target);
+                           });
   ServiceOrder order;
   uint64_t ahead = 0;
   for (QueuedJob& job : jobs) {
@@ -61,9 +60,9 @@
 }
 
 base::Duration TimeOfLate(uint64_t pieces, const PoolPace& pace) {
-  return pace.round_time * static_cast<int64_t>(pieces) * kPercent /
-         ((kPercent - kShareOfNewcomersPercent) *
-          static_cast<int64_t>(pace.pieces_per_round));
+  const double left = std::max(pace.left_for_late, kLeastLeft);
+  return base::Duration(static_cast<int64_t>(
+      static_cast<double>(pace.TimeFor(pieces).count()) / left));
 }
 
 base::Duration WaitOfLate(const ServiceOrder& order,
--- a/Libraries/LibForward/service_order.h
+++ b/Libraries/LibForward/service_order.h
@@ -22,10 +22,12 @@
 // What the pool that they wait for can do.
 struct PoolPace {
   base::TimePoint next_turn;
-  base::Duration round_time{};     // Of a full call.
+  base::Duration round_time{};    // Of a full call.
   uint32_t pieces_per_round = 1;  // Over all endpoints.
   // What calls make of it lately: results may leave no room for full ones.
   double fullness = 1;
+  // What jobs that can be on time leave of it lately.
+  double left_for_late = 1;
 
   // Until so many pieces have had their turn.
   base::Duration TimeFor(uint64_t pieces) const;
--- a/Libraries/LibForward/stage_desk.cc
+++ b/Libraries/LibForward/stage_desk.cc
@@ -285,22 +285,23 @@
 void StageDesk::LogCall(const OpenCall& call,
                         const StageCallOutcome& outcome,
                         base::TimePoint now) {
-  std::vector<LogFact> facts{{"pool", call.pool.value},
-                             {"endpoint", call.endpoint.value},
-                             {"pieces", std::to_string(call.pieces)},
-                             {"ms", ToMilliseconds(now - call.sent)},
-                             {"left_waiting", std::to_string(call.waiting_pieces)},
-                             {"room_used_percent", std::to_string(call.room_percent)},
-                             {"room_usable_percent", std::to_string(call.usable_percent)},
-                             {"requests", call.requests}};
+  std::vector<LogFact> facts{
+      {"pool", call.pool.value},
+      {"endpoint", call.endpoint.value},
+      {"pieces", std::to_string(call.pieces)},
+      {"ms", ToMilliseconds(now - call.sent)},
+      {"left_waiting", std::to_string(call.waiting_pieces)},
+      {"room_used_percent", std::to_string(call.room_percent)},
+      {"room_usable_percent", std::to_string(call.usable_percent)},
+      {"requests", call.requests}};
   std::visit(base::Overloaded{
                  [&facts](const std::vector<PieceOutcome>& it) {
                    facts.push_back(
-                       {"made", std::to_string(std::ranges::count_if(
-                                    it, [](const PieceOutcome& piece) {
-                                      return std::holds_alternative<
-                                          std::string>(piece);
-                                    }))});
+                       {"made",
+                        std::to_string(std::ranges::count_if(
+                            it, [](const PieceOutcome& piece) {
+                              return std::holds_alternative<std::string>(piece);
+                            }))});
                  },
                  [&facts](StageCallFailure it) {
                    facts.push_back({"failure", std::string(ToText(it))});
@@ -325,10 +326,10 @@
                           base::TimePoint now) {
   while (auto call = pool.dispatcher.NextCall(now)) {
     const StageCallId id{++last_call_};
-    calls_.emplace(id, OpenCall{name, call->id, call->endpoint, now,
-                                call->pieces.size(), RequestsOf(*call),
-                                call->room_percent, call->usable_percent,
-                                call->waiting_pieces});
+    calls_.emplace(
+        id, OpenCall{name, call->id, call->endpoint, now, call->pieces.size(),
+                     RequestsOf(*call), call->room_percent,
+                     call->usable_percent, call->waiting_pieces});
     call->id = id;
     context_.Emit(CallStage{std::move(*call)});
   }
--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -112,24 +112,34 @@
                    limits_.pieces_per_call,
                1U);
   pace.fullness = fullness_;
+  pace.left_for_late = left_for_late_;
   return pace;
 }
 
 // Only calls that leave something waiting tell what the pool can do; while none
 // do, what was learned fades.
-void StageDispatcher::NoteFullness(size_t pieces) {
-  const double full = static_cast<double>(limits_.pieces_per_call) /
-                      static_cast<double>(CallTime(limits_.pieces_per_call).count());
+void StageDispatcher::NoteFullness(size_t pieces, size_t on_time_pieces) {
+  const double full =
+      static_cast<double>(limits_.pieces_per_call) /
+      static_cast<double>(CallTime(limits_.pieces_per_call).count());
   const double made = static_cast<double>(pieces) /
                       static_cast<double>(CallTime(pieces).count());
   const double sample = waiting_pieces() > 0 ? made / full : 1;
   fullness_ += kFullnessWeight * (sample - fullness_);
+  const size_t could_take =
+      waiting_pieces() > 0 ? pieces : limits_.pieces_per_call;
+  const double left =
+      1 - static_cast<double>(on_time_pieces) / static_cast<double>(could_take);
+  left_for_late_ += kFullnessWeight * (left - left_for_late_);
 }
 
 QueuedJob StageDispatcher::Queued(JobId id, const Job& job) const {
-  return {id, job.job.urgency, job.target,
+  return {id,
+          job.job.urgency,
+          job.target,
           CallTime(job.waiting.size()) + job.job.time_after,
-          static_cast<uint32_t>(job.waiting.size()), job.job.progress};
+          static_cast<uint32_t>(job.waiting.size()),
+          job.job.progress};
 }
 
 ServiceOrder StageDispatcher::OrderAt(base::TimePoint now) const {
@@ -190,12 +200,13 @@
 
 StageDispatcher::OrderedJobs StageDispatcher::JobsInOrder(base::TimePoint now) {
   const ServiceOrder order = OrderAt(now);
-  OrderedJobs jobs;
+  OrderedJobs ordered;
+  ordered.on_time = order.on_time.size();
   for (const QueuedJob& it : order.on_time)
-    jobs.emplace_back(it.id, &jobs_.at(it.id));
+    ordered.jobs.emplace_back(it.id, &jobs_.at(it.id));
   for (const QueuedJob& it : order.late)
-    jobs.emplace_back(it.id, &jobs_.at(it.id));
-  return jobs;
+    ordered.jobs.emplace_back(it.id, &jobs_.at(it.id));
+  return ordered;
 }
 
 std::optional<StageCall> StageDispatcher::NextCall(base::TimePoint now) {
@@ -208,9 +219,9 @@
     endpoint.room().DropExpired(now);
     if (!endpoint.IsIdle(limits_.calls_at_once, now))
       continue;
-    if (jobs.empty())
+    if (jobs.jobs.empty())
       jobs = JobsInOrder(now);
-    if (jobs.empty())
+    if (jobs.jobs.empty())
       return std::nullopt;
     StageCall call = MakeCall(endpoint, jobs, now);
     if (!call.pieces.empty())
@@ -272,15 +283,19 @@
 }
 
 StageCall StageDispatcher::MakeCall(PieceEndpoint& endpoint,
-                                    const OrderedJobs& jobs,
+                                    const OrderedJobs& ordered,
                                     base::TimePoint now) {
   StageCall call;
   Call record;
   const base::Duration queue_time = PaceAt(now).TimeFor(waiting_pieces());
-  for (const auto& [id, job] : jobs) {
+  size_t on_time_pieces = 0;
+  for (size_t i = 0; i < ordered.jobs.size(); ++i) {
+    const auto& [id, job] = ordered.jobs[i];
     if (!MayTake(endpoint, *job, queue_time, now))
       continue;
     TakePieces(endpoint, id, *job, call, record, now);
+    if (i < ordered.on_time)
+      on_time_pieces = call.pieces.size();
     if (call.pieces.size() >= PiecesFor(endpoint))
       break;
   }
@@ -298,7 +313,7 @@
       kPercent * endpoint.room().used_bytes() / limits_.room_bytes);
   call.usable_percent = static_cast<uint32_t>(kPercent * usable_room_);
   call.waiting_pieces = static_cast<uint32_t>(waiting_pieces());
-  NoteFullness(call.pieces.size());
+  NoteFullness(call.pieces.size(), on_time_pieces);
   calls_.emplace(call.id, std::move(record));
   return call;
 }
@@ -522,14 +537,11 @@
 }
 
 size_t StageDispatcher::ServingCount() const {
-  return static_cast<size_t>(
-      std::ranges::count_if(endpoints_, [](const auto& it) {
-        return it.second.is_serving();
-      }));
+  return static_cast<size_t>(std::ranges::count_if(
+      endpoints_, [](const auto& it) { return it.second.is_serving(); }));
 }
 
-PieceEndpoint* StageDispatcher::FindEndpoint(
-    const base::EndpointName& name) {
+PieceEndpoint* StageDispatcher::FindEndpoint(const base::EndpointName& name) {
   const auto it = endpoints_.find(name);
   return it == endpoints_.end() ? nullptr : &it->second;
 }
--- a/Libraries/LibForward/stage_dispatcher.h
+++ b/Libraries/LibForward/stage_dispatcher.h
@@ -79,7 +79,11 @@
     std::vector<CalledPiece> pieces;
   };
 
-  using OrderedJobs = std::vector<std::pair<JobId, Job*>>;
+  // Waiting jobs in their order; the first `on_time` of them can be on time.
+  struct OrderedJobs {
+    std::vector<std::pair<JobId, Job*>> jobs;
+    size_t on_time = 0;
+  };
 
   bool HasRoomFor(const PieceEndpoint& endpoint, uint64_t bytes) const;
   size_t PiecesFor(const PieceEndpoint& endpoint) const;
@@ -110,7 +114,7 @@
                   StageCall& call,
                   Call& record,
                   base::TimePoint now);
-  void NoteFullness(size_t pieces);
+  void NoteFullness(size_t pieces, size_t on_time_pieces);
   void NoteMade(const Call& call,
                 const CalledPiece& piece,
                 const std::string& handle,
@@ -139,6 +143,8 @@
   base::TimePoint next_return_;
   // What calls make of full ones while more waits; 1 if all are full.
   double fullness_ = 1;
+  // The part of calls that jobs on time leave to the others.
+  double left_for_late_ = 1;
   uint64_t last_job_ = 0;
   uint64_t last_call_ = 0;
   base::TimePoint latest_;  // Of all times passed in.
--- a/Utilities/bilberryload/emulate_command.cc
+++ b/Utilities/bilberryload/emulate_command.cc
@@ -40,8 +40,7 @@
       std::cout << day.name << "\n";
     return 0;
   }
-  const auto day =
-      std::ranges::find(days, name, &emulation::LoadSheet::name);
+  const auto day = std::ranges::find(days, name, &emulation::LoadSheet::name);
   if (day == days.end())
     return Complain("there is no day \"" + name + "\"");
   emulation::EmulationOptions options;
