Explain a request from logs: decision lines, bounded volume, metrics, bilberryctl explain

- A line for each stage, call, attempt, refusal, with what decided it.
- /metrics at the address for peers: counters and histograms of what is logged, calls to the store by answer; labels bounded.
- bilberryctl explain --id ID FILE... makes one story of the logs of many hosts.

--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -18,6 +18,7 @@
     {kStopOrdered, kInfo, "stop-ordered"},
     {kHostStopped, kInfo, "host-stopped"},
     {kSettingsRead, kInfo, "settings-read"},
+    {kLinesLeftOut, kWarning, "lines-left-out"},
     {kConfigurationAdopted, kInfo, "configuration-adopted"},
     {kLowerRevisionRefused, kError, "lower-revision-refused"},
     {kConfigurationMalformed, kError, "configuration-malformed"},
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -16,6 +16,7 @@
   kStopOrdered = 1004,
   kHostStopped = 1005,
   kSettingsRead = 1006,
+  kLinesLeftOut = 1007,
   kConfigurationAdopted = 1101,
   kLowerRevisionRefused = 1102,
   kConfigurationMalformed = 1103,
--- a/Libraries/LibForward/endpoint_chooser.cc
+++ b/Libraries/LibForward/endpoint_chooser.cc
@@ -32,6 +32,22 @@
 
 }  // namespace
 
+std::string_view ToText(EndpointVerdict verdict) {
+  switch (verdict) {
+    case EndpointVerdict::kAnswered:
+      return "answered";
+    case EndpointVerdict::kRefused:
+      return "refused";
+    case EndpointVerdict::kFailed:
+      return "failed";
+    case EndpointVerdict::kUnreachable:
+      return "unreachable";
+    case EndpointVerdict::kCancelled:
+      return "cancelled";
+  }
+  return "failed";
+}
+
 void EndpointChooser::SetEndpoints(std::span<const ListedEndpoint> endpoints) {
   std::map<base::EndpointName, Endpoint> present;
   for (const ListedEndpoint& listed : endpoints) {
--- a/Libraries/LibForward/endpoint_chooser.h
+++ b/Libraries/LibForward/endpoint_chooser.h
@@ -21,6 +21,8 @@
   kCancelled,    // By us; says nothing about the endpoint.
 };
 
+std::string_view ToText(EndpointVerdict verdict);
+
 struct EndpointWish {
   base::PoolName pool;
   // Names what requests share; those that share it go to one endpoint while
--- a/Libraries/LibForward/forwarded_run.h
+++ b/Libraries/LibForward/forwarded_run.h
@@ -54,6 +54,7 @@
   std::vector<base::EndpointName> tried;
   uint32_t runs = 0;  // Attempts that may have run.
   bool has_begun_stream = false;
+  std::optional<base::TimePoint> first_byte;  // Of the answer.
   std::optional<std::string> last_event;
 
   // Stages whose inputs are there and that have not been asked for.
--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -450,6 +450,8 @@
                            AnswerHead head,
                            base::TimePoint now) {
   NoteFirstByte(run, now);
+  if (!run.first_byte)
+    run.first_byte = now;
   // The first event tells that the endpoint has read all its inputs.
   ReleaseAll(run, now);
   if (run.has_begun_stream)
@@ -509,6 +511,8 @@
     return;
   }
   EndAttempt(run, EndpointVerdict::kAnswered, now);
+  if (!run.first_byte)
+    run.first_byte = now;
   std::string outcome = "answered " + std::to_string(event.head.status);
   if (run.has_begun_stream)
     context_.Emit(EndStream{*caller, StreamOutcome::kWhole});
@@ -560,6 +564,7 @@
   const bool may_send_again = MaySendAgain(run, verdict);
   context_.Log(base::LogEventId::kAttemptFailed, run.request->request_id,
                {{"endpoint", run.attempt->endpoint.value},
+                {"verdict", std::string(ToText(verdict))},
                 {"reason", std::move(reason)},
                 {"sent_again", may_send_again ? "yes" : "no"}});
   EndAttempt(run, verdict, now);
@@ -643,11 +648,18 @@
   Forget(deadlines_, run.deadline, caller);
   if (run.looked_at_again)
     Forget(looks_, *run.looked_at_again, caller);
-  context_.Log(base::LogEventId::kRequestEnded, run.request->request_id,
-               {{"outcome", std::move(outcome)},
-                {"pipeline", run.pipeline->name.value},
-                {"ms", ToMilliseconds(now - run.arrived)},
-                {"endpoint", run.tried.empty() ? "" : run.tried.back().value}});
+  context_.Log(
+      base::LogEventId::kRequestEnded, run.request->request_id,
+      {{"outcome", std::move(outcome)},
+       {"pipeline", run.pipeline->name.value},
+       {"urgency", std::to_string(static_cast<uint32_t>(run.urgency))},
+       {"revision", std::to_string(run.configuration->revision)},
+       {"ms", ToMilliseconds(now - run.arrived)},
+       {"first_ms",
+        run.first_byte ? ToMilliseconds(*run.first_byte - run.arrived) : ""},
+       {"target_ms", ToMilliseconds(run.target - run.arrived)},
+       {"deadline_ms", ToMilliseconds(run.deadline - run.arrived)},
+       {"endpoint", run.tried.empty() ? "" : run.tried.back().value}});
 }
 
 void RunDesk::Handle(const CallerLeft& event, base::TimePoint now) {
--- a/Libraries/LibOperator/command_line.cc
+++ b/Libraries/LibOperator/command_line.cc
@@ -21,6 +21,7 @@
     Command{"status", "what entry hosts say of themselves", RunStatus},
     Command{"bookings", "bookings whose outcome isn't recorded", RunBookings},
     Command{"report", "service levels, time and cost", RunReport},
+    Command{"explain", "what logs tell of one request", RunExplain},
 };
 
 void PrintHelp(std::ostream& out) {
--- /dev/null
+++ b/Libraries/LibOperator/explain_command.cc
@@ -0,0 +1,43 @@
+#include <cxxopts.hpp>
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <vector>
+
+#include "LibOperator/commands.h"
+#include "LibOperator/request_story.h"
+
+namespace bilberry::operators {
+
+ExitCode RunExplain(int argc, const char* const* argv, Console& console) {
+  cxxopts::Options options(
+      "bilberryctl explain",
+      "Gathers what the logs of several hosts tell of one request.");
+  options.add_options()("id", "The request's id, as its caller sent it",
+                        cxxopts::value<std::string>())(
+      "file", "Logs: JSON lines, a file a host or collected",
+      cxxopts::value<std::vector<std::string>>())("help", "Print this");
+  options.parse_positional({"file"});
+  options.positional_help("FILE...");
+  const auto flags = options.parse(argc, argv);
+  if (flags.count("help") > 0) {
+    console.out << options.help();
+    return ExitCode::kDone;
+  }
+  if (flags.count("id") == 0 || flags.count("file") == 0)
+    return console.Complain(ExitCode::kUsage, "--id and a FILE are needed");
+  RequestStory story(flags["id"].as<std::string>());
+  for (const auto& path : flags["file"].as<std::vector<std::string>>()) {
+    std::ifstream file(path);
+    if (!file)
+      return console.Complain(ExitCode::kUnreadable, path + ": can't be read");
+    story.Read(file, std::filesystem::path(path).filename().string());
+  }
+  if (story.is_empty())
+    return console.Complain(ExitCode::kUnreachable,
+                            "no line tells of this request");
+  console.out << story.Print();
+  return ExitCode::kDone;
+}
+
+}  // namespace bilberry::operators
--- /dev/null
+++ b/Libraries/LibTransport/forward_metrics.cc
@@ -0,0 +1,297 @@
+#include "LibTransport/forward_metrics.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <optional>
+#include <span>
+#include <sstream>
+#include <utility>
+
+#include "LibBase/log_event.h"
+
+namespace bilberry::transport {
+
+namespace {
+
+using base::LogEventId;
+
+// A family that has this many label values counts all further ones together.
+constexpr size_t kMostSeries = 200;
+constexpr const char* kOther = "other";
+
+// A counter of log lines by some of their facts.
+struct CounterFamily {
+  std::string_view name;
+  std::string_view help;
+  std::vector<std::string_view> labels;
+  // Empty when it isn't counted from lines.
+  std::optional<LogEventId> event;
+};
+
+// A histogram of a number in log lines.
+struct HistogramFamily {
+  std::string_view name;
+  std::string_view help;
+  std::vector<std::string_view> labels;
+  LogEventId event;
+  std::string_view fact;
+  double scale = 1;  // What the fact's unit is in the metric's.
+  std::span<const double> bounds;
+};
+
+constexpr std::string_view kStoreCalls = "bilberry_store_calls_total";
+constexpr std::string_view kLinesLeftOut = "bilberry_log_lines_left_out_total";
+constexpr double kSecondsPerMillisecond = 0.001;
+constexpr std::array kSecondBounds{0.005, 0.01, 0.025, 0.05, 0.1, 0.2,
+                                   0.3,   0.5,  0.75,  1.0,  1.5, 2.0,
+                                   3.0,   5.0,  8.0,   15.0};
+constexpr std::array kPieceBounds{1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0};
+
+const std::vector<CounterFamily>& CounterFamilies() {
+  static const std::vector<CounterFamily> families{
+      {"bilberry_requests_total",
+       "Requests that have their final answer.",
+       {"pipeline", "urgency", "outcome"},
+       LogEventId::kRequestEnded},
+      {"bilberry_requests_refused_total",
+       "Requests refused at the door, before anything ran.",
+       {"reason"},
+       LogEventId::kRequestRefused},
+      {"bilberry_stage_jobs_total",
+       "Stages of requests of this host, by how they ended.",
+       {"pool", "outcome"},
+       LogEventId::kStageEnded},
+      {"bilberry_attempts_total",
+       "Requests sent to an endpoint of their final pool.",
+       {"zone", "resumed"},
+       LogEventId::kAttemptSent},
+      {"bilberry_attempts_failed_total",
+       "Attempts that failed, by whether the request was sent again.",
+       {"verdict", "sent_again"},
+       LogEventId::kAttemptFailed},
+      {"bilberry_stage_calls_total",
+       "Calls for pieces by a dispatcher of this host.",
+       {"pool", "failure"},
+       LogEventId::kStageCallEnded},
+      {"bilberry_stage_jobs_refused_total",
+       "Jobs that a dispatcher of this host refused or gave up.",
+       {"pool", "reason"},
+       LogEventId::kJobRefused},
+      {"bilberry_dispatchers_lost_total",
+       "Dispatchers that gave no answer.",
+       {"host"},
+       LogEventId::kDispatcherLost},
+      {"bilberry_configurations_adopted_total",
+       "Configurations taken on.",
+       {},
+       LogEventId::kConfigurationAdopted},
+      {kStoreCalls,
+       "Calls to the platform's store.",
+       {"call", "answer"},
+       std::nullopt},
+      {kLinesLeftOut,
+       "Log lines left out to keep the volume bounded.",
+       {"event"},
+       std::nullopt},
+  };
+  return families;
+}
+
+const std::vector<HistogramFamily>& HistogramFamilies() {
+  static const std::vector<HistogramFamily> families{
+      {"bilberry_request_duration_seconds",
+       "From a request's arrival to the end of its answer.",
+       {"pipeline"},
+       LogEventId::kRequestEnded,
+       "ms",
+       kSecondsPerMillisecond,
+       kSecondBounds},
+      {"bilberry_first_byte_seconds",
+       "From a request's arrival to the begin of its answer.",
+       {"pipeline"},
+       LogEventId::kRequestEnded,
+       "first_ms",
+       kSecondsPerMillisecond,
+       kSecondBounds},
+      {"bilberry_stage_job_duration_seconds",
+       "From a stage's asking to its end, at the host that asked.",
+       {"pool"},
+       LogEventId::kStageEnded,
+       "ms",
+       kSecondsPerMillisecond,
+       kSecondBounds},
+      {"bilberry_stage_call_duration_seconds",
+       "Calls for pieces.",
+       {"pool"},
+       LogEventId::kStageCallEnded,
+       "ms",
+       kSecondsPerMillisecond,
+       kSecondBounds},
+      {"bilberry_stage_call_pieces",
+       "Pieces in a call.",
+       {"pool"},
+       LogEventId::kStageCallEnded,
+       "pieces",
+       1,
+       kPieceBounds},
+  };
+  return families;
+}
+
+std::string FactOf(const forward::WriteLog& line, std::string_view name) {
+  const auto it = std::ranges::find(line.facts, name, &forward::LogFact::name);
+  return it == line.facts.end() ? "" : it->value;
+}
+
+std::vector<std::string> LabelsOf(const forward::WriteLog& line,
+                                  const std::vector<std::string_view>& names) {
+  std::vector<std::string> labels;
+  labels.reserve(names.size());
+  for (const std::string_view name : names)
+    labels.push_back(FactOf(line, name));
+  return labels;
+}
+
+// The series of these labels, or the one of all others when there are many.
+template <typename T>
+T& SeriesOf(std::map<std::vector<std::string>, T>& series,
+            std::vector<std::string> labels) {
+  if (series.size() >= kMostSeries && !series.contains(labels))
+    std::ranges::fill(labels, kOther);
+  return series[std::move(labels)];
+}
+
+std::string Escaped(std::string_view text) {
+  std::string out;
+  for (const char c : text) {
+    if (c == '\\' || c == '"')
+      out += '\\';
+    if (c == '\n')
+      out += "\\n";
+    else
+      out += c;
+  }
+  return out;
+}
+
+// `more` is a last label with its value, or empty.
+std::string LabelText(const std::vector<std::string_view>& names,
+                      const std::vector<std::string>& values,
+                      const std::string& more = "") {
+  std::string out;
+  for (size_t i = 0; i < names.size(); ++i) {
+    out += out.empty() ? "{" : ",";
+    out += std::string(names[i]) + "=\"" + Escaped(values[i]) + "\"";
+  }
+  if (!more.empty())
+    out += (out.empty() ? "{" : ",") + more;
+  return out.empty() ? out : out + "}";
+}
+
+std::string NumberText(double number) {
+  std::ostringstream out;
+  out << number;
+  return out.str();
+}
+
+void PrintHead(std::string& out,
+               std::string_view name,
+               std::string_view help,
+               std::string_view type) {
+  const std::string text(name);
+  out += "# HELP " + text + " " + std::string(help) + "\n# TYPE " + text + " " +
+         std::string(type) + "\n";
+}
+
+}  // namespace
+
+void ForwardMetrics::Count(std::string_view family, Labels labels) {
+  ++SeriesOf(counters_[family], std::move(labels));
+}
+
+void ForwardMetrics::Note(const forward::WriteLog& line) {
+  for (const CounterFamily& family : CounterFamilies()) {
+    if (family.event == line.id)
+      Count(family.name, LabelsOf(line, family.labels));
+  }
+  for (const HistogramFamily& family : HistogramFamilies()) {
+    if (family.event != line.id)
+      continue;
+    const std::string text = FactOf(line, family.fact);
+    int64_t number = 0;
+    const auto [end, ec] =
+        std::from_chars(text.data(), text.data() + text.size(), number);
+    // Lines without the number, such as of requests that never began, don't
+    // count.
+    if (ec != std::errc() || end == text.data())
+      continue;
+    Histogram& histogram =
+        SeriesOf(histograms_[family.name], LabelsOf(line, family.labels));
+    histogram.buckets.resize(family.bounds.size() + 1);
+    const double value = static_cast<double>(number) * family.scale;
+    const auto bound = std::ranges::lower_bound(family.bounds, value);
+    ++histogram.buckets[static_cast<size_t>(bound - family.bounds.begin())];
+    histogram.sum += value;
+    ++histogram.count;
+  }
+}
+
+void ForwardMetrics::NoteStoreCall(std::string_view call,
+                                   std::string_view answer) {
+  Count(kStoreCalls, {std::string(call), std::string(answer)});
+}
+
+void ForwardMetrics::SetLinesLeftOut(
+    const std::map<std::string_view, uint64_t>& lines) {
+  for (const auto& [event, count] : lines)
+    counters_[kLinesLeftOut][{std::string(event)}] = count;
+}
+
+std::string ForwardMetrics::Print() const {
+  std::string out;
+  PrintHead(out, "bilberry_ready", "Whether the host wants callers.", "gauge");
+  out += std::string("bilberry_ready ") + (is_ready_ ? "1" : "0") + "\n";
+  PrintCounters(out);
+  PrintHistograms(out);
+  return out;
+}
+
+void ForwardMetrics::PrintCounters(std::string& out) const {
+  for (const CounterFamily& family : CounterFamilies()) {
+    const auto it = counters_.find(family.name);
+    if (it == counters_.end())
+      continue;
+    PrintHead(out, family.name, family.help, "counter");
+    for (const auto& [labels, count] : it->second)
+      out += std::string(family.name) + LabelText(family.labels, labels) + " " +
+             std::to_string(count) + "\n";
+  }
+}
+
+void ForwardMetrics::PrintHistograms(std::string& out) const {
+  for (const HistogramFamily& family : HistogramFamilies()) {
+    const auto it = histograms_.find(family.name);
+    if (it == histograms_.end())
+      continue;
+    PrintHead(out, family.name, family.help, "histogram");
+    const std::string name(family.name);
+    for (const auto& [labels, histogram] : it->second) {
+      uint64_t below = 0;
+      for (size_t i = 0; i < histogram.buckets.size(); ++i) {
+        below += histogram.buckets[i];
+        const std::string bound =
+            i < family.bounds.size() ? NumberText(family.bounds[i]) : "+Inf";
+        out += name + "_bucket" +
+               LabelText(family.labels, labels, "le=\"" + bound + "\"") + " " +
+               std::to_string(below) + "\n";
+      }
+      const std::string text = LabelText(family.labels, labels);
+      out += name + "_sum" + text + " " + NumberText(histogram.sum) + "\n";
+      out +=
+          name + "_count" + text + " " + std::to_string(histogram.count) + "\n";
+    }
+  }
+}
+
+}  // namespace bilberry::transport
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -15,6 +15,8 @@
 constexpr const char* kJobsPath = "/v1/jobs";
 constexpr const char* kAlivePath = "/v1/alive";
 constexpr const char* kResultsReadPath = "/v1/results-read";
+constexpr const char* kMetricsPath = "/metrics";
+constexpr const char* kMetricsType = "text/plain; version=0.0.4";
 // A host answers this at once; a lost packet is sent again after 200 ms (the
 // kernel's shortest retransmission time).
 constexpr std::chrono::milliseconds kAliveTimeout{350};
@@ -204,6 +206,9 @@
   } else if (request.path == kAlivePath) {
     peers_->Respond(request.exchange, {204, {}, ""});
     return;
+  } else if (request.path == kMetricsPath) {
+    AnswerMetrics(request.exchange);
+    return;
   } else if (request.path == kResultsReadPath) {
     if (auto read = DecodeResultsRead(request.body)) {
       Feed(std::move(*read));
@@ -214,6 +219,13 @@
   peers_->Respond(request.exchange, {400, {}, ""});
 }
 
+void ForwardShell::AnswerMetrics(ExchangeId exchange) {
+  metrics_.SetReady(node_.is_ready());
+  metrics_.SetLinesLeftOut(log_.left_out_by_event());
+  peers_->Respond(exchange,
+                  {200, {{"Content-Type", kMetricsType}}, metrics_.Print()});
+}
+
 void ForwardShell::AddConnectionHeader(HttpHeaders& headers) const {
   // The balancer is to keep no connection to a host that goes.
   if (node_.is_stopping())
@@ -407,6 +419,7 @@
   request.timeout = kStoreTimeout;
   http_->Send(std::move(request),
               [this, feed = action.feed](const HttpOutcome& outcome) {
+                NoteStoreCall("list", outcome);
                 Feed(adapter_.DecodeListed(feed, outcome));
               });
 }
@@ -416,6 +429,7 @@
   request.timeout = action.wait + kFollowSlack;
   http_->Send(std::move(request),
               [this, feed = action.feed](const HttpOutcome& outcome) {
+                NoteStoreCall("follow", outcome);
                 Feed(adapter_.DecodeChanged(feed, outcome));
               });
 }
@@ -424,6 +438,7 @@
   HttpRequest request = adapter_.EncodeWriteOwnRow(action.host);
   request.timeout = kStoreTimeout;
   http_->Send(std::move(request), [this](const HttpOutcome& outcome) {
+    NoteStoreCall("write_row", outcome);
     if (const auto* failure = std::get_if<HttpFailure>(&outcome)) {
       Feed(forward::OwnRowFailed{failure->detail});
       return;
@@ -440,10 +455,20 @@
   HttpRequest request = adapter_.EncodeRemoveOwnRow(action.name);
   request.timeout = kStoreTimeout;
   // Peers pass over a host that doesn't answer; the row is a hint.
-  http_->Send(std::move(request), [](const HttpOutcome&) {});
+  http_->Send(std::move(request), [this](const HttpOutcome& outcome) {
+    NoteStoreCall("remove_row", outcome);
+  });
+}
+
+void ForwardShell::NoteStoreCall(std::string_view call,
+                                 const HttpOutcome& outcome) {
+  const auto* response = std::get_if<HttpResponse>(&outcome);
+  metrics_.NoteStoreCall(
+      call, response == nullptr ? "none" : std::to_string(response->status));
 }
 
 void ForwardShell::Do(const forward::WriteLog& action) {
+  metrics_.Note(action);
   log_.Add(action, reactor_.Now());
 }
 
--- a/Libraries/LibTransport/forward_shell.h
+++ b/Libraries/LibTransport/forward_shell.h
@@ -10,6 +10,7 @@
 #include "LibDeclare/forward_settings.h"
 #include "LibForward/forward_node.h"
 #include "LibTransport/forward_adapter.h"
+#include "LibTransport/forward_metrics.h"
 #include "LibTransport/http_client.h"
 #include "LibTransport/http_listener.h"
 #include "LibTransport/json_log.h"
@@ -66,6 +67,8 @@
   void HandleCallerLeft(ExchangeId exchange);
   void HandleReadiness(const IncomingRequest& request);
   void HandlePeer(const IncomingRequest& request);
+  void AnswerMetrics(ExchangeId exchange);
+  void NoteStoreCall(std::string_view call, const HttpOutcome& outcome);
   void HandleAttemptChunk(const base::AttemptId& attempt,
                           const HttpResponse& head,
                           std::string bytes);
@@ -102,6 +105,7 @@
   declare::ForwardSettings settings_;
   forward::ForwardNode node_;
   JsonLog log_;
+  ForwardMetrics metrics_;
   std::unique_ptr<HttpClient> http_;
   std::unique_ptr<HttpListener> callers_;
   std::unique_ptr<HttpListener> readiness_;
--- /dev/null
+++ b/Tests/LibOperator/test_request_story.cc
@@ -0,0 +1,56 @@
+#include <doctest/doctest.h>
+
+#include <sstream>
+#include <string>
+
+#include "LibOperator/request_story.h"
+
+namespace bilberry::operators {
+namespace {
+
+constexpr const char* kAskingHost = R"(
+{"unix_ms":1000,"at_us":1,"event":1301,"name":"platform-unreachable","severity":"warning","feed":"hosts"}
+{"unix_ms":2500,"at_us":1,"event":1603,"name":"stage-ended","severity":"info","request":"r1","pool":"makers","outcome":"too_late","retry_ms":"700"}
+{"unix_ms":2501,"at_us":1,"event":1602,"name":"request-ended","severity":"info","request":"r1","outcome":"too_late","first_ms":""}
+{"unix_ms":2502,"at_us":1,"event":1602,"name":"request-ended","severity":"info","request":"r2","outcome":"answered 200"}
+not a line of ours
+{"unix_ms":9000,"at_us":1,"event":1311,"name":"dispatcher-lost","severity":"warning","host":"b"}
+)";
+
+constexpr const char* kDispatcher = R"(
+12.5 host-b {"unix_ms":2000,"at_us":9,"event":1605,"name":"stage-call-ended","severity":"info","requests":"r0 r1 r7","pool":"makers","pieces":"3"}
+12.9 host-b {"unix_ms":2400,"at_us":9,"event":1606,"name":"job-refused","severity":"info","request":"r1","waiting_pieces":"400"}
+12.9 host-b {"unix_ms":2400,"at_us":9,"event":1605,"name":"stage-call-ended","severity":"info","requests":"r10","pool":"makers"}
+)";
+
+std::string StoryOf(const std::string& id) {
+  RequestStory story(id);
+  std::istringstream first(kAskingHost);
+  story.Read(first, "a.log");
+  std::istringstream second(kDispatcher);
+  story.Read(second, "b.log");
+  return story.Print();
+}
+
+TEST_CASE("a request's lines on several hosts become one story") {
+  CHECK(StoryOf("r1") ==
+        "request r1\n"
+        "  +0.000 s  host-b  stage-call-ended  pieces=3  pool=makers\n"
+        "  +0.400 s  host-b  job-refused  waiting_pieces=400\n"
+        "  +0.500 s  a.log  stage-ended  outcome=too_late  pool=makers  "
+        "retry_ms=700\n"
+        "  +0.501 s  a.log  request-ended  outcome=too_late\n"
+        "what these hosts warned of meanwhile:\n"
+        "  -1.000 s  a.log  platform-unreachable  feed=hosts\n");
+}
+
+TEST_CASE("a request that no line names has no story") {
+  RequestStory story("r");
+  std::istringstream log(kAskingHost);
+  story.Read(log, "a.log");
+  CHECK(story.is_empty());
+  CHECK(story.Print() == "request r\n");
+}
+
+}  // namespace
+}  // namespace bilberry::operators
--- /dev/null
+++ b/Tests/LibTransport/test_forward_metrics.cc
@@ -0,0 +1,72 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "LibTransport/forward_metrics.h"
+
+namespace bilberry::transport {
+namespace {
+
+bool Holds(const std::string& text, const std::string& line) {
+  return text.find(line + "\n") != std::string::npos;
+}
+
+forward::WriteLog EndedLine(const std::string& pipeline,
+                            const std::string& first_ms) {
+  return {base::LogEventId::kRequestEnded,
+          "r1",
+          {{"outcome", "answered 200"},
+           {"pipeline", pipeline},
+           {"urgency", "1"},
+           {"ms", "700"},
+           {"first_ms", first_ms}}};
+}
+
+TEST_CASE("what is logged is counted, with its times") {
+  ForwardMetrics metrics;
+  metrics.Note(EndedLine("draft", "80"));
+  metrics.Note(EndedLine("draft", ""));
+  metrics.NoteStoreCall("list", "200");
+  metrics.NoteStoreCall("list", "none");
+  metrics.SetLinesLeftOut({{"request-ended", 7}});
+  metrics.SetReady(true);
+  const std::string text = metrics.Print();
+  CHECK(Holds(text, "bilberry_ready 1"));
+  CHECK(Holds(text,
+              "bilberry_requests_total{pipeline=\"draft\",urgency=\"1\","
+              "outcome=\"answered 200\"} 2"));
+  CHECK(Holds(text, "# TYPE bilberry_request_duration_seconds histogram"));
+  CHECK(Holds(text,
+              "bilberry_request_duration_seconds_bucket{pipeline="
+              "\"draft\",le=\"0.5\"} 0"));
+  CHECK(Holds(text,
+              "bilberry_request_duration_seconds_bucket{pipeline="
+              "\"draft\",le=\"0.75\"} 2"));
+  CHECK(Holds(text,
+              "bilberry_request_duration_seconds_bucket{pipeline="
+              "\"draft\",le=\"+Inf\"} 2"));
+  CHECK(Holds(text,
+              "bilberry_request_duration_seconds_sum{pipeline=\"draft\"} 1.4"));
+  // A request that never began has no first byte.
+  CHECK(Holds(text, "bilberry_first_byte_seconds_count{pipeline=\"draft\"} 1"));
+  CHECK(Holds(text,
+              "bilberry_store_calls_total{call=\"list\",answer=\"none\"} 1"));
+  CHECK(Holds(text,
+              "bilberry_log_lines_left_out_total{event=\"request-"
+              "ended\"} 7"));
+}
+
+TEST_CASE("labels are bounded and can't break a line") {
+  ForwardMetrics metrics;
+  metrics.Note(EndedLine("a\"b\nc", "1"));
+  CHECK(Holds(metrics.Print(),
+              "bilberry_request_duration_seconds_count{pipeline="
+              "\"a\\\"b\\nc\"} 1"));
+  for (int i = 0; i < 5000; ++i)
+    metrics.Note(EndedLine("p" + std::to_string(i), "1"));
+  CHECK(metrics.Print().size() < 2'000'000);
+  CHECK(metrics.Print().find("pipeline=\"other\"") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace bilberry::transport
