--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -24,6 +24,7 @@
     {kConfigurationMalformed, kError, "configuration-malformed"},
     {kEndpointListed, kInfo, "endpoint-listed"},
     {kEndpointLeaving, kInfo, "endpoint-leaving"},
+    {kHostsLearntFromPeer, kInfo, "hosts-learnt-from-peer"},
     {kPlatformUnreachable, kWarning, "platform-unreachable"},
     {kPlatformReachable, kInfo, "platform-reachable"},
     {kPlatformRowUnreadable, kWarning, "platform-row-unreadable"},
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -22,6 +22,7 @@
   kConfigurationMalformed = 1103,
   kEndpointListed = 1201,
   kEndpointLeaving = 1202,
+  kHostsLearntFromPeer = 1203,
   kPlatformUnreachable = 1301,
   kPlatformReachable = 1302,
   kPlatformRowUnreadable = 1303,
--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -217,7 +217,13 @@
                                  size_t stage,
                                  base::TimePoint now) const {
   const auto time_of = [&](size_t it) { return TimeOf(run, it, now); };
-  return run.EndOfOthers(stage, now, time_of) - time_of(stage) - kDoneBefore;
+  const auto excess = [&](const base::PoolName& pool) {
+    return ExcessOf(pool, run.urgency, now);
+  };
+  // With all that reads its results: what takes longest of all waits for
+  // nothing, so that no two wait for each other.
+  const base::Duration needed = time_of(stage) + run.TimeAfter(stage, excess);
+  return run.EndOfOthers(stage, now, time_of) - needed - kDoneBefore;
 }
 
 void RunDesk::LookAgain(base::CallerId caller,
--- a/Libraries/LibMembership/host_list.cc
+++ b/Libraries/LibMembership/host_list.cc
@@ -1,5 +1,6 @@
 #include "LibMembership/host_list.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bilberry::membership {
@@ -21,6 +22,38 @@
   return has_changed;
 }
 
+bool HostList::LearnFromPeer(const std::vector<HostEntry>& entries) {
+  if (version_ != 0)
+    return false;
+  Entries next;
+  for (const HostEntry& entry : entries)
+    Take(entry, Spreading::kKeep, next);
+  const bool has_changed = next != entries_;
+  entries_ = std::move(next);
+  return has_changed;
+}
+
+std::vector<HostEntry> HostList::All() const {
+  std::vector<HostEntry> all;
+  for (const auto& [name, entry] : entries_)
+    all.push_back(entry);
+  return all;
+}
+
+bool HostList::HasLiveEndpoint() const {
+  return std::ranges::any_of(entries_, [](const auto& it) {
+    return it.second.kind == HostKind::kEndpoint &&
+           it.second.state == HostState::kLive;
+  });
+}
+
+bool HostList::HasLiveEndpoint(const base::PoolName& pool) const {
+  return std::ranges::any_of(entries_, [&pool](const auto& it) {
+    return it.second.kind == HostKind::kEndpoint &&
+           it.second.state == HostState::kLive && it.second.pool == pool;
+  });
+}
+
 void HostList::Take(const HostEntry& entry,
                     Spreading spreading,
                     Entries& entries) {
--- a/Libraries/LibMembership/host_list.h
+++ b/Libraries/LibMembership/host_list.h
@@ -21,12 +21,22 @@
   // the entries, but no mark.
   bool Apply(const base::HostsPolled& polled);
 
+  // Takes a peer's list, as long as the platform has told none; true when
+  // anything is different afterwards. The platform's own replaces it.
+  bool LearnFromPeer(const std::vector<base::HostEntry>& entries);
+
   // Notes that a host leaves, as heard from itself or a peer; true when new.
   bool MarkLeaving(const std::string& name, base::Incarnation incarnation);
 
   // The version to ask for changes after.
   uint64_t version() const { return version_; }
 
+  // Whether the platform or a peer has told any list.
+  bool is_known() const { return version_ != 0 || !entries_.empty(); }
+  std::vector<base::HostEntry> All() const;
+  // Of any pool, or of this one.
+  bool HasLiveEndpoint() const;
+  bool HasLiveEndpoint(const base::PoolName& pool) const;
   std::vector<base::HostEntry> LiveEndpoints(const base::PoolName& pool) const;
   std::vector<base::HostEntry> LiveEntryHosts() const;
   // Null when it is not listed.
--- a/Libraries/LibNode/entry_node.cc
+++ b/Libraries/LibNode/entry_node.cc
@@ -185,8 +185,10 @@
 Readiness EntryNode::readiness() const {
   if (!runs_.is_accepting())
     return Readiness::kStopping;
-  return membership_.configuration() ? Readiness::kReady
-                                     : Readiness::kNoConfiguration;
+  if (!membership_.configuration())
+    return Readiness::kNoConfiguration;
+  return membership_.hosts().HasLiveEndpoint() ? Readiness::kReady
+                                               : Readiness::kNoEndpoints;
 }
 
 report::ServiceReport EntryNode::Report(base::TimePoint now) const {
--- a/Libraries/LibNode/membership_coordinator.cc
+++ b/Libraries/LibNode/membership_coordinator.cc
@@ -148,7 +148,10 @@
   const ConfigurationHead& head = question.mapped().head;
   std::visit(
       base::Overloaded{
-          [&](const base::HostsPolled& it) { HandleHosts(it); },
+          [&](const base::HostsPolled& it) {
+            hosts_confirmed_ = now;
+            HandleHosts(it);
+          },
           [&](const base::RowRead& it) { HandleHead(it, now); },
           [&](const base::ObjectFetched& it) { HandleDocument(head, it); },
           [](const auto&) {},
@@ -183,6 +186,23 @@
     NoteNews();
 }
 
+// A host that starts while the platform is out of reach serves with what a peer
+// knows; the platform's own list replaces it.
+void MembershipCoordinator::LearnHosts(const HostsOffer& offer,
+                                       const base::SocketAddress& peer) {
+  if (!hosts_.LearnFromPeer(offer.hosts))
+    return;
+  ++change_count_;
+  context_.Log(
+      base::LogEventId::kHostsLearntFromPeer,
+      base::ToText(peer) + ", " + std::to_string(offer.hosts.size()) +
+          " hosts, " +
+          std::to_string(
+              std::chrono::duration_cast<std::chrono::seconds>(offer.age)
+                  .count()) +
+          " s old");
+}
+
 void MembershipCoordinator::HandleHead(const base::RowRead& read,
                                        base::TimePoint now) {
   if (!read.row)
@@ -257,7 +277,7 @@
                                          base::TimePoint now) {
   for (const LeavingMark& mark : digest.leaving)
     NoteLeaving({mark.name}, mark.incarnation);
-  if (digest.revision <= keeper_.revision())
+  if (digest.revision <= keeper_.revision() && hosts_.is_known())
     return;
   if (sender != base::SocketAddress())
     Fetch({sender}, now);
@@ -275,7 +295,7 @@
   for (const base::SocketAddress& peer : peers) {
     if (open++ >= kMaxFetches)
       return;
-    SendToPeer(peer, ConfigurationQuery{keeper_.revision()},
+    SendToPeer(peer, ConfigurationQuery{keeper_.revision(), !hosts_.is_known()},
                kPeerDocumentTimeout, now);
   }
 }
@@ -294,9 +314,12 @@
   const auto* query = std::get_if<ConfigurationQuery>(&event.message);
   if (query == nullptr)
     return;
-  ConfigurationOffer offer{keeper_.revision(), ""};
+  ConfigurationOffer offer{keeper_.revision(), "", std::nullopt};
   if (query->revision < keeper_.revision())
     offer.document = keeper_.document();
+  // What a peer has told is not passed on: its age would not be known.
+  if (query->wants_hosts && hosts_.version() != 0)
+    offer.hosts = HostsOffer{hosts_.All(), now - hosts_confirmed_};
   context_.Emit(AnswerPeer{event.exchange, std::move(offer)});
 }
 
@@ -309,8 +332,12 @@
   if (const auto* digest = std::get_if<Digest>(&event.message))
     HandleDigest(*digest, question.mapped().peer, now);
   const auto* offer = std::get_if<ConfigurationOffer>(&event.message);
-  if (offer != nullptr && !offer->document.empty())
+  if (offer == nullptr)
+    return true;
+  if (!offer->document.empty())
     OfferConfiguration(offer->revision, offer->document);
+  if (offer->hosts)
+    LearnHosts(*offer->hosts, question.mapped().peer);
   return true;
 }
 
--- a/Libraries/LibNode/membership_coordinator.h
+++ b/Libraries/LibNode/membership_coordinator.h
@@ -83,6 +83,7 @@
   void ForgetOverdue(base::TimePoint now);
   void PollPlatform(base::TimePoint now);
   void HandleHosts(const base::HostsPolled& polled);
+  void LearnHosts(const HostsOffer& offer, const base::SocketAddress& peer);
   void HandleHead(const base::RowRead& read, base::TimePoint now);
   void HandleLowerHead(const membership::ConfigurationHead& head);
   void HandleDocument(const membership::ConfigurationHead& head,
@@ -107,6 +108,7 @@
 
   NodeContext& context_;
   membership::HostList hosts_;
+  base::TimePoint hosts_confirmed_;  // By the platform.
   membership::ConfigurationKeeper keeper_;
   membership::PeerSelector selector_;
   base::RowVersion head_version_ = base::RowVersion::kAbsent;
--- a/Libraries/LibNode/node_status.cc
+++ b/Libraries/LibNode/node_status.cc
@@ -8,6 +8,8 @@
       return "ready";
     case Readiness::kNoConfiguration:
       return "no-configuration";
+    case Readiness::kNoEndpoints:
+      return "no-endpoints";
     case Readiness::kStopping:
       return "stopping";
   }
--- a/Libraries/LibNode/node_status.h
+++ b/Libraries/LibNode/node_status.h
@@ -9,7 +9,12 @@
 
 namespace bilberry::node {
 
-enum class Readiness { kReady, kNoConfiguration, kStopping };
+enum class Readiness {
+  kReady,
+  kNoConfiguration,
+  kNoEndpoints,  // None is known that takes work.
+  kStopping,
+};
 
 std::string_view ToText(Readiness readiness);
 
--- a/Libraries/LibNode/peer_message.h
+++ b/Libraries/LibNode/peer_message.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "LibBase/ids.h"
+#include "LibBase/platform.h"
+#include "LibBase/time.h"
 #include "LibBooking/settlement.h"
 #include "LibMembership/leaving_marks.h"
 #include "LibPolicy/quarantine.h"
@@ -39,9 +42,22 @@
   friend bool operator==(const Digest&, const Digest&) = default;
 };
 
-// Asks for the configuration, if it is newer than `revision`.
+// Asks for the configuration, if it is newer than `revision`, and for the host
+// list if the asker has none.
 struct ConfigurationQuery {
   base::Revision revision{};
+  bool wants_hosts = false;
+
+  friend bool operator==(const ConfigurationQuery&,
+                         const ConfigurationQuery&) = default;
+};
+
+// The host list as the platform told it to the sender.
+struct HostsOffer {
+  std::vector<base::HostEntry> hosts;
+  base::Duration age{};  // Since the platform confirmed it.
+
+  friend bool operator==(const HostsOffer&, const HostsOffer&) = default;
 };
 
 // The configuration in force at the one who answers; an empty document when
@@ -49,6 +65,10 @@
 struct ConfigurationOffer {
   base::Revision revision{};
   std::string document;
+  std::optional<HostsOffer> hosts;
+
+  friend bool operator==(const ConfigurationOffer&,
+                         const ConfigurationOffer&) = default;
 };
 
 // Asks the host that holds a claim what became of the booking.
--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -228,6 +228,15 @@
   const pipeline::Run& run = active.run;
   // A booking comes here only once its claim is granted: before that, whether
   // it has run under an earlier request is not known.
+  if (context_.policy() == policy::PolicyKind::kPresent &&
+      !membership_.hosts().HasLiveEndpoint(run.stage().pool)) {
+    GiveUp(active,
+           {"no_endpoint", Step::kAdmission, "",
+            "no endpoint of the pool " + run.stage().pool.value + " is known",
+            kRetryAfterNotReady},
+           now);
+    return;
+  }
   const auto decision = DecideAdmission(run, now);
   if (const auto* late = std::get_if<policy::DeadlineUnreachable>(&decision)) {
     GiveUp(active,
--- a/Libraries/LibOperator/request_story.cc
+++ b/Libraries/LibOperator/request_story.cc
@@ -89,8 +89,8 @@
     const size_t begin = text.find('{');
     if (begin == std::string::npos)
       continue;
-    const auto object =
-        transport::ParseCompact(std::string_view(text).substr(begin));
+    const std::string_view line_text = text;
+    const auto object = transport::ParseCompact(line_text.substr(begin));
     if (!object || !IsLine(*object))
       continue;
     const bool tells_of_it =
--- a/Libraries/LibTransport/forward_metrics.cc
+++ b/Libraries/LibTransport/forward_metrics.cc
@@ -282,14 +282,16 @@
         below += histogram.buckets[i];
         const std::string bound =
             i < family.bounds.size() ? NumberText(family.bounds[i]) : "+Inf";
-        out += name + "_bucket" +
-               LabelText(family.labels, labels, "le=\"" + bound + "\"") + " " +
-               std::to_string(below) + "\n";
+        const std::string text =
+            LabelText(family.labels, labels, "le=\"" + bound + "\"");
+        out.append(name).append("_bucket").append(text).append(" ");
+        out.append(std::to_string(below)).append("\n");
       }
       const std::string text = LabelText(family.labels, labels);
-      out += name + "_sum" + text + " " + NumberText(histogram.sum) + "\n";
-      out +=
-          name + "_count" + text + " " + std::to_string(histogram.count) + "\n";
+      out.append(name).append("_sum").append(text).append(" ");
+      out.append(NumberText(histogram.sum)).append("\n");
+      out.append(name).append("_count").append(text).append(" ");
+      out.append(std::to_string(histogram.count)).append("\n");
     }
   }
 }
--- a/Libraries/LibTransport/peer_codec.cc
+++ b/Libraries/LibTransport/peer_codec.cc
@@ -6,6 +6,7 @@
 #include "LibBase/overloaded.h"
 #include "LibBooking/byte_text.h"
 #include "LibNode/booking_outbox.h"
+#include "LibTransport/platform_codec.h"
 
 namespace bilberry::transport {
 
@@ -138,15 +139,32 @@
   if (!value["revision"].isUInt64())
     return Malformed("a configuration query lacks its revision");
   return node::PeerMessage(
-      node::ConfigurationQuery{base::Revision{value["revision"].asUInt64()}});
+      node::ConfigurationQuery{base::Revision{value["revision"].asUInt64()},
+                               value["wants_hosts"].asBool()});
+}
+
+base::Result<node::HostsOffer> DecodeHostsOffer(const Json::Value& value) {
+  if (!value["hosts"].isArray() || !value["hosts_age_us"].isInt64())
+    return Malformed("a host list lacks a field");
+  node::HostsOffer offer;
+  offer.age = base::Duration(value["hosts_age_us"].asInt64());
+  for (const Json::Value& it : value["hosts"]) {
+    TRY(entry, DecodeHost(it));
+    offer.hosts.push_back(std::move(entry));
+  }
+  return offer;
 }
 
 base::Result<node::PeerMessage> DecodeOffer(const Json::Value& value) {
   if (!value["revision"].isUInt64() || !value["document"].isString())
     return Malformed("a configuration offer lacks a field");
-  return node::PeerMessage(
-      node::ConfigurationOffer{base::Revision{value["revision"].asUInt64()},
-                               value["document"].asString()});
+  node::ConfigurationOffer offer{base::Revision{value["revision"].asUInt64()},
+                                 value["document"].asString(), std::nullopt};
+  if (value.isMember("hosts")) {
+    TRY(hosts, DecodeHostsOffer(value));
+    offer.hosts = std::move(hosts);
+  }
+  return node::PeerMessage(std::move(offer));
 }
 
 const char* NameOf(node::BookingStanding standing) {
@@ -240,11 +258,19 @@
                  [&](const node::ConfigurationQuery& it) {
                    call.method = kConfigurationQuery;
                    out["revision"] = NumberOf(it.revision);
+                   out["wants_hosts"] = it.wants_hosts;
                  },
                  [&](const node::ConfigurationOffer& it) {
                    call.method = kConfigurationOffer;
                    out["revision"] = NumberOf(it.revision);
                    out["document"] = it.document;
+                   if (it.hosts) {
+                     out["hosts"] = Json::arrayValue;
+                     for (const base::HostEntry& entry : it.hosts->hosts)
+                       out["hosts"].append(EncodeHost(entry));
+                     out["hosts_age_us"] =
+                         static_cast<Json::Int64>(it.hosts->age.count());
+                   }
                  },
                  [&](const node::BookingQuery& it) {
                    call.method = kBookingQuery;
--- a/Tests/LibForward/test_forward_node.cc
+++ b/Tests/LibForward/test_forward_node.cc
@@ -196,6 +196,21 @@
   CHECK(asked == std::set<uint32_t>{0, 1, 2});
 }
 
+// Found in emulated days: each waited for the other until the deadline.
+TEST_CASE("a chain doesn't wait for what takes longer than its first stage") {
+  auto configuration = *NodeBench::MakeConfiguration();
+  configuration.pipelines[0].stages = {{{"maker"}, {}, 1000},
+                                       {{"maker"}, {}, 10},
+                                       {{"maker"}, {1}, 10},
+                                       {{"maker"}, {2}, 10}};
+  NodeBench bench(std::make_shared<const ForwardConfiguration>(configuration));
+  ForwardedRequest request = NodeBench::Request(1);
+  request.piece_counts = {8, 1, 1, 1};
+  bench.Feed(std::move(request));
+  REQUIRE(bench.Last<CallStage>() != nullptr);
+  CHECK(bench.Last<CallStage>()->call.pieces[0].stage == 1);
+}
+
 TEST_CASE("results are freed at the first event, and when the caller leaves") {
   for (const bool has_event : {false, true}) {
     CAPTURE(has_event);
--- a/Tests/LibNode/test_peers.cc
+++ b/Tests/LibNode/test_peers.cc
@@ -21,6 +21,42 @@
   CHECK(group.at(1).node().readiness() == Readiness::kReady);
 }
 
+// Found on real processes: such a host said that it was ready, knew no
+// endpoint, and held each request until its deadline.
+TEST_CASE(
+    "a host that starts without the platform learns endpoints of a peer") {
+  PlatformStore store;
+  fakes::PutSmallDeployment(store);
+  NodeGroup group(store, 2);
+  group.Cut(0, 1);
+  group.at(1).set_mood(PlatformMood::kUnreachable);
+  group.Advance(std::chrono::seconds(3));
+  CHECK(group.at(1).node().readiness() != Readiness::kReady);
+  group.HealAll();
+  // Now the other one can't reach it either.
+  group.at(0).set_mood(PlatformMood::kUnreachable);
+  group.Advance(std::chrono::seconds(3));
+  REQUIRE(group.at(1).node().readiness() == Readiness::kReady);
+  group.at(1).TakeSent();
+  group.at(1).Call("stock");
+  CHECK(group.at(1).TakeSent().size() == 1);
+}
+
+TEST_CASE("a host that knows no endpoint isn't ready, and refuses at once") {
+  PlatformStore store;
+  fakes::PutConfiguration(store, 1, fakes::SmallConfiguration());
+  NodeGroup group(store, 1);
+  group.Advance(std::chrono::seconds(3));
+  CHECK(group.at(0).node().readiness() == Readiness::kNoEndpoints);
+  group.at(0).TakeAnswers();
+  group.at(0).Call("stock");
+  const auto answers = group.at(0).TakeAnswers();
+  REQUIRE(answers.size() == 1);
+  REQUIRE(answers[0].answer.error.has_value());
+  CHECK(answers[0].answer.error->code == "no_endpoint");
+  CHECK(answers[0].answer.error->retry_after.has_value());
+}
+
 TEST_CASE("a host with no source stays not ready") {
   PlatformStore store;
   fakes::PutSmallDeployment(store);
--- a/Tests/LibTransport/test_peer_codec.cc
+++ b/Tests/LibTransport/test_peer_codec.cc
@@ -52,6 +52,30 @@
   }
 }
 
+TEST_CASE("a configuration comes with the host list of the one who sends it") {
+  base::HostEntry entry;
+  entry.name = "banco-1";
+  entry.pool.value = "banco";
+  entry.zone.value = "zona-a";
+  entry.address = {"10.0.0.7", 80};
+  entry.incarnation = base::Incarnation{0xffffffffffffffff};
+  const node::PeerMessage messages[] = {
+      node::ConfigurationQuery{base::Revision{7}, true},
+      node::ConfigurationOffer{
+          base::Revision{8}, "{}",
+          node::HostsOffer{{entry}, std::chrono::seconds(3)}},
+      node::ConfigurationOffer{base::Revision{8}, "{}", std::nullopt},
+  };
+  for (const node::PeerMessage& message : messages) {
+    const PeerCall call = EncodePeerMessage(message);
+    CAPTURE(call.method);
+    const auto wire = ParseCompact(PrintCompact(call.parameters));
+    const auto decoded = DecodePeerMessage(call.method, *wire);
+    REQUIRE(decoded);
+    CHECK(decoded.value() == message);
+  }
+}
+
 TEST_CASE("malformed peer messages are refused") {
   struct Malformed {
     const char* method;
