--- a/Tests/LibTransport/test_control_traffic.cc
+++ b/Tests/LibTransport/test_control_traffic.cc
@@ -43,6 +43,8 @@
 uint64_t MostBytesEachSecond(size_t size) {
   PlatformStore store;
   fakes::PutConfiguration(store, 1, ValbrunaConfiguration());
+  // A host that knows no endpoint at all isn't ready.
+  store.PutHost(fakes::MakeEndpoint("lucignolo-1", "lucignolo"));
   NodeGroup group(store, size, 3);
   group.List();
   group.Advance(kSettling);
