LibForward: Don't divide by the room of pools that declare none

Cause: the share of room that a call's log line tells divided by the declared room; a pool without one ended the host's process. Found on rereading; the test ended by a signal before, and passes now.

--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -119,6 +119,9 @@
 // Only calls that leave something waiting tell what the pool can do; while none
 // do, what was learned fades.
 void StageDispatcher::NoteFullness(size_t pieces, size_t on_time_pieces) {
+  // Limits that say nothing of a call's time teach nothing.
+  if (CallTime(1) <= base::Duration(0) || limits_.pieces_per_call == 0)
+    return;
   const double full =
       static_cast<double>(limits_.pieces_per_call) /
       static_cast<double>(CallTime(limits_.pieces_per_call).count());
@@ -304,8 +307,9 @@
   record.endpoint = call.endpoint;
   record.address = call.address;
   endpoint.NoteCalled(now + expected);
-  call.room_percent = static_cast<uint32_t>(
-      kPercent * endpoint.room().used_bytes() / limits_.room_bytes);
+  call.room_percent =
+      static_cast<uint32_t>(kPercent * endpoint.room().used_bytes() /
+                            std::max<uint64_t>(limits_.room_bytes, 1));
   call.usable_percent = static_cast<uint32_t>(kPercent * usable_room_);
   call.waiting_pieces = static_cast<uint32_t>(waiting_pieces());
   NoteFullness(call.pieces.size(), on_time_pieces);
--- a/Tests/LibForward/test_stage_dispatcher.cc
+++ b/Tests/LibForward/test_stage_dispatcher.cc
@@ -270,6 +270,18 @@
   CHECK(bench.dispatcher.TakeOutcomes().size() == 1);
 }
 
+TEST_CASE("limits without room or times still lead to calls") {
+  PieceLimits limits;
+  limits.pieces_per_call = 2;
+  Bench bench(1, limits);
+  StageJob job;
+  job.result_bytes = 1000;
+  bench.Submit(2, job);
+  const StageCall call = bench.Next();
+  CHECK_FALSE(call.pieces.empty());
+  bench.Succeed(call);
+}
+
 // Answers room that calls of many pieces find too small: each refused piece
 // shrank what later calls filled.
 TEST_CASE("a call that finds no room for many pieces shrinks the next once") {
