LibTransport: Refuse malformed fields of the new peer messages

Cause: wants_hosts and inputs_gone_us were read without a look at their type, so that another type threw out of the decoder. Found on rereading the change.

--- a/Libraries/LibTransport/peer_codec.cc
+++ b/Libraries/LibTransport/peer_codec.cc
@@ -138,6 +138,8 @@
 base::Result<node::PeerMessage> DecodeQuery(const Json::Value& value) {
   if (!value["revision"].isUInt64())
     return Malformed("a configuration query lacks its revision");
+  if (value.isMember("wants_hosts") && !value["wants_hosts"].isBool())
+    return Malformed("a configuration query's wish for hosts is malformed");
   return node::PeerMessage(
       node::ConfigurationQuery{base::Revision{value["revision"].asUInt64()},
                                value["wants_hosts"].asBool()});
--- a/Libraries/LibTransport/stage_job_codec.cc
+++ b/Libraries/LibTransport/stage_job_codec.cc
@@ -97,7 +97,8 @@
                        "target_us", "deadline_us", "after_us"}) ||
       !it["is_new"].isBool() || !it["stage"].isUInt() ||
       !it["pieces"].isUInt() || !it["urgency"].isUInt() ||
-      !it["result_bytes"].isUInt64() || !it["crossing_bytes"].isUInt64())
+      !it["result_bytes"].isUInt64() || !it["crossing_bytes"].isUInt64() ||
+      (it.isMember("inputs_gone_us") && !it["inputs_gone_us"].isInt64()))
     return std::nullopt;
   forward::StageJob job;
   job.request_id = it["request"].asString();
--- /dev/null
+++ b/Tests/LibTransport/test_stage_job_codec.cc
@@ -0,0 +1,65 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "LibTransport/json_text.h"
+#include "LibTransport/stage_job_codec.h"
+
+namespace bilberry::transport {
+namespace {
+
+using std::chrono::milliseconds;
+
+forward::StageJob MakeJob() {
+  forward::StageJob job;
+  job.request_id = "r1";
+  job.pool.value = "makers";
+  job.stage = 2;
+  job.piece_count = 6;
+  job.input = std::vector<forward::StageResult>{{{"10.0.0.1", 80}, "h"}};
+  job.result_bytes = 60'000;
+  job.urgency = forward::Urgency{1};
+  job.until_target = milliseconds(900);
+  job.until_deadline = milliseconds(5000);
+  job.until_inputs_gone = milliseconds(3500);
+  job.time_after = milliseconds(300);
+  job.reader_zone.value = "z";
+  job.crossing_bytes = 360'000;
+  job.progress = forward::RequestProgress::kUnderWay;
+  return job;
+}
+
+TEST_SUITE_BEGIN("contract");
+
+TEST_CASE("a job for a peer keeps all that its order goes by") {
+  const auto job = DecodeStageJob(EncodeStageJob(MakeJob()));
+  REQUIRE(job.has_value());
+  CHECK(EncodeStageJob(*job) == EncodeStageJob(MakeJob()));
+  CHECK(job->until_inputs_gone == milliseconds(3500));
+  CHECK(job->progress == forward::RequestProgress::kUnderWay);
+  // One that reads no results.
+  forward::StageJob first = MakeJob();
+  first.input = "key";
+  first.until_inputs_gone.reset();
+  const auto decoded = DecodeStageJob(EncodeStageJob(first));
+  REQUIRE(decoded.has_value());
+  CHECK_FALSE(decoded->until_inputs_gone.has_value());
+  CHECK(std::get<std::string>(decoded->input) == "key");
+}
+
+TEST_CASE("a job with a field of another type is refused") {
+  for (const char* field :
+       {"request", "pool", "stage", "pieces", "target_us", "deadline_us",
+        "after_us", "is_new", "urgency", "result_bytes", "crossing_bytes",
+        "reader_zone", "inputs", "inputs_gone_us"}) {
+    CAPTURE(field);
+    auto object = *ParseCompact(EncodeStageJob(MakeJob()));
+    object[field] = Json::objectValue;
+    CHECK_FALSE(DecodeStageJob(PrintCompact(object)).has_value());
+  }
+}
+
+TEST_SUITE_END();
+
+}  // namespace
+}  // namespace bilberry::transport
