LibTransport: Write both kinds of hosts' metrics by one MetricWriter

The text format, its escapes and its content type stood in metrics_text.cc and again in forward_metrics.cc and forward_shell.cc. The output is the same; the tests of both are unchanged. A histogram's count is derived from its buckets.

--- a/Libraries/LibTransport/forward_metrics.cc
+++ b/Libraries/LibTransport/forward_metrics.cc
@@ -5,10 +5,10 @@
 #include <charconv>
 #include <optional>
 #include <span>
-#include <sstream>
 #include <utility>
 
 #include "LibBase/log_event.h"
+#include "LibTransport/metric_writer.h"
 
 namespace bilberry::transport {
 
@@ -162,46 +162,12 @@
   return series[std::move(labels)];
 }
 
-std::string Escaped(std::string_view text) {
-  std::string out;
-  for (const char c : text) {
-    if (c == '\\' || c == '"')
-      out += '\\';
-    if (c == '\n')
-      out += "\\n";
-    else
-      out += c;
-  }
-  return out;
-}
-
-// `more` is a last label with its value, or empty.
-std::string LabelText(const std::vector<std::string_view>& names,
-                      const std::vector<std::string>& values,
-                      const std::string& more = "") {
-  std::string out;
-  for (size_t i = 0; i < names.size(); ++i) {
-    out += out.empty() ? "{" : ",";
-    out += std::string(names[i]) + "=\"" + Escaped(values[i]) + "\"";
-  }
-  if (!more.empty())
-    out += (out.empty() ? "{" : ",") + more;
-  return out.empty() ? out : out + "}";
-}
-
-std::string NumberText(double number) {
-  std::ostringstream out;
-  out << number;
-  return out.str();
-}
-
-void PrintHead(std::string& out,
-               std::string_view name,
-               std::string_view help,
-               std::string_view type) {
-  const std::string text(name);
-  out += "# HELP " + text + " " + std::string(help) + "\n# TYPE " + text + " " +
-         std::string(type) + "\n";
+MetricLabels WithKeys(const std::vector<std::string_view>& keys,
+                      const std::vector<std::string>& values) {
+  MetricLabels labels;
+  for (size_t i = 0; i < keys.size(); ++i)
+    labels.push_back({keys[i], values[i]});
+  return labels;
 }
 
 }  // namespace
@@ -233,7 +199,6 @@
     const auto bound = std::ranges::lower_bound(family.bounds, value);
     ++histogram.buckets[static_cast<size_t>(bound - family.bounds.begin())];
     histogram.sum += value;
-    ++histogram.count;
   }
 }
 
@@ -250,8 +215,9 @@
 
 std::string ForwardMetrics::Print() const {
   std::string out;
-  PrintHead(out, "bilberry_ready", "Whether the host wants callers.", "gauge");
-  out += std::string("bilberry_ready ") + (is_ready_ ? "1" : "0") + "\n";
+  MetricWriter(out, "bilberry_ready", "gauge",
+               "Whether the host wants callers.")
+      .Add({}, uint64_t{is_ready_});
   PrintCounters(out);
   PrintHistograms(out);
   return out;
@@ -262,10 +228,9 @@
     const auto it = counters_.find(family.name);
     if (it == counters_.end())
       continue;
-    PrintHead(out, family.name, family.help, "counter");
+    MetricWriter metric(out, family.name, "counter", family.help);
     for (const auto& [labels, count] : it->second)
-      out += std::string(family.name) + LabelText(family.labels, labels) + " " +
-             std::to_string(count) + "\n";
+      metric.Add(WithKeys(family.labels, labels), count);
   }
 }
 
@@ -274,25 +239,10 @@
     const auto it = histograms_.find(family.name);
     if (it == histograms_.end())
       continue;
-    PrintHead(out, family.name, family.help, "histogram");
-    const std::string name(family.name);
-    for (const auto& [labels, histogram] : it->second) {
-      uint64_t below = 0;
-      for (size_t i = 0; i < histogram.buckets.size(); ++i) {
-        below += histogram.buckets[i];
-        const std::string bound =
-            i < family.bounds.size() ? NumberText(family.bounds[i]) : "+Inf";
-        const std::string text =
-            LabelText(family.labels, labels, "le=\"" + bound + "\"");
-        out.append(name).append("_bucket").append(text).append(" ");
-        out.append(std::to_string(below)).append("\n");
-      }
-      const std::string text = LabelText(family.labels, labels);
-      out.append(name).append("_sum").append(text).append(" ");
-      out.append(NumberText(histogram.sum)).append("\n");
-      out.append(name).append("_count").append(text).append(" ");
-      out.append(std::to_string(histogram.count)).append("\n");
-    }
+    MetricWriter metric(out, family.name, "histogram", family.help);
+    for (const auto& [labels, histogram] : it->second)
+      metric.AddHistogram(WithKeys(family.labels, labels), family.bounds,
+                          histogram.buckets, histogram.sum);
   }
 }
 
--- a/Libraries/LibTransport/forward_metrics.h
+++ b/Libraries/LibTransport/forward_metrics.h
@@ -31,7 +31,6 @@
   struct Histogram {
     std::vector<uint64_t> buckets;  // Not cumulative; the last is the rest.
     double sum = 0;
-    uint64_t count = 0;
   };
 
   void Count(std::string_view family, Labels labels);
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <utility>
 
+#include "LibTransport/metric_writer.h"
 #include "LibTransport/stage_job_codec.h"
 
 namespace bilberry::transport {
@@ -16,7 +17,6 @@
 constexpr const char* kAlivePath = "/v1/alive";
 constexpr const char* kResultsReadPath = "/v1/results-read";
 constexpr const char* kMetricsPath = "/metrics";
-constexpr const char* kMetricsType = "text/plain; version=0.0.4";
 // A host answers this at once; a lost packet is sent again after 200 ms (the
 // kernel's shortest retransmission time).
 constexpr std::chrono::milliseconds kAliveTimeout{350};
@@ -222,8 +222,8 @@
 void ForwardShell::AnswerMetrics(ExchangeId exchange) {
   metrics_.SetReady(node_.is_ready());
   metrics_.SetLinesLeftOut(log_.left_out_by_event());
-  peers_->Respond(exchange,
-                  {200, {{"Content-Type", kMetricsType}}, metrics_.Print()});
+  peers_->Respond(
+      exchange, {200, {{kContentTypeHeader, kMetricsType}}, metrics_.Print()});
 }
 
 void ForwardShell::AddConnectionHeader(HttpHeaders& headers) const {
--- /dev/null
+++ b/Libraries/LibTransport/metric_writer.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bilberry::transport {
+
+inline constexpr const char* kMetricsType = "text/plain; version=0.0.4";
+
+struct MetricLabel {
+  std::string_view key;
+  std::string value;
+};
+
+using MetricLabels = std::vector<MetricLabel>;
+
+// Writes the samples of one metric after its head, in the text exposition
+// format of Prometheus, version 0.0.4.
+class MetricWriter {
+ public:
+  // `out` must outlive the writer.
+  MetricWriter(std::string& out,
+               std::string_view name,
+               std::string_view type,
+               std::string_view help);
+
+  void Add(const MetricLabels& labels, const std::string& value) {
+    AddSuffixed("", labels, value);
+  }
+  void Add(const MetricLabels& labels, uint64_t value) {
+    Add(labels, std::to_string(value));
+  }
+  // A sample of a summary or a histogram: "_sum", "_count", "_bucket".
+  void AddSuffixed(std::string_view suffix,
+                   const MetricLabels& labels,
+                   const std::string& value);
+  // `buckets` are not cumulative, and have one more than `bounds` for the rest.
+  void AddHistogram(const MetricLabels& labels,
+                    std::span<const double> bounds,
+                    std::span<const uint64_t> buckets,
+                    double sum);
+
+ private:
+  std::string& out_;
+  std::string name_;
+};
+
+}  // namespace bilberry::transport
--- a/Libraries/LibTransport/metrics_text.h
+++ b/Libraries/LibTransport/metrics_text.h
@@ -4,11 +4,10 @@
 
 #include "LibNode/node_status.h"
 #include "LibReport/service_report.h"
+#include "LibTransport/metric_writer.h"
 
 namespace bilberry::transport {
 
-inline constexpr const char* kMetricsType = "text/plain; version=0.0.4";
-
 // A host's figures in the text exposition format of Prometheus, version 0.0.4.
 // Labels are declared names alone, so that their number is bounded; teams are
 // left to the report.
