LibForward: Compute order, pace and stage times once

- A refusal computed the queue's order twice and its pace three times; a call walked the waiting jobs four times.
They are passed on now.
- ForwardedRun::TimeAfter looked up pools and excess beside RunDesk::TimeOf: it takes the same time_of as EndOfOthers.
- The most usable room has a name; kLargeBytes meant two things with two values.

--- a/Libraries/LibForward/forwarded_run.cc
+++ b/Libraries/LibForward/forwarded_run.cc
@@ -148,18 +148,12 @@
 
 base::Duration ForwardedRun::TimeAfter(
     size_t stage,
-    const std::function<base::Duration(const base::PoolName&)>& excess) const {
+    const std::function<base::Duration(size_t)>& time_of) const {
   base::Duration longest{0};
   for (size_t i = stage + 1; i < stages.size(); ++i) {
-    if (!Reads(pipeline->stages[i], stage) ||
-        stages[i].phase == StagePhase::kDone)
-      continue;
-    const base::PoolName& name = pipeline->stages[i].pool;
-    const ForwardedPool* pool = configuration->FindPool(name);
-    if (pool == nullptr || !pool->pieces)
-      continue;
-    longest = std::max(longest, CallTimeOf(*pool->pieces, stages[i].pieces) +
-                                    excess(name) + TimeAfter(i, excess));
+    if (Reads(pipeline->stages[i], stage) &&
+        stages[i].phase != StagePhase::kDone)
+      longest = std::max(longest, time_of(i) + TimeAfter(i, time_of));
   }
   return longest;
 }
--- a/Libraries/LibForward/forwarded_run.h
+++ b/Libraries/LibForward/forwarded_run.h
@@ -78,11 +78,10 @@
   uint64_t BytesMoved(size_t stage) const;
   // Whether every stage that reads this one's results is done.
   bool IsReadByAll(size_t stage) const;
-  // What is left to do after a stage, without the request itself, when jobs of
-  // a pool take `excess` longer than the calls that they need.
+  // What is left to do after a stage, without the request itself.
   base::Duration TimeAfter(
       size_t stage,
-      const std::function<base::Duration(const base::PoolName&)>& excess) const;
+      const std::function<base::Duration(size_t)>& time_of) const;
 };
 
 // What the calls for so many pieces take at an idle pool.
--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -217,12 +217,9 @@
                                  size_t stage,
                                  base::TimePoint now) const {
   const auto time_of = [&](size_t it) { return TimeOf(run, it, now); };
-  const auto excess = [&](const base::PoolName& pool) {
-    return ExcessOf(pool, run.urgency, now);
-  };
   // With all that reads its results: what takes longest of all waits for
   // nothing, so that no two wait for each other.
-  const base::Duration needed = time_of(stage) + run.TimeAfter(stage, excess);
+  const base::Duration needed = time_of(stage) + run.TimeAfter(stage, time_of);
   return run.EndOfOthers(stage, now, time_of) - needed - kDoneBefore;
 }
 
@@ -278,13 +275,6 @@
   asks_.emplace(state.ask, std::pair(caller, stage));
 }
 
-base::Duration RunDesk::ExcessOf(const base::PoolName& pool,
-                                 Urgency urgency,
-                                 base::TimePoint now) const {
-  const auto it = job_excess_.find({pool, urgency});
-  return it == job_excess_.end() ? base::Duration(0) : it->second.At(now);
-}
-
 base::Duration RunDesk::TimeOf(const ForwardedRun& run,
                                size_t stage,
                                base::TimePoint now) const {
@@ -292,21 +282,21 @@
   const ForwardedPool* pool = run.configuration->FindPool(name);
   if (pool == nullptr || !pool->pieces)
     return base::Duration(0);
+  const auto excess = job_excess_.find({name, run.urgency});
   return CallTimeOf(*pool->pieces, run.stages[stage].pieces) +
-         ExcessOf(name, run.urgency, now);
+         (excess == job_excess_.end() ? base::Duration(0)
+                                      : excess->second.At(now));
 }
 
 base::Duration RunDesk::TimeAfter(const ForwardedRun& run,
                                   size_t stage,
                                   base::TimePoint now) const {
-  const auto excess = [&](const base::PoolName& pool) {
-    return ExcessOf(pool, run.urgency, now);
-  };
+  const auto time_of = [&](size_t it) { return TimeOf(run, it, now); };
   const auto first_byte = first_byte_.find(run.pipeline->name);
   const base::Duration final_time = first_byte == first_byte_.end()
                                         ? base::Duration(0)
                                         : first_byte->second.At(now);
-  return run.TimeAfter(stage, excess) +
+  return run.TimeAfter(stage, time_of) +
          std::max<base::Duration>(final_time, kFinalTime);
 }
 
--- a/Libraries/LibForward/run_desk.h
+++ b/Libraries/LibForward/run_desk.h
@@ -87,10 +87,6 @@
                 const AskOutcome& outcome,
                 base::TimePoint now);
   void NoteJobTime(const ForwardedRun& run, size_t stage, base::TimePoint now);
-  // By how much jobs of a pool take longer than their calls, lately.
-  base::Duration ExcessOf(const base::PoolName& pool,
-                          Urgency urgency,
-                          base::TimePoint now) const;
   // What a stage takes, with the wait for its turn.
   base::Duration TimeOf(const ForwardedRun& run,
                         size_t stage,
--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -20,9 +20,11 @@
 // the least, and what each call adds to it.
 constexpr double kRoomShrink = 0.95;
 constexpr double kLeastUsableRoom = 0.6;
+// Results may be smaller than declared, and others are freed during a call.
+constexpr double kMostUsableRoom = 1.3;
 constexpr double kRoomGrowth = 0.005;
 // Pieces that carry so much are made in their zone.
-constexpr uint64_t kLargeBytes = 300'000;
+constexpr uint64_t kManyCrossingBytes = 300'000;
 // The inputs of a piece must still be there when it is made; the first of them
 // may have been made this long before the last.
 constexpr std::chrono::milliseconds kFetchMargin{500};
@@ -118,7 +120,9 @@
 
 // Only calls that leave something waiting tell what the pool can do; while none
 // do, what was learned fades.
-void StageDispatcher::NoteFullness(size_t pieces, size_t on_time_pieces) {
+void StageDispatcher::NoteFullness(size_t pieces,
+                                   size_t on_time_pieces,
+                                   size_t waiting) {
   // Limits that say nothing of a call's time teach nothing.
   if (CallTime(1) <= base::Duration(0) || limits_.pieces_per_call == 0)
     return;
@@ -127,10 +131,9 @@
       static_cast<double>(CallTime(limits_.pieces_per_call).count());
   const double made = static_cast<double>(pieces) /
                       static_cast<double>(CallTime(pieces).count());
-  const double sample = waiting_pieces() > 0 ? made / full : 1;
+  const double sample = waiting > 0 ? made / full : 1;
   fullness_ += kFullnessWeight * (sample - fullness_);
-  const size_t could_take =
-      waiting_pieces() > 0 ? pieces : limits_.pieces_per_call;
+  const size_t could_take = waiting > 0 ? pieces : limits_.pieces_per_call;
   const double left =
       1 - static_cast<double>(on_time_pieces) / static_cast<double>(could_take);
   left_for_late_ += kFullnessWeight * (left - left_for_late_);
@@ -145,22 +148,22 @@
           job.job.progress};
 }
 
-ServiceOrder StageDispatcher::OrderAt(base::TimePoint now) const {
+ServiceOrder StageDispatcher::OrderAt(const PoolPace& pace) const {
   std::vector<QueuedJob> queued;
   for (const auto& [id, job] : jobs_) {
     if (!job.waiting.empty())
       queued.push_back(Queued(id, job));
   }
-  return OrderOfService(std::move(queued), PaceAt(now));
+  return OrderOfService(std::move(queued), pace);
 }
 
-// A request is refused before anything of it runs when it can't make its
-// deadline, neither on time nor behind those that are.
+// A job is refused when it asks if it can't be served by its deadline, or
+// before its inputs are gone: neither on time nor behind those that are.
 std::optional<JobFailure> StageDispatcher::RefusalOf(JobId id,
                                                      const Job& job,
                                                      base::TimePoint now) {
   const PoolPace pace = PaceAt(now);
-  const ServiceOrder order = OrderAt(now);
+  const ServiceOrder order = OrderAt(pace);
   const QueuedJob queued = Queued(id, job);
   const base::Duration on_time = WaitBehind(order, queued.urgency, pace, now);
   if (now + on_time + queued.needed <= job.target)
@@ -169,14 +172,25 @@
   if (now + wait + queued.needed <= job.deadline &&
       now + wait + kFetchMargin <= job.inputs_gone)
     return std::nullopt;
-  return JobFailure{JobFailureKind::kTooLate, ReturnAfter(job, now)};
+  return TooLate(job, order, pace, now);
 }
 
-base::Duration StageDispatcher::ReturnAfter(const Job& job,
-                                            base::TimePoint now) {
-  const base::Duration wait = TakeReturn(OrderAt(now), PaceAt(now), now,
-                                         job.job.piece_count, returns_until_);
-  return std::max<base::Duration>(wait, kShortestRetry);
+JobFailure StageDispatcher::TooLate(const Job& job,
+                                    const ServiceOrder& order,
+                                    const PoolPace& pace,
+                                    base::TimePoint now) {
+  const base::Duration wait =
+      TakeReturn(order, pace, now, job.job.piece_count, returns_until_);
+  return {JobFailureKind::kTooLate,
+          std::max<base::Duration>(wait, kShortestRetry)};
+}
+
+void StageDispatcher::FailTooLate(JobId id, base::TimePoint now) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end())
+    return;
+  const PoolPace pace = PaceAt(now);
+  Fail(id, TooLate(it->second, OrderAt(pace), pace, now));
 }
 
 // A job that has had no turn by then can't be served any more.
@@ -193,12 +207,14 @@
       lapsed.push_back(id);
   }
   for (const JobId id : lapsed)
-    Fail(id, {JobFailureKind::kTooLate, ReturnAfter(jobs_.at(id), now)});
+    FailTooLate(id, now);
 }
 
 StageDispatcher::OrderedJobs StageDispatcher::JobsInOrder(base::TimePoint now) {
-  const ServiceOrder order = OrderAt(now);
+  const PoolPace pace = PaceAt(now);
+  const ServiceOrder order = OrderAt(pace);
   OrderedJobs ordered;
+  ordered.queue_time = pace.TimeFor(waiting_pieces());
   ordered.on_time = order.on_time.size();
   for (const QueuedJob& it : order.on_time)
     ordered.jobs.emplace_back(it.id, &jobs_.at(it.id));
@@ -254,7 +270,7 @@
                               base::TimePoint now) const {
   const base::ZoneName& zone = job.job.reader_zone;
   if (zone.value.empty() || zone == endpoint.listed().zone ||
-      job.job.crossing_bytes < kLargeBytes)
+      job.job.crossing_bytes < kManyCrossingBytes)
     return true;
   const auto begins = NextTurnIn(zone, now);
   if (!begins)
@@ -285,11 +301,10 @@
                                     base::TimePoint now) {
   StageCall call;
   Call record;
-  const base::Duration queue_time = PaceAt(now).TimeFor(waiting_pieces());
   size_t on_time_pieces = 0;
   for (size_t i = 0; i < ordered.jobs.size(); ++i) {
     const auto& [id, job] = ordered.jobs[i];
-    if (!MayTake(endpoint, *job, queue_time, now))
+    if (!MayTake(endpoint, *job, ordered.queue_time, now))
       continue;
     TakePieces(endpoint, id, *job, call, record, now);
     if (i < ordered.on_time)
@@ -311,8 +326,9 @@
       static_cast<uint32_t>(kPercent * endpoint.room().used_bytes() /
                             std::max<uint64_t>(limits_.room_bytes, 1));
   call.usable_percent = static_cast<uint32_t>(kPercent * usable_room_);
-  call.waiting_pieces = static_cast<uint32_t>(waiting_pieces());
-  NoteFullness(call.pieces.size(), on_time_pieces);
+  const size_t waiting = waiting_pieces();
+  call.waiting_pieces = static_cast<uint32_t>(waiting);
+  NoteFullness(call.pieces.size(), on_time_pieces, waiting);
   calls_.emplace(call.id, std::move(record));
   return call;
 }
@@ -363,7 +379,7 @@
     endpoint->NoteAnswered();
     unreachable_zones_.erase(endpoint->listed().zone);
   }
-  usable_room_ = std::min(usable_room_ + kRoomGrowth, 1.3);
+  usable_room_ = std::min(usable_room_ + kRoomGrowth, kMostUsableRoom);
   bool found_no_room = false;
   for (size_t i = 0; i < pieces->size(); ++i) {
     const CalledPiece& piece = call.pieces[i];
@@ -438,9 +454,7 @@
                                   PieceRefusal refusal) {
   switch (refusal) {
     case PieceRefusal::kLate:
-      if (const auto it = jobs_.find(piece.job); it != jobs_.end())
-        Fail(piece.job,
-             {JobFailureKind::kTooLate, ReturnAfter(it->second, latest_)});
+      FailTooLate(piece.job, latest_);
       return;
     case PieceRefusal::kInputGone:
       Fail(piece.job, {JobFailureKind::kInputGone, kShortestRetry});
--- a/Libraries/LibForward/stage_dispatcher.h
+++ b/Libraries/LibForward/stage_dispatcher.h
@@ -83,6 +83,7 @@
   struct OrderedJobs {
     std::vector<std::pair<JobId, Job*>> jobs;
     size_t on_time = 0;
+    base::Duration queue_time{};  // Until all of them have had their turn.
   };
 
   bool HasRoomFor(const PieceEndpoint& endpoint, uint64_t bytes) const;
@@ -96,12 +97,17 @@
   base::Duration CallTime(size_t pieces) const;
   PoolPace PaceAt(base::TimePoint now) const;
   QueuedJob Queued(JobId id, const Job& job) const;
-  ServiceOrder OrderAt(base::TimePoint now) const;
+  ServiceOrder OrderAt(const PoolPace& pace) const;
   // Empty when the job is welcome.
   std::optional<JobFailure> RefusalOf(JobId id,
                                       const Job& job,
                                       base::TimePoint now);
-  base::Duration ReturnAfter(const Job& job, base::TimePoint now);
+  // Tells when to come back.
+  JobFailure TooLate(const Job& job,
+                     const ServiceOrder& order,
+                     const PoolPace& pace,
+                     base::TimePoint now);
+  void FailTooLate(JobId id, base::TimePoint now);
   base::TimePoint LapseOf(const Job& job) const;
   void DropLapsed(base::TimePoint now);
   OrderedJobs JobsInOrder(base::TimePoint now);
@@ -114,7 +120,7 @@
                   StageCall& call,
                   Call& record,
                   base::TimePoint now);
-  void NoteFullness(size_t pieces, size_t on_time_pieces);
+  void NoteFullness(size_t pieces, size_t on_time_pieces, size_t waiting);
   void NoteMade(const Call& call,
                 const CalledPiece& piece,
                 const std::string& handle,
