--- a/Libraries/LibMembership/host_list.cc
+++ b/Libraries/LibMembership/host_list.cc
@@ -9,6 +9,14 @@
 using base::HostKind;
 using base::HostState;
 
+namespace {
+
+bool IsLiveEndpoint(const HostEntry& entry) {
+  return entry.kind == HostKind::kEndpoint && entry.state == HostState::kLive;
+}
+
+}  // namespace
+
 bool HostList::Apply(const base::HostsPolled& polled) {
   const bool is_whole = version_ == 0 || polled.version < version_;
   // Who left before this host knew of any list is no news to its peers.
@@ -41,16 +49,13 @@
 }
 
 bool HostList::HasLiveEndpoint() const {
-  return std::ranges::any_of(entries_, [](const auto& it) {
-    return it.second.kind == HostKind::kEndpoint &&
-           it.second.state == HostState::kLive;
-  });
+  return std::ranges::any_of(
+      entries_, [](const auto& it) { return IsLiveEndpoint(it.second); });
 }
 
 bool HostList::HasLiveEndpoint(const base::PoolName& pool) const {
   return std::ranges::any_of(entries_, [&pool](const auto& it) {
-    return it.second.kind == HostKind::kEndpoint &&
-           it.second.state == HostState::kLive && it.second.pool == pool;
+    return IsLiveEndpoint(it.second) && it.second.pool == pool;
   });
 }
 
@@ -96,8 +101,7 @@
     const base::PoolName& pool) const {
   std::vector<HostEntry> live;
   for (const auto& [name, entry] : entries_) {
-    if (entry.kind == HostKind::kEndpoint && entry.state == HostState::kLive &&
-        entry.pool == pool)
+    if (IsLiveEndpoint(entry) && entry.pool == pool)
       live.push_back(entry);
   }
   return live;
--- a/Utilities/bilberryload/emulate_command.cc
+++ b/Utilities/bilberryload/emulate_command.cc
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "LibEmulation/emulation.h"
-#include "LibTransport/program.h"
+#include "complain.h"
 
 namespace bilberry::load {
 
@@ -13,11 +13,6 @@
 
 constexpr uint32_t kMaxHosts = 1000;
 
-int Complain(const std::string& message) {
-  std::cerr << "bilberryload: " << message << "\n";
-  return transport::kExitUsage;
-}
-
 }  // namespace
 
 void AddEmulationFlags(cxxopts::Options& options) {
--- a/Utilities/bilberryload/experiment_command.cc
+++ b/Utilities/bilberryload/experiment_command.cc
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "LibTransport/json_text.h"
-#include "LibTransport/program.h"
+#include "complain.h"
 #include "experiment_plan.h"
 #include "experiment_report.h"
 #include "experiment_run.h"
@@ -21,11 +21,6 @@
 constexpr uint32_t kMaxSeconds = 600;
 constexpr int kExitFailure = 1;
 
-int Complain(const std::string& message) {
-  std::cerr << "bilberryload: " << message << "\n";
-  return transport::kExitUsage;
-}
-
 int List() {
   for (const Experiment& experiment : Experiments())
     std::cout << experiment.name << ": " << experiment.target << "\n";
--- a/Utilities/bilberryload/main.cc
+++ b/Utilities/bilberryload/main.cc
@@ -5,6 +5,7 @@
 
 #include "LibTransport/json_text.h"
 #include "LibTransport/program.h"
+#include "complain.h"
 #include "emulate_command.h"
 #include "experiment_command.h"
 #include "load_generator.h"
@@ -95,8 +96,7 @@
     return bilberry::load::RunExperiment(flags);
   if (command == "emulate")
     return bilberry::load::RunEmulation(flags);
-  std::cerr << "bilberryload: there is no command \"" << command << "\"\n";
-  return bilberry::transport::kExitUsage;
+  return bilberry::load::Complain("there is no command \"" + command + "\"");
 }
 
 int Run(const cxxopts::ParseResult& flags) {
