--- a/Libraries/LibOperator/request_story.cc
+++ b/Libraries/LibOperator/request_story.cc
@@ -17,6 +17,11 @@
 constexpr size_t kMostWarnings = 30;
 constexpr int64_t kMsPerSecond = 1000;
 
+// Empty when it is no text.
+std::string TextOf(const Json::Value& value) {
+  return value.isString() ? value.asString() : "";
+}
+
 bool IsOwnField(const std::string& name) {
   return name == "unix_ms" || name == "at_us" || name == "event" ||
          name == "name" || name == "severity" || name == "request" ||
@@ -55,9 +60,9 @@
   line.event = object["name"].asString();
   line.is_routine = object["severity"].asString() == "info";
   for (const std::string& name : object.getMemberNames()) {
-    if (!IsOwnField(name) && object[name].isString() &&
-        !object[name].asString().empty())
-      line.facts.emplace_back(name, object[name].asString());
+    std::string text = TextOf(object[name]);
+    if (!IsOwnField(name) && !text.empty())
+      line.facts.emplace_back(name, std::move(text));
   }
   return line;
 }
@@ -93,9 +98,8 @@
     const auto object = transport::ParseCompact(line_text.substr(begin));
     if (!object || !IsLine(*object))
       continue;
-    const bool tells_of_it =
-        (*object)["request"].asString() == request_id_ ||
-        Lists((*object)["requests"].asString(), request_id_);
+    const bool tells_of_it = TextOf((*object)["request"]) == request_id_ ||
+                             Lists(TextOf((*object)["requests"]), request_id_);
     StoryLine line = LineOf(*object, OriginOf(text.substr(0, begin), file));
     if (tells_of_it)
       told_.push_back(std::move(line));
--- a/Tests/LibOperator/test_request_story.cc
+++ b/Tests/LibOperator/test_request_story.cc
@@ -44,6 +44,17 @@
         "  -1.000 s  a.log  platform-unreachable  feed=hosts\n");
 }
 
+TEST_CASE("lines of other programs are passed over") {
+  RequestStory story("r1");
+  std::istringstream log(
+      R"({"unix_ms":1,"name":"n","severity":"info","request":{"id":"r1"}}
+{"unix_ms":1,"name":"n","severity":"info","requests":["r1"]}
+{"unix_ms":"1","name":"n","severity":"info","request":"r1"}
+[1] {)");
+  story.Read(log, "other.log");
+  CHECK(story.is_empty());
+}
+
 TEST_CASE("a request that no line names has no story") {
   RequestStory story("r");
   std::istringstream log(kAskingHost);
