LibForward: Ask anew what the store held when it went away

A call for the configuration that it held was given up only when its 11.5 s were over, at 23.3 s, and the next one would have ended at 35 s; the endpoints' feed was back at 28.6 s.

Now a call that is held begins anew when any feed's call succeeds after a failure, or when the history is lost, if it began before that call. While a feed fails, its calls aren't held; for 24 s after a failure none is held for longer than 0.5 s, since an answer that is lost is missed only when its time is over.

--- a/Libraries/LibForward/feed_follower.cc
+++ b/Libraries/LibForward/feed_follower.cc
@@ -10,21 +10,36 @@
 
 // After a failed call the next one waits: twice as long after each failure in a
 // row, up to the longest, and up to half as long again at random so that hosts
-// don't come back together.
+// don't come back together. With the time that a call may take, the longest
+// bounds how long a feed goes on failing behind the store's return.
 constexpr std::chrono::milliseconds kFirstPause{100};
-constexpr std::chrono::milliseconds kLongestPause{800};
+constexpr std::chrono::milliseconds kLongestPause{400};
 
 }  // namespace
 
 std::optional<std::variant<ListTable, FollowTable>> FeedFollower::NextCall(
-    base::TimePoint now) {
+    base::TimePoint now,
+    std::chrono::milliseconds longest_wait) {
   if (is_calling_ || now < not_before_)
     return std::nullopt;
   is_calling_ = true;
+  call_began_ = now;
   not_before_ = now + pace_.interval;
   if (phase_ == Phase::kListing)
     return ListTable{feed_, pages_.empty() ? "" : pages_.back().key};
-  return FollowTable{feed_, version_, pace_.wait};
+  // A store that has failed may be silent still: a call that it would hold
+  // tells that no sooner than its time is over.
+  return FollowTable{feed_, version_,
+                     is_failing() ? std::chrono::milliseconds(0)
+                                  : std::min(pace_.wait, longest_wait)};
+}
+
+void FeedFollower::AskAnewIfBegunBefore(base::TimePoint time) {
+  if (!is_calling_ || call_began_ >= time)
+    return;
+  is_calling_ = false;
+  not_before_ = base::TimePoint();
+  pages_.clear();
 }
 
 std::optional<FeedFollower::Update> FeedFollower::HandleListed(
--- a/Libraries/LibForward/feed_follower.h
+++ b/Libraries/LibForward/feed_follower.h
@@ -34,19 +34,26 @@
   FeedFollower(FeedKind feed, FeedPace pace, uint64_t seed)
       : feed_(feed), pace_(pace), random_(seed) {}
 
-  // The next call, when one is due.
+  // The next call, when one is due; the store may hold it for `longest_wait`.
   std::optional<std::variant<ListTable, FollowTable>> NextCall(
-      base::TimePoint now);
+      base::TimePoint now,
+      std::chrono::milliseconds longest_wait =
+          std::chrono::milliseconds::max());
 
   // Empty until the last page is there.
   std::optional<Update> HandleListed(TableListed event);
   Update HandleChanged(TableChanged event);
   void HandleHistoryLost();
   void HandleFailed(base::TimePoint now);
+  // Makes the next call at once, in place of one under way that began before
+  // `time`; an answer to that one must not be handed in any more.
+  void AskAnewIfBegunBefore(base::TimePoint time);
 
   // Empty while a call is under way.
   std::optional<base::TimePoint> NextWakeup() const;
   bool is_failing() const { return failures_ > 0; }
+  // When the last call began.
+  base::TimePoint call_began() const { return call_began_; }
 
  private:
   enum class Phase { kListing, kFollowing };
@@ -57,6 +64,7 @@
   Phase phase_ = Phase::kListing;
   bool is_calling_ = false;
   uint32_t failures_ = 0;  // In a row.
+  base::TimePoint call_began_;
   base::TimePoint not_before_;
   uint64_t version_ = 0;
   std::vector<FeedRow> pages_;
--- a/Libraries/LibForward/forward_action.h
+++ b/Libraries/LibForward/forward_action.h
@@ -125,7 +125,8 @@
   base::SocketAddress address;
 };
 
-// Reads a table from `start_after` on; empty for its beginning.
+// Reads a table from `start_after` on; empty for its beginning. Replaces the
+// call of this feed that is under way, as FollowTable does.
 struct ListTable {
   FeedKind feed{};
   std::string start_after;
--- a/Libraries/LibForward/store_desk.cc
+++ b/Libraries/LibForward/store_desk.cc
@@ -19,6 +19,12 @@
 constexpr FeedPace kHostPace{std::chrono::milliseconds(500),
                              std::chrono::milliseconds(20'000)};
 constexpr std::chrono::milliseconds kOwnRowRetry{700};
+// For this long after a failed call the store holds none for longer than
+// kWaitInTrouble: an answer that it loses is missed only when the call's time
+// is over. Longer than calls are held when all is well, so that each of those
+// that were under way has ended.
+constexpr std::chrono::milliseconds kTroubleLasts{24'000};
+constexpr std::chrono::milliseconds kWaitInTrouble{500};
 
 }  // namespace
 
@@ -55,6 +61,7 @@
   const bool was_failing = FollowerOf(event.feed).is_failing();
   FollowerOf(event.feed).HandleHistoryLost();
   NoteReachable(event.feed, was_failing, now);
+  AskOthersAnew(event.feed);
 }
 
 void StoreDesk::Handle(const TableCallFailed& event, base::TimePoint now) {
@@ -64,6 +71,7 @@
         base::LogEventId::kPlatformUnreachable, "",
         {{"feed", std::string(ToText(event.feed))}, {"reason", event.detail}});
   follower.HandleFailed(now);
+  trouble_until_ = now + kTroubleLasts;
   if (event.feed == FeedKind::kEndpoints)
     directory_.NoteStoreLost();
 }
@@ -73,9 +81,20 @@
                               base::TimePoint now) {
   if (feed == FeedKind::kEndpoints)
     directory_.NoteStoreBack(now);
-  if (was_failing)
-    context_.Log(base::LogEventId::kPlatformReachable, "",
-                 {{"feed", std::string(ToText(feed))}});
+  if (!was_failing)
+    return;
+  context_.Log(base::LogEventId::kPlatformReachable, "",
+               {{"feed", std::string(ToText(feed))}});
+  AskOthersAnew(feed);
+}
+
+// A call that the store held when it went away is answered by nobody, and fails
+// only when its time is over. So what one feed has seen counts for all whose
+// calls began before.
+void StoreDesk::AskOthersAnew(FeedKind feed) {
+  const base::TimePoint seen = FollowerOf(feed).call_began();
+  for (FeedFollower& follower : followers_)
+    follower.AskAnewIfBegunBefore(seen);
 }
 
 void StoreDesk::LogUnreadable(FeedKind feed, const FeedRow& row) {
@@ -160,8 +179,10 @@
   }
   if (directory_.DropMissing(now))
     ++endpoint_changes_;
+  const auto longest_wait =
+      now < trouble_until_ ? kWaitInTrouble : std::chrono::milliseconds::max();
   for (FeedFollower& follower : followers_) {
-    if (auto call = follower.NextCall(now))
+    if (auto call = follower.NextCall(now, longest_wait))
       std::visit([this](const auto& it) { context_.Emit(it); }, *call);
   }
 }
--- a/Libraries/LibForward/store_desk.h
+++ b/Libraries/LibForward/store_desk.h
@@ -53,6 +53,7 @@
   void TakeConfiguration(const FeedFollower::Update& update);
   void TakeHosts(const FeedFollower::Update& update);
   void NoteReachable(FeedKind feed, bool was_failing, base::TimePoint now);
+  void AskOthersAnew(FeedKind feed);
   void LogUnreadable(FeedKind feed, const FeedRow& row);
 
   ForwardContext& context_;
@@ -60,6 +61,8 @@
   EndpointDirectory directory_;
   std::map<std::string, PeerHost> hosts_;
   std::shared_ptr<const ForwardConfiguration> configuration_;
+  // The store has failed calls lately.
+  base::TimePoint trouble_until_;
   uint64_t configuration_changes_ = 0;
   uint64_t endpoint_changes_ = 0;
   uint64_t host_changes_ = 0;
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -26,8 +26,10 @@
 constexpr std::chrono::milliseconds kTellTimeout{1000};
 constexpr std::chrono::milliseconds kFreeTimeout{1000};
 constexpr std::chrono::milliseconds kStoreTimeout{1500};
-// What the way to the store and back may add to a call that is held there.
-constexpr std::chrono::milliseconds kFollowSlack{1500};
+// What an answer may take beside the time for which the store holds the call:
+// with the pause after a failed one, it bounds for how long a host goes on
+// without a store that is back.
+constexpr std::chrono::milliseconds kFollowSlack{1000};
 // Between the order to stop and the end of the grace: time for answers to be
 // written.
 constexpr std::chrono::milliseconds kStopMargin{1000};
@@ -414,24 +416,38 @@
               });
 }
 
+void ForwardShell::CallStore(forward::FeedKind feed,
+                             HttpRequest request,
+                             HttpClient::DoneHandler done) {
+  const auto earlier = feed_calls_.find(feed);
+  if (earlier != feed_calls_.end())
+    http_->Cancel(earlier->second);
+  feed_calls_[feed] =
+      http_->Send(std::move(request),
+                  [this, feed, done = std::move(done)](HttpOutcome outcome) {
+                    feed_calls_.erase(feed);
+                    done(std::move(outcome));
+                  });
+}
+
 void ForwardShell::Do(const forward::ListTable& action) {
   HttpRequest request = adapter_.EncodeList(action);
   request.timeout = kStoreTimeout;
-  http_->Send(std::move(request),
-              [this, feed = action.feed](const HttpOutcome& outcome) {
-                NoteStoreCall("list", outcome);
-                Feed(adapter_.DecodeListed(feed, outcome));
-              });
+  CallStore(action.feed, std::move(request),
+            [this, feed = action.feed](const HttpOutcome& outcome) {
+              NoteStoreCall("list", outcome);
+              Feed(adapter_.DecodeListed(feed, outcome));
+            });
 }
 
 void ForwardShell::Do(const forward::FollowTable& action) {
   HttpRequest request = adapter_.EncodeFollow(action);
   request.timeout = action.wait + kFollowSlack;
-  http_->Send(std::move(request),
-              [this, feed = action.feed](const HttpOutcome& outcome) {
-                NoteStoreCall("follow", outcome);
-                Feed(adapter_.DecodeChanged(feed, outcome));
-              });
+  CallStore(action.feed, std::move(request),
+            [this, feed = action.feed](const HttpOutcome& outcome) {
+              NoteStoreCall("follow", outcome);
+              Feed(adapter_.DecodeChanged(feed, outcome));
+            });
 }
 
 void ForwardShell::Do(const forward::WriteOwnRow& action) {
--- a/Libraries/LibTransport/forward_shell.h
+++ b/Libraries/LibTransport/forward_shell.h
@@ -69,6 +69,9 @@
   void HandlePeer(const IncomingRequest& request);
   void AnswerMetrics(ExchangeId exchange);
   void NoteStoreCall(std::string_view call, const HttpOutcome& outcome);
+  void CallStore(forward::FeedKind feed,
+                 HttpRequest request,
+                 HttpClient::DoneHandler done);
   void HandleAttemptChunk(const base::AttemptId& attempt,
                           const HttpResponse& head,
                           std::string bytes);
@@ -112,6 +115,8 @@
   std::unique_ptr<HttpListener> peers_;
   std::unordered_map<uint64_t, Attempt> attempts_;  // By number.
   std::unordered_map<forward::AskId, HttpTransferId> asks_;
+  // The call of each feed that is under way.
+  std::map<forward::FeedKind, HttpTransferId> feed_calls_;
   // Callers whose streams have begun.
   std::unordered_map<base::CallerId, bool> streams_;
   bool has_exited_ = false;
