--- a/Libraries/LibDeclare/forward_settings.cc
+++ b/Libraries/LibDeclare/forward_settings.cc
@@ -10,6 +10,7 @@
 
 constexpr double kMostCores = 1024;
 constexpr double kFewestCores = 0.01;
+constexpr double kMostLinkMbps = 1'000'000;
 constexpr double kLongestGraceSeconds = 3600;
 
 void ReadAddress(ObjectReader& reader,
@@ -42,6 +43,8 @@
   ReadAddress(root, "store", settings.store);
   root.Read("cores", settings.cores, {kFewestCores, kMostCores},
             Presence::kOptional);
+  root.Read("link_mbps", settings.link_mbps, {0, kMostLinkMbps},
+            Presence::kOptional);
   double grace_seconds = 0;
   root.Read("stop_grace_s", grace_seconds, {0, kLongestGraceSeconds},
             Presence::kOptional);
--- a/Libraries/LibDeclare/forward_settings.h
+++ b/Libraries/LibDeclare/forward_settings.h
@@ -19,6 +19,7 @@
   base::SocketAddress peers;      // Where other entry hosts are answered.
   base::SocketAddress store;      // The platform's.
   double cores = 1;               // This host's part of a processor.
+  double link_mbps = 0;           // What its network link carries; 0: unknown.
   // From the order to stop until the process is killed.
   std::chrono::milliseconds stop_grace{8000};
 
--- a/Libraries/LibEmulation/emulation.cc
+++ b/Libraries/LibEmulation/emulation.cc
@@ -15,8 +15,6 @@
 // Those who came last, and those who come back, are still answered.
 constexpr seconds kTail{60};
 constexpr milliseconds kStoreDelay{4};
-// An answer of a host that is gone is waited for this long.
-constexpr milliseconds kAliveTimeout{350};
 // Between a caller and its host.
 constexpr milliseconds kCallerDelay{1};
 // What endpoints read results with.
@@ -369,12 +367,12 @@
   const Question& question = node.mapped();
   exchanges_.erase({question.asker, question.ask});
   FeedPeer(host, question.asker,
-           forward::PeerJobEnded{question.ask, action.outcome});
+           forward::PeerJobEnded{question.ask, action.outcome, action.backlog});
 }
 
 void Emulation::Do(size_t host, const forward::TellPeerRead& action) {
   if (const auto to = FindHost(action.address))
-    FeedPeer(host, *to, forward::PeerResultsRead{action.pool, action.results});
+    FeedPeer(host, *to, forward::PeerResultsRead{action.at, action.results});
 }
 
 void Emulation::Do(size_t host, const forward::AskWhetherAlive& action) {
@@ -382,7 +380,7 @@
   if (to)
     ++hosts_[*to].messages;
   if (!to || !hosts_[*to].is_alive) {
-    FeedAfter(kAliveTimeout, host,
+    FeedAfter(action.timeout, host,
               forward::PeerSilent{action.host, "no answer"});
     return;
   }
--- /dev/null
+++ b/Libraries/LibForward/dispatch_desk.cc
@@ -0,0 +1,216 @@
+#include "LibForward/dispatch_desk.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include "LibBase/overloaded.h"
+
+namespace bilberry::forward {
+
+namespace {
+
+// Each request once, in the order of the call; a request's pieces lie together.
+std::string RequestsOf(const StageCall& call) {
+  std::string ids;
+  const std::string* last = nullptr;
+  for (const PieceOrder& piece : call.pieces) {
+    if (last != nullptr && *last == piece.request_id)
+      continue;
+    last = &piece.request_id;
+    ids += (ids.empty() ? "" : " ") + piece.request_id;
+  }
+  return ids;
+}
+
+}  // namespace
+
+void DispatchDesk::Reconfigure(const ForwardConfiguration& configuration) {
+  limits_.clear();
+  for (const ForwardedPool& pool : configuration.pools) {
+    if (pool.pieces)
+      limits_.emplace(pool.name, *pool.pieces);
+  }
+  for (auto& [at, entry] : entries_) {
+    const auto it = limits_.find(at.pool);
+    if (it != limits_.end())
+      entry.dispatcher.Reconfigure(it->second);
+  }
+}
+
+void DispatchDesk::SetEndpoints(std::vector<ListedEndpoint> endpoints) {
+  endpoints_ = std::move(endpoints);
+  for (auto& [at, entry] : entries_)
+    GiveEndpoints(at, entry);
+}
+
+void DispatchDesk::GiveEndpoints(const CellPool& at, Entry& entry) {
+  std::vector<ListedEndpoint> own;
+  std::ranges::copy_if(endpoints_, std::back_inserter(own),
+                       [&at](const ListedEndpoint& it) {
+                         return it.pool == at.pool && at.cell.Holds(it);
+                       });
+  entry.dispatcher.SetEndpoints(own);
+}
+
+DispatchDesk::Entry* DispatchDesk::FindOrAdd(const CellPool& at) {
+  const auto limits = limits_.find(at.pool);
+  if (limits == limits_.end())
+    return nullptr;
+  const auto [it, is_new] = entries_.try_emplace(at, limits->second);
+  if (is_new)
+    GiveEndpoints(at, it->second);
+  return &it->second;
+}
+
+std::optional<JobId> DispatchDesk::Submit(const CellPool& at,
+                                          StageJob job,
+                                          JobOrigin origin,
+                                          base::TimePoint now) {
+  Entry* entry = FindOrAdd(at);
+  if (entry == nullptr)
+    return std::nullopt;
+  std::string request_id = job.request_id;
+  const JobId id = entry->dispatcher.Submit(std::move(job), now);
+  entry->submitted.emplace(id, SubmittedJob{origin, std::move(request_id)});
+  return id;
+}
+
+void DispatchDesk::Withdraw(const CellPool& at, JobId job) {
+  const auto it = entries_.find(at);
+  if (it == entries_.end())
+    return;
+  it->second.dispatcher.Withdraw(job);
+  it->second.submitted.erase(job);
+}
+
+void DispatchDesk::Free(const CellPool& at,
+                        const std::vector<StageResult>& results,
+                        base::TimePoint now) {
+  if (Entry* entry = FindOrAdd(at))
+    entry->dispatcher.Free(results, now);
+}
+
+void DispatchDesk::Handle(const ResultsFreed& event) {
+  for (auto& [at, entry] : entries_) {
+    if (at.pool == event.order.pool)
+      entry.dispatcher.NoteFreed(event.order);
+  }
+}
+
+void DispatchDesk::Handle(const StageCallEnded& event, base::TimePoint now) {
+  const auto node = calls_.extract(event.call);
+  if (node.empty())
+    return;
+  const OpenCall& call = node.mapped();
+  LogCall(call, event.outcome, now);
+  const auto it = entries_.find(call.at);
+  if (it != entries_.end())
+    it->second.dispatcher.FinishCall(call.id, event.outcome, now);
+}
+
+void DispatchDesk::LogCall(const OpenCall& call,
+                           const StageCallOutcome& outcome,
+                           base::TimePoint now) {
+  std::vector<LogFact> facts{
+      {"pool", call.at.pool.value},
+      {"cell", call.at.cell.zone.value},
+      {"endpoint", call.endpoint.value},
+      {"pieces", std::to_string(call.pieces)},
+      {"ms", ToMilliseconds(now - call.sent)},
+      {"left_waiting", std::to_string(call.waiting_pieces)},
+      {"room_used_percent", std::to_string(call.room_percent)},
+      {"room_usable_percent", std::to_string(call.usable_percent)},
+      {"requests", call.requests}};
+  std::visit(base::Overloaded{
+                 [&facts](const std::vector<PieceOutcome>& it) {
+                   facts.push_back(
+                       {"made",
+                        std::to_string(std::ranges::count_if(
+                            it, [](const PieceOutcome& piece) {
+                              return std::holds_alternative<std::string>(piece);
+                            }))});
+                 },
+                 [&facts](StageCallFailure it) {
+                   facts.push_back({"failure", std::string(ToText(it))});
+                 },
+             },
+             outcome);
+  context_.Log(base::LogEventId::kStageCallEnded, "", std::move(facts));
+}
+
+void DispatchDesk::Dispatch(base::TimePoint now) {
+  for (auto& [at, entry] : entries_) {
+    MakeCalls(at, entry, now);
+    for (FreeOrder& order : entry.dispatcher.TakeFreeOrders(now))
+      context_.Emit(FreeResults{std::move(order)});
+    TakeOutcomesOf(at, entry, now);
+  }
+}
+
+void DispatchDesk::MakeCalls(const CellPool& at,
+                             Entry& entry,
+                             base::TimePoint now) {
+  while (auto call = entry.dispatcher.NextCall(now)) {
+    const StageCallId id{++last_call_};
+    calls_.emplace(
+        id, OpenCall{at, call->id, call->endpoint, now, call->pieces.size(),
+                     RequestsOf(*call), call->room_percent,
+                     call->usable_percent, call->waiting_pieces});
+    call->id = id;
+    context_.Emit(CallStage{std::move(*call)});
+  }
+}
+
+void DispatchDesk::TakeOutcomesOf(const CellPool& at,
+                                  Entry& entry,
+                                  base::TimePoint now) {
+  auto outcomes = entry.dispatcher.TakeOutcomes();
+  if (outcomes.empty())
+    return;
+  const base::Duration backlog = entry.dispatcher.Backlog(now);
+  for (auto& [job, outcome] : outcomes) {
+    const auto node = entry.submitted.extract(job);
+    if (node.empty())
+      continue;
+    if (const auto* failure = std::get_if<JobFailure>(&outcome))
+      LogRefused(at, entry, node.mapped().request_id, *failure);
+    outcomes_.push_back({node.mapped().origin, std::move(outcome), backlog});
+  }
+}
+
+void DispatchDesk::LogRefused(const CellPool& at,
+                              const Entry& entry,
+                              const std::string& request_id,
+                              const JobFailure& failure) {
+  context_.Log(
+      base::LogEventId::kJobRefused, request_id,
+      {{"pool", at.pool.value},
+       {"cell", at.cell.zone.value},
+       {"reason", std::string(ToText(failure.kind))},
+       {"waiting_pieces", std::to_string(entry.dispatcher.waiting_pieces())},
+       {"endpoints", std::to_string(entry.dispatcher.ServingCount())},
+       {"retry_ms", ToMilliseconds(failure.retry_after)}});
+}
+
+std::vector<DispatchedJob> DispatchDesk::TakeOutcomes() {
+  return std::exchange(outcomes_, {});
+}
+
+size_t DispatchDesk::job_count() const {
+  size_t n = 0;
+  for (const auto& [at, entry] : entries_)
+    n += entry.submitted.size();
+  return n;
+}
+
+std::optional<base::TimePoint> DispatchDesk::NextWakeup() const {
+  std::optional<base::TimePoint> next;
+  for (const auto& [at, entry] : entries_) {
+    const auto wakeup = entry.dispatcher.NextWakeup();
+    if (wakeup && (!next || *wakeup < *next))
+      next = wakeup;
+  }
+  return next;
+}
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/dispatch_desk.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "LibForward/cell.h"
+#include "LibForward/forward_context.h"
+#include "LibForward/stage_dispatcher.h"
+
+namespace bilberry::forward {
+
+// Whose job a dispatcher works on: this host's own, or a peer's.
+using JobOrigin = std::variant<AskId, PeerExchangeId>;
+
+// A job that is over.
+struct DispatchedJob {
+  JobOrigin origin;
+  JobOutcome outcome;
+  base::Duration backlog{};  // What a new job would wait there now.
+};
+
+// The dispatchers of this host, one for each pool of each cell that it was
+// asked for.
+class DispatchDesk {
+ public:
+  explicit DispatchDesk(ForwardContext& context) : context_(context) {}
+
+  void Reconfigure(const ForwardConfiguration& configuration);
+  void SetEndpoints(std::vector<ListedEndpoint> endpoints);
+
+  // Ends in one outcome, unless it is withdrawn. Empty when the pool makes no
+  // pieces.
+  std::optional<JobId> Submit(const CellPool& at,
+                              StageJob job,
+                              JobOrigin origin,
+                              base::TimePoint now);
+  void Withdraw(const CellPool& at, JobId job);
+  // The results won't be read any more.
+  void Free(const CellPool& at,
+            const std::vector<StageResult>& results,
+            base::TimePoint now);
+
+  void Handle(const ResultsFreed& event);
+  void Handle(const StageCallEnded& event, base::TimePoint now);
+
+  // Makes the calls that are due.
+  void Dispatch(base::TimePoint now);
+  std::vector<DispatchedJob> TakeOutcomes();
+
+  size_t job_count() const;
+  std::optional<base::TimePoint> NextWakeup() const;
+
+ private:
+  // A call that a dispatcher of this host has made.
+  struct OpenCall {
+    CellPool at;
+    StageCallId id{};  // The dispatcher's own.
+    base::EndpointName endpoint;
+    base::TimePoint sent;
+    size_t pieces = 0;
+    std::string requests;  // Ids, with spaces between.
+    uint32_t room_percent = 0;
+    uint32_t usable_percent = 0;
+    uint32_t waiting_pieces = 0;
+  };
+
+  struct SubmittedJob {
+    JobOrigin origin;
+    std::string request_id;
+  };
+
+  struct Entry {
+    explicit Entry(const PieceLimits& limits) : dispatcher(limits) {}
+    StageDispatcher dispatcher;
+    std::map<JobId, SubmittedJob> submitted;
+  };
+
+  // Null when the pool makes no pieces.
+  Entry* FindOrAdd(const CellPool& at);
+  void GiveEndpoints(const CellPool& at, Entry& entry);
+  void MakeCalls(const CellPool& at, Entry& entry, base::TimePoint now);
+  void TakeOutcomesOf(const CellPool& at, Entry& entry, base::TimePoint now);
+  void LogCall(const OpenCall& call,
+               const StageCallOutcome& outcome,
+               base::TimePoint now);
+  void LogRefused(const CellPool& at,
+                  const Entry& entry,
+                  const std::string& request_id,
+                  const JobFailure& failure);
+
+  ForwardContext& context_;
+  std::map<base::PoolName, PieceLimits> limits_;
+  std::vector<ListedEndpoint> endpoints_;
+  std::map<CellPool, Entry> entries_;
+  // Calls are numbered over all dispatchers.
+  std::map<StageCallId, OpenCall> calls_;
+  std::vector<DispatchedJob> outcomes_;
+  uint64_t last_call_ = 0;
+};
+
+}  // namespace bilberry::forward
--- a/Libraries/LibForward/dispatcher_ring.cc
+++ b/Libraries/LibForward/dispatcher_ring.cc
@@ -1,14 +1,38 @@
 #include "LibForward/dispatcher_ring.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "LibForward/rendezvous.h"
 
 namespace bilberry::forward {
 
-DispatcherRing::DispatcherRing(PeerHost own)
-    : own_(std::move(own)), hosts_{own_} {}
+namespace {
+
+// A host is large if it has this part of what the largest one has.
+constexpr double kLargePart = 0.5;
+
+// In which order hosts are taken; lower goes first. A small host of the zone
+// would be overloaded sooner than a large one elsewhere is far.
+enum class Tier {
+  kLargeInZone,
+  kLargeElsewhere,
+  kSmallInZone,
+  kSmallElsewhere
+};
+
+Tier TierOf(bool is_large, bool is_in_zone) {
+  if (is_large)
+    return is_in_zone ? Tier::kLargeInZone : Tier::kLargeElsewhere;
+  return is_in_zone ? Tier::kSmallInZone : Tier::kSmallElsewhere;
+}
+
+}  // namespace
+
+DispatcherRing::DispatcherRing(PeerHost own) : own_(std::move(own)) {
+  SetHosts({});
+}
 
 void DispatcherRing::SetHosts(std::span<const PeerHost> hosts) {
   hosts_ = {own_};
@@ -16,33 +40,97 @@
     if (!IsOwn(it))
       hosts_.push_back(it);
   }
+  most_capacity_ =
+      std::ranges::max_element(hosts_, {}, &PeerHost::capacity)->capacity;
+  most_link_mbps_ =
+      std::ranges::max_element(hosts_, {}, &PeerHost::link_mbps)->link_mbps;
+  ForgetDealt();
+}
+
+void DispatcherRing::SetPools(std::set<base::PoolName> pools) {
+  pools_ = std::move(pools);
+  ForgetDealt();
+}
+
+void DispatcherRing::NoteSilent(const base::HostName& name) {
+  if (silent_.insert(name).second)
+    dealt_.clear();
+}
+
+void DispatcherRing::NoteAnswer(const base::HostName& name) {
+  if (silent_.erase(name) > 0)
+    dealt_.clear();
+}
+
+void DispatcherRing::ForgetDealt() {
+  dealt_.clear();
+  ideally_dealt_.clear();
+}
+
+const PeerHost& DispatcherRing::DispatcherOf(const CellPool& at) const {
+  return Choose(at, silent_, dealt_);
+}
+
+const PeerHost& DispatcherRing::IdealDispatcherOf(const CellPool& at) const {
+  return Choose(at, {}, ideally_dealt_);
 }
 
-const PeerHost& DispatcherRing::DispatcherOf(const base::PoolName& pool) const {
-  return BestOf(pool, silent_);
+const PeerHost& DispatcherRing::SuccessorOf(const CellPool& at) const {
+  const Dealt dealt = Deal(at.cell, {IdealDispatcherOf(at).name});
+  const auto it = dealt.find(at.pool);
+  return it == dealt.end() ? own_ : hosts_[it->second];
 }
 
-const PeerHost& DispatcherRing::IdealDispatcherOf(
-    const base::PoolName& pool) const {
-  return BestOf(pool, {});
+const PeerHost& DispatcherRing::Choose(
+    const CellPool& at,
+    const std::set<base::HostName>& passed_over,
+    std::map<Cell, Dealt>& known) const {
+  auto it = known.find(at.cell);
+  if (it == known.end())
+    it = known.emplace(at.cell, Deal(at.cell, passed_over)).first;
+  const auto dealt = it->second.find(at.pool);
+  return dealt == it->second.end() ? own_ : hosts_[dealt->second];
 }
 
-const PeerHost& DispatcherRing::BestOf(
-    const base::PoolName& pool,
+DispatcherRing::Dealt DispatcherRing::Deal(
+    const Cell& cell,
     const std::set<base::HostName>& passed_over) const {
-  const PeerHost* best = &own_;
-  double best_weight = -1;
-  for (const PeerHost& it : hosts_) {
-    if (passed_over.contains(it.name))
+  Dealt dealt;
+  std::vector<size_t> counts(hosts_.size(), 0);
+  for (const base::PoolName& pool : pools_) {
+    const size_t best = BestFor({cell, pool}, passed_over, counts);
+    ++counts[best];
+    dealt[pool] = best;
+  }
+  return dealt;
+}
+
+// The own host if all others are passed over.
+size_t DispatcherRing::BestFor(const CellPool& at,
+                               const std::set<base::HostName>& passed_over,
+                               const std::vector<size_t>& counts) const {
+  using Rank = std::tuple<Tier, size_t, double>;
+  size_t best = 0;
+  std::optional<Rank> best_rank;
+  const std::string key = at.cell.zone.value + "/" + at.pool.value;
+  for (size_t i = 0; i < hosts_.size(); ++i) {
+    const PeerHost& host = hosts_[i];
+    if (passed_over.contains(host.name))
       continue;
-    const double weight =
-        WeightedRendezvous(pool.value, it.name.value, it.capacity);
-    if (weight > best_weight) {
-      best = &it;
-      best_weight = weight;
+    const bool is_in_zone = at.cell.HasAllZones() || host.zone == at.cell.zone;
+    const Rank rank{TierOf(IsLarge(host), is_in_zone), counts[i],
+                    -WeightedRendezvous(key, host.name.value, host.capacity)};
+    if (!best_rank || rank < *best_rank) {
+      best = i;
+      best_rank = rank;
     }
   }
-  return *best;
+  return best;
+}
+
+bool DispatcherRing::IsLarge(const PeerHost& host) const {
+  return host.capacity >= kLargePart * most_capacity_ &&
+         host.link_mbps >= kLargePart * most_link_mbps_;
 }
 
 const PeerHost* DispatcherRing::Find(const base::HostName& name) const {
--- a/Libraries/LibForward/dispatcher_ring.h
+++ b/Libraries/LibForward/dispatcher_ring.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <set>
 #include <span>
 #include <string>
@@ -7,6 +8,7 @@
 
 #include "LibBase/ids.h"
 #include "LibBase/time.h"
+#include "LibForward/cell.h"
 
 namespace bilberry::forward {
 
@@ -15,41 +17,66 @@
   base::HostName name;
   base::SocketAddress address;
   base::ZoneName zone;
-  double capacity = 1;  // Cores; dispatchers fall on hosts in proportion.
+  double capacity = 1;   // Cores.
+  double link_mbps = 0;  // 0 if not told.
 
   friend bool operator==(const PeerHost&, const PeerHost&) = default;
 };
 
-// Which host collects the pieces of a pool: the one with the highest weight
-// (rendezvous hashing) of those that answer. Hosts that know the same hosts
-// choose the same one without talking; when they don't, calls are less full.
+// Which host collects the pieces of each pool of a cell. Only hosts that are
+// large enough to carry it do while there are any, those of the cell's zone
+// first; among them the pools are dealt out by rendezvous hashing, so that each
+// host has as few as can be. Hosts that know the same hosts choose alike
+// without talking.
 class DispatcherRing {
  public:
   explicit DispatcherRing(PeerHost own);
 
   void SetHosts(std::span<const PeerHost> hosts);
+  // Those that make pieces.
+  void SetPools(std::set<base::PoolName> pools);
 
-  const PeerHost& DispatcherOf(const base::PoolName& pool) const;
+  const PeerHost& DispatcherOf(const CellPool& at) const;
   // The one that would be chosen if every host answered.
-  const PeerHost& IdealDispatcherOf(const base::PoolName& pool) const;
+  const PeerHost& IdealDispatcherOf(const CellPool& at) const;
+  // The one that would be chosen if the ideal one were gone.
+  const PeerHost& SuccessorOf(const CellPool& at) const;
   bool IsOwn(const PeerHost& host) const { return host.name == own_.name; }
   // Null when there is no such host.
   const PeerHost* Find(const base::HostName& name) const;
+  size_t host_count() const { return hosts_.size(); }
 
   // A host that gave no answer is passed over until it answers.
-  void NoteSilent(const base::HostName& name) { silent_.insert(name); }
-  void NoteAnswer(const base::HostName& name) { silent_.erase(name); }
+  void NoteSilent(const base::HostName& name);
+  void NoteAnswer(const base::HostName& name);
   bool IsSilent(const base::HostName& name) const {
     return silent_.contains(name);
   }
 
  private:
-  const PeerHost& BestOf(const base::PoolName& pool,
-                         const std::set<base::HostName>& passed_over) const;
+  // By pool, an index into `hosts_`.
+  using Dealt = std::map<base::PoolName, size_t>;
+
+  const PeerHost& Choose(const CellPool& at,
+                         const std::set<base::HostName>& passed_over,
+                         std::map<Cell, Dealt>& known) const;
+  Dealt Deal(const Cell& cell,
+             const std::set<base::HostName>& passed_over) const;
+  size_t BestFor(const CellPool& at,
+                 const std::set<base::HostName>& passed_over,
+                 const std::vector<size_t>& dealt) const;
+  bool IsLarge(const PeerHost& host) const;
+  void ForgetDealt();
 
   PeerHost own_;
   std::vector<PeerHost> hosts_;  // With the own one.
+  std::set<base::PoolName> pools_;
   std::set<base::HostName> silent_;
+  double most_capacity_ = 0;
+  double most_link_mbps_ = 0;
+  // What was worked out since hosts, pools or silent ones last changed.
+  mutable std::map<Cell, Dealt> dealt_;
+  mutable std::map<Cell, Dealt> ideally_dealt_;
 };
 
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/forward_action.h
+++ b/Libraries/LibForward/forward_action.h
@@ -111,11 +111,12 @@
 struct AnswerPeer {
   PeerExchangeId exchange{};
   JobOutcome outcome;
+  base::Duration backlog{};  // What a new job would wait here.
 };
 
 struct TellPeerRead {
   base::SocketAddress address;
-  base::PoolName pool;
+  CellPool at;
   std::vector<StageResult> results;
 };
 
@@ -123,6 +124,7 @@
 struct AskWhetherAlive {
   base::HostName host;
   base::SocketAddress address;
+  std::chrono::milliseconds timeout{0};
 };
 
 // Reads a table from `start_after` on; empty for its beginning. Replaces the
--- a/Libraries/LibForward/forward_event.h
+++ b/Libraries/LibForward/forward_event.h
@@ -83,13 +83,14 @@
 
 // A peer has no more use for these results.
 struct PeerResultsRead {
-  base::PoolName pool;
+  CellPool at;
   std::vector<StageResult> results;
 };
 
 struct PeerJobEnded {
   AskId ask{};
   JobOutcome outcome;
+  base::Duration backlog{};  // What a new job would wait there.
 };
 
 struct PeerJobLost {
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -59,7 +59,7 @@
           [&](const PeerResultsRead& it) { stages_.Handle(it, now); },
           [&](const PeerJobEnded& it) { stages_.Handle(it, now); },
           [&](const PeerJobLost& it) { stages_.Handle(it, now); },
-          [&](const PeerAlive& it) { stages_.Handle(it); },
+          [&](const PeerAlive& it) { stages_.Handle(it, now); },
           [&](const PeerSilent& it) { stages_.Handle(it, now); },
           [&](TableListed& it) { store_.Handle(std::move(it), now); },
           [&](TableChanged& it) { store_.Handle(std::move(it), now); },
@@ -113,7 +113,8 @@
   if (is_over)
     runs_.EndAll(now);
   const bool has_lingered = now >= *stop_began_ + kLinger;
-  if (!is_over && (!has_lingered || runs_.run_count() > 0))
+  const bool has_work = runs_.run_count() > 0 || stages_.peer_job_count() > 0;
+  if (!is_over && (!has_lingered || has_work))
     return;
   has_exited_ = true;
   context_.Log(base::LogEventId::kHostStopped, "");
--- a/Libraries/LibForward/forwarded_run.h
+++ b/Libraries/LibForward/forwarded_run.h
@@ -46,7 +46,9 @@
   // By when the answer must have begun.
   base::TimePoint begin_deadline;
   base::PoolName final_pool;
-  base::ZoneName final_zone;  // Where the request will probably run.
+  base::ZoneName final_zone;      // Where the request will probably run.
+  Cell cell;                      // Where its next stages are made.
+  std::vector<Cell> cells_tried;  // By a stage that has no results yet.
   std::vector<StageState> stages;
   // When a stage that would be done too early is looked at again.
   std::optional<base::TimePoint> looked_at_again;
--- a/Libraries/LibForward/peer_watch.cc
+++ b/Libraries/LibForward/peer_watch.cc
@@ -6,55 +6,96 @@
 
 namespace {
 
-// Between two questions to one host: with the time that an answer may take, it
-// bounds for how long requests wait for a silent host.
-constexpr std::chrono::milliseconds kInterval{150};
 // Hosts are watched for this long after something was asked of them.
 constexpr std::chrono::seconds kUseLasts{3};
+// The time until a quiet host is asked grows with the fleet, so that a host
+// that all others rely on isn't asked all the time.
+constexpr std::chrono::milliseconds kQuietPerHost{7};
+constexpr std::chrono::milliseconds kShortestQuiet{150};
+constexpr std::chrono::milliseconds kLongestQuiet{600};
+// A host answers at once; a lost packet is sent again after 200 ms (the
+// kernel's shortest retransmission time).
+constexpr std::chrono::milliseconds kShortestTimeout{350};
+// A host that looks at an answer's time limit this much too late lags itself.
+constexpr std::chrono::milliseconds kOwnLag{60};
+constexpr uint32_t kMissesUntilLost = 2;
 
 }  // namespace
 
-void PeerWatch::Watch(const std::set<base::HostName>& hosts) {
-  std::erase_if(questions_, [&hosts](const auto& it) {
-    return !hosts.contains(it.first) && !it.second.is_open;
-  });
-  for (const base::HostName& host : hosts)
-    questions_.try_emplace(host);
+void PeerWatch::SetFleetSize(size_t hosts) {
+  pace_.quiet = std::clamp(kQuietPerHost * static_cast<int64_t>(hosts),
+                           kShortestQuiet, kLongestQuiet);
+  pace_.timeout = std::max(kShortestTimeout, pace_.quiet);
 }
 
-void PeerWatch::NoteUse(base::TimePoint now) {
-  used_until_ = now + kUseLasts;
-  is_used_ = true;
+void PeerWatch::Guard(std::set<base::HostName> hosts) {
+  guarded_ = std::move(hosts);
+  for (const base::HostName& host : guarded_)
+    watched_.try_emplace(host);
+}
+
+void PeerWatch::NoteUse(const base::HostName& host, base::TimePoint now) {
+  Watched& it = watched_[host];
+  if (it.used_until <= now && !it.is_open)
+    it.due = std::max(it.due, now + pace_.quiet);
+  it.used_until = now + kUseLasts;
+  used_until_ = it.used_until;
+}
+
+bool PeerWatch::IsWanted(const base::HostName& host,
+                         const Watched& it,
+                         base::TimePoint now) const {
+  if (guarded_.contains(host) || it.used_until > now)
+    return true;
+  // One that is silent is not used, and is to be found again.
+  return it.misses > 0 && used_until_ > now;
 }
 
 std::vector<base::HostName> PeerWatch::TakeDue(base::TimePoint now) {
+  latest_ = now;
   std::vector<base::HostName> due;
-  is_used_ = now <= used_until_;
-  if (!is_used_)
-    return due;
-  for (auto& [host, question] : questions_) {
-    if (question.is_open || question.due > now)
+  for (auto& [host, it] : watched_) {
+    if (it.is_open || it.due > now || !IsWanted(host, it, now))
       continue;
-    question.is_open = true;
-    question.due = now + kInterval;
+    it.is_open = true;
+    it.asked = now;
     due.push_back(host);
   }
   return due;
 }
 
-void PeerWatch::NoteEnded(const base::HostName& host) {
-  const auto it = questions_.find(host);
-  if (it != questions_.end())
-    it->second.is_open = false;
+void PeerWatch::NoteHeard(const base::HostName& host, base::TimePoint now) {
+  const auto it = watched_.find(host);
+  if (it == watched_.end())
+    return;
+  it->second.is_open = false;
+  it->second.misses = 0;
+  it->second.due = now + pace_.quiet;
+}
+
+SilenceVerdict PeerWatch::NoteMissed(const base::HostName& host,
+                                     base::TimePoint now) {
+  const auto it = watched_.find(host);
+  // Heard of meanwhile, over another connection.
+  if (it == watched_.end() || !it->second.is_open)
+    return SilenceVerdict::kNone;
+  Watched& watched = it->second;
+  watched.is_open = false;
+  watched.due = now;
+  if (now > watched.asked + pace_.timeout + kOwnLag)
+    return SilenceVerdict::kNone;
+  // One that refuses connections tells so at once.
+  watched.due = std::max(now, watched.asked + pace_.quiet);
+  ++watched.misses;
+  return watched.misses < kMissesUntilLost ? SilenceVerdict::kSilent
+                                           : SilenceVerdict::kLost;
 }
 
 std::optional<base::TimePoint> PeerWatch::NextWakeup() const {
   std::optional<base::TimePoint> next;
-  if (!is_used_)
-    return next;
-  for (const auto& [host, question] : questions_) {
-    if (!question.is_open && (!next || question.due < *next))
-      next = question.due;
+  for (const auto& [host, it] : watched_) {
+    if (!it.is_open && IsWanted(host, it, latest_) && (!next || it.due < *next))
+      next = it.due;
   }
   return next;
 }
--- a/Libraries/LibForward/peer_watch.h
+++ b/Libraries/LibForward/peer_watch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <map>
 #include <optional>
 #include <set>
@@ -10,31 +11,59 @@
 
 namespace bilberry::forward {
 
-// Asks the hosts that this one relies on whether they are there: a host that is
-// frozen or cut off closes no connection, and its answers may take seconds when
-// all is well.
+// What a missing sign of life means.
+enum class SilenceVerdict {
+  kNone,    // Nothing: this host itself was late.
+  kSilent,  // It may be slow: what is new is asked of others.
+  kLost,    // It missed twice in a row: what waits there is asked of others.
+};
+
+// Asks the hosts that this one relies on whether they are there, once nothing
+// was heard from them for a while: a host that is frozen or cut off closes no
+// connection, and its answers may take seconds when all is well.
 class PeerWatch {
  public:
-  // Replaces the hosts that are asked.
-  void Watch(const std::set<base::HostName>& hosts);
-  // Something was asked of them: they are watched for a while from now.
-  void NoteUse(base::TimePoint now);
+  struct Pace {
+    std::chrono::milliseconds quiet{150};  // Until a host is asked.
+    std::chrono::milliseconds timeout{350};
+  };
 
-  // Hosts to be asked now; each ends in one NoteEnded().
+  // The larger the fleet, the more hosts ask the same few.
+  void SetFleetSize(size_t hosts);
+  // Hosts that are asked whether or not they are used.
+  void Guard(std::set<base::HostName> hosts);
+  // Something was asked of the host: it is watched for a while from now.
+  void NoteUse(const base::HostName& host, base::TimePoint now);
+
+  // Hosts to be asked now; each ends in one NoteHeard() or NoteMissed().
   std::vector<base::HostName> TakeDue(base::TimePoint now);
-  void NoteEnded(const base::HostName& host);
+  // An answer of any kind.
+  void NoteHeard(const base::HostName& host, base::TimePoint now);
+  SilenceVerdict NoteMissed(const base::HostName& host, base::TimePoint now);
+  // It is no longer known.
+  void Forget(const base::HostName& host) { watched_.erase(host); }
 
+  const Pace& pace() const { return pace_; }
   std::optional<base::TimePoint> NextWakeup() const;
 
  private:
-  struct Question {
+  struct Watched {
+    base::TimePoint used_until;
     base::TimePoint due;
-    bool is_open = false;
+    base::TimePoint asked;
+    bool is_open = false;  // A question is under way.
+    uint32_t misses = 0;   // In a row.
   };
 
-  std::map<base::HostName, Question> questions_;
-  base::TimePoint used_until_;
-  bool is_used_ = false;  // When it was last looked at.
+  bool IsWanted(const base::HostName& host,
+                const Watched& it,
+                base::TimePoint now) const;
+
+  Pace pace_;
+  std::set<base::HostName> guarded_;
+  std::map<base::HostName, Watched> watched_;
+  base::TimePoint used_until_;  // Any of them.
+  base::TimePoint latest_;      // When hosts that are due were last taken.
 };
 
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -22,6 +22,8 @@
 // A request that no endpoint has run may be sent to this many more than those
 // that may run it.
 constexpr uint32_t kMaxRefusals = 2;
+// How many cells may refuse a stage before its request is refused.
+constexpr size_t kMaxCells = 2;
 // For requests that name no deadline on pipelines that have none.
 constexpr std::chrono::seconds kLongestRun{60};
 
@@ -175,9 +177,21 @@
     return std::nullopt;
   }
   run.final_zone = probable->zone;
+  run.cell = stage_desk_.ChooseCell(CellWishOf(run), now).value_or(Cell());
   return run;
 }
 
+CellWish RunDesk::CellWishOf(const ForwardedRun& run) const {
+  CellWish wish;
+  for (size_t i = 0; i < run.stages.size(); ++i) {
+    if (run.stages[i].phase != StagePhase::kDone)
+      wish.pools.push_back(run.pipeline->stages[i].pool);
+  }
+  wish.reader_zone = run.final_zone;
+  wish.avoided = run.cells_tried;
+  return wish;
+}
+
 void RunDesk::Handle(ForwardedRequest request, base::TimePoint now) {
   const base::CallerId caller = request.caller;
   auto run = Check(std::move(request), now);
@@ -252,6 +266,7 @@
   StageJob job;
   job.request_id = run.request->request_id;
   job.pool = declared.pool;
+  job.cell = run.cell;
   job.stage = static_cast<uint32_t>(stage);
   job.piece_count = state.pieces;
   if (declared.after.empty())
@@ -328,11 +343,14 @@
         continue;
       }
       const auto& failure = std::get<JobFailure>(outcome);
+      if (AskElsewhere(caller, stage, failure, now))
+        continue;
       runs_.at(caller).stages[stage].phase = StagePhase::kDone;
       AnswerAndEnd(caller,
                    failure.kind == JobFailureKind::kTooLate
                        ? OwnAnswerCode::kTooLate
-                   : failure.kind == JobFailureKind::kNoEndpoint
+                   : failure.kind == JobFailureKind::kNoEndpoint ||
+                           failure.kind == JobFailureKind::kHostLost
                        ? OwnAnswerCode::kNoEndpoint
                        : OwnAnswerCode::kStageFailed,
                    failure.retry_after, now);
@@ -340,6 +358,26 @@
   }
 }
 
+bool RunDesk::AskElsewhere(base::CallerId caller,
+                           size_t stage,
+                           const JobFailure& failure,
+                           base::TimePoint now) {
+  const bool may_do_better = failure.kind == JobFailureKind::kTooLate ||
+                             failure.kind == JobFailureKind::kNoEndpoint ||
+                             failure.kind == JobFailureKind::kHostLost;
+  ForwardedRun& run = runs_.at(caller);
+  if (!may_do_better || run.cells_tried.size() + 1 >= kMaxCells ||
+      now >= run.begin_deadline)
+    return false;
+  run.cells_tried.push_back(run.cell);
+  const auto cell = stage_desk_.ChooseCell(CellWishOf(run), now);
+  if (!cell)
+    return false;
+  run.cell = *cell;
+  AskForStage(caller, run, stage, now);
+  return true;
+}
+
 void RunDesk::LogStage(const ForwardedRun& run,
                        size_t stage,
                        const AskOutcome& outcome,
@@ -373,6 +411,7 @@
   NoteJobTime(run, stage, now);
   run.stages[stage].phase = StagePhase::kDone;
   run.stages[stage].done = now;
+  run.cells_tried.clear();
   run.stages[stage].results = std::move(results);
   for (const size_t before : run.pipeline->stages[stage].after) {
     if (run.IsReadByAll(before))
--- a/Libraries/LibForward/run_desk.h
+++ b/Libraries/LibForward/run_desk.h
@@ -78,6 +78,13 @@
                    ForwardedRun& run,
                    size_t stage,
                    base::TimePoint now);
+  // Asks another cell for a stage that this one can't make; false if none is
+  // left, or if it would do no better.
+  bool AskElsewhere(base::CallerId caller,
+                    size_t stage,
+                    const JobFailure& failure,
+                    base::TimePoint now);
+  CellWish CellWishOf(const ForwardedRun& run) const;
   void TakeResults(base::CallerId caller,
                    size_t stage,
                    AskedResults results,
--- a/Libraries/LibForward/stage_desk.cc
+++ b/Libraries/LibForward/stage_desk.cc
@@ -9,60 +9,70 @@
 
 namespace {
 
-// After this many lost peers a host does the job itself.
+// After this many lost peers a host does the job itself, in a fleet whose one
+// cell leaves nobody else to ask.
 constexpr uint32_t kMaxHostsLost = 2;
 constexpr std::chrono::milliseconds kRetryAfterLoss{1000};
-
-// Each request once, in the order of the call; a request's pieces lie together.
-std::string RequestsOf(const StageCall& call) {
-  std::string ids;
-  const std::string* last = nullptr;
-  for (const PieceOrder& piece : call.pieces) {
-    if (last != nullptr && *last == piece.request_id)
-      continue;
-    last = &piece.request_id;
-    ids += (ids.empty() ? "" : " ") + piece.request_id;
-  }
-  return ids;
-}
+// A host that is no longer the dispatcher of a pool goes on as such for this
+// long: others learn of its successor later than it does.
+constexpr std::chrono::milliseconds kHandover{2000};
 
 }  // namespace
 
 StageDesk::StageDesk(ForwardContext& context)
-    : context_(context), ring_(context.options().own) {}
+    : context_(context), ring_(context.options().own), dispatch_(context) {}
 
 void StageDesk::Reconfigure(const ForwardConfiguration& configuration) {
+  pools_.clear();
   for (const ForwardedPool& pool : configuration.pools) {
-    if (!pool.pieces)
-      continue;
-    const auto [it, is_new] = pools_.try_emplace(pool.name, *pool.pieces);
-    if (!is_new)
-      it->second.dispatcher.Reconfigure(*pool.pieces);
+    if (pool.pieces)
+      pools_.insert(pool.name);
   }
+  ring_.SetPools(pools_);
+  plan_.SetPools(pools_);
+  dispatch_.Reconfigure(configuration);
   SetEndpoints(std::move(endpoints_));
-  WatchDispatchers();
+  GuardDispatchers();
 }
 
 void StageDesk::SetEndpoints(std::vector<ListedEndpoint> endpoints) {
   endpoints_ = std::move(endpoints);
-  for (auto& entry : pools_) {
-    const base::PoolName& name = entry.first;
-    std::vector<ListedEndpoint> own;
-    std::ranges::copy_if(
-        endpoints_, std::back_inserter(own),
-        [&name](const ListedEndpoint& it) { return it.pool == name; });
-    entry.second.dispatcher.SetEndpoints(own);
-  }
+  const std::vector<Cell> earlier = plan_.cells();
+  plan_.SetEndpoints(endpoints_);
+  dispatch_.SetEndpoints(endpoints_);
+  if (plan_.cells() == earlier)
+    return;
+  chooser_.SetCells(plan_.cells());
+  GuardDispatchers();
 }
 
-StageDesk::Pool* StageDesk::FindPool(const base::PoolName& name) {
-  const auto it = pools_.find(name);
-  return it == pools_.end() ? nullptr : &it->second;
+void StageDesk::SetHosts(std::span<const PeerHost> hosts) {
+  ring_.SetHosts(hosts);
+  watch_.SetFleetSize(ring_.host_count());
+  GuardDispatchers();
+}
+
+// Whoever would follow a dispatcher that is gone is the one who finds out.
+void StageDesk::GuardDispatchers() {
+  std::set<base::HostName> guarded;
+  for (const Cell& cell : plan_.cells()) {
+    for (const base::PoolName& pool : pools_) {
+      const PeerHost& ideal = ring_.IdealDispatcherOf({cell, pool});
+      if (!ring_.IsOwn(ideal) && ring_.IsOwn(ring_.SuccessorOf({cell, pool})))
+        guarded.insert(ideal.name);
+    }
+  }
+  watch_.Guard(std::move(guarded));
 }
 
-bool StageDesk::CanServe(const base::PoolName& pool) const {
-  const auto it = pools_.find(pool);
-  return it != pools_.end() && it->second.dispatcher.ServingCount() > 0;
+std::optional<Cell> StageDesk::ChooseCell(const CellWish& wish,
+                                          base::TimePoint now) const {
+  return chooser_.Choose(
+      wish,
+      [this](const CellPool& at) {
+        return ring_.IsSilent(ring_.IdealDispatcherOf(at).name);
+      },
+      now);
 }
 
 AskId StageDesk::Ask(StageJob job, base::TimePoint now) {
@@ -83,34 +93,35 @@
   job.until_deadline = question.deadline - now;
   if (question.inputs_gone)
     job.until_inputs_gone = *question.inputs_gone - now;
-  const bool is_alone =
-      !context_.options().shares_calls || question.hosts_lost > kMaxHostsLost;
-  const PeerHost& host =
-      is_alone ? context_.options().own : ring_.DispatcherOf(job.pool);
-  question.host = host.name;
-  if (!ring_.IsOwn(host)) {
-    watch_.NoteUse(now);
-    context_.Emit(AskPeer{id, host.address, std::move(job)});
+  const bool has_lost_many = question.hosts_lost > kMaxHostsLost;
+  if (has_lost_many && !job.cell.HasAllZones()) {
+    Fail(id, {JobFailureKind::kHostLost, kRetryAfterLoss});
     return;
   }
-  Pool* pool = FindPool(job.pool);
-  if (pool == nullptr) {
-    outcomes_.emplace_back(
-        id, JobFailure{JobFailureKind::kNoEndpoint, kRetryAfterLoss});
-    questions_.erase(id);
+  const bool is_alone = !context_.options().shares_calls || has_lost_many;
+  const PeerHost& host =
+      is_alone ? context_.options().own : ring_.DispatcherOf(question.at());
+  question.host = host.name;
+  if (ring_.IsOwn(host)) {
+    PlaceHere(id, question, std::move(job), now);
     return;
   }
-  question.local = SubmitHere(*pool, std::move(job), id, now);
+  watch_.NoteUse(host.name, now);
+  context_.Emit(AskPeer{id, host.address, std::move(job)});
 }
 
-JobId StageDesk::SubmitHere(Pool& pool,
-                            StageJob job,
-                            Origin origin,
-                            base::TimePoint now) {
-  std::string request_id = job.request_id;
-  const JobId id = pool.dispatcher.Submit(std::move(job), now);
-  pool.submitted.emplace(id, SubmittedJob{origin, std::move(request_id)});
-  return id;
+void StageDesk::PlaceHere(AskId id,
+                          Question& question,
+                          StageJob job,
+                          base::TimePoint now) {
+  question.local = dispatch_.Submit(question.at(), std::move(job), id, now);
+  if (!question.local)
+    Fail(id, {JobFailureKind::kNoEndpoint, kRetryAfterLoss});
+}
+
+void StageDesk::Fail(AskId id, const JobFailure& failure) {
+  outcomes_.emplace_back(id, failure);
+  questions_.erase(id);
 }
 
 void StageDesk::Withdraw(AskId id) {
@@ -118,14 +129,10 @@
   if (node.empty())
     return;
   const Question& question = node.mapped();
-  if (!question.local) {
+  if (question.local)
+    dispatch_.Withdraw(question.at(), *question.local);
+  else
     context_.Emit(CancelAsk{id});
-    return;
-  }
-  if (Pool* pool = FindPool(question.job.pool)) {
-    pool->dispatcher.Withdraw(*question.local);
-    pool->submitted.erase(*question.local);
-  }
 }
 
 std::vector<std::pair<AskId, AskOutcome>> StageDesk::TakeOutcomes() {
@@ -136,61 +143,91 @@
   const PeerHost* host = ring_.Find(results.host);
   // In place of a host that is gone, the next dispatcher frees them.
   if (host == nullptr || ring_.IsSilent(host->name))
-    host = &ring_.DispatcherOf(results.pool);
-  if (!ring_.IsOwn(*host)) {
-    context_.Emit(TellPeerRead{host->address, results.pool, results.results});
+    host = &ring_.DispatcherOf(results.at);
+  if (ring_.IsOwn(*host)) {
+    dispatch_.Free(results.at, results.results, now);
     return;
   }
-  if (Pool* pool = FindPool(results.pool))
-    pool->dispatcher.Free(results.results, now);
+  context_.Emit(TellPeerRead{host->address, results.at, results.results});
+}
+
+// A dispatcher calls its endpoints as if they were its own: two at a time find
+// them full. So a host takes jobs only if it is the dispatcher as far as it
+// knows itself, whoever asks.
+bool StageDesk::IsDispatcherOf(const CellPool& at, base::TimePoint now) {
+  if (ring_.IsOwn(ring_.DispatcherOf(at))) {
+    last_dispatched_[at] = now;
+    return true;
+  }
+  const auto it = last_dispatched_.find(at);
+  return it != last_dispatched_.end() && now <= it->second + kHandover;
 }
 
 void StageDesk::Handle(const PeerJobAsked& event, base::TimePoint now) {
-  Pool* pool = FindPool(event.job.pool);
-  if (pool == nullptr) {
-    context_.Emit(
-        AnswerPeer{event.exchange,
-                   JobFailure{JobFailureKind::kHostLost, kRetryAfterLoss}});
+  const CellPool at{event.job.cell, event.job.pool};
+  // In a fleet of one cell nobody else could do it.
+  const bool is_welcome = at.cell.HasAllZones() || IsDispatcherOf(at, now);
+  const auto job = is_welcome
+                       ? dispatch_.Submit(at, event.job, event.exchange, now)
+                       : std::nullopt;
+  if (job) {
+    peer_jobs_.emplace(event.exchange, std::pair(at, *job));
     return;
   }
-  const JobId id = SubmitHere(*pool, event.job, event.exchange, now);
-  peer_jobs_.emplace(event.exchange, std::pair(event.job.pool, id));
+  context_.Log(base::LogEventId::kJobRefused, event.job.request_id,
+               {{"pool", at.pool.value},
+                {"cell", at.cell.zone.value},
+                {"reason", "not_dispatcher"},
+                {"dispatcher", ring_.DispatcherOf(at).name.value}});
+  context_.Emit(AnswerPeer{
+      event.exchange, JobFailure{JobFailureKind::kHostLost, kRetryAfterLoss},
+      base::Duration(0)});
 }
 
 void StageDesk::Handle(const PeerJobLeft& event) {
   const auto node = peer_jobs_.extract(event.exchange);
-  if (node.empty())
-    return;
-  const auto& [name, job] = node.mapped();
-  if (Pool* pool = FindPool(name)) {
-    pool->dispatcher.Withdraw(job);
-    pool->submitted.erase(job);
-  }
+  if (!node.empty())
+    dispatch_.Withdraw(node.mapped().first, node.mapped().second);
 }
 
 void StageDesk::Handle(const PeerResultsRead& event, base::TimePoint now) {
-  if (Pool* pool = FindPool(event.pool))
-    pool->dispatcher.Free(event.results, now);
+  dispatch_.Free(event.at, event.results, now);
 }
 
 void StageDesk::Handle(const PeerJobEnded& event, base::TimePoint now) {
   const auto it = questions_.find(event.ask);
   if (it == questions_.end())
     return;
+  Question& question = it->second;
+  NoteHeard(question.host, now);
   const auto* failure = std::get_if<JobFailure>(&event.outcome);
-  // A peer that can't serve the pool is like one that can't be reached.
   if (failure != nullptr && failure->kind == JobFailureKind::kHostLost) {
-    Handle(PeerJobLost{event.ask, "the peer does not serve the pool"}, now);
+    // Another cell is asked; where there is none, somebody has to do it.
+    if (question.job.cell.HasAllZones()) {
+      question.hosts_lost = kMaxHostsLost;
+      Move(event.ask, question, now);
+      return;
+    }
+    Fail(event.ask, *failure);
     return;
   }
-  ring_.NoteAnswer(it->second.host);
-  if (failure != nullptr)
-    outcomes_.emplace_back(event.ask, *failure);
-  else
-    outcomes_.emplace_back(
-        event.ask, AskedResults{it->second.host, it->second.job.pool,
-                                std::get<JobResults>(event.outcome).results});
-  questions_.erase(it);
+  Finish(event.ask, event.outcome, event.backlog, now);
+}
+
+void StageDesk::Finish(AskId id,
+                       const JobOutcome& outcome,
+                       base::Duration backlog,
+                       base::TimePoint now) {
+  const Question& question = questions_.at(id);
+  chooser_.NoteBacklog(question.at(), backlog, now);
+  if (const auto* failure = std::get_if<JobFailure>(&outcome)) {
+    Fail(id, *failure);
+    return;
+  }
+  outcomes_.emplace_back(id,
+                         AskedResults{question.host, question.at(),
+                                      std::get<JobResults>(outcome).results});
+  questions_.erase(id);
 }
 
 void StageDesk::Handle(const PeerJobLost& event, base::TimePoint now) {
@@ -198,12 +235,13 @@
   if (it == questions_.end())
     return;
   Question& question = it->second;
-  context_.Log(base::LogEventId::kDispatcherLost, question.job.request_id,
-               {{"host", question.host.value},
-                {"pool", question.job.pool.value},
-                {"reason", event.detail}});
-  ring_.NoteSilent(question.host);
-  WatchDispatchers();
+  // It was waited for until nobody needs it any more; that says nothing of the
+  // host, which PeerWatch looks after.
+  if (now >= question.deadline) {
+    Fail(event.ask, {JobFailureKind::kTooLate, kRetryAfterLoss});
+    return;
+  }
+  NoteSilent(question.host, event.detail);
   Move(event.ask, question, now);
 }
 
@@ -212,32 +250,46 @@
   Place(id, question, now);
 }
 
-void StageDesk::Handle(const ResultsFreed& event) {
-  if (Pool* pool = FindPool(event.order.pool))
-    pool->dispatcher.NoteFreed(event.order);
+void StageDesk::NoteHeard(const base::HostName& host, base::TimePoint now) {
+  watch_.NoteHeard(host, now);
+  if (!ring_.IsSilent(host))
+    return;
+  ring_.NoteAnswer(host);
+  context_.Log(base::LogEventId::kDispatcherBack, "", {{"host", host.value}});
 }
 
-void StageDesk::Handle(const PeerAlive& event) {
-  watch_.NoteEnded(event.host);
-  if (!ring_.IsSilent(event.host))
+void StageDesk::NoteSilent(const base::HostName& host,
+                           const std::string& reason) {
+  if (ring_.IsSilent(host))
     return;
-  ring_.NoteAnswer(event.host);
-  WatchDispatchers();
-  context_.Log(base::LogEventId::kDispatcherBack, "",
-               {{"host", event.host.value}});
+  ring_.NoteSilent(host);
+  context_.Log(base::LogEventId::kDispatcherLost, "",
+               {{"host", host.value}, {"reason", reason}});
+}
+
+void StageDesk::Handle(const PeerAlive& event, base::TimePoint now) {
+  NoteHeard(event.host, now);
 }
 
 void StageDesk::Handle(const PeerSilent& event, base::TimePoint now) {
-  watch_.NoteEnded(event.host);
-  if (ring_.IsSilent(event.host))
-    return;
-  ring_.NoteSilent(event.host);
-  WatchDispatchers();
-  context_.Log(base::LogEventId::kDispatcherLost, "",
-               {{"host", event.host.value}, {"reason", event.detail}});
+  switch (watch_.NoteMissed(event.host, now)) {
+    case SilenceVerdict::kNone:
+      return;
+    case SilenceVerdict::kSilent:
+      NoteSilent(event.host, event.detail);
+      return;
+    case SilenceVerdict::kLost:
+      NoteSilent(event.host, event.detail);
+      MoveQuestionsFrom(event.host, now);
+      return;
+  }
+}
+
+void StageDesk::MoveQuestionsFrom(const base::HostName& host,
+                                  base::TimePoint now) {
   std::vector<AskId> waiting;
   for (const auto& [id, question] : questions_) {
-    if (!question.local && question.host == event.host)
+    if (!question.local && question.host == host)
       waiting.push_back(id);
   }
   for (const AskId id : waiting) {
@@ -246,150 +298,43 @@
   }
 }
 
-void StageDesk::SetHosts(std::span<const PeerHost> hosts) {
-  ring_.SetHosts(hosts);
-  WatchDispatchers();
-}
-
-void StageDesk::WatchDispatchers() {
-  std::set<base::HostName> hosts;
-  for (const auto& [name, pool] : pools_) {
-    for (const PeerHost* host :
-         {&ring_.DispatcherOf(name), &ring_.IdealDispatcherOf(name)}) {
-      if (!ring_.IsOwn(*host))
-        hosts.insert(host->name);
-    }
-  }
-  watch_.Watch(hosts);
-}
-
 void StageDesk::AskPeers(base::TimePoint now) {
   for (const base::HostName& name : watch_.TakeDue(now)) {
     if (const PeerHost* host = ring_.Find(name))
-      context_.Emit(AskWhetherAlive{name, host->address});
+      context_.Emit(
+          AskWhetherAlive{name, host->address, watch_.pace().timeout});
     else
-      watch_.NoteEnded(name);
+      watch_.Forget(name);
   }
 }
 
-void StageDesk::Handle(const StageCallEnded& event, base::TimePoint now) {
-  const auto node = calls_.extract(event.call);
-  if (node.empty())
-    return;
-  const OpenCall& call = node.mapped();
-  LogCall(call, event.outcome, now);
-  if (Pool* pool = FindPool(call.pool))
-    pool->dispatcher.FinishCall(call.id, event.outcome, now);
+void StageDesk::Dispatch(base::TimePoint now) {
+  AskPeers(now);
+  dispatch_.Dispatch(now);
+  for (DispatchedJob& it : dispatch_.TakeOutcomes())
+    GiveOutcome(std::move(it), now);
 }
 
-void StageDesk::LogCall(const OpenCall& call,
-                        const StageCallOutcome& outcome,
-                        base::TimePoint now) {
-  std::vector<LogFact> facts{
-      {"pool", call.pool.value},
-      {"endpoint", call.endpoint.value},
-      {"pieces", std::to_string(call.pieces)},
-      {"ms", ToMilliseconds(now - call.sent)},
-      {"left_waiting", std::to_string(call.waiting_pieces)},
-      {"room_used_percent", std::to_string(call.room_percent)},
-      {"room_usable_percent", std::to_string(call.usable_percent)},
-      {"requests", call.requests}};
+void StageDesk::GiveOutcome(DispatchedJob job, base::TimePoint now) {
   std::visit(base::Overloaded{
-                 [&facts](const std::vector<PieceOutcome>& it) {
-                   facts.push_back(
-                       {"made",
-                        std::to_string(std::ranges::count_if(
-                            it, [](const PieceOutcome& piece) {
-                              return std::holds_alternative<std::string>(piece);
-                            }))});
+                 [&](PeerExchangeId exchange) {
+                   peer_jobs_.erase(exchange);
+                   context_.Emit(AnswerPeer{exchange, std::move(job.outcome),
+                                            job.backlog});
                  },
-                 [&facts](StageCallFailure it) {
-                   facts.push_back({"failure", std::string(ToText(it))});
+                 [&](AskId ask) {
+                   if (questions_.contains(ask))
+                     Finish(ask, job.outcome, job.backlog, now);
                  },
              },
-             outcome);
-  context_.Log(base::LogEventId::kStageCallEnded, "", std::move(facts));
-}
-
-void StageDesk::Dispatch(base::TimePoint now) {
-  AskPeers(now);
-  for (auto& [name, pool] : pools_) {
-    MakeCalls(name, pool, now);
-    for (FreeOrder& order : pool.dispatcher.TakeFreeOrders(now))
-      context_.Emit(FreeResults{std::move(order)});
-    GiveOutcomes(name, pool);
-  }
-}
-
-void StageDesk::MakeCalls(const base::PoolName& name,
-                          Pool& pool,
-                          base::TimePoint now) {
-  while (auto call = pool.dispatcher.NextCall(now)) {
-    const StageCallId id{++last_call_};
-    calls_.emplace(
-        id, OpenCall{name, call->id, call->endpoint, now, call->pieces.size(),
-                     RequestsOf(*call), call->room_percent,
-                     call->usable_percent, call->waiting_pieces});
-    call->id = id;
-    context_.Emit(CallStage{std::move(*call)});
-  }
-}
-
-void StageDesk::GiveOutcomes(const base::PoolName& name, Pool& pool) {
-  for (auto& [job, outcome] : pool.dispatcher.TakeOutcomes()) {
-    const auto node = pool.submitted.extract(job);
-    if (node.empty())
-      continue;
-    if (const auto* failure = std::get_if<JobFailure>(&outcome))
-      LogRefused(name, pool, node.mapped().request_id, *failure);
-    GiveOutcome(node.mapped().origin, std::move(outcome));
-  }
-}
-
-void StageDesk::LogRefused(const base::PoolName& name,
-                           const Pool& pool,
-                           const std::string& request_id,
-                           const JobFailure& failure) {
-  context_.Log(
-      base::LogEventId::kJobRefused, request_id,
-      {{"pool", name.value},
-       {"reason", std::string(ToText(failure.kind))},
-       {"waiting_pieces", std::to_string(pool.dispatcher.waiting_pieces())},
-       {"endpoints", std::to_string(pool.dispatcher.ServingCount())},
-       {"retry_ms", ToMilliseconds(failure.retry_after)}});
-}
-
-void StageDesk::GiveOutcome(const Origin& origin, JobOutcome outcome) {
-  std::visit(
-      base::Overloaded{
-          [&](PeerExchangeId exchange) {
-            peer_jobs_.erase(exchange);
-            context_.Emit(AnswerPeer{exchange, std::move(outcome)});
-          },
-          [&](AskId ask) {
-            const auto node = questions_.extract(ask);
-            if (node.empty())
-              return;
-            const Question& question = node.mapped();
-            if (const auto* failure = std::get_if<JobFailure>(&outcome)) {
-              outcomes_.emplace_back(ask, *failure);
-              return;
-            }
-            outcomes_.emplace_back(
-                ask, AskedResults{question.host, question.job.pool,
-                                  std::get<JobResults>(outcome).results});
-          },
-      },
-      origin);
+             job.origin);
 }
 
 std::optional<base::TimePoint> StageDesk::NextWakeup() const {
   std::optional<base::TimePoint> next = watch_.NextWakeup();
-  for (const auto& [name, pool] : pools_) {
-    const auto wakeup = pool.dispatcher.NextWakeup();
-    if (wakeup && (!next || *wakeup < *next))
-      next = wakeup;
-  }
+  const auto dispatch = dispatch_.NextWakeup();
+  if (dispatch && (!next || *dispatch < *next))
+    next = dispatch;
   return next;
 }
 
--- a/Libraries/LibForward/stage_desk.h
+++ b/Libraries/LibForward/stage_desk.h
@@ -1,30 +1,32 @@
 #pragma once
 
 #include <map>
-#include <memory>
 #include <optional>
+#include <span>
 #include <utility>
 #include <vector>
 
+#include "LibForward/cell_chooser.h"
+#include "LibForward/cell_plan.h"
+#include "LibForward/dispatch_desk.h"
 #include "LibForward/dispatcher_ring.h"
 #include "LibForward/forward_context.h"
 #include "LibForward/peer_watch.h"
-#include "LibForward/stage_dispatcher.h"
 
 namespace bilberry::forward {
 
 // The results of a job, and the host that knows of them.
 struct AskedResults {
   base::HostName host;
-  base::PoolName pool;
+  CellPool at;
   std::vector<StageResult> results;
 };
 
 using AskOutcome = std::variant<AskedResults, JobFailure>;
 
 // Has jobs done by the dispatchers of their pools, here or at a peer, and does
-// those that peers ask for. A peer that can't be reached is replaced by the
-// next one.
+// those that peers ask for. A peer that can't be reached is replaced by its
+// successor, if that one agrees.
 class StageDesk {
  public:
   explicit StageDesk(ForwardContext& context);
@@ -33,6 +35,11 @@
   void SetEndpoints(std::vector<ListedEndpoint> endpoints);
   void SetHosts(std::span<const PeerHost> hosts);
 
+  // Where a request's pieces are best made now; empty when each cell has been
+  // tried.
+  std::optional<Cell> ChooseCell(const CellWish& wish,
+                                 base::TimePoint now) const;
+
   // Ends in one outcome, unless it is withdrawn.
   AskId Ask(StageJob job, base::TimePoint now);
   void Withdraw(AskId id);
@@ -45,17 +52,19 @@
   void Handle(const PeerResultsRead& event, base::TimePoint now);
   void Handle(const PeerJobEnded& event, base::TimePoint now);
   void Handle(const PeerJobLost& event, base::TimePoint now);
-  void Handle(const ResultsFreed& event);
-  void Handle(const PeerAlive& event);
+  void Handle(const ResultsFreed& event) { dispatch_.Handle(event); }
+  void Handle(const PeerAlive& event, base::TimePoint now);
   void Handle(const PeerSilent& event, base::TimePoint now);
-  void Handle(const StageCallEnded& event, base::TimePoint now);
+  void Handle(const StageCallEnded& event, base::TimePoint now) {
+    dispatch_.Handle(event, now);
+  }
 
   // Makes the calls and gives the answers that are due.
   void Dispatch(base::TimePoint now);
   std::optional<base::TimePoint> NextWakeup() const;
 
-  // Whether the pool makes pieces and has an endpoint.
-  bool CanServe(const base::PoolName& pool) const;
+  // Peers' jobs that this host works on.
+  size_t peer_job_count() const { return peer_jobs_.size(); }
 
  private:
   // A question of this host that has no outcome yet.
@@ -67,68 +76,45 @@
     base::HostName host;
     std::optional<JobId> local;  // If this host does it.
     uint32_t hosts_lost = 0;
-  };
-
-  // Whose job a dispatcher of this host works on.
-  using Origin = std::variant<AskId, PeerExchangeId>;
-
-  // A call that a dispatcher of this host has made.
-  struct OpenCall {
-    base::PoolName pool;
-    StageCallId id{};  // The dispatcher's own.
-    base::EndpointName endpoint;
-    base::TimePoint sent;
-    size_t pieces = 0;
-    std::string requests;  // Ids, with spaces between.
-    uint32_t room_percent = 0;
-    uint32_t usable_percent = 0;
-    uint32_t waiting_pieces = 0;
-  };
 
-  struct SubmittedJob {
-    Origin origin;
-    std::string request_id;
-  };
-
-  struct Pool {
-    explicit Pool(const PieceLimits& limits) : dispatcher(limits) {}
-    StageDispatcher dispatcher;
-    std::map<JobId, SubmittedJob> submitted;
+    CellPool at() const { return {job.cell, job.pool}; }
   };
 
   void Place(AskId id, Question& question, base::TimePoint now);
-  JobId SubmitHere(Pool& pool,
-                   StageJob job,
-                   Origin origin,
-                   base::TimePoint now);
-  void LogCall(const OpenCall& call,
-               const StageCallOutcome& outcome,
-               base::TimePoint now);
-  void GiveOutcomes(const base::PoolName& name, Pool& pool);
-  void LogRefused(const base::PoolName& name,
-                  const Pool& pool,
-                  const std::string& request_id,
-                  const JobFailure& failure);
-  void GiveOutcome(const Origin& origin, JobOutcome outcome);
-  void MakeCalls(const base::PoolName& name, Pool& pool, base::TimePoint now);
-  Pool* FindPool(const base::PoolName& name);
-  void WatchDispatchers();
-  void AskPeers(base::TimePoint now);
+  void PlaceHere(AskId id,
+                 Question& question,
+                 StageJob job,
+                 base::TimePoint now);
   // Gives a question to the next host.
   void Move(AskId id, Question& question, base::TimePoint now);
+  void Fail(AskId id, const JobFailure& failure);
+  // `backlog` is the dispatcher's.
+  void Finish(AskId id,
+              const JobOutcome& outcome,
+              base::Duration backlog,
+              base::TimePoint now);
+  bool IsDispatcherOf(const CellPool& at, base::TimePoint now);
+  void NoteHeard(const base::HostName& host, base::TimePoint now);
+  void NoteSilent(const base::HostName& host, const std::string& reason);
+  void MoveQuestionsFrom(const base::HostName& host, base::TimePoint now);
+  void GuardDispatchers();
+  void AskPeers(base::TimePoint now);
+  void GiveOutcome(DispatchedJob job, base::TimePoint now);
 
   ForwardContext& context_;
+  CellPlan plan_;
+  CellChooser chooser_;
   DispatcherRing ring_;
   PeerWatch watch_;
-  std::map<base::PoolName, Pool> pools_;
+  DispatchDesk dispatch_;
+  std::set<base::PoolName> pools_;  // Those that make pieces.
   std::vector<ListedEndpoint> endpoints_;
   std::map<AskId, Question> questions_;
-  std::map<PeerExchangeId, std::pair<base::PoolName, JobId>> peer_jobs_;
-  // Which pool a call belongs to; calls are numbered over all pools.
-  std::map<StageCallId, OpenCall> calls_;
+  std::map<PeerExchangeId, std::pair<CellPool, JobId>> peer_jobs_;
+  // When this host was last the dispatcher, for those that it works for.
+  std::map<CellPool, base::TimePoint> last_dispatched_;
   std::vector<std::pair<AskId, AskOutcome>> outcomes_;
   uint64_t last_ask_ = 0;
-  uint64_t last_call_ = 0;
 };
 
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -542,6 +542,11 @@
   return next;
 }
 
+base::Duration StageDispatcher::Backlog(base::TimePoint now) const {
+  const PoolPace pace = PaceAt(now);
+  return pace.next_turn - now + pace.TimeFor(waiting_pieces());
+}
+
 size_t StageDispatcher::waiting_pieces() const {
   size_t n = 0;
   for (const auto& [id, job] : jobs_)
--- a/Libraries/LibForward/stage_dispatcher.h
+++ b/Libraries/LibForward/stage_dispatcher.h
@@ -50,6 +50,8 @@
   // When to call NextCall() and TakeFreeOrders() though nothing has happened.
   std::optional<base::TimePoint> NextWakeup() const;
 
+  // What a new job would wait for its turn, behind all that waits.
+  base::Duration Backlog(base::TimePoint now) const;
   size_t waiting_pieces() const;
   // Endpoints that aren't leaving.
   size_t ServingCount() const;
--- a/Libraries/LibForward/stage_job.h
+++ b/Libraries/LibForward/stage_job.h
@@ -9,6 +9,7 @@
 
 #include "LibBase/ids.h"
 #include "LibBase/time.h"
+#include "LibForward/cell.h"
 #include "LibForward/forward_configuration.h"
 
 namespace bilberry::forward {
@@ -29,6 +30,7 @@
 struct StageJob {
   std::string request_id;
   base::PoolName pool;
+  Cell cell;           // Whose endpoints make it.
   uint32_t stage = 0;  // Its index in the pipeline.
   uint32_t piece_count = 0;
   // What the pieces read: the request's key, or results of other stages.
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -17,9 +17,6 @@
 constexpr const char* kAlivePath = "/v1/alive";
 constexpr const char* kResultsReadPath = "/v1/results-read";
 constexpr const char* kMetricsPath = "/metrics";
-// A host answers this at once; a lost packet is sent again after 200 ms (the
-// kernel's shortest retransmission time).
-constexpr std::chrono::milliseconds kAliveTimeout{350};
 // A peer that has not answered a job by then is taken for lost: jobs end by
 // their own deadline before.
 constexpr std::chrono::milliseconds kPeerSlack{500};
@@ -57,7 +54,8 @@
 forward::ForwardOptions NodeOptionsOf(const ForwardShellOptions& options) {
   const declare::ForwardSettings& settings = options.settings;
   forward::ForwardOptions node;
-  node.own = {settings.host, settings.peers, settings.zone, settings.cores};
+  node.own = {settings.host, settings.peers, settings.zone, settings.cores,
+              settings.link_mbps};
   node.incarnation = options.incarnation;
   node.seed = options.seed;
   node.stop_limit =
@@ -368,9 +366,9 @@
           return;
         }
         const auto& response = std::get<HttpResponse>(outcome);
-        auto decoded = DecodeJobOutcome(response.body);
+        auto decoded = DecodeJobAnswer(ask, response.body);
         if (response.status == 200 && decoded)
-          Feed(forward::PeerJobEnded{ask, std::move(*decoded)});
+          Feed(std::move(*decoded));
         else
           Feed(forward::PeerJobLost{
               ask, "answered " + std::to_string(response.status)});
@@ -384,10 +382,9 @@
 }
 
 void ForwardShell::Do(const forward::AnswerPeer& action) {
-  peers_->Respond(ExchangeId{static_cast<uint64_t>(action.exchange)},
-                  {200,
-                   {{kContentTypeHeader, kJsonType}},
-                   EncodeJobOutcome(action.outcome)});
+  peers_->Respond(
+      ExchangeId{static_cast<uint64_t>(action.exchange)},
+      {200, {{kContentTypeHeader, kJsonType}}, EncodeJobAnswer(action)});
 }
 
 void ForwardShell::Do(const forward::TellPeerRead& action) {
@@ -396,7 +393,7 @@
   request.address = action.address;
   request.path = kResultsReadPath;
   request.headers = {{kContentTypeHeader, kJsonType}};
-  request.body = EncodeResultsRead(action.pool, action.results);
+  request.body = EncodeResultsRead(action.at, action.results);
   request.timeout = kTellTimeout;
   // A peer that isn't told counts the room as used until the results' end.
   http_->Send(std::move(request), [](const HttpOutcome&) {});
@@ -406,7 +403,7 @@
   HttpRequest request;
   request.address = action.address;
   request.path = kAlivePath;
-  request.timeout = kAliveTimeout;
+  request.timeout = action.timeout;
   http_->Send(std::move(request),
               [this, host = action.host](const HttpOutcome& outcome) {
                 if (const auto* failure = std::get_if<HttpFailure>(&outcome))
--- a/Libraries/LibTransport/stage_job_codec.cc
+++ b/Libraries/LibTransport/stage_job_codec.cc
@@ -67,6 +67,7 @@
   Json::Value object;
   object["request"] = job.request_id;
   object["pool"] = job.pool.value;
+  object["cell"] = job.cell.zone.value;
   object["stage"] = job.stage;
   object["pieces"] = job.piece_count;
   if (const auto* key = std::get_if<std::string>(&job.input))
@@ -92,7 +93,7 @@
   if (!object || !object->isObject())
     return std::nullopt;
   const Json::Value& it = *object;
-  if (!HasTexts(it, {"request", "pool", "reader_zone"}) ||
+  if (!HasTexts(it, {"request", "pool", "cell", "reader_zone"}) ||
       !HasNumbers(it, {"stage", "pieces", "result_bytes", "urgency",
                        "target_us", "deadline_us", "after_us"}) ||
       !it["is_new"].isBool() || !it["stage"].isUInt() ||
@@ -103,6 +104,7 @@
   forward::StageJob job;
   job.request_id = it["request"].asString();
   job.pool.value = it["pool"].asString();
+  job.cell.zone.value = it["cell"].asString();
   job.stage = it["stage"].asUInt();
   job.piece_count = it["pieces"].asUInt();
   if (it["key"].isString()) {
@@ -127,28 +129,32 @@
   return job;
 }
 
-std::string EncodeJobOutcome(const forward::JobOutcome& outcome) {
+std::string EncodeJobAnswer(const forward::AnswerPeer& answer) {
   Json::Value object;
-  if (const auto* done = std::get_if<forward::JobResults>(&outcome)) {
+  object["backlog_us"] = JsonOf(answer.backlog);
+  if (const auto* done = std::get_if<forward::JobResults>(&answer.outcome)) {
     object["results"] = JsonOf(done->results);
   } else {
-    const auto& failure = std::get<forward::JobFailure>(outcome);
+    const auto& failure = std::get<forward::JobFailure>(answer.outcome);
     object["failure"] = std::string(forward::ToText(failure.kind));
     object["retry_after_us"] = JsonOf(failure.retry_after);
   }
   return PrintCompact(object);
 }
 
-std::optional<forward::JobOutcome> DecodeJobOutcome(std::string_view text) {
+std::optional<forward::PeerJobEnded> DecodeJobAnswer(forward::AskId ask,
+                                                     std::string_view text) {
   const auto object = ParseCompact(text);
-  if (!object || !object->isObject())
+  if (!object || !object->isObject() || !HasNumbers(*object, {"backlog_us"}))
     return std::nullopt;
   const Json::Value& it = *object;
+  const base::Duration backlog = DurationOf(it["backlog_us"]);
   if (it.isMember("results")) {
     auto results = ResultsOf(it["results"]);
     if (!results)
       return std::nullopt;
-    return forward::JobResults{std::move(*results)};
+    return forward::PeerJobEnded{ask, forward::JobResults{std::move(*results)},
+                                 backlog};
   }
   if (!HasTexts(it, {"failure"}) || !HasNumbers(it, {"retry_after_us"}))
     return std::nullopt;
@@ -159,14 +165,17 @@
       });
   if (kind == std::end(kFailureKinds))
     return std::nullopt;
-  return forward::JobFailure{*kind, DurationOf(it["retry_after_us"])};
+  return forward::PeerJobEnded{
+      ask, forward::JobFailure{*kind, DurationOf(it["retry_after_us"])},
+      backlog};
 }
 
 std::string EncodeResultsRead(
-    const base::PoolName& pool,
+    const forward::CellPool& at,
     const std::vector<forward::StageResult>& results) {
   Json::Value object;
-  object["pool"] = pool.value;
+  object["pool"] = at.pool.value;
+  object["cell"] = at.cell.zone.value;
   object["results"] = JsonOf(results);
   return PrintCompact(object);
 }
@@ -174,13 +183,16 @@
 std::optional<forward::PeerResultsRead> DecodeResultsRead(
     std::string_view text) {
   const auto object = ParseCompact(text);
-  if (!object || !object->isObject() || !HasTexts(*object, {"pool"}))
+  if (!object || !object->isObject() || !HasTexts(*object, {"pool", "cell"}))
     return std::nullopt;
   auto results = ResultsOf((*object)["results"]);
   if (!results)
     return std::nullopt;
-  return forward::PeerResultsRead{{(*object)["pool"].asString()},
-                                  std::move(*results)};
+  forward::PeerResultsRead read;
+  read.at.pool.value = (*object)["pool"].asString();
+  read.at.cell.zone.value = (*object)["cell"].asString();
+  read.results = std::move(*results);
+  return read;
 }
 
 }  // namespace bilberry::transport
--- a/Libraries/LibTransport/stage_job_codec.h
+++ b/Libraries/LibTransport/stage_job_codec.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "LibForward/forward_action.h"
 #include "LibForward/forward_event.h"
 
 // What entry hosts say to one another about stages, as JSON.
@@ -12,10 +13,11 @@
 std::string EncodeStageJob(const forward::StageJob& job);
 std::optional<forward::StageJob> DecodeStageJob(std::string_view text);
 
-std::string EncodeJobOutcome(const forward::JobOutcome& outcome);
-std::optional<forward::JobOutcome> DecodeJobOutcome(std::string_view text);
+std::string EncodeJobAnswer(const forward::AnswerPeer& answer);
+std::optional<forward::PeerJobEnded> DecodeJobAnswer(forward::AskId ask,
+                                                     std::string_view text);
 
-std::string EncodeResultsRead(const base::PoolName& pool,
+std::string EncodeResultsRead(const forward::CellPool& at,
                               const std::vector<forward::StageResult>& results);
 std::optional<forward::PeerResultsRead> DecodeResultsRead(
     std::string_view text);
