LibForward: Let two large hosts of each zone follow the store for the others

In fleets of more than 24 hosts, two large ones of each zone follow the store; the others ask one of them each 0.6 to 0.7 s what has changed since the version that they know (TableLedger: entries that are written again with the same content haven't changed), and with it the configuration's revision. A host that hears of a higher one asks the store at once. Versions never go back. News that is older than 2.5 s, or none for 1.6 s, and a host asks the store itself. Held calls for the configuration last 25 s while peers tell of it, 10 s otherwise.

Test: emulated hosts now have a processor's share and a time for each message, and a sheet of a grown fleet (67 hosts, eight of them large).

--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -31,6 +31,7 @@
     {kPeerMessagesRefused, kWarning, "peer-messages-refused"},
     {kDispatcherLost, kWarning, "dispatcher-lost"},
     {kDispatcherBack, kInfo, "dispatcher-back"},
+    {kRelayLost, kInfo, "relay-lost"},
     {kAttemptFailed, kWarning, "attempt-failed"},
     {kAnswerMismatched, kError, "answer-mismatched"},
     {kEndpointEjected, kWarning, "endpoint-ejected"},
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -29,6 +29,7 @@
   kPeerMessagesRefused = 1310,
   kDispatcherLost = 1311,
   kDispatcherBack = 1312,
+  kRelayLost = 1313,
   kAttemptFailed = 1401,
   kAnswerMismatched = 1402,
   kEndpointEjected = 1403,
--- a/Libraries/LibEmulation/emulation.cc
+++ b/Libraries/LibEmulation/emulation.cc
@@ -15,6 +15,8 @@
 // Those who came last, and those who come back, are still answered.
 constexpr seconds kTail{60};
 constexpr milliseconds kStoreDelay{4};
+// An answer of a host that is gone is waited for this long.
+constexpr milliseconds kNewsTimeout{600};
 // Between a caller and its host.
 constexpr milliseconds kCallerDelay{1};
 // What endpoints read results with.
@@ -92,10 +94,24 @@
   }
 }
 
+HostKind Emulation::KindOf(uint32_t host) const {
+  for (const HostKind& kind : sheet_.host_kinds) {
+    if (host < kind.count)
+      return kind;
+    host -= kind.count;
+  }
+  return {};
+}
+
 void Emulation::AddHosts() {
   for (uint32_t i = 0; i < sheet_.hosts; ++i) {
     Host host;
-    host.self = {{"host-" + std::to_string(i)}, AddressOf(3, i), ZoneOf(i), 1};
+    const HostKind kind = KindOf(i);
+    host.self = {{"host-" + std::to_string(i)},
+                 AddressOf(3, i),
+                 ZoneOf(i),
+                 kind.cores,
+                 kind.link_mbps};
     forward::ForwardOptions options;
     options.own = host.self;
     options.incarnation = base::Incarnation{i + 1};
@@ -119,7 +135,9 @@
       });
   for (const HostLoss& loss : sheet_.losses)
     timeline_.After(loss.at, [this, loss] { LoseHost(loss.host); });
-  timeline_.RunUntil(timeline_.now() + sheet_.lasts + kTail);
+  timeline_.RunUntil(timeline_.now() + sheet_.lasts);
+  report_.store_calls = store_calls_;
+  timeline_.RunUntil(timeline_.now() + kTail);
   for (const auto& maker : makers_)
     maker->CountUnread();
   for (const Host& host : hosts_) {
@@ -153,8 +171,27 @@
 void Emulation::FeedAfter(base::Duration delay,
                           size_t host,
                           forward::Event event) {
-  timeline_.After(
-      delay, [this, host, event = std::move(event)] { Feed(host, event); });
+  timeline_.After(delay, [this, host, event = std::move(event)] {
+    Process(host, MessageTimeOf(host),
+            [this, host, event] { Feed(host, event); });
+  });
+}
+
+base::Duration Emulation::MessageTimeOf(size_t host) const {
+  return base::Duration(
+      static_cast<int64_t>(static_cast<double>(sheet_.message_time.count()) /
+                           hosts_[host].self.capacity));
+}
+
+void Emulation::Process(size_t host,
+                        base::Duration work_time,
+                        std::function<void()> work) {
+  base::TimePoint& busy_until = hosts_[host].busy_until;
+  busy_until = std::max(busy_until, timeline_.now()) + work_time;
+  if (busy_until == timeline_.now())
+    work();
+  else
+    timeline_.At(busy_until, std::move(work));
 }
 
 void Emulation::ScheduleWakeup(size_t index) {
@@ -167,8 +204,10 @@
   timeline_.At(time, [this, index, time] {
     if (hosts_[index].wakes_at != time)
       return;
-    hosts_[index].wakes_at.reset();
-    Feed(index, forward::TimerDue{});
+    Process(index, base::Duration(0), [this, index] {
+      hosts_[index].wakes_at.reset();
+      Feed(index, forward::TimerDue{});
+    });
   });
 }
 
@@ -231,13 +270,15 @@
   const base::AttemptId attempt = action.attempt;
   timeline_.At(times.first_event + way, [this, key, host, attempt, head] {
     if (attempts_.contains(key))
-      Feed(host, forward::AttemptChunk{attempt, head, "id: 0\n\n"});
+      FeedAfter(base::Duration(0), host,
+                forward::AttemptChunk{attempt, head, "id: 0\n\n"});
   });
   timeline_.At(times.end + way, [this, key, host, attempt, head] {
     if (!attempts_.contains(key))
       return;
     EndAttempt(key);
-    Feed(host, forward::AttemptAnswer{attempt, head, ""});
+    FeedAfter(base::Duration(0), host,
+              forward::AttemptAnswer{attempt, head, ""});
   });
 }
 
@@ -376,16 +417,26 @@
 }
 
 void Emulation::Do(size_t host, const forward::AskWhetherAlive& action) {
+  const uint64_t probe = ++last_probe_;
+  open_probes_.insert(probe);
+  timeline_.After(action.timeout, [this, host, probe, name = action.host] {
+    if (open_probes_.erase(probe) > 0)
+      Feed(host, forward::PeerSilent{name, "no answer"});
+  });
   const auto to = FindHost(action.address);
-  if (to)
-    ++hosts_[*to].messages;
-  if (!to || !hosts_[*to].is_alive) {
-    FeedAfter(action.timeout, host,
-              forward::PeerSilent{action.host, "no answer"});
+  if (!to || !hosts_[*to].is_alive)
     return;
-  }
-  FeedAfter(DelayBetween(hosts_[host].self.zone, hosts_[*to].self.zone) * 2,
-            host, forward::PeerAlive{action.host});
+  ++hosts_[*to].messages;
+  const base::Duration way =
+      DelayBetween(hosts_[host].self.zone, hosts_[*to].self.zone);
+  timeline_.After(way, [this, host, to, way, probe, name = action.host] {
+    Process(*to, MessageTimeOf(*to), [this, host, way, probe, name] {
+      timeline_.After(way, [this, host, probe, name] {
+        if (open_probes_.erase(probe) > 0)
+          FeedAfter(base::Duration(0), host, forward::PeerAlive{name});
+      });
+    });
+  });
 }
 
 std::vector<forward::FeedRow> Emulation::RowsOf(forward::FeedKind feed) const {
@@ -408,13 +459,32 @@
   return rows;
 }
 
+void Emulation::Do(size_t host, const forward::AskNews& action) {
+  const auto to = FindHost(action.address);
+  if (!to || !hosts_[*to].is_alive) {
+    FeedAfter(kNewsTimeout, host, forward::NewsFailed{"no answer"});
+    return;
+  }
+  const forward::PeerExchangeId exchange{++last_exchange_};
+  news_askers_[exchange] = host;
+  FeedPeer(host, *to, forward::PeerNewsAsked{exchange, action.known});
+}
+
+void Emulation::Do(size_t host, const forward::AnswerNews& action) {
+  const auto node = news_askers_.extract(action.exchange);
+  if (!node.empty())
+    FeedPeer(host, node.mapped(), forward::NewsHeard{action.news});
+}
+
 void Emulation::Do(size_t host, const forward::ListTable& action) {
+  ++store_calls_;
   FeedAfter(kStoreDelay, host,
             forward::TableListed{action.feed, RowsOf(action.feed), false,
                                  host_rows_.size() + 1});
 }
 
 void Emulation::Do(size_t host, const forward::FollowTable& action) {
+  ++store_calls_;
   const uint64_t version = host_rows_.size() + 1;
   if (action.feed == forward::FeedKind::kHosts && action.version < version) {
     FeedAfter(kStoreDelay, host,
@@ -426,6 +496,11 @@
             forward::TableChanged{action.feed, {}, action.version});
 }
 
+void Emulation::Do(size_t /*host*/, const forward::WriteLog& action) {
+  if (action.id == base::LogEventId::kDispatcherLost)
+    ++report_.dispatchers_lost;
+}
+
 void Emulation::Do(size_t host, const forward::WriteOwnRow& action) {
   timeline_.After(kStoreDelay, [this, host, row = action.host] {
     host_rows_.push_back(row);
--- a/Libraries/LibEmulation/emulation.h
+++ b/Libraries/LibEmulation/emulation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -44,6 +45,8 @@
     std::unique_ptr<forward::ForwardNode> node;
     bool is_alive = true;
     std::optional<base::TimePoint> wakes_at;
+    // Until when its processor has work.
+    base::TimePoint busy_until;
     uint64_t messages = 0;  // Of peers.
   };
 
@@ -64,11 +67,17 @@
   void AddMakers();
   void AddEngines();
   base::ZoneName ZoneOf(size_t index) const;
+  HostKind KindOf(uint32_t host) const;
   base::Duration DelayBetween(const base::ZoneName& left,
                               const base::ZoneName& right) const;
 
   void Feed(size_t host, forward::Event event);
   void FeedAfter(base::Duration delay, size_t host, forward::Event event);
+  // Does `work` when the host's processor comes to it, and is done with it.
+  void Process(size_t host,
+               base::Duration work_time,
+               std::function<void()> work);
+  base::Duration MessageTimeOf(size_t host) const;
   void ScheduleWakeup(size_t host);
   void SendToHost(forward::ForwardedRequest request);
   std::optional<size_t> DrawLiveHost();
@@ -88,9 +97,12 @@
   void Do(size_t host, const forward::AnswerPeer& action);
   void Do(size_t host, const forward::TellPeerRead& action);
   void Do(size_t host, const forward::AskWhetherAlive& action);
+  void Do(size_t host, const forward::AskNews& action);
+  void Do(size_t host, const forward::AnswerNews& action);
   void Do(size_t host, const forward::ListTable& action);
   void Do(size_t host, const forward::FollowTable& action);
   void Do(size_t host, const forward::WriteOwnRow& action);
+  void Do(size_t host, const forward::WriteLog& action);
   // Nothing that the emulation plays depends on the others.
   template <typename T>
   void Do(size_t host, const T& action) {
@@ -123,11 +135,16 @@
   std::map<base::CallerId, size_t> host_of_caller_;
   std::map<uint64_t, Attempt> attempts_;
   std::map<forward::PeerExchangeId, Question> questions_;
+  // Who asked for news.
+  std::map<forward::PeerExchangeId, size_t> news_askers_;
+  std::set<uint64_t> open_probes_;  // Questions whether a host is there.
   std::map<std::pair<size_t, forward::AskId>, forward::PeerExchangeId>
       exchanges_;
   std::vector<forward::PeerHost> host_rows_;
   std::set<std::string> parts_read_;
   uint64_t last_exchange_ = 0;
+  uint64_t last_probe_ = 0;
+  uint64_t store_calls_ = 0;
 };
 
 }  // namespace bilberry::emulation
--- a/Libraries/LibEmulation/emulation_report.cc
+++ b/Libraries/LibEmulation/emulation_report.cc
@@ -106,7 +106,8 @@
       << ", at the busiest "
       << Share(static_cast<double>(report.most_messages),
                Seconds(report.lasted))
-      << "\n";
+      << "; calls to the store " << report.store_calls << ", dispatchers lost "
+      << report.dispatchers_lost << "\n";
   return out.str();
 }
 
--- a/Libraries/LibEmulation/emulation_report.h
+++ b/Libraries/LibEmulation/emulation_report.h
@@ -52,6 +52,8 @@
   double tokens_read_again = 0;      // Of shared parts.
   uint64_t messages = 0;             // Between hosts.
   uint64_t most_messages = 0;        // Taken by one host.
+  uint64_t store_calls = 0;          // Of all hosts, with their start.
+  uint64_t dispatchers_lost = 0;     // As often as a host says so of another.
 
   double worth_share() const;
 };
--- a/Libraries/LibEmulation/load_sheet.cc
+++ b/Libraries/LibEmulation/load_sheet.cc
@@ -167,6 +167,30 @@
   return sheet;
 }
 
+LoadSheet GrownHireFirms() {
+  constexpr uint32_t kLargeHosts = 8;
+  constexpr uint32_t kSmallHosts = 59;
+  LoadSheet sheet = HireFirms(kSheetHosts);
+  sheet.name = "grown";
+  sheet.hosts = kLargeHosts + kSmallHosts;
+  sheet.host_kinds = {{kLargeHosts, 0.5, 200}, {kSmallHosts, 0.12, 10}};
+  sheet.message_time = microseconds(200);
+  sheet.zones = 4;
+  sheet.between_zones = microseconds(900);
+  sheet.kinds[0].per_second = 106;
+  sheet.kinds[0].sessions = 1240;
+  sheet.kinds[1].per_second = 128;
+  sheet.kinds[1].sessions = 1510;
+  sheet.kinds[2].per_second = 63.5;
+  sheet.kinds[2].sessions = 500;
+  sheet.makers = {
+      MakeMakers("billing", 17, 10, microseconds(13'000), 45'000'000),
+      MakeMakers("returns", 15, 44, microseconds(2'900), 7'800'000),
+      MakeMakers("tracking", 16, 96, microseconds(1'300), 1'600'000)};
+  sheet.engines.endpoints = 90;
+  return sheet;
+}
+
 std::vector<LoadSheet> HireFirmDays(uint32_t hosts) {
   const LoadSheet steady = HireFirms(hosts);
   LoadSheet peak = steady;
--- a/Libraries/LibEmulation/load_sheet.h
+++ b/Libraries/LibEmulation/load_sheet.h
@@ -55,6 +55,13 @@
   base::Duration at{};
 };
 
+// Hosts of one size, dealt to the zones in turn.
+struct HostKind {
+  uint32_t count = 0;
+  double cores = 1;
+  double link_mbps = 0;
+};
+
 // Endpoints that make pieces, dealt to the zones in turn.
 struct MakerPool {
   std::string name;
@@ -76,6 +83,10 @@
 struct LoadSheet {
   std::string name;
   uint32_t hosts = 1;
+  // Which hosts are how large; empty when all have a core of their own.
+  std::vector<HostKind> host_kinds;
+  // What a host with one core takes for one message; 0 for no time at all.
+  base::Duration message_time{};
   uint32_t zones = 1;
   base::Duration in_zone{};  // One way.
   base::Duration between_zones{};
@@ -103,6 +114,9 @@
 // proportion to the hosts.
 LoadSheet HireFirms(uint32_t hosts);
 
+// The same firms grown: 67 hosts in four zones, of which eight are large.
+LoadSheet GrownHireFirms();
+
 // The same firms on several days, by name: "steady", "peak", "two-bursts",
 // "hosts-lost".
 std::vector<LoadSheet> HireFirmDays(uint32_t hosts);
--- a/Libraries/LibForward/dispatcher_ring.cc
+++ b/Libraries/LibForward/dispatcher_ring.cc
@@ -8,28 +8,6 @@
 
 namespace bilberry::forward {
 
-namespace {
-
-// A host is large if it has this part of what the largest one has.
-constexpr double kLargePart = 0.5;
-
-// In which order hosts are taken; lower goes first. A small host of the zone
-// would be overloaded sooner than a large one elsewhere is far.
-enum class Tier {
-  kLargeInZone,
-  kLargeElsewhere,
-  kSmallInZone,
-  kSmallElsewhere
-};
-
-Tier TierOf(bool is_large, bool is_in_zone) {
-  if (is_large)
-    return is_in_zone ? Tier::kLargeInZone : Tier::kLargeElsewhere;
-  return is_in_zone ? Tier::kSmallInZone : Tier::kSmallElsewhere;
-}
-
-}  // namespace
-
 DispatcherRing::DispatcherRing(PeerHost own) : own_(std::move(own)) {
   SetHosts({});
 }
@@ -40,10 +18,7 @@
     if (!IsOwn(it))
       hosts_.push_back(it);
   }
-  most_capacity_ =
-      std::ranges::max_element(hosts_, {}, &PeerHost::capacity)->capacity;
-  most_link_mbps_ =
-      std::ranges::max_element(hosts_, {}, &PeerHost::link_mbps)->link_mbps;
+  sizes_ = HostSizes(hosts_);
   ForgetDealt();
 }
 
@@ -109,7 +84,7 @@
 size_t DispatcherRing::BestFor(const CellPool& at,
                                const std::set<base::HostName>& passed_over,
                                const std::vector<size_t>& counts) const {
-  using Rank = std::tuple<Tier, size_t, double>;
+  using Rank = std::tuple<HostTier, size_t, double>;
   size_t best = 0;
   std::optional<Rank> best_rank;
   const std::string key = at.cell.zone.value + "/" + at.pool.value;
@@ -118,7 +93,7 @@
     if (passed_over.contains(host.name))
       continue;
     const bool is_in_zone = at.cell.HasAllZones() || host.zone == at.cell.zone;
-    const Rank rank{TierOf(IsLarge(host), is_in_zone), counts[i],
+    const Rank rank{TierOf(sizes_.IsLarge(host), is_in_zone), counts[i],
                     -WeightedRendezvous(key, host.name.value, host.capacity)};
     if (!best_rank || rank < *best_rank) {
       best = i;
@@ -128,11 +103,6 @@
   return best;
 }
 
-bool DispatcherRing::IsLarge(const PeerHost& host) const {
-  return host.capacity >= kLargePart * most_capacity_ &&
-         host.link_mbps >= kLargePart * most_link_mbps_;
-}
-
 const PeerHost* DispatcherRing::Find(const base::HostName& name) const {
   const auto it = std::ranges::find(hosts_, name, &PeerHost::name);
   return it == hosts_.end() ? nullptr : &*it;
--- a/Libraries/LibForward/dispatcher_ring.h
+++ b/Libraries/LibForward/dispatcher_ring.h
@@ -9,20 +9,10 @@
 #include "LibBase/ids.h"
 #include "LibBase/time.h"
 #include "LibForward/cell.h"
+#include "LibForward/host_sizes.h"
 
 namespace bilberry::forward {
 
-// An entry host as its peers know it.
-struct PeerHost {
-  base::HostName name;
-  base::SocketAddress address;
-  base::ZoneName zone;
-  double capacity = 1;   // Cores.
-  double link_mbps = 0;  // 0 if not told.
-
-  friend bool operator==(const PeerHost&, const PeerHost&) = default;
-};
-
 // Which host collects the pieces of each pool of a cell. Only hosts that are
 // large enough to carry it do while there are any, those of the cell's zone
 // first; among them the pools are dealt out by rendezvous hashing, so that each
@@ -65,15 +55,13 @@
   size_t BestFor(const CellPool& at,
                  const std::set<base::HostName>& passed_over,
                  const std::vector<size_t>& dealt) const;
-  bool IsLarge(const PeerHost& host) const;
   void ForgetDealt();
 
   PeerHost own_;
   std::vector<PeerHost> hosts_;  // With the own one.
   std::set<base::PoolName> pools_;
   std::set<base::HostName> silent_;
-  double most_capacity_ = 0;
-  double most_link_mbps_ = 0;
+  HostSizes sizes_;
   // What was worked out since hosts, pools or silent ones last changed.
   mutable std::map<Cell, Dealt> dealt_;
   mutable std::map<Cell, Dealt> ideally_dealt_;
--- a/Libraries/LibForward/feed_follower.h
+++ b/Libraries/LibForward/feed_follower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <string>
@@ -49,6 +50,16 @@
   // `time`; an answer to that one must not be handed in any more.
   void AskAnewIfBegunBefore(base::TimePoint time);
 
+  // A peer has told what there is up to this version.
+  void NoteRelayed(uint64_t version) { version_ = std::max(version_, version); }
+  // No call begins before then.
+  void RestUntil(base::TimePoint time) {
+    not_before_ = std::max(not_before_, time);
+  }
+  uint64_t version() const { return version_; }
+  // Whether the table has been read as a whole.
+  bool has_listed() const { return phase_ == Phase::kFollowing; }
+
   // Empty while a call is under way.
   std::optional<base::TimePoint> NextWakeup() const;
   bool is_failing() const { return failures_ > 0; }
--- a/Libraries/LibForward/feed_row.h
+++ b/Libraries/LibForward/feed_row.h
@@ -5,9 +5,9 @@
 #include <variant>
 #include <vector>
 
-#include "LibForward/dispatcher_ring.h"
 #include "LibForward/forward_configuration.h"
 #include "LibForward/forward_endpoint.h"
+#include "LibForward/peer_host.h"
 
 namespace bilberry::forward {
 
--- a/Libraries/LibForward/forward_action.h
+++ b/Libraries/LibForward/forward_action.h
@@ -127,6 +127,18 @@
   std::chrono::milliseconds timeout{0};
 };
 
+// Asks a peer for what it knows of the store. Ends in one NewsHeard or
+// NewsFailed.
+struct AskNews {
+  base::SocketAddress address;
+  std::vector<KnownVersion> known;
+};
+
+struct AnswerNews {
+  PeerExchangeId exchange{};
+  News news;
+};
+
 // Reads a table from `start_after` on; empty for its beginning. Replaces the
 // call of this feed that is under way, as FollowTable does.
 struct ListTable {
@@ -182,6 +194,8 @@
                             AnswerPeer,
                             TellPeerRead,
                             AskWhetherAlive,
+                            AskNews,
+                            AnswerNews,
                             ListTable,
                             FollowTable,
                             WriteOwnRow,
--- a/Libraries/LibForward/forward_event.h
+++ b/Libraries/LibForward/forward_event.h
@@ -10,6 +10,7 @@
 #include "LibForward/feed_row.h"
 #include "LibForward/forwarded_request.h"
 #include "LibForward/stage_job.h"
+#include "LibForward/table_news.h"
 
 // All that can happen to an entry host that forwards requests.
 namespace bilberry::forward {
@@ -107,6 +108,19 @@
   std::string detail;
 };
 
+// A peer asks what this host knows of the store; answered by one AnswerNews.
+struct PeerNewsAsked {
+  PeerExchangeId exchange{};
+  std::vector<KnownVersion> known;
+};
+
+struct NewsHeard {
+  News news;
+};
+struct NewsFailed {
+  std::string detail;
+};
+
 // One page of a table, as asked for.
 struct TableListed {
   FeedKind feed{};
@@ -155,6 +169,9 @@
                            PeerJobLost,
                            PeerAlive,
                            PeerSilent,
+                           PeerNewsAsked,
+                           NewsHeard,
+                           NewsFailed,
                            TableListed,
                            TableChanged,
                            TableHistoryLost,
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -61,6 +61,9 @@
           [&](const PeerJobLost& it) { stages_.Handle(it, now); },
           [&](const PeerAlive& it) { stages_.Handle(it, now); },
           [&](const PeerSilent& it) { stages_.Handle(it, now); },
+          [&](const PeerNewsAsked& it) { store_.Handle(it, now); },
+          [&](NewsHeard& it) { store_.Handle(std::move(it), now); },
+          [&](const NewsFailed& it) { store_.Handle(it, now); },
           [&](TableListed& it) { store_.Handle(std::move(it), now); },
           [&](TableChanged& it) { store_.Handle(std::move(it), now); },
           [&](const TableHistoryLost& it) { store_.Handle(it, now); },
@@ -88,6 +91,7 @@
   if (seen_hosts_ != store_.host_changes()) {
     seen_hosts_ = store_.host_changes();
     stages_.SetHosts(store_.hosts());
+    store_.ChooseRelays();
   }
 }
 
--- a/Libraries/LibForward/store_desk.cc
+++ b/Libraries/LibForward/store_desk.cc
@@ -1,5 +1,6 @@
 #include "LibForward/store_desk.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "LibBase/overloaded.h"
@@ -13,7 +14,7 @@
 // that a call that is held ends at once: they are asked for at intervals, short
 // enough that an endpoint which leaves is noticed within half its notice.
 constexpr FeedPace kConfigurationPace{std::chrono::milliseconds(0),
-                                      std::chrono::milliseconds(10'000)};
+                                      std::chrono::milliseconds(25'000)};
 constexpr FeedPace kEndpointPace{std::chrono::milliseconds(900),
                                  std::chrono::milliseconds(900)};
 constexpr FeedPace kHostPace{std::chrono::milliseconds(500),
@@ -23,8 +24,14 @@
 // kWaitInTrouble: an answer that it loses is missed only when the call's time
 // is over. Longer than calls are held when all is well, so that each of those
 // that were under way has ended.
-constexpr std::chrono::milliseconds kTroubleLasts{24'000};
+constexpr std::chrono::milliseconds kTroubleLasts{27'000};
 constexpr std::chrono::milliseconds kWaitInTrouble{500};
+// Without peers that tell of a new configuration, none is held for longer.
+constexpr std::chrono::milliseconds kWaitAlone{10'000};
+// News holds for this long, and then the host asks the store itself.
+constexpr std::chrono::milliseconds kNewsHolds{1600};
+// News that is older says that the peer doesn't reach the store.
+constexpr std::chrono::milliseconds kOldestNews{2500};
 
 }  // namespace
 
@@ -38,12 +45,14 @@
                               context.options().seed + 3),
                  FeedFollower(FeedKind::kHosts,
                               kHostPace,
-                              context.options().seed + 4)} {}
+                              context.options().seed + 4)},
+      relays_(context.options().own, context.options().seed + 5) {}
 
 void StoreDesk::Handle(TableListed event, base::TimePoint now) {
   const FeedKind feed = event.feed;
   const bool was_failing = FollowerOf(feed).is_failing();
   const auto update = FollowerOf(feed).HandleListed(std::move(event));
+  told_ = now;
   NoteReachable(feed, was_failing, now);
   if (update)
     Take(feed, *update, now);
@@ -53,6 +62,7 @@
   const FeedKind feed = event.feed;
   const bool was_failing = FollowerOf(feed).is_failing();
   const auto update = FollowerOf(feed).HandleChanged(std::move(event));
+  told_ = now;
   NoteReachable(feed, was_failing, now);
   Take(feed, update, now);
 }
@@ -110,6 +120,9 @@
                      base::TimePoint now) {
   for (const FeedRow& row : update.rows)
     LogUnreadable(feed, row);
+  if (feed != FeedKind::kConfiguration)
+    LedgerOf(feed).Take(update.is_whole, update.rows,
+                        FollowerOf(feed).version());
   switch (feed) {
     case FeedKind::kConfiguration:
       TakeConfiguration(update);
@@ -157,6 +170,74 @@
   return all;
 }
 
+void StoreDesk::ChooseRelays() {
+  relays_.SetHosts(hosts());
+}
+
+void StoreDesk::AskForNews(base::TimePoint now) {
+  // Peers tell what has changed since the host read the tables itself.
+  if (!HasListedAll())
+    return;
+  const auto relay = relays_.TakeDue(now);
+  if (!relay)
+    return;
+  AskNews ask{relay->address, {}};
+  for (const FeedKind feed : kRelayedFeeds)
+    ask.known.push_back({feed, FollowerOf(feed).version()});
+  context_.Emit(std::move(ask));
+}
+
+bool StoreDesk::HasListedAll() const {
+  return std::ranges::all_of(kRelayedFeeds, [this](FeedKind it) {
+    return FollowerOf(it).has_listed();
+  });
+}
+
+void StoreDesk::Handle(const PeerNewsAsked& event, base::TimePoint now) {
+  AnswerNews answer{event.exchange, {}};
+  answer.news.age = now - told_;
+  answer.news.revision = configuration_ ? configuration_->revision : 0;
+  for (const KnownVersion& it : event.known) {
+    answer.news.tables.push_back(LedgerOf(it.feed).NewsSince(it.version));
+  }
+  context_.Emit(std::move(answer));
+}
+
+void StoreDesk::Handle(NewsHeard event, base::TimePoint now) {
+  relays_.NoteAnswered(now);
+  const bool is_fresh = event.news.age <= kOldestNews;
+  told_ = std::max(told_, now - event.news.age);
+  if (is_fresh)
+    directory_.NoteStoreBack(now);
+  else
+    directory_.NoteStoreLost();
+  for (TableNews& table : event.news.tables) {
+    if (is_fresh)
+      FollowerOf(table.feed).RestUntil(now + kNewsHolds);
+    TakeNews(std::move(table), now);
+  }
+  if (is_fresh)
+    relayed_until_ = now + kNewsHolds;
+  const uint64_t own_revision = configuration_ ? configuration_->revision : 0;
+  if (event.news.revision > own_revision)
+    FollowerOf(FeedKind::kConfiguration).AskAnewIfBegunBefore(now);
+}
+
+// Versions never go back, whoever tells them: a peer may have asked the store
+// earlier than this host did.
+void StoreDesk::TakeNews(TableNews news, base::TimePoint now) {
+  FeedFollower& follower = FollowerOf(news.feed);
+  if (news.version <= follower.version() || !follower.has_listed())
+    return;
+  follower.NoteRelayed(news.version);
+  Take(news.feed, {news.is_whole, std::move(news.rows)}, now);
+}
+
+void StoreDesk::Handle(const NewsFailed& event, base::TimePoint now) {
+  relays_.NoteFailed(now);
+  context_.Log(base::LogEventId::kRelayLost, "", {{"reason", event.detail}});
+}
+
 void StoreDesk::Handle(const OwnRowWritten& /*event*/) {
   own_row_due_.reset();
 }
@@ -179,8 +260,10 @@
   }
   if (directory_.DropMissing(now))
     ++endpoint_changes_;
-  const auto longest_wait =
-      now < trouble_until_ ? kWaitInTrouble : std::chrono::milliseconds::max();
+  AskForNews(now);
+  const auto longest_wait = now < trouble_until_   ? kWaitInTrouble
+                            : now < relayed_until_ ? kConfigurationPace.wait
+                                                   : kWaitAlone;
   for (FeedFollower& follower : followers_) {
     if (auto call = follower.NextCall(now, longest_wait))
       std::visit([this](const auto& it) { context_.Emit(it); }, *call);
@@ -196,6 +279,8 @@
   for (const FeedFollower& follower : followers_)
     consider(follower.NextWakeup());
   consider(directory_.NextWakeup());
+  if (HasListedAll())
+    consider(relays_.NextWakeup());
   return next;
 }
 
--- a/Libraries/LibForward/store_desk.h
+++ b/Libraries/LibForward/store_desk.h
@@ -8,6 +8,8 @@
 #include "LibForward/endpoint_directory.h"
 #include "LibForward/feed_follower.h"
 #include "LibForward/forward_context.h"
+#include "LibForward/relay_desk.h"
+#include "LibForward/table_ledger.h"
 
 namespace bilberry::forward {
 
@@ -21,10 +23,15 @@
   void Handle(TableChanged event, base::TimePoint now);
   void Handle(const TableHistoryLost& event, base::TimePoint now);
   void Handle(const TableCallFailed& event, base::TimePoint now);
+  void Handle(const PeerNewsAsked& event, base::TimePoint now);
+  void Handle(NewsHeard event, base::TimePoint now);
+  void Handle(const NewsFailed& event, base::TimePoint now);
   void Handle(const OwnRowWritten& event);
   void Handle(const OwnRowFailed& event, base::TimePoint now);
   void HandleTimer(base::TimePoint now);
   void NoteStopping();
+  // The hosts that are known have changed.
+  void ChooseRelays();
 
   std::optional<base::TimePoint> NextWakeup() const;
 
@@ -47,6 +54,10 @@
   FeedFollower& FollowerOf(FeedKind feed) {
     return followers_[static_cast<size_t>(feed)];
   }
+  const FeedFollower& FollowerOf(FeedKind feed) const {
+    return followers_[static_cast<size_t>(feed)];
+  }
+  bool HasListedAll() const;
   void Take(FeedKind feed,
             const FeedFollower::Update& update,
             base::TimePoint now);
@@ -54,11 +65,24 @@
   void TakeHosts(const FeedFollower::Update& update);
   void NoteReachable(FeedKind feed, bool was_failing, base::TimePoint now);
   void AskOthersAnew(FeedKind feed);
+  TableLedger& LedgerOf(FeedKind feed) {
+    return feed == FeedKind::kHosts ? host_ledger_ : endpoint_ledger_;
+  }
+  void TakeNews(TableNews news, base::TimePoint now);
+  void AskForNews(base::TimePoint now);
   void LogUnreadable(FeedKind feed, const FeedRow& row);
 
   ForwardContext& context_;
   std::array<FeedFollower, 3> followers_;
   EndpointDirectory directory_;
+  RelayDesk relays_;
+  TableLedger endpoint_ledger_{FeedKind::kEndpoints};
+  TableLedger host_ledger_{FeedKind::kHosts};
+  // When the store last told anything, to this host or to the peer that passed
+  // it on.
+  base::TimePoint told_;
+  // Until then peers tell what the store would.
+  base::TimePoint relayed_until_;
   std::map<std::string, PeerHost> hosts_;
   std::shared_ptr<const ForwardConfiguration> configuration_;
   // The store has failed calls lately.
--- /dev/null
+++ b/Libraries/LibForward/table_ledger.cc
@@ -0,0 +1,103 @@
+#include "LibForward/table_ledger.h"
+
+#include <algorithm>
+#include <set>
+
+namespace bilberry::forward {
+
+namespace {
+
+// How many removed rows are remembered; whoever knows less is told all rows.
+constexpr size_t kMostRemoved = 2000;
+
+bool IsRemoved(const RowContent& content) {
+  return std::holds_alternative<RowRemoved>(content);
+}
+
+bool AreAlike(const RowContent& left, const RowContent& right) {
+  if (left.index() != right.index())
+    return false;
+  if (const auto* endpoint = std::get_if<ListedEndpoint>(&left))
+    return *endpoint == std::get<ListedEndpoint>(right);
+  if (const auto* host = std::get_if<PeerHost>(&left))
+    return *host == std::get<PeerHost>(right);
+  return IsRemoved(left);
+}
+
+}  // namespace
+
+void TableLedger::Take(bool is_whole,
+                       const std::vector<FeedRow>& rows,
+                       uint64_t version) {
+  if (version_ == 0)
+    complete_from_ = version;
+  version_ = std::max(version_, version);
+  std::set<std::string> seen;
+  for (const FeedRow& row : rows) {
+    seen.insert(row.key);
+    TakeRow(row, version);
+  }
+  if (!is_whole)
+    return;
+  for (const auto& [key, entry] : entries_) {
+    if (!seen.contains(key))
+      NoteRemoved(key, version);
+  }
+}
+
+void TableLedger::TakeRow(const FeedRow& row, uint64_t version) {
+  // What can't be read leaves what is known of it.
+  if (std::holds_alternative<RowUnreadable>(row.content))
+    return;
+  if (IsRemoved(row.content)) {
+    NoteRemoved(row.key, version);
+    return;
+  }
+  const auto [it, is_new] =
+      entries_.try_emplace(row.key, Entry{row.content, version});
+  Entry& entry = it->second;
+  if (is_new || AreAlike(entry.content, row.content))
+    return;
+  if (IsRemoved(entry.content))
+    --removed_count_;
+  entry = {row.content, version};
+}
+
+void TableLedger::NoteRemoved(const std::string& key, uint64_t version) {
+  const auto it = entries_.find(key);
+  if (it == entries_.end() || IsRemoved(it->second.content))
+    return;
+  it->second = {RowRemoved{}, version};
+  ++removed_count_;
+  if (removed_count_ > kMostRemoved)
+    DropOldestRemoved();
+}
+
+void TableLedger::DropOldestRemoved() {
+  auto oldest = entries_.end();
+  for (auto it = entries_.begin(); it != entries_.end(); ++it) {
+    const bool is_older =
+        oldest == entries_.end() || it->second.changed < oldest->second.changed;
+    if (IsRemoved(it->second.content) && is_older)
+      oldest = it;
+  }
+  complete_from_ = std::max(complete_from_, oldest->second.changed);
+  entries_.erase(oldest);
+  --removed_count_;
+}
+
+TableNews TableLedger::NewsSince(uint64_t version) const {
+  TableNews news;
+  news.feed = feed_;
+  news.version = version_;
+  news.is_whole = version < complete_from_;
+  for (const auto& [key, entry] : entries_) {
+    const bool is_wanted =
+        news.is_whole ? !IsRemoved(entry.content) : entry.changed > version;
+    if (is_wanted)
+      news.rows.push_back({key, entry.content});
+  }
+  return news;
+}
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/table_news.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "LibBase/time.h"
+#include "LibForward/feed_row.h"
+
+// What one host tells another of the store's tables, so that not every host has
+// to follow the store by itself.
+namespace bilberry::forward {
+
+// The feeds that hosts pass on.
+inline constexpr FeedKind kRelayedFeeds[] = {FeedKind::kEndpoints,
+                                             FeedKind::kHosts};
+
+// What a host knows of one table, up to a version of the store's.
+struct KnownVersion {
+  FeedKind feed{};
+  uint64_t version = 0;
+};
+
+struct TableNews {
+  FeedKind feed{};
+  uint64_t version = 0;
+  // Whether the rows are all there are, rather than those that have changed
+  // since the version asked for.
+  bool is_whole = false;
+  std::vector<FeedRow> rows;
+};
+
+struct News {
+  base::Duration age{};  // Since the store last told the peer anything.
+  std::vector<TableNews> tables;
+  uint64_t revision = 0;  // Of the configuration; 0 if none is known.
+};
+
+}  // namespace bilberry::forward
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "LibTransport/metric_writer.h"
+#include "LibTransport/news_codec.h"
 #include "LibTransport/stage_job_codec.h"
 
 namespace bilberry::transport {
@@ -15,12 +16,14 @@
 constexpr const char* kConnectionHeader = "Connection";
 constexpr const char* kJobsPath = "/v1/jobs";
 constexpr const char* kAlivePath = "/v1/alive";
+constexpr const char* kNewsPath = "/v1/news";
 constexpr const char* kResultsReadPath = "/v1/results-read";
 constexpr const char* kMetricsPath = "/metrics";
 // A peer that has not answered a job by then is taken for lost: jobs end by
 // their own deadline before.
 constexpr std::chrono::milliseconds kPeerSlack{500};
 constexpr std::chrono::milliseconds kTellTimeout{1000};
+constexpr std::chrono::milliseconds kNewsTimeout{600};
 constexpr std::chrono::milliseconds kFreeTimeout{1000};
 constexpr std::chrono::milliseconds kStoreTimeout{1500};
 // What an answer may take beside the time for which the store holds the call:
@@ -206,6 +209,11 @@
   } else if (request.path == kAlivePath) {
     peers_->Respond(request.exchange, {204, {}, ""});
     return;
+  } else if (request.path == kNewsPath) {
+    if (auto known = DecodeNewsQuestion(request.body)) {
+      Feed(forward::PeerNewsAsked{exchange, std::move(*known)});
+      return;
+    }
   } else if (request.path == kMetricsPath) {
     AnswerMetrics(request.exchange);
     return;
@@ -413,6 +421,32 @@
               });
 }
 
+void ForwardShell::Do(const forward::AskNews& action) {
+  HttpRequest request;
+  request.method = HttpMethod::kPost;
+  request.address = action.address;
+  request.path = kNewsPath;
+  request.headers = {{kContentTypeHeader, kJsonType}};
+  request.body = EncodeNewsQuestion(action.known);
+  request.timeout = kNewsTimeout;
+  http_->Send(std::move(request), [this](const HttpOutcome& outcome) {
+    if (const auto* failure = std::get_if<HttpFailure>(&outcome)) {
+      Feed(forward::NewsFailed{failure->detail});
+      return;
+    }
+    if (auto news = DecodeNews(std::get<HttpResponse>(outcome).body))
+      Feed(forward::NewsHeard{std::move(*news)});
+    else
+      Feed(forward::NewsFailed{"the answer can't be read"});
+  });
+}
+
+void ForwardShell::Do(const forward::AnswerNews& action) {
+  peers_->Respond(
+      ExchangeId{static_cast<uint64_t>(action.exchange)},
+      {200, {{kContentTypeHeader, kJsonType}}, EncodeNews(action.news)});
+}
+
 void ForwardShell::CallStore(forward::FeedKind feed,
                              HttpRequest request,
                              HttpClient::DoneHandler done) {
--- a/Libraries/LibTransport/forward_shell.h
+++ b/Libraries/LibTransport/forward_shell.h
@@ -93,6 +93,8 @@
   void Do(const forward::AnswerPeer& action);
   void Do(const forward::TellPeerRead& action);
   void Do(const forward::AskWhetherAlive& action);
+  void Do(const forward::AskNews& action);
+  void Do(const forward::AnswerNews& action);
   void Do(const forward::ListTable& action);
   void Do(const forward::FollowTable& action);
   void Do(const forward::WriteOwnRow& action);
--- /dev/null
+++ b/Libraries/LibTransport/news_codec.cc
@@ -0,0 +1,191 @@
+#include "LibTransport/news_codec.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibBase/overloaded.h"
+#include "LibTransport/json_text.h"
+
+namespace bilberry::transport {
+
+namespace {
+
+std::optional<forward::FeedKind> FeedOf(const Json::Value& name) {
+  if (!name.isString())
+    return std::nullopt;
+  const std::string text = name.asString();
+  const auto* it = std::ranges::find_if(
+      forward::kRelayedFeeds,
+      [&](forward::FeedKind feed) { return forward::ToText(feed) == text; });
+  if (it == std::end(forward::kRelayedFeeds))
+    return std::nullopt;
+  return *it;
+}
+
+bool HasTexts(const Json::Value& object,
+              std::initializer_list<const char*> keys) {
+  return std::ranges::all_of(
+      keys, [&](const char* key) { return object[key].isString(); });
+}
+
+Json::Value JsonOf(const forward::ListedEndpoint& endpoint) {
+  Json::Value object;
+  object["pool"] = endpoint.pool.value;
+  object["zone"] = endpoint.zone.value;
+  object["address"] = base::ToText(endpoint.address);
+  object["is_leaving"] = endpoint.state == forward::EndpointState::kLeaving;
+  return object;
+}
+
+Json::Value JsonOf(const forward::PeerHost& host) {
+  Json::Value object;
+  object["zone"] = host.zone.value;
+  object["address"] = base::ToText(host.address);
+  object["capacity"] = host.capacity;
+  object["link_mbps"] = host.link_mbps;
+  return object;
+}
+
+// A removed row has a key alone.
+Json::Value JsonOf(const forward::FeedRow& row) {
+  Json::Value object(Json::objectValue);
+  if (const auto* endpoint = std::get_if<forward::ListedEndpoint>(&row.content))
+    object = JsonOf(*endpoint);
+  else if (const auto* host = std::get_if<forward::PeerHost>(&row.content))
+    object = JsonOf(*host);
+  object["key"] = row.key;
+  return object;
+}
+
+std::optional<forward::RowContent> EndpointOf(const std::string& key,
+                                              const Json::Value& object) {
+  if (!HasTexts(object, {"pool", "zone", "address"}) ||
+      !object["is_leaving"].isBool())
+    return std::nullopt;
+  const auto address = base::ParseSocketAddress(object["address"].asString());
+  if (!address)
+    return std::nullopt;
+  forward::ListedEndpoint endpoint;
+  endpoint.name.value = key;
+  endpoint.pool.value = object["pool"].asString();
+  endpoint.zone.value = object["zone"].asString();
+  endpoint.address = *address;
+  endpoint.state = object["is_leaving"].asBool()
+                       ? forward::EndpointState::kLeaving
+                       : forward::EndpointState::kServing;
+  return endpoint;
+}
+
+std::optional<forward::RowContent> HostOf(const std::string& key,
+                                          const Json::Value& object) {
+  if (!HasTexts(object, {"zone", "address"}) ||
+      !object["capacity"].isDouble() || !object["link_mbps"].isDouble())
+    return std::nullopt;
+  const auto address = base::ParseSocketAddress(object["address"].asString());
+  if (!address)
+    return std::nullopt;
+  return forward::PeerHost{{key},
+                           *address,
+                           {object["zone"].asString()},
+                           object["capacity"].asDouble(),
+                           object["link_mbps"].asDouble()};
+}
+
+std::optional<forward::FeedRow> RowOf(forward::FeedKind feed,
+                                      const Json::Value& object) {
+  if (!object.isObject() || !object["key"].isString())
+    return std::nullopt;
+  forward::FeedRow row;
+  row.key = object["key"].asString();
+  if (object.size() == 1) {
+    row.content = forward::RowRemoved{};
+    return row;
+  }
+  auto content = feed == forward::FeedKind::kHosts
+                     ? HostOf(row.key, object)
+                     : EndpointOf(row.key, object);
+  if (!content)
+    return std::nullopt;
+  row.content = std::move(*content);
+  return row;
+}
+
+std::optional<forward::TableNews> TableOf(const Json::Value& object) {
+  const auto feed = object.isObject() ? FeedOf(object["feed"]) : std::nullopt;
+  if (!feed || !object["version"].isUInt64() || !object["is_whole"].isBool() ||
+      !object["rows"].isArray())
+    return std::nullopt;
+  forward::TableNews table;
+  table.feed = *feed;
+  table.version = object["version"].asUInt64();
+  table.is_whole = object["is_whole"].asBool();
+  for (const Json::Value& it : object["rows"]) {
+    auto row = RowOf(*feed, it);
+    if (!row)
+      return std::nullopt;
+    table.rows.push_back(std::move(*row));
+  }
+  return table;
+}
+
+}  // namespace
+
+std::string EncodeNewsQuestion(
+    const std::vector<forward::KnownVersion>& known) {
+  Json::Value object(Json::objectValue);
+  for (const forward::KnownVersion& it : known)
+    object[std::string(forward::ToText(it.feed))] =
+        static_cast<Json::UInt64>(it.version);
+  return PrintCompact(object);
+}
+
+std::optional<std::vector<forward::KnownVersion>> DecodeNewsQuestion(
+    std::string_view text) {
+  const auto object = ParseCompact(text);
+  if (!object || !object->isObject())
+    return std::nullopt;
+  std::vector<forward::KnownVersion> known;
+  for (const std::string& name : object->getMemberNames()) {
+    const auto feed = FeedOf(Json::Value(name));
+    if (!feed || !(*object)[name].isUInt64())
+      return std::nullopt;
+    known.push_back({*feed, (*object)[name].asUInt64()});
+  }
+  return known;
+}
+
+std::string EncodeNews(const forward::News& news) {
+  Json::Value object;
+  object["age_us"] = static_cast<Json::UInt64>(news.age.count());
+  object["revision"] = static_cast<Json::UInt64>(news.revision);
+  Json::Value& tables = object["tables"] = Json::Value(Json::arrayValue);
+  for (const forward::TableNews& it : news.tables) {
+    Json::Value& table = tables.append(Json::Value(Json::objectValue));
+    table["feed"] = std::string(forward::ToText(it.feed));
+    table["version"] = static_cast<Json::UInt64>(it.version);
+    table["is_whole"] = it.is_whole;
+    Json::Value& rows = table["rows"] = Json::Value(Json::arrayValue);
+    for (const forward::FeedRow& row : it.rows)
+      rows.append(JsonOf(row));
+  }
+  return PrintCompact(object);
+}
+
+std::optional<forward::News> DecodeNews(std::string_view text) {
+  const auto object = ParseCompact(text);
+  if (!object || !object->isObject() || !(*object)["revision"].isUInt64() ||
+      !(*object)["age_us"].isInt64() || !(*object)["tables"].isArray())
+    return std::nullopt;
+  forward::News news;
+  news.age = base::Duration((*object)["age_us"].asInt64());
+  news.revision = (*object)["revision"].asUInt64();
+  for (const Json::Value& it : (*object)["tables"]) {
+    auto table = TableOf(it);
+    if (!table)
+      return std::nullopt;
+    news.tables.push_back(std::move(*table));
+  }
+  return news;
+}
+
+}  // namespace bilberry::transport
--- /dev/null
+++ b/Libraries/LibTransport/news_codec.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibForward/table_news.h"
+
+// What entry hosts tell one another of the store's tables, as JSON.
+namespace bilberry::transport {
+
+std::string EncodeNewsQuestion(const std::vector<forward::KnownVersion>& known);
+std::optional<std::vector<forward::KnownVersion>> DecodeNewsQuestion(
+    std::string_view text);
+
+std::string EncodeNews(const forward::News& news);
+// Empty when any part of it can't be read.
+std::optional<forward::News> DecodeNews(std::string_view text);
+
+}  // namespace bilberry::transport
--- a/Tests/LibEmulation/test_days.cc
+++ b/Tests/LibEmulation/test_days.cc
@@ -112,6 +112,41 @@
 
 TEST_SUITE_BEGIN("policy");
 
+// Answers the ordinary load of a fleet whose few large hosts have half of a
+// core and whose many small ones have an eighth: one small host alone can't
+// collect the pieces of a whole pool.
+TEST_CASE("a grown fleet serves a steady day, and takes nobody for lost") {
+  const LoadSheet day = GrownHireFirms();
+  EmulationReport report = Play(day, 1);
+  for (const CallerKind& kind : day.kinds) {
+    CAPTURE(kind.name);
+    const KindTally& tally = report.kinds[kind.name];
+    CHECK(tally.on_time_share() >= 0.95);
+    CHECK(tally.left + tally.failed + tally.refused == 0);
+  }
+  CHECK(report.dispatchers_lost == 0);
+  for (const auto& [name, pool] : report.pools) {
+    CAPTURE(name);
+    // Of the endpoints' work, and of the pieces.
+    CHECK(pool.unused <= pool.busy * 3 / 100);
+    CHECK(pool.no_room <= pool.pieces / 100);
+  }
+  CHECK(report.store_calls <= 1500);
+}
+
+// Answers a burst of twice the load: refused callers who come back, and results
+// for requests that are late, must not keep the fleet down when it is over.
+TEST_CASE("a grown fleet is back within three seconds after a burst") {
+  LoadSheet day = GrownHireFirms();
+  day.bursts = {{"", std::chrono::seconds(5), std::chrono::seconds(6), 2.3}};
+  const EmulationReport report = Play(day, 1);
+  // From the third second after the burst's end on.
+  for (size_t second = 14; second < 29; ++second) {
+    CAPTURE(second);
+    CHECK(report.seconds.at(second).on_time_share() >= 0.95);
+  }
+}
+
 // Answers a quarter of all hosts dying, dispatchers among them.
 TEST_CASE("hosts that die cost their own callers, and little else") {
   const LoadSheet day = Day("hosts-lost");
--- /dev/null
+++ b/Tests/LibTransport/test_news_codec.cc
@@ -0,0 +1,80 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "LibTransport/json_text.h"
+#include "LibTransport/news_codec.h"
+
+namespace bilberry::transport {
+namespace {
+
+using std::chrono::milliseconds;
+
+forward::News MakeNews() {
+  forward::News news;
+  news.age = milliseconds(700);
+  news.revision = 12;
+  forward::TableNews endpoints;
+  endpoints.feed = forward::FeedKind::kEndpoints;
+  endpoints.version = 40;
+  endpoints.rows = {
+      {"e1", forward::ListedEndpoint{{"e1"},
+                                     {"p"},
+                                     {"z"},
+                                     {"10.0.0.1", 80},
+                                     forward::EndpointState::kLeaving}},
+      {"e2", forward::RowRemoved{}}};
+  forward::TableNews hosts;
+  hosts.feed = forward::FeedKind::kHosts;
+  hosts.version = 41;
+  hosts.is_whole = true;
+  hosts.rows = {
+      {"h1", forward::PeerHost{{"h1"}, {"10.0.0.2", 7740}, {"z"}, 0.5, 200.0}}};
+  news.tables = {endpoints, hosts};
+  return news;
+}
+
+TEST_SUITE_BEGIN("contract");
+
+TEST_CASE("news keeps rows, removals, versions and age") {
+  const auto news = DecodeNews(EncodeNews(MakeNews()));
+  REQUIRE(news.has_value());
+  CHECK(EncodeNews(*news) == EncodeNews(MakeNews()));
+  CHECK(news->age == milliseconds(700));
+  CHECK(news->revision == 12);
+  REQUIRE(news->tables.size() == 2);
+  const auto& rows = news->tables[0].rows;
+  CHECK(
+      std::get<forward::ListedEndpoint>(rows[0].content) ==
+      std::get<forward::ListedEndpoint>(MakeNews().tables[0].rows[0].content));
+  CHECK(std::holds_alternative<forward::RowRemoved>(rows[1].content));
+  CHECK(news->tables[1].is_whole);
+  const auto known = DecodeNewsQuestion(
+      EncodeNewsQuestion({{forward::FeedKind::kEndpoints, 40}}));
+  REQUIRE(known.has_value());
+  CHECK(known->front().version == 40);
+}
+
+TEST_CASE("news with a part that can't be read is refused as a whole") {
+  for (const char* text : {"", "[]", "{}", "{\"revision\":1,\"tables\":[]}"})
+    CHECK_FALSE(DecodeNews(text).has_value());
+  for (const char* field : {"feed", "version", "is_whole", "rows"}) {
+    CAPTURE(field);
+    auto object = *ParseCompact(EncodeNews(MakeNews()));
+    object["tables"][0][field] = Json::objectValue;
+    CHECK_FALSE(DecodeNews(PrintCompact(object)).has_value());
+  }
+  for (const char* field : {"key", "pool", "zone", "address", "is_leaving"}) {
+    CAPTURE(field);
+    auto object = *ParseCompact(EncodeNews(MakeNews()));
+    object["tables"][0]["rows"][0][field] = Json::objectValue;
+    CHECK_FALSE(DecodeNews(PrintCompact(object)).has_value());
+  }
+  for (const char* text : {"", "[]", "{\"endpoints\":\"1\"}", "{\"none\":1}"})
+    CHECK_FALSE(DecodeNewsQuestion(text).has_value());
+}
+
+TEST_SUITE_END();
+
+}  // namespace
+}  // namespace bilberry::transport
