LibForward: Ask a store in trouble less often where peers tell of it

While fresh news is heard, calls are held as long as ever, since peers tell of a lost answer's content; while peers answer that don't reach the store either, a feed is tried each 2 s. Trouble lasts 5 s behind a failed call: one that is lost meanwhile fails within that time and makes it last longer.

Tests: a host that hears fresh news doesn't ask the store; news never takes a host back, and old news is not relied on; a higher revision is asked for at once.

--- a/Libraries/LibForward/store_desk.cc
+++ b/Libraries/LibForward/store_desk.cc
@@ -22,14 +22,15 @@
 constexpr std::chrono::milliseconds kOwnRowRetry{700};
 // For this long after a failed call the store holds none for longer than
 // kWaitInTrouble: an answer that it loses is missed only when the call's time
-// is over. Longer than calls are held when all is well, so that each of those
-// that were under way has ended.
-constexpr std::chrono::milliseconds kTroubleLasts{27'000};
+// is over, which then makes trouble last longer.
+constexpr std::chrono::milliseconds kTroubleLasts{5000};
 constexpr std::chrono::milliseconds kWaitInTrouble{500};
 // Without peers that tell of a new configuration, none is held for longer.
 constexpr std::chrono::milliseconds kWaitAlone{10'000};
 // News holds for this long, and then the host asks the store itself.
 constexpr std::chrono::milliseconds kNewsHolds{1600};
+// Between two calls of a feed while peers answer that don't reach the store.
+constexpr std::chrono::milliseconds kProbeBesidePeers{2000};
 // News that is older says that the peer doesn't reach the store.
 constexpr std::chrono::milliseconds kOldestNews{2500};
 
@@ -216,8 +217,14 @@
       FollowerOf(table.feed).RestUntil(now + kNewsHolds);
     TakeNews(std::move(table), now);
   }
-  if (is_fresh)
+  if (is_fresh) {
     relayed_until_ = now + kNewsHolds;
+  } else {
+    // The peer will tell when the store is back; only a store that turns peers
+    // away and not this host has to be found out.
+    for (FeedFollower& follower : followers_)
+      follower.RestUntil(follower.call_began() + kProbeBesidePeers);
+  }
   const uint64_t own_revision = configuration_ ? configuration_->revision : 0;
   if (event.news.revision > own_revision)
     FollowerOf(FeedKind::kConfiguration).AskAnewIfBegunBefore(now);
@@ -261,8 +268,8 @@
   if (directory_.DropMissing(now))
     ++endpoint_changes_;
   AskForNews(now);
-  const auto longest_wait = now < trouble_until_   ? kWaitInTrouble
-                            : now < relayed_until_ ? kConfigurationPace.wait
+  const auto longest_wait = now < relayed_until_   ? kConfigurationPace.wait
+                            : now < trouble_until_ ? kWaitInTrouble
                                                    : kWaitAlone;
   for (FeedFollower& follower : followers_) {
     if (auto call = follower.NextCall(now, longest_wait))
--- a/Tests/LibForward/test_store_desk.cc
+++ b/Tests/LibForward/test_store_desk.cc
@@ -236,5 +236,115 @@
   CHECK(bench.call_count() - before <= 67 + 6 + 3 + 3);
 }
 
+// A host of a large fleet, in which others follow the store for it.
+class FollowerBench {
+ public:
+  FollowerBench() : context_(Options()), desk_(context_) {
+    desk_.HandleTimer(now_);
+    desk_.Handle(TableListed{FeedKind::kEndpoints, {Listed("e1")}, false, 100},
+                 now_);
+    std::vector<FeedRow> hosts;
+    for (int i = 0; i < 30; ++i) {
+      const std::string name = "h" + std::to_string(i);
+      hosts.push_back({name, PeerHost{{name}, {"10.0.0.2", 1}, {"z"}, 1, 0}});
+    }
+    desk_.Handle(TableListed{FeedKind::kHosts, hosts, false, 100}, now_);
+    desk_.Handle(TableChanged{FeedKind::kConfiguration, {}, 100}, now_);
+    desk_.ChooseRelays();
+    context_.TakeActions();
+  }
+
+  static FeedRow Listed(const std::string& name) {
+    return {name, ListedEndpoint{{name}, {"p"}, {"z"}, {"10.0.1.1", 80}}};
+  }
+  static News NewsOf(uint64_t version, std::vector<FeedRow> rows) {
+    News news;
+    news.tables = {{FeedKind::kEndpoints, version, false, std::move(rows)},
+                   {FeedKind::kHosts, version, false, {}}};
+    return news;
+  }
+
+  // Plays until `ms` later and gives the actions, in order.
+  std::vector<Action> RunFor(int64_t ms) {
+    for (const base::TimePoint end = now_ + milliseconds(ms); now_ < end;
+         now_ += milliseconds(10))
+      desk_.HandleTimer(now_);
+    return context_.TakeActions();
+  }
+  void Hear(NewsHeard event) { desk_.Handle(std::move(event), now_); }
+
+  bool Knows(const std::string& name) const {
+    return std::ranges::any_of(
+        desk_.endpoints(),
+        [&name](const ListedEndpoint& it) { return it.name.value == name; });
+  }
+
+ private:
+  static ForwardOptions Options() {
+    ForwardOptions options;
+    options.own = {{"small"}, {"10.0.0.1", 1}, {"z"}, 0.1, 0};
+    return options;
+  }
+
+  ForwardContext context_;
+  StoreDesk desk_;
+  base::TimePoint now_{milliseconds(1000)};
+};
+
+size_t CallsFor(const std::vector<Action>& actions, FeedKind feed) {
+  return static_cast<size_t>(std::ranges::count_if(actions, [feed](auto& it) {
+    const auto* follow = std::get_if<FollowTable>(&it);
+    return follow != nullptr && follow->feed == feed;
+  }));
+}
+
+TEST_CASE("a host that hears fresh news doesn't ask the store") {
+  FollowerBench bench;
+  bench.Hear(NewsHeard{FollowerBench::NewsOf(101, {})});
+  size_t asked = 0;
+  for (int i = 0; i < 10; ++i) {
+    const auto actions = bench.RunFor(800);
+    CHECK(CallsFor(actions, FeedKind::kEndpoints) == 0);
+    asked += static_cast<size_t>(std::ranges::count_if(
+        actions, [](auto& it) { return std::holds_alternative<AskNews>(it); }));
+    bench.Hear(NewsHeard{FollowerBench::NewsOf(102, {})});
+  }
+  CHECK(asked >= 9);
+  // None is heard any more.
+  CHECK(CallsFor(bench.RunFor(1700), FeedKind::kEndpoints) > 0);
+}
+
+TEST_CASE("news never takes a host back, and old news is not relied on") {
+  FollowerBench bench;
+  bench.Hear(
+      NewsHeard{FollowerBench::NewsOf(120, {FollowerBench::Listed("e2")})});
+  CHECK(bench.Knows("e2"));
+  // Another peer, which knows less.
+  bench.Hear(NewsHeard{FollowerBench::NewsOf(90, {{"e2", RowRemoved{}}})});
+  CHECK(bench.Knows("e2"));
+  News old = FollowerBench::NewsOf(130, {{"e1", RowRemoved{}}});
+  old.age = milliseconds(4000);
+  bench.Hear(NewsHeard{old});
+  // It may have lapsed while the store was away.
+  CHECK(bench.Knows("e1"));
+  CHECK(CallsFor(bench.RunFor(2100), FeedKind::kEndpoints) > 0);
+}
+
+TEST_CASE("a host that hears of a higher revision asks for it at once") {
+  FollowerBench bench;
+  bench.Hear(NewsHeard{FollowerBench::NewsOf(101, {})});
+  bench.RunFor(100);
+  News news = FollowerBench::NewsOf(102, {});
+  news.revision = 7;
+  bench.Hear(NewsHeard{news});
+  const auto actions = bench.RunFor(20);
+  CHECK(std::ranges::any_of(actions, [](const Action& it) {
+    const auto* list = std::get_if<ListTable>(&it);
+    const auto* follow = std::get_if<FollowTable>(&it);
+    return (list != nullptr && list->feed == FeedKind::kConfiguration) ||
+           (follow != nullptr && follow->feed == FeedKind::kConfiguration);
+  }));
+}
+
 }  // namespace
 }  // namespace bilberry::forward
