--- a/Libraries/LibEmulation/emulated_callers.cc
+++ b/Libraries/LibEmulation/emulated_callers.cc
@@ -14,6 +14,7 @@
 constexpr double kMostTimesMean = 4;
 // Nobody comes back who is told to wait for longer.
 constexpr std::chrono::seconds kLongestWait{30};
+constexpr int64_t kWaitPart = 3;
 
 }  // namespace
 
@@ -89,15 +90,29 @@
   SendOnce(std::move(caller));
 }
 
+base::Duration EmulatedCallers::LeftOf(const Caller& caller) const {
+  return sheet_.manner_of_return == Return::kAsTold
+             ? caller.kind->deadline
+             : caller.kind->deadline - (timeline_.now() - caller.came);
+}
+
+base::Duration EmulatedCallers::ReturnOf(const Caller& caller,
+                                         base::Duration told) const {
+  return sheet_.manner_of_return == Return::kAsTold
+             ? told
+             : std::min(told, LeftOf(caller) / kWaitPart);
+}
+
 void EmulatedCallers::SendOnce(Caller caller) {
   const base::CallerId id{++last_caller_};
   caller.sent = timeline_.now();
   caller.request.caller = id;
   caller.request.request_id = "request-" + std::to_string(last_caller_);
-  caller.request.budget = caller.kind->deadline;
+  const base::Duration left = LeftOf(caller);
+  caller.request.budget = left;
   const auto patience = base::Duration(static_cast<int64_t>(
       static_cast<double>(caller.kind->target.count()) * sheet_.patience));
-  timeline_.After(std::min(patience, caller.kind->deadline),
+  timeline_.After(std::min(patience, left),
                   [this, id] { LeaveIfNotBegun(id); });
   by_request_[caller.request.request_id] = id;
   forward::ForwardedRequest request = caller.request;
@@ -144,7 +159,8 @@
     return;
   }
   ++caller->returns;
-  timeline_.After(*retry_after,
+  const base::Duration wait = ReturnOf(*caller, *retry_after);
+  timeline_.After(wait,
                   [this, caller = std::move(*caller)] { SendOnce(caller); });
 }
 
--- a/Libraries/LibEmulation/emulated_callers.h
+++ b/Libraries/LibEmulation/emulated_callers.h
@@ -55,6 +55,10 @@
   void ScheduleNext(const CallerKind& kind);
   void Come(const CallerKind& kind);
   void SendOnce(Caller caller);
+  // Until its deadline, if it asks now.
+  base::Duration LeftOf(const Caller& caller) const;
+  // How long it stays away if it is told to come back after `told`.
+  base::Duration ReturnOf(const Caller& caller, base::Duration told) const;
   void LeaveIfNotBegun(base::CallerId id);
   std::optional<Caller> Take(base::CallerId id);
   // Both the kind's tally and that of the second in which the caller came.
--- a/Libraries/LibEmulation/load_sheet.cc
+++ b/Libraries/LibEmulation/load_sheet.cc
@@ -188,6 +188,7 @@
       MakeMakers("returns", 15, 44, microseconds(2'900), 7'800'000),
       MakeMakers("tracking", 16, 96, microseconds(1'300), 1'600'000)};
   sheet.engines.endpoints = 90;
+  sheet.manner_of_return = Return::kWithinDeadline;
   return sheet;
 }
 
@@ -205,7 +206,13 @@
   hosts_lost.name = "hosts-lost";
   for (uint32_t i = 0; i < hosts / 4; ++i)
     hosts_lost.losses.push_back({i, seconds(10) + seconds(i)});
-  return {steady, peak, two_bursts, hosts_lost};
+  const LoadSheet grown = GrownHireFirms();
+  LoadSheet grown_bursts = grown;
+  grown_bursts.name = "grown-bursts";
+  grown_bursts.bursts = {{"quote", seconds(4), seconds(7), 2.9},
+                         {"summary", seconds(13), seconds(7), 3.2},
+                         {"", seconds(22), seconds(4), 1.8}};
+  return {steady, peak, two_bursts, hosts_lost, grown, grown_bursts};
 }
 
 }  // namespace bilberry::emulation
--- a/Libraries/LibEmulation/load_sheet.h
+++ b/Libraries/LibEmulation/load_sheet.h
@@ -80,6 +80,12 @@
   double kept_tokens = 0;  // Of shared parts.
 };
 
+// How refused callers come back.
+enum class Return {
+  kAsTold,          // When they are told to, with all of their time anew.
+  kWithinDeadline,  // After a third of the time that they have left at most.
+};
+
 struct LoadSheet {
   std::string name;
   uint32_t hosts = 1;
@@ -97,8 +103,9 @@
   std::vector<Burst> bursts;
   std::vector<HostLoss> losses;
   double clump = 1;  // How many callers come at once, in the mean.
-  // How often a refused caller comes again.
+  // How often a refused caller comes again, and how.
   uint32_t returns = 1;
+  Return manner_of_return = Return::kAsTold;
   // Callers leave a stream that has not begun after this many times its target.
   double patience = 4;
 
@@ -118,7 +125,8 @@
 LoadSheet GrownHireFirms();
 
 // The same firms on several days, by name: "steady", "peak", "two-bursts",
-// "hosts-lost".
+// "hosts-lost"; and grown, whatever the number of hosts: "grown",
+// "grown-bursts".
 std::vector<LoadSheet> HireFirmDays(uint32_t hosts);
 
 }  // namespace bilberry::emulation
