--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -160,12 +160,7 @@
     return std::nullopt;
   }
   run.arrived = now;
-  // A caller counts its wait from when it first asked.
-  run.target =
-      now + run.pipeline->target_latency -
-      (request.budget ? usual_budgets_[run.pipeline->name].WaitedBefore(
-                            *request.budget, now)
-                      : base::Duration(0));
+  run.target = now + run.pipeline->target_latency;
   base::Duration budget = request.budget.value_or(kLongestRun);
   if (run.pipeline->timeout.count() > 0)
     budget = std::min<base::Duration>(budget, run.pipeline->timeout);
--- a/Libraries/LibForward/run_desk.h
+++ b/Libraries/LibForward/run_desk.h
@@ -12,7 +12,6 @@
 #include "LibForward/forwarded_run.h"
 #include "LibForward/recent_delay.h"
 #include "LibForward/stage_desk.h"
-#include "LibForward/usual_budget.h"
 #include "LibPolicy/retry_budget.h"
 
 namespace bilberry::forward {
@@ -145,7 +144,6 @@
   std::map<std::pair<base::PoolName, Urgency>, RecentDelay> job_excess_;
   // From the sending of a request to its first byte.
   std::map<base::PipelineName, RecentDelay> first_byte_;
-  std::map<base::PipelineName, UsualBudget> usual_budgets_;
   uint64_t last_attempt_ = 0;
   bool is_accepting_ = true;
 };
