--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -54,6 +54,19 @@
   return status >= 200 && status < 300;
 }
 
+// A message to another entry host.
+HttpRequest PostTo(const base::SocketAddress& address,
+                   const char* path,
+                   std::string body) {
+  HttpRequest request;
+  request.method = HttpMethod::kPost;
+  request.address = address;
+  request.path = path;
+  request.headers = {{kContentTypeHeader, kJsonType}};
+  request.body = std::move(body);
+  return request;
+}
+
 std::chrono::milliseconds RoundUp(base::Duration duration) {
   return std::chrono::ceil<std::chrono::milliseconds>(duration);
 }
@@ -376,12 +389,8 @@
 }
 
 void ForwardShell::Do(const forward::AskPeer& action) {
-  HttpRequest request;
-  request.method = HttpMethod::kPost;
-  request.address = action.address;
-  request.path = kJobsPath;
-  request.headers = {{kContentTypeHeader, kJsonType}};
-  request.body = EncodeStageJob(action.job);
+  HttpRequest request =
+      PostTo(action.address, kJobsPath, EncodeStageJob(action.job));
   request.timeout =
       RoundUp(std::max(action.job.until_deadline, base::Duration(0))) +
       kPeerSlack;
@@ -415,12 +424,8 @@
 }
 
 void ForwardShell::Do(const forward::TellPeerRead& action) {
-  HttpRequest request;
-  request.method = HttpMethod::kPost;
-  request.address = action.address;
-  request.path = kResultsReadPath;
-  request.headers = {{kContentTypeHeader, kJsonType}};
-  request.body = EncodeResultsRead(action.at, action.results);
+  HttpRequest request = PostTo(action.address, kResultsReadPath,
+                               EncodeResultsRead(action.at, action.results));
   request.timeout = kTellTimeout;
   // A peer that isn't told counts the room as used until the results' end.
   http_->Send(std::move(request), [](const HttpOutcome&) {});
@@ -441,12 +446,8 @@
 }
 
 void ForwardShell::Do(const forward::AskNews& action) {
-  HttpRequest request;
-  request.method = HttpMethod::kPost;
-  request.address = action.address;
-  request.path = kNewsPath;
-  request.headers = {{kContentTypeHeader, kJsonType}};
-  request.body = EncodeNewsQuestion(action.known);
+  HttpRequest request =
+      PostTo(action.address, kNewsPath, EncodeNewsQuestion(action.known));
   request.timeout = kNewsTimeout;
   http_->Send(std::move(request), [this](const HttpOutcome& outcome) {
     if (const auto* failure = std::get_if<HttpFailure>(&outcome)) {
--- a/Libraries/LibTransport/json_text.cc
+++ b/Libraries/LibTransport/json_text.cc
@@ -1,6 +1,7 @@
 #include "LibTransport/json_text.h"
 
 #include <json/writer.h>
+#include <algorithm>
 
 #include "LibDeclare/json_document.h"
 
@@ -13,6 +14,12 @@
   return Json::writeString(builder, value);
 }
 
+bool HasTexts(const Json::Value& object,
+              std::initializer_list<const char*> keys) {
+  return std::ranges::all_of(
+      keys, [&](const char* key) { return object[key].isString(); });
+}
+
 std::optional<Json::Value> ParseCompact(std::string_view text) {
   declare::Faults faults;
   auto document = declare::ParseJson(text, faults);
--- a/Libraries/LibTransport/news_codec.cc
+++ b/Libraries/LibTransport/news_codec.cc
@@ -22,12 +22,6 @@
   return *it;
 }
 
-bool HasTexts(const Json::Value& object,
-              std::initializer_list<const char*> keys) {
-  return std::ranges::all_of(
-      keys, [&](const char* key) { return object[key].isString(); });
-}
-
 Json::Value JsonOf(const forward::ListedEndpoint& endpoint) {
   Json::Value object;
   object["pool"] = endpoint.pool.value;
--- a/Libraries/LibTransport/stage_job_codec.cc
+++ b/Libraries/LibTransport/stage_job_codec.cc
@@ -51,12 +51,6 @@
       keys, [&](const char* key) { return object[key].isInt64(); });
 }
 
-bool HasTexts(const Json::Value& object,
-              std::initializer_list<const char*> keys) {
-  return std::ranges::all_of(
-      keys, [&](const char* key) { return object[key].isString(); });
-}
-
 base::Duration DurationOf(const Json::Value& value) {
   return base::Duration(value.asInt64());
 }
--- a/Tests/LibForward/test_forward_node.cc
+++ b/Tests/LibForward/test_forward_node.cc
@@ -378,6 +378,23 @@
   CHECK(bench.Last<AnswerPeer>() == nullptr);
 }
 
+TEST_CASE("a host that stops ends its peers' jobs before it goes") {
+  NodeBench bench;
+  StageJob job;
+  job.pool.value = "maker";
+  job.piece_count = 1;
+  job.until_target = milliseconds(5000);
+  job.until_deadline = milliseconds(6000);
+  bench.Feed(PeerJobAsked{PeerExchangeId{5}, job});
+  bench.Feed(StopOrdered{});
+  bench.now += milliseconds(2600);
+  bench.Feed(TimerDue{});
+  CHECK(bench.Last<Exit>() == nullptr);
+  bench.EndStage(bench.Last<CallStage>()->call);
+  CHECK(bench.Last<AnswerPeer>() != nullptr);
+  CHECK(bench.Last<Exit>() != nullptr);
+}
+
 TEST_CASE("a request that was never sent is refused at its time limit") {
   NodeBench bench;
   bench.Feed(NodeBench::Request(1));
