LibForward: Rely on what a peer knows for two seconds in all

A relay's news counted as fresh until it was 2.5 s old, and a host then rested 1.6 s from the last fresh news on, whatever its age: 4.1 s, past the notice of 4 s, in which it sent a request to an endpoint that had left (4,047 ms after).

Now what the store told holds for 2 s from when it told it, however often it is passed on. Besides, only answers about endpoints count as having told: those about hosts, which may be all that gets through when answers are lost, made old entries look new.

Tests: what a peer knew is relied on for two seconds in all; answers about other tables don't make news of endpoints newer. "A host that hears fresh news doesn't ask the store" waited 1.7 s for the host's own call; the bound is now the 2 s that hold from when the store told it.

--- a/Libraries/LibForward/store_desk.cc
+++ b/Libraries/LibForward/store_desk.cc
@@ -27,12 +27,11 @@
 constexpr std::chrono::milliseconds kWaitInTrouble{500};
 // Without peers that tell of a new configuration, none is held for longer.
 constexpr std::chrono::milliseconds kWaitAlone{10'000};
-// News holds for this long, and then the host asks the store itself.
-constexpr std::chrono::milliseconds kNewsHolds{1600};
+// What the store told a peer holds for this long; then the host asks the store
+// itself. A peer asks each 0.9 s, and is asked each 0.7 s.
+constexpr std::chrono::milliseconds kNewsHolds{2000};
 // Between two calls of a feed while peers answer that don't reach the store.
 constexpr std::chrono::milliseconds kProbeBesidePeers{2000};
-// News that is older says that the peer doesn't reach the store.
-constexpr std::chrono::milliseconds kOldestNews{2500};
 
 }  // namespace
 
@@ -53,7 +52,7 @@
   const FeedKind feed = event.feed;
   const bool was_failing = FollowerOf(feed).is_failing();
   const auto update = FollowerOf(feed).HandleListed(std::move(event));
-  told_ = now;
+  NoteTold(feed, now);
   NoteReachable(feed, was_failing, now);
   if (update)
     Take(feed, *update, now);
@@ -63,7 +62,7 @@
   const FeedKind feed = event.feed;
   const bool was_failing = FollowerOf(feed).is_failing();
   const auto update = FollowerOf(feed).HandleChanged(std::move(event));
-  told_ = now;
+  NoteTold(feed, now);
   NoteReachable(feed, was_failing, now);
   Take(feed, update, now);
 }
@@ -87,6 +86,13 @@
     directory_.NoteStoreLost();
 }
 
+// The endpoints' feed alone is asked at short intervals whatever happens: if
+// its answers get lost, those of the others don't make what is known any newer.
+void StoreDesk::NoteTold(FeedKind feed, base::TimePoint now) {
+  if (feed == FeedKind::kEndpoints)
+    told_ = now;
+}
+
 void StoreDesk::NoteReachable(FeedKind feed,
                               bool was_failing,
                               base::TimePoint now) {
@@ -206,7 +212,8 @@
 
 void StoreDesk::Handle(NewsHeard event, base::TimePoint now) {
   relays_.NoteAnswered(now);
-  const bool is_fresh = event.news.age <= kOldestNews;
+  const base::TimePoint holds_until = now - event.news.age + kNewsHolds;
+  const bool is_fresh = now < holds_until;
   told_ = std::max(told_, now - event.news.age);
   if (is_fresh)
     directory_.NoteStoreBack(now);
@@ -214,11 +221,11 @@
     directory_.NoteStoreLost();
   for (TableNews& table : event.news.tables) {
     if (is_fresh)
-      FollowerOf(table.feed).RestUntil(now + kNewsHolds);
+      FollowerOf(table.feed).RestUntil(holds_until);
     TakeNews(std::move(table), now);
   }
   if (is_fresh) {
-    relayed_until_ = now + kNewsHolds;
+    relayed_until_ = holds_until;
   } else {
     // The peer will tell when the store is back; only a store that turns peers
     // away and not this host has to be found out.
--- a/Libraries/LibForward/store_desk.h
+++ b/Libraries/LibForward/store_desk.h
@@ -63,6 +63,7 @@
             base::TimePoint now);
   void TakeConfiguration(const FeedFollower::Update& update);
   void TakeHosts(const FeedFollower::Update& update);
+  void NoteTold(FeedKind feed, base::TimePoint now);
   void NoteReachable(FeedKind feed, bool was_failing, base::TimePoint now);
   void AskOthersAnew(FeedKind feed);
   TableLedger& LedgerOf(FeedKind feed) {
@@ -78,8 +79,8 @@
   RelayDesk relays_;
   TableLedger endpoint_ledger_{FeedKind::kEndpoints};
   TableLedger host_ledger_{FeedKind::kHosts};
-  // When the store last told anything, to this host or to the peer that passed
-  // it on.
+  // When the store last told what endpoints there are, to this host or to the
+  // peer that passed it on.
   base::TimePoint told_;
   // Until then peers tell what the store would.
   base::TimePoint relayed_until_;
--- a/Libraries/LibForward/table_news.h
+++ b/Libraries/LibForward/table_news.h
@@ -30,7 +30,7 @@
 };
 
 struct News {
-  base::Duration age{};  // Since the store last told the peer anything.
+  base::Duration age{};  // Since the store told the peer what endpoints exist.
   std::vector<TableNews> tables;
   uint64_t revision = 0;  // Of the configuration; 0 if none is known.
 };
