LibForward: Keep no endpoint because a peer doesn't reach the store

An endpoint that is removed while the store is lost is kept until 2 s after its return, and the next old answer, 0.65 s later, put that off again: it was kept for as long as the relay was cut off.

Only a host's own failed calls say that it doesn't reach the store. Old news isn't taken in at all, and spaces out only calls of feeds that fail. The test failed before: an endpoint that is removed goes, whatever peers know of the store.

--- a/Libraries/LibForward/store_desk.cc
+++ b/Libraries/LibForward/store_desk.cc
@@ -30,7 +30,8 @@
 // What the store told a peer holds for this long; then the host asks the store
 // itself. A peer asks each 0.9 s, and is asked each 0.7 s.
 constexpr std::chrono::milliseconds kNewsHolds{2000};
-// Between two calls of a feed while peers answer that don't reach the store.
+// Between two calls of a feed that fails while peers answer that don't reach
+// the store either.
 constexpr std::chrono::milliseconds kProbeBesidePeers{2000};
 
 }  // namespace
@@ -213,28 +214,35 @@
 void StoreDesk::Handle(NewsHeard event, base::TimePoint now) {
   relays_.NoteAnswered(now);
   const base::TimePoint holds_until = now - event.news.age + kNewsHolds;
-  const bool is_fresh = now < holds_until;
-  told_ = std::max(told_, now - event.news.age);
-  if (is_fresh)
-    directory_.NoteStoreBack(now);
+  if (now < holds_until)
+    TakeFreshNews(std::move(event.news.tables), holds_until, now);
   else
-    directory_.NoteStoreLost();
-  for (TableNews& table : event.news.tables) {
-    if (is_fresh)
-      FollowerOf(table.feed).RestUntil(holds_until);
+    SpaceOutFailingCalls();
+  const uint64_t own_revision = configuration_ ? configuration_->revision : 0;
+  if (event.news.revision > own_revision)
+    FollowerOf(FeedKind::kConfiguration).AskAnewIfBegunBefore(now);
+}
+
+void StoreDesk::TakeFreshNews(std::vector<TableNews> tables,
+                              base::TimePoint holds_until,
+                              base::TimePoint now) {
+  told_ = std::max(told_, holds_until - kNewsHolds);
+  relayed_until_ = holds_until;
+  directory_.NoteStoreBack(now);
+  for (TableNews& table : tables) {
+    FollowerOf(table.feed).RestUntil(holds_until);
     TakeNews(std::move(table), now);
   }
-  if (is_fresh) {
-    relayed_until_ = holds_until;
-  } else {
-    // The peer will tell when the store is back; only a store that turns peers
-    // away and not this host has to be found out.
-    for (FeedFollower& follower : followers_)
+}
+
+// Old news says that the peer doesn't reach the store, which tells nothing of
+// whether this host does. The peer will tell when the store is back for it too;
+// only a store that turns peers away and not this host has to be found out.
+void StoreDesk::SpaceOutFailingCalls() {
+  for (FeedFollower& follower : followers_) {
+    if (follower.is_failing())
       follower.RestUntil(follower.call_began() + kProbeBesidePeers);
   }
-  const uint64_t own_revision = configuration_ ? configuration_->revision : 0;
-  if (event.news.revision > own_revision)
-    FollowerOf(FeedKind::kConfiguration).AskAnewIfBegunBefore(now);
 }
 
 // Versions never go back, whoever tells them: a peer may have asked the store
--- a/Libraries/LibForward/store_desk.h
+++ b/Libraries/LibForward/store_desk.h
@@ -69,7 +69,11 @@
   TableLedger& LedgerOf(FeedKind feed) {
     return feed == FeedKind::kHosts ? host_ledger_ : endpoint_ledger_;
   }
+  void TakeFreshNews(std::vector<TableNews> tables,
+                     base::TimePoint holds_until,
+                     base::TimePoint now);
   void TakeNews(TableNews news, base::TimePoint now);
+  void SpaceOutFailingCalls();
   void AskForNews(base::TimePoint now);
   void LogUnreadable(FeedKind feed, const FeedRow& row);
 
--- a/Tests/LibForward/test_store_desk.cc
+++ b/Tests/LibForward/test_store_desk.cc
@@ -273,6 +273,10 @@
   }
   void Hear(NewsHeard event) { desk_.Handle(std::move(event), now_); }
 
+  void AnswerEndpoints(uint64_t version, std::vector<FeedRow> rows) {
+    desk_.Handle(TableChanged{FeedKind::kEndpoints, std::move(rows), version},
+                 now_);
+  }
   void AnswerHosts() {
     desk_.Handle(TableChanged{FeedKind::kHosts, {}, 103}, now_);
   }
@@ -359,6 +363,25 @@
   CHECK(CallsFor(bench.RunFor(120), FeedKind::kEndpoints) == 1);
 }
 
+// Answers a store that turns a zone's relays away and serves the other hosts.
+TEST_CASE(
+    "an endpoint that is removed goes, whatever peers know of the store") {
+  FollowerBench bench;
+  REQUIRE(bench.Knows("e1"));
+  News cut_off = FollowerBench::NewsOf(101, {});
+  cut_off.age = milliseconds(4000);
+  bench.Hear(NewsHeard{cut_off});
+  bench.AnswerEndpoints(200, {{"e1", RowRemoved{}}});
+  // The peer answers each 0.65 s and is cut off; the own calls succeed.
+  for (int i = 0; i < 3; ++i) {
+    bench.Hear(NewsHeard{cut_off});
+    bench.RunFor(650);
+    bench.AnswerEndpoints(static_cast<uint64_t>(201 + i), {});
+  }
+  bench.RunFor(10);
+  CHECK_FALSE(bench.Knows("e1"));
+}
+
 // The store answers one call and loses another.
 TEST_CASE("answers about other tables don't make news of endpoints newer") {
   FollowerBench bench;
