--- a/Tests/LibEmulation/test_days.cc
+++ b/Tests/LibEmulation/test_days.cc
@@ -125,8 +125,9 @@
     CHECK(tally.left + tally.failed + tally.refused == 0);
   }
   CHECK(report.dispatchers_lost == 0);
-  for (const auto& [name, pool] : report.pools) {
-    CAPTURE(name);
+  for (const auto& entry : report.pools) {
+    CAPTURE(entry.first);
+    const PoolTally& pool = entry.second;
     // Of the endpoints' work, and of the pieces.
     CHECK(pool.unused <= pool.busy * 3 / 100);
     CHECK(pool.no_room <= pool.pieces / 100);
--- a/Tests/LibForward/test_store_desk.cc
+++ b/Tests/LibForward/test_store_desk.cc
@@ -373,10 +373,10 @@
   bench.Hear(NewsHeard{cut_off});
   bench.AnswerEndpoints(200, {{"e1", RowRemoved{}}});
   // The peer answers each 0.65 s and is cut off; the own calls succeed.
-  for (int i = 0; i < 3; ++i) {
+  for (uint64_t version = 201; version < 204; ++version) {
     bench.Hear(NewsHeard{cut_off});
     bench.RunFor(650);
-    bench.AnswerEndpoints(static_cast<uint64_t>(201 + i), {});
+    bench.AnswerEndpoints(version, {});
   }
   bench.RunFor(10);
   CHECK_FALSE(bench.Knows("e1"));
