LibForward: Take out DispatchDesk::job_count(), which nobody calls

A host that stops waits for its peers' jobs, which StageDesk counts itself. Built; TestLibForward and the formatter were run, the other tests were not.

--- a/Libraries/LibForward/dispatch_desk.cc
+++ b/Libraries/LibForward/dispatch_desk.cc
@@ -196,13 +196,6 @@
   return std::exchange(outcomes_, {});
 }
 
-size_t DispatchDesk::job_count() const {
-  size_t n = 0;
-  for (const auto& [at, entry] : entries_)
-    n += entry.submitted.size();
-  return n;
-}
-
 std::optional<base::TimePoint> DispatchDesk::NextWakeup() const {
   std::optional<base::TimePoint> next;
   for (const auto& [at, entry] : entries_) {
--- a/Libraries/LibForward/dispatch_desk.h
+++ b/Libraries/LibForward/dispatch_desk.h
@@ -50,7 +50,6 @@
   void Dispatch(base::TimePoint now);
   std::vector<DispatchedJob> TakeOutcomes();
 
-  size_t job_count() const;
   std::optional<base::TimePoint> NextWakeup() const;
 
  private:
