LibEmulation: Guard against kinds that fall below their floor on a grown fleet

Cause: one host collected the pieces of a pool for the whole fleet, mostly a small one; taken for dead when slow, it was replaced by several at a time.

--- a/Tests/LibEmulation/test_days.cc
+++ b/Tests/LibEmulation/test_days.cc
@@ -148,6 +148,17 @@
   }
 }
 
+// Guards against the incident SHORT: one host for each pool of a whole fleet.
+TEST_CASE("no kind is served less than its floor on a grown fleet in bursts") {
+  // The highest floor of a single kind on any day of the large deployments.
+  constexpr double kKindFloor = 0.36;
+  EmulationReport report = Play(Day("grown-bursts"), 1);
+  for (const auto& entry : report.kinds) {
+    CAPTURE(entry.first);
+    CHECK(entry.second.on_time_share() >= kKindFloor);
+  }
+}
+
 // Answers a quarter of all hosts dying, dispatchers among them.
 TEST_CASE("hosts that die cost their own callers, and little else") {
   const LoadSheet day = Day("hosts-lost");
