--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -25,6 +25,8 @@
     {kEndpointListed, kInfo, "endpoint-listed"},
     {kEndpointLeaving, kInfo, "endpoint-leaving"},
     {kHostsLearntFromPeer, kInfo, "hosts-learnt-from-peer"},
+    {kEndpointQuiet, kInfo, "endpoint-quiet"},
+    {kEndpointOpen, kInfo, "endpoint-open"},
     {kPlatformUnreachable, kWarning, "platform-unreachable"},
     {kPlatformReachable, kInfo, "platform-reachable"},
     {kPlatformRowUnreadable, kWarning, "platform-row-unreadable"},
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -23,6 +23,8 @@
   kEndpointListed = 1201,
   kEndpointLeaving = 1202,
   kHostsLearntFromPeer = 1203,
+  kEndpointQuiet = 1204,
+  kEndpointOpen = 1205,
   kPlatformUnreachable = 1301,
   kPlatformReachable = 1302,
   kPlatformRowUnreadable = 1303,
--- a/Libraries/LibForward/dispatch_desk.cc
+++ b/Libraries/LibForward/dispatch_desk.cc
@@ -56,7 +56,8 @@
   const auto limits = limits_.find(at.pool);
   if (limits == limits_.end())
     return nullptr;
-  const auto [it, is_new] = entries_.try_emplace(at, limits->second);
+  const auto [it, is_new] =
+      entries_.try_emplace(at, limits->second, context_.quiet_times());
   if (is_new)
     GiveEndpoints(at, it->second);
   return &it->second;
--- a/Libraries/LibForward/dispatch_desk.h
+++ b/Libraries/LibForward/dispatch_desk.h
@@ -72,7 +72,8 @@
   };
 
   struct Entry {
-    explicit Entry(const PieceLimits& limits) : dispatcher(limits) {}
+    Entry(const PieceLimits& limits, const QuietTimes& quiet_times)
+        : dispatcher(limits, quiet_times) {}
     StageDispatcher dispatcher;
     std::map<JobId, SubmittedJob> submitted;
   };
--- a/Libraries/LibForward/endpoint_chooser.cc
+++ b/Libraries/LibForward/endpoint_chooser.cc
@@ -19,6 +19,9 @@
 constexpr std::chrono::milliseconds kLongestRest{8000};
 // How long one that refused gets none.
 constexpr std::chrono::milliseconds kRefusedRest{50};
+// For so long after a quiet time an endpoint gets requests at these intervals.
+constexpr std::chrono::milliseconds kSpacedTime{1000};
+constexpr std::chrono::milliseconds kSpacing{20};
 // One failure may be the request's own; this many in a row are the endpoint's.
 constexpr uint32_t kFailuresToRest = 2;
 // So many endpoints of one zone in a row that can't be reached are the zone's
@@ -85,26 +88,50 @@
     zone.rests_until = now + RestAfter(zone.unreachable - kUnreachableToRest);
 }
 
-EndpointChooser::Candidates EndpointChooser::Usable(const EndpointWish& wish,
-                                                    base::TimePoint now) const {
-  Candidates rested;
-  Candidates resting;
+base::TimePoint EndpointChooser::OpenFrom(const Endpoint& endpoint) const {
+  return std::max(quiet_times_.EndOf(endpoint.listed.name),
+                  endpoint.next_begin);
+}
+
+EndpointChooser::Candidates EndpointChooser::Eligible(
+    const EndpointWish& wish) const {
+  Candidates eligible;
   for (const auto& [name, endpoint] : endpoints_) {
-    if (endpoint.listed.pool != wish.pool ||
-        endpoint.listed.state != EndpointState::kServing ||
-        std::ranges::find(wish.avoided, name) != wish.avoided.end())
-      continue;
-    (IsRested(endpoint, now) ? rested : resting).push_back(&endpoint);
+    if (endpoint.listed.pool == wish.pool &&
+        endpoint.listed.state == EndpointState::kServing &&
+        std::ranges::find(wish.avoided, name) == wish.avoided.end())
+      eligible.push_back(&endpoint);
+  }
+  return eligible;
+}
+
+EndpointChooser::Candidates EndpointChooser::PreferRested(
+    const Candidates& candidates,
+    base::TimePoint now) const {
+  Candidates rested;
+  for (const Endpoint* it : candidates) {
+    if (IsRested(*it, now))
+      rested.push_back(it);
   }
   // One that failed lately may still serve; none at all surely doesn't.
-  return rested.empty() ? resting : rested;
+  return rested.empty() ? candidates : rested;
 }
 
-std::optional<ListedEndpoint> EndpointChooser::Choose(const EndpointWish& wish,
-                                                      base::TimePoint now) {
-  const Candidates candidates = Usable(wish, now);
-  if (candidates.empty())
-    return std::nullopt;
+EndpointChoice EndpointChooser::Choose(const EndpointWish& wish,
+                                       base::TimePoint now) {
+  const Candidates eligible = Eligible(wish);
+  if (eligible.empty())
+    return NoEndpointServes{};
+  Candidates open;
+  base::TimePoint first_open = base::TimePoint::max();
+  for (const Endpoint* it : eligible) {
+    first_open = std::min(first_open, OpenFrom(*it));
+    if (OpenFrom(*it) <= now)
+      open.push_back(it);
+  }
+  if (open.empty())
+    return EndpointsQuiet{first_open};
+  const Candidates candidates = PreferRested(open, now);
   const Endpoint& chosen = wish.affinity.empty()
                                ? LeastLoaded(candidates)
                                : BestFor(wish.affinity, candidates);
@@ -148,10 +175,22 @@
   return best == nullptr ? *candidates.front() : *best;
 }
 
-void EndpointChooser::NoteBegun(const base::EndpointName& name) {
+void EndpointChooser::NoteBegun(const base::EndpointName& name,
+                                base::TimePoint now) {
+  const auto it = endpoints_.find(name);
+  if (it == endpoints_.end())
+    return;
+  Endpoint& endpoint = it->second;
+  ++endpoint.in_flight;
+  if (now < endpoint.spaced_until)
+    endpoint.next_begin = now + kSpacing;
+}
+
+void EndpointChooser::NoteQuietEnded(const base::EndpointName& name,
+                                     base::TimePoint now) {
   const auto it = endpoints_.find(name);
   if (it != endpoints_.end())
-    ++it->second.in_flight;
+    it->second.spaced_until = now + kSpacedTime;
 }
 
 void EndpointChooser::NoteEnded(const base::EndpointName& name,
@@ -187,11 +226,4 @@
   }
 }
 
-bool EndpointChooser::HasServing(const base::PoolName& pool) const {
-  return std::ranges::any_of(endpoints_, [&pool](const auto& it) {
-    return it.second.listed.pool == pool &&
-           it.second.listed.state == EndpointState::kServing;
-  });
-}
-
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/endpoint_directory.cc
+++ b/Libraries/LibForward/endpoint_directory.cc
@@ -82,11 +82,33 @@
   return trusted_from_;
 }
 
+bool EndpointDirectory::NoteLeaving(const base::EndpointName& name,
+                                    base::Incarnation incarnation) {
+  const auto [it, is_new] = leaving_.try_emplace(name, incarnation);
+  if (!is_new && it->second == incarnation)
+    return false;
+  it->second = incarnation;
+  return true;
+}
+
+// An entry that doesn't tell which life it is of may be of the one that leaves.
+bool EndpointDirectory::IsKnownToLeave(const ListedEndpoint& endpoint) const {
+  const auto it = leaving_.find(endpoint.name);
+  if (it == leaving_.end())
+    return false;
+  return it->second == endpoint.incarnation ||
+         endpoint.incarnation == base::Incarnation{} ||
+         it->second == base::Incarnation{};
+}
+
 std::vector<ListedEndpoint> EndpointDirectory::endpoints() const {
   std::vector<ListedEndpoint> all;
   all.reserve(endpoints_.size());
-  for (const auto& [name, listed] : endpoints_)
+  for (const auto& [name, listed] : endpoints_) {
     all.push_back(listed);
+    if (IsKnownToLeave(listed))
+      all.back().state = EndpointState::kLeaving;
+  }
   return all;
 }
 
--- a/Libraries/LibForward/endpoint_directory.h
+++ b/Libraries/LibForward/endpoint_directory.h
@@ -27,13 +27,23 @@
   bool DropMissing(base::TimePoint now);
   std::optional<base::TimePoint> NextWakeup() const;
 
+  // An answer said that this life of the endpoint leaves. Holds whatever its
+  // entry says, also while it has none; another life is not concerned. False
+  // when that is known.
+  bool NoteLeaving(const base::EndpointName& name,
+                   base::Incarnation incarnation);
+
+  // Those that are known to leave have that state.
   std::vector<ListedEndpoint> endpoints() const;
   bool is_empty() const { return endpoints_.empty(); }
 
  private:
   bool NoteRemoved(const base::EndpointName& name, base::TimePoint now);
+  bool IsKnownToLeave(const ListedEndpoint& endpoint) const;
 
   std::map<base::EndpointName, ListedEndpoint> endpoints_;
+  // By their own word.
+  std::map<base::EndpointName, base::Incarnation> leaving_;
   std::set<base::EndpointName> missing_;
   bool is_store_lost_ = false;
   base::TimePoint trusted_from_;  // Removals count at once from then on.
--- a/Libraries/LibForward/forward_action.h
+++ b/Libraries/LibForward/forward_action.h
@@ -20,6 +20,7 @@
 struct SendAttempt {
   base::AttemptId attempt;
   base::EndpointName endpoint;
+  base::Incarnation incarnation{};  // Of the endpoint.
   base::SocketAddress address;
   std::shared_ptr<const ForwardedRequest> request;
   declare::Delivery delivery = declare::Delivery::kWhole;
--- a/Libraries/LibForward/forward_context.h
+++ b/Libraries/LibForward/forward_context.h
@@ -9,6 +9,7 @@
 #include "LibBase/ids.h"
 #include "LibForward/dispatcher_ring.h"
 #include "LibForward/forward_action.h"
+#include "LibForward/quiet_times.h"
 
 namespace bilberry::forward {
 
@@ -37,6 +38,9 @@
 
   const ForwardOptions& options() const { return options_; }
 
+  QuietTimes& quiet_times() { return quiet_times_; }
+  const QuietTimes& quiet_times() const { return quiet_times_; }
+
   void Emit(Action action) { actions_.push_back(std::move(action)); }
   void Log(base::LogEventId id,
            std::string request_id,
@@ -47,6 +51,7 @@
 
  private:
   ForwardOptions options_;
+  QuietTimes quiet_times_;
   Actions actions_;
 };
 
--- a/Libraries/LibForward/forward_endpoint.h
+++ b/Libraries/LibForward/forward_endpoint.h
@@ -8,14 +8,17 @@
 
 enum class EndpointState { kServing, kLeaving };
 
-// An endpoint as the platform lists it. Its name is that of one life: another
-// process at the same address has another name.
+// An endpoint as the platform lists it. Another process at the same address
+// mostly has another name.
 struct ListedEndpoint {
   base::EndpointName name;
   base::PoolName pool;
   base::ZoneName zone;
   base::SocketAddress address;
   EndpointState state = EndpointState::kServing;
+  // Of a process that starts again under its name, another; zero if the
+  // platform doesn't tell.
+  base::Incarnation incarnation{};
 
   friend bool operator==(const ListedEndpoint&,
                          const ListedEndpoint&) = default;
--- a/Libraries/LibForward/forward_event.h
+++ b/Libraries/LibForward/forward_event.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "LibBase/ids.h"
+#include "LibForward/endpoint_notice.h"
 #include "LibForward/feed_row.h"
 #include "LibForward/forwarded_request.h"
 #include "LibForward/stage_job.h"
@@ -20,6 +21,14 @@
 // A peer's question to this host, as numbered by the shell.
 enum class PeerExchangeId : uint64_t {};
 
+// An answer of any kind, to a request, a call or an order, said something of
+// the endpoint that gave it. Comes before the event of the answer itself.
+struct EndpointNoticed {
+  base::EndpointName endpoint;
+  base::Incarnation incarnation{};  // As known when it was asked.
+  EndpointNotice notice;
+};
+
 struct CallerLeft {
   base::CallerId caller{};
 };
@@ -156,6 +165,7 @@
 struct StopOrdered {};
 
 using Event = std::variant<ForwardedRequest,
+                           EndpointNoticed,
                            CallerLeft,
                            AttemptChunk,
                            AttemptAnswer,
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -27,6 +27,7 @@
 Actions ForwardNode::Handle(Event event, base::TimePoint now) {
   Route(std::move(event), now);
   store_.HandleTimer(now);
+  EndQuietTimes(now);
   TakeNews();
   runs_.HandleTimer(now);
   stages_.Dispatch(now);
@@ -48,6 +49,7 @@
   std::visit(
       base::Overloaded{
           [&](ForwardedRequest& it) { runs_.Handle(std::move(it), now); },
+          [&](const EndpointNoticed& it) { Handle(it, now); },
           [&](const CallerLeft& it) { runs_.Handle(it, now); },
           [&](AttemptChunk& it) { runs_.Handle(std::move(it), now); },
           [&](AttemptAnswer& it) { runs_.Handle(std::move(it), now); },
@@ -76,6 +78,29 @@
       event);
 }
 
+void ForwardNode::Handle(const EndpointNoticed& event, base::TimePoint now) {
+  if (event.notice.is_leaving &&
+      store_.NoteLeaving(event.endpoint, event.incarnation))
+    context_.Log(base::LogEventId::kEndpointLeaving, "",
+                 {{"endpoint", event.endpoint.value},
+                  {"incarnation",
+                   std::to_string(static_cast<uint64_t>(event.incarnation))},
+                  {"told_by", "answer"}});
+  const auto& retry_after = event.notice.retry_after;
+  if (retry_after &&
+      context_.quiet_times().Note(event.endpoint, now + *retry_after))
+    context_.Log(base::LogEventId::kEndpointQuiet, "",
+                 {{"endpoint", event.endpoint.value},
+                  {"for_ms", ToMilliseconds(*retry_after)}});
+}
+
+void ForwardNode::EndQuietTimes(base::TimePoint now) {
+  for (const base::EndpointName& it : context_.quiet_times().TakeEnded(now)) {
+    runs_.NoteQuietEnded(it, now);
+    context_.Log(base::LogEventId::kEndpointOpen, "", {{"endpoint", it.value}});
+  }
+}
+
 void ForwardNode::TakeNews() {
   if (seen_configuration_ != store_.configuration_changes()) {
     seen_configuration_ = store_.configuration_changes();
@@ -134,6 +159,7 @@
   consider(store_.NextWakeup());
   consider(stages_.NextWakeup());
   consider(runs_.NextWakeup());
+  consider(context_.quiet_times().NextEnd());
   if (stop_began_ && !has_exited_) {
     const base::TimePoint lingered = *stop_began_ + kLinger;
     consider(runs_.is_accepting()
--- a/Libraries/LibForward/forward_node.h
+++ b/Libraries/LibForward/forward_node.h
@@ -33,6 +33,8 @@
 
  private:
   void Route(Event event, base::TimePoint now);
+  void Handle(const EndpointNoticed& event, base::TimePoint now);
+  void EndQuietTimes(base::TimePoint now);
   void TakeNews();
   void HandleStop(base::TimePoint now);
   void FinishStop(base::TimePoint now);
--- a/Libraries/LibForward/piece_endpoint.cc
+++ b/Libraries/LibForward/piece_endpoint.cc
@@ -24,14 +24,18 @@
 
 }  // namespace
 
+base::TimePoint PieceEndpoint::OpenFrom() const {
+  return std::max(rests_until_, quiet_times_->EndOf(listed_.name));
+}
+
 bool PieceEndpoint::IsIdle(uint32_t calls_at_once, base::TimePoint now) const {
-  return is_serving() && calls_ < calls_at_once && rests_until_ <= now;
+  return is_serving() && calls_ < calls_at_once && OpenFrom() <= now;
 }
 
 base::TimePoint PieceEndpoint::NextTurn(uint32_t calls_at_once,
                                         base::TimePoint now) const {
-  const base::TimePoint rested = std::max(now, rests_until_);
-  return calls_ < calls_at_once ? rested : std::max(rested, busy_until_);
+  const base::TimePoint open = std::max(now, OpenFrom());
+  return calls_ < calls_at_once ? open : std::max(open, busy_until_);
 }
 
 void PieceEndpoint::NoteCalled(base::TimePoint busy_until) {
@@ -62,24 +66,32 @@
   free_due_ = std::min(free_due_.value_or(due), due);
 }
 
+// An endpoint that wants nothing from this host isn't told what to free either.
+std::optional<base::TimePoint> PieceEndpoint::FreeTime() const {
+  if (!free_due_)
+    return std::nullopt;
+  return std::max(*free_due_, quiet_times_->EndOf(listed_.name));
+}
+
 std::optional<FreeOrder> PieceEndpoint::TakeFreeOrder(base::TimePoint now) {
-  if (!free_due_ || *free_due_ > now)
+  const auto due = FreeTime();
+  if (!due || *due > now)
     return std::nullopt;
   free_due_.reset();
-  return FreeOrder{listed_.pool, listed_.name, listed_.address,
-                   std::exchange(to_free_, {})};
+  return FreeOrder{listed_.pool, listed_.name, listed_.incarnation,
+                   listed_.address, std::exchange(to_free_, {})};
 }
 
 std::optional<base::TimePoint> PieceEndpoint::NextChange(
     bool has_waiting,
     uint32_t calls_at_once,
     base::TimePoint now) const {
-  std::optional<base::TimePoint> next = free_due_;
+  std::optional<base::TimePoint> next = FreeTime();
   if (!has_waiting || calls_ >= calls_at_once)
     return next;
   // Waits for its rest to end, or for room.
-  const base::TimePoint change =
-      rests_until_ > now ? rests_until_ : room_.NextExpiry();
+  const base::TimePoint open = OpenFrom();
+  const base::TimePoint change = open > now ? open : room_.NextExpiry();
   if (change != base::TimePoint::max() && (!next || change < *next))
     next = change;
   return next;
--- a/Libraries/LibForward/piece_endpoint.h
+++ b/Libraries/LibForward/piece_endpoint.h
@@ -6,6 +6,7 @@
 
 #include "LibForward/forward_endpoint.h"
 #include "LibForward/named_results.h"
+#include "LibForward/quiet_times.h"
 #include "LibForward/result_room.h"
 #include "LibForward/stage_job.h"
 
@@ -16,7 +17,9 @@
 // freed.
 class PieceEndpoint {
  public:
-  explicit PieceEndpoint(ListedEndpoint listed) : listed_(std::move(listed)) {}
+  // `quiet_times` must outlive the endpoint.
+  PieceEndpoint(ListedEndpoint listed, const QuietTimes& quiet_times)
+      : listed_(std::move(listed)), quiet_times_(&quiet_times) {}
 
   const ListedEndpoint& listed() const { return listed_; }
   void SetListed(ListedEndpoint listed) { listed_ = std::move(listed); }
@@ -52,7 +55,12 @@
                                             base::TimePoint now) const;
 
  private:
+  // From when on it may be called, as far as its answers tell.
+  base::TimePoint OpenFrom() const;
+  std::optional<base::TimePoint> FreeTime() const;
+
   ListedEndpoint listed_;
+  const QuietTimes* quiet_times_;  // Never null; a pointer, to be movable.
   uint32_t calls_ = 0;
   uint32_t failures_ = 0;  // In a row.
   base::TimePoint rests_until_;
--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -19,6 +19,9 @@
 constexpr std::chrono::milliseconds kStoppingRetry{50};
 constexpr std::chrono::milliseconds kNoEndpointRetry{1000};
 constexpr std::chrono::milliseconds kRefusedRetry{300};
+// A request is taken on though all endpoints want to be left alone, if one of
+// them opens within this time.
+constexpr std::chrono::milliseconds kWaitAtDoor{50};
 // A request that no endpoint has run may be sent to this many more than those
 // that may run it.
 constexpr uint32_t kMaxRefusals = 2;
@@ -86,7 +89,7 @@
 RunDesk::RunDesk(ForwardContext& context, StageDesk& stages)
     : context_(context),
       stage_desk_(stages),
-      chooser_(context.options().seed),
+      chooser_(context.options().seed, context.quiet_times()),
       random_(context.options().seed + 1) {}
 
 void RunDesk::SetConfiguration(
@@ -173,12 +176,19 @@
   run.stages = InitialStages(*run.pipeline, request);
   run.last_event = request.last_event;
   run.request = std::make_shared<const ForwardedRequest>(std::move(request));
-  const auto probable = chooser_.Choose(WishOf(run), now);
-  if (!probable) {
+  const EndpointChoice probable = chooser_.Choose(WishOf(run), now);
+  if (const auto* endpoint = std::get_if<ListedEndpoint>(&probable)) {
+    run.final_zone = endpoint->zone;
+  } else if (const auto* quiet = std::get_if<EndpointsQuiet>(&probable)) {
+    if (quiet->until > now + kWaitAtDoor) {
+      Refuse(*run.request, OwnAnswerCode::kNoEndpoint,
+             SpreadOut(quiet->until - now));
+      return std::nullopt;
+    }
+  } else {
     Refuse(*run.request, OwnAnswerCode::kNoEndpoint, kNoEndpointRetry);
     return std::nullopt;
   }
-  run.final_zone = probable->zone;
   run.cell = stage_desk_.ChooseCell(CellWishOf(run), now).value_or(Cell());
   return run;
 }
@@ -424,18 +434,46 @@
 
 void RunDesk::SendFinal(base::CallerId caller, base::TimePoint now) {
   ForwardedRun& run = runs_.at(caller);
-  const auto endpoint = chooser_.Choose(WishOf(run), now);
-  if (!endpoint) {
-    AnswerAndEnd(caller,
-                 run.runs > 0 ? OwnAnswerCode::kAttemptFailed
-                              : OwnAnswerCode::kNoEndpoint,
-                 kNoEndpointRetry, now);
+  std::visit(base::Overloaded{
+                 [&](const ListedEndpoint& it) { SendTo(it, caller, now); },
+                 [&](const EndpointsQuiet& it) {
+                   WaitForQuiet(caller, it.until, now);
+                 },
+                 [&](const NoEndpointServes&) {
+                   AnswerAndEnd(caller,
+                                run.runs > 0 ? OwnAnswerCode::kAttemptFailed
+                                             : OwnAnswerCode::kNoEndpoint,
+                                kNoEndpointRetry, now);
+                 },
+             },
+             chooser_.Choose(WishOf(run), now));
+}
+
+// What has been done for the run is worth a wait, as long as there is time for
+// its answer behind it.
+void RunDesk::WaitForQuiet(base::CallerId caller,
+                           base::TimePoint until,
+                           base::TimePoint now) {
+  ForwardedRun& run = runs_.at(caller);
+  if (until + kFinalTime < run.begin_deadline) {
+    LookAgain(caller, run, until);
     return;
   }
+  AnswerAndEnd(
+      caller,
+      run.runs > 0 ? OwnAnswerCode::kAttemptFailed : OwnAnswerCode::kNoEndpoint,
+      until - now, now);
+}
+
+void RunDesk::SendTo(const ListedEndpoint& endpoint,
+                     base::CallerId caller,
+                     base::TimePoint now) {
+  ForwardedRun& run = runs_.at(caller);
   SendAttempt send;
   send.attempt = {context_.options().incarnation, ++last_attempt_};
-  send.endpoint = endpoint->name;
-  send.address = endpoint->address;
+  send.endpoint = endpoint.name;
+  send.incarnation = endpoint.incarnation;
+  send.address = endpoint.address;
   send.request = run.request;
   send.delivery = run.pipeline->delivery;
   send.repeatability = run.pipeline->repeatability;
@@ -445,13 +483,13 @@
   send.inputs = run.FinalInputs();
   if (run.has_begun_stream)
     send.resume_after = run.last_event;
-  run.attempt = FinalAttempt{send.attempt, endpoint->name, now, {}};
-  run.tried.push_back(endpoint->name);
+  run.attempt = FinalAttempt{send.attempt, endpoint.name, now, {}};
+  run.tried.push_back(endpoint.name);
   attempts_.emplace(send.attempt.number, caller);
-  chooser_.NoteBegun(endpoint->name);
+  chooser_.NoteBegun(endpoint.name, now);
   context_.Log(base::LogEventId::kAttemptSent, run.request->request_id,
-               {{"endpoint", endpoint->name.value},
-                {"zone", endpoint->zone.value},
+               {{"endpoint", endpoint.name.value},
+                {"zone", endpoint.zone.value},
                 {"team", run.team ? run.team->value : ""},
                 {"resumed", run.has_begun_stream ? "yes" : "no"},
                 {"left_ms", ToMilliseconds(send.left)}});
@@ -625,7 +663,23 @@
   AnswerAndEnd(caller,
                run.runs > 0 ? OwnAnswerCode::kAttemptFailed
                             : OwnAnswerCode::kRefusedByEndpoint,
-               kRefusedRetry, now);
+               RetryAfterRefusal(run, now), now);
+}
+
+base::Duration RunDesk::RetryAfterRefusal(const ForwardedRun& run,
+                                          base::TimePoint now) {
+  EndpointWish wish;
+  wish.pool = run.final_pool;
+  const EndpointChoice choice = chooser_.Choose(wish, now);
+  const auto* quiet = std::get_if<EndpointsQuiet>(&choice);
+  if (quiet == nullptr)
+    return kRefusedRetry;
+  return std::max<base::Duration>(kRefusedRetry, quiet->until - now);
+}
+
+base::Duration RunDesk::SpreadOut(base::Duration retry_after) {
+  const auto percent = static_cast<int64_t>(random_.Below(kRetrySpreadPercent));
+  return retry_after + retry_after * percent / kPercent;
 }
 
 void RunDesk::AnswerAndEnd(base::CallerId caller,
@@ -634,9 +688,7 @@
                            base::TimePoint now) {
   ForwardedRun& run = runs_.at(caller);
   if (retry_after)
-    *retry_after += *retry_after *
-                    static_cast<int64_t>(random_.Below(kRetrySpreadPercent)) /
-                    kPercent;
+    retry_after = SpreadOut(*retry_after);
   if (run.has_begun_stream)
     context_.Emit(EndStream{caller, StreamOutcome::kCut});
   else
--- a/Libraries/LibForward/run_desk.h
+++ b/Libraries/LibForward/run_desk.h
@@ -33,6 +33,9 @@
 
   void Handle(ForwardedRequest request, base::TimePoint now);
   void Handle(const CallerLeft& event, base::TimePoint now);
+  void NoteQuietEnded(const base::EndpointName& endpoint, base::TimePoint now) {
+    chooser_.NoteQuietEnded(endpoint, now);
+  }
   void Handle(AttemptChunk event, base::TimePoint now);
   void Handle(AttemptAnswer event, base::TimePoint now);
   void Handle(const AttemptFailure& event, base::TimePoint now);
@@ -103,6 +106,18 @@
                            size_t stage,
                            base::TimePoint now) const;
   void SendFinal(base::CallerId caller, base::TimePoint now);
+  void SendTo(const ListedEndpoint& endpoint,
+              base::CallerId caller,
+              base::TimePoint now);
+  // All endpoints want to be left alone: waits for the first, or ends the run.
+  void WaitForQuiet(base::CallerId caller,
+                    base::TimePoint until,
+                    base::TimePoint now);
+  // Longer at random, so that who is refused together doesn't return together.
+  base::Duration SpreadOut(base::Duration retry_after);
+  // What a refused caller of this pool is to wait at the least.
+  base::Duration RetryAfterRefusal(const ForwardedRun& run,
+                                   base::TimePoint now);
   AnswerMeaning Judge(const ForwardedRun& run, const AnswerHead& head) const;
   void NoteFirstByte(const ForwardedRun& run, base::TimePoint now);
   void BeginPassing(ForwardedRun& run, AnswerHead head, base::TimePoint now);
--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -40,15 +40,18 @@
 
 // A call that fails may take a full load of pieces with it, which are all to be
 // tried once more.
-StageDispatcher::StageDispatcher(PieceLimits limits)
-    : limits_(limits), repeats_(kSavedCalls * limits.pieces_per_call) {}
+StageDispatcher::StageDispatcher(PieceLimits limits,
+                                 const QuietTimes& quiet_times)
+    : limits_(limits),
+      quiet_times_(quiet_times),
+      repeats_(kSavedCalls * limits.pieces_per_call) {}
 
 void StageDispatcher::SetEndpoints(std::span<const ListedEndpoint> endpoints) {
   std::map<base::EndpointName, PieceEndpoint> present;
   for (const ListedEndpoint& listed : endpoints) {
     auto node = endpoints_.extract(listed.name);
     if (node.empty()) {
-      present.emplace(listed.name, PieceEndpoint(listed));
+      present.emplace(listed.name, PieceEndpoint(listed, quiet_times_));
       continue;
     }
     node.mapped().SetListed(listed);
@@ -109,9 +112,11 @@
   if (pace.next_turn == base::TimePoint::max())
     pace.next_turn = now;
   pace.round_time = CallTime(limits_.pieces_per_call);
+  // Once all are left alone for a while, what counts is what they do behind it.
+  const size_t open = OpenCount(now);
   pace.pieces_per_round =
-      std::max(static_cast<uint32_t>(ServingCount()) * limits_.calls_at_once *
-                   limits_.pieces_per_call,
+      std::max(static_cast<uint32_t>(open > 0 ? open : ServingCount()) *
+                   limits_.calls_at_once * limits_.pieces_per_call,
                1U);
   pace.fullness = fullness_;
   pace.left_for_late = left_for_late_;
@@ -164,6 +169,10 @@
                                                      base::TimePoint now) {
   const PoolPace pace = PaceAt(now);
   const ServiceOrder order = OrderAt(pace);
+  // A request that has cost nothing yet doesn't wait for endpoints that all
+  // want to be left alone.
+  if (OpenCount(now) == 0 && job.job.progress == RequestProgress::kNew)
+    return TooLate(job, order, pace, now);
   const QueuedJob queued = Queued(id, job);
   const base::Duration on_time = WaitBehind(order, queued.urgency, pace, now);
   if (now + on_time + queued.needed <= job.target)
@@ -316,6 +325,7 @@
     return call;
   call.id = StageCallId{++last_call_};
   call.endpoint = endpoint.listed().name;
+  call.incarnation = endpoint.listed().incarnation;
   call.address = endpoint.listed().address;
   const base::Duration expected = CallTime(call.pieces.size());
   call.timeout = expected * kCallPatience + kCallSlack;
@@ -564,6 +574,13 @@
       endpoints_, [](const auto& it) { return it.second.is_serving(); }));
 }
 
+size_t StageDispatcher::OpenCount(base::TimePoint now) const {
+  return static_cast<size_t>(
+      std::ranges::count_if(endpoints_, [&](const auto& it) {
+        return it.second.is_serving() && quiet_times_.EndOf(it.first) <= now;
+      }));
+}
+
 PieceEndpoint* StageDispatcher::FindEndpoint(const base::EndpointName& name) {
   const auto it = endpoints_.find(name);
   return it == endpoints_.end() ? nullptr : &it->second;
--- a/Libraries/LibForward/stage_dispatcher.h
+++ b/Libraries/LibForward/stage_dispatcher.h
@@ -21,7 +21,8 @@
 // is busy, the next call fills. Pure: time is passed in.
 class StageDispatcher {
  public:
-  explicit StageDispatcher(PieceLimits limits);
+  // `quiet_times` must outlive the dispatcher.
+  StageDispatcher(PieceLimits limits, const QuietTimes& quiet_times);
 
   void Reconfigure(const PieceLimits& limits) { limits_ = limits; }
   // Replaces the endpoints that may be called. Calls under way end as usual.
@@ -55,6 +56,8 @@
   size_t waiting_pieces() const;
   // Endpoints that aren't leaving.
   size_t ServingCount() const;
+  // Of those, the ones that haven't asked to be left alone just now.
+  size_t OpenCount(base::TimePoint now) const;
 
  private:
   struct Job {
@@ -139,6 +142,7 @@
   PieceEndpoint* FindByAddress(const base::SocketAddress& address);
 
   PieceLimits limits_;
+  const QuietTimes& quiet_times_;
   std::map<base::EndpointName, PieceEndpoint> endpoints_;
   // Zones of endpoints that could not be reached, until one of them answers.
   std::set<base::ZoneName> unreachable_zones_;
--- a/Libraries/LibForward/stage_job.h
+++ b/Libraries/LibForward/stage_job.h
@@ -91,6 +91,7 @@
 struct StageCall {
   StageCallId id{};
   base::EndpointName endpoint;
+  base::Incarnation incarnation{};  // Of the endpoint.
   base::SocketAddress address;
   std::vector<PieceOrder> pieces;
   base::Duration timeout{};
@@ -122,6 +123,7 @@
 struct FreeOrder {
   base::PoolName pool;
   base::EndpointName endpoint;
+  base::Incarnation incarnation{};  // Of the endpoint.
   base::SocketAddress address;
   std::vector<std::string> handles;
 };
--- a/Libraries/LibForward/store_desk.cc
+++ b/Libraries/LibForward/store_desk.cc
@@ -178,6 +178,14 @@
   return all;
 }
 
+bool StoreDesk::NoteLeaving(const base::EndpointName& name,
+                            base::Incarnation incarnation) {
+  if (!directory_.NoteLeaving(name, incarnation))
+    return false;
+  ++endpoint_changes_;
+  return true;
+}
+
 void StoreDesk::ChooseRelays() {
   relays_.SetHosts(hosts());
 }
--- a/Libraries/LibForward/store_desk.h
+++ b/Libraries/LibForward/store_desk.h
@@ -23,6 +23,9 @@
   void Handle(TableChanged event, base::TimePoint now);
   void Handle(const TableHistoryLost& event, base::TimePoint now);
   void Handle(const TableCallFailed& event, base::TimePoint now);
+  // An answer of the endpoint said that it leaves; false when that is known.
+  bool NoteLeaving(const base::EndpointName& name,
+                   base::Incarnation incarnation);
   void Handle(const PeerNewsAsked& event, base::TimePoint now);
   void Handle(NewsHeard event, base::TimePoint now);
   void Handle(const NewsFailed& event, base::TimePoint now);
--- a/Libraries/LibTransport/forward_adapter.h
+++ b/Libraries/LibTransport/forward_adapter.h
@@ -34,6 +34,8 @@
       const forward::SendAttempt& attempt) const = 0;
   virtual forward::AnswerHead DecodeHead(
       const HttpResponse& response) const = 0;
+  virtual forward::EndpointNotice DecodeNotice(
+      const HttpResponse& response) const = 0;
   virtual HttpRequest EncodeStageCall(const forward::StageCall& call) const = 0;
   virtual forward::StageCallOutcome DecodeStageCall(
       const HttpOutcome& outcome) const = 0;
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -271,7 +271,10 @@
     on_chunk = [this, id](const HttpResponse& head, std::string bytes) {
       HandleAttemptChunk(id, head, std::move(bytes));
     };
-  attempts_[id.number].transfer = http_->Send(
+  Attempt& attempt = attempts_[id.number];
+  attempt.endpoint = action.endpoint;
+  attempt.incarnation = action.incarnation;
+  attempt.transfer = http_->Send(
       std::move(request),
       [this, id](HttpOutcome outcome) {
         HandleAttemptDone(id, std::move(outcome));
@@ -279,6 +282,14 @@
       std::move(on_chunk));
 }
 
+void ForwardShell::FeedNotice(const base::EndpointName& endpoint,
+                              base::Incarnation incarnation,
+                              const HttpResponse& response) {
+  const forward::EndpointNotice notice = adapter_.DecodeNotice(response);
+  if (!notice.is_empty())
+    Feed(forward::EndpointNoticed{endpoint, incarnation, notice});
+}
+
 void ForwardShell::HandleAttemptChunk(const base::AttemptId& attempt,
                                       const HttpResponse& head,
                                       std::string bytes) {
@@ -294,8 +305,10 @@
   }
   forward::AttemptChunk chunk;
   chunk.attempt = attempt;
-  if (!std::exchange(it->second.has_head, true))
+  if (!std::exchange(it->second.has_head, true)) {
+    FeedNotice(it->second.endpoint, it->second.incarnation, head);
     chunk.head = adapter_.DecodeHead(head);
+  }
   chunk.bytes = std::move(bytes);
   Feed(std::move(chunk));
 }
@@ -321,6 +334,8 @@
     return;
   }
   auto& response = std::get<HttpResponse>(outcome);
+  // Once more at a stream's end: what comes behind its body may say it too.
+  FeedNotice(node.mapped().endpoint, node.mapped().incarnation, response);
   if (!node.mapped().error_body.empty())
     response.body = node.mapped().error_body;
   forward::AnswerHead head = adapter_.DecodeHead(response);
@@ -371,10 +386,14 @@
 void ForwardShell::Do(const forward::CallStage& action) {
   HttpRequest request = adapter_.EncodeStageCall(action.call);
   request.timeout = RoundUp(action.call.timeout);
-  http_->Send(std::move(request), [this, id = action.call.id](
-                                      const HttpOutcome& outcome) {
-    Feed(forward::StageCallEnded{id, adapter_.DecodeStageCall(outcome)});
-  });
+  http_->Send(
+      std::move(request),
+      [this, id = action.call.id, endpoint = action.call.endpoint,
+       incarnation = action.call.incarnation](const HttpOutcome& outcome) {
+        if (const auto* response = std::get_if<HttpResponse>(&outcome))
+          FeedNotice(endpoint, incarnation, *response);
+        Feed(forward::StageCallEnded{id, adapter_.DecodeStageCall(outcome)});
+      });
 }
 
 void ForwardShell::Do(const forward::FreeResults& action) {
@@ -383,7 +402,10 @@
   http_->Send(std::move(request),
               [this, order = action.order](const HttpOutcome& outcome) {
                 const auto* response = std::get_if<HttpResponse>(&outcome);
-                if (response != nullptr && IsSuccess(response->status))
+                if (response == nullptr)
+                  return;
+                FeedNotice(order.endpoint, order.incarnation, *response);
+                if (IsSuccess(response->status))
                   Feed(forward::ResultsFreed{order});
               });
 }
--- a/Libraries/LibTransport/forward_shell.h
+++ b/Libraries/LibTransport/forward_shell.h
@@ -50,6 +50,8 @@
  private:
   // An attempt on its way.
   struct Attempt {
+    base::EndpointName endpoint;
+    base::Incarnation incarnation{};
     HttpTransferId transfer{};
     bool has_head = false;
     std::string error_body;  // Of a streamed answer that is no success.
@@ -72,6 +74,10 @@
   void CallStore(forward::FeedKind feed,
                  HttpRequest request,
                  HttpClient::DoneHandler done);
+  // Hands on what an answer says of the endpoint that gave it.
+  void FeedNotice(const base::EndpointName& endpoint,
+                  base::Incarnation incarnation,
+                  const HttpResponse& response);
   void HandleAttemptChunk(const base::AttemptId& attempt,
                           const HttpResponse& head,
                           std::string bytes);
--- a/Libraries/LibTransport/news_codec.cc
+++ b/Libraries/LibTransport/news_codec.cc
@@ -28,6 +28,7 @@
   object["zone"] = endpoint.zone.value;
   object["address"] = base::ToText(endpoint.address);
   object["is_leaving"] = endpoint.state == forward::EndpointState::kLeaving;
+  object["incarnation"] = static_cast<Json::UInt64>(endpoint.incarnation);
   return object;
 }
 
@@ -54,7 +55,7 @@
 std::optional<forward::RowContent> EndpointOf(const std::string& key,
                                               const Json::Value& object) {
   if (!HasTexts(object, {"pool", "zone", "address"}) ||
-      !object["is_leaving"].isBool())
+      !object["is_leaving"].isBool() || !object["incarnation"].isUInt64())
     return std::nullopt;
   const auto address = base::ParseSocketAddress(object["address"].asString());
   if (!address)
@@ -67,6 +68,7 @@
   endpoint.state = object["is_leaving"].asBool()
                        ? forward::EndpointState::kLeaving
                        : forward::EndpointState::kServing;
+  endpoint.incarnation = base::Incarnation{object["incarnation"].asUInt64()};
   return endpoint;
 }
 
--- /dev/null
+++ b/Tests/LibForward/test_endpoint_notices.cc
@@ -0,0 +1,293 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "LibForward/node_bench.h"
+
+// What endpoints say of themselves in their answers.
+namespace bilberry::forward {
+namespace {
+
+constexpr base::Incarnation kFirstLife{1};
+constexpr base::Incarnation kSecondLife{2};
+
+ForwardedRequest PlainRequest(uint64_t caller) {
+  ForwardedRequest request = NodeBench::Request(caller);
+  request.piece_counts = {};
+  return request;
+}
+
+EndpointNotice Leaving() {
+  return {true, std::nullopt};
+}
+
+EndpointNotice QuietFor(base::Duration time) {
+  return {false, time};
+}
+
+FeedRow Row(const std::string& name,
+            const std::string& pool,
+            base::Incarnation incarnation = kFirstLife) {
+  ListedEndpoint endpoint = NodeBench::MakeEndpoint(name, pool);
+  endpoint.incarnation = incarnation;
+  return {name, endpoint};
+}
+
+// A host with two endpoints for requests and two for pieces.
+class NoticeBench : public NodeBench {
+ public:
+  NoticeBench() {
+    Feed(TableListed{FeedKind::kEndpoints,
+                     {Row("e1", "llm"), Row("e2", "llm"), Row("m1", "maker"),
+                      Row("m2", "maker")},
+                     false,
+                     2});
+    actions.clear();
+  }
+
+  void Notice(const std::string& endpoint, const EndpointNotice& notice) {
+    Feed(EndpointNoticed{{endpoint}, kFirstLife, notice});
+  }
+
+  void PassTo(base::TimePoint time) {
+    for (auto next = node.NextWakeup(); next && *next <= time;
+         next = node.NextWakeup()) {
+      now = std::max(now, *next);
+      Feed(TimerDue{});
+    }
+    now = time;
+    Feed(TimerDue{});
+  }
+  void Pass(base::Duration time) { PassTo(now + time); }
+
+  // The endpoints that requests, calls and orders have gone to.
+  std::set<std::string> Asked() const {
+    std::set<std::string> names;
+    for (const Action& action : actions) {
+      if (const auto* send = std::get_if<SendAttempt>(&action))
+        names.insert(send->endpoint.value);
+      else if (const auto* call = std::get_if<CallStage>(&action))
+        names.insert(call->call.endpoint.value);
+      else if (const auto* free = std::get_if<FreeResults>(&action))
+        names.insert(free->order.endpoint.value);
+    }
+    return names;
+  }
+
+  template <typename T>
+  size_t CountOf() const {
+    return static_cast<size_t>(std::ranges::count_if(
+        actions,
+        [](const Action& it) { return std::holds_alternative<T>(it); }));
+  }
+
+  // Asks for as many requests as would surely reach each endpoint.
+  std::set<std::string> AskedByManyRequests() {
+    actions.clear();
+    for (int i = 0; i < 20; ++i)
+      Feed(PlainRequest(++callers));
+    return Asked();
+  }
+
+  uint64_t callers = 100;
+};
+
+const std::set<std::string> kBoth{"e1", "e2"};
+
+TEST_CASE("an endpoint that says in an answer that it leaves gets no request") {
+  NoticeBench bench;
+  CHECK(bench.AskedByManyRequests() == kBoth);
+  bench.Notice("e1", Leaving());
+  CHECK(bench.AskedByManyRequests() == std::set<std::string>{"e2"});
+}
+
+TEST_CASE("no entry takes back that this life of an endpoint leaves") {
+  NoticeBench bench;
+  bench.Notice("e1", Leaving());
+  SUBCASE("the store fails") {
+    bench.Feed(TableCallFailed{FeedKind::kEndpoints, "no answer"});
+    bench.Pass(milliseconds(5000));
+  }
+  SUBCASE("its entry is written again as serving") {
+    bench.Feed(TableChanged{FeedKind::kEndpoints, {Row("e1", "llm")}, 3});
+  }
+  SUBCASE("its entry is gone for a while") {
+    bench.Feed(TableChanged{FeedKind::kEndpoints, {{"e1", RowRemoved{}}}, 3});
+    bench.Pass(milliseconds(5000));
+    bench.Feed(TableChanged{FeedKind::kEndpoints, {Row("e1", "llm")}, 4});
+  }
+  SUBCASE("a peer tells of its entry") {
+    News news;
+    news.tables.push_back({FeedKind::kEndpoints, 5, false, {Row("e1", "llm")}});
+    bench.Feed(NewsHeard{news});
+  }
+  SUBCASE("its entry doesn't tell whose it is") {
+    bench.Feed(TableChanged{
+        FeedKind::kEndpoints, {Row("e1", "llm", base::Incarnation{})}, 3});
+  }
+  CHECK(bench.AskedByManyRequests() == std::set<std::string>{"e2"});
+}
+
+TEST_CASE("another life of an endpoint that left is used") {
+  NoticeBench bench;
+  bench.Notice("e1", Leaving());
+  bench.Feed(
+      TableChanged{FeedKind::kEndpoints, {Row("e1", "llm", kSecondLife)}, 3});
+  CHECK(bench.AskedByManyRequests() == kBoth);
+}
+
+TEST_CASE("pieces that wait for an endpoint which then leaves go elsewhere") {
+  NoticeBench bench;
+  for (uint64_t caller = 1; caller <= 20; ++caller)
+    bench.Feed(NodeBench::Request(caller));
+  REQUIRE(bench.Asked() == std::set<std::string>{"m1", "m2"});
+  StageCall call = bench.Last<CallStage>()->call;
+  const std::string leaving = call.endpoint.value;
+  bench.actions.clear();
+  bench.Notice(leaving, Leaving());
+  bench.EndStage(call);
+  bench.Pass(milliseconds(300));
+  for (const Action& action : bench.actions) {
+    if (const auto* it = std::get_if<CallStage>(&action))
+      CHECK(it->call.endpoint.value != leaving);
+  }
+}
+
+TEST_CASE("a request whose endpoint refuses it and leaves goes to another") {
+  NoticeBench bench;
+  // Requests earn the pool its retries.
+  bench.AskedByManyRequests();
+  bench.Feed(PlainRequest(1));
+  const SendAttempt first = *bench.Last<SendAttempt>();
+  bench.Notice(first.endpoint.value, Leaving());
+  AnswerHead head;
+  head.status = 503;
+  head.said_not_run = true;
+  bench.Feed(AttemptAnswer{first.attempt, head, ""});
+  CHECK(bench.Last<SendAttempt>()->endpoint != first.endpoint);
+}
+
+TEST_CASE(
+    "an endpoint that wants to be left alone is, until its time is over") {
+  NoticeBench bench;
+  const base::TimePoint end = bench.now + milliseconds(3000);
+  bench.Notice("e1", QuietFor(milliseconds(3000)));
+  CHECK(bench.AskedByManyRequests() == std::set<std::string>{"e2"});
+  bench.Feed(TableCallFailed{FeedKind::kEndpoints, "no answer"});
+  // A shorter time that it asks for later changes nothing.
+  bench.Notice("e1", QuietFor(milliseconds(100)));
+  bench.PassTo(end - milliseconds(1));
+  CHECK(bench.AskedByManyRequests() == std::set<std::string>{"e2"});
+  // It is as good as before, and has less to do.
+  bench.PassTo(end);
+  bench.actions.clear();
+  bench.Feed(PlainRequest(1));
+  CHECK(bench.Last<SendAttempt>()->endpoint.value == "e1");
+}
+
+TEST_CASE("a quiet time outlasts the endpoint's entry") {
+  NoticeBench bench;
+  bench.Notice("e1", QuietFor(milliseconds(3000)));
+  bench.Feed(TableChanged{FeedKind::kEndpoints, {{"e1", RowRemoved{}}}, 3});
+  bench.Feed(TableChanged{FeedKind::kEndpoints, {Row("e1", "llm")}, 4});
+  CHECK(bench.AskedByManyRequests() == std::set<std::string>{"e2"});
+}
+
+TEST_CASE("an endpoint that is left alone gets no call for pieces or order") {
+  NoticeBench bench;
+  bench.Feed(NodeBench::Request(1));
+  StageCall call = bench.Last<CallStage>()->call;
+  const std::string quiet = call.endpoint.value;
+  bench.EndStage(call);
+  bench.Notice(quiet, QuietFor(milliseconds(3000)));
+  bench.actions.clear();
+  // Its results are of no more use.
+  bench.Feed(CallerLeft{base::CallerId{1}});
+  for (uint64_t caller = 2; caller <= 20; ++caller)
+    bench.Feed(NodeBench::Request(caller));
+  bench.Pass(milliseconds(2900));
+  CHECK_FALSE(bench.Asked().contains(quiet));
+  bench.Pass(milliseconds(200));
+  CHECK(bench.Asked().contains(quiet));
+}
+
+TEST_CASE(
+    "when all endpoints want to be left alone, callers are told at once when "
+    "to return") {
+  NoticeBench bench;
+  SUBCASE("those that run requests") {
+    bench.Notice("e1", QuietFor(milliseconds(3000)));
+    bench.Notice("e2", QuietFor(milliseconds(2000)));
+  }
+  SUBCASE("those that make pieces") {
+    bench.Notice("m1", QuietFor(milliseconds(3000)));
+    bench.Notice("m2", QuietFor(milliseconds(2000)));
+  }
+  std::set<base::Duration> times;
+  for (uint64_t caller = 1; caller <= 10; ++caller) {
+    bench.actions.clear();
+    bench.Feed(NodeBench::Request(caller));
+    const auto* answer = bench.Last<AnswerCaller>();
+    REQUIRE(answer != nullptr);
+    REQUIRE(answer->retry_after.has_value());
+    CHECK(*answer->retry_after >= milliseconds(2000));
+    CHECK(*answer->retry_after <= milliseconds(3000));
+    times.insert(*answer->retry_after);
+  }
+  // They don't all come back at one moment.
+  CHECK(times.size() > 5);
+}
+
+TEST_CASE("a request that has begun waits for the endpoint that opens first") {
+  NoticeBench bench;
+  bench.Feed(NodeBench::Request(1));
+  bench.Notice("e1", QuietFor(milliseconds(2000)));
+  bench.Notice("e2", QuietFor(milliseconds(1000)));
+  bench.EndStage(bench.Last<CallStage>()->call);
+  CHECK(bench.Last<AnswerCaller>() == nullptr);
+  bench.PassTo(base::TimePoint(milliseconds(1000)));
+  CHECK(bench.Last<SendAttempt>() == nullptr);
+  bench.PassTo(base::TimePoint(milliseconds(1001)));
+  REQUIRE(bench.Last<SendAttempt>() != nullptr);
+  CHECK(bench.Last<SendAttempt>()->endpoint.value == "e2");
+}
+
+TEST_CASE("nobody waits for an endpoint longer than there is time") {
+  NoticeBench bench;
+  bench.Feed(NodeBench::Request(1));
+  bench.Notice("e1", QuietFor(milliseconds(20'000)));
+  bench.Notice("e2", QuietFor(milliseconds(10'000)));
+  bench.EndStage(bench.Last<CallStage>()->call);
+  REQUIRE(bench.Last<AnswerCaller>() != nullptr);
+  CHECK(bench.Last<AnswerCaller>()->code == OwnAnswerCode::kNoEndpoint);
+  CHECK(*bench.Last<AnswerCaller>()->retry_after >= milliseconds(10'000));
+}
+
+TEST_CASE("the end of a quiet time brings no burst") {
+  NoticeBench bench;
+  for (uint64_t caller = 1; caller <= 8; ++caller)
+    bench.Feed(NodeBench::Request(caller));
+  bench.Notice("e1", QuietFor(milliseconds(10'000)));
+  bench.Notice("e2", QuietFor(milliseconds(1000)));
+  for (int i = 0; i < 10; ++i) {
+    const std::vector<Action> done = bench.actions;
+    bench.actions.clear();
+    for (const Action& action : done) {
+      if (const auto* it = std::get_if<CallStage>(&action))
+        bench.EndStage(it->call);
+    }
+  }
+  bench.actions.clear();
+  bench.PassTo(base::TimePoint(milliseconds(1001)));
+  CHECK(bench.CountOf<SendAttempt>() == 1);
+  bench.Pass(milliseconds(50));
+  CHECK(bench.CountOf<SendAttempt>() <= 4);
+  bench.Pass(milliseconds(450));
+  CHECK(bench.CountOf<SendAttempt>() == 8);
+}
+
+}  // namespace
+}  // namespace bilberry::forward
--- a/Tests/LibForward/test_forward_node.cc
+++ b/Tests/LibForward/test_forward_node.cc
@@ -9,124 +9,11 @@
 #include <vector>
 
 #include "LibBase/random.h"
-#include "LibForward/forward_node.h"
+#include "LibForward/node_bench.h"
 
 namespace bilberry::forward {
 namespace {
 
-using std::chrono::milliseconds;
-
-// One entry host in virtual time, whose actions are kept.
-class NodeBench {
- public:
-  explicit NodeBench(std::shared_ptr<const ForwardConfiguration> configuration =
-                         MakeConfiguration())
-      : node(Options()) {
-    Feed(TimerDue{});
-    Feed(TableListed{
-        FeedKind::kConfiguration, {{"c", std::move(configuration)}}, false, 1});
-    Feed(TableListed{FeedKind::kEndpoints,
-                     {{"e1", MakeEndpoint("e1", "llm")},
-                      {"e2", MakeEndpoint("e2", "llm")},
-                      {"m1", MakeEndpoint("m1", "maker")}},
-                     false,
-                     1});
-  }
-
-  static ForwardOptions Options() {
-    ForwardOptions options;
-    options.own = {{"own"}, {"10.0.0.1", 1}, {"z"}, 1, 0};
-    options.incarnation = base::Incarnation{1};
-    return options;
-  }
-
-  static std::shared_ptr<const ForwardConfiguration> MakeConfiguration() {
-    ForwardConfiguration configuration;
-    configuration.revision = 1;
-    ForwardedPipeline pipeline;
-    pipeline.name.value = "draft";
-    pipeline.host = "h";
-    pipeline.path_prefix = "/d/";
-    pipeline.delivery = declare::Delivery::kStreamed;
-    pipeline.timeout = milliseconds(3000);
-    pipeline.target_latency = milliseconds(1000);
-    pipeline.final_pools = {{{"llm"}, 1}};
-    pipeline.stages = {{{"maker"}, {}, 1000}};
-    configuration.pipelines.push_back(pipeline);
-    ForwardedPool maker;
-    maker.name.value = "maker";
-    maker.pieces = PieceLimits{1,
-                               8,
-                               milliseconds(100),
-                               milliseconds(10),
-                               1'000'000,
-                               milliseconds(4000)};
-    configuration.pools = {{{"llm"}, 64, std::nullopt}, maker};
-    return std::make_shared<const ForwardConfiguration>(configuration);
-  }
-
-  static ListedEndpoint MakeEndpoint(const std::string& name,
-                                     const std::string& pool) {
-    return {{name}, {pool}, {"z"}, {"10.0.1." + name.substr(1), 80}};
-  }
-
-  static ForwardedRequest Request(uint64_t caller) {
-    ForwardedRequest request;
-    request.caller = base::CallerId{caller};
-    request.request_id = "r" + std::to_string(caller);
-    request.host = "h";
-    request.path = "/d/x";
-    request.budget = milliseconds(6000);
-    request.piece_counts = {2};
-    request.piece_key = "k";
-    return request;
-  }
-
-  void Feed(Event event) {
-    for (Action& action : node.Handle(std::move(event), now))
-      actions.push_back(std::move(action));
-  }
-
-  // The last action of a kind; null when there was none.
-  template <typename T>
-  const T* Last() const {
-    for (auto it = actions.rbegin(); it != actions.rend(); ++it) {
-      if (const auto* found = std::get_if<T>(&*it))
-        return found;
-    }
-    return nullptr;
-  }
-
-  // Lets the host know a peer, and gives the name of a host that dispatches.
-  void AddPeer() {
-    Feed(TableListed{
-        FeedKind::kHosts,
-        {{"peer", PeerHost{{"peer"}, {"10.0.0.2", 1}, {"z"}, 1000, 0}}},
-        false,
-        1});
-  }
-
-  void EndStage(const StageCall& call) {
-    std::vector<PieceOutcome> pieces;
-    for (size_t i = 0; i < call.pieces.size(); ++i)
-      pieces.emplace_back("h" + std::to_string(handles++));
-    Feed(StageCallEnded{call.id, pieces});
-  }
-
-  ForwardNode node;
-  base::TimePoint now{milliseconds(1)};
-  std::vector<Action> actions;
-  int handles = 0;
-};
-
-AnswerHead GoodHead(const std::string& request) {
-  AnswerHead head;
-  head.status = 200;
-  head.echoed_request_id = request;
-  head.is_sealed = true;
-  return head;
-}
-
 TEST_CASE("a host is ready with a configuration and endpoints") {
   ForwardNode node(NodeBench::Options());
   CHECK_FALSE(node.is_ready());
@@ -263,7 +150,8 @@
   REQUIRE(bench.Last<CallStage>() != nullptr);
   // The next request doesn't wait for the lost one again.
   bench.actions.clear();
-  bench.EndStage(StageCall{StageCallId{1}, {}, {}, std::vector<PieceOrder>(2)});
+  bench.EndStage(
+      StageCall{StageCallId{1}, {}, {}, {}, std::vector<PieceOrder>(2)});
   bench.Feed(NodeBench::Request(2));
   CHECK(bench.Last<AskPeer>() == nullptr);
   CHECK(bench.Last<CallStage>() != nullptr);
--- a/Tests/LibForward/test_parts.cc
+++ b/Tests/LibForward/test_parts.cc
@@ -335,45 +335,56 @@
   CHECK(watch.pace().quiet == milliseconds(539));
 }
 
+ListedEndpoint Chosen(EndpointChooser& chooser,
+                      const EndpointWish& wish,
+                      base::TimePoint now) {
+  const EndpointChoice choice = chooser.Choose(wish, now);
+  const auto* endpoint = std::get_if<ListedEndpoint>(&choice);
+  REQUIRE(endpoint != nullptr);
+  return *endpoint;
+}
+
 // Answers a session's requests, which share most of their prompt.
 TEST_CASE("requests that share a prompt go to one endpoint, within bounds") {
-  EndpointChooser chooser(1);
+  const QuietTimes quiet_times;
+  EndpointChooser chooser(1, quiet_times);
   std::vector<ListedEndpoint> endpoints;
   endpoints.reserve(9);
   for (int i = 0; i < 9; ++i)
     endpoints.push_back(Endpoint("e" + std::to_string(i)));
   chooser.SetEndpoints(endpoints);
   const EndpointWish wish{{"p"}, "session", {}};
-  const auto first = chooser.Choose(wish, At(0));
+  const auto first = Chosen(chooser, wish, At(0));
   std::map<std::string, int> counts;
   for (int i = 0; i < 90; ++i) {
-    const auto chosen = chooser.Choose(wish, At(0));
-    REQUIRE(chosen.has_value());
-    chooser.NoteBegun(chosen->name);
-    ++counts[chosen->name.value];
+    const auto chosen = Chosen(chooser, wish, At(0));
+    chooser.NoteBegun(chosen.name, At(0));
+    ++counts[chosen.name.value];
   }
-  CHECK(counts[first->name.value] >= 10);
+  CHECK(counts[first.name.value] >= 10);
   for (const auto& [name, n] : counts)
     CHECK(n <= 19);
 }
 
 TEST_CASE("an endpoint that fails twice in a row rests, but not the last one") {
-  EndpointChooser chooser(1);
+  const QuietTimes quiet_times;
+  EndpointChooser chooser(1, quiet_times);
   const std::vector<ListedEndpoint> endpoints{Endpoint("a"), Endpoint("b")};
   chooser.SetEndpoints(endpoints);
   for (int i = 0; i < 2; ++i)
     chooser.NoteEnded({"a"}, EndpointVerdict::kFailed, At(0));
   for (int i = 0; i < 10; ++i)
-    CHECK(chooser.Choose({{"p"}, {}, {}}, At(1))->name.value == "b");
+    CHECK(Chosen(chooser, {{"p"}, {}, {}}, At(1)).name.value == "b");
   for (int i = 0; i < 2; ++i)
     chooser.NoteEnded({"b"}, EndpointVerdict::kFailed, At(0));
-  CHECK(chooser.Choose({{"p"}, {}, {}}, At(1)).has_value());
+  CHECK_FALSE(Chosen(chooser, {{"p"}, {}, {}}, At(1)).name.value.empty());
 }
 
 // Answers a zone that is cut off: no connection is made, and each try costs its
 // request the connection's time limit.
 TEST_CASE("endpoints of a zone that can't be reached are tried one at a time") {
-  EndpointChooser chooser(1);
+  const QuietTimes quiet_times;
+  EndpointChooser chooser(1, quiet_times);
   std::vector<ListedEndpoint> endpoints{Endpoint("a1"), Endpoint("a2"),
                                         Endpoint("a3"), Endpoint("b1")};
   for (ListedEndpoint& it : endpoints)
@@ -382,13 +393,13 @@
   chooser.NoteEnded({"a1"}, EndpointVerdict::kUnreachable, At(0));
   chooser.NoteEnded({"a2"}, EndpointVerdict::kUnreachable, At(0));
   for (int i = 0; i < 10; ++i)
-    CHECK(chooser.Choose({{"p"}, {}, {}}, At(1))->name.value == "b1");
+    CHECK(Chosen(chooser, {{"p"}, {}, {}}, At(1)).name.value == "b1");
   // After its rest the zone gets one request.
   std::vector<std::string> chosen;
   for (int i = 0; i < 5; ++i) {
-    const auto endpoint = chooser.Choose({{"p"}, {}, {}}, At(300));
-    chooser.NoteBegun(endpoint->name);
-    chosen.push_back(endpoint->name.value);
+    const auto endpoint = Chosen(chooser, {{"p"}, {}, {}}, At(300));
+    chooser.NoteBegun(endpoint.name, At(300));
+    chosen.push_back(endpoint.name.value);
   }
   CHECK(std::ranges::count_if(chosen,
                               [](const auto& it) { return it != "b1"; }) == 1);
@@ -396,7 +407,7 @@
       *std::ranges::find_if(chosen, [](const auto& it) { return it != "b1"; });
   chooser.NoteEnded({probe}, EndpointVerdict::kAnswered, At(310));
   const std::vector<base::EndpointName> avoided{{"b1"}};
-  CHECK(chooser.Choose({{"p"}, {}, avoided}, At(311))->zone.value == "a");
+  CHECK(Chosen(chooser, {{"p"}, {}, avoided}, At(311)).zone.value == "a");
 }
 
 TEST_SUITE_END();
--- /dev/null
+++ b/Tests/Platform/test_notices.cc
@@ -0,0 +1,90 @@
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+
+#include "platform/request_codec.h"
+#include "platform/wire_names.h"
+#include "platform_world.h"
+
+// What endpoints say of themselves in their answers.
+namespace bilberry::platform {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+forward::EndpointNotice NoticeOf(int status, base::HttpHeaders headers) {
+  return DecodeNotice({status, std::move(headers), ""});
+}
+
+std::optional<base::Duration> RetryAfterOf(const std::string& text) {
+  return NoticeOf(503, {{"Retry-After", text}}).retry_after;
+}
+
+TEST_SUITE_BEGIN("contract");
+
+TEST_CASE("any answer of an endpoint may say that it leaves") {
+  for (const int status : {200, 409, 429, 500, 503})
+    CHECK(NoticeOf(status, {{"server-leaving", "1"}}).is_leaving);
+  CHECK(NoticeOf(200, {}).is_empty());
+  CHECK(NoticeOf(200, {{wire::kLeaving, "0"}}).is_empty());
+  // Another endpoint has this address now.
+  CHECK(NoticeOf(421, {{wire::kLeaving, "1"}}).is_empty());
+}
+
+TEST_CASE("an endpoint without room tells for how long to leave it alone") {
+  CHECK(RetryAfterOf("2") == seconds(2));
+  CHECK(RetryAfterOf("0.25") == milliseconds(250));
+  CHECK(RetryAfterOf("86400") == std::chrono::hours(1));
+  CHECK(RetryAfterOf("1e300") == std::chrono::hours(1));
+  for (const char* text : {"", "0", "-1", "soon", "1s", "nan", "1e999", "+1",
+                           "Fri, 04 Dec 2026 12:00:00 GMT"}) {
+    CAPTURE(text);
+    CHECK(RetryAfterOf(text) == std::nullopt);
+  }
+  CHECK(NoticeOf(503, {}).is_empty());
+  // Only where it turns the request away.
+  CHECK(NoticeOf(200, {{"Retry-After", "2"}}).is_empty());
+  CHECK(NoticeOf(421, {{"Retry-After", "2"}}).is_empty());
+}
+
+TEST_CASE("an endpoint that says in an answer that it leaves gets no more") {
+  PlatformWorld world;
+  SUBCASE("in the answer to a request") {
+    world.desk.SetNotices({{wire::kLeaving, "1"}});
+    for (int i = 0; i < 20; ++i)
+      CHECK(world.Answer(world.Request("GET", "/read/x")).status == 200);
+    CHECK(world.desk.arrivals().size() <= 1);
+    CHECK(world.other_desk.arrivals().size() >= 19);
+  }
+  SUBCASE("in the head of a stream") {
+    world.engine.SetNotices({{wire::kLeaving, "1"}});
+    for (int i = 0; i < 20; ++i)
+      CHECK(world.Answer(world.StreamRequest("/draft/x")).status == 200);
+    CHECK(world.engine.arrivals().size() <= 1);
+  }
+  SUBCASE("in the answer to a call for pieces") {
+    world.maker.SetNotices({{wire::kLeaving, "1"}});
+    // The pool has no other for the next stage, or for the next request.
+    for (int i = 0; i < 2; ++i)
+      CHECK(world.Answer(world.StreamRequest("/draft/x")).status == 503);
+    CHECK(world.maker.calls().size() == 1);
+  }
+}
+
+TEST_CASE("an endpoint that turns requests away for a while is left alone") {
+  PlatformWorld world;
+  world.desk.SetNotices({{"Retry-After", "30"}});
+  world.desk.OrderFault(standins::EndpointFault::kRefuses, 1000);
+  uint32_t served = 0;
+  for (int i = 0; i < 30; ++i)
+    served += world.Answer(world.Request("GET", "/read/x")).status == 200;
+  CHECK(world.desk.arrivals().size() == 1);
+  CHECK(served >= 29);
+}
+
+TEST_SUITE_END();
+
+}  // namespace
+}  // namespace bilberry::platform
--- a/Tests/Standins/piece_endpoint_standin.cc
+++ b/Tests/Standins/piece_endpoint_standin.cc
@@ -60,6 +60,13 @@
   return endpoint;
 }
 
+void PieceEndpointStandin::Respond(transport::ExchangeId exchange,
+                                   HttpResponse response) {
+  response.headers.insert(response.headers.end(), notices_.begin(),
+                          notices_.end());
+  service_->Respond(exchange, response);
+}
+
 EndpointFault PieceEndpointStandin::TakeFault() {
   if (fault_count_ == 0)
     return EndpointFault::kNone;
@@ -70,7 +77,7 @@
 void PieceEndpointStandin::Handle(const IncomingRequest& request) {
   const std::string expected = TextOf(request, wire::kOnlyEndpoint);
   if (!expected.empty() && expected != model_.name.value) {
-    service_->Respond(request.exchange, NotRun(421));
+    Respond(request.exchange, NotRun(421));
     return;
   }
   if (request.path == wire::kStageFreePath) {
@@ -85,11 +92,11 @@
       {request.method, request.target, request.headers, request.body});
   const EndpointFault fault = TakeFault();
   if (fault == EndpointFault::kRefuses) {
-    service_->Respond(request.exchange, NotRun(503));
+    Respond(request.exchange, NotRun(503));
     return;
   }
   if (model_.needs_inputs && TextOf(request, wire::kInputs).empty()) {
-    service_->Respond(request.exchange, NotRun(400));
+    Respond(request.exchange, NotRun(400));
     return;
   }
   if (fault == EndpointFault::kHangs)
@@ -101,7 +108,7 @@
 void PieceEndpointStandin::RunStage(const IncomingRequest& request) {
   const EndpointFault fault = TakeFault();
   if (fault == EndpointFault::kRefuses) {
-    service_->Respond(request.exchange, NotRun(503));
+    Respond(request.exchange, NotRun(503));
     return;
   }
   const auto body = transport::ParseCompact(request.body);
@@ -121,8 +128,7 @@
       results_.insert(handle);
       answer["items"][static_cast<Json::ArrayIndex>(i)]["handle"] = handle;
     }
-    service_->Respond(exchange,
-                      {200,
+    Respond(exchange, {200,
                        {{transport::kContentTypeHeader, transport::kJsonType}},
                        transport::PrintCompact(answer)});
   });
@@ -134,7 +140,7 @@
     for (const Json::Value& handle : (*body)["handles"])
       results_.erase(handle.asString());
   }
-  service_->Respond(request.exchange, {200, {}, ""});
+  Respond(request.exchange, {200, {}, ""});
 }
 
 base::HttpHeaders PieceEndpointStandin::HeadersFor(
@@ -161,7 +167,7 @@
     BeginStream(request, fault);
     return;
   }
-  service_->Respond(
+  Respond(
       request.exchange,
       {fault == EndpointFault::kFails ? 500 : 200, HeadersFor(request, fault),
        request.method + " " + request.target + " by " + model_.name.value});
@@ -170,6 +176,7 @@
 void PieceEndpointStandin::BeginStream(const IncomingRequest& request,
                                        EndpointFault fault) {
   base::HttpHeaders headers = HeadersFor(request, fault);
+  headers.insert(headers.end(), notices_.begin(), notices_.end());
   headers.push_back(
       {transport::kContentTypeHeader, transport::kEventStreamType});
   service_->BeginStream(request.exchange, 200, headers);
--- a/Tests/Standins/piece_endpoint_standin.h
+++ b/Tests/Standins/piece_endpoint_standin.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "LibTransport/http_listener.h"
@@ -58,6 +59,9 @@
     fault_count_ = count;
   }
 
+  // Headers of all answers from now on, whatever they answer.
+  void SetNotices(base::HttpHeaders notices) { notices_ = std::move(notices); }
+
   const std::vector<Arrival>& arrivals() const { return arrivals_; }
   // Pieces in each stage call, in order.
   const std::vector<size_t>& calls() const { return calls_; }
@@ -76,6 +80,8 @@
 
   void Handle(const transport::IncomingRequest& request);
   EndpointFault TakeFault();
+  void Respond(transport::ExchangeId exchange,
+               transport::HttpResponse response);
   void RunStage(const transport::IncomingRequest& request);
   void Free(const transport::IncomingRequest& request);
   void Serve(const transport::IncomingRequest& request, EndpointFault fault);
@@ -90,6 +96,7 @@
   std::unique_ptr<transport::HttpListener> service_;
   EndpointFault fault_ = EndpointFault::kNone;
   uint32_t fault_count_ = 0;
+  base::HttpHeaders notices_;
   std::vector<Arrival> arrivals_;
   std::vector<size_t> calls_;
   std::set<std::string> results_;
