LibForward: Use no connection again that gave another call's answer

What a caller could see: its quote made from another request's results. An endpoint that sends a second copy of an answer leaves the next call on that connection with the copy. That was noticed by the names in it, but the connection stayed in the pool: the call after that one got the answer which the one before it had waited for, under names that nobody knew, and its results went to other requests' pieces. Tests fail without it (no such action existed).

--- a/Libraries/LibEmulation/emulation.h
+++ b/Libraries/LibEmulation/emulation.h
@@ -87,6 +87,8 @@
 
   void Do(size_t host, const forward::SendAttempt& action);
   void Do(size_t host, const forward::CancelAttempt& action);
+  // Connections aren't emulated.
+  void Do(size_t /*host*/, const forward::CondemnConnections& /*action*/) {}
   void Do(size_t host, const forward::AnswerCaller& action);
   void Do(size_t host, const forward::BeginStream& action);
   void Do(size_t host, const forward::EndStream& action);
--- a/Libraries/LibForward/dispatch_desk.cc
+++ b/Libraries/LibForward/dispatch_desk.cc
@@ -105,8 +105,14 @@
   const OpenCall& call = node.mapped();
   LogCall(call, event.outcome, now);
   const auto it = entries_.find(call.at);
-  if (it != entries_.end())
-    it->second.dispatcher.FinishCall(call.id, event.outcome, now);
+  if (it == entries_.end())
+    return;
+  if (it->second.dispatcher.FinishCall(call.id, event.outcome, now) ==
+      AnswerOrigin::kOwn)
+    return;
+  context_.Log(base::LogEventId::kConnectionsCondemned, "",
+               {{"endpoint", call.endpoint.value}});
+  context_.Emit(CondemnConnections{call.address});
 }
 
 void DispatchDesk::LogCall(const OpenCall& call,
@@ -154,8 +160,8 @@
   while (auto call = entry.dispatcher.NextCall(now)) {
     const StageCallId id{++last_call_};
     calls_.emplace(
-        id, OpenCall{at, call->id, call->endpoint, now, call->pieces.size(),
-                     RequestsOf(*call), call->room_percent,
+        id, OpenCall{at, call->id, call->endpoint, call->address, now,
+                     call->pieces.size(), RequestsOf(*call), call->room_percent,
                      call->usable_percent, call->waiting_pieces});
     call->id = id;
     context_.Emit(CallStage{std::move(*call)});
--- a/Libraries/LibForward/dispatch_desk.h
+++ b/Libraries/LibForward/dispatch_desk.h
@@ -58,6 +58,7 @@
     CellPool at;
     StageCallId id{};  // The dispatcher's own.
     base::EndpointName endpoint;
+    base::SocketAddress address;
     base::TimePoint sent;
     size_t pieces = 0;
     std::string requests;  // Ids, with spaces between.
--- a/Libraries/LibForward/forward_action.h
+++ b/Libraries/LibForward/forward_action.h
@@ -39,6 +39,12 @@
   base::AttemptId attempt;
 };
 
+// Keeps the open connections to this endpoint from being used again: one of
+// them gave an answer to something else, and more may follow.
+struct CondemnConnections {
+  base::SocketAddress address;
+};
+
 // Why a request is answered by this host itself.
 enum class OwnAnswerCode {
   kBadRequest,
@@ -183,6 +189,7 @@
 
 using Action = std::variant<SendAttempt,
                             CancelAttempt,
+                            CondemnConnections,
                             AnswerCaller,
                             PassAnswer,
                             BeginStream,
--- a/Libraries/LibForward/forwarded_run.h
+++ b/Libraries/LibForward/forwarded_run.h
@@ -28,6 +28,7 @@
 struct FinalAttempt {
   base::AttemptId id;
   base::EndpointName endpoint;
+  base::SocketAddress address;
   base::TimePoint sent;
   EventSplitter splitter;
 };
--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -483,7 +483,8 @@
   send.inputs = run.FinalInputs();
   if (run.has_begun_stream)
     send.resume_after = run.last_event;
-  run.attempt = FinalAttempt{send.attempt, endpoint.name, now, {}};
+  run.attempt =
+      FinalAttempt{send.attempt, endpoint.name, endpoint.address, now, {}};
   run.tried.push_back(endpoint.name);
   attempts_.emplace(send.attempt.number, caller);
   chooser_.NoteBegun(endpoint.name, now);
@@ -572,6 +573,10 @@
                   "refused with " + std::to_string(event.head.status), now);
       return;
     case AnswerMeaning::kInvalid:
+      context_.Log(base::LogEventId::kConnectionsCondemned,
+                   run.request->request_id,
+                   {{"endpoint", run.attempt->endpoint.value}});
+      context_.Emit(CondemnConnections{run.attempt->address});
       LoseAttempt(*caller, EndpointVerdict::kFailed, "not its answer", now);
       return;
     case AnswerMeaning::kFailed:
--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -364,13 +364,13 @@
   }
 }
 
-void StageDispatcher::FinishCall(StageCallId id,
-                                 const StageCallOutcome& outcome,
-                                 base::TimePoint now) {
+AnswerOrigin StageDispatcher::FinishCall(StageCallId id,
+                                         const StageCallOutcome& outcome,
+                                         base::TimePoint now) {
   latest_ = now;
   const auto node = calls_.extract(id);
   if (node.empty())
-    return;
+    return AnswerOrigin::kOwn;
   const Call& call = node.mapped();
   PieceEndpoint* endpoint = FindEndpoint(call.endpoint);
   if (endpoint != nullptr) {
@@ -378,31 +378,41 @@
     for (const CalledPiece& piece : call.pieces)
       endpoint->room().Release(piece.result_bytes);
   }
-  const auto* pieces = std::get_if<std::vector<PieceOutcome>>(&outcome);
-  if (pieces == nullptr || pieces->size() != call.pieces.size()) {
-    const auto* failure = std::get_if<StageCallFailure>(&outcome);
-    NoteCallFailed(
-        call, failure == nullptr ? StageCallFailure::kBroken : *failure, now);
-    return;
+  if (const auto* failure = std::get_if<StageCallFailure>(&outcome)) {
+    NoteCallFailed(call, *failure, now);
+    return *failure == StageCallFailure::kMalformed ? AnswerOrigin::kAnother
+                                                    : AnswerOrigin::kOwn;
   }
-  if (endpoint != nullptr &&
-      !endpoint->named_results().Add(*pieces, now, limits_.result_life)) {
-    NoteCallFailed(call, StageCallFailure::kBroken, now);
-    return;
+  const auto& pieces = std::get<std::vector<PieceOutcome>>(outcome);
+  const bool is_own =
+      pieces.size() == call.pieces.size() &&
+      (endpoint == nullptr ||
+       endpoint->named_results().Add(pieces, now, limits_.result_life));
+  if (!is_own) {
+    NoteCallFailed(call, StageCallFailure::kMalformed, now);
+    return AnswerOrigin::kAnother;
   }
+  TakePieceOutcomes(call, pieces, now);
+  return AnswerOrigin::kOwn;
+}
+
+void StageDispatcher::TakePieceOutcomes(const Call& call,
+                                        const std::vector<PieceOutcome>& pieces,
+                                        base::TimePoint now) {
+  PieceEndpoint* endpoint = FindEndpoint(call.endpoint);
   if (endpoint != nullptr) {
     endpoint->NoteAnswered();
     unreachable_zones_.erase(endpoint->listed().zone);
   }
   usable_room_ = std::min(usable_room_ + kRoomGrowth, kMostUsableRoom);
   bool found_no_room = false;
-  for (size_t i = 0; i < pieces->size(); ++i) {
+  for (size_t i = 0; i < pieces.size(); ++i) {
     const CalledPiece& piece = call.pieces[i];
-    if (const auto* handle = std::get_if<std::string>(&(*pieces)[i])) {
+    if (const auto* handle = std::get_if<std::string>(&pieces[i])) {
       NoteMade(call, piece, *handle, now);
       continue;
     }
-    const auto refusal = std::get<PieceRefusal>((*pieces)[i]);
+    const auto refusal = std::get<PieceRefusal>(pieces[i]);
     found_no_room = found_no_room || refusal == PieceRefusal::kNoRoom;
     NoteRefused(piece, refusal);
   }
--- a/Libraries/LibForward/stage_dispatcher.h
+++ b/Libraries/LibForward/stage_dispatcher.h
@@ -16,6 +16,9 @@
 
 namespace bilberry::forward {
 
+// Whether an answer was that to the call which it seemed to end.
+enum class AnswerOrigin { kOwn, kAnother };
+
 // Collects the pieces of many requests, also of other hosts', into calls to the
 // endpoints of one pool. An idle endpoint takes at once what there is; while it
 // is busy, the next call fills. Pure: time is passed in.
@@ -37,9 +40,9 @@
 
   // The next call, if pieces wait and an endpoint is idle. Call until empty.
   std::optional<StageCall> NextCall(base::TimePoint now);
-  void FinishCall(StageCallId id,
-                  const StageCallOutcome& outcome,
-                  base::TimePoint now);
+  AnswerOrigin FinishCall(StageCallId id,
+                          const StageCallOutcome& outcome,
+                          base::TimePoint now);
 
   // These results won't be read any more.
   void Free(std::span<const StageResult> results, base::TimePoint now);
@@ -126,6 +129,9 @@
                   Call& record,
                   base::TimePoint now);
   void NoteFullness(size_t pieces, size_t on_time_pieces, size_t waiting);
+  void TakePieceOutcomes(const Call& call,
+                         const std::vector<PieceOutcome>& pieces,
+                         base::TimePoint now);
   void NoteMade(const Call& call,
                 const CalledPiece& piece,
                 const std::string& handle,
--- a/Libraries/LibForward/stage_job.cc
+++ b/Libraries/LibForward/stage_job.cc
@@ -26,6 +26,8 @@
       return "unreachable";
     case StageCallFailure::kBroken:
       return "broken";
+    case StageCallFailure::kMalformed:
+      return "malformed";
   }
   return "broken";
 }
--- a/Libraries/LibForward/stage_job.h
+++ b/Libraries/LibForward/stage_job.h
@@ -111,6 +111,7 @@
   kNotRun,       // The endpoint says so.
   kUnreachable,  // No connection was made; it surely got nothing.
   kBroken,       // The pieces may have been worked on.
+  kMalformed,    // The same, and what came is no answer to this call.
 };
 
 std::string_view ToText(StageCallFailure failure);
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -349,6 +349,10 @@
     http_->Cancel(node.mapped().transfer);
 }
 
+void ForwardShell::Do(const forward::CondemnConnections& action) {
+  http_->CondemnConnections(action.address);
+}
+
 void ForwardShell::Do(const forward::AnswerCaller& action) {
   HttpResponse response = adapter_.EncodeOwnAnswer(action);
   AddConnectionHeader(response.headers);
--- a/Libraries/LibTransport/forward_shell.h
+++ b/Libraries/LibTransport/forward_shell.h
@@ -89,6 +89,7 @@
   void Feed(forward::Event event);
   void Do(const forward::SendAttempt& action);
   void Do(const forward::CancelAttempt& action);
+  void Do(const forward::CondemnConnections& action);
   void Do(const forward::AnswerCaller& action);
   void Do(const forward::PassAnswer& action);
   void Do(const forward::BeginStream& action);
--- a/Tests/LibForward/test_forward_node.cc
+++ b/Tests/LibForward/test_forward_node.cc
@@ -128,6 +128,43 @@
   CHECK(bench.Last<AnswerCaller>()->code == OwnAnswerCode::kAttemptFailed);
 }
 
+// A second copy of an answer leaves each later answer on its connection one
+// behind: the call after this one would have got this one's results.
+TEST_CASE("a connection that gave another call's answer is not used again") {
+  NodeBench bench;
+  bench.Feed(NodeBench::Request(1));
+  const StageCall first = bench.Last<CallStage>()->call;
+  bench.EndStage(first);
+  bench.now += milliseconds(300);
+  bench.Feed(NodeBench::Request(2));
+  const StageCall second = bench.Last<CallStage>()->call;
+  REQUIRE(bench.Last<CondemnConnections>() == nullptr);
+  SUBCASE("a second copy of an earlier one") {
+    bench.handles = 0;
+    bench.EndStage(second);
+  }
+  SUBCASE("of another number of pieces") {
+    bench.Feed(StageCallEnded{second.id, std::vector<PieceOutcome>{"x"}});
+  }
+  SUBCASE("of no call at all") {
+    bench.Feed(StageCallEnded{second.id, StageCallFailure::kMalformed});
+  }
+  REQUIRE(bench.Last<CondemnConnections>() != nullptr);
+  CHECK(bench.Last<CondemnConnections>()->address == second.address);
+}
+
+TEST_CASE("a connection that gave another request's answer is not used again") {
+  NodeBench bench;
+  ForwardedRequest request = NodeBench::Request(1);
+  request.piece_counts = {};
+  bench.Feed(std::move(request));
+  const SendAttempt send = *bench.Last<SendAttempt>();
+  bench.Feed(AttemptAnswer{send.attempt, GoodHead("another"), "its body"});
+  REQUIRE(bench.Last<CondemnConnections>() != nullptr);
+  CHECK(bench.Last<CondemnConnections>()->address == send.address);
+  CHECK(bench.Last<PassAnswer>() == nullptr);
+}
+
 TEST_CASE("answers of attempts that are over reach nobody") {
   NodeBench bench;
   bench.Feed(NodeBench::Request(1));
