LibPolicy, LibNode: Leave an endpoint alone for as long as it asks, in bilberryd too

Cause: bilberryd read no Retry-After of an endpoint either, and sent on what it had turned away a moment before. Its scheduler now gives such an endpoint nothing until the time is over, under both policies, and wakes for the first one that opens; that is no failure and ejects nobody. Two tests of TestLibPolicy, written with it: the call that they make did not exist. Not in it: refusing at the door while a whole pool wants to be left alone.

--- a/Libraries/LibNode/event.h
+++ b/Libraries/LibNode/event.h
@@ -44,6 +44,8 @@
   int status = 0;
   bool said_not_run = false;
   bool said_leaving = false;
+  // The endpoint wants nothing from this host for so long.
+  std::optional<base::Duration> retry_after;
   std::optional<uint32_t> reported_load;
   std::optional<uint64_t> resumed_from;
   std::string body;  // Empty for a streamed answer.
--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -373,6 +373,8 @@
     if (target != nullptr)
       membership_.NoteLeaving(endpoint, target->incarnation);
   }
+  if (answer.retry_after)
+    PoolOf(active->run).NoteQuiet(endpoint, now + *answer.retry_after, now);
   if (active->is_lingering) {
     EndLinger(*active, LateOutcomeOf(*active, answer), now);
     return;
--- a/Libraries/LibPolicy/endpoint_slot.cc
+++ b/Libraries/LibPolicy/endpoint_slot.cc
@@ -28,6 +28,10 @@
   std::erase_if(calls_, [run](const Call& call) { return call.run == run; });
 }
 
+void EndpointSlot::NoteQuiet(base::TimePoint until) {
+  quiet_until_ = std::max(quiet_until_, until);
+}
+
 void EndpointSlot::NoteReport(uint32_t load, base::TimePoint now) {
   others_reported_ = std::max(0.0, static_cast<double>(load) - in_flight());
   trust_report_until_ = now + kTrustReportFor;
@@ -39,6 +43,8 @@
 }
 
 bool EndpointSlot::HasRoom(const PeerView& peers, base::TimePoint now) const {
+  if (now < quiet_until_)
+    return false;
   const HealthState health = health_.state(now);
   if (health == HealthState::kEjected)
     return false;
--- a/Libraries/LibPolicy/endpoint_slot.h
+++ b/Libraries/LibPolicy/endpoint_slot.h
@@ -28,6 +28,11 @@
   void Begin(base::RunId run, base::Duration expected, base::TimePoint now);
   void End(base::RunId run);
 
+  // The endpoint wants nothing from this host until then; of several times
+  // asked for, the last end counts.
+  void NoteQuiet(base::TimePoint until);
+  base::TimePoint quiet_until() const { return quiet_until_; }
+
   // Notes what the endpoint said that it had, of all entry hosts.
   void NoteReport(uint32_t load, base::TimePoint now);
 
@@ -56,6 +61,7 @@
   EndpointHealth health_;
   double others_reported_ = 0;
   base::TimePoint trust_report_until_;
+  base::TimePoint quiet_until_;
 };
 
 }  // namespace bilberry::policy
--- a/Libraries/LibPolicy/pool_scheduler.cc
+++ b/Libraries/LibPolicy/pool_scheduler.cc
@@ -115,10 +115,12 @@
           is_open ? OwnPart::kOpen : OwnPart::kUsed};
 }
 
-std::optional<size_t> PoolScheduler::ChooseInTurn(RoundRobin& turns) const {
+std::optional<size_t> PoolScheduler::ChooseInTurn(RoundRobin& turns,
+                                                  base::TimePoint now) const {
   std::vector<Candidate> candidates;
   for (size_t i = 0; i < slots_.size(); ++i) {
-    if (slots_[i].in_flight() < pool_.slots_per_worker)
+    if (slots_[i].in_flight() < pool_.slots_per_worker &&
+        slots_[i].quiet_until() <= now)
       candidates.push_back({i});
   }
   return turns.Choose(candidates, slots_.size());
@@ -126,14 +128,14 @@
 
 std::optional<size_t> PoolScheduler::ChooseEndpoint(const Work& work,
                                                     base::TimePoint now) {
-  return std::visit(base::Overloaded{
-                        [&](RoundRobin& turns) { return ChooseInTurn(turns); },
-                        [&](const TwoChoices& two) {
-                          return two.Choose(slots_, Peers(), work, now,
-                                            random_);
-                        },
-                    },
-                    choice_);
+  return std::visit(
+      base::Overloaded{
+          [&](RoundRobin& turns) { return ChooseInTurn(turns, now); },
+          [&](const TwoChoices& two) {
+            return two.Choose(slots_, Peers(), work, now, random_);
+          },
+      },
+      choice_);
 }
 
 std::optional<Dispatch> PoolScheduler::NextDispatch(base::TimePoint now) {
@@ -237,13 +239,24 @@
 void PoolScheduler::FindNextReturn(base::TimePoint now) {
   next_return_.reset();
   for (const EndpointSlot& slot : slots_) {
-    if (slot.health().state(now) != HealthState::kEjected)
-      continue;
-    const base::TimePoint end = slot.health().ejected_until();
-    next_return_ = next_return_ ? std::min(*next_return_, end) : end;
+    base::TimePoint end = slot.quiet_until();
+    if (slot.health().state(now) == HealthState::kEjected)
+      end = std::max(end, slot.health().ejected_until());
+    if (end > now)
+      next_return_ = next_return_ ? std::min(*next_return_, end) : end;
   }
 }
 
+void PoolScheduler::NoteQuiet(const base::EndpointName& endpoint,
+                              base::TimePoint until,
+                              base::TimePoint now) {
+  const auto found = slot_indices_.find(endpoint);
+  if (found == slot_indices_.end())
+    return;
+  slots_[found->second].NoteQuiet(until);
+  FindNextReturn(now);
+}
+
 void PoolScheduler::NoteLatency(const Call& call,
                                 const AttemptReport& report,
                                 base::TimePoint now) {
--- a/Libraries/LibPolicy/pool_scheduler.h
+++ b/Libraries/LibPolicy/pool_scheduler.h
@@ -66,6 +66,12 @@
 
   void Finish(const AttemptReport& report, base::TimePoint now);
 
+  // The endpoint wants nothing from this host until then, which says nothing of
+  // its health. Unknown endpoints are ignored.
+  void NoteQuiet(const base::EndpointName& endpoint,
+                 base::TimePoint until,
+                 base::TimePoint now);
+
   // Notes what a peer has in flight at this pool, as it told just now.
   void NotePeerShare(const base::HostName& peer,
                      uint32_t in_flight,
@@ -106,7 +112,8 @@
   EndpointSlot* SlotOf(const Call& call);
   PeerView Peers() const;
   std::optional<size_t> ChooseEndpoint(const Work& work, base::TimePoint now);
-  std::optional<size_t> ChooseInTurn(RoundRobin& turns) const;
+  std::optional<size_t> ChooseInTurn(RoundRobin& turns,
+                                     base::TimePoint now) const;
   void NoteLatency(const Call& call,
                    const AttemptReport& report,
                    base::TimePoint now);
@@ -134,7 +141,7 @@
   std::unordered_map<base::EndpointName, size_t> slot_indices_;
   std::vector<HealthChange> health_changes_;
   double limit_sum_ = 0;  // Of all endpoints.
-  // When the next ejection ends.
+  // When the next ejection or quiet time ends.
   std::optional<base::TimePoint> next_return_;
   PeerShares peer_shares_;
   Queue queue_;
--- a/Libraries/LibTransport/node_shell.cc
+++ b/Libraries/LibTransport/node_shell.cc
@@ -8,6 +8,7 @@
 #include "LibTransport/caller_answer_codec.h"
 #include "LibTransport/log_writer.h"
 #include "LibTransport/metrics_text.h"
+#include "LibTransport/retry_after.h"
 
 namespace bilberry::transport {
 
@@ -52,6 +53,7 @@
   answer.status = response.status;
   answer.said_not_run = IsTrue(FindHeader(response.headers, kNotRunHeader));
   answer.said_leaving = IsTrue(FindHeader(response.headers, kLeavingHeader));
+  answer.retry_after = RetryAfterOf(response);
   answer.reported_load =
       NumberOf<uint32_t>(FindHeader(response.headers, kLoadHeader));
   answer.resumed_from =
--- a/Tests/LibPolicy/test_ejection.cc
+++ b/Tests/LibPolicy/test_ejection.cc
@@ -189,6 +189,44 @@
   CHECK(scheduler.NextWakeup() == kNow + seconds(1));
 }
 
+TEST_CASE("an endpoint that wants to be left alone gets nothing until then") {
+  for (const PolicyKind policy :
+       {PolicyKind::kBaseline, PolicyKind::kPresent}) {
+    declare::Pool pool;
+    pool.slots_per_worker = 8;
+    PoolScheduler scheduler(pool, {"zone"}, policy, 1);
+    scheduler.SetEndpoints(
+        {{{"0"}, {"zone"}, {}, {}}, {{"1"}, {"zone"}, {}, {}}}, kNow);
+    scheduler.NoteQuiet({"0"}, kNow + seconds(2), kNow);
+    // A shorter time that it asks for later changes nothing.
+    scheduler.NoteQuiet({"0"}, kNow + seconds(1), kNow);
+    for (int i = 0; i < 50; ++i)
+      CHECK(RunOne(scheduler, AttemptVerdict::kSucceeded,
+                   kNow + milliseconds(1999)) == "1");
+    std::set<std::string> used;
+    for (int i = 0; i < 50; ++i)
+      used.insert(RunOne(scheduler, AttemptVerdict::kSucceeded,
+                         kNow + milliseconds(2000)));
+    CHECK(used.size() == 2);
+  }
+}
+
+TEST_CASE("work waits for the first endpoint that is no longer left alone") {
+  PoolScheduler scheduler = MakeScheduler(2);
+  scheduler.NoteQuiet({"0"}, kNow + seconds(3), kNow);
+  scheduler.NoteQuiet({"1"}, kNow + seconds(2), kNow);
+  Work work;
+  work.service = {milliseconds(10), milliseconds(10)};
+  work.deadline = base::TimePoint::max();
+  scheduler.Offer(work, kNow);
+  CHECK_FALSE(scheduler.NextDispatch(kNow).has_value());
+  REQUIRE(scheduler.NextWakeup().has_value());
+  CHECK(*scheduler.NextWakeup() == kNow + seconds(2));
+  const auto dispatch = scheduler.NextDispatch(kNow + seconds(2));
+  REQUIRE(dispatch.has_value());
+  CHECK(dispatch->endpoint.value == "1");
+}
+
 TEST_SUITE_END();
 
 }  // namespace
