LibForward: Forget that an endpoint leaves once a new entry stands for a new life

Found on rereading: where entries don't tell their life, an endpoint that left and started again under its name would have been left out for good. There a new entry is a new life. What is remembered is bounded. The test fails without it.

--- a/Libraries/LibForward/endpoint_directory.cc
+++ b/Libraries/LibForward/endpoint_directory.cc
@@ -6,6 +6,9 @@
 
 // How long after the store's return a living endpoint is listed again.
 constexpr std::chrono::milliseconds kRelistTime{2000};
+// Beyond so many endpoints that said that they leave, those that aren't listed
+// are forgotten.
+constexpr size_t kMostLeaving = 1000;
 
 }  // namespace
 
@@ -53,6 +56,13 @@
       missing_.insert(name);
     return false;
   }
+  return Erase(name);
+}
+
+bool EndpointDirectory::Erase(const base::EndpointName& name) {
+  const auto it = leaving_.find(name);
+  if (it != leaving_.end() && it->second == base::Incarnation{})
+    leaving_.erase(it);
   return endpoints_.erase(name) > 0;
 }
 
@@ -71,7 +81,7 @@
   if (missing_.empty() || is_store_lost_ || now < trusted_from_)
     return false;
   for (const base::EndpointName& name : missing_)
-    endpoints_.erase(name);
+    Erase(name);
   missing_.clear();
   return true;
 }
@@ -84,6 +94,10 @@
 
 bool EndpointDirectory::NoteLeaving(const base::EndpointName& name,
                                     base::Incarnation incarnation) {
+  if (leaving_.size() >= kMostLeaving)
+    std::erase_if(leaving_, [this](const auto& it) {
+      return !endpoints_.contains(it.first);
+    });
   const auto [it, is_new] = leaving_.try_emplace(name, incarnation);
   if (!is_new && it->second == incarnation)
     return false;
--- a/Libraries/LibForward/endpoint_directory.h
+++ b/Libraries/LibForward/endpoint_directory.h
@@ -28,7 +28,8 @@
   std::optional<base::TimePoint> NextWakeup() const;
 
   // An answer said that this life of the endpoint leaves. Holds whatever its
-  // entry says, also while it has none; another life is not concerned. False
+  // entry says, also while it has none; another life is not concerned. Where
+  // entries don't tell their life, a new one begins with a new entry. False
   // when that is known.
   bool NoteLeaving(const base::EndpointName& name,
                    base::Incarnation incarnation);
@@ -39,6 +40,8 @@
 
  private:
   bool NoteRemoved(const base::EndpointName& name, base::TimePoint now);
+  // True when it was listed.
+  bool Erase(const base::EndpointName& name);
   bool IsKnownToLeave(const ListedEndpoint& endpoint) const;
 
   std::map<base::EndpointName, ListedEndpoint> endpoints_;
--- a/Tests/LibForward/test_endpoint_notices.cc
+++ b/Tests/LibForward/test_endpoint_notices.cc
@@ -139,6 +139,18 @@
   CHECK(bench.AskedByManyRequests() == kBoth);
 }
 
+TEST_CASE("where entries don't tell their life, a new entry is a new one") {
+  NoticeBench bench;
+  const FeedRow row = Row("e1", "llm", base::Incarnation{});
+  bench.Feed(TableChanged{FeedKind::kEndpoints, {row}, 3});
+  bench.Feed(EndpointNoticed{{"e1"}, {}, Leaving()});
+  bench.Feed(TableChanged{FeedKind::kEndpoints, {row}, 4});
+  CHECK(bench.AskedByManyRequests() == std::set<std::string>{"e2"});
+  bench.Feed(TableChanged{FeedKind::kEndpoints, {{"e1", RowRemoved{}}}, 5});
+  bench.Feed(TableChanged{FeedKind::kEndpoints, {row}, 6});
+  CHECK(bench.AskedByManyRequests().contains("e1"));
+}
+
 TEST_CASE("pieces that wait for an endpoint which then leaves go elsewhere") {
   NoticeBench bench;
   for (uint64_t caller = 1; caller <= 20; ++caller)
