Tests: Give no address out twice

Cause: FreeAddress() lets the kernel pick a port, closes the listener and hands the port out; a host asks for three such addresses before it listens at the first, and the kernel may pick the same port again. The new test asked the old code 2,000 times and got 1,737 different addresses. Ruled out: another process (the IP number holds the process's id) and connections that linger (SO_REUSEADDR). Now ports are counted up below those that the kernel gives by itself: 2,000 of 2,000 differ.

--- a/Tests/LibTransport/test_endpoint_standin.cc
+++ b/Tests/LibTransport/test_endpoint_standin.cc
@@ -2,10 +2,12 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "Fakes/node_harness.h"
 #include "Standins/endpoint_standin.h"
+#include "Standins/free_address.h"
 #include "http_pair.h"
 
 namespace bilberry::transport {
@@ -40,6 +42,16 @@
 
 TEST_SUITE_BEGIN("contract");
 
+// Those who ask for several listen at them later.
+TEST_CASE("no address is given out twice") {
+  constexpr size_t kAddresses = 2000;
+  HttpPair pair([](const IncomingRequest&) {});
+  std::set<base::SocketAddress> addresses;
+  for (size_t i = 0; i < kAddresses; ++i)
+    addresses.insert(standins::FreeAddress(pair.reactor));
+  CHECK(addresses.size() == kAddresses);
+}
+
 TEST_CASE("the rest of a stream is what the whole has from there") {
   StandinPair pair({});
   HttpRequest request = pair.RequestTo("/generate", "1");
--- a/Tests/Standins/free_address.cc
+++ b/Tests/Standins/free_address.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <cstdint>
 #include <string>
 
 #include "LibTransport/http_listener.h"
@@ -10,6 +11,11 @@
 
 namespace {
 
+// Ports that the kernel gives to nobody by itself lie below this one
+// (net.ipv4.ip_local_port_range begins here unless it is set otherwise).
+constexpr uint16_t kFirstEphemeralPort = 32768;
+constexpr uint16_t kFirstPort = 10000;
+
 std::string OwnLoopbackIp() {
   constexpr unsigned kFirstOctet = 100;
   constexpr unsigned kOctetBits = 8;
@@ -20,14 +26,26 @@
          std::to_string(pid & kOctetMask);
 }
 
+uint16_t NextPort() {
+  static uint16_t last_port = kFirstPort;
+  last_port = last_port + 1 < kFirstEphemeralPort ? last_port + 1 : kFirstPort;
+  return last_port;
+}
+
+bool IsFree(transport::Reactor& reactor, const base::SocketAddress& address) {
+  return static_cast<bool>(transport::HttpListener::Create(
+      reactor, {address}, [](const transport::IncomingRequest&) {}));
+}
+
 }  // namespace
 
+// A port that the kernel picks could be picked again before it is listened at,
+// for the next address or for a connection.
 base::SocketAddress FreeAddress(transport::Reactor& reactor) {
-  return transport::HttpListener::Create(
-             reactor, {{OwnLoopbackIp(), 0}},
-             [](const transport::IncomingRequest&) {})
-      .value()
-      ->address();
+  base::SocketAddress address{OwnLoopbackIp(), NextPort()};
+  while (!IsFree(reactor, address))
+    address.port = NextPort();
+  return address;
 }
 
 }  // namespace bilberry::standins
--- a/Tests/Standins/free_address.h
+++ b/Tests/Standins/free_address.h
@@ -5,8 +5,8 @@
 
 namespace bilberry::standins {
 
-// An address at which a listener can be made, of an IP number that no other
-// process uses: else one could take the port meanwhile.
+// An address at which a listener can be made, now and later: its IP number
+// belongs to this process alone, and its port is given out once.
 base::SocketAddress FreeAddress(transport::Reactor& reactor);
 
 }  // namespace bilberry::standins
