LibTransport: Use a connection again only where answers are known

Cause: libcurl looks at an idle connection before it uses it again and can't know of bytes that arrive right behind that look. HTTP/1.1 answers have no name, so that whoever can't tell its own by what it holds takes any. Now a request has a connection of its own unless its sender says otherwise: requests to endpoints know the echoed id, calls for pieces the names of results, orders to free don't mind. Entry hosts name each other's requests in their answers (Bilberry-Exchange-Id); another's answer is a failure, and that connection isn't used again. Calls to the store are never sent on a used one.

--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -54,14 +54,21 @@
   return status >= 200 && status < 300;
 }
 
-// A message to another entry host.
+// To another entry host, which names the request in its answer.
+HttpRequest GetFrom(const base::SocketAddress& address, const char* path) {
+  HttpRequest request;
+  request.address = address;
+  request.path = path;
+  request.connection = node::ConnectionUse::kPooled;
+  request.expects_exchange_id = true;
+  return request;
+}
+
 HttpRequest PostTo(const base::SocketAddress& address,
                    const char* path,
                    std::string body) {
-  HttpRequest request;
+  HttpRequest request = GetFrom(address, path);
   request.method = HttpMethod::kPost;
-  request.address = address;
-  request.path = path;
   request.headers = {{kContentTypeHeader, kJsonType}};
   request.body = std::move(body);
   return request;
@@ -124,6 +131,7 @@
   ListenerOptions peer_options;
   peer_options.address = settings_.peers;
   peer_options.max_body_bytes = kMaxPeerBody;
+  peer_options.echoes_exchange_ids = true;
   TRY(peers, HttpListener::Create(
                  reactor_, peer_options,
                  [this](const IncomingRequest& it) { HandlePeer(it); },
@@ -390,6 +398,8 @@
 void ForwardShell::Do(const forward::CallStage& action) {
   HttpRequest request = adapter_.EncodeStageCall(action.call);
   request.timeout = RoundUp(action.call.timeout);
+  // The names of its results tell this call's answer.
+  request.connection = node::ConnectionUse::kPooled;
   http_->Send(
       std::move(request),
       [this, id = action.call.id, endpoint = action.call.endpoint,
@@ -403,6 +413,9 @@
 void ForwardShell::Do(const forward::FreeResults& action) {
   HttpRequest request = adapter_.EncodeFree(action.order);
   request.timeout = kFreeTimeout;
+  // Another answer in place of this one would say nothing else: results that
+  // aren't freed end by themselves.
+  request.connection = node::ConnectionUse::kPooled;
   http_->Send(std::move(request),
               [this, order = action.order](const HttpOutcome& outcome) {
                 const auto* response = std::get_if<HttpResponse>(&outcome);
@@ -458,9 +471,7 @@
 }
 
 void ForwardShell::Do(const forward::AskWhetherAlive& action) {
-  HttpRequest request;
-  request.address = action.address;
-  request.path = kAlivePath;
+  HttpRequest request = GetFrom(action.address, kAlivePath);
   request.timeout = action.timeout;
   http_->Send(std::move(request),
               [this, host = action.host](const HttpOutcome& outcome) {
--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -45,6 +45,10 @@
   return std::string(text.substr(first, last - first + 1));
 }
 
+std::string IdOnWire(HttpTransferId id) {
+  return std::to_string(static_cast<uint64_t>(id));
+}
+
 }  // namespace
 
 struct HttpClient::Transfer {
@@ -194,6 +198,8 @@
   }
   for (const HttpHeader& header : request.headers)
     AppendHeader(transfer.headers, header.name, header.value);
+  if (request.expects_exchange_id)
+    AppendHeader(transfer.headers, kExchangeIdHeader, IdOnWire(transfer.id));
   curl_easy_setopt(transfer.easy, CURLOPT_HTTPHEADER, transfer.headers);
 }
 
@@ -397,15 +403,32 @@
   }
 }
 
-HttpOutcome HttpClient::OutcomeOf(Transfer& transfer, CURLcode code) const {
-  if (code == CURLE_OK) {
-    long status = 0;
-    curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
-    transfer.response.status = static_cast<int>(status);
-    return std::move(transfer.response);
+HttpOutcome HttpClient::OutcomeOf(Transfer& transfer, CURLcode code) {
+  if (code != CURLE_OK)
+    return FailureOf(transfer, curl_easy_strerror(code));
+  if (!IsOwnAnswer(transfer)) {
+    // What the connection brings next is the answer to this request.
+    CondemnConnections(transfer.request.address);
+    return FailureOf(transfer, "the answer to another request");
   }
+  long status = 0;
+  curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
+  transfer.response.status = static_cast<int>(status);
+  return std::move(transfer.response);
+}
+
+bool HttpClient::IsOwnAnswer(const Transfer& transfer) {
+  if (!transfer.request.expects_exchange_id)
+    return true;
+  const std::string* id =
+      FindHeader(transfer.response.headers, kExchangeIdHeader);
+  return id != nullptr && *id == IdOnWire(transfer.id);
+}
+
+HttpFailure HttpClient::FailureOf(const Transfer& transfer,
+                                  std::string detail) {
   HttpFailure failure;
-  failure.detail = curl_easy_strerror(code);
+  failure.detail = std::move(detail);
   long new_connections = 0;
   curl_easy_getinfo(transfer.easy, CURLINFO_NUM_CONNECTS, &new_connections);
   // When a reused connection ends before the first byte, curl opens another:
--- a/Libraries/LibTransport/http_client.h
+++ b/Libraries/LibTransport/http_client.h
@@ -38,7 +38,12 @@
   // For a request that is passed on: its method as it came. No header is added
   // but what frames the body.
   std::optional<std::string> forwarded_method;
-  node::ConnectionUse connection = node::ConnectionUse::kPooled;
+  // A server may send a late copy of an answer on a connection in use again.
+  // Pooled ones are for those who tell their own answers by what these hold.
+  node::ConnectionUse connection = node::ConnectionUse::kFresh;
+  // Asks another entry host to name this request in its answer; any other
+  // answer is a failure.
+  bool expects_exchange_id = false;
 };
 
 struct HttpFailure {
@@ -113,7 +118,9 @@
   void DeliverSendings();
   void DeliverChunks();
   void DeliverDone();
-  HttpOutcome OutcomeOf(Transfer& transfer, CURLcode code) const;
+  HttpOutcome OutcomeOf(Transfer& transfer, CURLcode code);
+  static bool IsOwnAnswer(const Transfer& transfer);
+  static HttpFailure FailureOf(const Transfer& transfer, std::string detail);
   void Release(Transfer& transfer);
   bool IsCondemned(const base::SocketAddress& address) const;
 
--- a/Libraries/LibTransport/http_listener.cc
+++ b/Libraries/LibTransport/http_listener.cc
@@ -52,6 +52,7 @@
   ExchangeId id{};
   MHD_Connection* connection = nullptr;
   IncomingRequest request;
+  std::optional<std::string> id_to_echo;
   bool is_too_large = false;
   bool was_handed_over = false;
   bool is_suspended = false;
@@ -223,6 +224,10 @@
     fresh->request.target = target.mapped();
   MHD_get_connection_values(connection, MHD_HEADER_KIND, CollectPair,
                             &fresh->request.headers);
+  const std::string* named =
+      FindHeader(fresh->request.headers, kExchangeIdHeader);
+  if (options_.echoes_exchange_ids && named != nullptr)
+    fresh->id_to_echo = *named;
   MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, CollectPair,
                             &fresh->request.arguments);
   if (idle_timeout_)
@@ -330,6 +335,13 @@
   return 0;
 }
 
+void HttpListener::AddExchangeId(MHD_Response* response,
+                                 const Exchange& exchange) {
+  if (exchange.id_to_echo)
+    MHD_add_response_header(response, kExchangeIdHeader,
+                            exchange.id_to_echo->c_str());
+}
+
 HttpListener::Exchange* HttpListener::Find(ExchangeId id) const {
   const auto it = exchanges_.find(id);
   return it == exchanges_.end() ? nullptr : it->second.get();
@@ -360,6 +372,7 @@
       response.body.size(), const_cast<char*>(response.body.data()),
       MHD_RESPMEM_MUST_COPY);
   AddHeaders(exchange->queued, response.headers);
+  AddExchangeId(exchange->queued, *exchange);
   Resume(*exchange);
 }
 
--- a/Libraries/LibTransport/http_listener.h
+++ b/Libraries/LibTransport/http_listener.h
@@ -39,6 +39,8 @@
   // Of each connection, for heads and for bodies on their way through. It is
   // cleared with every request, so that a large one costs time.
   size_t connection_memory_bytes = size_t{8} * 1024;
+  // Whether answers name their request to who asks for it.
+  bool echoes_exchange_ids = false;
   // Answers a request by its head alone, before its body is read; empty to
   // take the request.
   std::function<std::optional<HttpResponse>(const IncomingRequest& head)>
@@ -124,6 +126,7 @@
                            const char* url,
                            const char* method,
                            void** exchange);
+  static void AddExchangeId(MHD_Response* response, const Exchange& exchange);
   Exchange* Find(ExchangeId id) const;
   void Suspend(Exchange& exchange);
   void Resume(Exchange& exchange);
--- a/Libraries/LibTransport/http_message.h
+++ b/Libraries/LibTransport/http_message.h
@@ -30,6 +30,8 @@
 inline constexpr const char* kResumeOffsetHeader = "Bilberry-Resume-Offset";
 inline constexpr const char* kResumedFromHeader = "Bilberry-Resumed-From";
 inline constexpr const char* kRetryAfterHeader = "Retry-After";
+// Names a request of one entry host to another, and its answer.
+inline constexpr const char* kExchangeIdHeader = "Bilberry-Exchange-Id";
 inline constexpr const char* kContentTypeHeader = "Content-Type";
 inline constexpr const char* kOperatorTokenHeader = "Bilberry-Operator-Token";
 
--- a/Libraries/LibTransport/peer_client.cc
+++ b/Libraries/LibTransport/peer_client.cc
@@ -67,6 +67,8 @@
     http.headers.push_back({kOperatorTokenHeader, operator_token});
   http.body = PrintCompact(envelope);
   http.timeout = timeout;
+  http.connection = node::ConnectionUse::kPooled;
+  http.expects_exchange_id = true;
   http_.Send(std::move(http),
              [address, done = std::move(done)](const HttpOutcome& outcome) {
                done(ResultOf(address, outcome));
--- a/Libraries/LibTransport/peer_server.cc
+++ b/Libraries/LibTransport/peer_server.cc
@@ -133,8 +133,12 @@
   server->connector_ = std::make_unique<Connector>();
   server->methods_ =
       std::make_unique<Methods>(*server->connector_, std::move(handlers));
+  ListenerOptions options;
+  options.address = address;
+  options.max_body_bytes = kMaxPeerMessageBytes;
+  options.echoes_exchange_ids = true;
   TRY(listener, HttpListener::Create(
-                    reactor, {address, kMaxPeerMessageBytes},
+                    reactor, options,
                     [raw = server.get()](const IncomingRequest& request) {
                       raw->HandleRequest(request);
                     }));
--- a/Tests/LibTransport/test_endless_answers.cc
+++ b/Tests/LibTransport/test_endless_answers.cc
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "http_pair.h"
 
@@ -15,7 +16,7 @@
 namespace {
 
 // Answers each connection with some bytes, and then with others without end,
-// until the other side closes.
+// until the other side closes. Must outlive the client.
 class FloodServer {
  public:
   FloodServer(std::string begin, std::string rest)
@@ -31,11 +32,13 @@
     socklen_t size = sizeof(address);
     getsockname(listening_, reinterpret_cast<sockaddr*>(&address), &size);
     port_ = ntohs(address.sin_port);
-    thread_ = std::thread([this] { Serve(); });
+    accepting_ = std::thread([this] { Serve(); });
   }
   ~FloodServer() {
     shutdown(listening_, SHUT_RDWR);
-    thread_.join();
+    accepting_.join();
+    for (std::thread& it : floods_)
+      it.join();
     close(listening_);
   }
   FloodServer(const FloodServer&) = delete;
@@ -50,8 +53,7 @@
       const int connection = accept(listening_, nullptr, nullptr);
       if (connection < 0)
         return;
-      Flood(connection);
-      close(connection);
+      floods_.emplace_back([this, connection] { Flood(connection); });
     }
   }
 
@@ -63,6 +65,7 @@
       while (block.size() < 4096)
         block += rest_;
     }
+    close(connection);
   }
 
   std::string begin_;
@@ -70,7 +73,8 @@
   int listening_;
   uint16_t port_ = 0;
   std::atomic<size_t> sent_bytes_ = 0;
-  std::thread thread_;
+  std::thread accepting_;
+  std::vector<std::thread> floods_;  // Joined once nothing is accepted.
 };
 
 // What the kernel may hold on its way, beside what the client takes.
@@ -117,8 +121,8 @@
 TEST_SUITE_BEGIN("late-copies");
 
 // libcurl closes an idle connection on which bytes wait, but can't know of
-// those that arrive just behind the next request. Whoever uses kept connections
-// has to know its answers by what they hold.
+// those that arrive just behind the next request. Who can't tell its answers by
+// what they hold gets a connection of its own.
 TEST_CASE("bytes behind a whole answer belong to no request") {
   const FloodServer server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
                            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno");
@@ -135,5 +139,53 @@
 
 TEST_SUITE_END();
 
+TEST_SUITE_BEGIN("contract");
+
+// Between entry hosts, where a connection for each message would cost too much.
+TEST_CASE("a kept connection's copy of an earlier answer is no answer") {
+  const char* first_answer =
+      "HTTP/1.1 200 OK\r\nBilberry-Exchange-Id: 1\r\n"
+      "Content-Length: 2\r\n\r\nok";
+  const FloodServer server(first_answer, first_answer);
+  HttpPair pair([](const IncomingRequest&) {});
+  HttpRequest request = pair.Request();
+  request.address = server.address();
+  request.connection = node::ConnectionUse::kPooled;
+  request.expects_exchange_id = true;
+  CHECK(std::holds_alternative<HttpResponse>(pair.Ask(request)));
+  for (int i = 0; i < 3; ++i) {
+    const auto outcome = pair.Ask(request);
+    const auto* failure = std::get_if<HttpFailure>(&outcome);
+    REQUIRE(failure != nullptr);
+    CHECK(failure->detail == "the answer to another request");
+    // What follows on that connection would be another's again.
+    if (i > 0)
+      CHECK(failure->connection == node::ConnectionAge::kFresh);
+  }
+}
+
+TEST_CASE("a listener names requests in its answers to those who ask for it") {
+  for (const bool echoes : {false, true}) {
+    CAPTURE(echoes);
+    HttpPair pair([](const IncomingRequest&) {});
+    std::unique_ptr<HttpListener> listener;
+    ListenerOptions options;
+    options.address = {"127.0.0.1", 0};
+    options.echoes_exchange_ids = echoes;
+    listener = Sound(HttpListener::Create(
+        pair.reactor, options, [&listener](const IncomingRequest& it) {
+          listener->Respond(it.exchange, {200, {}, "ok"});
+        }));
+    HttpRequest request = pair.Request();
+    request.address = listener->address();
+    request.connection = node::ConnectionUse::kPooled;
+    request.expects_exchange_id = true;
+    for (int i = 0; i < 3; ++i)
+      CHECK(std::holds_alternative<HttpResponse>(pair.Ask(request)) == echoes);
+  }
+}
+
+TEST_SUITE_END();
+
 }  // namespace
 }  // namespace bilberry::transport
--- a/Tests/LibTransport/test_http.cc
+++ b/Tests/LibTransport/test_http.cc
@@ -172,10 +172,13 @@
         raw->listener->Respond(it.exchange, {200, {}, ""});
     });
     raw = &pair;
-    pair.Ask(pair.Request());
+    HttpRequest request = pair.Request();
+    request.connection = ConnectionUse::kPooled;
+    pair.Ask(std::move(request));
     if (is_condemned)
       pair.client->CondemnConnections(pair.listener->address());
     HttpRequest silent = pair.Request("/silent");
+    silent.connection = ConnectionUse::kPooled;
     silent.timeout = std::chrono::milliseconds(50);
     const auto outcome = pair.Ask(std::move(silent));
     CHECK(std::get<HttpFailure>(outcome).connection ==
--- a/Tests/LibTransport/test_relay.cc
+++ b/Tests/LibTransport/test_relay.cc
@@ -37,6 +37,7 @@
     HttpRequest request = pair.Request();
     request.address = relay->address();
     request.timeout = std::chrono::milliseconds(1000);
+    request.connection = node::ConnectionUse::kPooled;
     CHECK(std::holds_alternative<HttpResponse>(pair.Ask(request)));
     relay->Order(each.state);
     const bool old_works =
--- a/Tests/LibTransport/test_silent_connections.cc
+++ b/Tests/LibTransport/test_silent_connections.cc
@@ -116,12 +116,14 @@
       raw->listener->Respond(it.exchange, {200, {}, "whole"});
   });
   raw = &pair;
-  REQUIRE(std::holds_alternative<HttpResponse>(pair.Ask(pair.Request())));
+  HttpRequest request = pair.Request();
+  request.connection = node::ConnectionUse::kPooled;
+  REQUIRE(std::holds_alternative<HttpResponse>(pair.Ask(request)));
   std::optional<HttpOutcome> outcome;
   std::optional<node::ConnectionAge> age;
   pair.client->Send(
-      pair.Request(), [&outcome](HttpOutcome it) { outcome = std::move(it); },
-      nullptr, [&age](node::ConnectionAge it) { age = it; });
+      request, [&outcome](HttpOutcome it) { outcome = std::move(it); }, nullptr,
+      [&age](node::ConnectionAge it) { age = it; });
   REQUIRE(pair.RunUntil([&] { return requests == 2; }));
   // The endpoint dies with the request in hand.
   pair.listener.reset();
