LibForward: Give RunDesk's learned times a class of their own

What stages and answers have taken lately, and what follows from it (when a stage is due, what a run still needs), is RunTimes.

--- a/Libraries/LibForward/endpoint_chooser.cc
+++ b/Libraries/LibForward/endpoint_chooser.cc
@@ -1,6 +1,7 @@
 #include "LibForward/endpoint_chooser.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "LibForward/rendezvous.h"
@@ -117,20 +118,34 @@
   return rested.empty() ? candidates : rested;
 }
 
+base::TimePoint EndpointChooser::FirstOpen(const Candidates& candidates) const {
+  base::TimePoint first = base::TimePoint::max();
+  for (const Endpoint* it : candidates)
+    first = std::min(first, OpenFrom(*it));
+  return first;
+}
+
+std::optional<base::TimePoint> EndpointChooser::OpenFrom(
+    const base::PoolName& pool) const {
+  EndpointWish wish;
+  wish.pool = pool;
+  const Candidates eligible = Eligible(wish);
+  if (eligible.empty())
+    return std::nullopt;
+  return FirstOpen(eligible);
+}
+
 EndpointChoice EndpointChooser::Choose(const EndpointWish& wish,
                                        base::TimePoint now) {
   const Candidates eligible = Eligible(wish);
   if (eligible.empty())
     return NoEndpointServes{};
   Candidates open;
-  base::TimePoint first_open = base::TimePoint::max();
-  for (const Endpoint* it : eligible) {
-    first_open = std::min(first_open, OpenFrom(*it));
-    if (OpenFrom(*it) <= now)
-      open.push_back(it);
-  }
+  std::ranges::copy_if(
+      eligible, std::back_inserter(open),
+      [this, now](const Endpoint* it) { return OpenFrom(*it) <= now; });
   if (open.empty())
-    return EndpointsQuiet{first_open};
+    return EndpointsQuiet{FirstOpen(eligible)};
   const Candidates candidates = PreferRested(open, now);
   const Endpoint& chosen = wish.affinity.empty()
                                ? LeastLoaded(candidates)
--- a/Libraries/LibForward/endpoint_chooser.h
+++ b/Libraries/LibForward/endpoint_chooser.h
@@ -56,6 +56,9 @@
   void SetEndpoints(std::span<const ListedEndpoint> endpoints);
 
   EndpointChoice Choose(const EndpointWish& wish, base::TimePoint now);
+  // From when on one of the pool's endpoints may be sent something; empty if
+  // none serves.
+  std::optional<base::TimePoint> OpenFrom(const base::PoolName& pool) const;
 
   void NoteBegun(const base::EndpointName& name, base::TimePoint now);
   // The endpoint's quiet time is over: what has waited for it comes one by one.
@@ -85,6 +88,8 @@
 
   // From when on the endpoint may be sent something.
   base::TimePoint OpenFrom(const Endpoint& endpoint) const;
+  // The same of the first of them.
+  base::TimePoint FirstOpen(const Candidates& candidates) const;
   bool IsRested(const Endpoint& endpoint, base::TimePoint now) const;
   void NoteUnreachable(Endpoint& endpoint, base::TimePoint now);
   // Those that the request may go to, now or later.
--- a/Libraries/LibForward/forwarded_run.h
+++ b/Libraries/LibForward/forwarded_run.h
@@ -60,6 +60,7 @@
   std::optional<base::TimePoint> first_byte;  // Of the answer.
   std::optional<std::string> last_event;
 
+  bool may_have_run() const { return attempt || runs > 0; }
   // Stages whose inputs are there and that have not been asked for.
   std::vector<size_t> ReadyStages() const;
   // When the stages that don't read this one's results will be done, if each
@@ -87,6 +88,9 @@
       const std::function<base::Duration(size_t)>& time_of) const;
 };
 
+// What a request itself takes at the least, from its sending to its first byte.
+inline constexpr std::chrono::milliseconds kLeastFinalTime{60};
+
 // What the calls for so many pieces take at an idle pool.
 base::Duration CallTimeOf(const PieceLimits& limits, uint32_t pieces);
 
--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -9,10 +9,6 @@
 
 namespace {
 
-// What a request itself takes at the least, from its sending to its first byte.
-constexpr std::chrono::milliseconds kFinalTime{60};
-// By how much a stage is done before the rest, if all goes as expected.
-constexpr std::chrono::milliseconds kDoneBefore{50};
 // When to come back to a host that has no configuration yet.
 constexpr std::chrono::milliseconds kNotReadyRetry{500};
 // When to come back to another host than this one, which stops.
@@ -56,6 +52,12 @@
   return prefix.size() == 1 ? prefix.front().id : prefix[prefix.size() - 2].id;
 }
 
+// Only what no endpoint has run may be told as not run.
+OwnAnswerCode NoEndpointCode(const ForwardedRun& run) {
+  return run.may_have_run() ? OwnAnswerCode::kAttemptFailed
+                            : OwnAnswerCode::kNoEndpoint;
+}
+
 }  // namespace
 
 std::string_view ToText(OwnAnswerCode code) {
@@ -226,7 +228,7 @@
 void RunDesk::Advance(base::CallerId caller, base::TimePoint now) {
   ForwardedRun& run = runs_.at(caller);
   for (const size_t stage : run.ReadyStages()) {
-    const base::TimePoint due = DueTime(run, stage, now);
+    const base::TimePoint due = run_times_.DueTime(run, stage, now);
     if (due <= now)
       AskForStage(caller, run, stage, now);
     else
@@ -236,19 +238,6 @@
     SendFinal(caller, now);
 }
 
-// Results take up room at their makers until all is there that the request
-// reads. What takes less time than the rest is asked for so late that it is
-// done just before.
-base::TimePoint RunDesk::DueTime(const ForwardedRun& run,
-                                 size_t stage,
-                                 base::TimePoint now) const {
-  const auto time_of = [&](size_t it) { return TimeOf(run, it, now); };
-  // With all that reads its results: what takes longest of all waits for
-  // nothing, so that no two wait for each other.
-  const base::Duration needed = time_of(stage) + run.TimeAfter(stage, time_of);
-  return run.EndOfOthers(stage, now, time_of) - needed - kDoneBefore;
-}
-
 void RunDesk::LookAgain(base::CallerId caller,
                         ForwardedRun& run,
                         base::TimePoint time) {
@@ -291,7 +280,7 @@
   job.until_deadline = run.begin_deadline - now;
   if (const auto gone = run.InputsGone(stage))
     job.until_inputs_gone = *gone - now;
-  job.time_after = TimeAfter(run, stage, now);
+  job.time_after = run_times_.TimeAfter(run, stage, now);
   job.reader_zone = run.final_zone;
   job.crossing_bytes = run.BytesMoved(stage);
   job.progress =
@@ -302,45 +291,6 @@
   asks_.emplace(state.ask, std::pair(caller, stage));
 }
 
-base::Duration RunDesk::TimeOf(const ForwardedRun& run,
-                               size_t stage,
-                               base::TimePoint now) const {
-  const base::PoolName& name = run.pipeline->stages[stage].pool;
-  const ForwardedPool* pool = run.configuration->FindPool(name);
-  if (pool == nullptr || !pool->pieces)
-    return base::Duration(0);
-  const auto excess = job_excess_.find({name, run.urgency});
-  return CallTimeOf(*pool->pieces, run.stages[stage].pieces) +
-         (excess == job_excess_.end() ? base::Duration(0)
-                                      : excess->second.At(now));
-}
-
-base::Duration RunDesk::TimeAfter(const ForwardedRun& run,
-                                  size_t stage,
-                                  base::TimePoint now) const {
-  const auto time_of = [&](size_t it) { return TimeOf(run, it, now); };
-  const auto first_byte = first_byte_.find(run.pipeline->name);
-  const base::Duration final_time = first_byte == first_byte_.end()
-                                        ? base::Duration(0)
-                                        : first_byte->second.At(now);
-  return run.TimeAfter(stage, time_of) +
-         std::max<base::Duration>(final_time, kFinalTime);
-}
-
-void RunDesk::NoteJobTime(const ForwardedRun& run,
-                          size_t stage,
-                          base::TimePoint now) {
-  const base::PoolName& name = run.pipeline->stages[stage].pool;
-  const ForwardedPool* pool = run.configuration->FindPool(name);
-  if (pool == nullptr || !pool->pieces)
-    return;
-  const StageState& state = run.stages[stage];
-  const base::Duration excess =
-      now - state.asked - CallTimeOf(*pool->pieces, state.pieces);
-  job_excess_[{name, run.urgency}].Note(std::max(excess, base::Duration(0)),
-                                        now);
-}
-
 void RunDesk::Settle(base::TimePoint now) {
   for (auto outcomes = stage_desk_.TakeOutcomes(); !outcomes.empty();
        outcomes = stage_desk_.TakeOutcomes()) {
@@ -420,7 +370,7 @@
                           AskedResults results,
                           base::TimePoint now) {
   ForwardedRun& run = runs_.at(caller);
-  NoteJobTime(run, stage, now);
+  run_times_.NoteJob(run, stage, now);
   run.stages[stage].phase = StagePhase::kDone;
   run.stages[stage].done = now;
   run.cells_tried.clear();
@@ -440,10 +390,8 @@
                    WaitForQuiet(caller, it.until, now);
                  },
                  [&](const NoEndpointServes&) {
-                   AnswerAndEnd(caller,
-                                run.runs > 0 ? OwnAnswerCode::kAttemptFailed
-                                             : OwnAnswerCode::kNoEndpoint,
-                                kNoEndpointRetry, now);
+                   AnswerAndEnd(caller, NoEndpointCode(run), kNoEndpointRetry,
+                                now);
                  },
              },
              chooser_.Choose(WishOf(run), now));
@@ -455,14 +403,11 @@
                            base::TimePoint until,
                            base::TimePoint now) {
   ForwardedRun& run = runs_.at(caller);
-  if (until + kFinalTime < run.begin_deadline) {
+  if (until + kLeastFinalTime < run.begin_deadline) {
     LookAgain(caller, run, until);
     return;
   }
-  AnswerAndEnd(
-      caller,
-      run.runs > 0 ? OwnAnswerCode::kAttemptFailed : OwnAnswerCode::kNoEndpoint,
-      until - now, now);
+  AnswerAndEnd(caller, NoEndpointCode(run), until - now, now);
 }
 
 void RunDesk::SendTo(const ListedEndpoint& endpoint,
@@ -518,14 +463,10 @@
   return AnswerMeaning::kPass;
 }
 
-void RunDesk::NoteFirstByte(const ForwardedRun& run, base::TimePoint now) {
-  first_byte_[run.pipeline->name].Note(now - run.attempt->sent, now);
-}
-
 void RunDesk::BeginPassing(ForwardedRun& run,
                            AnswerHead head,
                            base::TimePoint now) {
-  NoteFirstByte(run, now);
+  run_times_.NoteFirstByte(run, now);
   if (!run.first_byte)
     run.first_byte = now;
   // The first event tells that the endpoint has read all its inputs.
@@ -666,20 +607,15 @@
     return;
   }
   AnswerAndEnd(caller,
-               run.runs > 0 ? OwnAnswerCode::kAttemptFailed
-                            : OwnAnswerCode::kRefusedByEndpoint,
+               run.may_have_run() ? OwnAnswerCode::kAttemptFailed
+                                  : OwnAnswerCode::kRefusedByEndpoint,
                RetryAfterRefusal(run, now), now);
 }
 
 base::Duration RunDesk::RetryAfterRefusal(const ForwardedRun& run,
-                                          base::TimePoint now) {
-  EndpointWish wish;
-  wish.pool = run.final_pool;
-  const EndpointChoice choice = chooser_.Choose(wish, now);
-  const auto* quiet = std::get_if<EndpointsQuiet>(&choice);
-  if (quiet == nullptr)
-    return kRefusedRetry;
-  return std::max<base::Duration>(kRefusedRetry, quiet->until - now);
+                                          base::TimePoint now) const {
+  const auto open = chooser_.OpenFrom(run.final_pool);
+  return std::max<base::Duration>(kRefusedRetry, open.value_or(now) - now);
 }
 
 base::Duration RunDesk::SpreadOut(base::Duration retry_after) {
@@ -775,10 +711,9 @@
       deadlines_.emplace(run.deadline, caller);
       continue;
     }
-    const bool may_have_run = run.attempt || run.runs > 0;
     AnswerAndEnd(
         caller,
-        may_have_run ? OwnAnswerCode::kTimeout : OwnAnswerCode::kTooLate,
+        run.may_have_run() ? OwnAnswerCode::kTimeout : OwnAnswerCode::kTooLate,
         kRefusedRetry, now);
   }
 }
@@ -786,11 +721,10 @@
 void RunDesk::EndAll(base::TimePoint now) {
   while (!runs_.empty()) {
     const auto& [caller, run] = *runs_.begin();
-    const bool may_have_run = run.attempt || run.runs > 0;
-    AnswerAndEnd(
-        caller,
-        may_have_run ? OwnAnswerCode::kAttemptFailed : OwnAnswerCode::kStopping,
-        kStoppingRetry, now);
+    AnswerAndEnd(caller,
+                 run.may_have_run() ? OwnAnswerCode::kAttemptFailed
+                                    : OwnAnswerCode::kStopping,
+                 kStoppingRetry, now);
   }
 }
 
--- a/Libraries/LibForward/run_desk.h
+++ b/Libraries/LibForward/run_desk.h
@@ -10,7 +10,7 @@
 #include "LibForward/endpoint_chooser.h"
 #include "LibForward/forward_context.h"
 #include "LibForward/forwarded_run.h"
-#include "LibForward/recent_delay.h"
+#include "LibForward/run_times.h"
 #include "LibForward/stage_desk.h"
 #include "LibPolicy/retry_budget.h"
 
@@ -69,9 +69,6 @@
   const base::PoolName& DrawFinalPool(const ForwardedPipeline& pipeline);
   EndpointWish WishOf(const ForwardedRun& run) const;
   void Advance(base::CallerId caller, base::TimePoint now);
-  base::TimePoint DueTime(const ForwardedRun& run,
-                          size_t stage,
-                          base::TimePoint now) const;
   // Comes back to the run at this time.
   void LookAgain(base::CallerId caller,
                  ForwardedRun& run,
@@ -96,15 +93,6 @@
                 size_t stage,
                 const AskOutcome& outcome,
                 base::TimePoint now);
-  void NoteJobTime(const ForwardedRun& run, size_t stage, base::TimePoint now);
-  // What a stage takes, with the wait for its turn.
-  base::Duration TimeOf(const ForwardedRun& run,
-                        size_t stage,
-                        base::TimePoint now) const;
-  // What is left to do when a stage is done.
-  base::Duration TimeAfter(const ForwardedRun& run,
-                           size_t stage,
-                           base::TimePoint now) const;
   void SendFinal(base::CallerId caller, base::TimePoint now);
   void SendTo(const ListedEndpoint& endpoint,
               base::CallerId caller,
@@ -117,9 +105,8 @@
   base::Duration SpreadOut(base::Duration retry_after);
   // What a refused caller of this pool is to wait at the least.
   base::Duration RetryAfterRefusal(const ForwardedRun& run,
-                                   base::TimePoint now);
+                                   base::TimePoint now) const;
   AnswerMeaning Judge(const ForwardedRun& run, const AnswerHead& head) const;
-  void NoteFirstByte(const ForwardedRun& run, base::TimePoint now);
   void BeginPassing(ForwardedRun& run, AnswerHead head, base::TimePoint now);
   // Ends the attempt without an answer for the caller.
   void LoseAttempt(base::CallerId caller,
@@ -155,10 +142,7 @@
   std::map<AskId, std::pair<base::CallerId, size_t>> asks_;
   std::unordered_map<uint64_t, base::CallerId> attempts_;  // By number.
   std::map<base::PoolName, policy::RetryBudget> budgets_;
-  // By how much jobs take longer than their calls, since they wait.
-  std::map<std::pair<base::PoolName, Urgency>, RecentDelay> job_excess_;
-  // From the sending of a request to its first byte.
-  std::map<base::PipelineName, RecentDelay> first_byte_;
+  RunTimes run_times_;
   uint64_t last_attempt_ = 0;
   bool is_accepting_ = true;
 };
--- /dev/null
+++ b/Libraries/LibForward/run_times.cc
@@ -0,0 +1,75 @@
+#include "LibForward/run_times.h"
+
+#include <algorithm>
+
+namespace bilberry::forward {
+
+namespace {
+
+// By how much a stage is done before the rest, if all goes as expected.
+constexpr std::chrono::milliseconds kDoneBefore{50};
+
+const PieceLimits* LimitsOf(const ForwardedRun& run, size_t stage) {
+  const ForwardedPool* pool =
+      run.configuration->FindPool(run.pipeline->stages[stage].pool);
+  return pool != nullptr && pool->pieces ? &*pool->pieces : nullptr;
+}
+
+}  // namespace
+
+void RunTimes::NoteJob(const ForwardedRun& run,
+                       size_t stage,
+                       base::TimePoint now) {
+  const PieceLimits* limits = LimitsOf(run, stage);
+  if (limits == nullptr)
+    return;
+  const StageState& state = run.stages[stage];
+  const base::Duration excess =
+      now - state.asked - CallTimeOf(*limits, state.pieces);
+  job_excess_[{run.pipeline->stages[stage].pool, run.urgency}].Note(
+      std::max(excess, base::Duration(0)), now);
+}
+
+void RunTimes::NoteFirstByte(const ForwardedRun& run, base::TimePoint now) {
+  first_byte_[run.pipeline->name].Note(now - run.attempt->sent, now);
+}
+
+base::Duration RunTimes::TimeOf(const ForwardedRun& run,
+                                size_t stage,
+                                base::TimePoint now) const {
+  const PieceLimits* limits = LimitsOf(run, stage);
+  if (limits == nullptr)
+    return base::Duration(0);
+  const auto excess =
+      job_excess_.find({run.pipeline->stages[stage].pool, run.urgency});
+  return CallTimeOf(*limits, run.stages[stage].pieces) +
+         (excess == job_excess_.end() ? base::Duration(0)
+                                      : excess->second.At(now));
+}
+
+base::Duration RunTimes::TimeAfter(const ForwardedRun& run,
+                                   size_t stage,
+                                   base::TimePoint now) const {
+  const auto time_of = [&](size_t it) { return TimeOf(run, it, now); };
+  const auto first_byte = first_byte_.find(run.pipeline->name);
+  const base::Duration final_time = first_byte == first_byte_.end()
+                                        ? base::Duration(0)
+                                        : first_byte->second.At(now);
+  return run.TimeAfter(stage, time_of) +
+         std::max<base::Duration>(final_time, kLeastFinalTime);
+}
+
+// Results take up room at their makers until all is there that the request
+// reads. What takes less time than the rest is asked for so late that it is
+// done just before.
+base::TimePoint RunTimes::DueTime(const ForwardedRun& run,
+                                  size_t stage,
+                                  base::TimePoint now) const {
+  const auto time_of = [&](size_t it) { return TimeOf(run, it, now); };
+  // With all that reads its results: what takes longest of all waits for
+  // nothing, so that no two wait for each other.
+  const base::Duration needed = time_of(stage) + run.TimeAfter(stage, time_of);
+  return run.EndOfOthers(stage, now, time_of) - needed - kDoneBefore;
+}
+
+}  // namespace bilberry::forward
