LibForward: Tell the zone which endpoints said that they leave

An endpoint may say in an answer that it leaves long before its entry does, or without. A peer's word only adds; one without a life, or an old one, isn't believed. Found beside it: a late answer of an earlier life took back that the present one leaves (the test failed first). Not told: hosts of other zones, and fleets without relays.

--- a/Libraries/LibEmulation/emulation.cc
+++ b/Libraries/LibEmulation/emulation.cc
@@ -17,6 +17,8 @@
 constexpr milliseconds kStoreDelay{4};
 // An answer of a host that is gone is waited for this long.
 constexpr milliseconds kNewsTimeout{600};
+// Of all endpoints: none starts anew.
+constexpr base::Incarnation kOnlyLife{1};
 // Between a caller and its host.
 constexpr milliseconds kCallerDelay{1};
 // What endpoints read results with.
@@ -74,7 +76,9 @@
           {pool.name + "-" + std::to_string(i)},
           {pool.name},
           ZoneOf(i),
-          AddressOf(1, index++)};
+          AddressOf(1, index++),
+          forward::EndpointState::kServing,
+          kOnlyLife};
       makers_.push_back(std::make_unique<EmulatedMaker>(
           timeline_, listed, pool.limits, tally, random_.Next()));
       makers_by_address_[listed.address] = makers_.back().get();
@@ -89,7 +93,9 @@
         {sheet_.engines.name + "-" + std::to_string(i)},
         {sheet_.engines.name},
         ZoneOf(i),
-        AddressOf(2, i)};
+        AddressOf(2, i),
+        forward::EndpointState::kServing,
+        kOnlyLife};
     engines_.push_back(
         std::make_unique<EmulatedEngine>(listed, sheet_.engines));
     engines_by_name_[listed.name] = engines_.back().get();
@@ -503,7 +509,7 @@
   }
   const forward::PeerExchangeId exchange{++last_exchange_};
   news_askers_[exchange] = host;
-  FeedPeer(host, *to, forward::PeerNewsAsked{exchange, action.known});
+  FeedPeer(host, *to, forward::PeerNewsAsked{exchange, action.question});
 }
 
 void Emulation::Do(size_t host, const forward::AnswerNews& action) {
--- a/Libraries/LibEmulation/emulation_report.h
+++ b/Libraries/LibEmulation/emulation_report.h
@@ -56,6 +56,9 @@
   // What reached an endpoint that had told the host not to send it.
   uint64_t sent_though_quiet = 0;
   uint64_t sent_though_leaving = 0;
+  // What reached an endpoint that had told a host of the zone long enough
+  // before that it leaves.
+  uint64_t sent_though_zone_knew = 0;
   uint64_t dispatchers_lost = 0;  // As often as a host says so of another.
 
   double worth_share() const;
--- a/Libraries/LibForward/endpoint_directory.cc
+++ b/Libraries/LibForward/endpoint_directory.cc
@@ -9,6 +9,10 @@
 // Beyond so many endpoints that said that they leave, those that aren't listed
 // are forgotten.
 constexpr size_t kMostLeaving = 1000;
+// Peers are told for so long: each hears of it within two questions, and
+// entries tell it by then.
+constexpr std::chrono::milliseconds kToldFor{5000};
+constexpr size_t kMostTold = 100;
 
 }  // namespace
 
@@ -61,7 +65,7 @@
 
 bool EndpointDirectory::Erase(const base::EndpointName& name) {
   const auto it = leaving_.find(name);
-  if (it != leaving_.end() && it->second == base::Incarnation{})
+  if (it != leaving_.end() && it->second.incarnation == base::Incarnation{})
     leaving_.erase(it);
   return endpoints_.erase(name) > 0;
 }
@@ -93,26 +97,56 @@
 }
 
 bool EndpointDirectory::NoteLeaving(const base::EndpointName& name,
-                                    base::Incarnation incarnation) {
+                                    base::Incarnation incarnation,
+                                    base::TimePoint now) {
   if (leaving_.size() >= kMostLeaving)
     std::erase_if(leaving_, [this](const auto& it) {
       return !endpoints_.contains(it.first);
     });
-  const auto [it, is_new] = leaving_.try_emplace(name, incarnation);
-  if (!is_new && it->second == incarnation)
+  const auto [it, is_new] =
+      leaving_.try_emplace(name, Departure{incarnation, now});
+  if (is_new)
+    return true;
+  // A late answer of an earlier life says nothing of the one that leaves now.
+  const base::Incarnation known = it->second.incarnation;
+  if (known == incarnation ||
+      (incarnation != base::Incarnation{} && known > incarnation))
     return false;
-  it->second = incarnation;
+  it->second = {incarnation, now};
   return true;
 }
 
+bool EndpointDirectory::NoteLeavingByPeer(const EndpointDeparture& departure,
+                                          base::TimePoint now) {
+  const bool is_recent =
+      departure.age >= base::Duration(0) && departure.age < kToldFor;
+  if (!is_recent || departure.incarnation == base::Incarnation{})
+    return false;
+  return NoteLeaving(departure.endpoint, departure.incarnation,
+                     now - departure.age);
+}
+
+std::vector<EndpointDeparture> EndpointDirectory::RecentDepartures(
+    base::TimePoint now) const {
+  std::vector<EndpointDeparture> recent;
+  for (const auto& [name, departure] : leaving_) {
+    const bool is_to_be_told = now - departure.said < kToldFor &&
+                               departure.incarnation != base::Incarnation{};
+    if (is_to_be_told && recent.size() < kMostTold)
+      recent.push_back({name, departure.incarnation, now - departure.said});
+  }
+  return recent;
+}
+
 // An entry that doesn't tell which life it is of may be of the one that leaves.
 bool EndpointDirectory::IsKnownToLeave(const ListedEndpoint& endpoint) const {
   const auto it = leaving_.find(endpoint.name);
   if (it == leaving_.end())
     return false;
-  return it->second == endpoint.incarnation ||
+  const base::Incarnation leaving = it->second.incarnation;
+  return leaving == endpoint.incarnation ||
          endpoint.incarnation == base::Incarnation{} ||
-         it->second == base::Incarnation{};
+         leaving == base::Incarnation{};
 }
 
 std::vector<ListedEndpoint> EndpointDirectory::endpoints() const {
--- a/Libraries/LibForward/endpoint_directory.h
+++ b/Libraries/LibForward/endpoint_directory.h
@@ -7,6 +7,7 @@
 
 #include "LibBase/time.h"
 #include "LibForward/feed_row.h"
+#include "LibForward/table_news.h"
 
 namespace bilberry::forward {
 
@@ -32,21 +33,32 @@
   // entries don't tell their life, a new one begins with a new entry. False
   // when that is known.
   bool NoteLeaving(const base::EndpointName& name,
-                   base::Incarnation incarnation);
+                   base::Incarnation incarnation,
+                   base::TimePoint now);
+  // The same by a peer's word, if that is recent and tells which life it is of.
+  bool NoteLeavingByPeer(const EndpointDeparture& departure,
+                         base::TimePoint now);
+  // What peers are to know: the latest ones whose life is known.
+  std::vector<EndpointDeparture> RecentDepartures(base::TimePoint now) const;
 
   // Those that are known to leave have that state.
   std::vector<ListedEndpoint> endpoints() const;
   bool is_empty() const { return endpoints_.empty(); }
 
  private:
+  struct Departure {
+    base::Incarnation incarnation{};
+    base::TimePoint said;
+  };
+
   bool NoteRemoved(const base::EndpointName& name, base::TimePoint now);
   // True when it was listed.
   bool Erase(const base::EndpointName& name);
   bool IsKnownToLeave(const ListedEndpoint& endpoint) const;
 
   std::map<base::EndpointName, ListedEndpoint> endpoints_;
-  // By their own word.
-  std::map<base::EndpointName, base::Incarnation> leaving_;
+  // By their own word, at this host or at a peer.
+  std::map<base::EndpointName, Departure> leaving_;
   std::set<base::EndpointName> missing_;
   bool is_store_lost_ = false;
   base::TimePoint trusted_from_;  // Removals count at once from then on.
--- a/Libraries/LibForward/forward_action.h
+++ b/Libraries/LibForward/forward_action.h
@@ -138,7 +138,7 @@
 // NewsFailed.
 struct AskNews {
   base::SocketAddress address;
-  std::vector<KnownVersion> known;
+  NewsQuestion question;
 };
 
 struct AnswerNews {
--- a/Libraries/LibForward/forward_context.h
+++ b/Libraries/LibForward/forward_context.h
@@ -47,6 +47,15 @@
            std::vector<LogFact> facts = {}) {
     Emit(WriteLog{id, std::move(request_id), std::move(facts)});
   }
+  // `told_by` names whose word it is.
+  void LogLeaving(const base::EndpointName& endpoint,
+                  base::Incarnation incarnation,
+                  std::string_view told_by) {
+    Log(base::LogEventId::kEndpointLeaving, "",
+        {{"endpoint", endpoint.value},
+         {"incarnation", std::to_string(static_cast<uint64_t>(incarnation))},
+         {"told_by", std::string(told_by)}});
+  }
   Actions TakeActions() { return std::exchange(actions_, {}); }
 
  private:
--- a/Libraries/LibForward/forward_event.h
+++ b/Libraries/LibForward/forward_event.h
@@ -120,7 +120,7 @@
 // A peer asks what this host knows of the store; answered by one AnswerNews.
 struct PeerNewsAsked {
   PeerExchangeId exchange{};
-  std::vector<KnownVersion> known;
+  NewsQuestion question;
 };
 
 struct NewsHeard {
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -80,12 +80,8 @@
 
 void ForwardNode::Handle(const EndpointNoticed& event, base::TimePoint now) {
   if (event.notice.is_leaving &&
-      store_.NoteLeaving(event.endpoint, event.incarnation))
-    context_.Log(base::LogEventId::kEndpointLeaving, "",
-                 {{"endpoint", event.endpoint.value},
-                  {"incarnation",
-                   std::to_string(static_cast<uint64_t>(event.incarnation))},
-                  {"told_by", "answer"}});
+      store_.NoteLeaving(event.endpoint, event.incarnation, now))
+    context_.LogLeaving(event.endpoint, event.incarnation, "answer");
   const auto& retry_after = event.notice.retry_after;
   if (retry_after &&
       context_.quiet_times().Note(event.endpoint, now + *retry_after))
--- a/Libraries/LibForward/relay_desk.h
+++ b/Libraries/LibForward/relay_desk.h
@@ -26,6 +26,8 @@
   void NoteAnswered(base::TimePoint now);
   // The next one is asked.
   void NoteFailed(base::TimePoint now);
+  // The next question goes to another relay, if there is one.
+  void TakeTurns() { ++turn_; }
 
   std::optional<base::TimePoint> NextWakeup() const;
 
--- a/Libraries/LibForward/store_desk.cc
+++ b/Libraries/LibForward/store_desk.cc
@@ -179,13 +179,24 @@
 }
 
 bool StoreDesk::NoteLeaving(const base::EndpointName& name,
-                            base::Incarnation incarnation) {
-  if (!directory_.NoteLeaving(name, incarnation))
+                            base::Incarnation incarnation,
+                            base::TimePoint now) {
+  if (!directory_.NoteLeaving(name, incarnation, now))
     return false;
   ++endpoint_changes_;
   return true;
 }
 
+void StoreDesk::TakeDepartures(const std::vector<EndpointDeparture>& departures,
+                               base::TimePoint now) {
+  for (const EndpointDeparture& it : departures) {
+    if (!directory_.NoteLeavingByPeer(it, now))
+      continue;
+    ++endpoint_changes_;
+    context_.LogLeaving(it.endpoint, it.incarnation, "peer");
+  }
+}
+
 void StoreDesk::ChooseRelays() {
   relays_.SetHosts(hosts());
 }
@@ -199,7 +210,8 @@
     return;
   AskNews ask{relay->address, {}};
   for (const FeedKind feed : kRelayedFeeds)
-    ask.known.push_back({feed, FollowerOf(feed).version()});
+    ask.question.known.push_back({feed, FollowerOf(feed).version()});
+  ask.question.departures = directory_.RecentDepartures(now);
   context_.Emit(std::move(ask));
 }
 
@@ -210,10 +222,12 @@
 }
 
 void StoreDesk::Handle(const PeerNewsAsked& event, base::TimePoint now) {
+  TakeDepartures(event.question.departures, now);
   AnswerNews answer{event.exchange, {}};
+  answer.news.departures = directory_.RecentDepartures(now);
   answer.news.age = now - told_;
   answer.news.revision = configuration_ ? configuration_->revision : 0;
-  for (const KnownVersion& it : event.known) {
+  for (const KnownVersion& it : event.question.known) {
     answer.news.tables.push_back(LedgerOf(it.feed).NewsSince(it.version));
   }
   context_.Emit(std::move(answer));
@@ -221,6 +235,12 @@
 
 void StoreDesk::Handle(NewsHeard event, base::TimePoint now) {
   relays_.NoteAnswered(now);
+  // What an endpoint said holds, however old the store's word is.
+  TakeDepartures(event.news.departures, now);
+  // Relays don't ask each other: what one was told reaches the other by those
+  // who ask both.
+  if (!directory_.RecentDepartures(now).empty())
+    relays_.TakeTurns();
   const base::TimePoint holds_until = now - event.news.age + kNewsHolds;
   if (now < holds_until)
     TakeFreshNews(std::move(event.news.tables), holds_until, now);
--- a/Libraries/LibForward/store_desk.h
+++ b/Libraries/LibForward/store_desk.h
@@ -25,7 +25,8 @@
   void Handle(const TableCallFailed& event, base::TimePoint now);
   // An answer of the endpoint said that it leaves; false when that is known.
   bool NoteLeaving(const base::EndpointName& name,
-                   base::Incarnation incarnation);
+                   base::Incarnation incarnation,
+                   base::TimePoint now);
   void Handle(const PeerNewsAsked& event, base::TimePoint now);
   void Handle(NewsHeard event, base::TimePoint now);
   void Handle(const NewsFailed& event, base::TimePoint now);
@@ -76,6 +77,8 @@
                      base::TimePoint holds_until,
                      base::TimePoint now);
   void TakeNews(TableNews news, base::TimePoint now);
+  void TakeDepartures(const std::vector<EndpointDeparture>& departures,
+                      base::TimePoint now);
   void SpaceOutFailingCalls();
   void AskForNews(base::TimePoint now);
   void LogUnreadable(FeedKind feed, const FeedRow& row);
--- a/Libraries/LibForward/table_news.h
+++ b/Libraries/LibForward/table_news.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "LibBase/ids.h"
 #include "LibBase/time.h"
 #include "LibForward/feed_row.h"
 
@@ -29,9 +30,22 @@
   std::vector<FeedRow> rows;
 };
 
+// That this life of an endpoint leaves, by its own word in an answer.
+struct EndpointDeparture {
+  base::EndpointName endpoint;
+  base::Incarnation incarnation{};
+  base::Duration age{};  // Since it said so.
+};
+
+struct NewsQuestion {
+  std::vector<KnownVersion> known;
+  std::vector<EndpointDeparture> departures;  // That the asking host knows.
+};
+
 struct News {
   base::Duration age{};  // Since the store told the peer what endpoints exist.
   std::vector<TableNews> tables;
+  std::vector<EndpointDeparture> departures;
   uint64_t revision = 0;  // Of the configuration; 0 if none is known.
 };
 
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -237,8 +237,8 @@
     peers_->Respond(request.exchange, {204, {}, ""});
     return;
   } else if (request.path == kNewsPath) {
-    if (auto known = DecodeNewsQuestion(request.body)) {
-      Feed(forward::PeerNewsAsked{exchange, std::move(*known)});
+    if (auto question = DecodeNewsQuestion(request.body)) {
+      Feed(forward::PeerNewsAsked{exchange, std::move(*question)});
       return;
     }
   } else if (request.path == kMetricsPath) {
@@ -484,7 +484,7 @@
 
 void ForwardShell::Do(const forward::AskNews& action) {
   HttpRequest request =
-      PostTo(action.address, kNewsPath, EncodeNewsQuestion(action.known));
+      PostTo(action.address, kNewsPath, EncodeNewsQuestion(action.question));
   request.timeout = kNewsTimeout;
   http_->Send(std::move(request), [this](const HttpOutcome& outcome) {
     if (const auto* failure = std::get_if<HttpFailure>(&outcome)) {
--- a/Libraries/LibTransport/news_codec.cc
+++ b/Libraries/LibTransport/news_codec.cc
@@ -124,36 +124,69 @@
   return table;
 }
 
+Json::Value JsonOf(const std::vector<forward::EndpointDeparture>& departures) {
+  Json::Value array(Json::arrayValue);
+  for (const forward::EndpointDeparture& it : departures) {
+    Json::Value& object = array.append(Json::Value(Json::objectValue));
+    object["endpoint"] = it.endpoint.value;
+    object["incarnation"] = static_cast<Json::UInt64>(it.incarnation);
+    object["age_us"] = static_cast<Json::Int64>(it.age.count());
+  }
+  return array;
+}
+
+std::optional<std::vector<forward::EndpointDeparture>> DeparturesOf(
+    const Json::Value& array) {
+  if (!array.isArray())
+    return std::nullopt;
+  std::vector<forward::EndpointDeparture> departures;
+  for (const Json::Value& it : array) {
+    if (!it.isObject() || !HasTexts(it, {"endpoint"}) ||
+        !it["incarnation"].isUInt64() || !it["age_us"].isInt64())
+      return std::nullopt;
+    departures.push_back({{it["endpoint"].asString()},
+                          base::Incarnation{it["incarnation"].asUInt64()},
+                          base::Duration(it["age_us"].asInt64())});
+  }
+  return departures;
+}
+
 }  // namespace
 
-std::string EncodeNewsQuestion(
-    const std::vector<forward::KnownVersion>& known) {
-  Json::Value object(Json::objectValue);
-  for (const forward::KnownVersion& it : known)
-    object[std::string(forward::ToText(it.feed))] =
+std::string EncodeNewsQuestion(const forward::NewsQuestion& question) {
+  Json::Value object;
+  Json::Value& known = object["known"] = Json::Value(Json::objectValue);
+  for (const forward::KnownVersion& it : question.known)
+    known[std::string(forward::ToText(it.feed))] =
         static_cast<Json::UInt64>(it.version);
+  object["departures"] = JsonOf(question.departures);
   return PrintCompact(object);
 }
 
-std::optional<std::vector<forward::KnownVersion>> DecodeNewsQuestion(
-    std::string_view text) {
+std::optional<forward::NewsQuestion> DecodeNewsQuestion(std::string_view text) {
   const auto object = ParseCompact(text);
-  if (!object || !object->isObject())
+  if (!object || !object->isObject() || !(*object)["known"].isObject())
+    return std::nullopt;
+  auto departures = DeparturesOf((*object)["departures"]);
+  if (!departures)
     return std::nullopt;
-  std::vector<forward::KnownVersion> known;
-  for (const std::string& name : object->getMemberNames()) {
+  forward::NewsQuestion question;
+  question.departures = std::move(*departures);
+  const Json::Value& known = (*object)["known"];
+  for (const std::string& name : known.getMemberNames()) {
     const auto feed = FeedOf(Json::Value(name));
-    if (!feed || !(*object)[name].isUInt64())
+    if (!feed || !known[name].isUInt64())
       return std::nullopt;
-    known.push_back({*feed, (*object)[name].asUInt64()});
+    question.known.push_back({*feed, known[name].asUInt64()});
   }
-  return known;
+  return question;
 }
 
 std::string EncodeNews(const forward::News& news) {
   Json::Value object;
   object["age_us"] = static_cast<Json::UInt64>(news.age.count());
   object["revision"] = static_cast<Json::UInt64>(news.revision);
+  object["departures"] = JsonOf(news.departures);
   Json::Value& tables = object["tables"] = Json::Value(Json::arrayValue);
   for (const forward::TableNews& it : news.tables) {
     Json::Value& table = tables.append(Json::Value(Json::objectValue));
@@ -172,7 +205,11 @@
   if (!object || !object->isObject() || !(*object)["revision"].isUInt64() ||
       !(*object)["age_us"].isInt64() || !(*object)["tables"].isArray())
     return std::nullopt;
+  auto departures = DeparturesOf((*object)["departures"]);
+  if (!departures)
+    return std::nullopt;
   forward::News news;
+  news.departures = std::move(*departures);
   news.age = base::Duration((*object)["age_us"].asInt64());
   news.revision = (*object)["revision"].asUInt64();
   for (const Json::Value& it : (*object)["tables"]) {
--- a/Libraries/LibTransport/news_codec.h
+++ b/Libraries/LibTransport/news_codec.h
@@ -10,9 +10,8 @@
 // What entry hosts tell one another of the store's tables, as JSON.
 namespace bilberry::transport {
 
-std::string EncodeNewsQuestion(const std::vector<forward::KnownVersion>& known);
-std::optional<std::vector<forward::KnownVersion>> DecodeNewsQuestion(
-    std::string_view text);
+std::string EncodeNewsQuestion(const forward::NewsQuestion& question);
+std::optional<forward::NewsQuestion> DecodeNewsQuestion(std::string_view text);
 
 std::string EncodeNews(const forward::News& news);
 // Empty when any part of it can't be read.
--- a/Tests/LibEmulation/test_days.cc
+++ b/Tests/LibEmulation/test_days.cc
@@ -191,6 +191,7 @@
   day.departures.push_back({day.engines.name, 3, std::chrono::seconds(5)});
   EmulationReport report = Play(day, 1);
   CHECK(report.sent_though_leaving == 0);
+  CHECK(report.sent_though_zone_knew == 0);
   for (const auto& entry : report.kinds) {
     CAPTURE(entry.first);
     CHECK(entry.second.on_time_share() >= 0.95);
--- a/Tests/LibForward/test_endpoint_notices.cc
+++ b/Tests/LibForward/test_endpoint_notices.cc
@@ -131,6 +131,92 @@
   CHECK(bench.AskedByManyRequests() == std::set<std::string>{"e2"});
 }
 
+EndpointDeparture DepartureOf(const std::string& endpoint,
+                              base::Duration age,
+                              base::Incarnation incarnation = kFirstLife) {
+  return {{endpoint}, incarnation, age};
+}
+
+TEST_CASE("a peer's word that an endpoint leaves is believed") {
+  NoticeBench bench;
+  SUBCASE("in its news") {
+    News news;
+    // Of what the store told, the peer knows nothing new.
+    news.age = milliseconds(60'000);
+    news.departures = {DepartureOf("e1", milliseconds(900))};
+    bench.Feed(NewsHeard{news});
+  }
+  SUBCASE("in its question") {
+    bench.Feed(PeerNewsAsked{PeerExchangeId{1},
+                             {{}, {DepartureOf("e1", milliseconds(900))}}});
+  }
+  CHECK(bench.AskedByManyRequests() == std::set<std::string>{"e2"});
+  bench.Feed(
+      TableChanged{FeedKind::kEndpoints, {Row("e1", "llm", kSecondLife)}, 3});
+  // The other one is busy with those before.
+  CHECK(bench.AskedByManyRequests().contains("e1"));
+}
+
+TEST_CASE("a peer's word counts if it is recent and tells whose life it is") {
+  NoticeBench bench;
+  for (const EndpointDeparture& it :
+       {DepartureOf("e1", milliseconds(5000)),
+        DepartureOf("e1", milliseconds(-1)),
+        DepartureOf("e1", milliseconds(0), base::Incarnation{}),
+        DepartureOf("e1", milliseconds(0), base::Incarnation{7})}) {
+    News news;
+    news.departures = {it};
+    bench.Feed(NewsHeard{news});
+  }
+  CHECK(bench.AskedByManyRequests() == kBoth);
+}
+
+TEST_CASE("what is said of an earlier life takes nothing back") {
+  NoticeBench bench;
+  bench.Feed(
+      TableChanged{FeedKind::kEndpoints, {Row("e1", "llm", kSecondLife)}, 3});
+  bench.Feed(EndpointNoticed{{"e1"}, kSecondLife, Leaving()});
+  SUBCASE("by a peer") {
+    News news;
+    news.departures = {DepartureOf("e1", milliseconds(100))};
+    bench.Feed(NewsHeard{news});
+  }
+  SUBCASE("by a late answer") {
+    bench.Notice("e1", Leaving());
+  }
+  CHECK(bench.AskedByManyRequests() == std::set<std::string>{"e2"});
+}
+
+TEST_CASE("peers are told for a while what endpoints said") {
+  NoticeBench bench;
+  bench.Notice("e1", Leaving());
+  bench.Feed(EndpointNoticed{{"e2"}, base::Incarnation{}, Leaving()});
+  bench.Pass(milliseconds(700));
+  bench.Feed(PeerNewsAsked{PeerExchangeId{1}, {}});
+  const auto told = bench.Last<AnswerNews>()->news.departures;
+  // Of e2 it isn't known which life said so.
+  REQUIRE(told.size() == 1);
+  CHECK(told[0].endpoint.value == "e1");
+  CHECK(told[0].incarnation == kFirstLife);
+  CHECK(told[0].age == milliseconds(700));
+  bench.Pass(milliseconds(4300));
+  bench.Feed(PeerNewsAsked{PeerExchangeId{2}, {}});
+  CHECK(bench.Last<AnswerNews>()->news.departures.empty());
+}
+
+// What goes from peer to peer grows no younger on the way.
+TEST_CASE("a peer's word is passed on with its age") {
+  NoticeBench bench;
+  News news;
+  news.departures = {DepartureOf("e1", milliseconds(900))};
+  bench.Feed(NewsHeard{news});
+  bench.Pass(milliseconds(600));
+  bench.Feed(PeerNewsAsked{PeerExchangeId{1}, {}});
+  const auto told = bench.Last<AnswerNews>()->news.departures;
+  REQUIRE(told.size() == 1);
+  CHECK(told[0].age == milliseconds(1500));
+}
+
 TEST_CASE("another life of an endpoint that left is used") {
   NoticeBench bench;
   bench.Notice("e1", Leaving());
--- a/Tests/LibForward/test_relays.cc
+++ b/Tests/LibForward/test_relays.cc
@@ -154,6 +154,21 @@
   }
 }
 
+TEST_CASE("relays are asked by turns while there is something to tell") {
+  const std::vector<PeerHost> hosts = Fleet(25);
+  RelayDesk desk(hosts.back(), 1);
+  desk.SetHosts(hosts);
+  const auto first = desk.TakeDue(At(0));
+  REQUIRE(first.has_value());
+  desk.NoteAnswered(At(10));
+  desk.TakeTurns();
+  const auto second = desk.TakeDue(At(710));
+  REQUIRE(second.has_value());
+  CHECK(second->name != first->name);
+  desk.NoteAnswered(At(720));
+  CHECK(desk.TakeDue(At(1420))->name == second->name);
+}
+
 TEST_CASE("a relay that gives no answer is followed by the other one") {
   const std::vector<PeerHost> hosts = Fleet(25);
   RelayDesk desk(hosts.back(), 1);
--- /dev/null
+++ b/Tests/LibForward/test_run_times.cc
@@ -0,0 +1,98 @@
+#include <doctest/doctest.h>
+
+#include <memory>
+
+#include "LibForward/run_times.h"
+
+namespace bilberry::forward {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr base::TimePoint kNow{std::chrono::seconds(100)};
+
+// A leaf, and a stage with one that reads its results, all of one pool: calls
+// take 100 ms and 10 ms a piece.
+struct TimedRun {
+  TimedRun() {
+    ForwardedPool pool;
+    pool.name.value = "p";
+    pool.pieces = PieceLimits{1,
+                              8,
+                              milliseconds(100),
+                              milliseconds(10),
+                              1'000'000,
+                              milliseconds(4000)};
+    auto declared = std::make_shared<ForwardConfiguration>();
+    declared->pools = {pool};
+    pipeline.name.value = "draft";
+    pipeline.stages = {
+        {{"p"}, {}, 1000}, {{"p"}, {}, 1000}, {{"p"}, {1}, 1000}};
+    run.configuration = declared;
+    run.pipeline = &pipeline;
+    run.stages.resize(pipeline.stages.size());
+    for (StageState& it : run.stages) {
+      it.pieces = 1;
+      it.asked = kNow;
+    }
+  }
+
+  ForwardedPipeline pipeline;
+  ForwardedRun run;
+};
+
+// What RunTimes has learned from one delay.
+base::Duration MeanAfter(base::Duration sample) {
+  RecentDelay delay;
+  delay.Note(sample, kNow);
+  return delay.At(kNow);
+}
+
+TEST_CASE("before anything is learned a run needs its calls and its answer") {
+  const TimedRun it;
+  const RunTimes times;
+  CHECK(times.TimeAfter(it.run, 1, kNow) ==
+        milliseconds(110) + kLeastFinalTime);
+  CHECK(times.TimeAfter(it.run, 2, kNow) == kLeastFinalTime);
+}
+
+TEST_CASE("a run counts on the mean of the waits") {
+  TimedRun it;
+  RunTimes times;
+  it.run.stages[2].asked = kNow - milliseconds(310);
+  times.NoteJob(it.run, 2, kNow);
+  const base::Duration wait = MeanAfter(milliseconds(200));
+  CHECK(times.TimeAfter(it.run, 1, kNow) ==
+        milliseconds(110) + wait + kLeastFinalTime);
+  it.run.attempt = FinalAttempt{{}, {}, {}, kNow - milliseconds(1000), {}};
+  times.NoteFirstByte(it.run, kNow);
+  const base::Duration answer = MeanAfter(milliseconds(1000));
+  CHECK(times.TimeAfter(it.run, 2, kNow) == answer);
+}
+
+// A leaf that is there too early takes up room until it is read.
+TEST_CASE("a leaf is due by the mean of the waits") {
+  TimedRun it;
+  RunTimes times;
+  it.run.stages[1].asked = kNow - milliseconds(310);
+  times.NoteJob(it.run, 1, kNow);
+  const base::Duration wait = MeanAfter(milliseconds(200));
+  // Two stages, one after the other, against one: all of them wait alike.
+  const base::TimePoint due = times.DueTime(it.run, 0, kNow);
+  CHECK(due == kNow + milliseconds(110) + wait - milliseconds(50));
+  CHECK(times.DueTime(it.run, 1, kNow) < kNow);
+}
+
+TEST_CASE("waits are learned apart by urgency") {
+  TimedRun it;
+  RunTimes times;
+  it.run.urgency = Urgency{2};
+  it.run.stages[2].asked = kNow - milliseconds(310);
+  times.NoteJob(it.run, 2, kNow);
+  it.run.urgency = Urgency::kMost;
+  CHECK(times.TimeAfter(it.run, 1, kNow) ==
+        milliseconds(110) + kLeastFinalTime);
+}
+
+}  // namespace
+}  // namespace bilberry::forward
--- a/Tests/LibTransport/test_news_codec.cc
+++ b/Tests/LibTransport/test_news_codec.cc
@@ -31,6 +31,7 @@
   hosts.rows = {
       {"h1", forward::PeerHost{{"h1"}, {"10.0.0.2", 7740}, {"z"}, 0.5, 200.0}}};
   news.tables = {endpoints, hosts};
+  news.departures = {{{"e1"}, base::Incarnation{1764}, milliseconds(300)}};
   return news;
 }
 
@@ -49,10 +50,27 @@
       std::get<forward::ListedEndpoint>(MakeNews().tables[0].rows[0].content));
   CHECK(std::holds_alternative<forward::RowRemoved>(rows[1].content));
   CHECK(news->tables[1].is_whole);
-  const auto known = DecodeNewsQuestion(
-      EncodeNewsQuestion({{forward::FeedKind::kEndpoints, 40}}));
-  REQUIRE(known.has_value());
-  CHECK(known->front().version == 40);
+  REQUIRE(news->departures.size() == 1);
+  CHECK(news->departures[0].endpoint.value == "e1");
+  CHECK(news->departures[0].incarnation == base::Incarnation{1764});
+  CHECK(news->departures[0].age == milliseconds(300));
+}
+
+TEST_CASE("a question for news keeps what the asking host knows") {
+  const auto question = DecodeNewsQuestion(
+      EncodeNewsQuestion({{{forward::FeedKind::kEndpoints, 40}},
+                          {{{"e1"}, base::Incarnation{7}, milliseconds(20)}}}));
+  REQUIRE(question.has_value());
+  REQUIRE(question->known.size() == 1);
+  CHECK(question->known.front().version == 40);
+  REQUIRE(question->departures.size() == 1);
+  CHECK(question->departures[0].incarnation == base::Incarnation{7});
+  for (const char* text :
+       {"", "{}", "{\"known\":{}}", "{\"known\":{},\"departures\":[1]}",
+        "{\"known\":{\"x\":1},\"departures\":[]}",
+        "{\"known\":{\"endpoints\":\"1\"},\"departures\":[]}",
+        "{\"known\":{},\"departures\":[{\"endpoint\":\"e\"}]}"})
+    CHECK_FALSE(DecodeNewsQuestion(text).has_value());
 }
 
 TEST_CASE("news with a part that can't be read is refused as a whole") {
