bilberryctl: Tell in a request's story which endpoints were left alone

explain showed an endpoint's word (leaving, quiet) to who looked for the endpoint only. A request that is refused because all of a pool are quiet names none, so that its story gave no cause. Now the notices that held at the request's hosts while it was there stand behind its own lines; those of other hosts, and quiet times that were over, don't.

--- a/Libraries/LibOperator/request_story.cc
+++ b/Libraries/LibOperator/request_story.cc
@@ -1,9 +1,9 @@
 #include "LibOperator/request_story.h"
 
 #include <algorithm>
+#include <charconv>
 #include <iomanip>
 #include <optional>
-#include <set>
 #include <sstream>
 
 #include "LibTransport/json_text.h"
@@ -14,8 +14,11 @@
 
 // What happened this long before a request may still be its cause.
 constexpr int64_t kBeforeMs = 2000;
-constexpr size_t kMostWarnings = 30;
+constexpr size_t kMostLines = 30;  // Of what names no request.
 constexpr int64_t kMsPerSecond = 1000;
+// Names of EVENTS.
+constexpr const char* kLeavingEvent = "endpoint-leaving";
+constexpr const char* kQuietEvent = "endpoint-quiet";
 
 // Empty when it is no text.
 std::string TextOf(const Json::Value& value) {
@@ -87,6 +90,42 @@
   std::ranges::stable_sort(lines, {}, &StoryLine::unix_ms);
 }
 
+// 0 if the line has no such fact, or one that is no number.
+int64_t FactOf(const StoryLine& line, const std::string& name) {
+  const auto it = std::ranges::find(
+      line.facts, name, &std::pair<std::string, std::string>::first);
+  int64_t number = 0;
+  if (it != line.facts.end())
+    std::from_chars(it->second.data(), it->second.data() + it->second.size(),
+                    number);
+  return number;
+}
+
+void PrintFirst(const char* title,
+                std::vector<StoryLine> lines,
+                int64_t begin,
+                std::ostream& out) {
+  if (lines.empty())
+    return;
+  SortByTime(lines);
+  out << title << "\n";
+  for (size_t i = 0; i < std::min(lines.size(), kMostLines); ++i)
+    PrintLine(lines[i], begin, out);
+  if (lines.size() > kMostLines)
+    out << "and " << lines.size() - kMostLines << " more\n";
+}
+
+// The latest ones: those long before are likelier to be over.
+void PrintLast(const char* title,
+               std::vector<StoryLine> lines,
+               int64_t begin,
+               std::ostream& out) {
+  SortByTime(lines);
+  if (lines.size() > kMostLines)
+    lines.erase(lines.begin(), lines.end() - kMostLines);
+  PrintFirst(title, std::move(lines), begin, out);
+}
+
 }  // namespace
 
 void RequestStory::Read(std::istream& log, const std::string& file) {
@@ -103,11 +142,27 @@
     StoryLine line = LineOf(*object, OriginOf(text.substr(0, begin), file));
     if (tells_of_it)
       told_.push_back(std::move(line));
+    else if (line.event == kLeavingEvent || line.event == kQuietEvent)
+      notices_.push_back(std::move(line));
     else if (!line.is_routine && !object->isMember("request"))
       warnings_.push_back(std::move(line));
   }
 }
 
+// An endpoint that leaves stays away; a quiet time has an end.
+bool RequestStory::IsInForce(const StoryLine& notice, const Span& span) {
+  if (!span.origins.contains(notice.origin) || notice.unix_ms > span.end_ms)
+    return false;
+  return notice.event == kLeavingEvent ||
+         notice.unix_ms + FactOf(notice, "for_ms") >= span.begin_ms;
+}
+
+bool RequestStory::IsAround(const StoryLine& warning, const Span& span) {
+  return span.origins.contains(warning.origin) &&
+         warning.unix_ms >= span.begin_ms - kBeforeMs &&
+         warning.unix_ms <= span.end_ms;
+}
+
 std::string RequestStory::Print() const {
   std::vector<StoryLine> told = told_;
   SortByTime(told);
@@ -115,26 +170,23 @@
   out << "request " << request_id_ << "\n";
   if (told.empty())
     return out.str();
-  const int64_t begin = told.front().unix_ms;
-  std::set<std::string> origins;
+  Span span{told.front().unix_ms, told.back().unix_ms, {}};
   for (const StoryLine& line : told) {
-    PrintLine(line, begin, out);
-    origins.insert(line.origin);
+    PrintLine(line, span.begin_ms, out);
+    span.origins.insert(line.origin);
   }
+  std::vector<StoryLine> in_force;
+  std::ranges::copy_if(
+      notices_, std::back_inserter(in_force),
+      [&span](const StoryLine& it) { return IsInForce(it, span); });
+  PrintLast("endpoints that these hosts left alone meanwhile:",
+            std::move(in_force), span.begin_ms, out);
   std::vector<StoryLine> around;
   std::ranges::copy_if(
-      warnings_, std::back_inserter(around), [&](const StoryLine& it) {
-        return origins.contains(it.origin) && it.unix_ms >= begin - kBeforeMs &&
-               it.unix_ms <= told.back().unix_ms;
-      });
-  if (around.empty())
-    return out.str();
-  SortByTime(around);
-  out << "what these hosts warned of meanwhile:\n";
-  for (size_t i = 0; i < std::min(around.size(), kMostWarnings); ++i)
-    PrintLine(around[i], begin, out);
-  if (around.size() > kMostWarnings)
-    out << "and " << around.size() - kMostWarnings << " more\n";
+      warnings_, std::back_inserter(around),
+      [&span](const StoryLine& it) { return IsAround(it, span); });
+  PrintFirst("what these hosts warned of meanwhile:", std::move(around),
+             span.begin_ms, out);
   return out.str();
 }
 
--- a/Libraries/LibOperator/request_story.h
+++ b/Libraries/LibOperator/request_story.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <istream>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,13 +29,24 @@
   void Read(std::istream& log, const std::string& file);
 
   bool is_empty() const { return told_.empty(); }
-  // Lines that name the request, in the order of time; then what else the same
-  // hosts warned of meanwhile.
+  // Lines that name the request, in the order of time; then which endpoints the
+  // same hosts left alone meanwhile, and what else they warned of.
   std::string Print() const;
 
  private:
+  // What a request's lines span.
+  struct Span {
+    int64_t begin_ms = 0;
+    int64_t end_ms = 0;
+    std::set<std::string> origins;
+  };
+
+  static bool IsInForce(const StoryLine& notice, const Span& span);
+  static bool IsAround(const StoryLine& warning, const Span& span);
+
   std::string request_id_;
   std::vector<StoryLine> told_;
+  std::vector<StoryLine> notices_;   // Endpoints that ask to get nothing.
   std::vector<StoryLine> warnings_;  // That name no request.
 };
 
--- a/Tests/LibOperator/test_request_story.cc
+++ b/Tests/LibOperator/test_request_story.cc
@@ -44,6 +44,40 @@
         "  -1.000 s  a.log  platform-unreachable  feed=hosts\n");
 }
 
+std::string NoticeLine(int64_t unix_ms,
+                       const std::string& name,
+                       const std::string& facts) {
+  return R"({"unix_ms":)" + std::to_string(unix_ms) +
+         R"(,"event":1,"severity":"info","name":")" + name + R"(",)" + facts +
+         "}\n";
+}
+
+// Which endpoints a host left alone tells why it refused, or went elsewhere.
+TEST_CASE("a story names the endpoints that its hosts left alone just then") {
+  RequestStory story("r1");
+  std::istringstream log(
+      kAskingHost + NoticeLine(400, "endpoint-leaving", R"("endpoint":"e1")") +
+      NoticeLine(900, "endpoint-quiet", R"("endpoint":"e2","for_ms":"1500")") +
+      NoticeLine(1000, "endpoint-quiet", R"("endpoint":"e3","for_ms":"1600")") +
+      NoticeLine(2600, "endpoint-quiet", R"("endpoint":"e4","for_ms":"90")") +
+      NoticeLine(2500, "endpoint-quiet", R"("endpoint":"e5","for_ms":"x")"));
+  story.Read(log, "a.log");
+  std::istringstream other(
+      NoticeLine(2400, "endpoint-leaving", R"("endpoint":"e6")"));
+  story.Read(other, "b.log");
+  CHECK(story.Print() ==
+        "request r1\n"
+        "  +0.000 s  a.log  stage-ended  outcome=too_late  pool=makers  "
+        "retry_ms=700\n"
+        "  +0.001 s  a.log  request-ended  outcome=too_late\n"
+        "endpoints that these hosts left alone meanwhile:\n"
+        "  -2.100 s  a.log  endpoint-leaving  endpoint=e1\n"
+        "  -1.500 s  a.log  endpoint-quiet  endpoint=e3  for_ms=1600\n"
+        "  +0.000 s  a.log  endpoint-quiet  endpoint=e5  for_ms=x\n"
+        "what these hosts warned of meanwhile:\n"
+        "  -1.500 s  a.log  platform-unreachable  feed=hosts\n");
+}
+
 TEST_CASE("lines of other programs are passed over") {
   RequestStory story("r1");
   std::istringstream log(
