LibNode: Refuse at the door while all of a pool want to be left alone

bilberryd kept a request waiting for endpoints that had all asked for quiet, up to its deadline, and then refused it. Now a run that has cost nothing is refused at once (endpoints_quiet) with the time at which the first endpoint opens, spread by up to a quarter; one that has results waits as before, as does one that comes within 50 ms of the opening. A booking refused so leaves its key free. Spreading retry times stood in RunDesk and would have stood twice: it is policy::SpreadOut() now.

--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "LibBase/overloaded.h"
+#include "LibPolicy/retry_spread.h"
 
 namespace bilberry::forward {
 
@@ -39,10 +40,6 @@
 }
 
 constexpr int kFirstServerError = 500;
-// Retry times are up to this much longer at random, so that those who were
-// refused together don't come back together.
-constexpr uint64_t kRetrySpreadPercent = 25;
-constexpr int64_t kPercent = 100;
 
 // The longest prefix that other requests may share: the last part is the
 // request's own, the one before it is its session's.
@@ -184,7 +181,7 @@
   } else if (const auto* quiet = std::get_if<EndpointsQuiet>(&probable)) {
     if (quiet->until > now + kWaitAtDoor) {
       Refuse(*run.request, OwnAnswerCode::kNoEndpoint,
-             SpreadOut(quiet->until - now));
+             policy::SpreadOut(quiet->until - now, random_));
       return std::nullopt;
     }
   } else {
@@ -618,18 +615,13 @@
   return std::max<base::Duration>(kRefusedRetry, open.value_or(now) - now);
 }
 
-base::Duration RunDesk::SpreadOut(base::Duration retry_after) {
-  const auto percent = static_cast<int64_t>(random_.Below(kRetrySpreadPercent));
-  return retry_after + retry_after * percent / kPercent;
-}
-
 void RunDesk::AnswerAndEnd(base::CallerId caller,
                            OwnAnswerCode code,
                            std::optional<base::Duration> retry_after,
                            base::TimePoint now) {
   ForwardedRun& run = runs_.at(caller);
   if (retry_after)
-    retry_after = SpreadOut(*retry_after);
+    retry_after = policy::SpreadOut(*retry_after, random_);
   if (run.has_begun_stream)
     context_.Emit(EndStream{caller, StreamOutcome::kCut});
   else
--- a/Libraries/LibForward/run_desk.h
+++ b/Libraries/LibForward/run_desk.h
@@ -101,8 +101,6 @@
   void WaitForQuiet(base::CallerId caller,
                     base::TimePoint until,
                     base::TimePoint now);
-  // Longer at random, so that who is refused together doesn't return together.
-  base::Duration SpreadOut(base::Duration retry_after);
   // What a refused caller of this pool is to wait at the least.
   base::Duration RetryAfterRefusal(const ForwardedRun& run,
                                    base::TimePoint now) const;
--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -8,6 +8,7 @@
 
 #include "LibBase/overloaded.h"
 #include "LibNode/request_checker.h"
+#include "LibPolicy/retry_spread.h"
 
 namespace bilberry::node {
 
@@ -21,6 +22,9 @@
 constexpr std::chrono::milliseconds kRetryAfterNotReady{1000};
 constexpr std::chrono::milliseconds kRetryAfterFull{1000};
 constexpr std::chrono::milliseconds kRetryAfterFailure{1000};
+// A request is taken on though all endpoints want to be left alone, if one of
+// them opens within this time.
+constexpr std::chrono::milliseconds kWaitAtDoor{50};
 
 constexpr size_t kAffinityPrefixBytes = 256;
 
@@ -224,6 +228,25 @@
   return sum;
 }
 
+// A run that has cost nothing yet doesn't wait for endpoints that all want to
+// be left alone. The baseline takes in whatever comes.
+bool RunCoordinator::RefuseWhileQuiet(ActiveRun& active, base::TimePoint now) {
+  const pipeline::Run& run = active.run;
+  if (context_.policy() == policy::PolicyKind::kBaseline ||
+      run.executed() != Executed::kNo || run.stage_index() > 0)
+    return false;
+  const base::TimePoint open = PoolOf(run).OpenFrom(now);
+  if (open <= now + kWaitAtDoor)
+    return false;
+  GiveUp(active,
+         {"endpoints_quiet", Step::kAdmission, "",
+          "all endpoints of the pool " + run.stage().pool.value +
+              " want to be left alone",
+          ToMilliseconds(policy::SpreadOut(open - now, context_.random()))},
+         now);
+  return true;
+}
+
 void RunCoordinator::OfferStage(ActiveRun& active, base::TimePoint now) {
   const pipeline::Run& run = active.run;
   // A booking comes here only once its claim is granted: before that, whether
@@ -237,6 +260,8 @@
            now);
     return;
   }
+  if (RefuseWhileQuiet(active, now))
+    return;
   const auto decision = DecideAdmission(run, now);
   if (const auto* late = std::get_if<policy::DeadlineUnreachable>(&decision)) {
     GiveUp(active,
--- a/Libraries/LibNode/run_coordinator.h
+++ b/Libraries/LibNode/run_coordinator.h
@@ -124,6 +124,9 @@
   // What the stages after the present one are expected to take.
   base::Duration ServiceAfter(const pipeline::Run& run,
                               base::TimePoint now) const;
+  // True when the run has been refused, since all endpoints of its first pool
+  // want to be left alone.
+  bool RefuseWhileQuiet(ActiveRun& active, base::TimePoint now);
   void OfferStage(ActiveRun& active, base::TimePoint now);
   // Ends a run of which nothing is under way, and tells when to come back.
   void GiveUp(ActiveRun& active, CallerError error, base::TimePoint now);
--- a/Libraries/LibPolicy/pool_scheduler.cc
+++ b/Libraries/LibPolicy/pool_scheduler.cc
@@ -257,6 +257,12 @@
   FindNextReturn(now);
 }
 
+base::TimePoint PoolScheduler::OpenFrom(base::TimePoint now) const {
+  const auto first =
+      std::ranges::min_element(slots_, {}, &EndpointSlot::quiet_until);
+  return first == slots_.end() ? now : std::max(now, first->quiet_until());
+}
+
 void PoolScheduler::NoteLatency(const Call& call,
                                 const AttemptReport& report,
                                 base::TimePoint now) {
--- a/Libraries/LibPolicy/pool_scheduler.h
+++ b/Libraries/LibPolicy/pool_scheduler.h
@@ -72,6 +72,10 @@
                  base::TimePoint until,
                  base::TimePoint now);
 
+  // When the first endpoint may be given something, as far as they asked to be
+  // left alone; `now` if one may be, or if there is none.
+  base::TimePoint OpenFrom(base::TimePoint now) const;
+
   // Notes what a peer has in flight at this pool, as it told just now.
   void NotePeerShare(const base::HostName& peer,
                      uint32_t in_flight,
--- /dev/null
+++ b/Libraries/LibPolicy/retry_spread.cc
@@ -0,0 +1,19 @@
+#include "LibPolicy/retry_spread.h"
+
+#include <cstdint>
+
+namespace bilberry::policy {
+
+namespace {
+
+constexpr uint64_t kSpreadPercent = 25;
+constexpr int64_t kPercent = 100;
+
+}  // namespace
+
+base::Duration SpreadOut(base::Duration retry_after, base::Random& random) {
+  const auto percent = static_cast<int64_t>(random.Below(kSpreadPercent));
+  return retry_after + retry_after * percent / kPercent;
+}
+
+}  // namespace bilberry::policy
--- a/Tests/LibNode/test_admission.cc
+++ b/Tests/LibNode/test_admission.cc
@@ -53,5 +53,77 @@
   }
 }
 
+// One endpoint a pool, of which the one for stock and bookings has turned a
+// request away and wants nothing for two seconds.
+struct QuietPool {
+  QuietPool() : harness(store, fakes::MakeOptions("entry-1", 1)) {
+    fakes::PutSmallDeployment(store);
+    harness.Feed(TimerDue{});
+    harness.Call("stock");
+    TurnAway(harness.TakeSent().at(0));
+    harness.TakeAnswers();
+  }
+
+  void TurnAway(const SendToEndpoint& sent) {
+    EndpointAnswer answer;
+    answer.attempt = sent.attempt;
+    answer.echoed_attempt = base::ToText(sent.attempt);
+    answer.status = 503;
+    answer.said_not_run = true;
+    answer.retry_after = kQuiet;
+    harness.Feed(answer);
+  }
+
+  static constexpr std::chrono::milliseconds kQuiet{2000};
+  fakes::PlatformStore store;
+  fakes::NodeHarness harness;
+};
+
+TEST_CASE("while all of a pool want to be left alone a request is refused") {
+  QuietPool pool;
+  pool.harness.Advance(std::chrono::milliseconds(500));
+  pool.harness.Call("stock");
+  CHECK(pool.harness.TakeSent().empty());
+  const auto answers = pool.harness.TakeAnswers();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].answer.status == 503);
+  CHECK(answers[0].answer.executed == Executed::kNo);
+  REQUIRE(answers[0].answer.error);
+  CHECK(answers[0].answer.error->code == "endpoints_quiet");
+  // Not before the endpoint opens, and not long after it.
+  const auto retry_after = answers[0].answer.error->retry_after;
+  REQUIRE(retry_after);
+  CHECK(*retry_after >= std::chrono::milliseconds(1500));
+  CHECK(*retry_after <= std::chrono::milliseconds(1875));
+  // Other pools serve on.
+  pool.harness.Call("quotation");
+  CHECK(pool.harness.TakeSent().size() == 1);
+  pool.harness.Advance(std::chrono::milliseconds(1500));
+  pool.harness.Call("stock");
+  CHECK(pool.harness.TakeSent().size() == 1);
+}
+
+TEST_CASE("a request waits at the door for an endpoint that opens soon") {
+  QuietPool pool;
+  pool.harness.Advance(std::chrono::milliseconds(1960));
+  pool.harness.Call("stock");
+  CHECK(pool.harness.TakeSent().empty());
+  CHECK(pool.harness.TakeAnswers().empty());
+  pool.harness.Advance(std::chrono::milliseconds(40));
+  CHECK(pool.harness.TakeSent().size() == 1);
+}
+
+TEST_CASE("a booking that is refused for a quiet pool leaves its key free") {
+  QuietPool pool;
+  pool.harness.Call("booking", "key-1");
+  CHECK(pool.harness.TakeSent().empty());
+  const auto answers = pool.harness.TakeAnswers();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].answer.executed == Executed::kNo);
+  pool.harness.Advance(QuietPool::kQuiet);
+  pool.harness.Call("booking", "key-1");
+  CHECK(pool.harness.TakeSent().size() == 1);
+}
+
 }  // namespace
 }  // namespace bilberry::node
