--- a/Tests/LibTransport/test_endless_answers.cc
+++ b/Tests/LibTransport/test_endless_answers.cc
@@ -164,6 +164,27 @@
   }
 }
 
+// An endpoint may say behind a stream what it didn't know at its head.
+TEST_CASE("what stands behind a chunked body is read with the answer's head") {
+  const FloodServer server(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nFirst: head\r\n\r\n"
+      "4\r\nbody\r\n0\r\nSecond: trailer\r\n\r\n",
+      "more");
+  HttpPair pair([](const IncomingRequest&) {});
+  HttpRequest request = pair.Request();
+  request.address = server.address();
+  std::optional<HttpOutcome> outcome;
+  pair.client->Send(
+      request, [&outcome](HttpOutcome it) { outcome = std::move(it); },
+      [](const HttpResponse&, const std::string&) {});
+  REQUIRE(pair.RunUntil([&] { return outcome.has_value(); }));
+  const auto* response = std::get_if<HttpResponse>(&*outcome);
+  REQUIRE(response != nullptr);
+  REQUIRE(FindHeader(response->headers, "First") != nullptr);
+  REQUIRE(FindHeader(response->headers, "Second") != nullptr);
+  CHECK(*FindHeader(response->headers, "Second") == "trailer");
+}
+
 TEST_CASE("a listener names requests in its answers to those who ask for it") {
   for (const bool echoes : {false, true}) {
     CAPTURE(echoes);
