--- a/Tests/LibTransport/test_silent_connections.cc
+++ b/Tests/LibTransport/test_silent_connections.cc
@@ -4,14 +4,9 @@
 #include <optional>
 #include <string>
 
-#include "Fakes/node_harness.h"
 #include "LibPolicy/retry_budget.h"
-#include "LibTransport/node_shell.h"
-#include "Standins/endpoint_standin.h"
-#include "Standins/free_address.h"
-#include "Standins/platform_standin.h"
 #include "Standins/relay.h"
-#include "http_pair.h"
+#include "one_host_world.h"
 
 namespace bilberry::transport {
 namespace {
@@ -20,71 +15,25 @@
 using standins::Relay;
 
 // One entry host whose link to the pool "desk" a test can cut.
-class LinkedWorld {
+class LinkedWorld : public OneHostWorld {
  public:
   LinkedWorld() {
-    base::HostEntry entry = fakes::MakeEndpoint("desk-1", "desk");
-    entry.address.port = 0;
-    desk = Sound(standins::EndpointStandin::Create(reactor, timers, entry, {}));
-    link =
-        Sound(Relay::Create(reactor, {"127.0.0.1", 0}, desk->entry().address));
-    fakes::PutSmallDeployment(platform->store());
-    entry = desk->entry();
+    base::HostEntry entry = desk->entry();
     entry.address = link->address();
     platform->store().PutHost(entry);
-    node::NodeOptions options = fakes::MakeOptions("entry-1", 1);
-    options.settings.platform = platform->address();
-    options.settings.callers = standins::FreeAddress(reactor);
-    options.settings.peers = standins::FreeAddress(reactor);
-    callers = options.settings.callers;
-    shell = Sound(NodeShell::Create(reactor, std::move(options)));
-    WaitUntilReady();
+    shell = StartHost();
   }
 
   HttpResponse Call(const std::string& pipeline, HttpHeaders headers) {
-    HttpRequest request;
-    request.method = HttpMethod::kPost;
-    request.address = callers;
-    request.path = "/v1/pipelines/" + pipeline;
-    request.headers = std::move(headers);
-    request.headers.push_back({kTeamHeader, "t"});
-    request.body = "{}";
-    return Ask(std::move(request));
+    headers.push_back({kTeamHeader, "t"});
+    return Post("/v1/pipelines/" + pipeline, std::move(headers), "{}");
   }
 
-  Reactor reactor;
-  TimerQueue timers{reactor};
-  std::unique_ptr<HttpClient> http = Sound(HttpClient::Create(reactor));
-  std::unique_ptr<standins::PlatformStandin> platform =
-      Sound(standins::PlatformStandin::Create(reactor,
-                                              {"127.0.0.1", 0},
-                                              {"127.0.0.1", 0}));
-  std::unique_ptr<standins::EndpointStandin> desk;
-  std::unique_ptr<Relay> link;
-  base::SocketAddress callers;
+  std::unique_ptr<standins::EndpointStandin> desk =
+      MakeEndpoint("desk-1", "desk");
+  std::unique_ptr<Relay> link =
+      Sound(Relay::Create(reactor, {"127.0.0.1", 0}, desk->entry().address));
   std::unique_ptr<NodeShell> shell;
-
- private:
-  HttpResponse Ask(HttpRequest request) {
-    std::optional<HttpOutcome> outcome;
-    http->Send(std::move(request),
-               [&outcome](HttpOutcome it) { outcome = std::move(it); });
-    const base::TimePoint end = reactor.Now() + kPatience;
-    while (!outcome && reactor.Now() < end)
-      reactor.RunOnce(kTurn);
-    REQUIRE(outcome);
-    REQUIRE(std::holds_alternative<HttpResponse>(*outcome));
-    return std::get<HttpResponse>(std::move(*outcome));
-  }
-
-  void WaitUntilReady() {
-    HttpRequest request;
-    request.address = callers;
-    request.path = "/readyz";
-    const base::TimePoint end = reactor.Now() + kPatience;
-    while (Ask(request).status != 200)
-      REQUIRE(reactor.Now() < end);
-  }
 };
 
 TEST_SUITE_BEGIN("contract");
--- a/Tests/LibTransport/test_whole_path.cc
+++ b/Tests/LibTransport/test_whole_path.cc
@@ -4,94 +4,31 @@
 #include <optional>
 #include <string>
 
-#include "Fakes/node_harness.h"
-#include "LibTransport/node_shell.h"
 #include "LibTransport/peer_client.h"
 #include "LibTransport/report_codec.h"
-#include "LibTransport/timer_queue.h"
-#include "Standins/endpoint_standin.h"
-#include "Standins/free_address.h"
-#include "Standins/platform_standin.h"
-#include "http_pair.h"
+#include "one_host_world.h"
 
 namespace bilberry::transport {
 namespace {
 
-// A platform, two pools and one entry host over real sockets, in one loop.
-class SmallWorld {
+// One entry host with two pools of one endpoint each.
+class SmallWorld : public OneHostWorld {
  public:
   SmallWorld() {
-    fakes::PutSmallDeployment(platform->store());
-    Replace(*engine);
-    Replace(*desk);
-    node::NodeOptions options = fakes::MakeOptions("entry-1", 1);
-    options.settings.platform = platform->address();
-    options.settings.callers = standins::FreeAddress(reactor);
-    options.settings.peers = standins::FreeAddress(reactor);
-    callers = options.settings.callers;
-    peers = options.settings.peers;
-    token = options.settings.operator_token;
-    shell = Sound(NodeShell::Create(reactor, std::move(options)));
-    WaitUntilReady();
+    platform->store().PutHost(engine->entry());
+    platform->store().PutHost(desk->entry());
+    shell = StartHost();
   }
 
   HttpResponse Post(const std::string& path, HttpHeaders headers) {
-    HttpRequest request;
-    request.method = HttpMethod::kPost;
-    request.address = callers;
-    request.path = path;
-    request.headers = std::move(headers);
-    request.body = R"("asked")";
-    return Ask(std::move(request));
-  }
-
-  HttpResponse Ask(HttpRequest request) {
-    std::optional<HttpOutcome> outcome;
-    http->Send(std::move(request),
-               [&outcome](HttpOutcome it) { outcome = std::move(it); });
-    const base::TimePoint end = reactor.Now() + kPatience;
-    while (!outcome && reactor.Now() < end)
-      reactor.RunOnce(kTurn);
-    REQUIRE(outcome);
-    REQUIRE(std::holds_alternative<HttpResponse>(*outcome));
-    return std::get<HttpResponse>(std::move(*outcome));
+    return OneHostWorld::Post(path, std::move(headers), R"("asked")");
   }
 
-  Reactor reactor;
-  TimerQueue timers{reactor};
-  std::unique_ptr<HttpClient> http = Sound(HttpClient::Create(reactor));
-  std::unique_ptr<standins::PlatformStandin> platform =
-      Sound(standins::PlatformStandin::Create(reactor,
-                                              {"127.0.0.1", 0},
-                                              {"127.0.0.1", 0}));
   std::unique_ptr<standins::EndpointStandin> engine =
-      Endpoint("engine-1", "engines");
-  std::unique_ptr<standins::EndpointStandin> desk = Endpoint("desk-1", "desk");
-  base::SocketAddress callers;
-  base::SocketAddress peers;
-  std::string token;
+      MakeEndpoint("engine-1", "engines");
+  std::unique_ptr<standins::EndpointStandin> desk =
+      MakeEndpoint("desk-1", "desk");
   std::unique_ptr<NodeShell> shell;
-
- private:
-  std::unique_ptr<standins::EndpointStandin> Endpoint(const char* name,
-                                                      const char* pool) {
-    base::HostEntry entry = fakes::MakeEndpoint(name, pool);
-    entry.address.port = 0;
-    return Sound(standins::EndpointStandin::Create(reactor, timers, entry, {}));
-  }
-
-  void Replace(const standins::EndpointStandin& standin) {
-    platform->store().PutHost(standin.entry());
-  }
-
-  void WaitUntilReady() {
-    HttpRequest request;
-    request.address = callers;
-    request.path = "/readyz";
-    const base::TimePoint end = reactor.Now() + kPatience;
-    while (Ask(request).status != 200)
-      REQUIRE(reactor.Now() < end);
-  }
 };
 
 TEST_SUITE_BEGIN("contract");
