--- a/Libraries/LibForward/endpoint_directory.cc
+++ b/Libraries/LibForward/endpoint_directory.cc
@@ -9,7 +9,7 @@
 // Beyond so many endpoints that said that they leave, those that aren't listed
 // are forgotten.
 constexpr size_t kMostLeaving = 1000;
-// Peers are told for so long: each hears of it within two questions, and
+// Peers are told for so long: each asks several times meanwhile, and
 // entries tell it by then.
 constexpr std::chrono::milliseconds kToldFor{5000};
 constexpr size_t kMostTold = 100;
--- a/Libraries/LibForward/endpoint_directory.h
+++ b/Libraries/LibForward/endpoint_directory.h
@@ -38,7 +38,7 @@
   // The same by a peer's word, if that is recent and tells which life it is of.
   bool NoteLeavingByPeer(const EndpointDeparture& departure,
                          base::TimePoint now);
-  // What peers are to know: the latest ones whose life is known.
+  // What peers are to be told: what was said lately by a life that is known.
   std::vector<EndpointDeparture> RecentDepartures(base::TimePoint now) const;
 
   // Those that are known to leave have that state.
