LibForward: Read the limit that an endpoint names, and log each change of it

What callers saw: endpoints in need got more requests than they had said that they can take.

The word is decoded once, in platform/: a decimal number of requests a second; none in an answer means that there is no limit; what is no number says nothing. It is kept by life of the endpoint with the time at which it was heard, so that an answer which may be older than the newest can only lower a limit; a stream's head counts when it comes, not again at the stream's end. Each change is a line (1206) and is counted. No choice of an endpoint goes by it yet.

--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -27,6 +27,7 @@
     {kHostsLearntFromPeer, kInfo, "hosts-learnt-from-peer"},
     {kEndpointQuiet, kInfo, "endpoint-quiet"},
     {kEndpointOpen, kInfo, "endpoint-open"},
+    {kEndpointLimit, kInfo, "endpoint-limit"},
     {kPlatformUnreachable, kWarning, "platform-unreachable"},
     {kPlatformReachable, kInfo, "platform-reachable"},
     {kPlatformRowUnreadable, kWarning, "platform-row-unreadable"},
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -25,6 +25,7 @@
   kHostsLearntFromPeer = 1203,
   kEndpointQuiet = 1204,
   kEndpointOpen = 1205,
+  kEndpointLimit = 1206,
   kPlatformUnreachable = 1301,
   kPlatformReachable = 1302,
   kPlatformRowUnreadable = 1303,
--- a/Libraries/LibForward/forward_context.h
+++ b/Libraries/LibForward/forward_context.h
@@ -8,6 +8,7 @@
 
 #include "LibBase/ids.h"
 #include "LibForward/dispatcher_ring.h"
+#include "LibForward/endpoint_limits.h"
 #include "LibForward/forward_action.h"
 #include "LibForward/quiet_times.h"
 
@@ -40,6 +41,8 @@
 
   QuietTimes& quiet_times() { return quiet_times_; }
   const QuietTimes& quiet_times() const { return quiet_times_; }
+  EndpointLimits& limits() { return limits_; }
+  const EndpointLimits& limits() const { return limits_; }
 
   void Emit(Action action) { actions_.push_back(std::move(action)); }
   void Log(base::LogEventId id,
@@ -56,11 +59,22 @@
          {"incarnation", std::to_string(static_cast<uint64_t>(incarnation))},
          {"told_by", std::string(told_by)}});
   }
+  void LogLimit(const base::EndpointName& endpoint,
+                base::Incarnation incarnation,
+                const RequestLimit& limit,
+                std::string_view told_by) {
+    Log(base::LogEventId::kEndpointLimit, "",
+        {{"endpoint", endpoint.value},
+         {"incarnation", std::to_string(static_cast<uint64_t>(incarnation))},
+         {"per_second", ToText(limit)},
+         {"told_by", std::string(told_by)}});
+  }
   Actions TakeActions() { return std::exchange(actions_, {}); }
 
  private:
   ForwardOptions options_;
   QuietTimes quiet_times_;
+  EndpointLimits limits_;
   Actions actions_;
 };
 
--- a/Libraries/LibForward/forward_event.h
+++ b/Libraries/LibForward/forward_event.h
@@ -27,6 +27,7 @@
   base::EndpointName endpoint;
   base::Incarnation incarnation{};  // As known when it was asked.
   EndpointNotice notice;
+  base::TimePoint asked;  // When what it answers was sent.
 };
 
 struct CallerLeft {
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -88,6 +88,10 @@
     context_.Log(base::LogEventId::kEndpointQuiet, "",
                  {{"endpoint", event.endpoint.value},
                   {"for_ms", ToMilliseconds(*retry_after)}});
+  const auto& limit = event.notice.limit;
+  if (limit && context_.limits().Note(event.endpoint, event.incarnation, *limit,
+                                      event.asked, now))
+    context_.LogLimit(event.endpoint, event.incarnation, *limit, "answer");
 }
 
 void ForwardNode::EndQuietTimes(base::TimePoint now) {
--- a/Libraries/LibForward/forward_node.h
+++ b/Libraries/LibForward/forward_node.h
@@ -29,6 +29,11 @@
   // Whether new callers are welcome: a configuration is in force, endpoints are
   // known, and no stop was ordered.
   bool is_ready() const;
+  // Whether the endpoint's answers are of interest that say nothing of it: they
+  // tell that it has no limit any more.
+  bool KnowsLimitOf(const base::EndpointName& endpoint) const {
+    return context_.limits().Knows(endpoint);
+  }
   bool is_stopping() const { return stop_began_.has_value(); }
 
  private:
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -282,6 +282,7 @@
   Attempt& attempt = attempts_[id.number];
   attempt.endpoint = action.endpoint;
   attempt.incarnation = action.incarnation;
+  attempt.sent = reactor_.Now();
   attempt.transfer = http_->Send(
       std::move(request),
       [this, id](HttpOutcome outcome) {
@@ -292,10 +293,18 @@
 
 void ForwardShell::FeedNotice(const base::EndpointName& endpoint,
                               base::Incarnation incarnation,
+                              base::TimePoint asked,
                               const HttpResponse& response) {
-  const forward::EndpointNotice notice = adapter_.DecodeNotice(response);
-  if (!notice.is_empty())
-    Feed(forward::EndpointNoticed{endpoint, incarnation, notice});
+  FeedNotice(endpoint, incarnation, asked, adapter_.DecodeNotice(response));
+}
+
+void ForwardShell::FeedNotice(const base::EndpointName& endpoint,
+                              base::Incarnation incarnation,
+                              base::TimePoint asked,
+                              const forward::EndpointNotice& notice) {
+  const bool ends_limit = notice.limit && node_.KnowsLimitOf(endpoint);
+  if (!notice.is_empty() || ends_limit)
+    Feed(forward::EndpointNoticed{endpoint, incarnation, notice, asked});
 }
 
 void ForwardShell::HandleAttemptChunk(const base::AttemptId& attempt,
@@ -314,7 +323,8 @@
   forward::AttemptChunk chunk;
   chunk.attempt = attempt;
   if (!std::exchange(it->second.has_head, true)) {
-    FeedNotice(it->second.endpoint, it->second.incarnation, head);
+    FeedNotice(it->second.endpoint, it->second.incarnation, it->second.sent,
+               head);
     chunk.head = adapter_.DecodeHead(head);
   }
   chunk.bytes = std::move(bytes);
@@ -342,8 +352,13 @@
     return;
   }
   auto& response = std::get<HttpResponse>(outcome);
-  // Once more at a stream's end: what comes behind its body may say it too.
-  FeedNotice(node.mapped().endpoint, node.mapped().incarnation, response);
+  // Once more at a stream's end: what comes behind its body may say it too. The
+  // limit in its head is as old as the head.
+  forward::EndpointNotice notice = adapter_.DecodeNotice(response);
+  if (node.mapped().has_head)
+    notice.limit.reset();
+  FeedNotice(node.mapped().endpoint, node.mapped().incarnation,
+             node.mapped().sent, notice);
   if (!node.mapped().error_body.empty())
     response.body = node.mapped().error_body;
   forward::AnswerHead head = adapter_.DecodeHead(response);
@@ -403,9 +418,10 @@
   http_->Send(
       std::move(request),
       [this, id = action.call.id, endpoint = action.call.endpoint,
-       incarnation = action.call.incarnation](const HttpOutcome& outcome) {
+       incarnation = action.call.incarnation,
+       sent = reactor_.Now()](const HttpOutcome& outcome) {
         if (const auto* response = std::get_if<HttpResponse>(&outcome))
-          FeedNotice(endpoint, incarnation, *response);
+          FeedNotice(endpoint, incarnation, sent, *response);
         Feed(forward::StageCallEnded{id, adapter_.DecodeStageCall(outcome)});
       });
 }
@@ -417,11 +433,12 @@
   // aren't freed end by themselves.
   request.connection = node::ConnectionUse::kPooled;
   http_->Send(std::move(request),
-              [this, order = action.order](const HttpOutcome& outcome) {
+              [this, order = action.order,
+               sent = reactor_.Now()](const HttpOutcome& outcome) {
                 const auto* response = std::get_if<HttpResponse>(&outcome);
                 if (response == nullptr)
                   return;
-                FeedNotice(order.endpoint, order.incarnation, *response);
+                FeedNotice(order.endpoint, order.incarnation, sent, *response);
                 if (IsSuccess(response->status))
                   Feed(forward::ResultsFreed{order});
               });
--- a/Libraries/LibTransport/forward_shell.h
+++ b/Libraries/LibTransport/forward_shell.h
@@ -52,6 +52,7 @@
   struct Attempt {
     base::EndpointName endpoint;
     base::Incarnation incarnation{};
+    base::TimePoint sent;
     HttpTransferId transfer{};
     bool has_head = false;
     std::string error_body;  // Of a streamed answer that is no success.
@@ -74,10 +75,16 @@
   void CallStore(forward::FeedKind feed,
                  HttpRequest request,
                  HttpClient::DoneHandler done);
-  // Hands on what an answer says of the endpoint that gave it.
+  // Hands on what an answer to what was sent at `asked` says of the endpoint
+  // that gave it.
   void FeedNotice(const base::EndpointName& endpoint,
                   base::Incarnation incarnation,
+                  base::TimePoint asked,
                   const HttpResponse& response);
+  void FeedNotice(const base::EndpointName& endpoint,
+                  base::Incarnation incarnation,
+                  base::TimePoint asked,
+                  const forward::EndpointNotice& notice);
   void HandleAttemptChunk(const base::AttemptId& attempt,
                           const HttpResponse& head,
                           std::string bytes);
--- a/Tests/LibForward/test_endpoint_notices.cc
+++ b/Tests/LibForward/test_endpoint_notices.cc
@@ -21,11 +21,11 @@
 }
 
 EndpointNotice Leaving() {
-  return {true, std::nullopt};
+  return {true, std::nullopt, std::nullopt};
 }
 
 EndpointNotice QuietFor(base::Duration time) {
-  return {false, time};
+  return {false, time, std::nullopt};
 }
 
 FeedRow Row(const std::string& name,
@@ -49,7 +49,7 @@
   }
 
   void Notice(const std::string& endpoint, const EndpointNotice& notice) {
-    Feed(EndpointNoticed{{endpoint}, kFirstLife, notice});
+    Feed(EndpointNoticed{{endpoint}, kFirstLife, notice, now});
   }
 
   void PassTo(base::TimePoint time) {
@@ -175,7 +175,7 @@
   NoticeBench bench;
   bench.Feed(
       TableChanged{FeedKind::kEndpoints, {Row("e1", "llm", kSecondLife)}, 3});
-  bench.Feed(EndpointNoticed{{"e1"}, kSecondLife, Leaving()});
+  bench.Feed(EndpointNoticed{{"e1"}, kSecondLife, Leaving(), bench.now});
   SUBCASE("by a peer") {
     News news;
     news.departures = {DepartureOf("e1", milliseconds(100))};
@@ -190,7 +190,8 @@
 TEST_CASE("peers are told for a while what endpoints said") {
   NoticeBench bench;
   bench.Notice("e1", Leaving());
-  bench.Feed(EndpointNoticed{{"e2"}, base::Incarnation{}, Leaving()});
+  bench.Feed(
+      EndpointNoticed{{"e2"}, base::Incarnation{}, Leaving(), bench.now});
   bench.Pass(milliseconds(700));
   bench.Feed(PeerNewsAsked{PeerExchangeId{1}, {}});
   const auto told = bench.Last<AnswerNews>()->news.departures;
@@ -229,7 +230,7 @@
   NoticeBench bench;
   const FeedRow row = Row("e1", "llm", base::Incarnation{});
   bench.Feed(TableChanged{FeedKind::kEndpoints, {row}, 3});
-  bench.Feed(EndpointNoticed{{"e1"}, {}, Leaving()});
+  bench.Feed(EndpointNoticed{{"e1"}, {}, Leaving(), bench.now});
   bench.Feed(TableChanged{FeedKind::kEndpoints, {row}, 4});
   CHECK(bench.AskedByManyRequests() == std::set<std::string>{"e2"});
   bench.Feed(TableChanged{FeedKind::kEndpoints, {{"e1", RowRemoved{}}}, 5});
--- a/Tests/Platform/test_notices.cc
+++ b/Tests/Platform/test_notices.cc
@@ -49,6 +49,28 @@
   CHECK(NoticeOf(421, {{"Retry-After", "2"}}).is_empty());
 }
 
+TEST_CASE("any answer of an endpoint may name its limit for all hosts") {
+  const auto per_second = [](int status, const std::string& text) {
+    const auto limit = NoticeOf(status, {{"server-limit", text}}).limit;
+    REQUIRE(limit.has_value());
+    return limit->per_second;
+  };
+  for (const int status : {200, 409, 429, 500, 503})
+    CHECK(per_second(status, "1") == 1);
+  CHECK(per_second(200, "0.25") == 0.25);
+  CHECK(per_second(200, "0") == 0);
+  CHECK(per_second(200, "1e300") == 1e6);
+  // An answer without it says that there is none.
+  REQUIRE(NoticeOf(200, {}).limit.has_value());
+  CHECK_FALSE(NoticeOf(200, {}).limit->per_second.has_value());
+  for (const char* text : {"", "-1", "few", "1/s", "nan", "1e999", "+1"}) {
+    CAPTURE(text);
+    CHECK_FALSE(NoticeOf(200, {{"Server-Limit", text}}).limit.has_value());
+  }
+  // Another endpoint has this address now.
+  CHECK_FALSE(NoticeOf(421, {{"Server-Limit", "1"}}).limit.has_value());
+}
+
 TEST_CASE("an endpoint that says in an answer that it leaves gets no more") {
   PlatformWorld world;
   SUBCASE("in the answer to a request") {
