--- a/Libraries/LibEmulation/emulated_notices.cc
+++ b/Libraries/LibEmulation/emulated_notices.cc
@@ -48,6 +48,7 @@
 void EmulatedNotices::NoteArrival(size_t host,
                                   const forward::ListedEndpoint& endpoint,
                                   base::TimePoint now) {
+  NoteOrder(host, endpoint, now);
   const auto zone = zones_told_leaving_.find({ZoneOf(host), endpoint.name});
   if (zone != zones_told_leaving_.end() && now > zone->second + kZoneKnows)
     ++report_.sent_though_zone_knew;
@@ -61,6 +62,12 @@
     ++report_.sent_though_leaving;
 }
 
+void EmulatedNotices::NoteOrder(size_t host,
+                                const forward::ListedEndpoint& endpoint,
+                                base::TimePoint now) {
+  limits_.NoteArrival(host, endpoint, indexes_.at(endpoint.name), now);
+}
+
 forward::EndpointNotice EmulatedNotices::Tell(
     size_t host,
     const forward::ListedEndpoint& endpoint,
@@ -69,6 +76,8 @@
   if (AnnouncesRefusals(endpoint))
     notice.retry_after = TurnsAwayFor(endpoint, now);
   notice.is_leaving = IsLeaving(endpoint, now);
+  notice.limit = limits_.LimitOf(endpoint, indexes_.at(endpoint.name), now);
+  limits_.NoteTold(host, endpoint, *notice.limit, now);
   if (notice.is_empty())
     return notice;
   Told& told = told_[{host, endpoint.name}];
--- a/Libraries/LibEmulation/emulated_notices.h
+++ b/Libraries/LibEmulation/emulated_notices.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "LibEmulation/emulated_limits.h"
 #include "LibEmulation/emulation_report.h"
 #include "LibEmulation/load_sheet.h"
 #include "LibForward/endpoint_notice.h"
@@ -18,25 +19,34 @@
  public:
   // Both must outlive this.
   EmulatedNotices(const LoadSheet& sheet, EmulationReport& report)
-      : sheet_(sheet), report_(report) {}
+      : sheet_(sheet), report_(report), limits_(sheet, report) {}
 
   // An endpoint's place in its pool.
   void Add(const base::EndpointName& name, uint32_t index) {
     indexes_[name] = index;
   }
   // Callers come from now on.
-  void Begin(base::TimePoint now) { began_ = now; }
+  void Begin(base::TimePoint now) {
+    began_ = now;
+    limits_.Begin(now);
+  }
 
   // For how long the endpoint turns away what comes; empty when it doesn't.
   std::optional<base::Duration> TurnsAwayFor(
       const forward::ListedEndpoint& endpoint,
       base::TimePoint now) const;
 
-  // Something of a host has reached the endpoint; counted if that host was told
-  // not to send it.
+  // A request or a call of a host has reached the endpoint; counted if that
+  // host was told not to send it.
   void NoteArrival(size_t host,
                    const forward::ListedEndpoint& endpoint,
                    base::TimePoint now);
+  // The same of anything else, which counts against its limit alone.
+  void NoteOrder(size_t host,
+                 const forward::ListedEndpoint& endpoint,
+                 base::TimePoint now);
+  // The host can't know: it was frozen or cut off.
+  void Excuse(size_t host) { limits_.Excuse(host); }
   // What the endpoint's answer to the host says of it.
   forward::EndpointNotice Tell(size_t host,
                                const forward::ListedEndpoint& endpoint,
@@ -58,6 +68,7 @@
 
   const LoadSheet& sheet_;
   EmulationReport& report_;
+  EmulatedLimits limits_;
   base::TimePoint began_ = base::TimePoint::max();
   std::map<base::EndpointName, uint32_t> indexes_;
   std::map<std::pair<size_t, base::EndpointName>, Told> told_;
--- a/Libraries/LibEmulation/emulation.cc
+++ b/Libraries/LibEmulation/emulation.cc
@@ -145,6 +145,13 @@
       });
   for (const HostLoss& loss : sheet_.losses)
     timeline_.After(loss.at, [this, loss] { LoseHost(loss.host); });
+  for (const HostFreeze& freeze : sheet_.freezes)
+    timeline_.After(freeze.at, [this, freeze] { Freeze(freeze); });
+  for (const HostCut& cut : sheet_.cuts)
+    timeline_.After(cut.at, [this, cut] {
+      hosts_.at(cut.host).cut_until = timeline_.now() + cut.lasts;
+      notices_.Excuse(cut.host);
+    });
   timeline_.RunUntil(timeline_.now() + sheet_.lasts);
   report_.store_calls = store_calls_;
   timeline_.RunUntil(timeline_.now() + kTail);
@@ -168,6 +175,17 @@
     callers_.NoteFailed(caller);
 }
 
+// Its processor is busy, as far as others can tell.
+void Emulation::Freeze(const HostFreeze& freeze) {
+  base::TimePoint& busy_until = hosts_.at(freeze.host).busy_until;
+  busy_until = std::max(busy_until, timeline_.now()) + freeze.lasts;
+  notices_.Excuse(freeze.host);
+}
+
+bool Emulation::IsCutOff(size_t host) const {
+  return timeline_.now() < hosts_[host].cut_until;
+}
+
 void Emulation::Feed(size_t host, forward::Event event) {
   if (!hosts_[host].is_alive)
     return;
@@ -229,7 +247,11 @@
   }
   if (live.empty())
     return std::nullopt;
-  return live[random_.Below(live.size())];
+  // Only a day with uneven callers draws once more.
+  const bool is_of_few =
+      sheet_.share_at_few > 0 && random_.Fraction() < sheet_.share_at_few;
+  const size_t few = std::max<size_t>(live.size() / 5, 1);
+  return live[random_.Below(is_of_few ? few : live.size())];
 }
 
 void Emulation::SendToHost(forward::ForwardedRequest request) {
@@ -250,6 +272,8 @@
 }
 
 void Emulation::FeedPeer(size_t from, size_t to, forward::Event event) {
+  if (IsCutOff(from) || IsCutOff(to))
+    return;
   ++hosts_[to].messages;
   FeedAfter(DelayBetween(hosts_[from].self.zone, hosts_[to].self.zone), to,
             std::move(event));
@@ -261,7 +285,7 @@
       DelayBetween(hosts_[host].self.zone, engine->listed().zone);
   notices_.NoteArrival(host, engine->listed(), timeline_.now() + way);
   if (notices_.TurnsAwayFor(engine->listed(), timeline_.now() + way)) {
-    FeedNotice(host, engine->listed(), way * 2);
+    FeedNotice(host, engine->listed(), timeline_.now(), way * 2);
     forward::AnswerHead refusal;
     refusal.status = kUnavailable;
     refusal.said_not_run = true;
@@ -288,10 +312,12 @@
   head.echoed_request_id = action.request->request_id;
   head.is_sealed = true;
   const base::AttemptId attempt = action.attempt;
-  timeline_.At(times.first_event + way, [this, key, host, attempt, head] {
+  const base::TimePoint asked = timeline_.now();
+  timeline_.At(times.first_event + way, [this, key, host, attempt, head,
+                                         asked] {
     if (!attempts_.contains(key))
       return;
-    FeedNotice(host, attempts_[key].engine->listed(), base::Duration(0));
+    FeedNotice(host, attempts_[key].engine->listed(), asked, base::Duration(0));
     FeedAfter(base::Duration(0), host,
               forward::AttemptChunk{attempt, head, "id: 0\n\n"});
   });
@@ -306,13 +332,14 @@
 
 void Emulation::FeedNotice(size_t host,
                            const forward::ListedEndpoint& endpoint,
+                           base::TimePoint asked,
                            base::Duration way) {
   const forward::EndpointNotice notice =
       notices_.Tell(host, endpoint, timeline_.now());
-  if (!notice.is_empty())
-    FeedAfter(
-        way, host,
-        forward::EndpointNoticed{endpoint.name, endpoint.incarnation, notice});
+  if (!notice.is_empty() || hosts_[host].node->KnowsLimitOf(endpoint.name))
+    FeedAfter(way, host,
+              forward::EndpointNoticed{endpoint.name, endpoint.incarnation,
+                                       notice, asked});
 }
 
 void Emulation::EndAttempt(uint64_t number) {
@@ -391,10 +418,11 @@
   const base::Duration way =
       DelayBetween(hosts_[host].self.zone, maker->listed().zone);
   const forward::StageCallId id = action.call.id;
-  timeline_.After(way, [this, host, maker, way, id, call = action.call] {
+  const base::TimePoint asked = timeline_.now();
+  timeline_.After(way, [this, host, maker, way, id, asked, call = action.call] {
     notices_.NoteArrival(host, maker->listed(), timeline_.now());
     if (notices_.TurnsAwayFor(maker->listed(), timeline_.now())) {
-      FeedNotice(host, maker->listed(), way);
+      FeedNotice(host, maker->listed(), asked, way);
       FeedAfter(
           way, host,
           forward::StageCallEnded{id, forward::StageCallFailure::kNotRun});
@@ -405,8 +433,8 @@
         [this, maker](const forward::PieceOrder& it) {
           return Inspect(*maker, it);
         },
-        [this, host, maker, way, id](forward::StageCallOutcome outcome) {
-          FeedNotice(host, maker->listed(), way);
+        [this, host, maker, way, id, asked](forward::StageCallOutcome outcome) {
+          FeedNotice(host, maker->listed(), asked, way);
           FeedAfter(way, host, forward::StageCallEnded{id, std::move(outcome)});
         });
   });
@@ -416,7 +444,10 @@
   EmulatedMaker* maker = makers_by_address_.at(action.order.address);
   const base::Duration way =
       DelayBetween(hosts_[host].self.zone, maker->listed().zone);
-  timeline_.After(way, [this, host, maker, way, order = action.order] {
+  const base::TimePoint asked = timeline_.now();
+  timeline_.After(way, [this, host, maker, way, asked, order = action.order] {
+    notices_.NoteOrder(host, maker->listed(), timeline_.now());
+    FeedNotice(host, maker->listed(), asked, way);
     maker->Free(order.handles);
     FeedAfter(way, host, forward::ResultsFreed{order});
   });
@@ -466,7 +497,7 @@
       Feed(host, forward::PeerSilent{name, "no answer"});
   });
   const auto to = FindHost(action.address);
-  if (!to || !hosts_[*to].is_alive)
+  if (!to || !hosts_[*to].is_alive || IsCutOff(host) || IsCutOff(*to))
     return;
   ++hosts_[*to].messages;
   const base::Duration way =
@@ -503,7 +534,7 @@
 
 void Emulation::Do(size_t host, const forward::AskNews& action) {
   const auto to = FindHost(action.address);
-  if (!to || !hosts_[*to].is_alive) {
+  if (!to || !hosts_[*to].is_alive || IsCutOff(host) || IsCutOff(*to)) {
     FeedAfter(kNewsTimeout, host, forward::NewsFailed{"no answer"});
     return;
   }
--- a/Libraries/LibEmulation/emulation.h
+++ b/Libraries/LibEmulation/emulation.h
@@ -48,7 +48,8 @@
     std::optional<base::TimePoint> wakes_at;
     // Until when its processor has work.
     base::TimePoint busy_until;
-    uint64_t messages = 0;  // Of peers.
+    base::TimePoint cut_until;  // From its peers.
+    uint64_t messages = 0;      // Of peers.
   };
 
   // A question of one host to another.
@@ -111,9 +112,10 @@
     static_cast<void>(action);
   }
 
-  // Hands on what an endpoint's answer says of it.
+  // Hands on what an endpoint's answer to what was sent at `asked` says of it.
   void FeedNotice(size_t host,
                   const forward::ListedEndpoint& endpoint,
+                  base::TimePoint asked,
                   base::Duration way);
   void EndAttempt(uint64_t number);
   std::vector<forward::FeedRow> RowsOf(forward::FeedKind feed) const;
@@ -124,6 +126,8 @@
       const std::vector<forward::StageResult>& results,
       const base::ZoneName& reader);
   void LoseHost(size_t host);
+  void Freeze(const HostFreeze& freeze);
+  bool IsCutOff(size_t host) const;
 
   LoadSheet sheet_;
   EmulationOptions options_;
--- a/Libraries/LibEmulation/emulation_report.cc
+++ b/Libraries/LibEmulation/emulation_report.cc
@@ -108,6 +108,11 @@
                Seconds(report.lasted))
       << "; calls to the store " << report.store_calls << ", dispatchers lost "
       << report.dispatchers_lost << "\n";
+  if (report.limited_arrivals > 0)
+    out << "endpoints with a limit got " << report.limited_arrivals
+        << " requests, in four seconds at the most " << std::setprecision(2)
+        << report.most_of_allowed << " of what they may get; over their limit "
+        << report.sent_over_limit << "\n";
   return out.str();
 }
 
--- a/Libraries/LibEmulation/emulation_report.h
+++ b/Libraries/LibEmulation/emulation_report.h
@@ -59,6 +59,13 @@
   // What reached an endpoint that had told a host of the zone long enough
   // before that it leaves.
   uint64_t sent_though_zone_knew = 0;
+  // What reached endpoints with a limit, from shortly after they named it on,
+  // and what was more than their limits allow.
+  uint64_t limited_arrivals = 0;
+  uint64_t sent_over_limit = 0;
+  // The most that a limited endpoint got in four seconds, as a part of what it
+  // may get.
+  double most_of_allowed = 0;
   uint64_t dispatchers_lost = 0;  // As often as a host says so of another.
 
   double worth_share() const;
--- a/Libraries/LibEmulation/load_sheet.h
+++ b/Libraries/LibEmulation/load_sheet.h
@@ -73,6 +73,31 @@
   base::Duration at{};
 };
 
+// One in so many endpoints of a pool names in its answers how many requests a
+// second it takes from all hosts together. Of several that hold for an endpoint
+// at a time, the last one counts.
+struct PoolLimit {
+  std::string pool;
+  uint32_t one_in = 1;
+  double per_second = 1;
+  base::Duration at{};
+  base::Duration lasts = std::chrono::hours(1);
+};
+
+// A host does nothing for a while, and then goes on.
+struct HostFreeze {
+  uint32_t host = 0;
+  base::Duration at{};
+  base::Duration lasts{};
+};
+
+// For a while a host and its peers don't hear of each other.
+struct HostCut {
+  uint32_t host = 0;
+  base::Duration at{};
+  base::Duration lasts{};
+};
+
 // Hosts of one size, dealt to the zones in turn.
 struct HostKind {
   uint32_t count = 0;
@@ -120,8 +145,13 @@
   EnginePool engines;
   std::vector<Burst> bursts;
   std::vector<HostLoss> losses;
+  std::vector<HostFreeze> freezes;
+  std::vector<HostCut> cuts;
   std::vector<PoolRefusals> refusals;
   std::vector<PoolDeparture> departures;
+  std::vector<PoolLimit> limits;
+  // This part of the callers comes to one in five hosts; 0: all are alike.
+  double share_at_few = 0;
   double clump = 1;  // How many callers come at once, in the mean.
   // How often a refused caller comes again, and how.
   uint32_t returns = 1;
