LibForward: Whom a host relies on, and whether they are there, in a class of its own

StageDesk held the ring of hosts and the watch on them besides the stages' jobs; limits that hold over all hosts need both too. PeerDesk has them now, and DispatcherRing is HostRing.

--- a/Libraries/LibForward/forward_context.h
+++ b/Libraries/LibForward/forward_context.h
@@ -7,9 +7,9 @@
 #include <vector>
 
 #include "LibBase/ids.h"
-#include "LibForward/dispatcher_ring.h"
 #include "LibForward/endpoint_limits.h"
 #include "LibForward/forward_action.h"
+#include "LibForward/peer_host.h"
 #include "LibForward/quiet_times.h"
 
 namespace bilberry::forward {
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -17,7 +17,8 @@
 ForwardNode::ForwardNode(ForwardOptions options)
     : context_(std::move(options)),
       store_(context_),
-      stages_(context_),
+      peers_(context_),
+      stages_(context_, peers_),
       runs_(context_, stages_) {
   context_.Log(base::LogEventId::kHostStarted, "",
                {{"host", context_.options().own.name.value},
@@ -30,6 +31,7 @@
   EndQuietTimes(now);
   TakeNews();
   runs_.HandleTimer(now);
+  peers_.AskPeers(now);
   stages_.Dispatch(now);
   // Outcomes of stages lead to further jobs, which are to be in these calls.
   runs_.Settle(now);
@@ -61,7 +63,7 @@
           [&](const PeerResultsRead& it) { stages_.Handle(it, now); },
           [&](const PeerJobEnded& it) { stages_.Handle(it, now); },
           [&](const PeerJobLost& it) { stages_.Handle(it, now); },
-          [&](const PeerAlive& it) { stages_.Handle(it, now); },
+          [&](const PeerAlive& it) { peers_.NoteHeard(it.host, now); },
           [&](const PeerSilent& it) { stages_.Handle(it, now); },
           [&](const PeerNewsAsked& it) { store_.Handle(it, now); },
           [&](NewsHeard& it) { store_.Handle(std::move(it), now); },
@@ -115,7 +117,8 @@
   }
   if (seen_hosts_ != store_.host_changes()) {
     seen_hosts_ = store_.host_changes();
-    stages_.SetHosts(store_.hosts());
+    peers_.SetHosts(store_.hosts());
+    stages_.GuardDispatchers();
     store_.ChooseRelays();
   }
 }
@@ -157,6 +160,7 @@
       next = time;
   };
   consider(store_.NextWakeup());
+  consider(peers_.NextWakeup());
   consider(stages_.NextWakeup());
   consider(runs_.NextWakeup());
   consider(context_.quiet_times().NextEnd());
--- a/Libraries/LibForward/forward_node.h
+++ b/Libraries/LibForward/forward_node.h
@@ -5,6 +5,7 @@
 #include "LibBase/time.h"
 #include "LibForward/forward_context.h"
 #include "LibForward/forward_event.h"
+#include "LibForward/peer_desk.h"
 #include "LibForward/run_desk.h"
 #include "LibForward/stage_desk.h"
 #include "LibForward/store_desk.h"
@@ -46,6 +47,7 @@
 
   ForwardContext context_;
   StoreDesk store_;
+  PeerDesk peers_;
   StageDesk stages_;
   RunDesk runs_;
   uint64_t seen_configuration_ = 0;
--- a/Libraries/LibForward/dispatcher_ring.cc
+++ b/Libraries/LibForward/host_ring.cc
@@ -1,4 +1,4 @@
-#include "LibForward/dispatcher_ring.h"
+#include "LibForward/host_ring.h"
 
 #include <algorithm>
 #include <tuple>
@@ -8,11 +8,11 @@
 
 namespace bilberry::forward {
 
-DispatcherRing::DispatcherRing(PeerHost own) : own_(std::move(own)) {
+HostRing::HostRing(PeerHost own) : own_(std::move(own)) {
   SetHosts({});
 }
 
-void DispatcherRing::SetHosts(std::span<const PeerHost> hosts) {
+void HostRing::SetHosts(std::span<const PeerHost> hosts) {
   hosts_ = {own_};
   for (const PeerHost& it : hosts) {
     if (!IsOwn(it))
@@ -22,44 +22,43 @@
   ForgetDealt();
 }
 
-void DispatcherRing::SetPools(std::set<base::PoolName> pools) {
+void HostRing::SetPools(std::set<base::PoolName> pools) {
   pools_ = std::move(pools);
   ForgetDealt();
 }
 
-void DispatcherRing::NoteSilent(const base::HostName& name) {
+void HostRing::NoteSilent(const base::HostName& name) {
   if (silent_.insert(name).second)
     dealt_.clear();
 }
 
-void DispatcherRing::NoteAnswer(const base::HostName& name) {
+void HostRing::NoteAnswer(const base::HostName& name) {
   if (silent_.erase(name) > 0)
     dealt_.clear();
 }
 
-void DispatcherRing::ForgetDealt() {
+void HostRing::ForgetDealt() {
   dealt_.clear();
   ideally_dealt_.clear();
 }
 
-const PeerHost& DispatcherRing::DispatcherOf(const CellPool& at) const {
+const PeerHost& HostRing::DispatcherOf(const CellPool& at) const {
   return Choose(at, silent_, dealt_);
 }
 
-const PeerHost& DispatcherRing::IdealDispatcherOf(const CellPool& at) const {
+const PeerHost& HostRing::IdealDispatcherOf(const CellPool& at) const {
   return Choose(at, {}, ideally_dealt_);
 }
 
-const PeerHost& DispatcherRing::SuccessorOf(const CellPool& at) const {
+const PeerHost& HostRing::SuccessorOf(const CellPool& at) const {
   const Dealt dealt = Deal(at.cell, {IdealDispatcherOf(at).name});
   const auto it = dealt.find(at.pool);
   return it == dealt.end() ? own_ : hosts_[it->second];
 }
 
-const PeerHost& DispatcherRing::Choose(
-    const CellPool& at,
-    const std::set<base::HostName>& passed_over,
-    std::map<Cell, Dealt>& known) const {
+const PeerHost& HostRing::Choose(const CellPool& at,
+                                 const std::set<base::HostName>& passed_over,
+                                 std::map<Cell, Dealt>& known) const {
   auto it = known.find(at.cell);
   if (it == known.end())
     it = known.emplace(at.cell, Deal(at.cell, passed_over)).first;
@@ -67,7 +66,7 @@
   return dealt == it->second.end() ? own_ : hosts_[dealt->second];
 }
 
-DispatcherRing::Dealt DispatcherRing::Deal(
+HostRing::Dealt HostRing::Deal(
     const Cell& cell,
     const std::set<base::HostName>& passed_over) const {
   Dealt dealt;
@@ -81,9 +80,9 @@
 }
 
 // The own host if all others are passed over.
-size_t DispatcherRing::BestFor(const CellPool& at,
-                               const std::set<base::HostName>& passed_over,
-                               const std::vector<size_t>& counts) const {
+size_t HostRing::BestFor(const CellPool& at,
+                         const std::set<base::HostName>& passed_over,
+                         const std::vector<size_t>& counts) const {
   using Rank = std::tuple<HostTier, size_t, double>;
   size_t best = 0;
   std::optional<Rank> best_rank;
@@ -103,7 +102,7 @@
   return best;
 }
 
-const PeerHost* DispatcherRing::Find(const base::HostName& name) const {
+const PeerHost* HostRing::Find(const base::HostName& name) const {
   const auto it = std::ranges::find(hosts_, name, &PeerHost::name);
   return it == hosts_.end() ? nullptr : &*it;
 }
--- a/Libraries/LibForward/dispatcher_ring.h
+++ b/Libraries/LibForward/host_ring.h
@@ -18,9 +18,9 @@
 // first; among them the pools are dealt out by rendezvous hashing, so that each
 // host has as few as can be. Hosts that know the same hosts choose alike
 // without talking.
-class DispatcherRing {
+class HostRing {
  public:
-  explicit DispatcherRing(PeerHost own);
+  explicit HostRing(PeerHost own);
 
   void SetHosts(std::span<const PeerHost> hosts);
   // Those that make pieces.
--- /dev/null
+++ b/Libraries/LibForward/peer_desk.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+
+#include "LibForward/forward_context.h"
+#include "LibForward/forward_event.h"
+#include "LibForward/host_ring.h"
+#include "LibForward/peer_watch.h"
+
+namespace bilberry::forward {
+
+// The other hosts as far as this one relies on them: which of them works for
+// others at what, and whether it is there.
+class PeerDesk {
+ public:
+  explicit PeerDesk(ForwardContext& context)
+      : context_(context), ring_(context.options().own) {}
+
+  const HostRing& ring() const { return ring_; }
+
+  void SetPools(std::set<base::PoolName> pools);
+  void SetHosts(std::span<const PeerHost> hosts);
+  // Whoever would follow a host that is gone is the one who finds out.
+  void Guard(std::set<base::HostName> hosts) { watch_.Guard(std::move(hosts)); }
+
+  // Something was asked of the host.
+  void NoteUse(const base::HostName& host, base::TimePoint now) {
+    watch_.NoteUse(host, now);
+  }
+  // An answer of any kind.
+  void NoteHeard(const base::HostName& host, base::TimePoint now);
+  // It can't be reached; what is new is asked of others.
+  void NoteSilent(const base::HostName& host, const std::string& reason);
+  SilenceVerdict Handle(const PeerSilent& event, base::TimePoint now);
+
+  // Asks those who are due whether they are there.
+  void AskPeers(base::TimePoint now);
+  std::optional<base::TimePoint> NextWakeup() const {
+    return watch_.NextWakeup();
+  }
+
+ private:
+  ForwardContext& context_;
+  HostRing ring_;
+  PeerWatch watch_;
+};
+
+}  // namespace bilberry::forward
--- a/Libraries/LibForward/stage_desk.cc
+++ b/Libraries/LibForward/stage_desk.cc
@@ -19,8 +19,8 @@
 
 }  // namespace
 
-StageDesk::StageDesk(ForwardContext& context)
-    : context_(context), ring_(context.options().own), dispatch_(context) {}
+StageDesk::StageDesk(ForwardContext& context, PeerDesk& peers)
+    : context_(context), peers_(peers), dispatch_(context) {}
 
 void StageDesk::Reconfigure(const ForwardConfiguration& configuration) {
   pools_.clear();
@@ -28,7 +28,7 @@
     if (pool.pieces)
       pools_.insert(pool.name);
   }
-  ring_.SetPools(pools_);
+  peers_.SetPools(pools_);
   plan_.SetPools(pools_);
   dispatch_.Reconfigure(configuration);
   SetEndpoints(std::move(endpoints_));
@@ -46,23 +46,17 @@
   GuardDispatchers();
 }
 
-void StageDesk::SetHosts(std::span<const PeerHost> hosts) {
-  ring_.SetHosts(hosts);
-  watch_.SetFleetSize(ring_.host_count());
-  GuardDispatchers();
-}
-
-// Whoever would follow a dispatcher that is gone is the one who finds out.
 void StageDesk::GuardDispatchers() {
   std::set<base::HostName> guarded;
   for (const Cell& cell : plan_.cells()) {
     for (const base::PoolName& pool : pools_) {
-      const PeerHost& ideal = ring_.IdealDispatcherOf({cell, pool});
-      if (!ring_.IsOwn(ideal) && ring_.IsOwn(ring_.SuccessorOf({cell, pool})))
+      const PeerHost& ideal = peers_.ring().IdealDispatcherOf({cell, pool});
+      if (!peers_.ring().IsOwn(ideal) &&
+          peers_.ring().IsOwn(peers_.ring().SuccessorOf({cell, pool})))
         guarded.insert(ideal.name);
     }
   }
-  watch_.Guard(std::move(guarded));
+  peers_.Guard(std::move(guarded));
 }
 
 std::optional<Cell> StageDesk::ChooseCell(const CellWish& wish,
@@ -70,7 +64,7 @@
   return chooser_.Choose(
       wish,
       [this](const CellPool& at) {
-        return ring_.IsSilent(ring_.IdealDispatcherOf(at).name);
+        return peers_.ring().IsSilent(peers_.ring().IdealDispatcherOf(at).name);
       },
       now);
 }
@@ -99,14 +93,14 @@
     return;
   }
   const bool is_alone = !context_.options().shares_calls || has_lost_many;
-  const PeerHost& host =
-      is_alone ? context_.options().own : ring_.DispatcherOf(question.at());
+  const PeerHost& host = is_alone ? context_.options().own
+                                  : peers_.ring().DispatcherOf(question.at());
   question.host = host.name;
-  if (ring_.IsOwn(host)) {
+  if (peers_.ring().IsOwn(host)) {
     PlaceHere(id, question, std::move(job), now);
     return;
   }
-  watch_.NoteUse(host.name, now);
+  peers_.NoteUse(host.name, now);
   context_.Emit(AskPeer{id, host.address, std::move(job)});
 }
 
@@ -140,11 +134,11 @@
 }
 
 void StageDesk::Release(const AskedResults& results, base::TimePoint now) {
-  const PeerHost* host = ring_.Find(results.host);
+  const PeerHost* host = peers_.ring().Find(results.host);
   // In place of a host that is gone, the next dispatcher frees them.
-  if (host == nullptr || ring_.IsSilent(host->name))
-    host = &ring_.DispatcherOf(results.at);
-  if (ring_.IsOwn(*host)) {
+  if (host == nullptr || peers_.ring().IsSilent(host->name))
+    host = &peers_.ring().DispatcherOf(results.at);
+  if (peers_.ring().IsOwn(*host)) {
     dispatch_.Free(results.at, results.results, now);
     return;
   }
@@ -155,7 +149,7 @@
 // them full. So a host takes jobs only if it is the dispatcher as far as it
 // knows itself, whoever asks.
 bool StageDesk::IsDispatcherOf(const CellPool& at, base::TimePoint now) {
-  if (ring_.IsOwn(ring_.DispatcherOf(at))) {
+  if (peers_.ring().IsOwn(peers_.ring().DispatcherOf(at))) {
     last_dispatched_[at] = now;
     return true;
   }
@@ -178,7 +172,7 @@
                {{"pool", at.pool.value},
                 {"cell", at.cell.zone.value},
                 {"reason", "not_dispatcher"},
-                {"dispatcher", ring_.DispatcherOf(at).name.value}});
+                {"dispatcher", peers_.ring().DispatcherOf(at).name.value}});
   context_.Emit(AnswerPeer{
       event.exchange, JobFailure{JobFailureKind::kHostLost, kRetryAfterLoss},
       base::Duration(0)});
@@ -199,7 +193,7 @@
   if (it == questions_.end())
     return;
   Question& question = it->second;
-  NoteHeard(question.host, now);
+  peers_.NoteHeard(question.host, now);
   const auto* failure = std::get_if<JobFailure>(&event.outcome);
   if (failure != nullptr && failure->kind == JobFailureKind::kHostLost) {
     // Another cell is asked; where there is none, somebody has to do it.
@@ -241,7 +235,7 @@
     Fail(event.ask, {JobFailureKind::kTooLate, kRetryAfterLoss});
     return;
   }
-  NoteSilent(question.host, event.detail);
+  peers_.NoteSilent(question.host, event.detail);
   Move(event.ask, question, now);
 }
 
@@ -250,39 +244,9 @@
   Place(id, question, now);
 }
 
-void StageDesk::NoteHeard(const base::HostName& host, base::TimePoint now) {
-  watch_.NoteHeard(host, now);
-  if (!ring_.IsSilent(host))
-    return;
-  ring_.NoteAnswer(host);
-  context_.Log(base::LogEventId::kDispatcherBack, "", {{"host", host.value}});
-}
-
-void StageDesk::NoteSilent(const base::HostName& host,
-                           const std::string& reason) {
-  if (ring_.IsSilent(host))
-    return;
-  ring_.NoteSilent(host);
-  context_.Log(base::LogEventId::kDispatcherLost, "",
-               {{"host", host.value}, {"reason", reason}});
-}
-
-void StageDesk::Handle(const PeerAlive& event, base::TimePoint now) {
-  NoteHeard(event.host, now);
-}
-
 void StageDesk::Handle(const PeerSilent& event, base::TimePoint now) {
-  switch (watch_.NoteMissed(event.host, now)) {
-    case SilenceVerdict::kNone:
-      return;
-    case SilenceVerdict::kSilent:
-      NoteSilent(event.host, event.detail);
-      return;
-    case SilenceVerdict::kLost:
-      NoteSilent(event.host, event.detail);
-      MoveQuestionsFrom(event.host, now);
-      return;
-  }
+  if (peers_.Handle(event, now) == SilenceVerdict::kLost)
+    MoveQuestionsFrom(event.host, now);
 }
 
 void StageDesk::MoveQuestionsFrom(const base::HostName& host,
@@ -298,18 +262,7 @@
   }
 }
 
-void StageDesk::AskPeers(base::TimePoint now) {
-  for (const base::HostName& name : watch_.TakeDue(now)) {
-    if (const PeerHost* host = ring_.Find(name))
-      context_.Emit(
-          AskWhetherAlive{name, host->address, watch_.pace().timeout});
-    else
-      watch_.Forget(name);
-  }
-}
-
 void StageDesk::Dispatch(base::TimePoint now) {
-  AskPeers(now);
   dispatch_.Dispatch(now);
   for (DispatchedJob& it : dispatch_.TakeOutcomes())
     GiveOutcome(std::move(it), now);
@@ -331,11 +284,7 @@
 }
 
 std::optional<base::TimePoint> StageDesk::NextWakeup() const {
-  std::optional<base::TimePoint> next = watch_.NextWakeup();
-  const auto dispatch = dispatch_.NextWakeup();
-  if (dispatch && (!next || *dispatch < *next))
-    next = dispatch;
-  return next;
+  return dispatch_.NextWakeup();
 }
 
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/stage_desk.h
+++ b/Libraries/LibForward/stage_desk.h
@@ -9,9 +9,8 @@
 #include "LibForward/cell_chooser.h"
 #include "LibForward/cell_plan.h"
 #include "LibForward/dispatch_desk.h"
-#include "LibForward/dispatcher_ring.h"
 #include "LibForward/forward_context.h"
-#include "LibForward/peer_watch.h"
+#include "LibForward/peer_desk.h"
 
 namespace bilberry::forward {
 
@@ -29,11 +28,12 @@
 // successor, if that one agrees.
 class StageDesk {
  public:
-  explicit StageDesk(ForwardContext& context);
+  StageDesk(ForwardContext& context, PeerDesk& peers);
 
   void Reconfigure(const ForwardConfiguration& configuration);
   void SetEndpoints(std::vector<ListedEndpoint> endpoints);
-  void SetHosts(std::span<const PeerHost> hosts);
+  // The hosts that are known have changed.
+  void GuardDispatchers();
 
   // Where a request's pieces are best made now; empty when each cell has been
   // tried.
@@ -53,7 +53,6 @@
   void Handle(const PeerJobEnded& event, base::TimePoint now);
   void Handle(const PeerJobLost& event, base::TimePoint now);
   void Handle(const ResultsFreed& event) { dispatch_.Handle(event); }
-  void Handle(const PeerAlive& event, base::TimePoint now);
   void Handle(const PeerSilent& event, base::TimePoint now);
   void Handle(const StageCallEnded& event, base::TimePoint now) {
     dispatch_.Handle(event, now);
@@ -94,18 +93,13 @@
               base::Duration backlog,
               base::TimePoint now);
   bool IsDispatcherOf(const CellPool& at, base::TimePoint now);
-  void NoteHeard(const base::HostName& host, base::TimePoint now);
-  void NoteSilent(const base::HostName& host, const std::string& reason);
   void MoveQuestionsFrom(const base::HostName& host, base::TimePoint now);
-  void GuardDispatchers();
-  void AskPeers(base::TimePoint now);
   void GiveOutcome(DispatchedJob job, base::TimePoint now);
 
   ForwardContext& context_;
+  PeerDesk& peers_;
   CellPlan plan_;
   CellChooser chooser_;
-  DispatcherRing ring_;
-  PeerWatch watch_;
   DispatchDesk dispatch_;
   std::set<base::PoolName> pools_;  // Those that make pieces.
   std::vector<ListedEndpoint> endpoints_;
--- a/Tests/LibForward/test_parts.cc
+++ b/Tests/LibForward/test_parts.cc
@@ -10,11 +10,11 @@
 
 #include "LibForward/cell_chooser.h"
 #include "LibForward/cell_plan.h"
-#include "LibForward/dispatcher_ring.h"
 #include "LibForward/endpoint_chooser.h"
 #include "LibForward/endpoint_directory.h"
 #include "LibForward/event_splitter.h"
 #include "LibForward/feed_follower.h"
+#include "LibForward/host_ring.h"
 #include "LibForward/peer_watch.h"
 
 namespace bilberry::forward {
@@ -159,16 +159,16 @@
   const std::vector<PeerHost> hosts{Host("1", "z", 1), Host("2", "z", 1),
                                     Host("3", "z", 1)};
   const auto pools = PoolsOf({"p", "q", "r", "s"});
-  DispatcherRing first(hosts[0]);
-  DispatcherRing second(hosts[1]);
-  for (DispatcherRing* ring : {&first, &second}) {
+  HostRing first(hosts[0]);
+  HostRing second(hosts[1]);
+  for (HostRing* ring : {&first, &second}) {
     ring->SetHosts(hosts);
     ring->SetPools(pools);
   }
   for (const base::PoolName& pool : pools)
     CHECK(first.DispatcherOf({{}, pool}) == second.DispatcherOf({{}, pool}));
   const base::HostName silent = second.DispatcherOf(At("", "p")).name;
-  DispatcherRing other(silent.value == "1" ? hosts[1] : hosts[0]);
+  HostRing other(silent.value == "1" ? hosts[1] : hosts[0]);
   other.SetHosts(hosts);
   other.SetPools(pools);
   other.NoteSilent(silent);
@@ -187,7 +187,7 @@
                               Host("3", "b", 0.5)};
   for (int i = 10; i < 80; ++i)
     hosts.push_back(Host(std::to_string(i), i % 2 == 0 ? "a" : "b", 0.12));
-  DispatcherRing ring(hosts.back());
+  HostRing ring(hosts.back());
   ring.SetHosts(hosts);
   const auto pools = PoolsOf({"p", "q", "r"});
   ring.SetPools(pools);
@@ -214,7 +214,7 @@
 TEST_CASE("a host with a thin link is not large") {
   std::vector<PeerHost> hosts{Host("1", "z", 1), Host("2", "z", 1)};
   hosts[0].link_mbps = 10;
-  DispatcherRing ring(hosts[0]);
+  HostRing ring(hosts[0]);
   ring.SetHosts(hosts);
   const auto pools = PoolsOf({"p", "q", "r", "s", "t"});
   ring.SetPools(pools);
