--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -28,6 +28,8 @@
     {kEndpointQuiet, kInfo, "endpoint-quiet"},
     {kEndpointOpen, kInfo, "endpoint-open"},
     {kEndpointLimit, kInfo, "endpoint-limit"},
+    {kLimitKept, kInfo, "limit-kept"},
+    {kLimitHandedOver, kInfo, "limit-handed-over"},
     {kPlatformUnreachable, kWarning, "platform-unreachable"},
     {kPlatformReachable, kInfo, "platform-reachable"},
     {kPlatformRowUnreadable, kWarning, "platform-row-unreadable"},
@@ -53,6 +55,7 @@
     {kAttemptSent, kInfo, "attempt-sent"},
     {kStageCallEnded, kInfo, "stage-call-ended"},
     {kJobRefused, kInfo, "job-refused"},
+    {kPermitEnded, kInfo, "permit-ended"},
 });
 
 }  // namespace
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -26,6 +26,8 @@
   kEndpointQuiet = 1204,
   kEndpointOpen = 1205,
   kEndpointLimit = 1206,
+  kLimitKept = 1207,
+  kLimitHandedOver = 1208,
   kPlatformUnreachable = 1301,
   kPlatformReachable = 1302,
   kPlatformRowUnreadable = 1303,
@@ -51,6 +53,7 @@
   kAttemptSent = 1604,
   kStageCallEnded = 1605,
   kJobRefused = 1606,
+  kPermitEnded = 1607,
 };
 
 enum class LogSeverity { kInfo, kWarning, kError };
--- a/Libraries/LibEmulation/emulation.cc
+++ b/Libraries/LibEmulation/emulation.cc
@@ -532,6 +532,35 @@
   return rows;
 }
 
+void Emulation::Do(size_t host, const forward::AskPermit& action) {
+  const auto to = FindHost(action.address);
+  const forward::PeerExchangeId exchange{++last_exchange_};
+  permit_askers_[exchange] = {host, action.ask};
+  timeline_.After(forward::kPermitTimeout, [this, exchange] {
+    const auto node = permit_askers_.extract(exchange);
+    if (node.empty())
+      return;
+    const auto& [asker, ask] = node.mapped();
+    FeedAfter(base::Duration(0), asker, forward::PermitLost{ask, "no answer"});
+  });
+  if (to)
+    FeedPeer(host, *to, forward::PeerPermitAsked{exchange, action.question});
+}
+
+void Emulation::Do(size_t host, const forward::AnswerPermit& action) {
+  const auto node = permit_askers_.find(action.exchange);
+  if (node == permit_askers_.end() || IsCutOff(host))
+    return;
+  const auto [asker, ask] = node->second;
+  permit_askers_.erase(node);
+  FeedPeer(host, asker, forward::PermitAnswered{ask, action.answer});
+}
+
+void Emulation::Do(size_t host, const forward::TellLimits& action) {
+  if (const auto to = FindHost(action.address))
+    FeedPeer(host, *to, forward::PeerToldLimits{action.limits});
+}
+
 void Emulation::Do(size_t host, const forward::AskNews& action) {
   const auto to = FindHost(action.address);
   if (!to || !hosts_[*to].is_alive || IsCutOff(host) || IsCutOff(*to)) {
--- a/Libraries/LibEmulation/emulation.h
+++ b/Libraries/LibEmulation/emulation.h
@@ -99,6 +99,9 @@
   void Do(size_t host, const forward::AnswerPeer& action);
   void Do(size_t host, const forward::TellPeerRead& action);
   void Do(size_t host, const forward::AskWhetherAlive& action);
+  void Do(size_t host, const forward::AskPermit& action);
+  void Do(size_t host, const forward::AnswerPermit& action);
+  void Do(size_t host, const forward::TellLimits& action);
   void Do(size_t host, const forward::AskNews& action);
   void Do(size_t host, const forward::AnswerNews& action);
   void Do(size_t host, const forward::ListTable& action);
@@ -145,6 +148,9 @@
   std::map<base::CallerId, size_t> host_of_caller_;
   std::map<uint64_t, Attempt> attempts_;
   std::map<forward::PeerExchangeId, Question> questions_;
+  // Who asked for which permit.
+  std::map<forward::PeerExchangeId, std::pair<size_t, forward::PermitAskId>>
+      permit_askers_;
   // Who asked for news.
   std::map<forward::PeerExchangeId, size_t> news_askers_;
   std::set<uint64_t> open_probes_;  // Questions whether a host is there.
--- a/Libraries/LibForward/dispatch_desk.cc
+++ b/Libraries/LibForward/dispatch_desk.cc
@@ -57,7 +57,7 @@
   if (limits == limits_.end())
     return nullptr;
   const auto [it, is_new] =
-      entries_.try_emplace(at, limits->second, context_.quiet_times());
+      entries_.try_emplace(at, limits->second, context_.words());
   if (is_new)
     GiveEndpoints(at, it->second);
   return &it->second;
--- a/Libraries/LibForward/dispatch_desk.h
+++ b/Libraries/LibForward/dispatch_desk.h
@@ -73,8 +73,8 @@
   };
 
   struct Entry {
-    Entry(const PieceLimits& limits, const QuietTimes& quiet_times)
-        : dispatcher(limits, quiet_times) {}
+    Entry(const PieceLimits& limits, const EndpointWords& words)
+        : dispatcher(limits, words) {}
     StageDispatcher dispatcher;
     std::map<JobId, SubmittedJob> submitted;
   };
--- a/Libraries/LibForward/endpoint_chooser.cc
+++ b/Libraries/LibForward/endpoint_chooser.cc
@@ -62,6 +62,7 @@
     endpoint.listed = listed;
   }
   endpoints_ = std::move(present);
+  seen_limits_.reset();
 }
 
 bool EndpointChooser::IsRested(const Endpoint& endpoint,
@@ -90,7 +91,7 @@
 }
 
 base::TimePoint EndpointChooser::OpenFrom(const Endpoint& endpoint) const {
-  return std::max(quiet_times_.EndOf(endpoint.listed.name),
+  return std::max(words_.quiet_times.EndOf(endpoint.listed.name),
                   endpoint.next_begin);
 }
 
@@ -118,13 +119,44 @@
   return rested.empty() ? candidates : rested;
 }
 
-base::TimePoint EndpointChooser::FirstOpen(const Candidates& candidates) const {
+void EndpointChooser::TakeLimits() {
+  const EndpointLimits& limits = words_.limits;
+  if (seen_limits_ == limits.changes())
+    return;
+  seen_limits_ = limits.changes();
+  for (auto& [name, endpoint] : endpoints_)
+    endpoint.has_limit =
+        limits.RateOf(name, endpoint.listed.incarnation).has_value();
+}
+
+base::TimePoint EndpointChooser::OpenFrom(const Endpoint& endpoint,
+                                          base::Duration longest_wait) const {
+  const base::TimePoint open = OpenFrom(endpoint);
+  if (!endpoint.has_limit)
+    return open;
+  return std::max(
+      {open, endpoint.no_permits_until, endpoint.next_permit - longest_wait});
+}
+
+base::TimePoint EndpointChooser::FirstOpen(const Candidates& candidates,
+                                           base::Duration longest_wait) const {
   base::TimePoint first = base::TimePoint::max();
   for (const Endpoint* it : candidates)
-    first = std::min(first, OpenFrom(*it));
+    first = std::min(first, OpenFrom(*it, longest_wait));
   return first;
 }
 
+EndpointChooser::Candidates EndpointChooser::OpenOf(
+    const Candidates& candidates,
+    base::Duration longest_wait,
+    base::TimePoint now) const {
+  Candidates open;
+  std::ranges::copy_if(
+      candidates, std::back_inserter(open),
+      [&](const Endpoint* it) { return OpenFrom(*it, longest_wait) <= now; });
+  return open;
+}
+
 std::optional<base::TimePoint> EndpointChooser::OpenFrom(
     const base::PoolName& pool) const {
   EndpointWish wish;
@@ -132,27 +164,61 @@
   const Candidates eligible = Eligible(wish);
   if (eligible.empty())
     return std::nullopt;
-  return FirstOpen(eligible);
+  return FirstOpen(eligible, base::Duration(0));
 }
 
+bool EndpointChooser::IsOpen(const ListedEndpoint& endpoint,
+                             base::TimePoint now) const {
+  const auto it = endpoints_.find(endpoint.name);
+  return it != endpoints_.end() &&
+         it->second.listed.state == EndpointState::kServing &&
+         it->second.listed.incarnation == endpoint.incarnation &&
+         OpenFrom(it->second) <= now;
+}
+
+// Endpoints without a limit go first. One with a limit is waited for only if
+// all have one, and is taken beside the others only for what it shares with
+// earlier requests.
 EndpointChoice EndpointChooser::Choose(const EndpointWish& wish,
                                        base::TimePoint now) {
+  TakeLimits();
   const Candidates eligible = Eligible(wish);
   if (eligible.empty())
     return NoEndpointServes{};
-  Candidates open;
-  std::ranges::copy_if(
-      eligible, std::back_inserter(open),
-      [this, now](const Endpoint* it) { return OpenFrom(*it) <= now; });
+  Candidates unlimited;
+  std::ranges::copy_if(eligible, std::back_inserter(unlimited),
+                       [this](const Endpoint* it) { return !it->has_limit; });
+  Candidates open = OpenOf(unlimited, base::Duration(0), now);
+  const bool may_wait = open.empty();
+  const base::Duration longest_wait =
+      may_wait ? wish.longest_wait : base::Duration(0);
+  if (may_wait || !wish.affinity.empty())
+    open = OpenOf(eligible, longest_wait, now);
   if (open.empty())
-    return EndpointsQuiet{FirstOpen(eligible)};
+    return EndpointsQuiet{FirstOpen(eligible, longest_wait)};
   const Candidates candidates = PreferRested(open, now);
   const Endpoint& chosen = wish.affinity.empty()
                                ? LeastLoaded(candidates)
                                : BestFor(wish.affinity, candidates);
+  if (chosen.has_limit)
+    return LimitedEndpoint{chosen.listed, longest_wait};
   return chosen.listed;
 }
 
+void EndpointChooser::NoteNextPermit(const base::EndpointName& name,
+                                     base::TimePoint begins) {
+  const auto it = endpoints_.find(name);
+  if (it != endpoints_.end())
+    it->second.next_permit = begins;
+}
+
+void EndpointChooser::NoteNoPermits(const base::EndpointName& name,
+                                    base::TimePoint until) {
+  const auto it = endpoints_.find(name);
+  if (it != endpoints_.end())
+    it->second.no_permits_until = until;
+}
+
 const EndpointChooser::Endpoint& EndpointChooser::LeastLoaded(
     const Candidates& candidates) {
   // Ties are broken at random, so that hosts don't all take the same one.
--- a/Libraries/LibForward/endpoint_chooser.h
+++ b/Libraries/LibForward/endpoint_chooser.h
@@ -9,8 +9,8 @@
 
 #include "LibBase/random.h"
 #include "LibBase/time.h"
+#include "LibForward/endpoint_words.h"
 #include "LibForward/forward_endpoint.h"
-#include "LibForward/quiet_times.h"
 
 namespace bilberry::forward {
 
@@ -32,26 +32,36 @@
   std::string_view affinity;
   // Endpoints that have had this request already.
   std::span<const base::EndpointName> avoided;
+  // How long it may wait for a permit.
+  base::Duration longest_wait{};
 };
 
 // The pool has no endpoint that may be given work.
 struct NoEndpointServes {};
 
-// All that may be given work want to be left alone until then.
+// All that may be given work want to be left alone, or give no permit in time,
+// until then.
 struct EndpointsQuiet {
   base::TimePoint until;
 };
 
-using EndpointChoice =
-    std::variant<ListedEndpoint, EndpointsQuiet, NoEndpointServes>;
+// One with a limit: the request may go there with a permit, for which it should
+// wait no longer.
+struct LimitedEndpoint {
+  ListedEndpoint listed;
+  base::Duration longest_wait{};
+};
+
+using EndpointChoice = std::
+    variant<ListedEndpoint, LimitedEndpoint, EndpointsQuiet, NoEndpointServes>;
 
 // Chooses the endpoint that runs a request itself, from what this host has in
 // flight, how its own requests ended, and what endpoints asked of it.
 class EndpointChooser {
  public:
-  // `quiet_times` must outlive the chooser.
-  EndpointChooser(uint64_t seed, const QuietTimes& quiet_times)
-      : random_(seed), quiet_times_(quiet_times) {}
+  // `words` must outlive the chooser.
+  EndpointChooser(uint64_t seed, const EndpointWords& words)
+      : random_(seed), words_(words) {}
 
   void SetEndpoints(std::span<const ListedEndpoint> endpoints);
 
@@ -59,6 +69,13 @@
   // From when on one of the pool's endpoints may be sent something; empty if
   // none serves.
   std::optional<base::TimePoint> OpenFrom(const base::PoolName& pool) const;
+  // Whether this life of the endpoint may be sent something now, apart from its
+  // limit.
+  bool IsOpen(const ListedEndpoint& endpoint, base::TimePoint now) const;
+  // The endpoint's next permit begins then.
+  void NoteNextPermit(const base::EndpointName& name, base::TimePoint begins);
+  // Its permits can't be asked for until then.
+  void NoteNoPermits(const base::EndpointName& name, base::TimePoint until);
 
   void NoteBegun(const base::EndpointName& name, base::TimePoint now);
   // The endpoint's quiet time is over: what has waited for it comes one by one.
@@ -70,12 +87,15 @@
  private:
   struct Endpoint {
     ListedEndpoint listed;
+    bool has_limit = false;
     uint32_t in_flight = 0;
     uint32_t failures = 0;  // In a row.
     base::TimePoint rests_until;
     // After a quiet time requests begin at intervals.
     base::TimePoint spaced_until;
     base::TimePoint next_begin;
+    base::TimePoint next_permit;
+    base::TimePoint no_permits_until;
   };
 
   // A zone whose endpoints can't be reached, one after the other.
@@ -86,10 +106,19 @@
 
   using Candidates = std::vector<const Endpoint*>;
 
-  // From when on the endpoint may be sent something.
+  // Takes on which endpoints have a limit, if that has changed.
+  void TakeLimits();
+  // From when on the endpoint may be sent something, apart from its limit.
   base::TimePoint OpenFrom(const Endpoint& endpoint) const;
+  // The same by one who waits so long for a permit.
+  base::TimePoint OpenFrom(const Endpoint& endpoint,
+                           base::Duration longest_wait) const;
   // The same of the first of them.
-  base::TimePoint FirstOpen(const Candidates& candidates) const;
+  base::TimePoint FirstOpen(const Candidates& candidates,
+                            base::Duration longest_wait) const;
+  Candidates OpenOf(const Candidates& candidates,
+                    base::Duration longest_wait,
+                    base::TimePoint now) const;
   bool IsRested(const Endpoint& endpoint, base::TimePoint now) const;
   void NoteUnreachable(Endpoint& endpoint, base::TimePoint now);
   // Those that the request may go to, now or later.
@@ -102,9 +131,10 @@
                                  const Candidates& candidates);
 
   base::Random random_;
-  const QuietTimes& quiet_times_;
+  const EndpointWords& words_;
   std::map<base::EndpointName, Endpoint> endpoints_;
   std::map<base::ZoneName, Zone> zones_;
+  std::optional<uint64_t> seen_limits_;  // Empty: endpoints have changed.
 };
 
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/endpoint_limits.cc
+++ b/Libraries/LibForward/endpoint_limits.cc
@@ -9,6 +9,10 @@
 
 // How many endpoints are remembered; whose limit is over goes first.
 constexpr size_t kMostEntries = 2000;
+// For so long peers are told of a limit; a host that asks its relay once a
+// second hears of it several times.
+constexpr std::chrono::seconds kToldFor{5};
+constexpr size_t kMostTold = 200;
 
 bool IsLower(const RequestLimit& left, const RequestLimit& right) {
   return left.per_second &&
@@ -23,24 +27,56 @@
                           base::TimePoint asked,
                           base::TimePoint now) {
   const auto it = entries_.find(name);
+  const bool is_known =
+      it != entries_.end() && it->second.incarnation == incarnation;
+  if (is_known && asked < it->second.heard && !IsLower(limit, it->second.limit))
+    return false;
+  return Take(name, {incarnation, limit, now});
+}
+
+bool EndpointLimits::NoteByPeer(const base::EndpointName& name,
+                                base::Incarnation incarnation,
+                                const LimitWord& word,
+                                base::TimePoint now) {
+  const base::TimePoint heard = now - word.age;
+  const auto it = entries_.find(name);
+  const bool is_known =
+      it != entries_.end() && it->second.incarnation == incarnation;
+  if (is_known && (heard <= it->second.heard || it->second.limit == word.limit))
+    return false;
+  return Take(name, {incarnation, word.limit, heard});
+}
+
+bool EndpointLimits::Take(const base::EndpointName& name, Entry entry) {
+  const auto it = entries_.find(name);
   if (it == entries_.end()) {
-    if (!limit.per_second)
+    if (!entry.limit.per_second)
       return false;
     Prune();
-    entries_.emplace(name, Entry{incarnation, limit, now});
+    entries_.emplace(name, entry);
+    ++changes_;
     return true;
   }
   Entry& known = it->second;
-  if (known.incarnation > incarnation)
-    return false;
-  const bool is_same_life = known.incarnation == incarnation;
-  if (is_same_life && asked < known.heard && !IsLower(limit, known.limit))
+  // Answers of an earlier life say nothing of this one.
+  if (known.incarnation > entry.incarnation)
     return false;
-  const bool has_changed = !is_same_life || known.limit != limit;
-  known = {incarnation, limit, now};
+  const bool has_changed =
+      known.incarnation != entry.incarnation || known.limit != entry.limit;
+  known = entry;
+  changes_ += has_changed ? 1 : 0;
   return has_changed;
 }
 
+std::optional<LimitWord> EndpointLimits::WordOf(const base::EndpointName& name,
+                                                base::Incarnation incarnation,
+                                                base::TimePoint now) const {
+  const auto it = entries_.find(name);
+  if (it == entries_.end() || it->second.incarnation != incarnation)
+    return std::nullopt;
+  return LimitWord{it->second.limit, now - it->second.heard};
+}
+
 void EndpointLimits::Prune() {
   if (entries_.size() >= kMostEntries)
     std::erase_if(entries_,
@@ -56,6 +92,16 @@
   return it->second.limit.per_second;
 }
 
+std::vector<ToldLimit> EndpointLimits::RecentWords(base::TimePoint now) const {
+  std::vector<ToldLimit> recent;
+  for (const auto& [name, entry] : entries_) {
+    const base::Duration age = now - entry.heard;
+    if (age < kToldFor && recent.size() < kMostTold)
+      recent.push_back({name, entry.incarnation, {entry.limit, age}});
+  }
+  return recent;
+}
+
 bool EndpointLimits::Knows(const base::EndpointName& name) const {
   const auto it = entries_.find(name);
   return it != entries_.end() && it->second.limit.per_second.has_value();
--- a/Libraries/LibForward/forward_action.h
+++ b/Libraries/LibForward/forward_action.h
@@ -134,6 +134,24 @@
   std::chrono::milliseconds timeout{0};
 };
 
+// Ends in one PermitAnswered or PermitLost.
+struct AskPermit {
+  PermitAskId ask{};
+  base::SocketAddress address;
+  PermitQuestion question;
+};
+
+struct AnswerPermit {
+  PeerExchangeId exchange{};
+  PermitAnswer answer;
+};
+
+// Nothing comes back.
+struct TellLimits {
+  base::SocketAddress address;
+  std::vector<ToldLimit> limits;
+};
+
 // Asks a peer for what it knows of the store. Ends in one NewsHeard or
 // NewsFailed.
 struct AskNews {
@@ -202,6 +220,9 @@
                             AnswerPeer,
                             TellPeerRead,
                             AskWhetherAlive,
+                            AskPermit,
+                            AnswerPermit,
+                            TellLimits,
                             AskNews,
                             AnswerNews,
                             ListTable,
--- a/Libraries/LibForward/forward_context.h
+++ b/Libraries/LibForward/forward_context.h
@@ -7,10 +7,9 @@
 #include <vector>
 
 #include "LibBase/ids.h"
-#include "LibForward/endpoint_limits.h"
+#include "LibForward/endpoint_words.h"
 #include "LibForward/forward_action.h"
 #include "LibForward/peer_host.h"
-#include "LibForward/quiet_times.h"
 
 namespace bilberry::forward {
 
@@ -39,10 +38,8 @@
 
   const ForwardOptions& options() const { return options_; }
 
-  QuietTimes& quiet_times() { return quiet_times_; }
-  const QuietTimes& quiet_times() const { return quiet_times_; }
-  EndpointLimits& limits() { return limits_; }
-  const EndpointLimits& limits() const { return limits_; }
+  EndpointWords& words() { return words_; }
+  const EndpointWords& words() const { return words_; }
 
   void Emit(Action action) { actions_.push_back(std::move(action)); }
   void Log(base::LogEventId id,
@@ -73,8 +70,7 @@
 
  private:
   ForwardOptions options_;
-  QuietTimes quiet_times_;
-  EndpointLimits limits_;
+  EndpointWords words_;
   Actions actions_;
 };
 
--- a/Libraries/LibForward/forward_event.h
+++ b/Libraries/LibForward/forward_event.h
@@ -10,6 +10,7 @@
 #include "LibForward/endpoint_notice.h"
 #include "LibForward/feed_row.h"
 #include "LibForward/forwarded_request.h"
+#include "LibForward/permit.h"
 #include "LibForward/stage_job.h"
 #include "LibForward/table_news.h"
 
@@ -118,6 +119,27 @@
   std::string detail;
 };
 
+// A peer wants a permit of a limit that this host keeps; answered by one
+// AnswerPermit.
+struct PeerPermitAsked {
+  PeerExchangeId exchange{};
+  PermitQuestion question;
+};
+
+struct PermitAnswered {
+  PermitAskId ask{};
+  PermitAnswer answer;
+};
+struct PermitLost {
+  PermitAskId ask{};
+  std::string detail;
+};
+
+// A peer tells what it has heard of limits.
+struct PeerToldLimits {
+  std::vector<ToldLimit> limits;
+};
+
 // A peer asks what this host knows of the store; answered by one AnswerNews.
 struct PeerNewsAsked {
   PeerExchangeId exchange{};
@@ -180,6 +202,10 @@
                            PeerJobLost,
                            PeerAlive,
                            PeerSilent,
+                           PeerPermitAsked,
+                           PermitAnswered,
+                           PermitLost,
+                           PeerToldLimits,
                            PeerNewsAsked,
                            NewsHeard,
                            NewsFailed,
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -18,8 +18,9 @@
     : context_(std::move(options)),
       store_(context_),
       peers_(context_),
+      permits_(context_, peers_),
       stages_(context_, peers_),
-      runs_(context_, stages_) {
+      runs_(context_, stages_, permits_) {
   context_.Log(base::LogEventId::kHostStarted, "",
                {{"host", context_.options().own.name.value},
                 {"zone", context_.options().own.zone.value}});
@@ -29,7 +30,7 @@
   Route(std::move(event), now);
   store_.HandleTimer(now);
   EndQuietTimes(now);
-  TakeNews();
+  TakeNews(now);
   runs_.HandleTimer(now);
   peers_.AskPeers(now);
   stages_.Dispatch(now);
@@ -65,8 +66,15 @@
           [&](const PeerJobLost& it) { stages_.Handle(it, now); },
           [&](const PeerAlive& it) { peers_.NoteHeard(it.host, now); },
           [&](const PeerSilent& it) { stages_.Handle(it, now); },
+          [&](const PeerPermitAsked& it) { permits_.Handle(it, now); },
+          [&](const PermitAnswered& it) { permits_.Handle(it, now); },
+          [&](const PermitLost& it) { permits_.Handle(it, now); },
+          [&](const PeerToldLimits& it) { permits_.TakeWords(it.limits, now); },
           [&](const PeerNewsAsked& it) { store_.Handle(it, now); },
-          [&](NewsHeard& it) { store_.Handle(std::move(it), now); },
+          [&](NewsHeard& it) {
+            permits_.TakeWords(it.news.limits, now);
+            store_.Handle(std::move(it), now);
+          },
           [&](const NewsFailed& it) { store_.Handle(it, now); },
           [&](TableListed& it) { store_.Handle(std::move(it), now); },
           [&](TableChanged& it) { store_.Handle(std::move(it), now); },
@@ -86,24 +94,27 @@
     context_.LogLeaving(event.endpoint, event.incarnation, "answer");
   const auto& retry_after = event.notice.retry_after;
   if (retry_after &&
-      context_.quiet_times().Note(event.endpoint, now + *retry_after))
+      context_.words().quiet_times.Note(event.endpoint, now + *retry_after))
     context_.Log(base::LogEventId::kEndpointQuiet, "",
                  {{"endpoint", event.endpoint.value},
                   {"for_ms", ToMilliseconds(*retry_after)}});
   const auto& limit = event.notice.limit;
-  if (limit && context_.limits().Note(event.endpoint, event.incarnation, *limit,
-                                      event.asked, now))
-    context_.LogLimit(event.endpoint, event.incarnation, *limit, "answer");
+  if (!limit || !context_.words().limits.Note(event.endpoint, event.incarnation,
+                                              *limit, event.asked, now))
+    return;
+  context_.LogLimit(event.endpoint, event.incarnation, *limit, "answer");
+  permits_.NoteHeard(event.endpoint, event.incarnation, now);
 }
 
 void ForwardNode::EndQuietTimes(base::TimePoint now) {
-  for (const base::EndpointName& it : context_.quiet_times().TakeEnded(now)) {
+  for (const base::EndpointName& it :
+       context_.words().quiet_times.TakeEnded(now)) {
     runs_.NoteQuietEnded(it, now);
     context_.Log(base::LogEventId::kEndpointOpen, "", {{"endpoint", it.value}});
   }
 }
 
-void ForwardNode::TakeNews() {
+void ForwardNode::TakeNews(base::TimePoint now) {
   if (seen_configuration_ != store_.configuration_changes()) {
     seen_configuration_ = store_.configuration_changes();
     runs_.SetConfiguration(store_.configuration());
@@ -114,13 +125,18 @@
     seen_endpoints_ = store_.endpoint_changes();
     runs_.SetEndpoints(store_.endpoints());
     stages_.SetEndpoints(store_.endpoints());
+    permits_.SetEndpoints(store_.endpoints());
   }
   if (seen_hosts_ != store_.host_changes()) {
     seen_hosts_ = store_.host_changes();
-    peers_.SetHosts(store_.hosts());
+    peers_.SetHosts(store_.hosts(), now);
     stages_.GuardDispatchers();
     store_.ChooseRelays();
   }
+  if (seen_peer_changes_ != peers_.changes()) {
+    seen_peer_changes_ = peers_.changes();
+    permits_.Review();
+  }
 }
 
 bool ForwardNode::is_ready() const {
@@ -163,7 +179,7 @@
   consider(peers_.NextWakeup());
   consider(stages_.NextWakeup());
   consider(runs_.NextWakeup());
-  consider(context_.quiet_times().NextEnd());
+  consider(context_.words().quiet_times.NextEnd());
   if (stop_began_ && !has_exited_) {
     const base::TimePoint lingered = *stop_began_ + kLinger;
     consider(runs_.is_accepting()
--- a/Libraries/LibForward/forward_node.h
+++ b/Libraries/LibForward/forward_node.h
@@ -6,6 +6,7 @@
 #include "LibForward/forward_context.h"
 #include "LibForward/forward_event.h"
 #include "LibForward/peer_desk.h"
+#include "LibForward/permit_desk.h"
 #include "LibForward/run_desk.h"
 #include "LibForward/stage_desk.h"
 #include "LibForward/store_desk.h"
@@ -33,7 +34,7 @@
   // Whether the endpoint's answers are of interest that say nothing of it: they
   // tell that it has no limit any more.
   bool KnowsLimitOf(const base::EndpointName& endpoint) const {
-    return context_.limits().Knows(endpoint);
+    return context_.words().limits.Knows(endpoint);
   }
   bool is_stopping() const { return stop_began_.has_value(); }
 
@@ -41,18 +42,20 @@
   void Route(Event event, base::TimePoint now);
   void Handle(const EndpointNoticed& event, base::TimePoint now);
   void EndQuietTimes(base::TimePoint now);
-  void TakeNews();
+  void TakeNews(base::TimePoint now);
   void HandleStop(base::TimePoint now);
   void FinishStop(base::TimePoint now);
 
   ForwardContext context_;
   StoreDesk store_;
   PeerDesk peers_;
+  PermitDesk permits_;
   StageDesk stages_;
   RunDesk runs_;
   uint64_t seen_configuration_ = 0;
   uint64_t seen_endpoints_ = 0;
   uint64_t seen_hosts_ = 0;
+  uint64_t seen_peer_changes_ = 0;
   bool was_ready_ = false;
   std::optional<base::TimePoint> stop_began_;
   bool has_exited_ = false;
--- a/Libraries/LibForward/forwarded_run.h
+++ b/Libraries/LibForward/forwarded_run.h
@@ -9,6 +9,7 @@
 #include "LibForward/event_splitter.h"
 #include "LibForward/forward_configuration.h"
 #include "LibForward/forwarded_request.h"
+#include "LibForward/permit_desk.h"
 #include "LibForward/stage_desk.h"
 
 namespace bilberry::forward {
@@ -53,6 +54,8 @@
   std::vector<StageState> stages;
   // When a stage that would be done too early is looked at again.
   std::optional<base::TimePoint> looked_at_again;
+  std::optional<PermitAskId> permit_ask;  // Under way.
+  std::optional<HeldPermit> permit;
   std::optional<FinalAttempt> attempt;
   std::vector<base::EndpointName> tried;
   uint32_t runs = 0;  // Attempts that may have run.
--- a/Libraries/LibForward/host_ring.cc
+++ b/Libraries/LibForward/host_ring.cc
@@ -29,16 +29,21 @@
 
 void HostRing::NoteSilent(const base::HostName& name) {
   if (silent_.insert(name).second)
-    dealt_.clear();
+    ForgetChosen();
 }
 
 void HostRing::NoteAnswer(const base::HostName& name) {
   if (silent_.erase(name) > 0)
-    dealt_.clear();
+    ForgetChosen();
 }
 
-void HostRing::ForgetDealt() {
+void HostRing::ForgetChosen() {
   dealt_.clear();
+  keepers_.clear();
+}
+
+void HostRing::ForgetDealt() {
+  ForgetChosen();
   ideally_dealt_.clear();
 }
 
@@ -72,7 +77,8 @@
   Dealt dealt;
   std::vector<size_t> counts(hosts_.size(), 0);
   for (const base::PoolName& pool : pools_) {
-    const size_t best = BestFor({cell, pool}, passed_over, counts);
+    const size_t best = BestFor(cell.zone.value + "/" + pool.value, cell.zone,
+                                passed_over, counts);
     ++counts[best];
     dealt[pool] = best;
   }
@@ -80,19 +86,19 @@
 }
 
 // The own host if all others are passed over.
-size_t HostRing::BestFor(const CellPool& at,
+size_t HostRing::BestFor(const std::string& key,
+                         const base::ZoneName& zone,
                          const std::set<base::HostName>& passed_over,
-                         const std::vector<size_t>& counts) const {
+                         const std::vector<size_t>& tasks) const {
   using Rank = std::tuple<HostTier, size_t, double>;
   size_t best = 0;
   std::optional<Rank> best_rank;
-  const std::string key = at.cell.zone.value + "/" + at.pool.value;
   for (size_t i = 0; i < hosts_.size(); ++i) {
     const PeerHost& host = hosts_[i];
     if (passed_over.contains(host.name))
       continue;
-    const bool is_in_zone = at.cell.HasAllZones() || host.zone == at.cell.zone;
-    const Rank rank{TierOf(sizes_.IsLarge(host), is_in_zone), counts[i],
+    const bool is_in_zone = zone.value.empty() || host.zone == zone;
+    const Rank rank{TierOf(sizes_.IsLarge(host), is_in_zone), tasks[i],
                     -WeightedRendezvous(key, host.name.value, host.capacity)};
     if (!best_rank || rank < *best_rank) {
       best = i;
@@ -102,6 +108,29 @@
   return best;
 }
 
+size_t HostRing::ChooseKeeper(
+    const KeptEndpoint& endpoint,
+    const std::set<base::HostName>& passed_over) const {
+  const std::vector<size_t> no_tasks(hosts_.size(), 0);
+  return BestFor("limit/" + endpoint.name.value, endpoint.zone, passed_over,
+                 no_tasks);
+}
+
+const PeerHost& HostRing::KeeperOf(const KeptEndpoint& endpoint) const {
+  auto it = keepers_.find(endpoint.name);
+  if (it == keepers_.end())
+    it = keepers_.emplace(endpoint.name, ChooseKeeper(endpoint, silent_)).first;
+  return hosts_[it->second];
+}
+
+const PeerHost& HostRing::IdealKeeperOf(const KeptEndpoint& endpoint) const {
+  return hosts_[ChooseKeeper(endpoint, {})];
+}
+
+const PeerHost& HostRing::KeeperAfter(const KeptEndpoint& endpoint) const {
+  return hosts_[ChooseKeeper(endpoint, {IdealKeeperOf(endpoint).name})];
+}
+
 const PeerHost* HostRing::Find(const base::HostName& name) const {
   const auto it = std::ranges::find(hosts_, name, &PeerHost::name);
   return it == hosts_.end() ? nullptr : &*it;
--- a/Libraries/LibForward/host_ring.h
+++ b/Libraries/LibForward/host_ring.h
@@ -13,11 +13,17 @@
 
 namespace bilberry::forward {
 
-// Which host collects the pieces of each pool of a cell. Only hosts that are
-// large enough to carry it do while there are any, those of the cell's zone
-// first; among them the pools are dealt out by rendezvous hashing, so that each
-// host has as few as can be. Hosts that know the same hosts choose alike
-// without talking.
+// An endpoint whose limit for all hosts is kept by one of them.
+struct KeptEndpoint {
+  base::EndpointName name;
+  base::ZoneName zone;
+};
+
+// Which host works for others: collects the pieces of each pool of a cell. Only
+// hosts that are large enough to carry it do while there are any, those of the
+// cell's zone first; among them the pools are dealt out by rendezvous hashing,
+// so that each host has as few as can be. Hosts that know the same hosts choose
+// alike without talking.
 class HostRing {
  public:
   explicit HostRing(PeerHost own);
@@ -31,10 +37,17 @@
   const PeerHost& IdealDispatcherOf(const CellPool& at) const;
   // The one that would be chosen if the ideal one were gone.
   const PeerHost& SuccessorOf(const CellPool& at) const;
+  // The one that keeps the limit of an endpoint.
+  const PeerHost& KeeperOf(const KeptEndpoint& endpoint) const;
+  // The same if every host answered, and if that one were gone.
+  const PeerHost& IdealKeeperOf(const KeptEndpoint& endpoint) const;
+  const PeerHost& KeeperAfter(const KeptEndpoint& endpoint) const;
   bool IsOwn(const PeerHost& host) const { return host.name == own_.name; }
   // Null when there is no such host.
   const PeerHost* Find(const base::HostName& name) const;
   size_t host_count() const { return hosts_.size(); }
+  // The own one first.
+  std::span<const PeerHost> hosts() const { return hosts_; }
 
   // A host that gave no answer is passed over until it answers.
   void NoteSilent(const base::HostName& name);
@@ -52,10 +65,17 @@
                          std::map<Cell, Dealt>& known) const;
   Dealt Deal(const Cell& cell,
              const std::set<base::HostName>& passed_over) const;
-  size_t BestFor(const CellPool& at,
+  // For a zone; for all of them if it is empty. Those with fewer `tasks` go
+  // first.
+  size_t BestFor(const std::string& key,
+                 const base::ZoneName& zone,
                  const std::set<base::HostName>& passed_over,
-                 const std::vector<size_t>& dealt) const;
+                 const std::vector<size_t>& tasks) const;
+  size_t ChooseKeeper(const KeptEndpoint& endpoint,
+                      const std::set<base::HostName>& passed_over) const;
   void ForgetDealt();
+  // What goes by who is silent.
+  void ForgetChosen();
 
   PeerHost own_;
   std::vector<PeerHost> hosts_;  // With the own one.
@@ -65,6 +85,7 @@
   // What was worked out since hosts, pools or silent ones last changed.
   mutable std::map<Cell, Dealt> dealt_;
   mutable std::map<Cell, Dealt> ideally_dealt_;
+  mutable std::map<base::EndpointName, size_t> keepers_;
 };
 
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/peer_desk.cc
+++ b/Libraries/LibForward/peer_desk.cc
@@ -8,9 +8,33 @@
   ring_.SetPools(std::move(pools));
 }
 
-void PeerDesk::SetHosts(std::span<const PeerHost> hosts) {
+void PeerDesk::SetHosts(std::span<const PeerHost> hosts, base::TimePoint now) {
   ring_.SetHosts(hosts);
   watch_.SetFleetSize(ring_.host_count());
+  NoteChanged(now);
+}
+
+void PeerDesk::NoteChanged(base::TimePoint now) {
+  changed_at_ = now;
+  ++changes_;
+}
+
+void PeerDesk::GuardDispatchers(std::set<base::HostName> hosts) {
+  dispatchers_ = std::move(hosts);
+  GuardAll();
+}
+
+void PeerDesk::GuardKeepers(std::set<base::HostName> hosts) {
+  if (hosts == keepers_)
+    return;
+  keepers_ = std::move(hosts);
+  GuardAll();
+}
+
+void PeerDesk::GuardAll() {
+  std::set<base::HostName> all = dispatchers_;
+  all.insert(keepers_.begin(), keepers_.end());
+  watch_.Guard(std::move(all));
 }
 
 void PeerDesk::NoteHeard(const base::HostName& host, base::TimePoint now) {
@@ -18,14 +42,17 @@
   if (!ring_.IsSilent(host))
     return;
   ring_.NoteAnswer(host);
+  NoteChanged(now);
   context_.Log(base::LogEventId::kDispatcherBack, "", {{"host", host.value}});
 }
 
 void PeerDesk::NoteSilent(const base::HostName& host,
-                          const std::string& reason) {
+                          const std::string& reason,
+                          base::TimePoint now) {
   if (ring_.IsSilent(host))
     return;
   ring_.NoteSilent(host);
+  NoteChanged(now);
   context_.Log(base::LogEventId::kDispatcherLost, "",
                {{"host", host.value}, {"reason", reason}});
 }
@@ -33,7 +60,7 @@
 SilenceVerdict PeerDesk::Handle(const PeerSilent& event, base::TimePoint now) {
   const SilenceVerdict verdict = watch_.NoteMissed(event.host, now);
   if (verdict != SilenceVerdict::kNone)
-    NoteSilent(event.host, event.detail);
+    NoteSilent(event.host, event.detail, now);
   return verdict;
 }
 
--- a/Libraries/LibForward/peer_desk.h
+++ b/Libraries/LibForward/peer_desk.h
@@ -22,9 +22,11 @@
   const HostRing& ring() const { return ring_; }
 
   void SetPools(std::set<base::PoolName> pools);
-  void SetHosts(std::span<const PeerHost> hosts);
-  // Whoever would follow a host that is gone is the one who finds out.
-  void Guard(std::set<base::HostName> hosts) { watch_.Guard(std::move(hosts)); }
+  void SetHosts(std::span<const PeerHost> hosts, base::TimePoint now);
+  // Whoever would follow a host that is gone is the one who finds out: the
+  // dispatchers and the keepers of limits that this host would follow.
+  void GuardDispatchers(std::set<base::HostName> hosts);
+  void GuardKeepers(std::set<base::HostName> hosts);
 
   // Something was asked of the host.
   void NoteUse(const base::HostName& host, base::TimePoint now) {
@@ -33,9 +35,16 @@
   // An answer of any kind.
   void NoteHeard(const base::HostName& host, base::TimePoint now);
   // It can't be reached; what is new is asked of others.
-  void NoteSilent(const base::HostName& host, const std::string& reason);
+  void NoteSilent(const base::HostName& host,
+                  const std::string& reason,
+                  base::TimePoint now);
   SilenceVerdict Handle(const PeerSilent& event, base::TimePoint now);
 
+  // When who works for others at what may last have changed, and how often it
+  // may have.
+  base::TimePoint changed_at() const { return changed_at_; }
+  uint64_t changes() const { return changes_; }
+
   // Asks those who are due whether they are there.
   void AskPeers(base::TimePoint now);
   std::optional<base::TimePoint> NextWakeup() const {
@@ -43,9 +52,16 @@
   }
 
  private:
+  void NoteChanged(base::TimePoint now);
+  void GuardAll();
+
   ForwardContext& context_;
   HostRing ring_;
   PeerWatch watch_;
+  std::set<base::HostName> dispatchers_;
+  std::set<base::HostName> keepers_;
+  base::TimePoint changed_at_;
+  uint64_t changes_ = 0;
 };
 
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/piece_endpoint.cc
+++ b/Libraries/LibForward/piece_endpoint.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibForward/permit_book.h"
+
 namespace bilberry::forward {
 
 namespace {
@@ -18,14 +20,36 @@
 constexpr std::chrono::milliseconds kFullRest{30};
 // Small results are freed together, after at most this time.
 constexpr std::chrono::milliseconds kFreeDelay{10};
+// Of an endpoint with a limit, what is to be freed is told beside the calls at
+// their pace, so seldom that both together are within half more than the limit.
+constexpr int kIntervalsPerFree = 4;
 // Results of this size are freed at once, since they take a noticeable part of
 // an endpoint's room.
 constexpr uint64_t kLargeBytes = 400'000;
 
 }  // namespace
 
+// Its dispatcher calls it alone, so that this host's pace is that of all.
+base::Duration PieceEndpoint::LeastInterval() const {
+  const auto per_second =
+      words_->limits.RateOf(listed_.name, listed_.incarnation);
+  return per_second ? PermitInterval(*per_second) : base::Duration(0);
+}
+
 base::TimePoint PieceEndpoint::OpenFrom() const {
-  return std::max(rests_until_, quiet_times_->EndOf(listed_.name));
+  const base::TimePoint open =
+      std::max(rests_until_, words_->quiet_times.EndOf(listed_.name));
+  return last_called_ ? std::max(open, *last_called_ + LeastInterval()) : open;
+}
+
+double PieceEndpoint::CallsPerRound(uint32_t calls_at_once,
+                                    base::Duration round) const {
+  const base::Duration interval = LeastInterval();
+  if (interval == base::Duration(0))
+    return calls_at_once;
+  return std::min<double>(calls_at_once,
+                          static_cast<double>(round.count()) /
+                              static_cast<double>(interval.count()));
 }
 
 bool PieceEndpoint::IsIdle(uint32_t calls_at_once, base::TimePoint now) const {
@@ -38,8 +62,10 @@
   return calls_ < calls_at_once ? open : std::max(open, busy_until_);
 }
 
-void PieceEndpoint::NoteCalled(base::TimePoint busy_until) {
+void PieceEndpoint::NoteCalled(base::TimePoint now,
+                               base::TimePoint busy_until) {
   ++calls_;
+  last_called_ = now;
   busy_until_ = busy_until;
 }
 
@@ -70,7 +96,11 @@
 std::optional<base::TimePoint> PieceEndpoint::FreeTime() const {
   if (!free_due_)
     return std::nullopt;
-  return std::max(*free_due_, quiet_times_->EndOf(listed_.name));
+  const base::TimePoint due =
+      std::max(*free_due_, words_->quiet_times.EndOf(listed_.name));
+  if (!last_freed_)
+    return due;
+  return std::max(due, *last_freed_ + LeastInterval() * kIntervalsPerFree);
 }
 
 std::optional<FreeOrder> PieceEndpoint::TakeFreeOrder(base::TimePoint now) {
@@ -78,6 +108,7 @@
   if (!due || *due > now)
     return std::nullopt;
   free_due_.reset();
+  last_freed_ = now;
   return FreeOrder{listed_.pool, listed_.name, listed_.incarnation,
                    listed_.address, std::exchange(to_free_, {})};
 }
--- a/Libraries/LibForward/piece_endpoint.h
+++ b/Libraries/LibForward/piece_endpoint.h
@@ -4,9 +4,9 @@
 #include <string>
 #include <vector>
 
+#include "LibForward/endpoint_words.h"
 #include "LibForward/forward_endpoint.h"
 #include "LibForward/named_results.h"
-#include "LibForward/quiet_times.h"
 #include "LibForward/result_room.h"
 #include "LibForward/stage_job.h"
 
@@ -17,9 +17,9 @@
 // freed.
 class PieceEndpoint {
  public:
-  // `quiet_times` must outlive the endpoint.
-  PieceEndpoint(ListedEndpoint listed, const QuietTimes& quiet_times)
-      : listed_(std::move(listed)), quiet_times_(&quiet_times) {}
+  // `words` must outlive the endpoint.
+  PieceEndpoint(ListedEndpoint listed, const EndpointWords& words)
+      : listed_(std::move(listed)), words_(&words) {}
 
   const ListedEndpoint& listed() const { return listed_; }
   void SetListed(ListedEndpoint listed) { listed_ = std::move(listed); }
@@ -29,10 +29,12 @@
   bool IsIdle(uint32_t calls_at_once, base::TimePoint now) const;
   // When it takes its next call, if all goes as expected.
   base::TimePoint NextTurn(uint32_t calls_at_once, base::TimePoint now) const;
-  void NoteCalled(base::TimePoint busy_until);
+  void NoteCalled(base::TimePoint now, base::TimePoint busy_until);
   void NoteCallEnded() { --calls_; }
 
   void NoteAnswered() { failures_ = 0; }
+  // How many calls it takes in a round of this length.
+  double CallsPerRound(uint32_t calls_at_once, base::Duration round) const;
   // Gives it no call for a while: longer with each failure in a row.
   void NoteFailed(base::TimePoint now);
   // It is full, or has no room: it gets no call for a moment.
@@ -55,16 +57,21 @@
                                             base::TimePoint now) const;
 
  private:
+  // The time between two requests that keeps to its limit; 0 without one.
+  base::Duration LeastInterval() const;
   // From when on it may be called, as far as its answers tell.
   base::TimePoint OpenFrom() const;
   std::optional<base::TimePoint> FreeTime() const;
 
   ListedEndpoint listed_;
-  const QuietTimes* quiet_times_;  // Never null; a pointer, to be movable.
+  const EndpointWords* words_;  // Never null; a pointer, to be movable.
   uint32_t calls_ = 0;
   uint32_t failures_ = 0;  // In a row.
   base::TimePoint rests_until_;
   base::TimePoint busy_until_;  // As expected.
+  // When it was last called, and told what to free.
+  std::optional<base::TimePoint> last_called_;
+  std::optional<base::TimePoint> last_freed_;
   NamedResults named_results_;
   ResultRoom room_;
   std::vector<std::string> to_free_;
--- a/Libraries/LibForward/relay_desk.cc
+++ b/Libraries/LibForward/relay_desk.cc
@@ -27,26 +27,33 @@
 
 }  // namespace
 
-void RelayDesk::SetHosts(std::span<const PeerHost> hosts) {
-  relays_.clear();
+std::vector<PeerHost> RelaysOf(std::span<const PeerHost> hosts,
+                               const base::ZoneName& zone) {
   if (IsSmallFleet(hosts))
-    return;
+    return {hosts.begin(), hosts.end()};
   const HostSizes sizes(hosts);
   std::vector<std::tuple<HostTier, uint64_t, const PeerHost*>> ranked;
   for (const PeerHost& it : hosts)
-    ranked.emplace_back(
-        TierOf(sizes.IsLarge(it), it.zone == own_.zone),
-        RendezvousWeight("relay/" + own_.zone.value, it.name.value), &it);
+    ranked.emplace_back(TierOf(sizes.IsLarge(it), it.zone == zone),
+                        RendezvousWeight("relay/" + zone.value, it.name.value),
+                        &it);
   std::ranges::sort(ranked);
+  std::vector<PeerHost> relays;
   for (const auto& [tier, weight, host] :
-       std::span(ranked).first(kRelaysPerZone)) {
-    // Relays follow the store themselves.
-    if (host->name == own_.name) {
-      relays_.clear();
-      return;
-    }
-    relays_.push_back(*host);
-  }
+       std::span(ranked).first(kRelaysPerZone))
+    relays.push_back(*host);
+  return relays;
+}
+
+void RelayDesk::SetHosts(std::span<const PeerHost> hosts) {
+  relays_.clear();
+  if (IsSmallFleet(hosts))
+    return;
+  std::vector<PeerHost> relays = RelaysOf(hosts, own_.zone);
+  // Relays follow the store themselves.
+  if (std::ranges::find(relays, own_.name, &PeerHost::name) != relays.end())
+    return;
+  relays_ = std::move(relays);
   turn_ = RendezvousWeight(own_.name.value, own_.zone.value) % relays_.size();
 }
 
--- a/Libraries/LibForward/relay_desk.h
+++ b/Libraries/LibForward/relay_desk.h
@@ -11,6 +11,11 @@
 
 namespace bilberry::forward {
 
+// The hosts that follow the store for the others of a zone; all hosts in a
+// small fleet, in which each does so by itself.
+std::vector<PeerHost> RelaysOf(std::span<const PeerHost> hosts,
+                               const base::ZoneName& zone);
+
 // Whom this host asks for news of the store, and when. In a large fleet a few
 // hosts of each zone follow the store, and the others ask one of those; in a
 // small one, each host follows it by itself.
--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -19,6 +19,10 @@
 // A request is taken on though all endpoints want to be left alone, if one of
 // them opens within this time.
 constexpr std::chrono::milliseconds kWaitAtDoor{50};
+// The most urgent requests wait so long for a permit, the others half of it
+// for each step of urgency.
+constexpr std::chrono::milliseconds kLongestPermitWait{1000};
+constexpr uint32_t kMostHalvings = 5;
 // A request that no endpoint has run may be sent to this many more than those
 // that may run it.
 constexpr uint32_t kMaxRefusals = 2;
@@ -49,6 +53,15 @@
   return prefix.size() == 1 ? prefix.front().id : prefix[prefix.size() - 2].id;
 }
 
+// No longer than there is time for the answer behind it.
+base::Duration LongestPermitWait(const ForwardedRun& run, base::TimePoint now) {
+  const uint32_t halvings =
+      std::min(static_cast<uint32_t>(run.urgency), kMostHalvings);
+  const base::Duration left = run.begin_deadline - now - kLeastFinalTime;
+  return std::clamp<base::Duration>(left, base::Duration(0),
+                                    kLongestPermitWait / (1U << halvings));
+}
+
 // Only what no endpoint has run may be told as not run.
 OwnAnswerCode NoEndpointCode(const ForwardedRun& run) {
   return run.may_have_run() ? OwnAnswerCode::kAttemptFailed
@@ -85,10 +98,13 @@
   return "unknown";
 }
 
-RunDesk::RunDesk(ForwardContext& context, StageDesk& stages)
+RunDesk::RunDesk(ForwardContext& context,
+                 StageDesk& stages,
+                 PermitDesk& permits)
     : context_(context),
       stage_desk_(stages),
-      chooser_(context.options().seed, context.quiet_times()),
+      permit_desk_(permits),
+      chooser_(context.options().seed, context.words()),
       random_(context.options().seed + 1) {}
 
 void RunDesk::SetConfiguration(
@@ -175,9 +191,11 @@
   run.stages = InitialStages(*run.pipeline, request);
   run.last_event = request.last_event;
   run.request = std::make_shared<const ForwardedRequest>(std::move(request));
-  const EndpointChoice probable = chooser_.Choose(WishOf(run), now);
+  const EndpointChoice probable = chooser_.Choose(WishOf(run, now), now);
   if (const auto* endpoint = std::get_if<ListedEndpoint>(&probable)) {
     run.final_zone = endpoint->zone;
+  } else if (const auto* limited = std::get_if<LimitedEndpoint>(&probable)) {
+    run.final_zone = limited->listed.zone;
   } else if (const auto* quiet = std::get_if<EndpointsQuiet>(&probable)) {
     if (quiet->until > now + kWaitAtDoor) {
       Refuse(*run.request, OwnAnswerCode::kNoEndpoint,
@@ -214,11 +232,13 @@
   Advance(caller, now);
 }
 
-EndpointWish RunDesk::WishOf(const ForwardedRun& run) const {
+EndpointWish RunDesk::WishOf(const ForwardedRun& run,
+                             base::TimePoint now) const {
   EndpointWish wish;
   wish.pool = run.final_pool;
   wish.avoided = run.tried;
   wish.affinity = SharedPartOf(run.request->prefix);
+  wish.longest_wait = LongestPermitWait(run, now);
   return wish;
 }
 
@@ -231,7 +251,7 @@
     else
       LookAgain(caller, run, due);
   }
-  if (!run.attempt && run.AreStagesDone())
+  if (!run.attempt && !run.permit_ask && run.AreStagesDone())
     SendFinal(caller, now);
 }
 
@@ -288,7 +308,14 @@
   asks_.emplace(state.ask, std::pair(caller, stage));
 }
 
+// Each of the two may lead to more of the other.
 void RunDesk::Settle(base::TimePoint now) {
+  do
+    SettleStages(now);
+  while (SettlePermits(now));
+}
+
+void RunDesk::SettleStages(base::TimePoint now) {
   for (auto outcomes = stage_desk_.TakeOutcomes(); !outcomes.empty();
        outcomes = stage_desk_.TakeOutcomes()) {
     for (auto& [ask, outcome] : outcomes) {
@@ -379,19 +406,90 @@
   Advance(caller, now);
 }
 
-void RunDesk::SendFinal(base::CallerId caller, base::TimePoint now) {
+bool RunDesk::SettlePermits(base::TimePoint now) {
+  const std::vector<PermitOutcome> outcomes = permit_desk_.TakeOutcomes();
+  for (const PermitOutcome& outcome : outcomes) {
+    const auto node = permit_asks_.extract(outcome.ask);
+    if (!node.empty())
+      TakePermit(outcome, node.mapped(), now);
+  }
+  return !outcomes.empty();
+}
+
+void RunDesk::AskForPermit(const LimitedEndpoint& endpoint,
+                           base::CallerId caller,
+                           base::TimePoint now) {
+  const PermitAskId ask =
+      permit_desk_.Ask(endpoint.listed, endpoint.longest_wait, now);
+  runs_.at(caller).permit_ask = ask;
+  permit_asks_.emplace(ask, caller);
+}
+
+void RunDesk::TakePermit(const PermitOutcome& outcome,
+                         base::CallerId caller,
+                         base::TimePoint now) {
   ForwardedRun& run = runs_.at(caller);
+  run.permit_ask.reset();
+  const base::EndpointName& endpoint = outcome.endpoint.name;
+  base::Duration wait{0};
   std::visit(base::Overloaded{
-                 [&](const ListedEndpoint& it) { SendTo(it, caller, now); },
-                 [&](const EndpointsQuiet& it) {
-                   WaitForQuiet(caller, it.until, now);
+                 [&](const HeldPermit& it) {
+                   wait = it.begins - now;
+                   run.permit = it;
+                 },
+                 [&](const NoPermitBefore& it) {
+                   wait = it.next - now;
+                   chooser_.NoteNextPermit(endpoint, it.next);
                  },
-                 [&](const NoEndpointServes&) {
-                   AnswerAndEnd(caller, NoEndpointCode(run), kNoEndpointRetry,
-                                now);
+                 [&](const KeeperUnknown& it) {
+                   wait = it.retry - now;
+                   chooser_.NoteNoPermits(endpoint, it.retry);
                  },
              },
-             chooser_.Choose(WishOf(run), now));
+             outcome.result);
+  context_.Log(base::LogEventId::kPermitEnded, run.request->request_id,
+               {{"endpoint", endpoint.value},
+                {"keeper", outcome.keeper.value},
+                {"outcome", std::string(ToText(outcome.result))},
+                {"wait_ms", ToMilliseconds(wait)}});
+  Advance(caller, now);
+}
+
+bool RunDesk::SendWithPermit(base::CallerId caller, base::TimePoint now) {
+  ForwardedRun& run = runs_.at(caller);
+  if (!run.permit)
+    return false;
+  if (now < run.permit->begins) {
+    LookAgain(caller, run, run.permit->begins);
+    return true;
+  }
+  const HeldPermit permit = *std::exchange(run.permit, std::nullopt);
+  if (now > permit.lapses || !chooser_.IsOpen(permit.endpoint, now)) {
+    context_.Log(
+        base::LogEventId::kPermitEnded, run.request->request_id,
+        {{"endpoint", permit.endpoint.name.value}, {"outcome", "not_used"}});
+    return false;
+  }
+  SendTo(permit.endpoint, caller, now);
+  return true;
+}
+
+void RunDesk::SendFinal(base::CallerId caller, base::TimePoint now) {
+  if (SendWithPermit(caller, now))
+    return;
+  ForwardedRun& run = runs_.at(caller);
+  std::visit(
+      base::Overloaded{
+          [&](const ListedEndpoint& it) { SendTo(it, caller, now); },
+          [&](const LimitedEndpoint& it) { AskForPermit(it, caller, now); },
+          [&](const EndpointsQuiet& it) {
+            WaitForQuiet(caller, it.until, now);
+          },
+          [&](const NoEndpointServes&) {
+            AnswerAndEnd(caller, NoEndpointCode(run), kNoEndpointRetry, now);
+          },
+      },
+      chooser_.Choose(WishOf(run, now), now));
 }
 
 // What has been done for the run is worth a wait, as long as there is time for
@@ -666,6 +764,10 @@
     stage_desk_.Withdraw(stage.ask);
   }
   ReleaseAll(run, now);
+  if (run.permit_ask) {
+    permit_asks_.erase(*run.permit_ask);
+    permit_desk_.Withdraw(*run.permit_ask);
+  }
   if (run.attempt) {
     context_.Emit(CancelAttempt{run.attempt->id});
     EndAttempt(run, EndpointVerdict::kCancelled, now);
--- a/Libraries/LibForward/run_desk.h
+++ b/Libraries/LibForward/run_desk.h
@@ -10,6 +10,7 @@
 #include "LibForward/endpoint_chooser.h"
 #include "LibForward/forward_context.h"
 #include "LibForward/forwarded_run.h"
+#include "LibForward/permit_desk.h"
 #include "LibForward/run_times.h"
 #include "LibForward/stage_desk.h"
 #include "LibPolicy/retry_budget.h"
@@ -20,7 +21,7 @@
 // request itself, with its attempts and its stream.
 class RunDesk {
  public:
-  RunDesk(ForwardContext& context, StageDesk& stages);
+  RunDesk(ForwardContext& context, StageDesk& stages, PermitDesk& permits);
 
   void SetConfiguration(
       std::shared_ptr<const ForwardConfiguration> configuration);
@@ -40,7 +41,7 @@
   void Handle(AttemptAnswer event, base::TimePoint now);
   void Handle(const AttemptFailure& event, base::TimePoint now);
 
-  // Takes on the outcomes of stages.
+  // Takes on the outcomes of stages, and of questions for permits.
   void Settle(base::TimePoint now);
   // Ends the runs whose deadline has passed.
   void HandleTimer(base::TimePoint now);
@@ -67,7 +68,7 @@
                                     base::TimePoint now);
   bool FindTeam(const ForwardedRequest& request, ForwardedRun& run);
   const base::PoolName& DrawFinalPool(const ForwardedPipeline& pipeline);
-  EndpointWish WishOf(const ForwardedRun& run) const;
+  EndpointWish WishOf(const ForwardedRun& run, base::TimePoint now) const;
   void Advance(base::CallerId caller, base::TimePoint now);
   // Comes back to the run at this time.
   void LookAgain(base::CallerId caller,
@@ -93,6 +94,17 @@
                 size_t stage,
                 const AskOutcome& outcome,
                 base::TimePoint now);
+  void SettleStages(base::TimePoint now);
+  // False when there was none.
+  bool SettlePermits(base::TimePoint now);
+  void AskForPermit(const LimitedEndpoint& endpoint,
+                    base::CallerId caller,
+                    base::TimePoint now);
+  void TakePermit(const PermitOutcome& outcome,
+                  base::CallerId caller,
+                  base::TimePoint now);
+  // Whether the run has a permit that it is to wait for or goes with.
+  bool SendWithPermit(base::CallerId caller, base::TimePoint now);
   void SendFinal(base::CallerId caller, base::TimePoint now);
   void SendTo(const ListedEndpoint& endpoint,
               base::CallerId caller,
@@ -131,6 +143,7 @@
 
   ForwardContext& context_;
   StageDesk& stage_desk_;
+  PermitDesk& permit_desk_;
   EndpointChooser chooser_;
   base::Random random_;
   std::shared_ptr<const ForwardConfiguration> configuration_;
@@ -138,6 +151,7 @@
   Times deadlines_;
   Times looks_;
   std::map<AskId, std::pair<base::CallerId, size_t>> asks_;
+  std::map<PermitAskId, base::CallerId> permit_asks_;
   std::unordered_map<uint64_t, base::CallerId> attempts_;  // By number.
   std::map<base::PoolName, policy::RetryBudget> budgets_;
   RunTimes run_times_;
--- a/Libraries/LibForward/stage_desk.cc
+++ b/Libraries/LibForward/stage_desk.cc
@@ -56,7 +56,7 @@
         guarded.insert(ideal.name);
     }
   }
-  peers_.Guard(std::move(guarded));
+  peers_.GuardDispatchers(std::move(guarded));
 }
 
 std::optional<Cell> StageDesk::ChooseCell(const CellWish& wish,
@@ -235,7 +235,7 @@
     Fail(event.ask, {JobFailureKind::kTooLate, kRetryAfterLoss});
     return;
   }
-  peers_.NoteSilent(question.host, event.detail);
+  peers_.NoteSilent(question.host, event.detail, now);
   Move(event.ask, question, now);
 }
 
--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -40,10 +40,9 @@
 
 // A call that fails may take a full load of pieces with it, which are all to be
 // tried once more.
-StageDispatcher::StageDispatcher(PieceLimits limits,
-                                 const QuietTimes& quiet_times)
+StageDispatcher::StageDispatcher(PieceLimits limits, const EndpointWords& words)
     : limits_(limits),
-      quiet_times_(quiet_times),
+      words_(words),
       repeats_(kSavedCalls * limits.pieces_per_call) {}
 
 void StageDispatcher::SetEndpoints(std::span<const ListedEndpoint> endpoints) {
@@ -51,7 +50,7 @@
   for (const ListedEndpoint& listed : endpoints) {
     auto node = endpoints_.extract(listed.name);
     if (node.empty()) {
-      present.emplace(listed.name, PieceEndpoint(listed, quiet_times_));
+      present.emplace(listed.name, PieceEndpoint(listed, words_));
       continue;
     }
     node.mapped().SetListed(listed);
@@ -112,17 +111,28 @@
   if (pace.next_turn == base::TimePoint::max())
     pace.next_turn = now;
   pace.round_time = CallTime(limits_.pieces_per_call);
-  // Once all are left alone for a while, what counts is what they do behind it.
-  const size_t open = OpenCount(now);
-  pace.pieces_per_round =
-      std::max(static_cast<uint32_t>(open > 0 ? open : ServingCount()) *
-                   limits_.calls_at_once * limits_.pieces_per_call,
-               1U);
+  pace.pieces_per_round = std::max(
+      static_cast<uint32_t>(CallsPerRound(pace.round_time, now) *
+                            static_cast<double>(limits_.pieces_per_call)),
+      1U);
   pace.fullness = fullness_;
   pace.left_for_late = left_for_late_;
   return pace;
 }
 
+// Once all are left alone for a while, what counts is what they do behind it.
+double StageDispatcher::CallsPerRound(base::Duration round,
+                                      base::TimePoint now) const {
+  const bool is_any_open = OpenCount(now) > 0;
+  double calls = 0;
+  for (const auto& [name, endpoint] : endpoints_) {
+    if (!endpoint.is_serving() || (is_any_open && !IsOpen(name, now)))
+      continue;
+    calls += endpoint.CallsPerRound(limits_.calls_at_once, round);
+  }
+  return calls;
+}
+
 // Only calls that leave something waiting tell what the pool can do; while none
 // do, what was learned fades.
 void StageDispatcher::NoteFullness(size_t pieces,
@@ -331,7 +341,7 @@
   call.timeout = expected * kCallPatience + kCallSlack;
   record.endpoint = call.endpoint;
   record.address = call.address;
-  endpoint.NoteCalled(now + expected);
+  endpoint.NoteCalled(now, now + expected);
   call.room_percent =
       static_cast<uint32_t>(kPercent * endpoint.room().used_bytes() /
                             std::max<uint64_t>(limits_.room_bytes, 1));
@@ -584,10 +594,15 @@
       endpoints_, [](const auto& it) { return it.second.is_serving(); }));
 }
 
+bool StageDispatcher::IsOpen(const base::EndpointName& name,
+                             base::TimePoint now) const {
+  return words_.quiet_times.EndOf(name) <= now;
+}
+
 size_t StageDispatcher::OpenCount(base::TimePoint now) const {
   return static_cast<size_t>(
       std::ranges::count_if(endpoints_, [&](const auto& it) {
-        return it.second.is_serving() && quiet_times_.EndOf(it.first) <= now;
+        return it.second.is_serving() && IsOpen(it.first, now);
       }));
 }
 
--- a/Libraries/LibForward/stage_dispatcher.h
+++ b/Libraries/LibForward/stage_dispatcher.h
@@ -24,8 +24,8 @@
 // is busy, the next call fills. Pure: time is passed in.
 class StageDispatcher {
  public:
-  // `quiet_times` must outlive the dispatcher.
-  StageDispatcher(PieceLimits limits, const QuietTimes& quiet_times);
+  // `words` must outlive the dispatcher.
+  StageDispatcher(PieceLimits limits, const EndpointWords& words);
 
   void Reconfigure(const PieceLimits& limits) { limits_ = limits; }
   // Replaces the endpoints that may be called. Calls under way end as usual.
@@ -102,6 +102,10 @@
                base::TimePoint now) const;
   std::optional<base::TimePoint> NextTurnIn(const base::ZoneName& zone,
                                             base::TimePoint now) const;
+  // It doesn't want to be left alone just now.
+  bool IsOpen(const base::EndpointName& name, base::TimePoint now) const;
+  // Calls that the endpoints take in a round of this length.
+  double CallsPerRound(base::Duration round, base::TimePoint now) const;
   base::Duration CallTime(size_t pieces) const;
   PoolPace PaceAt(base::TimePoint now) const;
   QueuedJob Queued(JobId id, const Job& job) const;
@@ -148,7 +152,7 @@
   PieceEndpoint* FindByAddress(const base::SocketAddress& address);
 
   PieceLimits limits_;
-  const QuietTimes& quiet_times_;
+  const EndpointWords& words_;
   std::map<base::EndpointName, PieceEndpoint> endpoints_;
   // Zones of endpoints that could not be reached, until one of them answers.
   std::set<base::ZoneName> unreachable_zones_;
--- a/Libraries/LibForward/store_desk.cc
+++ b/Libraries/LibForward/store_desk.cc
@@ -225,6 +225,7 @@
   TakeDepartures(event.question.departures, now);
   AnswerNews answer{event.exchange, {}};
   answer.news.departures = directory_.RecentDepartures(now);
+  answer.news.limits = context_.words().limits.RecentWords(now);
   answer.news.age = now - told_;
   answer.news.revision = configuration_ ? configuration_->revision : 0;
   for (const KnownVersion& it : event.question.known) {
--- a/Libraries/LibForward/table_news.h
+++ b/Libraries/LibForward/table_news.h
@@ -5,6 +5,7 @@
 
 #include "LibBase/ids.h"
 #include "LibBase/time.h"
+#include "LibForward/endpoint_limits.h"
 #include "LibForward/feed_row.h"
 
 // What one host tells another of the store's tables, so that not every host has
@@ -46,6 +47,7 @@
   base::Duration age{};  // Since the store told the peer what endpoints exist.
   std::vector<TableNews> tables;
   std::vector<EndpointDeparture> departures;
+  std::vector<ToldLimit> limits;
   uint64_t revision = 0;  // Of the configuration; 0 if none is known.
 };
 
--- a/Libraries/LibTransport/forward_metrics.cc
+++ b/Libraries/LibTransport/forward_metrics.cc
@@ -82,6 +82,16 @@
        "Times that a limit which endpoints name for all hosts has changed.",
        {"told_by"},
        LogEventId::kEndpointLimit},
+      {"bilberry_permits_total",
+       "Questions for a permit to send to an endpoint with a limit, and "
+       "permits "
+       "not used.",
+       {"outcome"},
+       LogEventId::kPermitEnded},
+      {"bilberry_limits_kept_total",
+       "Times that this host began to keep an endpoint's limit for all.",
+       {},
+       LogEventId::kLimitKept},
       {"bilberry_stage_calls_total",
        "Calls for pieces by a dispatcher of this host.",
        {"pool", "failure"},
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -7,6 +7,7 @@
 
 #include "LibTransport/metric_writer.h"
 #include "LibTransport/news_codec.h"
+#include "LibTransport/permit_codec.h"
 #include "LibTransport/stage_job_codec.h"
 
 namespace bilberry::transport {
@@ -17,6 +18,8 @@
 constexpr const char* kJobsPath = "/v1/jobs";
 constexpr const char* kAlivePath = "/v1/alive";
 constexpr const char* kNewsPath = "/v1/news";
+constexpr const char* kPermitsPath = "/v1/permits";
+constexpr const char* kLimitsPath = "/v1/limits";
 constexpr const char* kResultsReadPath = "/v1/results-read";
 constexpr const char* kMetricsPath = "/metrics";
 // A peer that has not answered a job by then is taken for lost: jobs end by
@@ -236,6 +239,18 @@
   } else if (request.path == kAlivePath) {
     peers_->Respond(request.exchange, {204, {}, ""});
     return;
+  } else if (request.path == kPermitsPath) {
+    if (auto question = DecodePermitQuestion(request.body)) {
+      Feed(forward::PeerPermitAsked{exchange, std::move(*question)});
+      return;
+    }
+  } else if (request.path == kLimitsPath) {
+    const auto array = ParseCompact(request.body);
+    if (auto limits = array ? ToldLimitsOf(*array) : std::nullopt) {
+      Feed(forward::PeerToldLimits{std::move(*limits)});
+      peers_->Respond(request.exchange, {204, {}, ""});
+      return;
+    }
   } else if (request.path == kNewsPath) {
     if (auto question = DecodeNewsQuestion(request.body)) {
       Feed(forward::PeerNewsAsked{exchange, std::move(*question)});
@@ -499,6 +514,39 @@
               });
 }
 
+void ForwardShell::Do(const forward::AskPermit& action) {
+  HttpRequest request = PostTo(action.address, kPermitsPath,
+                               EncodePermitQuestion(action.question));
+  request.timeout = forward::kPermitTimeout;
+  http_->Send(
+      std::move(request), [this, ask = action.ask](const HttpOutcome& outcome) {
+        if (const auto* failure = std::get_if<HttpFailure>(&outcome)) {
+          Feed(forward::PermitLost{ask, failure->detail});
+          return;
+        }
+        auto answer = DecodePermitAnswer(std::get<HttpResponse>(outcome).body);
+        if (answer)
+          Feed(forward::PermitAnswered{ask, std::move(*answer)});
+        else
+          Feed(forward::PermitLost{ask, "the answer can't be read"});
+      });
+}
+
+void ForwardShell::Do(const forward::AnswerPermit& action) {
+  peers_->Respond(ExchangeId{static_cast<uint64_t>(action.exchange)},
+                  {200,
+                   {{kContentTypeHeader, kJsonType}},
+                   EncodePermitAnswer(action.answer)});
+}
+
+void ForwardShell::Do(const forward::TellLimits& action) {
+  HttpRequest request =
+      PostTo(action.address, kLimitsPath, PrintCompact(JsonOf(action.limits)));
+  request.timeout = kTellTimeout;
+  // A peer that isn't told hears it from the endpoint itself.
+  http_->Send(std::move(request), [](const HttpOutcome&) {});
+}
+
 void ForwardShell::Do(const forward::AskNews& action) {
   HttpRequest request =
       PostTo(action.address, kNewsPath, EncodeNewsQuestion(action.question));
--- a/Libraries/LibTransport/news_codec.cc
+++ b/Libraries/LibTransport/news_codec.cc
@@ -5,6 +5,7 @@
 
 #include "LibBase/overloaded.h"
 #include "LibTransport/json_text.h"
+#include "LibTransport/permit_codec.h"
 
 namespace bilberry::transport {
 
@@ -187,6 +188,7 @@
   object["age_us"] = static_cast<Json::UInt64>(news.age.count());
   object["revision"] = static_cast<Json::UInt64>(news.revision);
   object["departures"] = JsonOf(news.departures);
+  object["limits"] = JsonOf(news.limits);
   Json::Value& tables = object["tables"] = Json::Value(Json::arrayValue);
   for (const forward::TableNews& it : news.tables) {
     Json::Value& table = tables.append(Json::Value(Json::objectValue));
@@ -206,9 +208,11 @@
       !(*object)["age_us"].isInt64() || !(*object)["tables"].isArray())
     return std::nullopt;
   auto departures = DeparturesOf((*object)["departures"]);
-  if (!departures)
+  auto limits = ToldLimitsOf((*object)["limits"]);
+  if (!departures || !limits)
     return std::nullopt;
   forward::News news;
+  news.limits = std::move(*limits);
   news.departures = std::move(*departures);
   news.age = base::Duration((*object)["age_us"].asInt64());
   news.revision = (*object)["revision"].asUInt64();
--- /dev/null
+++ b/Libraries/LibTransport/permit_codec.cc
@@ -0,0 +1,145 @@
+#include "LibTransport/permit_codec.h"
+
+#include <utility>
+
+#include "LibBase/overloaded.h"
+
+namespace bilberry::transport {
+
+namespace {
+
+// A limit that isn't there is none.
+Json::Value JsonOf(const forward::LimitWord& word) {
+  Json::Value object(Json::objectValue);
+  if (word.limit.per_second)
+    object["per_second"] = *word.limit.per_second;
+  object["age_us"] = static_cast<Json::Int64>(word.age.count());
+  return object;
+}
+
+std::optional<forward::LimitWord> LimitWordOf(const Json::Value& object) {
+  if (!object.isObject() || !object["age_us"].isInt64() ||
+      object["age_us"].asInt64() < 0)
+    return std::nullopt;
+  forward::LimitWord word;
+  word.age = base::Duration(object["age_us"].asInt64());
+  const Json::Value& per_second = object["per_second"];
+  if (per_second.isNull())
+    return word;
+  if (!per_second.isDouble() || !(per_second.asDouble() >= 0))
+    return std::nullopt;
+  word.limit.per_second = per_second.asDouble();
+  return word;
+}
+
+// A time that is to pass yet.
+std::optional<base::Duration> TimeOf(const Json::Value& value) {
+  if (!value.isInt64() || value.asInt64() < 0)
+    return std::nullopt;
+  return base::Duration(value.asInt64());
+}
+
+std::optional<forward::PermitVerdict> VerdictOf(const Json::Value& object) {
+  if (const auto begins = TimeOf(object["begins_us"]))
+    return forward::PermitGranted{*begins};
+  if (const auto next = TimeOf(object["next_us"]))
+    return forward::PermitRefused{*next};
+  if (object["is_keeper"].isBool() && !object["is_keeper"].asBool())
+    return forward::NotKeeper{};
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string EncodePermitQuestion(const forward::PermitQuestion& question) {
+  Json::Value object;
+  object["endpoint"] = question.endpoint.value;
+  object["incarnation"] = static_cast<Json::UInt64>(question.incarnation);
+  object["zone"] = question.zone.value;
+  object["wait_us"] = static_cast<Json::Int64>(question.longest_wait.count());
+  object["limit"] = JsonOf(question.limit);
+  return PrintCompact(object);
+}
+
+std::optional<forward::PermitQuestion> DecodePermitQuestion(
+    std::string_view text) {
+  const auto object = ParseCompact(text);
+  if (!object || !object->isObject() ||
+      !HasTexts(*object, {"endpoint", "zone"}) ||
+      !(*object)["incarnation"].isUInt64())
+    return std::nullopt;
+  const auto wait = TimeOf((*object)["wait_us"]);
+  const auto limit = LimitWordOf((*object)["limit"]);
+  if (!wait || !limit)
+    return std::nullopt;
+  return forward::PermitQuestion{
+      {(*object)["endpoint"].asString()},
+      base::Incarnation{(*object)["incarnation"].asUInt64()},
+      {(*object)["zone"].asString()},
+      *wait,
+      *limit};
+}
+
+Json::Value JsonOf(const std::vector<forward::ToldLimit>& limits) {
+  Json::Value array(Json::arrayValue);
+  for (const forward::ToldLimit& it : limits) {
+    Json::Value object = JsonOf(it.word);
+    object["endpoint"] = it.endpoint.value;
+    object["incarnation"] = static_cast<Json::UInt64>(it.incarnation);
+    array.append(std::move(object));
+  }
+  return array;
+}
+
+std::optional<std::vector<forward::ToldLimit>> ToldLimitsOf(
+    const Json::Value& array) {
+  if (!array.isArray())
+    return std::nullopt;
+  std::vector<forward::ToldLimit> limits;
+  for (const Json::Value& it : array) {
+    const auto word = LimitWordOf(it);
+    if (!word || !HasTexts(it, {"endpoint"}) || !it["incarnation"].isUInt64())
+      return std::nullopt;
+    limits.push_back({{it["endpoint"].asString()},
+                      base::Incarnation{it["incarnation"].asUInt64()},
+                      *word});
+  }
+  return limits;
+}
+
+std::string EncodePermitAnswer(const forward::PermitAnswer& answer) {
+  Json::Value object;
+  std::visit(
+      base::Overloaded{
+          [&object](const forward::PermitGranted& it) {
+            object["begins_us"] =
+                static_cast<Json::Int64>(it.begins_in.count());
+          },
+          [&object](const forward::PermitRefused& it) {
+            object["next_us"] = static_cast<Json::Int64>(it.next_in.count());
+          },
+          [&object](const forward::NotKeeper&) { object["is_keeper"] = false; },
+      },
+      answer.verdict);
+  if (answer.limit)
+    object["limit"] = JsonOf(*answer.limit);
+  return PrintCompact(object);
+}
+
+std::optional<forward::PermitAnswer> DecodePermitAnswer(std::string_view text) {
+  const auto object = ParseCompact(text);
+  if (!object || !object->isObject())
+    return std::nullopt;
+  const auto verdict = VerdictOf(*object);
+  if (!verdict)
+    return std::nullopt;
+  forward::PermitAnswer answer{*verdict, std::nullopt};
+  if (!object->isMember("limit"))
+    return answer;
+  answer.limit = LimitWordOf((*object)["limit"]);
+  if (!answer.limit)
+    return std::nullopt;
+  return answer;
+}
+
+}  // namespace bilberry::transport
--- a/Tests/LibForward/test_parts.cc
+++ b/Tests/LibForward/test_parts.cc
@@ -346,8 +346,8 @@
 
 // Answers a session's requests, which share most of their prompt.
 TEST_CASE("requests that share a prompt go to one endpoint, within bounds") {
-  const QuietTimes quiet_times;
-  EndpointChooser chooser(1, quiet_times);
+  const EndpointWords words;
+  EndpointChooser chooser(1, words);
   std::vector<ListedEndpoint> endpoints;
   endpoints.reserve(9);
   for (int i = 0; i < 9; ++i)
@@ -367,8 +367,8 @@
 }
 
 TEST_CASE("an endpoint that fails twice in a row rests, but not the last one") {
-  const QuietTimes quiet_times;
-  EndpointChooser chooser(1, quiet_times);
+  const EndpointWords words;
+  EndpointChooser chooser(1, words);
   const std::vector<ListedEndpoint> endpoints{Endpoint("a"), Endpoint("b")};
   chooser.SetEndpoints(endpoints);
   for (int i = 0; i < 2; ++i)
@@ -383,8 +383,8 @@
 // Answers a zone that is cut off: no connection is made, and each try costs its
 // request the connection's time limit.
 TEST_CASE("endpoints of a zone that can't be reached are tried one at a time") {
-  const QuietTimes quiet_times;
-  EndpointChooser chooser(1, quiet_times);
+  const EndpointWords words;
+  EndpointChooser chooser(1, words);
   std::vector<ListedEndpoint> endpoints{Endpoint("a1"), Endpoint("a2"),
                                         Endpoint("a3"), Endpoint("b1")};
   for (ListedEndpoint& it : endpoints)
--- a/Tests/LibForward/test_stage_dispatcher.cc
+++ b/Tests/LibForward/test_stage_dispatcher.cc
@@ -26,7 +26,7 @@
 // One dispatcher in virtual time.
 struct Bench {
   explicit Bench(size_t endpoints = 1, PieceLimits limits = kLimits)
-      : dispatcher(limits, quiet_times) {
+      : dispatcher(limits, words) {
     std::vector<ListedEndpoint> listed;
     for (size_t i = 1; i <= endpoints; ++i)
       listed.push_back(
@@ -60,7 +60,7 @@
 
   bool IsIdle() { return !dispatcher.NextCall(now).has_value(); }
 
-  QuietTimes quiet_times;
+  EndpointWords words;
   StageDispatcher dispatcher;
   base::TimePoint now{milliseconds(1000)};
   int handles = 0;
