LibForward, Tests: Limits where a dispatcher is out of reach; tests of permits, keepers and their messages

Whoever calls for pieces in place of a dispatcher that is out of reach may be one of many, each of which paced its calls at the whole limit (found by reading the fix again for two callers at a time). All of them together now get half of it, so that with the dispatcher's own the sum stays within one and a half times the limit.

Tests: limits while keepers die, are frozen or cut off, while they fall, rise and end, and for calls for pieces and orders to free; permits, codecs and the whole path over sockets.

--- a/Libraries/LibForward/dispatch_desk.cc
+++ b/Libraries/LibForward/dispatch_desk.cc
@@ -63,6 +63,11 @@
   return &it->second;
 }
 
+void DispatchDesk::SetLimitShare(const CellPool& at, double share) {
+  if (Entry* entry = FindOrAdd(at))
+    entry->dispatcher.SetLimitShare(share);
+}
+
 std::optional<JobId> DispatchDesk::Submit(const CellPool& at,
                                           StageJob job,
                                           JobOrigin origin,
--- a/Libraries/LibForward/dispatch_desk.h
+++ b/Libraries/LibForward/dispatch_desk.h
@@ -31,6 +31,9 @@
   void Reconfigure(const ForwardConfiguration& configuration);
   void SetEndpoints(std::vector<ListedEndpoint> endpoints);
 
+  // The part of its endpoints' limits that this host may use.
+  void SetLimitShare(const CellPool& at, double share);
+
   // Ends in one outcome, unless it is withdrawn. Empty when the pool makes no
   // pieces.
   std::optional<JobId> Submit(const CellPool& at,
--- a/Libraries/LibForward/endpoint_chooser.cc
+++ b/Libraries/LibForward/endpoint_chooser.cc
@@ -185,15 +185,15 @@
   const Candidates eligible = Eligible(wish);
   if (eligible.empty())
     return NoEndpointServes{};
-  Candidates unlimited;
-  std::ranges::copy_if(eligible, std::back_inserter(unlimited),
-                       [this](const Endpoint* it) { return !it->has_limit; });
-  Candidates open = OpenOf(unlimited, base::Duration(0), now);
-  const bool may_wait = open.empty();
+  Candidates open = OpenOf(eligible, base::Duration(0), now);
+  const bool has_unlimited = std::ranges::any_of(
+      open, [](const Endpoint* it) { return !it->has_limit; });
   const base::Duration longest_wait =
-      may_wait ? wish.longest_wait : base::Duration(0);
-  if (may_wait || !wish.affinity.empty())
+      has_unlimited ? base::Duration(0) : wish.longest_wait;
+  if (!has_unlimited)
     open = OpenOf(eligible, longest_wait, now);
+  else if (wish.affinity.empty())
+    std::erase_if(open, [](const Endpoint* it) { return it->has_limit; });
   if (open.empty())
     return EndpointsQuiet{FirstOpen(eligible, longest_wait)};
   const Candidates candidates = PreferRested(open, now);
--- a/Libraries/LibForward/piece_endpoint.cc
+++ b/Libraries/LibForward/piece_endpoint.cc
@@ -29,11 +29,11 @@
 
 }  // namespace
 
-// Its dispatcher calls it alone, so that this host's pace is that of all.
 base::Duration PieceEndpoint::LeastInterval() const {
   const auto per_second =
       words_->limits.RateOf(listed_.name, listed_.incarnation);
-  return per_second ? PermitInterval(*per_second) : base::Duration(0);
+  return per_second ? PermitInterval(*per_second * limit_share_)
+                    : base::Duration(0);
 }
 
 base::TimePoint PieceEndpoint::OpenFrom() const {
--- a/Libraries/LibForward/piece_endpoint.h
+++ b/Libraries/LibForward/piece_endpoint.h
@@ -25,6 +25,9 @@
   void SetListed(ListedEndpoint listed) { listed_ = std::move(listed); }
   bool is_serving() const { return listed_.state == EndpointState::kServing; }
 
+  // The part of its limit that this host may use.
+  void SetLimitShare(double share) { limit_share_ = share; }
+
   // Whether it takes a call now.
   bool IsIdle(uint32_t calls_at_once, base::TimePoint now) const;
   // When it takes its next call, if all goes as expected.
@@ -57,7 +60,7 @@
                                             base::TimePoint now) const;
 
  private:
-  // The time between two requests that keeps to its limit; 0 without one.
+  // The time between two calls that keeps to its limit; 0 without one.
   base::Duration LeastInterval() const;
   // From when on it may be called, as far as its answers tell.
   base::TimePoint OpenFrom() const;
@@ -65,6 +68,7 @@
 
   ListedEndpoint listed_;
   const EndpointWords* words_;  // Never null; a pointer, to be movable.
+  double limit_share_ = 1;
   uint32_t calls_ = 0;
   uint32_t failures_ = 0;  // In a row.
   base::TimePoint rests_until_;
--- a/Libraries/LibForward/stage_desk.cc
+++ b/Libraries/LibForward/stage_desk.cc
@@ -17,6 +17,9 @@
 // long: others learn of its successor later than it does.
 constexpr std::chrono::milliseconds kHandover{2000};
 
+// The part of an endpoint's limit for the hosts that aren't its dispatcher.
+constexpr double kShareOfOthers = 0.5;
+
 }  // namespace
 
 StageDesk::StageDesk(ForwardContext& context, PeerDesk& peers)
@@ -47,12 +50,12 @@
 }
 
 void StageDesk::GuardDispatchers() {
+  const HostRing& ring = peers_.ring();
   std::set<base::HostName> guarded;
   for (const Cell& cell : plan_.cells()) {
     for (const base::PoolName& pool : pools_) {
-      const PeerHost& ideal = peers_.ring().IdealDispatcherOf({cell, pool});
-      if (!peers_.ring().IsOwn(ideal) &&
-          peers_.ring().IsOwn(peers_.ring().SuccessorOf({cell, pool})))
+      const PeerHost& ideal = ring.IdealDispatcherOf({cell, pool});
+      if (!ring.IsOwn(ideal) && ring.IsOwn(ring.SuccessorOf({cell, pool})))
         guarded.insert(ideal.name);
     }
   }
@@ -108,11 +111,26 @@
                           Question& question,
                           StageJob job,
                           base::TimePoint now) {
-  question.local = dispatch_.Submit(question.at(), std::move(job), id, now);
+  question.local = Submit(question.at(), std::move(job), id, now);
   if (!question.local)
     Fail(id, {JobFailureKind::kNoEndpoint, kRetryAfterLoss});
 }
 
+// The dispatcher is the only one to call its endpoints, so that its pace is
+// that of all hosts. Who calls in its place, since it is out of reach, may be
+// one of many: all of them together get half of what endpoints have named.
+std::optional<JobId> StageDesk::Submit(const CellPool& at,
+                                       StageJob job,
+                                       JobOrigin origin,
+                                       base::TimePoint now) {
+  const HostRing& ring = peers_.ring();
+  dispatch_.SetLimitShare(
+      at, ring.IsOwn(ring.DispatcherOf(at))
+              ? 1
+              : kShareOfOthers / static_cast<double>(ring.host_count()));
+  return dispatch_.Submit(at, std::move(job), origin, now);
+}
+
 void StageDesk::Fail(AskId id, const JobFailure& failure) {
   outcomes_.emplace_back(id, failure);
   questions_.erase(id);
@@ -161,9 +179,8 @@
   const CellPool at{event.job.cell, event.job.pool};
   // In a fleet of one cell nobody else could do it.
   const bool is_welcome = at.cell.HasAllZones() || IsDispatcherOf(at, now);
-  const auto job = is_welcome
-                       ? dispatch_.Submit(at, event.job, event.exchange, now)
-                       : std::nullopt;
+  const auto job =
+      is_welcome ? Submit(at, event.job, event.exchange, now) : std::nullopt;
   if (job) {
     peer_jobs_.emplace(event.exchange, std::pair(at, *job));
     return;
--- a/Libraries/LibForward/stage_desk.h
+++ b/Libraries/LibForward/stage_desk.h
@@ -93,6 +93,11 @@
               base::Duration backlog,
               base::TimePoint now);
   bool IsDispatcherOf(const CellPool& at, base::TimePoint now);
+  // Ends in one outcome. Empty when the pool makes no pieces.
+  std::optional<JobId> Submit(const CellPool& at,
+                              StageJob job,
+                              JobOrigin origin,
+                              base::TimePoint now);
   void MoveQuestionsFrom(const base::HostName& host, base::TimePoint now);
   void GiveOutcome(DispatchedJob job, base::TimePoint now);
 
--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -57,6 +57,13 @@
     present.insert(std::move(node));
   }
   endpoints_ = std::move(present);
+  SetLimitShare(limit_share_);
+}
+
+void StageDispatcher::SetLimitShare(double share) {
+  limit_share_ = share;
+  for (auto& [name, endpoint] : endpoints_)
+    endpoint.SetLimitShare(share);
 }
 
 JobId StageDispatcher::Submit(StageJob job, base::TimePoint now) {
--- a/Libraries/LibForward/stage_dispatcher.h
+++ b/Libraries/LibForward/stage_dispatcher.h
@@ -28,6 +28,9 @@
   StageDispatcher(PieceLimits limits, const EndpointWords& words);
 
   void Reconfigure(const PieceLimits& limits) { limits_ = limits; }
+  // The part of each endpoint's limit that this host may use: all of it as the
+  // only one to call there.
+  void SetLimitShare(double share);
   // Replaces the endpoints that may be called. Calls under way end as usual.
   void SetEndpoints(std::span<const ListedEndpoint> endpoints);
 
@@ -152,6 +155,7 @@
   PieceEndpoint* FindByAddress(const base::SocketAddress& address);
 
   PieceLimits limits_;
+  double limit_share_ = 1;
   const EndpointWords& words_;
   std::map<base::EndpointName, PieceEndpoint> endpoints_;
   // Zones of endpoints that could not be reached, until one of them answers.
--- a/Tests/LibEmulation/test_limits.cc
+++ b/Tests/LibEmulation/test_limits.cc
@@ -92,6 +92,84 @@
   }
 }
 
+// Answers keepers that go without a word, one after the other.
+TEST_CASE("limits are kept while their keepers die") {
+  for (const uint32_t hosts : {7U, 77U, 295U}) {
+    for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      CAPTURE(hosts);
+      CAPTURE(seed);
+      LoadSheet day = DayBeyondLimits(hosts, 4);
+      for (uint32_t i = 0; i < hosts / 2; ++i)
+        day.losses.push_back(
+            {i, kBegins + seconds(2) + milliseconds(12'000) * i / hosts});
+      const EmulationReport report = Play(day, seed);
+      CAPTURE(report.most_of_allowed);
+      CHECK(report.sent_over_limit == 0);
+      CHECK(UseOf(day, report) >= 0.6);
+    }
+  }
+}
+
+// Answers keepers that are silent for a while, and come back with what they
+// knew. What they send themselves meanwhile isn't counted.
+TEST_CASE("limits are kept while their keepers are frozen or cut off") {
+  for (const uint32_t hosts : {7U, 77U}) {
+    for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      CAPTURE(hosts);
+      CAPTURE(seed);
+      LoadSheet day = DayBeyondLimits(hosts, 4);
+      for (uint32_t i = 0; i < hosts / 2; ++i) {
+        const base::Duration at =
+            kBegins + seconds(2) + milliseconds(12'000) * i / hosts;
+        if (i % 2 == 0)
+          day.freezes.push_back({i, at, seconds(3)});
+        else
+          day.cuts.push_back({i, at, seconds(3)});
+      }
+      const EmulationReport report = Play(day, seed);
+      CAPTURE(report.most_of_allowed);
+      CHECK(report.sent_over_limit == 0);
+    }
+  }
+}
+
+TEST_CASE("a limit that falls, rises and ends is kept, and its end is heard") {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    LoadSheet day = DayBeyondLimits(7, 4);
+    const std::string& pool = day.engines.name;
+    day.limits = {{pool, 1, 4, seconds(3), seconds(12)},
+                  {pool, 1, 1, seconds(7), seconds(4)},
+                  {pool, 2, 8, seconds(11), seconds(4)}};
+    EmulationReport report = Play(day, seed);
+    CHECK(report.limited_arrivals > 0);
+    CHECK(report.sent_over_limit == 0);
+    // From a while after its end on nobody is turned away.
+    for (size_t second = 19; second < 24; ++second) {
+      CAPTURE(second);
+      CHECK(report.seconds.at(second).refusals == 0);
+    }
+  }
+}
+
+// Answers a pool of endpoints that make pieces, each of which takes a call a
+// second, whatever is to be freed there.
+TEST_CASE("calls for pieces and orders to free keep to limits") {
+  for (const double per_second : {1.0, 3.0}) {
+    for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      CAPTURE(per_second);
+      CAPTURE(seed);
+      LoadSheet day = HireFirms(7);
+      day.lasts = kBegins + kLasts;
+      day.limits = {{"returns", 1, per_second, kBegins, kLasts},
+                    {"billing", 2, per_second, kBegins, kLasts}};
+      const EmulationReport report = Play(day, seed);
+      CHECK(report.limited_arrivals > 0);
+      CHECK(report.sent_over_limit == 0);
+    }
+  }
+}
+
 TEST_SUITE_END();
 
 }  // namespace
--- a/Tests/LibTransport/test_news_codec.cc
+++ b/Tests/LibTransport/test_news_codec.cc
@@ -32,6 +32,7 @@
       {"h1", forward::PeerHost{{"h1"}, {"10.0.0.2", 7740}, {"z"}, 0.5, 200.0}}};
   news.tables = {endpoints, hosts};
   news.departures = {{{"e1"}, base::Incarnation{1764}, milliseconds(300)}};
+  news.limits = {{{"e2"}, base::Incarnation{1765}, {{2.5}, milliseconds(200)}}};
   return news;
 }
 
@@ -54,6 +55,11 @@
   CHECK(news->departures[0].endpoint.value == "e1");
   CHECK(news->departures[0].incarnation == base::Incarnation{1764});
   CHECK(news->departures[0].age == milliseconds(300));
+  REQUIRE(news->limits.size() == 1);
+  CHECK(news->limits[0].endpoint.value == "e2");
+  CHECK(news->limits[0].incarnation == base::Incarnation{1765});
+  CHECK(news->limits[0].word.limit.per_second == 2.5);
+  CHECK(news->limits[0].word.age == milliseconds(200));
 }
 
 TEST_CASE("a question for news keeps what the asking host knows") {
--- /dev/null
+++ b/Tests/LibTransport/test_permit_codec.cc
@@ -0,0 +1,83 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "LibTransport/permit_codec.h"
+
+namespace bilberry::transport {
+namespace {
+
+using std::chrono::milliseconds;
+
+forward::PermitQuestion MakeQuestion() {
+  return {{"e1"},
+          base::Incarnation{1764},
+          {"z"},
+          milliseconds(250),
+          {{0.5}, milliseconds(40)}};
+}
+
+TEST_SUITE_BEGIN("contract");
+
+TEST_CASE("a question for a permit keeps all that it holds") {
+  const auto question =
+      DecodePermitQuestion(EncodePermitQuestion(MakeQuestion()));
+  REQUIRE(question.has_value());
+  CHECK(question->endpoint.value == "e1");
+  CHECK(question->incarnation == base::Incarnation{1764});
+  CHECK(question->zone.value == "z");
+  CHECK(question->longest_wait == milliseconds(250));
+  CHECK(question->limit.limit.per_second == 0.5);
+  CHECK(question->limit.age == milliseconds(40));
+}
+
+TEST_CASE("the answer to a question for a permit keeps its verdict") {
+  const auto again = [](const forward::PermitVerdict& verdict) {
+    const auto answer = DecodePermitAnswer(
+        EncodePermitAnswer({verdict, forward::LimitWord{{}, milliseconds(3)}}));
+    REQUIRE(answer.has_value());
+    REQUIRE(answer->limit.has_value());
+    CHECK_FALSE(answer->limit->limit.per_second.has_value());
+    CHECK(answer->limit->age == milliseconds(3));
+    return answer->verdict;
+  };
+  CHECK(std::get<forward::PermitGranted>(
+            again(forward::PermitGranted{milliseconds(7)}))
+            .begins_in == milliseconds(7));
+  CHECK(std::get<forward::PermitRefused>(
+            again(forward::PermitRefused{milliseconds(9)}))
+            .next_in == milliseconds(9));
+  CHECK(
+      std::holds_alternative<forward::NotKeeper>(again(forward::NotKeeper{})));
+  const auto bare = DecodePermitAnswer(
+      EncodePermitAnswer({forward::PermitGranted{}, std::nullopt}));
+  REQUIRE(bare.has_value());
+  CHECK_FALSE(bare->limit.has_value());
+}
+
+TEST_CASE("what can't be read of permits and limits is refused") {
+  for (
+      const char* text :
+      {"", "{", "[]", "{}", R"({"endpoint":"e1"})",
+       R"({"endpoint":"e1","incarnation":1,"zone":"z","wait_us":-1,"limit":{"age_us":0}})",
+       R"({"endpoint":"e1","incarnation":1,"zone":"z","wait_us":1,"limit":{"age_us":0,"per_second":-2}})"}) {
+    CAPTURE(text);
+    CHECK_FALSE(DecodePermitQuestion(text).has_value());
+  }
+  for (const char* text :
+       {"", "{}", "[1]", R"({"begins_us":-1})", R"({"is_keeper":true})",
+        R"({"begins_us":1,"limit":{"age_us":"1"}})"}) {
+    CAPTURE(text);
+    CHECK_FALSE(DecodePermitAnswer(text).has_value());
+  }
+  for (const char* text :
+       {"{}", R"([{"age_us":1}])", R"([{"endpoint":"e1","age_us":1}])"}) {
+    CAPTURE(text);
+    CHECK_FALSE(ToldLimitsOf(*ParseCompact(text)).has_value());
+  }
+}
+
+TEST_SUITE_END();
+
+}  // namespace
+}  // namespace bilberry::transport
--- a/Tests/Platform/test_notices.cc
+++ b/Tests/Platform/test_notices.cc
@@ -71,6 +71,32 @@
   CHECK_FALSE(NoticeOf(421, {{"Server-Limit", "1"}}).limit.has_value());
 }
 
+TEST_CASE("an endpoint that names a limit is passed over for one without") {
+  PlatformWorld world;
+  world.desk.SetNotices({{wire::kLimit, "0.5"}});
+  for (int i = 0; i < 20; ++i)
+    CHECK(world.Answer(world.Request("GET", "/read/x")).status == 200);
+  CHECK(world.desk.arrivals().size() <= 1);
+  CHECK(world.other_desk.arrivals().size() >= 19);
+}
+
+TEST_CASE(
+    "a pool whose endpoints all name a limit gets no more than it allows") {
+  PlatformWorld world;
+  world.desk.SetNotices({{wire::kLimit, "0.5"}});
+  world.other_desk.SetNotices({{wire::kLimit, "0.5"}});
+  const auto refused = [&world] {
+    return world.Answer(world.Request("GET", "/read/x")).status == 503;
+  };
+  int refusals = 0;
+  for (int i = 0; i < 20; ++i)
+    refusals += refused() ? 1 : 0;
+  CHECK(refusals >= 12);
+  // The first answer of each names it; half a request a second may follow.
+  CHECK(world.desk.arrivals().size() <= 4);
+  CHECK(world.other_desk.arrivals().size() <= 4);
+}
+
 TEST_CASE("an endpoint that says in an answer that it leaves gets no more") {
   PlatformWorld world;
   SUBCASE("in the answer to a request") {
