LibForward: Send nothing to a zone that operators evacuate

Cause: the row that names the zone stands in the operators' table beside the configuration, and was passed over as unreadable.

The fix: it is decoded once, kept as the other rows are (over outages, lost histories and new listings), and gives the zone's endpoints a state in which they get no requests, calls or orders. Relays tell up to which version they have seen the operators' rows change, so that a host whose held question to the store went missing asks anew.

--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -30,6 +30,8 @@
     {kEndpointLimit, kInfo, "endpoint-limit"},
     {kLimitKept, kInfo, "limit-kept"},
     {kLimitHandedOver, kInfo, "limit-handed-over"},
+    {kZoneEvacuated, kInfo, "zone-evacuated"},
+    {kZoneTakenBack, kInfo, "zone-taken-back"},
     {kPlatformUnreachable, kWarning, "platform-unreachable"},
     {kPlatformReachable, kInfo, "platform-reachable"},
     {kPlatformRowUnreadable, kWarning, "platform-row-unreadable"},
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -28,6 +28,8 @@
   kEndpointLimit = 1206,
   kLimitKept = 1207,
   kLimitHandedOver = 1208,
+  kZoneEvacuated = 1209,
+  kZoneTakenBack = 1210,
   kPlatformUnreachable = 1301,
   kPlatformReachable = 1302,
   kPlatformRowUnreadable = 1303,
--- a/Libraries/LibForward/feed_row.h
+++ b/Libraries/LibForward/feed_row.h
@@ -24,8 +24,15 @@
   std::string reason;
 };
 
+// Operators want nothing to be sent to endpoints of this zone, as long as the
+// row stands.
+struct ZoneEvacuated {
+  base::ZoneName zone;
+};
+
 using RowContent = std::variant<RowRemoved,
                                 RowUnreadable,
+                                ZoneEvacuated,
                                 std::shared_ptr<const ForwardConfiguration>,
                                 ListedEndpoint,
                                 PeerHost>;
--- a/Libraries/LibForward/forward_endpoint.h
+++ b/Libraries/LibForward/forward_endpoint.h
@@ -6,7 +6,11 @@
 
 namespace bilberry::forward {
 
-enum class EndpointState { kServing, kLeaving };
+enum class EndpointState {
+  kServing,
+  kLeaving,
+  kEvacuated,  // Operators want nothing to be sent to its zone.
+};
 
 // An endpoint as the platform lists it. Another process at the same address
 // mostly has another name.
--- a/Libraries/LibForward/piece_endpoint.cc
+++ b/Libraries/LibForward/piece_endpoint.cc
@@ -92,9 +92,10 @@
   free_due_ = std::min(free_due_.value_or(due), due);
 }
 
-// An endpoint that wants nothing from this host isn't told what to free either.
+// An endpoint that wants nothing from this host, or is to get nothing, isn't
+// told what to free either.
 std::optional<base::TimePoint> PieceEndpoint::FreeTime() const {
-  if (!free_due_)
+  if (!free_due_ || listed_.state == EndpointState::kEvacuated)
     return std::nullopt;
   const base::TimePoint due =
       std::max(*free_due_, words_->quiet_times.EndOf(listed_.name));
--- a/Libraries/LibForward/store_desk.cc
+++ b/Libraries/LibForward/store_desk.cc
@@ -133,7 +133,10 @@
                         FollowerOf(feed).version());
   switch (feed) {
     case FeedKind::kConfiguration:
+      if (!update.rows.empty())
+        operators_version_ = FollowerOf(feed).version();
       TakeConfiguration(update);
+      TakeEvacuations(update);
       return;
     case FeedKind::kEndpoints:
       if (directory_.Apply(update.is_whole, update.rows, now))
@@ -159,6 +162,47 @@
   }
 }
 
+void StoreDesk::TakeEvacuations(const FeedFollower::Update& update) {
+  const std::map<std::string, base::ZoneName> earlier = evacuations_;
+  if (update.is_whole)
+    evacuations_.clear();
+  for (const FeedRow& row : update.rows) {
+    if (const auto* it = std::get_if<ZoneEvacuated>(&row.content))
+      evacuations_[row.key] = it->zone;
+    else if (std::holds_alternative<RowRemoved>(row.content))
+      evacuations_.erase(row.key);
+  }
+  if (evacuations_ == earlier)
+    return;
+  ++endpoint_changes_;
+  LogEvacuations(earlier);
+}
+
+void StoreDesk::LogEvacuations(
+    const std::map<std::string, base::ZoneName>& earlier) {
+  for (const auto& [key, zone] : evacuations_) {
+    if (!earlier.contains(key))
+      context_.Log(base::LogEventId::kZoneEvacuated, "",
+                   {{"zone", zone.value}});
+  }
+  for (const auto& [key, zone] : earlier) {
+    if (!evacuations_.contains(key))
+      context_.Log(base::LogEventId::kZoneTakenBack, "",
+                   {{"zone", zone.value}});
+  }
+}
+
+std::vector<ListedEndpoint> StoreDesk::endpoints() const {
+  std::vector<ListedEndpoint> all = directory_.endpoints();
+  for (const auto& [key, zone] : evacuations_) {
+    for (ListedEndpoint& it : all) {
+      if (it.zone == zone)
+        it.state = EndpointState::kEvacuated;
+    }
+  }
+  return all;
+}
+
 void StoreDesk::TakeHosts(const FeedFollower::Update& update) {
   if (update.is_whole)
     hosts_.clear();
@@ -228,6 +272,7 @@
   answer.news.limits = context_.words().limits.RecentWords(now);
   answer.news.age = now - told_;
   answer.news.revision = configuration_ ? configuration_->revision : 0;
+  answer.news.operators_version = operators_version_;
   for (const KnownVersion& it : event.question.known) {
     answer.news.tables.push_back(LedgerOf(it.feed).NewsSince(it.version));
   }
@@ -248,8 +293,10 @@
   else
     SpaceOutFailingCalls();
   const uint64_t own_revision = configuration_ ? configuration_->revision : 0;
-  if (event.news.revision > own_revision)
-    FollowerOf(FeedKind::kConfiguration).AskAnewIfBegunBefore(now);
+  FeedFollower& follower = FollowerOf(FeedKind::kConfiguration);
+  const bool knows_less = event.news.operators_version > follower.version();
+  if (event.news.revision > own_revision || knows_less)
+    follower.AskAnewIfBegunBefore(now);
 }
 
 void StoreDesk::TakeFreshNews(std::vector<TableNews> tables,
--- a/Libraries/LibForward/store_desk.h
+++ b/Libraries/LibForward/store_desk.h
@@ -43,9 +43,8 @@
   std::shared_ptr<const ForwardConfiguration> configuration() const {
     return configuration_;
   }
-  std::vector<ListedEndpoint> endpoints() const {
-    return directory_.endpoints();
-  }
+  // Those of evacuated zones have that state.
+  std::vector<ListedEndpoint> endpoints() const;
   bool knows_endpoints() const { return !directory_.is_empty(); }
   std::vector<PeerHost> hosts() const;
 
@@ -66,6 +65,8 @@
             const FeedFollower::Update& update,
             base::TimePoint now);
   void TakeConfiguration(const FeedFollower::Update& update);
+  void TakeEvacuations(const FeedFollower::Update& update);
+  void LogEvacuations(const std::map<std::string, base::ZoneName>& earlier);
   void TakeHosts(const FeedFollower::Update& update);
   void NoteTold(FeedKind feed, base::TimePoint now);
   void NoteReachable(FeedKind feed, bool was_failing, base::TimePoint now);
@@ -96,6 +97,9 @@
   base::TimePoint relayed_until_;
   std::map<std::string, PeerHost> hosts_;
   std::shared_ptr<const ForwardConfiguration> configuration_;
+  std::map<std::string, base::ZoneName> evacuations_;  // By the row's key.
+  // Up to which the operators' rows were known when one of them last changed.
+  uint64_t operators_version_ = 0;
   // The store has failed calls lately.
   base::TimePoint trouble_until_;
   uint64_t configuration_changes_ = 0;
--- a/Libraries/LibForward/table_news.h
+++ b/Libraries/LibForward/table_news.h
@@ -49,6 +49,9 @@
   std::vector<EndpointDeparture> departures;
   std::vector<ToldLimit> limits;
   uint64_t revision = 0;  // Of the configuration; 0 if none is known.
+  // Whoever knows the operators' rows up to an earlier version has missed a
+  // change of them.
+  uint64_t operators_version = 0;
 };
 
 }  // namespace bilberry::forward
--- a/Libraries/LibTransport/news_codec.cc
+++ b/Libraries/LibTransport/news_codec.cc
@@ -187,6 +187,8 @@
   Json::Value object;
   object["age_us"] = static_cast<Json::UInt64>(news.age.count());
   object["revision"] = static_cast<Json::UInt64>(news.revision);
+  object["operators_version"] =
+      static_cast<Json::UInt64>(news.operators_version);
   object["departures"] = JsonOf(news.departures);
   object["limits"] = JsonOf(news.limits);
   Json::Value& tables = object["tables"] = Json::Value(Json::arrayValue);
@@ -205,6 +207,7 @@
 std::optional<forward::News> DecodeNews(std::string_view text) {
   const auto object = ParseCompact(text);
   if (!object || !object->isObject() || !(*object)["revision"].isUInt64() ||
+      !(*object)["operators_version"].isUInt64() ||
       !(*object)["age_us"].isInt64() || !(*object)["tables"].isArray())
     return std::nullopt;
   auto departures = DeparturesOf((*object)["departures"]);
@@ -216,6 +219,7 @@
   news.departures = std::move(*departures);
   news.age = base::Duration((*object)["age_us"].asInt64());
   news.revision = (*object)["revision"].asUInt64();
+  news.operators_version = (*object)["operators_version"].asUInt64();
   for (const Json::Value& it : (*object)["tables"]) {
     auto table = TableOf(it);
     if (!table)
--- a/Tests/LibTransport/test_news_codec.cc
+++ b/Tests/LibTransport/test_news_codec.cc
@@ -14,6 +14,7 @@
   forward::News news;
   news.age = milliseconds(700);
   news.revision = 12;
+  news.operators_version = 39;
   forward::TableNews endpoints;
   endpoints.feed = forward::FeedKind::kEndpoints;
   endpoints.version = 40;
@@ -44,6 +45,7 @@
   CHECK(EncodeNews(*news) == EncodeNews(MakeNews()));
   CHECK(news->age == milliseconds(700));
   CHECK(news->revision == 12);
+  CHECK(news->operators_version == 39);
   REQUIRE(news->tables.size() == 2);
   const auto& rows = news->tables[0].rows;
   CHECK(
--- /dev/null
+++ b/Tests/Platform/test_operators_rows.cc
@@ -0,0 +1,45 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "platform/store_codec.h"
+#include "platform/wire_names.h"
+
+// What operators write besides the configuration.
+namespace bilberry::platform {
+namespace {
+
+forward::TableChanged Changed(const std::string& rows) {
+  const transport::HttpResponse response{
+      200, {}, R"({"ver":7,"nowMs":1,"rows":[)" + rows + "]}"};
+  const forward::Event event =
+      DecodeChanged(forward::FeedKind::kConfiguration, response);
+  REQUIRE(std::holds_alternative<forward::TableChanged>(event));
+  return std::get<forward::TableChanged>(event);
+}
+
+TEST_SUITE_BEGIN("contract");
+
+TEST_CASE("a row of the operators' names a zone that is to get nothing") {
+  // The value is an empty object.
+  const auto changed = Changed(
+      R"({"table":"op","part":"","key":"evacuate/zona-a","value":"e30=","ver":7})");
+  REQUIRE(changed.rows.size() == 1);
+  const auto* it =
+      std::get_if<forward::ZoneEvacuated>(&changed.rows[0].content);
+  REQUIRE(it != nullptr);
+  CHECK(it->zone.value == "zona-a");
+}
+
+TEST_CASE("a row of the operators' that is dropped takes the zone back") {
+  const auto changed = Changed(
+      R"({"table":"op","part":"","key":"evacuate/zona-a","removed":true,"ver":8})");
+  REQUIRE(changed.rows.size() == 1);
+  CHECK(changed.rows[0].key == "evacuate/zona-a");
+  CHECK(std::holds_alternative<forward::RowRemoved>(changed.rows[0].content));
+}
+
+TEST_SUITE_END();
+
+}  // namespace
+}  // namespace bilberry::platform
