--- a/Libraries/LibOperator/request_story.cc
+++ b/Libraries/LibOperator/request_story.cc
@@ -19,6 +19,7 @@
 // Names of EVENTS.
 constexpr const char* kLeavingEvent = "endpoint-leaving";
 constexpr const char* kQuietEvent = "endpoint-quiet";
+constexpr const char* kLimitEvent = "endpoint-limit";
 
 // Empty when it is no text.
 std::string TextOf(const Json::Value& value) {
@@ -142,18 +143,20 @@
     StoryLine line = LineOf(*object, OriginOf(text.substr(0, begin), file));
     if (tells_of_it)
       told_.push_back(std::move(line));
-    else if (line.event == kLeavingEvent || line.event == kQuietEvent)
+    else if (line.event == kLeavingEvent || line.event == kQuietEvent ||
+             line.event == kLimitEvent)
       notices_.push_back(std::move(line));
     else if (!line.is_routine && !object->isMember("request"))
       warnings_.push_back(std::move(line));
   }
 }
 
-// An endpoint that leaves stays away; a quiet time has an end.
+// An endpoint that leaves stays away, and a limit holds until another is named;
+// a quiet time has an end.
 bool RequestStory::IsInForce(const StoryLine& notice, const Span& span) {
   if (!span.origins.contains(notice.origin) || notice.unix_ms > span.end_ms)
     return false;
-  return notice.event == kLeavingEvent ||
+  return notice.event != kQuietEvent ||
          notice.unix_ms + FactOf(notice, "for_ms") >= span.begin_ms;
 }
 
@@ -179,7 +182,7 @@
   std::ranges::copy_if(
       notices_, std::back_inserter(in_force),
       [&span](const StoryLine& it) { return IsInForce(it, span); });
-  PrintLast("endpoints that these hosts left alone meanwhile:",
+  PrintLast("what endpoints had said of themselves to these hosts:",
             std::move(in_force), span.begin_ms, out);
   std::vector<StoryLine> around;
   std::ranges::copy_if(
--- a/Libraries/LibOperator/request_story.h
+++ b/Libraries/LibOperator/request_story.h
@@ -29,8 +29,8 @@
   void Read(std::istream& log, const std::string& file);
 
   bool is_empty() const { return told_.empty(); }
-  // Lines that name the request, in the order of time; then which endpoints the
-  // same hosts left alone meanwhile, and what else they warned of.
+  // Lines that name the request, in the order of time; then what endpoints
+  // had said of themselves to the same hosts, and what else these warned of.
   std::string Print() const;
 
  private:
--- a/Tests/LibOperator/test_request_story.cc
+++ b/Tests/LibOperator/test_request_story.cc
@@ -70,7 +70,7 @@
         "  +0.000 s  a.log  stage-ended  outcome=too_late  pool=makers  "
         "retry_ms=700\n"
         "  +0.001 s  a.log  request-ended  outcome=too_late\n"
-        "endpoints that these hosts left alone meanwhile:\n"
+        "what endpoints had said of themselves to these hosts:\n"
         "  -2.100 s  a.log  endpoint-leaving  endpoint=e1\n"
         "  -1.500 s  a.log  endpoint-quiet  endpoint=e3  for_ms=1600\n"
         "  +0.000 s  a.log  endpoint-quiet  endpoint=e5  for_ms=x\n"
@@ -78,6 +78,23 @@
         "  -1.500 s  a.log  platform-unreachable  feed=hosts\n");
 }
 
+TEST_CASE("a story names the limit that held its request, and who kept it") {
+  RequestStory story("r1");
+  std::istringstream log(
+      kAskingHost +
+      NoticeLine(400, "endpoint-limit",
+                 R"("endpoint":"e1","per_second":"0.5","told_by":"peer")") +
+      NoticeLine(2500, "permit-ended",
+                 R"("endpoint":"e1","keeper":"b","outcome":"none_in_time",)"
+                 R"("request":"r1")"));
+  story.Read(log, "a.log");
+  const std::string text = story.Print();
+  CHECK(text.find("permit-ended  endpoint=e1  keeper=b  "
+                  "outcome=none_in_time") != std::string::npos);
+  CHECK(text.find("endpoint-limit  endpoint=e1  per_second=0.5  "
+                  "told_by=peer") != std::string::npos);
+}
+
 TEST_CASE("lines of other programs are passed over") {
   RequestStory story("r1");
   std::istringstream log(
