LibForward: Let each host save up its part of the retries of all

Retries of a pool are bounded over all hosts: a part of its requests, and some more. Each host had a budget of its own with up to ten saved, which all may spend at one moment.

The fix: the platform's slack is a setting, and each host saves up at most its part of it by the hosts that it knows. What first tries pay for adds up over hosts as it is, so that no keeper is needed. Without the setting all is as before. Pieces that are asked for again have a budget of their own for each dispatcher, unchanged.

--- a/Libraries/LibDeclare/forward_settings.cc
+++ b/Libraries/LibDeclare/forward_settings.cc
@@ -12,6 +12,7 @@
 constexpr double kFewestCores = 0.01;
 constexpr double kMostLinkMbps = 1'000'000;
 constexpr double kLongestGraceSeconds = 3600;
+constexpr double kMostRetrySlack = 1e6;
 
 void ReadAddress(ObjectReader& reader,
                  const char* key,
@@ -51,6 +52,11 @@
   if (root.Has("stop_grace_s"))
     settings.stop_grace = std::chrono::duration_cast<std::chrono::milliseconds>(
         std::chrono::duration<double>(grace_seconds));
+  double retry_slack = 0;
+  root.Read("retry_slack", retry_slack, {0, kMostRetrySlack},
+            Presence::kOptional);
+  if (root.Has("retry_slack"))
+    settings.retry_slack = static_cast<uint32_t>(retry_slack);
   root.Finish();
   return parsed;
 }
--- a/Libraries/LibDeclare/forward_settings.h
+++ b/Libraries/LibDeclare/forward_settings.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 #include "LibBase/ids.h"
@@ -20,6 +21,9 @@
   base::SocketAddress store;      // The platform's.
   double cores = 1;               // This host's part of a processor.
   double link_mbps = 0;           // What its network link carries; 0: unknown.
+  // How many retries of a pool all hosts together may make within some seconds,
+  // beside a part of its requests; empty if that isn't known.
+  std::optional<uint32_t> retry_slack;
   // From the order to stop until the process is killed.
   std::chrono::milliseconds stop_grace{8000};
 
--- a/Libraries/LibEmulation/emulated_notices.cc
+++ b/Libraries/LibEmulation/emulated_notices.cc
@@ -18,9 +18,9 @@
     const forward::ListedEndpoint& endpoint,
     base::TimePoint now) const {
   for (const PoolRefusals& it : sheet_.refusals) {
-    if (it.pool != endpoint.pool.value || now < began_)
+    if (it.pool != endpoint.pool.value || now < began_ || now - began_ < it.at)
       continue;
-    const base::Duration since = now - began_;
+    const base::Duration since = now - began_ - it.at;
     const auto turn = static_cast<uint64_t>(since / it.lasts);
     if (indexes_.at(endpoint.name) % it.one_in == turn % it.one_in)
       return it.lasts - since % it.lasts;
--- a/Libraries/LibEmulation/emulation.cc
+++ b/Libraries/LibEmulation/emulation.cc
@@ -126,6 +126,8 @@
     options.incarnation = base::Incarnation{i + 1};
     options.seed = random_.Next();
     options.shares_calls = options_.shares_calls;
+    if (sheet_.retry_slack > 0)
+      options.retry_slack = sheet_.retry_slack;
     host.node = std::make_unique<forward::ForwardNode>(options);
     hosts_.push_back(std::move(host));
   }
@@ -259,6 +261,7 @@
   if (!host)
     return;
   host_of_caller_[request.caller] = *host;
+  retries_.NoteRequest(request.request_id, timeline_.now());
   FeedAfter(kCallerDelay, *host, std::move(request));
 }
 
@@ -284,6 +287,7 @@
   const base::Duration way =
       DelayBetween(hosts_[host].self.zone, engine->listed().zone);
   notices_.NoteArrival(host, engine->listed(), timeline_.now() + way);
+  retries_.NoteArrival(action.request->request_id, timeline_.now());
   if (notices_.TurnsAwayFor(engine->listed(), timeline_.now() + way)) {
     FeedNotice(host, engine->listed(), timeline_.now(), way * 2);
     forward::AnswerHead refusal;
--- a/Libraries/LibEmulation/emulation.h
+++ b/Libraries/LibEmulation/emulation.h
@@ -14,6 +14,7 @@
 #include "LibEmulation/emulated_engine.h"
 #include "LibEmulation/emulated_maker.h"
 #include "LibEmulation/emulated_notices.h"
+#include "LibEmulation/emulated_retries.h"
 #include "LibEmulation/emulation_report.h"
 #include "LibEmulation/load_sheet.h"
 #include "LibEmulation/timeline.h"
@@ -144,6 +145,7 @@
   std::vector<std::unique_ptr<EmulatedEngine>> engines_;
   std::map<base::EndpointName, EmulatedEngine*> engines_by_name_;
   EmulatedNotices notices_{sheet_, report_};
+  EmulatedRetries retries_{sheet_, report_};
   EmulatedCallers callers_;
   std::map<base::CallerId, size_t> host_of_caller_;
   std::map<uint64_t, Attempt> attempts_;
--- a/Libraries/LibEmulation/emulation_report.h
+++ b/Libraries/LibEmulation/emulation_report.h
@@ -66,6 +66,9 @@
   // The most that a limited endpoint got in four seconds, as a part of what it
   // may get.
   double most_of_allowed = 0;
+  // The most that reached engines beyond first arrivals in ten seconds, as a
+  // part of what may.
+  double most_of_retries = 0;
   uint64_t dispatchers_lost = 0;  // As often as a host says so of another.
 
   double worth_share() const;
--- a/Libraries/LibEmulation/load_sheet.h
+++ b/Libraries/LibEmulation/load_sheet.h
@@ -63,6 +63,7 @@
   base::Duration lasts{};
   // Whether they say for how long they do.
   bool is_announced = true;
+  base::Duration at{};  // When the first turn begins.
 };
 
 // One in so many endpoints of a pool says from then on in its answers that it
@@ -150,6 +151,10 @@
   std::vector<PoolRefusals> refusals;
   std::vector<PoolDeparture> departures;
   std::vector<PoolLimit> limits;
+  // What may reach engines beyond first arrivals in ten seconds: this part of
+  // the requests, and so many more.
+  double retry_ratio = 0.2;
+  uint32_t retry_slack = 0;  // 0: the hosts aren't told any.
   // This part of the callers comes to one in five hosts; 0: all are alike.
   double share_at_few = 0;
   double clump = 1;  // How many callers come at once, in the mean.
--- a/Libraries/LibForward/forward_context.h
+++ b/Libraries/LibForward/forward_context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -25,6 +26,9 @@
   uint64_t seed = 0;
   // How long a host that stops may take in all.
   std::chrono::milliseconds stop_limit{7000};
+  // How many retries of a pool all hosts together may make in a burst of
+  // failures, beside a part of its requests; empty if that isn't known.
+  std::optional<uint32_t> retry_slack;
   // Hosts that are to be asked for pieces; alone, a host makes all calls for
   // its own requests (to compare with).
   bool shares_calls = true;
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -131,6 +131,7 @@
     seen_hosts_ = store_.host_changes();
     peers_.SetHosts(store_.hosts(), now);
     stages_.GuardDispatchers();
+    runs_.SetFleetSize(peers_.ring().host_count());
     store_.ChooseRelays();
   }
   if (seen_peer_changes_ != peers_.changes()) {
--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -112,6 +112,26 @@
   configuration_ = std::move(configuration);
 }
 
+// The budgets of all hosts add up: what each has saved up may be spent at one
+// moment, when endpoints of a pool fail.
+void RunDesk::SetFleetSize(size_t hosts) {
+  const auto& slack = context_.options().retry_slack;
+  if (!slack)
+    return;
+  saved_retries_ =
+      std::min(*slack / static_cast<uint32_t>(std::max<size_t>(hosts, 1)),
+               policy::kMaxSavedRetries);
+  for (auto& [pool, budget] : budgets_)
+    budget.SetMaxSaved(saved_retries_);
+}
+
+policy::RetryBudget& RunDesk::BudgetOf(const base::PoolName& pool) {
+  const auto [it, is_new] = budgets_.try_emplace(pool);
+  if (is_new)
+    it->second.SetMaxSaved(saved_retries_);
+  return it->second;
+}
+
 void RunDesk::Refuse(const ForwardedRequest& request,
                      OwnAnswerCode code,
                      std::optional<base::Duration> retry_after) {
@@ -226,7 +246,7 @@
   auto run = Check(std::move(request), now);
   if (!run)
     return;
-  budgets_[run->final_pool].NoteFirstTry();
+  BudgetOf(run->final_pool).NoteFirstTry();
   deadlines_.emplace(run->begin_deadline, caller);
   runs_.emplace(caller, std::move(*run));
   Advance(caller, now);
@@ -673,7 +693,7 @@
     return false;
   // What never arrived costs the pool nothing.
   return verdict == EndpointVerdict::kUnreachable ||
-         budgets_[run.final_pool].HasOne();
+         BudgetOf(run.final_pool).HasOne();
 }
 
 void RunDesk::LoseAttempt(base::CallerId caller,
@@ -692,7 +712,7 @@
     ++run.runs;
   if (may_send_again) {
     if (verdict != EndpointVerdict::kUnreachable)
-      budgets_[run.final_pool].TryTake();
+      BudgetOf(run.final_pool).TryTake();
     // What may have run may have used its inputs up.
     if (run.runs > 0) {
       ReleaseAll(run, now);
--- a/Libraries/LibForward/run_desk.h
+++ b/Libraries/LibForward/run_desk.h
@@ -28,6 +28,8 @@
   void SetEndpoints(std::span<const ListedEndpoint> endpoints) {
     chooser_.SetEndpoints(endpoints);
   }
+  // How many hosts there are: each may save up its part of the retries.
+  void SetFleetSize(size_t hosts);
   // From now on requests are refused as not run.
   void StopAccepting() { is_accepting_ = false; }
   bool is_accepting() const { return is_accepting_; }
@@ -63,6 +65,7 @@
   using Runs = std::map<base::CallerId, ForwardedRun>;
   using Times = std::multimap<base::TimePoint, base::CallerId>;
 
+  policy::RetryBudget& BudgetOf(const base::PoolName& pool);
   // Empty when the request has been answered.
   std::optional<ForwardedRun> Check(ForwardedRequest request,
                                     base::TimePoint now);
@@ -154,6 +157,7 @@
   std::map<PermitAskId, base::CallerId> permit_asks_;
   std::unordered_map<uint64_t, base::CallerId> attempts_;  // By number.
   std::map<base::PoolName, policy::RetryBudget> budgets_;
+  uint32_t saved_retries_ = policy::kMaxSavedRetries;
   RunTimes run_times_;
   uint64_t last_attempt_ = 0;
   bool is_accepting_ = true;
--- a/Libraries/LibPolicy/retry_budget.h
+++ b/Libraries/LibPolicy/retry_budget.h
@@ -19,6 +19,8 @@
   explicit RetryBudget(uint32_t max_saved)
       : max_saved_(max_saved), credit_(max_saved * kFirstTriesPerRetry) {}
 
+  // From now on no more are saved up.
+  void SetMaxSaved(uint32_t max_saved);
   void NoteFirstTry();
   // Pays for one retry; false when the budget is used up.
   bool TryTake();
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -90,6 +90,7 @@
   node.seed = options.seed;
   node.stop_limit =
       std::max(settings.stop_grace - kStopMargin, settings.stop_grace / 2);
+  node.retry_slack = settings.retry_slack;
   node.shares_calls = options.shares_calls;
   return node;
 }
--- /dev/null
+++ b/Tests/LibDeclare/test_forward_settings.cc
@@ -0,0 +1,37 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "LibDeclare/forward_settings.h"
+
+namespace bilberry::declare {
+namespace {
+
+ParsedForwardSettings Parse(const std::string& more) {
+  return ParseForwardSettings(
+      R"({"host": "h", "zone": "z", "callers": "10.0.0.1:80",)"
+      R"("readiness": "10.0.0.1:81", "peers": "10.0.0.1:82",)"
+      R"("store": "10.0.0.2:83")" +
+      more + "}");
+}
+
+TEST_CASE("the retries of all hosts together may be told") {
+  const auto parsed = Parse(R"(, "retry_slack": 54)");
+  CHECK(parsed.faults.empty());
+  CHECK(parsed.settings.retry_slack == 54);
+  CHECK(Parse(R"(, "retry_slack": 0)").settings.retry_slack == 0);
+  // Without it each host saves up as many as one alone may.
+  CHECK(Parse("").faults.empty());
+  CHECK_FALSE(Parse("").settings.retry_slack.has_value());
+}
+
+TEST_CASE("retries that are no number of zero or more are refused") {
+  for (const char* text : {"-1", "\"54\"", "1e9", "true"}) {
+    CAPTURE(text);
+    CHECK_FALSE(
+        Parse(std::string(R"(, "retry_slack": )") + text).faults.empty());
+  }
+}
+
+}  // namespace
+}  // namespace bilberry::declare
--- a/Tests/LibPolicy/test_retry_budget.cc
+++ b/Tests/LibPolicy/test_retry_budget.cc
@@ -28,6 +28,20 @@
   CHECK(taken == kMaxSavedRetries);
 }
 
+TEST_CASE("a budget that may save up less spends less at once") {
+  RetryBudget budget;
+  for (uint32_t i = 0; i < 20 * kFirstTriesPerRetry; ++i)
+    budget.NoteFirstTry();
+  budget.SetMaxSaved(2);
+  CHECK(budget.TryTake());
+  CHECK(budget.TryTake());
+  CHECK_FALSE(budget.TryTake());
+  budget.SetMaxSaved(0);
+  for (uint32_t i = 0; i < kFirstTriesPerRetry; ++i)
+    budget.NoteFirstTry();
+  CHECK_FALSE(budget.HasOne());
+}
+
 TEST_SUITE_END();
 
 }  // namespace
