LibForward: Look up whom a keeper tells only when it tells; tests: one way to let time pass

With each host that falls silent or comes back, the relays of all zones were ranked anew at every host, though nearly none of them has a limit to tell of.

--- a/Libraries/LibForward/permit_desk.cc
+++ b/Libraries/LibForward/permit_desk.cc
@@ -123,7 +123,7 @@
 }
 
 void PermitDesk::TellListeners(const ToldLimit& told) {
-  for (const PeerHost& it : listeners_)
+  for (const PeerHost& it : Listeners())
     context_.Emit(TellLimits{it.address, {told}});
 }
 
@@ -217,7 +217,7 @@
   for (const base::EndpointName& it : lost)
     context_.Log(base::LogEventId::kLimitHandedOver, "",
                  {{"endpoint", it.value}});
-  FindListeners();
+  listeners_.reset();
   guarded_.clear();
   for (const auto& [name, zone] : zones_) {
     if (context_.words().limits.Knows(name))
@@ -226,20 +226,23 @@
   peers_.GuardKeepers(guarded_);
 }
 
-void PermitDesk::FindListeners() {
+const std::vector<PeerHost>& PermitDesk::Listeners() {
+  if (listeners_)
+    return *listeners_;
   const std::span<const PeerHost> hosts = peers_.ring().hosts();
   std::set<base::ZoneName> zones;
   for (const PeerHost& it : hosts)
     zones.insert(it.zone);
-  std::map<base::HostName, PeerHost> listeners;
+  std::map<base::HostName, PeerHost> found;
   for (const base::ZoneName& zone : zones) {
     for (PeerHost& it : RelaysOf(hosts, zone))
-      listeners.emplace(it.name, std::move(it));
+      found.emplace(it.name, std::move(it));
   }
-  listeners.erase(context_.options().own.name);
-  listeners_.clear();
-  for (auto& [name, host] : listeners)
-    listeners_.push_back(std::move(host));
+  found.erase(context_.options().own.name);
+  listeners_.emplace();
+  for (auto& [name, host] : found)
+    listeners_->push_back(std::move(host));
+  return *listeners_;
 }
 
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/permit_desk.h
+++ b/Libraries/LibForward/permit_desk.h
@@ -78,13 +78,14 @@
     base::HostName keeper;
     base::TimePoint asked;
   };
+
   PermitVerdict Grant(const PermitQuestion& question, base::TimePoint now);
   void TakeWord(const ToldLimit& told, base::TimePoint now);
   // Empty when the endpoint isn't listed.
   std::optional<KeptEndpoint> Find(const base::EndpointName& endpoint) const;
   bool IsKeeperOf(const KeptEndpoint& endpoint) const;
   // Whoever the keeper tells what it hears: relays, or all in a small fleet.
-  void FindListeners();
+  const std::vector<PeerHost>& Listeners();
   void TellListeners(const ToldLimit& told);
   // Watches its keeper if this host would follow that one.
   void GuardKeeperOf(const KeptEndpoint& endpoint);
@@ -100,7 +101,7 @@
   PermitBook book_;
   std::map<base::EndpointName, base::ZoneName> zones_;  // Of those listed.
   std::set<base::HostName> guarded_;
-  std::vector<PeerHost> listeners_;
+  std::optional<std::vector<PeerHost>> listeners_;  // Empty: not looked up yet.
   std::map<PermitAskId, Question> questions_;
   std::vector<PermitOutcome> outcomes_;
   uint64_t last_ask_ = 0;
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -519,18 +519,19 @@
   HttpRequest request = PostTo(action.address, kPermitsPath,
                                EncodePermitQuestion(action.question));
   request.timeout = forward::kPermitTimeout;
-  http_->Send(
-      std::move(request), [this, ask = action.ask](const HttpOutcome& outcome) {
-        if (const auto* failure = std::get_if<HttpFailure>(&outcome)) {
-          Feed(forward::PermitLost{ask, failure->detail});
-          return;
-        }
-        auto answer = DecodePermitAnswer(std::get<HttpResponse>(outcome).body);
-        if (answer)
-          Feed(forward::PermitAnswered{ask, std::move(*answer)});
-        else
-          Feed(forward::PermitLost{ask, "the answer can't be read"});
-      });
+  http_->Send(std::move(request),
+              [this, ask = action.ask](const HttpOutcome& outcome) {
+                if (const auto* failure = std::get_if<HttpFailure>(&outcome)) {
+                  Feed(forward::PermitLost{ask, failure->detail});
+                  return;
+                }
+                const auto answer =
+                    DecodePermitAnswer(std::get<HttpResponse>(outcome).body);
+                if (answer)
+                  Feed(forward::PermitAnswered{ask, *answer});
+                else
+                  Feed(forward::PermitLost{ask, "the answer can't be read"});
+              });
 }
 
 void ForwardShell::Do(const forward::AnswerPermit& action) {
--- a/Tests/LibForward/node_bench.h
+++ b/Tests/LibForward/node_bench.h
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <utility>
@@ -84,6 +85,17 @@
       actions.push_back(std::move(action));
   }
 
+  // Lets time pass, with the timers that are due meanwhile.
+  void PassTo(base::TimePoint time) {
+    for (auto next = node.NextWakeup(); next && *next <= time;
+         next = node.NextWakeup()) {
+      now = std::max(now, *next);
+      Feed(TimerDue{});
+    }
+    now = time;
+    Feed(TimerDue{});
+  }
+
   // The last action of a kind; null when there was none.
   template <typename T>
   const T* Last() const {
--- a/Tests/LibForward/test_endpoint_notices.cc
+++ b/Tests/LibForward/test_endpoint_notices.cc
@@ -52,15 +52,6 @@
     Feed(EndpointNoticed{{endpoint}, kFirstLife, notice, now});
   }
 
-  void PassTo(base::TimePoint time) {
-    for (auto next = node.NextWakeup(); next && *next <= time;
-         next = node.NextWakeup()) {
-      now = std::max(now, *next);
-      Feed(TimerDue{});
-    }
-    now = time;
-    Feed(TimerDue{});
-  }
   void Pass(base::Duration time) { PassTo(now + time); }
 
   // The endpoints that requests, calls and orders have gone to.
--- a/Tests/LibForward/test_permits.cc
+++ b/Tests/LibForward/test_permits.cc
@@ -112,16 +112,6 @@
     Feed(PermitAnswered{ask.ask, {verdict, std::nullopt}});
   }
 
-  void PassTo(base::TimePoint time) {
-    for (auto next = node.NextWakeup(); next && *next <= time;
-         next = node.NextWakeup()) {
-      now = std::max(now, *next);
-      Feed(TimerDue{});
-    }
-    now = time;
-    Feed(TimerDue{});
-  }
-
   bool HasSent() const { return Last<SendAttempt>() != nullptr; }
 };
 
