--- a/Tests/LibEmulation/test_limits.cc
+++ b/Tests/LibEmulation/test_limits.cc
@@ -50,8 +50,10 @@
 // The part of the limits that was used.
 double UseOf(const LoadSheet& day, const EmulationReport& report) {
   const PoolLimit& limit = day.limits.front();
+  const uint32_t limited =
+      (day.engines.endpoints + limit.one_in - 1) / limit.one_in;
   const double allowed =
-      limit.per_second * (day.engines.endpoints / limit.one_in) *
+      limit.per_second * limited *
       std::chrono::duration<double>(limit.lasts - kSettles).count();
   return static_cast<double>(report.limited_arrivals) / allowed;
 }
