--- a/Libraries/LibForward/host_ring.h
+++ b/Libraries/LibForward/host_ring.h
@@ -19,11 +19,12 @@
   base::ZoneName zone;
 };
 
-// Which host works for others: collects the pieces of each pool of a cell. Only
-// hosts that are large enough to carry it do while there are any, those of the
-// cell's zone first; among them the pools are dealt out by rendezvous hashing,
-// so that each host has as few as can be. Hosts that know the same hosts choose
-// alike without talking.
+// Which host works for others at what: collects the pieces of a pool of a cell,
+// or keeps the limit that an endpoint has named for all hosts. Only hosts that
+// are large enough do while there are any, those of the zone first, by
+// rendezvous hashing; the pools of a cell are dealt out so that each host has
+// as few as can be. Hosts that know the same hosts choose alike without
+// talking.
 class HostRing {
  public:
   explicit HostRing(PeerHost own);
