--- a/Libraries/LibForward/forwarded_run.h
+++ b/Libraries/LibForward/forwarded_run.h
@@ -21,6 +21,7 @@
   uint32_t pieces = 0;  // 0: the request leaves the stage out.
   AskId ask{};
   base::TimePoint asked;
+  base::Duration time_after{};  // As expected when it was asked for.
   base::TimePoint done;
   std::optional<AskedResults> results;
 };
--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -318,6 +318,7 @@
   if (const auto gone = run.InputsGone(stage))
     job.until_inputs_gone = *gone - now;
   job.time_after = run_times_.TimeAfter(run, stage, now);
+  state.time_after = job.time_after;
   job.reader_zone = run.final_zone;
   job.crossing_bytes = run.BytesMoved(stage);
   job.progress =
@@ -389,10 +390,13 @@
                        const AskOutcome& outcome,
                        base::TimePoint now) {
   const StageState& state = run.stages[stage];
-  std::vector<LogFact> facts{{"stage", std::to_string(stage)},
-                             {"pool", run.pipeline->stages[stage].pool.value},
-                             {"pieces", std::to_string(state.pieces)},
-                             {"ms", ToMilliseconds(now - state.asked)}};
+  std::vector<LogFact> facts{
+      {"stage", std::to_string(stage)},
+      {"pool", run.pipeline->stages[stage].pool.value},
+      {"pieces", std::to_string(state.pieces)},
+      {"ms", ToMilliseconds(now - state.asked)},
+      {"left_ms", ToMilliseconds(run.target - state.asked)},
+      {"after_ms", ToMilliseconds(state.time_after)}};
   std::visit(
       base::Overloaded{
           [&facts](const AskedResults& it) {
--- a/Tests/LibForward/test_forward_node.cc
+++ b/Tests/LibForward/test_forward_node.cc
@@ -469,6 +469,28 @@
   CHECK(bench.Last<AskPeer>()->job.time_after < milliseconds(100));
 }
 
+// Without both a refusal can't be told from an estimate that was wrong.
+TEST_CASE("the end of a stage tells what was left and what was expected") {
+  NodeBench bench;
+  bench.AddPeer();
+  bench.Feed(NodeBench::Request(1));
+  const AskPeer ask = *bench.Last<AskPeer>();
+  bench.Feed(PeerJobEnded{ask.ask, JobFailure{JobFailureKind::kTooLate, {}},
+                          base::Duration(0)});
+  const auto it = std::ranges::find_if(bench.actions, [](const Action& it) {
+    const auto* line = std::get_if<WriteLog>(&it);
+    return line != nullptr && line->id == base::LogEventId::kStageEnded;
+  });
+  REQUIRE(it != bench.actions.end());
+  const std::vector<LogFact>& facts = std::get<WriteLog>(*it).facts;
+  const auto value_of = [&facts](std::string_view name) {
+    const auto fact = std::ranges::find(facts, name, &LogFact::name);
+    return fact == facts.end() ? "" : fact->value;
+  };
+  CHECK(value_of("left_ms") == ToMilliseconds(ask.job.until_target));
+  CHECK(value_of("after_ms") == ToMilliseconds(ask.job.time_after));
+}
+
 TEST_SUITE_END();
 
 }  // namespace
