--- a/Tests/LibForward/test_run_times.cc
+++ b/Tests/LibForward/test_run_times.cc
@@ -75,6 +75,24 @@
   CHECK(times.TimeAfter(it.run, 2, kNow) == answer);
 }
 
+TEST_SUITE_BEGIN("waits-of-others");
+
+TEST_CASE(
+    "a pipeline isn't expected to wait as one does whose target is later") {
+  TimedRun patient;
+  patient.pipeline.name.value = "summary";
+  patient.pipeline.target_latency = milliseconds(3000);
+  TimedRun it;
+  it.pipeline.target_latency = milliseconds(1500);
+  RunTimes times;
+  for (int i = 0; i < 10; ++i)
+    patient.NoteLongJob(times, 2);
+  CHECK(times.TimeAfter(it.run, 1, kNow) ==
+        milliseconds(110) + kLeastFinalTime);
+}
+
+TEST_SUITE_END();
+
 // A leaf that is there too early takes up room until it is read.
 TEST_CASE("a leaf is due by the mean of the waits") {
   TimedRun it;
--- a/Tests/LibForward/test_stage_dispatcher.cc
+++ b/Tests/LibForward/test_stage_dispatcher.cc
@@ -454,5 +454,31 @@
 
 TEST_SUITE_END();
 
+TEST_SUITE_BEGIN("waits-of-others");
+
+TEST_CASE("a job isn't refused for what waits behind it") {
+  Bench bench;
+  const StageCall busy = (bench.Submit(4), bench.Next());
+  StageJob patient;
+  patient.urgency = Urgency{1};
+  patient.until_target = milliseconds(3000);
+  for (int i = 0; i < 9; ++i)
+    bench.Submit(4, patient);
+  REQUIRE(bench.dispatcher.TakeOutcomes().empty());
+  StageJob tight;
+  tight.request_id = "tight";
+  tight.urgency = Urgency{1};
+  tight.until_target = milliseconds(1500);
+  tight.until_deadline = milliseconds(2500);
+  tight.time_after = milliseconds(400);
+  bench.Submit(4, tight);
+  CHECK(bench.dispatcher.TakeOutcomes().empty());
+  bench.now += milliseconds(140);
+  bench.Succeed(busy);
+  CHECK(bench.Next().pieces[0].request_id == "tight");
+}
+
+TEST_SUITE_END();
+
 }  // namespace
 }  // namespace bilberry::forward
