--- a/Libraries/LibEmulation/emulated_callers.cc
+++ b/Libraries/LibEmulation/emulated_callers.cc
@@ -28,10 +28,13 @@
   send_ = std::move(send);
   leave_ = std::move(leave);
   begins_ = timeline_.now();
-  report_.seconds.resize(static_cast<size_t>(
-      std::chrono::ceil<std::chrono::seconds>(sheet_.lasts).count()));
-  for (const CallerKind& kind : sheet_.kinds)
+  const auto n = static_cast<size_t>(
+      std::chrono::ceil<std::chrono::seconds>(sheet_.lasts).count());
+  report_.seconds.resize(n);
+  for (const CallerKind& kind : sheet_.kinds) {
+    report_.seconds_of_kinds[kind.name].resize(n);
     ScheduleNext(kind);
+  }
 }
 
 void EmulatedCallers::ScheduleNext(const CallerKind& kind) {
@@ -140,9 +143,11 @@
 
 void EmulatedCallers::Count(const Caller& caller, uint64_t KindTally::*field) {
   ++(report_.kinds[caller.kind->name].*field);
-  const auto second =
-      std::chrono::duration_cast<std::chrono::seconds>(caller.came - begins_);
-  ++(report_.seconds.at(static_cast<size_t>(second.count())).*field);
+  const auto second = static_cast<size_t>(
+      std::chrono::duration_cast<std::chrono::seconds>(caller.came - begins_)
+          .count());
+  ++(report_.seconds.at(second).*field);
+  ++(report_.seconds_of_kinds[caller.kind->name].at(second).*field);
 }
 
 void EmulatedCallers::NoteRefused(base::CallerId id,
--- a/Libraries/LibEmulation/emulation_report.h
+++ b/Libraries/LibEmulation/emulation_report.h
@@ -46,6 +46,7 @@
   std::map<std::string, PoolTally> pools;
   // Callers by the second in which they first came.
   std::vector<KindTally> seconds;
+  std::map<std::string, std::vector<KindTally>> seconds_of_kinds;
   double worth_earned = 0;
   double worth_asked = 0;
   uint64_t bytes_between_zones = 0;  // Results.
--- a/Libraries/LibEmulation/load_sheet.cc
+++ b/Libraries/LibEmulation/load_sheet.cc
@@ -96,6 +96,69 @@
   return kind;
 }
 
+// One stage with large results, and little time.
+CallerKind MakeDrafts(double per_second) {
+  CallerKind kind;
+  kind.name = "draft";
+  kind.per_second = per_second;
+  kind.target = milliseconds(1000);
+  kind.deadline = milliseconds(6000);
+  kind.urgency = forward::Urgency{0};
+  kind.worth = 4.8;
+  kind.late_worth = 0.28;
+  kind.stages = {{"billing", {}, 0.7, 2.5, 3'000'000, 1, 0.6}};
+  kind.own_tokens = 2890;
+  kind.common_parts = 4;
+  kind.common_tokens = 2520;
+  kind.sessions = static_cast<uint32_t>(per_second * 10);
+  kind.session_tokens = 3780;
+  kind.events = 13;
+  return kind;
+}
+
+// The chain, and plenty of time for it.
+CallerKind MakeDigests(double per_second) {
+  CallerKind kind;
+  kind.name = "digest";
+  kind.per_second = per_second;
+  kind.target = milliseconds(3000);
+  kind.deadline = milliseconds(6000);
+  kind.urgency = forward::Urgency{2};
+  kind.worth = 0.73;
+  kind.late_worth = 0.16;
+  kind.stages = MakeChain(0);
+  kind.stages[1].mean_pieces = 8;
+  kind.own_tokens = 1800;
+  kind.common_parts = 80;
+  kind.common_tokens = 340;
+  kind.sessions = static_cast<uint32_t>(per_second * 7);
+  kind.session_tokens = 230;
+  kind.events = 6;
+  return kind;
+}
+
+// Few requests, the longest graph of all and half of the digests' time.
+CallerKind MakeTurns(double per_second) {
+  CallerKind kind;
+  kind.name = "turn";
+  kind.per_second = per_second;
+  kind.target = milliseconds(1500);
+  kind.deadline = milliseconds(15000);
+  kind.urgency = forward::Urgency{1};
+  kind.worth = 0.84;
+  kind.late_worth = 0.13;
+  kind.stages = {{"billing", {}, 0.4, 1.5, 3'000'000, 1, 0.6}};
+  std::ranges::copy(MakeChain(1), std::back_inserter(kind.stages));
+  kind.stages[2].mean_pieces = 8;
+  kind.own_tokens = 543;
+  kind.common_parts = 16;
+  kind.common_tokens = 103;
+  kind.sessions = static_cast<uint32_t>(per_second * 10);
+  kind.session_tokens = 69;
+  kind.events = 70;
+  return kind;
+}
+
 forward::ForwardedPipeline PipelineOf(const CallerKind& kind,
                                       const LoadSheet& sheet) {
   forward::ForwardedPipeline pipeline;
@@ -192,6 +255,42 @@
   return sheet;
 }
 
+LoadSheet LanternFirms(uint32_t hosts) {
+  constexpr uint32_t kMostEqualHosts = 20;
+  constexpr double kGrownHosts = 77;
+  constexpr uint32_t kHostsToALargeOne = 12;
+  // The largest fleets have more zones, and not more load for each host.
+  constexpr uint32_t kLeastOfLargest = 200;
+  constexpr double kScaleOfLargest = 1.5;
+  LoadSheet sheet = HireFirms(hosts);
+  sheet.name = "lanterns";
+  sheet.between_zones = microseconds(500);
+  sheet.manner_of_return = Return::kWithinDeadline;
+  if (hosts <= kMostEqualHosts) {
+    const double scale = static_cast<double>(hosts) / kSheetHosts;
+    sheet.kinds = {MakeDrafts(9.5 * scale), MakeDigests(11.5 * scale),
+                   MakeTurns(8.2 * scale)};
+    return sheet;
+  }
+  const bool is_largest = hosts >= kLeastOfLargest;
+  const double scale = is_largest ? kScaleOfLargest : hosts / kGrownHosts;
+  if (is_largest)
+    sheet.zones = 5;
+  const uint32_t large = hosts / kHostsToALargeOne;
+  sheet.host_kinds = {{large, 0.5, 200}, {hosts - large, 0.12, 10}};
+  sheet.message_time = microseconds(200);
+  sheet.kinds = {MakeDrafts(158 * scale), MakeDigests(187 * scale),
+                 MakeTurns(60 * scale)};
+  sheet.makers = {MakeMakers("billing", Scaled(17, scale), 14,
+                             microseconds(9'200), 77'000'000),
+                  MakeMakers("returns", Scaled(15, scale), 62,
+                             microseconds(2'100), 11'000'000),
+                  MakeMakers("tracking", Scaled(17, scale), 96,
+                             microseconds(1'300), 1'600'000)};
+  sheet.engines.endpoints = Scaled(140, scale);
+  return sheet;
+}
+
 std::vector<LoadSheet> HireFirmDays(uint32_t hosts) {
   const LoadSheet steady = HireFirms(hosts);
   LoadSheet peak = steady;
@@ -212,7 +311,15 @@
   grown_bursts.bursts = {{"quote", seconds(4), seconds(7), 2.9},
                          {"summary", seconds(13), seconds(7), 3.2},
                          {"", seconds(22), seconds(4), 1.8}};
-  return {steady, peak, two_bursts, hosts_lost, grown, grown_bursts};
+  const LoadSheet lanterns = LanternFirms(hosts);
+  LoadSheet lantern_bursts = lanterns;
+  lantern_bursts.name = "lantern-bursts";
+  lantern_bursts.bursts = {{"digest", seconds(3), seconds(6), 2.1},
+                           {"draft", seconds(6), seconds(7), 3},
+                           {"digest", seconds(13), seconds(7), 3.2},
+                           {"", seconds(24), seconds(4), 1.8}};
+  return {steady, peak,         two_bursts, hosts_lost,
+          grown,  grown_bursts, lanterns,   lantern_bursts};
 }
 
 }  // namespace bilberry::emulation
--- a/Libraries/LibEmulation/load_sheet.h
+++ b/Libraries/LibEmulation/load_sheet.h
@@ -179,9 +179,16 @@
 // The same firms grown: 67 hosts in four zones, of which eight are large.
 LoadSheet GrownHireFirms();
 
+// Firms whose shortest target belongs to the most urgent kind, and whose
+// longest chain of stages to the one behind it; endpoints and callers in
+// proportion to the hosts, of which one in twelve is large in fleets of more
+// than 20.
+LoadSheet LanternFirms(uint32_t hosts);
+
 // The same firms on several days, by name: "steady", "peak", "two-bursts",
 // "hosts-lost"; and grown, whatever the number of hosts: "grown",
-// "grown-bursts".
+// "grown-bursts"; and those of LanternFirms(): "lanterns", and three bursts of
+// single kinds: "lantern-bursts".
 std::vector<LoadSheet> HireFirmDays(uint32_t hosts);
 
 }  // namespace bilberry::emulation
