--- a/Libraries/LibForward/run_times.cc
+++ b/Libraries/LibForward/run_times.cc
@@ -17,6 +17,10 @@
 
 }  // namespace
 
+RunTimes::JobKind RunTimes::KindOf(const ForwardedRun& run, size_t stage) {
+  return {run.pipeline->stages[stage].pool, run.pipeline->name, run.urgency};
+}
+
 void RunTimes::NoteJob(const ForwardedRun& run,
                        size_t stage,
                        base::TimePoint now) {
@@ -26,8 +30,8 @@
   const StageState& state = run.stages[stage];
   const base::Duration excess =
       now - state.asked - CallTimeOf(*limits, state.pieces);
-  job_excess_[{run.pipeline->stages[stage].pool, run.urgency}].Note(
-      std::max(excess, base::Duration(0)), now);
+  job_excess_[KindOf(run, stage)].Note(std::max(excess, base::Duration(0)),
+                                       now);
 }
 
 void RunTimes::NoteFirstByte(const ForwardedRun& run, base::TimePoint now) {
@@ -40,8 +44,7 @@
   const PieceLimits* limits = LimitsOf(run, stage);
   if (limits == nullptr)
     return base::Duration(0);
-  const auto excess =
-      job_excess_.find({run.pipeline->stages[stage].pool, run.urgency});
+  const auto excess = job_excess_.find(KindOf(run, stage));
   return CallTimeOf(*limits, run.stages[stage].pieces) +
          (excess == job_excess_.end() ? base::Duration(0)
                                       : excess->second.At(now));
--- a/Libraries/LibForward/run_times.h
+++ b/Libraries/LibForward/run_times.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <map>
-#include <utility>
+#include <tuple>
 
 #include "LibForward/forwarded_run.h"
 #include "LibForward/recent_delay.h"
@@ -28,13 +28,18 @@
                           base::TimePoint now) const;
 
  private:
+  // Whose jobs wait alike: those of another kind or urgency are served before
+  // or behind them.
+  using JobKind = std::tuple<base::PoolName, base::PipelineName, Urgency>;
+  static JobKind KindOf(const ForwardedRun& run, size_t stage);
+
   // What a stage takes, with the wait for its turn.
   base::Duration TimeOf(const ForwardedRun& run,
                         size_t stage,
                         base::TimePoint now) const;
 
   // By how much jobs take longer than their calls, since they wait.
-  std::map<std::pair<base::PoolName, Urgency>, RecentDelay> job_excess_;
+  std::map<JobKind, RecentDelay> job_excess_;
   // From the sending of a request to its first byte.
   std::map<base::PipelineName, RecentDelay> first_byte_;
 };
