--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -303,6 +303,7 @@
   StageState& state = run.stages[stage];
   StageJob job;
   job.request_id = run.request->request_id;
+  job.pipeline = run.pipeline->name;
   job.pool = declared.pool;
   job.cell = run.cell;
   job.stage = static_cast<uint32_t>(stage);
--- a/Libraries/LibForward/service_order.cc
+++ b/Libraries/LibForward/service_order.cc
@@ -57,14 +57,18 @@
   return order;
 }
 
-base::Duration WaitBehind(const ServiceOrder& order,
-                          Urgency urgency,
-                          const PoolPace& pace,
-                          base::TimePoint now) {
+base::Duration WaitOf(const QueuedJob& job,
+                      const ServiceOrder& order,
+                      const PoolPace& pace,
+                      base::TimePoint now) {
   uint64_t ahead = 0;
-  for (const QueuedJob& job : order.on_time) {
-    if (job.urgency <= urgency)
-      ahead += job.pieces;
+  for (const QueuedJob& it : order.on_time) {
+    const bool is_due_before =
+        std::pair(it.urgency, it.target) <= std::pair(job.urgency, job.target);
+    const bool is_of_its_kind =
+        it.urgency == job.urgency && it.kind == job.kind;
+    if (is_due_before || is_of_its_kind)
+      ahead += it.pieces;
   }
   return pace.next_turn - now + pace.TimeFor(ahead);
 }
--- a/Libraries/LibForward/service_order.h
+++ b/Libraries/LibForward/service_order.h
@@ -11,6 +11,7 @@
 // A job that waits for its turn, as far as the order goes by it.
 struct QueuedJob {
   JobId id{};
+  base::PipelineName kind;
   Urgency urgency = Urgency::kMost;
   base::TimePoint target;
   // From its turn until its request is answered.
@@ -44,11 +45,13 @@
 
 ServiceOrder OrderOfService(std::vector<QueuedJob> jobs, const PoolPace& pace);
 
-// Until a job has its turn that would be served behind all of this urgency.
-base::Duration WaitBehind(const ServiceOrder& order,
-                          Urgency urgency,
-                          const PoolPace& pace,
-                          base::TimePoint now);
+// Until a job has its turn that isn't in the order yet: behind those on time
+// that are more urgent, due before it, or of its own kind, where who came first
+// is served first.
+base::Duration WaitOf(const QueuedJob& job,
+                      const ServiceOrder& order,
+                      const PoolPace& pace,
+                      base::TimePoint now);
 
 // Until one has its turn that can't be on time: behind all that waits, and
 // behind those on time that come meanwhile.
--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -163,6 +163,7 @@
 
 QueuedJob StageDispatcher::Queued(JobId id, const Job& job) const {
   return {id,
+          job.job.pipeline,
           job.job.urgency,
           job.target,
           CallTime(job.waiting.size()) + job.job.time_after,
@@ -191,8 +192,7 @@
   if (OpenCount(now) == 0 && job.job.progress == RequestProgress::kNew)
     return TooLate(job, order, pace, now);
   const QueuedJob queued = Queued(id, job);
-  const base::Duration on_time = WaitBehind(order, queued.urgency, pace, now);
-  if (now + on_time + queued.needed <= job.target)
+  if (now + WaitOf(queued, order, pace, now) + queued.needed <= job.target)
     return std::nullopt;
   const base::Duration wait = WaitOfLate(order, pace, now);
   if (now + wait + queued.needed <= job.deadline &&
--- a/Libraries/LibForward/stage_job.h
+++ b/Libraries/LibForward/stage_job.h
@@ -29,6 +29,7 @@
 // job may be sent to another host.
 struct StageJob {
   std::string request_id;
+  base::PipelineName pipeline;  // The kind of request.
   base::PoolName pool;
   Cell cell;           // Whose endpoints make it.
   uint32_t stage = 0;  // Its index in the pipeline.
--- a/Libraries/LibTransport/stage_job_codec.cc
+++ b/Libraries/LibTransport/stage_job_codec.cc
@@ -60,6 +60,7 @@
 std::string EncodeStageJob(const forward::StageJob& job) {
   Json::Value object;
   object["request"] = job.request_id;
+  object["pipeline"] = job.pipeline.value;
   object["pool"] = job.pool.value;
   object["cell"] = job.cell.zone.value;
   object["stage"] = job.stage;
@@ -87,7 +88,7 @@
   if (!object || !object->isObject())
     return std::nullopt;
   const Json::Value& it = *object;
-  if (!HasTexts(it, {"request", "pool", "cell", "reader_zone"}) ||
+  if (!HasTexts(it, {"request", "pipeline", "pool", "cell", "reader_zone"}) ||
       !HasNumbers(it, {"stage", "pieces", "result_bytes", "urgency",
                        "target_us", "deadline_us", "after_us"}) ||
       !it["is_new"].isBool() || !it["stage"].isUInt() ||
@@ -97,6 +98,7 @@
     return std::nullopt;
   forward::StageJob job;
   job.request_id = it["request"].asString();
+  job.pipeline.value = it["pipeline"].asString();
   job.pool.value = it["pool"].asString();
   job.cell.zone.value = it["cell"].asString();
   job.stage = it["stage"].asUInt();
--- a/Tests/LibForward/test_service_order.cc
+++ b/Tests/LibForward/test_service_order.cc
@@ -21,8 +21,13 @@
 }
 
 QueuedJob MakeJob(uint64_t id, milliseconds until_target) {
-  return {JobId{id},         Urgency{1}, kNow + until_target,
-          milliseconds(100), 10,         RequestProgress::kNew};
+  QueuedJob job;
+  job.id = JobId{id};
+  job.urgency = Urgency{1};
+  job.target = kNow + until_target;
+  job.needed = milliseconds(100);
+  job.pieces = 10;
+  return job;
 }
 
 std::vector<uint64_t> IdsOf(const std::vector<QueuedJob>& jobs) {
@@ -107,9 +112,28 @@
   const PoolPace pace = MakePace();
   const ServiceOrder order =
       OrderOfService({MakeJob(1, milliseconds(4000)), lesser}, pace);
-  CHECK(WaitBehind(order, Urgency{0}, pace, kNow) == milliseconds(0));
-  CHECK(WaitBehind(order, Urgency{1}, pace, kNow) == pace.TimeFor(10));
-  CHECK(WaitBehind(order, Urgency{2}, pace, kNow) == pace.TimeFor(20));
+  QueuedJob job = MakeJob(3, milliseconds(4000));
+  job.urgency = Urgency{0};
+  CHECK(WaitOf(job, order, pace, kNow) == milliseconds(0));
+  job.urgency = Urgency{1};
+  CHECK(WaitOf(job, order, pace, kNow) == pace.TimeFor(10));
+  job.urgency = Urgency{2};
+  CHECK(WaitOf(job, order, pace, kNow) == pace.TimeFor(20));
+}
+
+TEST_CASE("a job doesn't wait for another kind that is due behind it") {
+  const PoolPace pace = MakePace();
+  QueuedJob other = MakeJob(1, milliseconds(4000));
+  other.kind.value = "other";
+  const ServiceOrder order = OrderOfService({other}, pace);
+  QueuedJob job = MakeJob(2, milliseconds(1500));
+  CHECK(WaitOf(job, order, pace, kNow) == milliseconds(0));
+  job.target = other.target + milliseconds(1);
+  CHECK(WaitOf(job, order, pace, kNow) == pace.TimeFor(10));
+  // Of its own kind, who came first is served first.
+  job = MakeJob(2, milliseconds(1500));
+  job.kind = other.kind;
+  CHECK(WaitOf(job, order, pace, kNow) == pace.TimeFor(10));
 }
 
 TEST_SUITE_END();
--- a/Tests/LibForward/test_stage_dispatcher.cc
+++ b/Tests/LibForward/test_stage_dispatcher.cc
@@ -467,6 +467,7 @@
   REQUIRE(bench.dispatcher.TakeOutcomes().empty());
   StageJob tight;
   tight.request_id = "tight";
+  tight.pipeline.value = "tight";
   tight.urgency = Urgency{1};
   tight.until_target = milliseconds(1500);
   tight.until_deadline = milliseconds(2500);
--- a/Tests/LibTransport/test_stage_job_codec.cc
+++ b/Tests/LibTransport/test_stage_job_codec.cc
@@ -13,6 +13,7 @@
 forward::StageJob MakeJob() {
   forward::StageJob job;
   job.request_id = "r1";
+  job.pipeline.value = "chat";
   job.pool.value = "makers";
   job.cell.zone.value = "z";
   job.stage = 2;
@@ -37,6 +38,7 @@
   REQUIRE(job.has_value());
   CHECK(EncodeStageJob(*job) == EncodeStageJob(MakeJob()));
   CHECK(job->until_inputs_gone == milliseconds(3500));
+  CHECK(job->pipeline.value == "chat");
   CHECK(job->cell.zone.value == "z");
   CHECK(job->progress == forward::RequestProgress::kUnderWay);
   // One that reads no results.
