--- a/Libraries/LibEmulation/emulated_notices.cc
+++ b/Libraries/LibEmulation/emulated_notices.cc
@@ -8,9 +8,9 @@
 
 // What was under way when an endpoint said something may still reach it.
 constexpr std::chrono::milliseconds kUnderWay{500};
-// Hosts of a zone tell each other what endpoints said within this time: the
-// notice that endpoints of a large fleet give before they leave.
-constexpr std::chrono::milliseconds kZoneKnows{3000};
+// Hosts tell each other what endpoints said within this time: the notice that
+// endpoints of a small fleet give before they leave.
+constexpr std::chrono::milliseconds kFleetKnows{2000};
 
 }  // namespace
 
@@ -49,9 +49,9 @@
                                   const forward::ListedEndpoint& endpoint,
                                   base::TimePoint now) {
   NoteOrder(host, endpoint, now);
-  const auto zone = zones_told_leaving_.find({ZoneOf(host), endpoint.name});
-  if (zone != zones_told_leaving_.end() && now > zone->second + kZoneKnows)
-    ++report_.sent_though_zone_knew;
+  const auto first = first_told_leaving_.find(endpoint.name);
+  if (first != first_told_leaving_.end() && now > first->second + kFleetKnows)
+    ++report_.sent_though_fleet_knew;
   const auto it = told_.find({host, endpoint.name});
   if (it == told_.end())
     return;
@@ -84,7 +84,7 @@
   if (notice.is_leaving && !told.leaving_since)
     told.leaving_since = now;
   if (notice.is_leaving)
-    zones_told_leaving_.try_emplace({ZoneOf(host), endpoint.name}, now);
+    first_told_leaving_.try_emplace(endpoint.name, now);
   if (notice.retry_after && now >= told.quiet_until) {
     told.quiet_since = now;
     told.quiet_until = now + *notice.retry_after;
--- a/Libraries/LibEmulation/emulated_notices.h
+++ b/Libraries/LibEmulation/emulated_notices.h
@@ -60,8 +60,6 @@
     base::TimePoint quiet_until;
   };
 
-  // Hosts are dealt to the zones in turn.
-  size_t ZoneOf(size_t host) const { return host % sheet_.zones; }
   bool AnnouncesRefusals(const forward::ListedEndpoint& endpoint) const;
   bool IsLeaving(const forward::ListedEndpoint& endpoint,
                  base::TimePoint now) const;
@@ -72,9 +70,8 @@
   base::TimePoint began_ = base::TimePoint::max();
   std::map<base::EndpointName, uint32_t> indexes_;
   std::map<std::pair<size_t, base::EndpointName>, Told> told_;
-  // When the first host of a zone was told that an endpoint leaves.
-  std::map<std::pair<size_t, base::EndpointName>, base::TimePoint>
-      zones_told_leaving_;
+  // When the first host was told that an endpoint leaves.
+  std::map<base::EndpointName, base::TimePoint> first_told_leaving_;
 };
 
 }  // namespace bilberry::emulation
--- a/Libraries/LibEmulation/emulation.cc
+++ b/Libraries/LibEmulation/emulation.cc
@@ -565,6 +565,11 @@
     FeedPeer(host, *to, forward::PeerToldLimits{action.limits});
 }
 
+void Emulation::Do(size_t host, const forward::TellNotices& action) {
+  if (const auto to = FindHost(action.address))
+    FeedPeer(host, *to, forward::PeerToldNotices{action.notices});
+}
+
 void Emulation::Do(size_t host, const forward::AskNews& action) {
   const auto to = FindHost(action.address);
   if (!to || !hosts_[*to].is_alive || IsCutOff(host) || IsCutOff(*to)) {
--- a/Libraries/LibEmulation/emulation.h
+++ b/Libraries/LibEmulation/emulation.h
@@ -103,6 +103,7 @@
   void Do(size_t host, const forward::AskPermit& action);
   void Do(size_t host, const forward::AnswerPermit& action);
   void Do(size_t host, const forward::TellLimits& action);
+  void Do(size_t host, const forward::TellNotices& action);
   void Do(size_t host, const forward::AskNews& action);
   void Do(size_t host, const forward::AnswerNews& action);
   void Do(size_t host, const forward::ListTable& action);
--- a/Libraries/LibEmulation/emulation_report.h
+++ b/Libraries/LibEmulation/emulation_report.h
@@ -57,9 +57,9 @@
   // What reached an endpoint that had told the host not to send it.
   uint64_t sent_though_quiet = 0;
   uint64_t sent_though_leaving = 0;
-  // What reached an endpoint that had told a host of the zone long enough
-  // before that it leaves.
-  uint64_t sent_though_zone_knew = 0;
+  // What reached an endpoint that had told any host long enough before that it
+  // leaves.
+  uint64_t sent_though_fleet_knew = 0;
   // What reached endpoints with a limit, from shortly after they named it on,
   // and what was more than their limits allow.
   uint64_t limited_arrivals = 0;
--- a/Libraries/LibEmulation/load_sheet.cc
+++ b/Libraries/LibEmulation/load_sheet.cc
@@ -230,27 +230,29 @@
   return sheet;
 }
 
-LoadSheet GrownHireFirms() {
-  constexpr uint32_t kLargeHosts = 8;
-  constexpr uint32_t kSmallHosts = 59;
+LoadSheet GrownHireFirms(uint32_t hosts) {
+  const double scale = static_cast<double>(hosts) / kGrownHosts;
+  const uint32_t large_hosts = Scaled(8, scale);
   LoadSheet sheet = HireFirms(kSheetHosts);
   sheet.name = "grown";
-  sheet.hosts = kLargeHosts + kSmallHosts;
-  sheet.host_kinds = {{kLargeHosts, 0.5, 200}, {kSmallHosts, 0.12, 10}};
+  sheet.hosts = hosts;
+  sheet.host_kinds = {{large_hosts, 0.5, 200}, {hosts - large_hosts, 0.12, 10}};
   sheet.message_time = microseconds(200);
   sheet.zones = 4;
   sheet.between_zones = microseconds(900);
-  sheet.kinds[0].per_second = 106;
-  sheet.kinds[0].sessions = 1240;
-  sheet.kinds[1].per_second = 128;
-  sheet.kinds[1].sessions = 1510;
-  sheet.kinds[2].per_second = 63.5;
-  sheet.kinds[2].sessions = 500;
-  sheet.makers = {
-      MakeMakers("billing", 17, 10, microseconds(13'000), 45'000'000),
-      MakeMakers("returns", 15, 44, microseconds(2'900), 7'800'000),
-      MakeMakers("tracking", 16, 96, microseconds(1'300), 1'600'000)};
-  sheet.engines.endpoints = 90;
+  sheet.kinds[0].per_second = 106 * scale;
+  sheet.kinds[0].sessions = Scaled(1240, scale);
+  sheet.kinds[1].per_second = 128 * scale;
+  sheet.kinds[1].sessions = Scaled(1510, scale);
+  sheet.kinds[2].per_second = 63.5 * scale;
+  sheet.kinds[2].sessions = Scaled(500, scale);
+  sheet.makers = {MakeMakers("billing", Scaled(17, scale), 10,
+                             microseconds(13'000), 45'000'000),
+                  MakeMakers("returns", Scaled(15, scale), 44,
+                             microseconds(2'900), 7'800'000),
+                  MakeMakers("tracking", Scaled(16, scale), 96,
+                             microseconds(1'300), 1'600'000)};
+  sheet.engines.endpoints = Scaled(90, scale);
   sheet.manner_of_return = Return::kWithinDeadline;
   return sheet;
 }
--- a/Libraries/LibEmulation/load_sheet.h
+++ b/Libraries/LibEmulation/load_sheet.h
@@ -176,8 +176,10 @@
 // proportion to the hosts.
 LoadSheet HireFirms(uint32_t hosts);
 
-// The same firms grown: 67 hosts in four zones, of which eight are large.
-LoadSheet GrownHireFirms();
+// The same firms grown: hosts in four zones, of which one in eight is large;
+// endpoints and callers in proportion.
+inline constexpr uint32_t kGrownHosts = 67;
+LoadSheet GrownHireFirms(uint32_t hosts = kGrownHosts);
 
 // Firms whose shortest target belongs to the most urgent kind, and whose
 // longest chain of stages to the one behind it; endpoints and callers in
--- a/Libraries/LibForward/endpoint_chooser.cc
+++ b/Libraries/LibForward/endpoint_chooser.cc
@@ -67,7 +67,9 @@
 
 bool EndpointChooser::IsRested(const Endpoint& endpoint,
                                base::TimePoint now) const {
-  if (endpoint.rests_until > now)
+  if (endpoint.rests_until > now ||
+      words_.quiet_times.IsQuietForPeers(endpoint.listed.name,
+                                         endpoint.listed.incarnation, now))
     return false;
   const auto it = zones_.find(endpoint.listed.zone);
   if (it == zones_.end() || it->second.unreachable < kUnreachableToRest)
--- a/Libraries/LibForward/forward_action.h
+++ b/Libraries/LibForward/forward_action.h
@@ -152,6 +152,12 @@
   std::vector<ToldLimit> limits;
 };
 
+// Nothing comes back.
+struct TellNotices {
+  base::SocketAddress address;
+  ToldNotices notices;
+};
+
 // Asks a peer for what it knows of the store. Ends in one NewsHeard or
 // NewsFailed.
 struct AskNews {
@@ -223,6 +229,7 @@
                             AskPermit,
                             AnswerPermit,
                             TellLimits,
+                            TellNotices,
                             AskNews,
                             AnswerNews,
                             ListTable,
--- a/Libraries/LibForward/forward_context.h
+++ b/Libraries/LibForward/forward_context.h
@@ -60,6 +60,14 @@
          {"incarnation", std::to_string(static_cast<uint64_t>(incarnation))},
          {"told_by", std::string(told_by)}});
   }
+  void LogQuiet(const base::EndpointName& endpoint,
+                base::Duration lasts,
+                std::string_view told_by) {
+    Log(base::LogEventId::kEndpointQuiet, "",
+        {{"endpoint", endpoint.value},
+         {"for_ms", ToMilliseconds(lasts)},
+         {"told_by", std::string(told_by)}});
+  }
   void LogLimit(const base::EndpointName& endpoint,
                 base::Incarnation incarnation,
                 const RequestLimit& limit,
--- a/Libraries/LibForward/forward_event.h
+++ b/Libraries/LibForward/forward_event.h
@@ -140,6 +140,11 @@
   std::vector<ToldLimit> limits;
 };
 
+// A peer tells what endpoints said in answers.
+struct PeerToldNotices {
+  ToldNotices notices;
+};
+
 // A peer asks what this host knows of the store; answered by one AnswerNews.
 struct PeerNewsAsked {
   PeerExchangeId exchange{};
@@ -206,6 +211,7 @@
                            PermitAnswered,
                            PermitLost,
                            PeerToldLimits,
+                           PeerToldNotices,
                            PeerNewsAsked,
                            NewsHeard,
                            NewsFailed,
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -18,6 +18,7 @@
     : context_(std::move(options)),
       store_(context_),
       peers_(context_),
+      notices_(context_, store_, peers_),
       permits_(context_, peers_),
       stages_(context_, peers_),
       runs_(context_, stages_, permits_) {
@@ -32,6 +33,7 @@
   EndQuietTimes(now);
   TakeNews(now);
   runs_.HandleTimer(now);
+  notices_.Tell(now);
   peers_.AskPeers(now);
   stages_.Dispatch(now);
   // Outcomes of stages lead to further jobs, which are to be in these calls.
@@ -70,9 +72,14 @@
           [&](const PermitAnswered& it) { permits_.Handle(it, now); },
           [&](const PermitLost& it) { permits_.Handle(it, now); },
           [&](const PeerToldLimits& it) { permits_.TakeWords(it.limits, now); },
+          [&](const PeerToldNotices& it) {
+            notices_.TakeWords(it.notices, now);
+          },
           [&](const PeerNewsAsked& it) { store_.Handle(it, now); },
           [&](NewsHeard& it) {
             permits_.TakeWords(it.news.limits, now);
+            // What an endpoint said holds, however old the store's word is.
+            notices_.TakeWords(it.news.notices, now);
             store_.Handle(std::move(it), now);
           },
           [&](const NewsFailed& it) { store_.Handle(it, now); },
@@ -89,15 +96,7 @@
 }
 
 void ForwardNode::Handle(const EndpointNoticed& event, base::TimePoint now) {
-  if (event.notice.is_leaving &&
-      store_.NoteLeaving(event.endpoint, event.incarnation, now))
-    context_.LogLeaving(event.endpoint, event.incarnation, "answer");
-  const auto& retry_after = event.notice.retry_after;
-  if (retry_after &&
-      context_.words().quiet_times.Note(event.endpoint, now + *retry_after))
-    context_.Log(base::LogEventId::kEndpointQuiet, "",
-                 {{"endpoint", event.endpoint.value},
-                  {"for_ms", ToMilliseconds(*retry_after)}});
+  notices_.Handle(event, now);
   const auto& limit = event.notice.limit;
   if (!limit || !context_.words().limits.Note(event.endpoint, event.incarnation,
                                               *limit, event.asked, now))
@@ -177,6 +176,7 @@
       next = time;
   };
   consider(store_.NextWakeup());
+  consider(notices_.NextWakeup());
   consider(peers_.NextWakeup());
   consider(stages_.NextWakeup());
   consider(runs_.NextWakeup());
--- a/Libraries/LibForward/forward_node.h
+++ b/Libraries/LibForward/forward_node.h
@@ -5,6 +5,7 @@
 #include "LibBase/time.h"
 #include "LibForward/forward_context.h"
 #include "LibForward/forward_event.h"
+#include "LibForward/notice_desk.h"
 #include "LibForward/peer_desk.h"
 #include "LibForward/permit_desk.h"
 #include "LibForward/run_desk.h"
@@ -49,6 +50,7 @@
   ForwardContext context_;
   StoreDesk store_;
   PeerDesk peers_;
+  NoticeDesk notices_;
   PermitDesk permits_;
   StageDesk stages_;
   RunDesk runs_;
--- a/Libraries/LibForward/peer_desk.cc
+++ b/Libraries/LibForward/peer_desk.cc
@@ -1,7 +1,10 @@
 #include "LibForward/peer_desk.h"
 
+#include <map>
 #include <utility>
 
+#include "LibForward/relay_desk.h"
+
 namespace bilberry::forward {
 
 void PeerDesk::SetPools(std::set<base::PoolName> pools) {
@@ -11,9 +14,25 @@
 void PeerDesk::SetHosts(std::span<const PeerHost> hosts, base::TimePoint now) {
   ring_.SetHosts(hosts);
   watch_.SetFleetSize(ring_.host_count());
+  FindNewsHosts();
   NoteChanged(now);
 }
 
+void PeerDesk::FindNewsHosts() {
+  std::set<base::ZoneName> zones;
+  for (const PeerHost& it : ring_.hosts())
+    zones.insert(it.zone);
+  std::map<base::HostName, PeerHost> found;
+  for (const base::ZoneName& zone : zones) {
+    for (PeerHost& it : RelaysOf(ring_.hosts(), zone))
+      found.emplace(it.name, std::move(it));
+  }
+  found.erase(context_.options().own.name);
+  news_hosts_.clear();
+  for (auto& [name, host] : found)
+    news_hosts_.push_back(std::move(host));
+}
+
 void PeerDesk::NoteChanged(base::TimePoint now) {
   changed_at_ = now;
   ++changes_;
--- a/Libraries/LibForward/peer_desk.h
+++ b/Libraries/LibForward/peer_desk.h
@@ -4,6 +4,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <vector>
 
 #include "LibForward/forward_context.h"
 #include "LibForward/forward_event.h"
@@ -28,6 +29,10 @@
   void GuardDispatchers(std::set<base::HostName> hosts);
   void GuardKeepers(std::set<base::HostName> hosts);
 
+  // The hosts from which all others have news: relays, or all in a small fleet;
+  // without this one.
+  const std::vector<PeerHost>& news_hosts() const { return news_hosts_; }
+
   // Something was asked of the host.
   void NoteUse(const base::HostName& host, base::TimePoint now) {
     watch_.NoteUse(host, now);
@@ -54,12 +59,14 @@
  private:
   void NoteChanged(base::TimePoint now);
   void GuardAll();
+  void FindNewsHosts();
 
   ForwardContext& context_;
   HostRing ring_;
   PeerWatch watch_;
   std::set<base::HostName> dispatchers_;
   std::set<base::HostName> keepers_;
+  std::vector<PeerHost> news_hosts_;
   base::TimePoint changed_at_;
   uint64_t changes_ = 0;
 };
--- a/Libraries/LibForward/permit_desk.cc
+++ b/Libraries/LibForward/permit_desk.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "LibBase/overloaded.h"
-#include "LibForward/relay_desk.h"
 
 namespace bilberry::forward {
 
@@ -123,7 +122,7 @@
 }
 
 void PermitDesk::TellListeners(const ToldLimit& told) {
-  for (const PeerHost& it : Listeners())
+  for (const PeerHost& it : peers_.news_hosts())
     context_.Emit(TellLimits{it.address, {told}});
 }
 
@@ -217,7 +216,6 @@
   for (const base::EndpointName& it : lost)
     context_.Log(base::LogEventId::kLimitHandedOver, "",
                  {{"endpoint", it.value}});
-  listeners_.reset();
   guarded_.clear();
   for (const auto& [name, zone] : zones_) {
     if (context_.words().limits.Knows(name))
@@ -226,23 +224,4 @@
   peers_.GuardKeepers(guarded_);
 }
 
-const std::vector<PeerHost>& PermitDesk::Listeners() {
-  if (listeners_)
-    return *listeners_;
-  const std::span<const PeerHost> hosts = peers_.ring().hosts();
-  std::set<base::ZoneName> zones;
-  for (const PeerHost& it : hosts)
-    zones.insert(it.zone);
-  std::map<base::HostName, PeerHost> found;
-  for (const base::ZoneName& zone : zones) {
-    for (PeerHost& it : RelaysOf(hosts, zone))
-      found.emplace(it.name, std::move(it));
-  }
-  found.erase(context_.options().own.name);
-  listeners_.emplace();
-  for (auto& [name, host] : found)
-    listeners_->push_back(std::move(host));
-  return *listeners_;
-}
-
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/permit_desk.h
+++ b/Libraries/LibForward/permit_desk.h
@@ -84,8 +84,6 @@
   // Empty when the endpoint isn't listed.
   std::optional<KeptEndpoint> Find(const base::EndpointName& endpoint) const;
   bool IsKeeperOf(const KeptEndpoint& endpoint) const;
-  // Whoever the keeper tells what it hears: relays, or all in a small fleet.
-  const std::vector<PeerHost>& Listeners();
   void TellListeners(const ToldLimit& told);
   // Watches its keeper if this host would follow that one.
   void GuardKeeperOf(const KeptEndpoint& endpoint);
@@ -101,7 +99,6 @@
   PermitBook book_;
   std::map<base::EndpointName, base::ZoneName> zones_;  // Of those listed.
   std::set<base::HostName> guarded_;
-  std::optional<std::vector<PeerHost>> listeners_;  // Empty: not looked up yet.
   std::map<PermitAskId, Question> questions_;
   std::vector<PermitOutcome> outcomes_;
   uint64_t last_ask_ = 0;
--- a/Libraries/LibForward/quiet_times.cc
+++ b/Libraries/LibForward/quiet_times.cc
@@ -1,40 +1,109 @@
 #include "LibForward/quiet_times.h"
 
+#include <algorithm>
+#include <chrono>
+
 namespace bilberry::forward {
 
-bool QuietTimes::Note(const base::EndpointName& name, base::TimePoint until) {
-  const auto [it, is_new] = ends_.try_emplace(name, until);
+namespace {
+
+// No endpoint asks for more.
+constexpr std::chrono::hours kLongest{1};
+// By so many endpoints at a time, peers are told.
+constexpr size_t kMostTold = 200;
+
+}  // namespace
+
+bool QuietTimes::Prolong(ByName& times,
+                         const base::EndpointName& name,
+                         const QuietTime& time) {
+  const auto [it, is_new] = times.try_emplace(name, time);
   if (is_new)
     return true;
-  if (until <= it->second)
+  if (time.until <= it->second.until)
     return false;
-  it->second = until;
+  it->second = time;
   return true;
 }
 
+bool QuietTimes::Note(const base::EndpointName& name,
+                      base::Incarnation incarnation,
+                      base::TimePoint until,
+                      base::TimePoint now) {
+  return Prolong(own_, name, {incarnation, now, until});
+}
+
+bool QuietTimes::NoteByPeer(const ToldQuietTime& told, base::TimePoint now) {
+  const bool is_sound = told.age >= base::Duration(0) &&
+                        told.age < told.lasts && told.lasts <= kLongest &&
+                        told.incarnation != base::Incarnation{};
+  if (!is_sound ||
+      (told_.size() >= kMostTold && !told_.contains(told.endpoint)))
+    return false;
+  const base::TimePoint said = now - told.age;
+  return Prolong(told_, told.endpoint,
+                 {told.incarnation, said, said + told.lasts});
+}
+
 base::TimePoint QuietTimes::EndOf(const base::EndpointName& name) const {
-  const auto it = ends_.find(name);
-  return it == ends_.end() ? base::TimePoint::min() : it->second;
+  const auto it = own_.find(name);
+  return it == own_.end() ? base::TimePoint::min() : it->second.until;
+}
+
+bool QuietTimes::IsQuietForPeers(const base::EndpointName& name,
+                                 base::Incarnation incarnation,
+                                 base::TimePoint now) const {
+  const auto it = told_.find(name);
+  return it != told_.end() && it->second.incarnation == incarnation &&
+         now < it->second.until;
+}
+
+base::TimePoint QuietTimes::LastEndOf(const base::EndpointName& name,
+                                      base::Incarnation incarnation) const {
+  const auto it = told_.find(name);
+  if (it == told_.end() || it->second.incarnation != incarnation)
+    return EndOf(name);
+  return std::max(EndOf(name), it->second.until);
+}
+
+std::vector<ToldQuietTime> QuietTimes::Words(base::TimePoint now) const {
+  std::vector<ToldQuietTime> words;
+  for (const ByName* times : {&own_, &told_}) {
+    for (const auto& [name, time] : *times) {
+      const bool is_to_be_told =
+          now < time.until && time.incarnation != base::Incarnation{};
+      if (is_to_be_told && words.size() < kMostTold)
+        words.push_back(
+            {name, time.incarnation, time.until - time.said, now - time.said});
+    }
+  }
+  return words;
 }
 
 std::vector<base::EndpointName> QuietTimes::TakeEnded(base::TimePoint now) {
   std::vector<base::EndpointName> ended;
-  for (auto it = ends_.begin(); it != ends_.end();) {
-    if (it->second > now) {
-      ++it;
-      continue;
+  for (ByName* times : {&own_, &told_}) {
+    const ByName& others = times == &own_ ? told_ : own_;
+    for (auto it = times->begin(); it != times->end();) {
+      if (it->second.until > now) {
+        ++it;
+        continue;
+      }
+      if (!others.contains(it->first))
+        ended.push_back(it->first);
+      it = times->erase(it);
     }
-    ended.push_back(it->first);
-    it = ends_.erase(it);
   }
   return ended;
 }
 
 std::optional<base::TimePoint> QuietTimes::NextEnd() const {
   std::optional<base::TimePoint> next;
-  for (const auto& [name, end] : ends_) {
-    if (!next || end < *next)
-      next = end;
+  for (const ByName* times : {&own_, &told_}) {
+    for (const auto& [name, time] : *times) {
+      if (!next || time.until < *next)
+        next = time.until;
+    }
   }
   return next;
 }
--- a/Libraries/LibForward/store_desk.cc
+++ b/Libraries/LibForward/store_desk.cc
@@ -268,7 +268,8 @@
 void StoreDesk::Handle(const PeerNewsAsked& event, base::TimePoint now) {
   TakeDepartures(event.question.departures, now);
   AnswerNews answer{event.exchange, {}};
-  answer.news.departures = directory_.RecentDepartures(now);
+  answer.news.notices = {directory_.RecentDepartures(now),
+                         context_.words().quiet_times.Words(now)};
   answer.news.limits = context_.words().limits.RecentWords(now);
   answer.news.age = now - told_;
   answer.news.revision = configuration_ ? configuration_->revision : 0;
@@ -281,8 +282,6 @@
 
 void StoreDesk::Handle(NewsHeard event, base::TimePoint now) {
   relays_.NoteAnswered(now);
-  // What an endpoint said holds, however old the store's word is.
-  TakeDepartures(event.news.departures, now);
   // Relays don't ask each other: what one was told reaches the other by those
   // who ask both.
   if (!directory_.RecentDepartures(now).empty())
--- a/Libraries/LibForward/store_desk.h
+++ b/Libraries/LibForward/store_desk.h
@@ -27,6 +27,9 @@
   bool NoteLeaving(const base::EndpointName& name,
                    base::Incarnation incarnation,
                    base::TimePoint now);
+  // The same by peers' words.
+  void TakeDepartures(const std::vector<EndpointDeparture>& departures,
+                      base::TimePoint now);
   void Handle(const PeerNewsAsked& event, base::TimePoint now);
   void Handle(NewsHeard event, base::TimePoint now);
   void Handle(const NewsFailed& event, base::TimePoint now);
@@ -78,8 +81,6 @@
                      base::TimePoint holds_until,
                      base::TimePoint now);
   void TakeNews(TableNews news, base::TimePoint now);
-  void TakeDepartures(const std::vector<EndpointDeparture>& departures,
-                      base::TimePoint now);
   void SpaceOutFailingCalls();
   void AskForNews(base::TimePoint now);
   void LogUnreadable(FeedKind feed, const FeedRow& row);
--- a/Libraries/LibForward/table_news.h
+++ b/Libraries/LibForward/table_news.h
@@ -7,6 +7,7 @@
 #include "LibBase/time.h"
 #include "LibForward/endpoint_limits.h"
 #include "LibForward/feed_row.h"
+#include "LibForward/told_notices.h"
 
 // What one host tells another of the store's tables, so that not every host has
 // to follow the store by itself.
@@ -31,13 +32,6 @@
   std::vector<FeedRow> rows;
 };
 
-// That this life of an endpoint leaves, by its own word in an answer.
-struct EndpointDeparture {
-  base::EndpointName endpoint;
-  base::Incarnation incarnation{};
-  base::Duration age{};  // Since it said so.
-};
-
 struct NewsQuestion {
   std::vector<KnownVersion> known;
   std::vector<EndpointDeparture> departures;  // That the asking host knows.
@@ -46,7 +40,7 @@
 struct News {
   base::Duration age{};  // Since the store told the peer what endpoints exist.
   std::vector<TableNews> tables;
-  std::vector<EndpointDeparture> departures;
+  ToldNotices notices;
   std::vector<ToldLimit> limits;
   uint64_t revision = 0;  // Of the configuration; 0 if none is known.
   // Whoever knows the operators' rows up to an earlier version has missed a
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -20,6 +20,7 @@
 constexpr const char* kNewsPath = "/v1/news";
 constexpr const char* kPermitsPath = "/v1/permits";
 constexpr const char* kLimitsPath = "/v1/limits";
+constexpr const char* kNoticesPath = "/v1/notices";
 constexpr const char* kResultsReadPath = "/v1/results-read";
 constexpr const char* kMetricsPath = "/metrics";
 // A peer that has not answered a job by then is taken for lost: jobs end by
@@ -252,6 +253,12 @@
       peers_->Respond(request.exchange, {204, {}, ""});
       return;
     }
+  } else if (request.path == kNoticesPath) {
+    if (auto notices = DecodeNotices(request.body)) {
+      Feed(forward::PeerToldNotices{std::move(*notices)});
+      peers_->Respond(request.exchange, {204, {}, ""});
+      return;
+    }
   } else if (request.path == kNewsPath) {
     if (auto question = DecodeNewsQuestion(request.body)) {
       Feed(forward::PeerNewsAsked{exchange, std::move(*question)});
@@ -541,14 +548,21 @@
                    EncodePermitAnswer(action.answer)});
 }
 
-void ForwardShell::Do(const forward::TellLimits& action) {
-  HttpRequest request =
-      PostTo(action.address, kLimitsPath, PrintCompact(JsonOf(action.limits)));
+// A peer that isn't told hears it from the endpoint itself.
+void ForwardShell::Tell(HttpRequest request) {
   request.timeout = kTellTimeout;
-  // A peer that isn't told hears it from the endpoint itself.
   http_->Send(std::move(request), [](const HttpOutcome&) {});
 }
 
+void ForwardShell::Do(const forward::TellLimits& action) {
+  Tell(
+      PostTo(action.address, kLimitsPath, PrintCompact(JsonOf(action.limits))));
+}
+
+void ForwardShell::Do(const forward::TellNotices& action) {
+  Tell(PostTo(action.address, kNoticesPath, EncodeNotices(action.notices)));
+}
+
 void ForwardShell::Do(const forward::AskNews& action) {
   HttpRequest request =
       PostTo(action.address, kNewsPath, EncodeNewsQuestion(action.question));
--- a/Libraries/LibTransport/forward_shell.h
+++ b/Libraries/LibTransport/forward_shell.h
@@ -111,7 +111,9 @@
   void Do(const forward::AskWhetherAlive& action);
   void Do(const forward::AskPermit& action);
   void Do(const forward::AnswerPermit& action);
+  void Tell(HttpRequest request);
   void Do(const forward::TellLimits& action);
+  void Do(const forward::TellNotices& action);
   void Do(const forward::AskNews& action);
   void Do(const forward::AnswerNews& action);
   void Do(const forward::ListTable& action);
--- a/Libraries/LibTransport/news_codec.cc
+++ b/Libraries/LibTransport/news_codec.cc
@@ -152,8 +152,59 @@
   return departures;
 }
 
+Json::Value JsonOf(const forward::ToldNotices& notices) {
+  Json::Value object;
+  object["departures"] = JsonOf(notices.departures);
+  Json::Value& array = object["quiet_times"] = Json::Value(Json::arrayValue);
+  for (const forward::ToldQuietTime& it : notices.quiet_times) {
+    Json::Value& quiet = array.append(Json::Value(Json::objectValue));
+    quiet["endpoint"] = it.endpoint.value;
+    quiet["incarnation"] = static_cast<Json::UInt64>(it.incarnation);
+    quiet["lasts_us"] = static_cast<Json::Int64>(it.lasts.count());
+    quiet["age_us"] = static_cast<Json::Int64>(it.age.count());
+  }
+  return object;
+}
+
+std::optional<forward::ToldQuietTime> QuietTimeOf(const Json::Value& object) {
+  if (!object.isObject() || !HasTexts(object, {"endpoint"}) ||
+      !object["incarnation"].isUInt64() || !object["lasts_us"].isInt64() ||
+      !object["age_us"].isInt64())
+    return std::nullopt;
+  return forward::ToldQuietTime{
+      {object["endpoint"].asString()},
+      base::Incarnation{object["incarnation"].asUInt64()},
+      base::Duration(object["lasts_us"].asInt64()),
+      base::Duration(object["age_us"].asInt64())};
+}
+
+std::optional<forward::ToldNotices> NoticesOf(const Json::Value& object) {
+  if (!object.isObject() || !object["quiet_times"].isArray())
+    return std::nullopt;
+  auto departures = DeparturesOf(object["departures"]);
+  if (!departures)
+    return std::nullopt;
+  forward::ToldNotices notices{std::move(*departures), {}};
+  for (const Json::Value& it : object["quiet_times"]) {
+    auto quiet = QuietTimeOf(it);
+    if (!quiet)
+      return std::nullopt;
+    notices.quiet_times.push_back(std::move(*quiet));
+  }
+  return notices;
+}
+
 }  // namespace
 
+std::string EncodeNotices(const forward::ToldNotices& notices) {
+  return PrintCompact(JsonOf(notices));
+}
+
+std::optional<forward::ToldNotices> DecodeNotices(std::string_view text) {
+  const auto object = ParseCompact(text);
+  return object ? NoticesOf(*object) : std::nullopt;
+}
+
 std::string EncodeNewsQuestion(const forward::NewsQuestion& question) {
   Json::Value object;
   Json::Value& known = object["known"] = Json::Value(Json::objectValue);
@@ -189,7 +240,7 @@
   object["revision"] = static_cast<Json::UInt64>(news.revision);
   object["operators_version"] =
       static_cast<Json::UInt64>(news.operators_version);
-  object["departures"] = JsonOf(news.departures);
+  object["notices"] = JsonOf(news.notices);
   object["limits"] = JsonOf(news.limits);
   Json::Value& tables = object["tables"] = Json::Value(Json::arrayValue);
   for (const forward::TableNews& it : news.tables) {
@@ -210,13 +261,13 @@
       !(*object)["operators_version"].isUInt64() ||
       !(*object)["age_us"].isInt64() || !(*object)["tables"].isArray())
     return std::nullopt;
-  auto departures = DeparturesOf((*object)["departures"]);
+  auto notices = NoticesOf((*object)["notices"]);
   auto limits = ToldLimitsOf((*object)["limits"]);
-  if (!departures || !limits)
+  if (!notices || !limits)
     return std::nullopt;
   forward::News news;
   news.limits = std::move(*limits);
-  news.departures = std::move(*departures);
+  news.notices = std::move(*notices);
   news.age = base::Duration((*object)["age_us"].asInt64());
   news.revision = (*object)["revision"].asUInt64();
   news.operators_version = (*object)["operators_version"].asUInt64();
--- a/Libraries/LibTransport/news_codec.h
+++ b/Libraries/LibTransport/news_codec.h
@@ -7,9 +7,14 @@
 
 #include "LibForward/table_news.h"
 
-// What entry hosts tell one another of the store's tables, as JSON.
+// What entry hosts tell one another of the store's tables and of endpoints, as
+// JSON.
 namespace bilberry::transport {
 
+std::string EncodeNotices(const forward::ToldNotices& notices);
+// Empty when any part of it can't be read.
+std::optional<forward::ToldNotices> DecodeNotices(std::string_view text);
+
 std::string EncodeNewsQuestion(const forward::NewsQuestion& question);
 std::optional<forward::NewsQuestion> DecodeNewsQuestion(std::string_view text);
 
