--- a/Libraries/LibForward/store_desk.cc
+++ b/Libraries/LibForward/store_desk.cc
@@ -171,6 +171,9 @@
       evacuations_[row.key] = it->zone;
     else if (std::holds_alternative<RowRemoved>(row.content))
       evacuations_.erase(row.key);
+    // A row that can't be read is there all the same.
+    else if (const auto known = earlier.find(row.key); known != earlier.end())
+      evacuations_.insert(*known);
   }
   if (evacuations_ == earlier)
     return;
--- a/Tests/LibForward/test_evacuation.cc
+++ b/Tests/LibForward/test_evacuation.cc
@@ -24,12 +24,16 @@
 class EvacuationBench : public NodeBench {
  public:
   EvacuationBench() {
+    ListEndpoints();
+    actions.clear();
+  }
+
+  void ListEndpoints() {
     Feed(TableListed{FeedKind::kEndpoints,
                      {Row("e1", "llm", "near"), Row("e2", "llm", "far"),
                       Row("m1", "maker", "near"), Row("m2", "maker", "far")},
                      false,
                      2});
-    actions.clear();
   }
 
   void Evacuate(uint64_t version) {
@@ -37,29 +41,56 @@
         FeedKind::kConfiguration, {{kKey, ZoneEvacuated{{"near"}}}}, version});
   }
 
+  void Notice(const std::string& endpoint, const EndpointNotice& notice) {
+    Feed(EndpointNoticed{{endpoint}, {}, notice, now});
+  }
+
+  // A request that the other zone's endpoint got.
+  SendAttempt SendToFar() {
+    for (;;) {
+      ForwardedRequest request = Request(++callers);
+      request.piece_counts = {};
+      Feed(std::move(request));
+      const SendAttempt* sent = Last<SendAttempt>();
+      REQUIRE(sent != nullptr);
+      if (sent->endpoint.value == "e2")
+        return *sent;
+    }
+  }
+
+  // Whether anything has been sent to the zone.
+  bool HasSentThere() const {
+    return std::ranges::any_of(actions, [](const Action& action) {
+      if (const auto* it = std::get_if<SendAttempt>(&action))
+        return it->endpoint.value == "e1";
+      if (const auto* it = std::get_if<CallStage>(&action))
+        return it->call.endpoint.value == "m1";
+      const auto* it = std::get_if<FreeResults>(&action);
+      return it != nullptr && it->order.endpoint.value == "m1";
+    });
+  }
+
+  // Answers the calls among these actions, or among all.
+  void EndCalls() { EndCalls(std::vector<Action>(actions)); }
+  void EndCalls(const std::vector<Action>& done) {
+    for (const Action& action : done) {
+      if (const auto* it = std::get_if<CallStage>(&action))
+        EndStage(it->call);
+    }
+  }
+
   // Whether any of many requests, calls and orders goes to the zone.
   bool SendsThere() {
     actions.clear();
     for (int i = 0; i < 20; ++i)
       Feed(Request(++callers));
     for (int i = 0; i < 20; ++i) {
-      const std::vector<Action> done = actions;
-      for (const Action& action : done) {
-        if (const auto* it = std::get_if<CallStage>(&action))
-          EndStage(it->call);
-      }
+      EndCalls();
       Feed(CallerLeft{base::CallerId{callers - i}});
       now += milliseconds(20);
       Feed(TimerDue{});
     }
-    return std::ranges::any_of(actions, [](const Action& action) {
-      if (const auto* it = std::get_if<SendAttempt>(&action))
-        return it->endpoint.value == "e1";
-      if (const auto* it = std::get_if<CallStage>(&action))
-        return it->call.endpoint.value == "m1";
-      const auto* it = std::get_if<FreeResults>(&action);
-      return it != nullptr && it->order.endpoint.value == "m1";
-    });
+    return HasSentThere();
   }
 
   uint64_t callers = 100;
@@ -95,6 +126,163 @@
   CHECK_FALSE(bench.SendsThere());
 }
 
+// Guards against what was begun before the zone was evacuated.
+TEST_CASE("no work that is under way goes on in a zone that is evacuated") {
+  EvacuationBench bench;
+  AnswerHead refusal;
+  refusal.status = 503;
+  refusal.said_not_run = true;
+  bench.SendsThere();  // Earns the pool its retries.
+  SUBCASE("when it is tried again") {
+    const SendAttempt sent = bench.SendToFar();
+    bench.Evacuate(5);
+    bench.actions.clear();
+    bench.Feed(AttemptAnswer{sent.attempt, refusal, ""});
+  }
+  SUBCASE("when its connection can't be made") {
+    const SendAttempt sent = bench.SendToFar();
+    bench.Evacuate(5);
+    bench.actions.clear();
+    bench.Feed(AttemptFailure{sent.attempt, AttemptFailureKind::kUnreachable,
+                              "no answer"});
+  }
+  SUBCASE("when its stream is resumed") {
+    const SendAttempt sent = bench.SendToFar();
+    bench.Feed(AttemptChunk{sent.attempt, GoodHead(sent.request->request_id),
+                            "id: 0\n\n"});
+    bench.Evacuate(5);
+    bench.actions.clear();
+    bench.Feed(
+        AttemptFailure{sent.attempt, AttemptFailureKind::kBroken, "torn"});
+    // By the system, and by its caller.
+    for (int i = 0; i < 10; ++i) {
+      ForwardedRequest request = NodeBench::Request(++bench.callers);
+      request.piece_counts = {};
+      request.last_event = "0";
+      bench.Feed(std::move(request));
+    }
+  }
+  SUBCASE("when it has waited for a quiet time's end") {
+    bench.actions.clear();
+    for (int i = 0; i < 2; ++i)
+      bench.Feed(NodeBench::Request(++bench.callers));
+    for (const char* name : {"e1", "e2"})
+      bench.Notice(name, {false, milliseconds(400), std::nullopt});
+    bench.EndCalls();
+    bench.Evacuate(5);
+    bench.actions.clear();
+  }
+  SUBCASE("when it has waited for a permit") {
+    for (const char* name : {"e1", "e2"})
+      bench.Notice(name, {false, std::nullopt, RequestLimit{2.0}});
+    for (int i = 0; i < 6; ++i) {
+      ForwardedRequest request = NodeBench::Request(++bench.callers);
+      request.piece_counts = {};
+      bench.Feed(std::move(request));
+    }
+    bench.Evacuate(5);
+    bench.actions.clear();
+  }
+  SUBCASE("when its pieces wait") {
+    for (int i = 0; i < 12; ++i)
+      bench.Feed(NodeBench::Request(++bench.callers));
+    const std::vector<Action> done = bench.actions;
+    bench.Evacuate(5);
+    bench.actions.clear();
+    bench.EndCalls(done);
+  }
+  for (int i = 0; i < 30; ++i) {
+    bench.now += milliseconds(50);
+    bench.Feed(TimerDue{});
+  }
+  CHECK_FALSE(bench.HasSentThere());
+}
+
+TEST_CASE("a host that starts sends nothing to a zone that is evacuated") {
+  EvacuationBench bench;
+  // As after its start: nothing is known but what the store lists now.
+  bench.Feed(TableHistoryLost{FeedKind::kConfiguration});
+  const FeedRow configuration{"c", NodeBench::MakeConfiguration()};
+  const FeedRow row{kKey, ZoneEvacuated{{"near"}}};
+  SUBCASE("by one page") {
+    bench.Feed(
+        TableListed{FeedKind::kConfiguration, {configuration, row}, false, 7});
+  }
+  SUBCASE("by a later page") {
+    bench.Feed(TableListed{FeedKind::kConfiguration, {configuration}, true, 7});
+    bench.Feed(TableListed{FeedKind::kConfiguration, {row}, false, 7});
+  }
+  SUBCASE("before its endpoints are known") {
+    bench.Feed(
+        TableListed{FeedKind::kConfiguration, {configuration, row}, false, 7});
+    bench.Feed(TableListed{FeedKind::kEndpoints, {}, false, 8});
+    bench.ListEndpoints();
+  }
+  CHECK_FALSE(bench.SendsThere());
+}
+
+// Guards against a torn answer of the store that takes the zone back.
+TEST_CASE("a row that can't be read takes no zone back") {
+  EvacuationBench bench;
+  bench.Evacuate(5);
+  const FeedRow torn{kKey, RowUnreadable{"torn"}};
+  SUBCASE("among changes") {
+    bench.Feed(TableChanged{FeedKind::kConfiguration, {torn}, 6});
+  }
+  SUBCASE("among all rows") {
+    bench.Feed(TableHistoryLost{FeedKind::kConfiguration});
+    bench.Feed(TableListed{FeedKind::kConfiguration,
+                           {{"c", NodeBench::MakeConfiguration()}, torn},
+                           false,
+                           7});
+  }
+  CHECK_FALSE(bench.SendsThere());
+}
+
+TEST_CASE("of a row that is written and removed at once, the last word holds") {
+  EvacuationBench bench;
+  const FeedRow written{kKey, ZoneEvacuated{{"near"}}};
+  const FeedRow removed{kKey, RowRemoved{}};
+  bool is_evacuated = false;
+  SUBCASE("removed") {
+    bench.Feed(TableChanged{FeedKind::kConfiguration, {written, removed}, 6});
+  }
+  SUBCASE("written again") {
+    bench.Feed(
+        TableChanged{FeedKind::kConfiguration, {written, removed, written}, 7});
+    is_evacuated = true;
+  }
+  SUBCASE("in answers that follow each other") {
+    bench.Feed(TableChanged{FeedKind::kConfiguration, {written}, 5});
+    bench.Feed(TableChanged{FeedKind::kConfiguration, {removed}, 6});
+    bench.Feed(TableChanged{FeedKind::kConfiguration, {written}, 7});
+    is_evacuated = true;
+  }
+  CHECK(bench.SendsThere() == !is_evacuated);
+}
+
+// The relay tells that there is news of the operators' rows, the store which.
+TEST_CASE("a host that follows a relay asks for each change of a zone's row") {
+  EvacuationBench bench;
+  News news;
+  news.revision = 1;
+  for (const bool is_written : {true, false, true}) {
+    news.operators_version += 10;
+    bench.now += milliseconds(100);
+    bench.actions.clear();
+    bench.Feed(NewsHeard{news});
+    bench.Feed(TimerDue{});
+    REQUIRE(bench.Last<FollowTable>() != nullptr);
+    CHECK(bench.Last<FollowTable>()->feed == FeedKind::kConfiguration);
+    FeedRow row{kKey, RowRemoved{}};
+    if (is_written)
+      row.content = ZoneEvacuated{{"near"}};
+    bench.Feed(
+        TableChanged{FeedKind::kConfiguration, {row}, news.operators_version});
+    CHECK(bench.SendsThere() == !is_written);
+  }
+}
+
 TEST_CASE("a zone that is taken back gets its share again") {
   EvacuationBench bench;
   bench.Evacuate(5);
--- a/Tests/Platform/test_operators_rows.cc
+++ b/Tests/Platform/test_operators_rows.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <string>
+#include <vector>
 
 #include "platform/store_codec.h"
 #include "platform/wire_names.h"
@@ -31,6 +32,20 @@
   CHECK(it->zone.value == "zona-a");
 }
 
+// Guards against a torn value that takes the zone back.
+TEST_CASE("a zone is evacuated whatever its row's value is") {
+  for (const std::string& value :
+       std::vector<std::string>{R"("%%")", R"("")", "null", "7"}) {
+    CAPTURE(value);
+    const auto changed = Changed(
+        R"({"table":"op","part":"","key":"evacuate/zona-a","ver":7,"value":)" +
+        value + "}");
+    REQUIRE(changed.rows.size() == 1);
+    CHECK(std::holds_alternative<forward::ZoneEvacuated>(
+        changed.rows[0].content));
+  }
+}
+
 TEST_CASE("a row of the operators' that is dropped takes the zone back") {
   const auto changed = Changed(
       R"({"table":"op","part":"","key":"evacuate/zona-a","removed":true,"ver":8})");
