--- a/Libraries/LibForward/dispatch_desk.h
+++ b/Libraries/LibForward/dispatch_desk.h
@@ -76,7 +76,7 @@
   };
 
   struct Entry {
-    Entry(const PieceLimits& limits, const EndpointWords& words)
+    Entry(const PieceLimits& limits, EndpointWords& words)
         : dispatcher(limits, words) {}
     StageDispatcher dispatcher;
     std::map<JobId, SubmittedJob> submitted;
--- a/Libraries/LibForward/endpoint_chooser.cc
+++ b/Libraries/LibForward/endpoint_chooser.cc
@@ -14,17 +14,16 @@
 // mean in flight, and a few more, before the next one by weight is taken.
 constexpr double kLoadBound = 1.5;
 constexpr double kLoadSlack = 3;
-// How long an endpoint that failed gets no request: doubled by each failure in
-// a row, up to the longest.
 constexpr std::chrono::milliseconds kFirstRest{250};
 constexpr std::chrono::milliseconds kLongestRest{8000};
+// One failure may be the request's own.
+constexpr RestPace kFailedPace{kFirstRest, kLongestRest, 2};
+constexpr RestPace kUnreachablePace{kFirstRest, kLongestRest, 1};
 // How long one that refused gets none.
 constexpr std::chrono::milliseconds kRefusedRest{50};
 // For so long after a quiet time an endpoint gets requests at these intervals.
 constexpr std::chrono::milliseconds kSpacedTime{1000};
 constexpr std::chrono::milliseconds kSpacing{20};
-// One failure may be the request's own; this many in a row are the endpoint's.
-constexpr uint32_t kFailuresToRest = 2;
 // So many endpoints of one zone in a row that can't be reached are the zone's
 // fault.
 constexpr uint32_t kUnreachableToRest = 2;
@@ -67,7 +66,7 @@
 
 bool EndpointChooser::IsRested(const Endpoint& endpoint,
                                base::TimePoint now) const {
-  if (endpoint.rests_until > now ||
+  if (words_.failures.RestEndOf(endpoint.listed.name) > now ||
       words_.quiet_times.IsQuietForPeers(endpoint.listed.name,
                                          endpoint.listed.incarnation, now))
     return false;
@@ -83,10 +82,10 @@
   });
 }
 
-void EndpointChooser::NoteUnreachable(Endpoint& endpoint, base::TimePoint now) {
-  ++endpoint.failures;
-  endpoint.rests_until = now + RestAfter(endpoint.failures - 1);
-  Zone& zone = zones_[endpoint.listed.zone];
+void EndpointChooser::NoteUnreachable(const ListedEndpoint& endpoint,
+                                      base::TimePoint now) {
+  words_.failures.NoteFailed(endpoint.name, kUnreachablePace, now);
+  Zone& zone = zones_[endpoint.zone];
   ++zone.unreachable;
   if (zone.unreachable >= kUnreachableToRest)
     zone.rests_until = now + RestAfter(zone.unreachable - kUnreachableToRest);
@@ -287,23 +286,18 @@
     --endpoint.in_flight;
   switch (verdict) {
     case EndpointVerdict::kAnswered:
-      endpoint.failures = 0;
+      words_.failures.NoteAnswered(name);
       zones_.erase(endpoint.listed.zone);
       return;
     case EndpointVerdict::kUnreachable:
-      NoteUnreachable(endpoint, now);
+      NoteUnreachable(endpoint.listed, now);
       return;
     case EndpointVerdict::kRefused:
-      endpoint.rests_until = now + kRefusedRest;
+      words_.failures.Rest(name, now + kRefusedRest);
       return;
-    case EndpointVerdict::kFailed: {
-      ++endpoint.failures;
-      if (endpoint.failures < kFailuresToRest)
-        return;
-      endpoint.rests_until =
-          now + RestAfter(endpoint.failures - kFailuresToRest);
+    case EndpointVerdict::kFailed:
+      words_.failures.NoteFailed(name, kFailedPace, now);
       return;
-    }
     case EndpointVerdict::kCancelled:
       return;
   }
--- a/Libraries/LibForward/endpoint_chooser.h
+++ b/Libraries/LibForward/endpoint_chooser.h
@@ -60,7 +60,7 @@
 class EndpointChooser {
  public:
   // `words` must outlive the chooser.
-  EndpointChooser(uint64_t seed, const EndpointWords& words)
+  EndpointChooser(uint64_t seed, EndpointWords& words)
       : random_(seed), words_(words) {}
 
   void SetEndpoints(std::span<const ListedEndpoint> endpoints);
@@ -89,8 +89,6 @@
     ListedEndpoint listed;
     bool has_limit = false;
     uint32_t in_flight = 0;
-    uint32_t failures = 0;  // In a row.
-    base::TimePoint rests_until;
     // After a quiet time requests begin at intervals.
     base::TimePoint spaced_until;
     base::TimePoint next_begin;
@@ -120,7 +118,7 @@
                     base::Duration longest_wait,
                     base::TimePoint now) const;
   bool IsRested(const Endpoint& endpoint, base::TimePoint now) const;
-  void NoteUnreachable(Endpoint& endpoint, base::TimePoint now);
+  void NoteUnreachable(const ListedEndpoint& endpoint, base::TimePoint now);
   // Those that the request may go to, now or later.
   Candidates Eligible(const EndpointWish& wish) const;
   // Rested ones if there are any.
@@ -131,7 +129,7 @@
                                  const Candidates& candidates);
 
   base::Random random_;
-  const EndpointWords& words_;
+  EndpointWords& words_;
   std::map<base::EndpointName, Endpoint> endpoints_;
   std::map<base::ZoneName, Zone> zones_;
   std::optional<uint64_t> seen_limits_;  // Empty: endpoints have changed.
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -122,9 +122,11 @@
   }
   if (seen_endpoints_ != store_.endpoint_changes()) {
     seen_endpoints_ = store_.endpoint_changes();
-    runs_.SetEndpoints(store_.endpoints());
-    stages_.SetEndpoints(store_.endpoints());
-    permits_.SetEndpoints(store_.endpoints());
+    const std::vector<ListedEndpoint> endpoints = store_.endpoints();
+    context_.words().failures.KeepOnly(endpoints);
+    runs_.SetEndpoints(endpoints);
+    stages_.SetEndpoints(endpoints);
+    permits_.SetEndpoints(endpoints);
   }
   if (seen_hosts_ != store_.host_changes()) {
     seen_hosts_ = store_.host_changes();
--- a/Libraries/LibForward/piece_endpoint.cc
+++ b/Libraries/LibForward/piece_endpoint.cc
@@ -9,11 +9,9 @@
 
 namespace {
 
-// How long an endpoint that failed a call gets none: doubled by each failure in
-// a row, up to the longest.
-constexpr std::chrono::milliseconds kFirstRest{100};
-constexpr std::chrono::milliseconds kLongestRest{3200};
-constexpr uint32_t kMostDoublings = 8;
+// Of an endpoint that failed a call.
+constexpr RestPace kFailedPace{std::chrono::milliseconds(100),
+                               std::chrono::milliseconds(3200), 1};
 // So many failed calls in a row are the endpoint's fault.
 constexpr uint32_t kFailuresToProbe = 2;
 // How long an endpoint without room, or that is full, gets no call.
@@ -38,7 +36,8 @@
 
 base::TimePoint PieceEndpoint::OpenFrom() const {
   const base::TimePoint open =
-      std::max(rests_until_, words_->quiet_times.EndOf(listed_.name));
+      std::max(words_->failures.RestEndOf(listed_.name),
+               words_->quiet_times.EndOf(listed_.name));
   return last_called_ ? std::max(open, *last_called_ + LeastInterval()) : open;
 }
 
@@ -70,18 +69,15 @@
 }
 
 void PieceEndpoint::NoteFailed(base::TimePoint now) {
-  const auto rest =
-      kFirstRest * (int64_t{1} << std::min(failures_, kMostDoublings));
-  rests_until_ = now + std::min<base::Duration>(rest, kLongestRest);
-  ++failures_;
+  words_->failures.NoteFailed(listed_.name, kFailedPace, now);
 }
 
 void PieceEndpoint::NoteFull(base::TimePoint now) {
-  rests_until_ = now + kFullRest;
+  words_->failures.Rest(listed_.name, now + kFullRest);
 }
 
 bool PieceEndpoint::is_doubtful() const {
-  return failures_ >= kFailuresToProbe;
+  return words_->failures.CountOf(listed_.name) >= kFailuresToProbe;
 }
 
 void PieceEndpoint::ScheduleFree(const std::string& handle,
--- a/Libraries/LibForward/piece_endpoint.h
+++ b/Libraries/LibForward/piece_endpoint.h
@@ -13,12 +13,12 @@
 namespace bilberry::forward {
 
 // An endpoint that makes pieces, as its dispatcher sees it: the calls that it
-// works on, its failures, the room that results take there, and what is to be
+// works on, the room that results take there, and what is to be
 // freed.
 class PieceEndpoint {
  public:
   // `words` must outlive the endpoint.
-  PieceEndpoint(ListedEndpoint listed, const EndpointWords& words)
+  PieceEndpoint(ListedEndpoint listed, EndpointWords& words)
       : listed_(std::move(listed)), words_(&words) {}
 
   const ListedEndpoint& listed() const { return listed_; }
@@ -35,7 +35,7 @@
   void NoteCalled(base::TimePoint now, base::TimePoint busy_until);
   void NoteCallEnded() { --calls_; }
 
-  void NoteAnswered() { failures_ = 0; }
+  void NoteAnswered() { words_->failures.NoteAnswered(listed_.name); }
   // How many calls it takes in a round of this length.
   double CallsPerRound(uint32_t calls_at_once, base::Duration round) const;
   // Gives it no call for a while: longer with each failure in a row.
@@ -67,11 +67,9 @@
   std::optional<base::TimePoint> FreeTime() const;
 
   ListedEndpoint listed_;
-  const EndpointWords* words_;  // Never null; a pointer, to be movable.
+  EndpointWords* words_;  // Never null; a pointer, to be movable.
   double limit_share_ = 1;
   uint32_t calls_ = 0;
-  uint32_t failures_ = 0;  // In a row.
-  base::TimePoint rests_until_;
   base::TimePoint busy_until_;  // As expected.
   // When it was last called, and told what to free.
   std::optional<base::TimePoint> last_called_;
--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -40,7 +40,7 @@
 
 // A call that fails may take a full load of pieces with it, which are all to be
 // tried once more.
-StageDispatcher::StageDispatcher(PieceLimits limits, const EndpointWords& words)
+StageDispatcher::StageDispatcher(PieceLimits limits, EndpointWords& words)
     : limits_(limits),
       words_(words),
       repeats_(kSavedCalls * limits.pieces_per_call) {}
--- a/Libraries/LibForward/stage_dispatcher.h
+++ b/Libraries/LibForward/stage_dispatcher.h
@@ -25,7 +25,7 @@
 class StageDispatcher {
  public:
   // `words` must outlive the dispatcher.
-  StageDispatcher(PieceLimits limits, const EndpointWords& words);
+  StageDispatcher(PieceLimits limits, EndpointWords& words);
 
   void Reconfigure(const PieceLimits& limits) { limits_ = limits; }
   // The part of each endpoint's limit that this host may use: all of it as the
@@ -156,7 +156,7 @@
 
   PieceLimits limits_;
   double limit_share_ = 1;
-  const EndpointWords& words_;
+  EndpointWords& words_;
   std::map<base::EndpointName, PieceEndpoint> endpoints_;
   // Zones of endpoints that could not be reached, until one of them answers.
   std::set<base::ZoneName> unreachable_zones_;
--- a/Tests/LibForward/test_parts.cc
+++ b/Tests/LibForward/test_parts.cc
@@ -16,6 +16,7 @@
 #include "LibForward/feed_follower.h"
 #include "LibForward/host_ring.h"
 #include "LibForward/peer_watch.h"
+#include "LibForward/piece_endpoint.h"
 
 namespace bilberry::forward {
 namespace {
@@ -346,7 +347,7 @@
 
 // Answers a session's requests, which share most of their prompt.
 TEST_CASE("requests that share a prompt go to one endpoint, within bounds") {
-  const EndpointWords words;
+  EndpointWords words;
   EndpointChooser chooser(1, words);
   std::vector<ListedEndpoint> endpoints;
   endpoints.reserve(9);
@@ -367,7 +368,7 @@
 }
 
 TEST_CASE("an endpoint that fails twice in a row rests, but not the last one") {
-  const EndpointWords words;
+  EndpointWords words;
   EndpointChooser chooser(1, words);
   const std::vector<ListedEndpoint> endpoints{Endpoint("a"), Endpoint("b")};
   chooser.SetEndpoints(endpoints);
@@ -380,10 +381,31 @@
   CHECK_FALSE(Chosen(chooser, {{"p"}, {}, {}}, At(1)).name.value.empty());
 }
 
+// Guards against two records of one endpoint, of which each path sees its own.
+TEST_CASE("an endpoint that fails calls rests for requests too") {
+  EndpointWords words;
+  EndpointChooser chooser(1, words);
+  const std::vector<ListedEndpoint> endpoints{Endpoint("a"), Endpoint("b")};
+  chooser.SetEndpoints(endpoints);
+  PieceEndpoint maker(endpoints[0], words);
+  maker.NoteFailed(At(0));
+  for (int i = 0; i < 10; ++i)
+    CHECK(Chosen(chooser, {{"p"}, {}, {}}, At(1)).name.value == "b");
+  maker.NoteFailed(At(0));
+  CHECK(maker.is_doubtful());
+  chooser.NoteBegun({"a"}, At(300));
+  chooser.NoteEnded({"a"}, EndpointVerdict::kAnswered, At(310));
+  CHECK_FALSE(maker.is_doubtful());
+  // Who isn't listed any more begins anew.
+  maker.NoteFailed(At(400));
+  words.failures.KeepOnly(std::span(endpoints).subspan(1));
+  CHECK(maker.IsIdle(1, At(401)));
+}
+
 // Answers a zone that is cut off: no connection is made, and each try costs its
 // request the connection's time limit.
 TEST_CASE("endpoints of a zone that can't be reached are tried one at a time") {
-  const EndpointWords words;
+  EndpointWords words;
   EndpointChooser chooser(1, words);
   std::vector<ListedEndpoint> endpoints{Endpoint("a1"), Endpoint("a2"),
                                         Endpoint("a3"), Endpoint("b1")};
