--- a/Libraries/LibForward/forward_action.h
+++ b/Libraries/LibForward/forward_action.h
@@ -11,6 +11,7 @@
 #include "LibBase/ids.h"
 #include "LibBase/log_event.h"
 #include "LibForward/forward_event.h"
+#include "LibForward/own_answer_code.h"
 
 // All that an entry host that forwards requests can do.
 namespace bilberry::forward {
@@ -45,21 +46,6 @@
   base::SocketAddress address;
 };
 
-// Why a request is answered by this host itself.
-enum class OwnAnswerCode {
-  kBadRequest,
-  kUnknownKey,
-  kUnknownPipeline,
-  kNotReady,           // No configuration yet.
-  kStopping,           // This host stops.
-  kNoEndpoint,         // The pool has none.
-  kTooLate,            // It can't make its deadline.
-  kRefusedByEndpoint,  // Endpoints refused it without running it.
-  kStageFailed,
-  kAttemptFailed,  // May have run.
-  kTimeout,        // May have run.
-};
-
 // The final answer of this host itself. kAttemptFailed and kTimeout say nothing
 // of whether the request ran; the others promise that it did not.
 struct AnswerCaller {
--- /dev/null
+++ b/Libraries/LibForward/own_answer_code.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <string_view>
+
+namespace bilberry::forward {
+
+// Why a request is answered by this host itself.
+enum class OwnAnswerCode {
+  kBadRequest,
+  kUnknownKey,
+  kUnknownPipeline,
+  kNotReady,           // No configuration yet.
+  kStopping,           // This host stops.
+  kNoEndpoint,         // The pool has none.
+  kTooLate,            // It can't make its deadline.
+  kRefusedByEndpoint,  // Endpoints refused it without running it.
+  kStageFailed,
+  kAttemptFailed,  // May have run.
+  kTimeout,        // May have run.
+};
+
+std::string_view ToText(OwnAnswerCode code);
+
+}  // namespace bilberry::forward
--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -4,25 +4,14 @@
 #include <utility>
 
 #include "LibBase/overloaded.h"
+#include "LibForward/run_wishes.h"
 #include "LibPolicy/retry_spread.h"
 
 namespace bilberry::forward {
 
 namespace {
 
-// When to come back to a host that has no configuration yet.
-constexpr std::chrono::milliseconds kNotReadyRetry{500};
-// When to come back to another host than this one, which stops.
-constexpr std::chrono::milliseconds kStoppingRetry{50};
-constexpr std::chrono::milliseconds kNoEndpointRetry{1000};
 constexpr std::chrono::milliseconds kRefusedRetry{300};
-// A request is taken on though all endpoints want to be left alone, if one of
-// them opens within this time.
-constexpr std::chrono::milliseconds kWaitAtDoor{50};
-// The most urgent requests wait so long for a permit, the others half of it
-// for each step of urgency.
-constexpr std::chrono::milliseconds kLongestPermitWait{1000};
-constexpr uint32_t kMostHalvings = 5;
 // A request that no endpoint has run may be sent to this many more than those
 // that may run it.
 constexpr uint32_t kMaxRefusals = 2;
@@ -30,8 +19,6 @@
 constexpr size_t kMaxEventBytes = size_t{256} * 1024;
 // How many cells may refuse a stage before its request is refused.
 constexpr size_t kMaxCells = 2;
-// For requests that name no deadline on pipelines that have none.
-constexpr std::chrono::seconds kLongestRun{60};
 
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
@@ -45,23 +32,6 @@
 
 constexpr int kFirstServerError = 500;
 
-// The longest prefix that other requests may share: the last part is the
-// request's own, the one before it is its session's.
-std::string_view SharedPartOf(const std::vector<PrefixPart>& prefix) {
-  if (prefix.empty())
-    return {};
-  return prefix.size() == 1 ? prefix.front().id : prefix[prefix.size() - 2].id;
-}
-
-// No longer than there is time for the answer behind it.
-base::Duration LongestPermitWait(const ForwardedRun& run, base::TimePoint now) {
-  const uint32_t halvings =
-      std::min(static_cast<uint32_t>(run.urgency), kMostHalvings);
-  const base::Duration left = run.begin_deadline - now - kLeastFinalTime;
-  return std::clamp<base::Duration>(left, base::Duration(0),
-                                    kLongestPermitWait / (1U << halvings));
-}
-
 // Only what no endpoint has run may be told as not run.
 OwnAnswerCode NoEndpointCode(const ForwardedRun& run) {
   return run.may_have_run() ? OwnAnswerCode::kAttemptFailed
@@ -70,198 +40,28 @@
 
 }  // namespace
 
-std::string_view ToText(OwnAnswerCode code) {
-  switch (code) {
-    case OwnAnswerCode::kBadRequest:
-      return "bad_request";
-    case OwnAnswerCode::kUnknownKey:
-      return "unknown_key";
-    case OwnAnswerCode::kUnknownPipeline:
-      return "unknown_pipeline";
-    case OwnAnswerCode::kNotReady:
-      return "not_ready";
-    case OwnAnswerCode::kStopping:
-      return "stopping";
-    case OwnAnswerCode::kNoEndpoint:
-      return "no_endpoint";
-    case OwnAnswerCode::kTooLate:
-      return "too_late";
-    case OwnAnswerCode::kRefusedByEndpoint:
-      return "refused_by_endpoint";
-    case OwnAnswerCode::kStageFailed:
-      return "stage_failed";
-    case OwnAnswerCode::kAttemptFailed:
-      return "attempt_failed";
-    case OwnAnswerCode::kTimeout:
-      return "timeout";
-  }
-  return "unknown";
-}
-
 RunDesk::RunDesk(ForwardContext& context,
                  StageDesk& stages,
                  PermitDesk& permits)
     : context_(context),
       stage_desk_(stages),
-      permit_desk_(permits),
       chooser_(context.options().seed, context.words()),
-      random_(context.options().seed + 1) {}
-
-void RunDesk::SetConfiguration(
-    std::shared_ptr<const ForwardConfiguration> configuration) {
-  configuration_ = std::move(configuration);
-}
-
-// The budgets of all hosts add up: what each has saved up may be spent at one
-// moment, when endpoints of a pool fail.
-void RunDesk::SetFleetSize(size_t hosts) {
-  const auto& slack = context_.options().retry_slack;
-  if (!slack)
-    return;
-  saved_retries_ =
-      std::min(*slack / static_cast<uint32_t>(std::max<size_t>(hosts, 1)),
-               policy::kMaxSavedRetries);
-  for (auto& [pool, budget] : budgets_)
-    budget.SetMaxSaved(saved_retries_);
-}
-
-policy::RetryBudget& RunDesk::BudgetOf(const base::PoolName& pool) {
-  const auto [it, is_new] = budgets_.try_emplace(pool);
-  if (is_new)
-    it->second.SetMaxSaved(saved_retries_);
-  return it->second;
-}
-
-void RunDesk::Refuse(const ForwardedRequest& request,
-                     OwnAnswerCode code,
-                     std::optional<base::Duration> retry_after) {
-  context_.Log(
-      base::LogEventId::kRequestRefused, request.request_id,
-      {{"reason", std::string(ToText(code))},
-       {"revision",
-        std::to_string(configuration_ ? configuration_->revision : 0)}});
-  context_.Emit(
-      AnswerCaller{request.caller, request.request_id, code, retry_after});
-}
-
-bool RunDesk::FindTeam(const ForwardedRequest& request, ForwardedRun& run) {
-  if (configuration_->teams.empty())
-    return true;
-  if (!request.key)
-    return run.pipeline->allows_anonymous;
-  const ForwardedTeam* team = configuration_->FindTeamOfKey(*request.key);
-  if (team == nullptr)
-    return false;
-  run.team = team->name;
-  run.urgency = team->urgency.value_or(run.urgency);
-  return true;
-}
-
-const base::PoolName& RunDesk::DrawFinalPool(
-    const ForwardedPipeline& pipeline) {
-  uint64_t sum = 0;
-  for (const PoolShare& share : pipeline.final_pools)
-    sum += share.weight;
-  uint64_t draw = random_.Below(std::max<uint64_t>(sum, 1));
-  for (const PoolShare& share : pipeline.final_pools) {
-    if (draw < share.weight)
-      return share.pool;
-    draw -= share.weight;
-  }
-  return pipeline.final_pools.front().pool;
-}
-
-std::optional<ForwardedRun> RunDesk::Check(ForwardedRequest request,
-                                           base::TimePoint now) {
-  if (!configuration_) {
-    Refuse(request, OwnAnswerCode::kNotReady, kNotReadyRetry);
-    return std::nullopt;
-  }
-  if (!is_accepting_) {
-    Refuse(request, OwnAnswerCode::kStopping, kStoppingRetry);
-    return std::nullopt;
-  }
-  if (request.request_id.empty()) {
-    Refuse(request, OwnAnswerCode::kBadRequest, std::nullopt);
-    return std::nullopt;
-  }
-  ForwardedRun run;
-  run.configuration = configuration_;
-  run.pipeline = configuration_->FindPipeline(request.host, request.path);
-  if (run.pipeline == nullptr || run.pipeline->final_pools.empty()) {
-    Refuse(request, OwnAnswerCode::kUnknownPipeline, std::nullopt);
-    return std::nullopt;
-  }
-  run.urgency = run.pipeline->urgency;
-  if (!FindTeam(request, run)) {
-    Refuse(request, OwnAnswerCode::kUnknownKey, std::nullopt);
-    return std::nullopt;
-  }
-  run.arrived = now;
-  run.target = now + run.pipeline->target_latency;
-  base::Duration budget = request.budget.value_or(kLongestRun);
-  if (run.pipeline->timeout.count() > 0)
-    budget = std::min<base::Duration>(budget, run.pipeline->timeout);
-  run.deadline = now + budget;
-  run.begin_deadline = run.deadline;
-  if (run.pipeline->first_event_limit.count() > 0)
-    run.begin_deadline =
-        std::min(run.deadline, now + run.pipeline->first_event_limit);
-  run.final_pool = DrawFinalPool(*run.pipeline);
-  run.stages = InitialStages(*run.pipeline, request);
-  run.last_event = request.last_event;
-  run.request = std::make_shared<const ForwardedRequest>(std::move(request));
-  const EndpointChoice probable = chooser_.Choose(WishOf(run, now), now);
-  if (const auto* endpoint = std::get_if<ListedEndpoint>(&probable)) {
-    run.final_zone = endpoint->zone;
-  } else if (const auto* limited = std::get_if<LimitedEndpoint>(&probable)) {
-    run.final_zone = limited->listed.zone;
-  } else if (const auto* quiet = std::get_if<EndpointsQuiet>(&probable)) {
-    if (quiet->until > now + kWaitAtDoor) {
-      Refuse(*run.request, OwnAnswerCode::kNoEndpoint,
-             policy::SpreadOut(quiet->until - now, random_));
-      return std::nullopt;
-    }
-  } else {
-    Refuse(*run.request, OwnAnswerCode::kNoEndpoint, kNoEndpointRetry);
-    return std::nullopt;
-  }
-  run.cell = stage_desk_.ChooseCell(CellWishOf(run), now).value_or(Cell());
-  return run;
-}
-
-CellWish RunDesk::CellWishOf(const ForwardedRun& run) const {
-  CellWish wish;
-  for (size_t i = 0; i < run.stages.size(); ++i) {
-    if (run.stages[i].phase != StagePhase::kDone)
-      wish.pools.push_back(run.pipeline->stages[i].pool);
-  }
-  wish.reader_zone = run.final_zone;
-  wish.avoided = run.cells_tried;
-  return wish;
-}
+      random_(context.options().seed + 1),
+      door_(context, stages, chooser_, random_),
+      permits_(context, permits, chooser_),
+      budgets_(context.options().retry_slack) {}
 
 void RunDesk::Handle(ForwardedRequest request, base::TimePoint now) {
   const base::CallerId caller = request.caller;
-  auto run = Check(std::move(request), now);
+  auto run = door_.Admit(std::move(request), now);
   if (!run)
     return;
-  BudgetOf(run->final_pool).NoteFirstTry();
-  deadlines_.emplace(run->begin_deadline, caller);
+  budgets_.Of(run->final_pool).NoteFirstTry();
+  timers_.Add(caller, *run);
   runs_.emplace(caller, std::move(*run));
   Advance(caller, now);
 }
 
-EndpointWish RunDesk::WishOf(const ForwardedRun& run,
-                             base::TimePoint now) const {
-  EndpointWish wish;
-  wish.pool = run.final_pool;
-  wish.avoided = run.tried;
-  wish.affinity = SharedPartOf(run.request->prefix);
-  wish.longest_wait = LongestPermitWait(run, now);
-  return wish;
-}
-
 void RunDesk::Advance(base::CallerId caller, base::TimePoint now) {
   ForwardedRun& run = runs_.at(caller);
   for (const size_t stage : run.ReadyStages()) {
@@ -269,32 +69,12 @@
     if (due <= now)
       AskForStage(caller, run, stage, now);
     else
-      LookAgain(caller, run, due);
+      timers_.LookAgain(caller, run, due);
   }
   if (!run.attempt && !run.permit_ask && run.AreStagesDone())
     SendFinal(caller, now);
 }
 
-void RunDesk::LookAgain(base::CallerId caller,
-                        ForwardedRun& run,
-                        base::TimePoint time) {
-  if (run.looked_at_again && *run.looked_at_again <= time)
-    return;
-  if (run.looked_at_again)
-    Forget(looks_, *run.looked_at_again, caller);
-  run.looked_at_again = time;
-  looks_.emplace(time, caller);
-}
-
-void RunDesk::HandleLooks(base::TimePoint now) {
-  while (!looks_.empty() && looks_.begin()->first <= now) {
-    const base::CallerId caller = looks_.begin()->second;
-    looks_.erase(looks_.begin());
-    runs_.at(caller).looked_at_again.reset();
-    Advance(caller, now);
-  }
-}
-
 void RunDesk::AskForStage(base::CallerId caller,
                           ForwardedRun& run,
                           size_t stage,
@@ -432,70 +212,27 @@
 }
 
 bool RunDesk::SettlePermits(base::TimePoint now) {
-  const std::vector<PermitOutcome> outcomes = permit_desk_.TakeOutcomes();
+  const std::vector<PermitOutcome> outcomes = permits_.TakeOutcomes();
   for (const PermitOutcome& outcome : outcomes) {
-    const auto node = permit_asks_.extract(outcome.ask);
-    if (!node.empty())
-      TakePermit(outcome, node.mapped(), now);
+    const auto caller = permits_.TakeCaller(outcome.ask);
+    if (!caller)
+      continue;
+    permits_.Note(outcome, runs_.at(*caller), now);
+    Advance(*caller, now);
   }
   return !outcomes.empty();
 }
 
-void RunDesk::AskForPermit(const LimitedEndpoint& endpoint,
-                           base::CallerId caller,
-                           base::TimePoint now) {
-  const PermitAskId ask =
-      permit_desk_.Ask(endpoint.listed, endpoint.longest_wait, now);
-  runs_.at(caller).permit_ask = ask;
-  permit_asks_.emplace(ask, caller);
-}
-
-void RunDesk::TakePermit(const PermitOutcome& outcome,
-                         base::CallerId caller,
-                         base::TimePoint now) {
-  ForwardedRun& run = runs_.at(caller);
-  run.permit_ask.reset();
-  const base::EndpointName& endpoint = outcome.endpoint.name;
-  base::Duration wait{0};
-  std::visit(base::Overloaded{
-                 [&](const HeldPermit& it) {
-                   wait = it.begins - now;
-                   run.permit = it;
-                 },
-                 [&](const NoPermitBefore& it) {
-                   wait = it.next - now;
-                   chooser_.NoteNextPermit(endpoint, it.next);
-                 },
-                 [&](const KeeperUnknown& it) {
-                   wait = it.retry - now;
-                   chooser_.NoteNoPermits(endpoint, it.retry);
-                 },
-             },
-             outcome.result);
-  context_.Log(base::LogEventId::kPermitEnded, run.request->request_id,
-               {{"endpoint", endpoint.value},
-                {"keeper", outcome.keeper.value},
-                {"outcome", std::string(ToText(outcome.result))},
-                {"wait_ms", ToMilliseconds(wait)}});
-  Advance(caller, now);
-}
-
 bool RunDesk::SendWithPermit(base::CallerId caller, base::TimePoint now) {
   ForwardedRun& run = runs_.at(caller);
-  if (!run.permit)
-    return false;
-  if (now < run.permit->begins) {
-    LookAgain(caller, run, run.permit->begins);
+  if (run.permit && now < run.permit->begins) {
+    timers_.LookAgain(caller, run, run.permit->begins);
     return true;
   }
-  const HeldPermit permit = *std::exchange(run.permit, std::nullopt);
-  if (now > permit.lapses || !chooser_.IsOpen(permit.endpoint, now)) {
-    context_.Log(
-        base::LogEventId::kPermitEnded, run.request->request_id,
-        {{"endpoint", permit.endpoint.name.value}, {"outcome", "not_used"}});
+  const auto endpoint = permits_.Use(run, now);
+  if (!endpoint)
     return false;
-  }
-  SendTo(permit.endpoint, caller, now);
+  SendTo(*endpoint, caller, now);
   return true;
 }
 
@@ -503,18 +240,20 @@
   if (SendWithPermit(caller, now))
     return;
   ForwardedRun& run = runs_.at(caller);
-  std::visit(
-      base::Overloaded{
-          [&](const ListedEndpoint& it) { SendTo(it, caller, now); },
-          [&](const LimitedEndpoint& it) { AskForPermit(it, caller, now); },
-          [&](const EndpointsQuiet& it) {
-            WaitForQuiet(caller, it.until, now);
-          },
-          [&](const NoEndpointServes&) {
-            AnswerAndEnd(caller, NoEndpointCode(run), kNoEndpointRetry, now);
-          },
-      },
-      chooser_.Choose(WishOf(run, now), now));
+  std::visit(base::Overloaded{
+                 [&](const ListedEndpoint& it) { SendTo(it, caller, now); },
+                 [&](const LimitedEndpoint& it) {
+                   permits_.Ask(it, caller, run, now);
+                 },
+                 [&](const EndpointsQuiet& it) {
+                   WaitForQuiet(caller, it.until, now);
+                 },
+                 [&](const NoEndpointServes&) {
+                   AnswerAndEnd(caller, NoEndpointCode(run), kNoEndpointRetry,
+                                now);
+                 },
+             },
+             chooser_.Choose(WishOf(run, now), now));
 }
 
 // What has been done for the run is worth a wait, as long as there is time for
@@ -524,7 +263,7 @@
                            base::TimePoint now) {
   ForwardedRun& run = runs_.at(caller);
   if (until + kLeastFinalTime < run.begin_deadline) {
-    LookAgain(caller, run, until);
+    timers_.LookAgain(caller, run, until);
     return;
   }
   AnswerAndEnd(caller, NoEndpointCode(run), until - now, now);
@@ -698,7 +437,7 @@
     return false;
   // What never arrived costs the pool nothing.
   return verdict == EndpointVerdict::kUnreachable ||
-         BudgetOf(run.final_pool).HasOne();
+         budgets_.Of(run.final_pool).HasOne();
 }
 
 void RunDesk::LoseAttempt(base::CallerId caller,
@@ -717,7 +456,7 @@
     ++run.runs;
   if (may_send_again) {
     if (verdict != EndpointVerdict::kUnreachable)
-      BudgetOf(run.final_pool).TryTake();
+      budgets_.Of(run.final_pool).TryTake();
     // What may have run may have used its inputs up.
     if (run.runs > 0) {
       ReleaseAll(run, now);
@@ -765,16 +504,6 @@
     ReleaseStage(stage, now);
 }
 
-void RunDesk::Forget(Times& times,
-                     base::TimePoint time,
-                     base::CallerId caller) {
-  const auto [begin, end] = times.equal_range(time);
-  const auto it = std::find_if(
-      begin, end, [caller](const auto& it) { return it.second == caller; });
-  if (it != end)
-    times.erase(it);
-}
-
 void RunDesk::Finish(base::CallerId caller,
                      std::string outcome,
                      base::TimePoint now) {
@@ -789,18 +518,12 @@
     stage_desk_.Withdraw(stage.ask);
   }
   ReleaseAll(run, now);
-  if (run.permit_ask) {
-    permit_asks_.erase(*run.permit_ask);
-    permit_desk_.Withdraw(*run.permit_ask);
-  }
+  permits_.Withdraw(run);
   if (run.attempt) {
     context_.Emit(CancelAttempt{run.attempt->id});
     EndAttempt(run, EndpointVerdict::kCancelled, now);
   }
-  Forget(deadlines_, run.begin_deadline, caller);
-  Forget(deadlines_, run.deadline, caller);
-  if (run.looked_at_again)
-    Forget(looks_, *run.looked_at_again, caller);
+  timers_.Remove(caller, run);
   context_.Log(
       base::LogEventId::kRequestEnded, run.request->request_id,
       {{"outcome", std::move(outcome)},
@@ -820,18 +543,18 @@
 }
 
 void RunDesk::HandleTimer(base::TimePoint now) {
-  HandleLooks(now);
-  while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
-    const base::CallerId caller = deadlines_.begin()->second;
-    const ForwardedRun& run = runs_.at(caller);
-    // It has begun in time, and now has the time for its end.
+  while (const auto caller = timers_.TakeLook(now)) {
+    runs_.at(*caller).looked_at_again.reset();
+    Advance(*caller, now);
+  }
+  while (const auto caller = timers_.TakeDeadline(now)) {
+    const ForwardedRun& run = runs_.at(*caller);
     if (run.has_begun_stream && now < run.deadline) {
-      deadlines_.erase(deadlines_.begin());
-      deadlines_.emplace(run.deadline, caller);
+      timers_.GiveTimeForEnd(*caller, run);
       continue;
     }
     AnswerAndEnd(
-        caller,
+        *caller,
         run.may_have_run() ? OwnAnswerCode::kTimeout : OwnAnswerCode::kTooLate,
         kRefusedRetry, now);
   }
@@ -847,13 +570,4 @@
   }
 }
 
-std::optional<base::TimePoint> RunDesk::NextWakeup() const {
-  std::optional<base::TimePoint> next;
-  for (const Times* times : {&deadlines_, &looks_}) {
-    if (!times->empty() && (!next || times->begin()->first < *next))
-      next = times->begin()->first;
-  }
-  return next;
-}
-
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/run_desk.h
+++ b/Libraries/LibForward/run_desk.h
@@ -4,16 +4,19 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
-#include <vector>
+#include <utility>
 
 #include "LibBase/random.h"
 #include "LibForward/endpoint_chooser.h"
 #include "LibForward/forward_context.h"
 #include "LibForward/forwarded_run.h"
 #include "LibForward/permit_desk.h"
+#include "LibForward/retry_budgets.h"
+#include "LibForward/run_door.h"
+#include "LibForward/run_permits.h"
+#include "LibForward/run_timers.h"
 #include "LibForward/run_times.h"
 #include "LibForward/stage_desk.h"
-#include "LibPolicy/retry_budget.h"
 
 namespace bilberry::forward {
 
@@ -24,15 +27,17 @@
   RunDesk(ForwardContext& context, StageDesk& stages, PermitDesk& permits);
 
   void SetConfiguration(
-      std::shared_ptr<const ForwardConfiguration> configuration);
+      std::shared_ptr<const ForwardConfiguration> configuration) {
+    door_.SetConfiguration(std::move(configuration));
+  }
   void SetEndpoints(std::span<const ListedEndpoint> endpoints) {
     chooser_.SetEndpoints(endpoints);
   }
   // How many hosts there are: each may save up its part of the retries.
-  void SetFleetSize(size_t hosts);
+  void SetFleetSize(size_t hosts) { budgets_.SetFleetSize(hosts); }
   // From now on requests are refused as not run.
-  void StopAccepting() { is_accepting_ = false; }
-  bool is_accepting() const { return is_accepting_; }
+  void StopAccepting() { door_.StopAccepting(); }
+  bool is_accepting() const { return door_.is_accepting(); }
 
   void Handle(ForwardedRequest request, base::TimePoint now);
   void Handle(const CallerLeft& event, base::TimePoint now);
@@ -50,7 +55,9 @@
   // Ends all runs, for a host that must go.
   void EndAll(base::TimePoint now);
 
-  std::optional<base::TimePoint> NextWakeup() const;
+  std::optional<base::TimePoint> NextWakeup() const {
+    return timers_.NextWakeup();
+  }
   size_t run_count() const { return runs_.size(); }
 
  private:
@@ -63,21 +70,8 @@
   };
 
   using Runs = std::map<base::CallerId, ForwardedRun>;
-  using Times = std::multimap<base::TimePoint, base::CallerId>;
 
-  policy::RetryBudget& BudgetOf(const base::PoolName& pool);
-  // Empty when the request has been answered.
-  std::optional<ForwardedRun> Check(ForwardedRequest request,
-                                    base::TimePoint now);
-  bool FindTeam(const ForwardedRequest& request, ForwardedRun& run);
-  const base::PoolName& DrawFinalPool(const ForwardedPipeline& pipeline);
-  EndpointWish WishOf(const ForwardedRun& run, base::TimePoint now) const;
   void Advance(base::CallerId caller, base::TimePoint now);
-  // Comes back to the run at this time.
-  void LookAgain(base::CallerId caller,
-                 ForwardedRun& run,
-                 base::TimePoint time);
-  void HandleLooks(base::TimePoint now);
   void AskForStage(base::CallerId caller,
                    ForwardedRun& run,
                    size_t stage,
@@ -88,7 +82,6 @@
                     size_t stage,
                     const JobFailure& failure,
                     base::TimePoint now);
-  CellWish CellWishOf(const ForwardedRun& run) const;
   void TakeResults(base::CallerId caller,
                    size_t stage,
                    AskedResults results,
@@ -100,12 +93,6 @@
   void SettleStages(base::TimePoint now);
   // False when there was none.
   bool SettlePermits(base::TimePoint now);
-  void AskForPermit(const LimitedEndpoint& endpoint,
-                    base::CallerId caller,
-                    base::TimePoint now);
-  void TakePermit(const PermitOutcome& outcome,
-                  base::CallerId caller,
-                  base::TimePoint now);
   // Whether the run has a permit that it is to wait for or goes with.
   bool SendWithPermit(base::CallerId caller, base::TimePoint now);
   void SendFinal(base::CallerId caller, base::TimePoint now);
@@ -138,31 +125,21 @@
                     base::TimePoint now);
   // Forgets a run that has been answered or that nobody waits for.
   void Finish(base::CallerId caller, std::string outcome, base::TimePoint now);
-  static void Forget(Times& times, base::TimePoint time, base::CallerId caller);
-  void Refuse(const ForwardedRequest& request,
-              OwnAnswerCode code,
-              std::optional<base::Duration> retry_after);
   std::optional<base::CallerId> CallerOf(const base::AttemptId& attempt) const;
 
   ForwardContext& context_;
   StageDesk& stage_desk_;
-  PermitDesk& permit_desk_;
   EndpointChooser chooser_;
   base::Random random_;
-  std::shared_ptr<const ForwardConfiguration> configuration_;
+  RunDoor door_;
+  RunPermits permits_;
+  RetryBudgets budgets_;
+  RunTimers timers_;
   Runs runs_;
-  Times deadlines_;
-  Times looks_;
   std::map<AskId, std::pair<base::CallerId, size_t>> asks_;
-  std::map<PermitAskId, base::CallerId> permit_asks_;
   std::unordered_map<uint64_t, base::CallerId> attempts_;  // By number.
-  std::map<base::PoolName, policy::RetryBudget> budgets_;
-  uint32_t saved_retries_ = policy::kMaxSavedRetries;
   RunTimes run_times_;
   uint64_t last_attempt_ = 0;
-  bool is_accepting_ = true;
 };
 
-std::string_view ToText(OwnAnswerCode code);
-
 }  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/run_door.cc
@@ -0,0 +1,128 @@
+#include "LibForward/run_door.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "LibForward/run_wishes.h"
+#include "LibPolicy/retry_spread.h"
+
+namespace bilberry::forward {
+
+namespace {
+
+// When to come back to a host that has no configuration yet.
+constexpr std::chrono::milliseconds kNotReadyRetry{500};
+// A request is taken on though all endpoints want to be left alone, if one of
+// them opens within this time.
+constexpr std::chrono::milliseconds kWaitAtDoor{50};
+// For requests that name no deadline on pipelines that have none.
+constexpr std::chrono::seconds kLongestRun{60};
+
+}  // namespace
+
+void RunDoor::SetConfiguration(
+    std::shared_ptr<const ForwardConfiguration> configuration) {
+  configuration_ = std::move(configuration);
+}
+
+void RunDoor::Refuse(const ForwardedRequest& request,
+                     OwnAnswerCode code,
+                     std::optional<base::Duration> retry_after) {
+  context_.Log(
+      base::LogEventId::kRequestRefused, request.request_id,
+      {{"reason", std::string(ToText(code))},
+       {"revision",
+        std::to_string(configuration_ ? configuration_->revision : 0)}});
+  context_.Emit(
+      AnswerCaller{request.caller, request.request_id, code, retry_after});
+}
+
+bool RunDoor::FindTeam(const ForwardedRequest& request, ForwardedRun& run) {
+  if (configuration_->teams.empty())
+    return true;
+  if (!request.key)
+    return run.pipeline->allows_anonymous;
+  const ForwardedTeam* team = configuration_->FindTeamOfKey(*request.key);
+  if (team == nullptr)
+    return false;
+  run.team = team->name;
+  run.urgency = team->urgency.value_or(run.urgency);
+  return true;
+}
+
+const base::PoolName& RunDoor::DrawFinalPool(
+    const ForwardedPipeline& pipeline) {
+  uint64_t sum = 0;
+  for (const PoolShare& share : pipeline.final_pools)
+    sum += share.weight;
+  uint64_t draw = random_.Below(std::max<uint64_t>(sum, 1));
+  for (const PoolShare& share : pipeline.final_pools) {
+    if (draw < share.weight)
+      return share.pool;
+    draw -= share.weight;
+  }
+  return pipeline.final_pools.front().pool;
+}
+
+std::optional<ForwardedRun> RunDoor::Admit(ForwardedRequest request,
+                                           base::TimePoint now) {
+  if (!configuration_) {
+    Refuse(request, OwnAnswerCode::kNotReady, kNotReadyRetry);
+    return std::nullopt;
+  }
+  if (!is_accepting_) {
+    Refuse(request, OwnAnswerCode::kStopping, kStoppingRetry);
+    return std::nullopt;
+  }
+  if (request.request_id.empty()) {
+    Refuse(request, OwnAnswerCode::kBadRequest, std::nullopt);
+    return std::nullopt;
+  }
+  ForwardedRun run;
+  run.configuration = configuration_;
+  run.pipeline = configuration_->FindPipeline(request.host, request.path);
+  if (run.pipeline == nullptr || run.pipeline->final_pools.empty()) {
+    Refuse(request, OwnAnswerCode::kUnknownPipeline, std::nullopt);
+    return std::nullopt;
+  }
+  run.urgency = run.pipeline->urgency;
+  if (!FindTeam(request, run)) {
+    Refuse(request, OwnAnswerCode::kUnknownKey, std::nullopt);
+    return std::nullopt;
+  }
+  run.arrived = now;
+  run.target = now + run.pipeline->target_latency;
+  base::Duration budget = request.budget.value_or(kLongestRun);
+  if (run.pipeline->timeout.count() > 0)
+    budget = std::min<base::Duration>(budget, run.pipeline->timeout);
+  run.deadline = now + budget;
+  run.begin_deadline = run.deadline;
+  if (run.pipeline->first_event_limit.count() > 0)
+    run.begin_deadline =
+        std::min(run.deadline, now + run.pipeline->first_event_limit);
+  run.final_pool = DrawFinalPool(*run.pipeline);
+  run.stages = InitialStages(*run.pipeline, request);
+  run.last_event = request.last_event;
+  run.request = std::make_shared<const ForwardedRequest>(std::move(request));
+  const EndpointChoice probable = chooser_.Choose(WishOf(run, now), now);
+  if (const auto* endpoint = std::get_if<ListedEndpoint>(&probable)) {
+    run.final_zone = endpoint->zone;
+  } else if (const auto* limited = std::get_if<LimitedEndpoint>(&probable)) {
+    run.final_zone = limited->listed.zone;
+  } else if (const auto* quiet = std::get_if<EndpointsQuiet>(&probable)) {
+    if (quiet->until > now + kWaitAtDoor) {
+      Refuse(*run.request, OwnAnswerCode::kNoEndpoint,
+             policy::SpreadOut(quiet->until - now, random_));
+      return std::nullopt;
+    }
+  } else {
+    Refuse(*run.request, OwnAnswerCode::kNoEndpoint, kNoEndpointRetry);
+    return std::nullopt;
+  }
+  run.cell = stage_desk_.ChooseCell(CellWishOf(run), now).value_or(Cell());
+  return run;
+}
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/run_door.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <optional>
+
+#include "LibBase/random.h"
+#include "LibForward/endpoint_chooser.h"
+#include "LibForward/forward_context.h"
+#include "LibForward/forwarded_run.h"
+#include "LibForward/stage_desk.h"
+
+namespace bilberry::forward {
+
+// When to come back to another host than this one, which stops.
+inline constexpr std::chrono::milliseconds kStoppingRetry{50};
+inline constexpr std::chrono::milliseconds kNoEndpointRetry{1000};
+
+// Takes callers' requests on, or refuses them.
+class RunDoor {
+ public:
+  // All must outlive the door.
+  RunDoor(ForwardContext& context,
+          const StageDesk& stages,
+          EndpointChooser& chooser,
+          base::Random& random)
+      : context_(context),
+        stage_desk_(stages),
+        chooser_(chooser),
+        random_(random) {}
+
+  void SetConfiguration(
+      std::shared_ptr<const ForwardConfiguration> configuration);
+  // From now on requests are refused as not run.
+  void StopAccepting() { is_accepting_ = false; }
+  bool is_accepting() const { return is_accepting_; }
+
+  // Empty when the request has been answered.
+  std::optional<ForwardedRun> Admit(ForwardedRequest request,
+                                    base::TimePoint now);
+
+ private:
+  bool FindTeam(const ForwardedRequest& request, ForwardedRun& run);
+  const base::PoolName& DrawFinalPool(const ForwardedPipeline& pipeline);
+  void Refuse(const ForwardedRequest& request,
+              OwnAnswerCode code,
+              std::optional<base::Duration> retry_after);
+
+  ForwardContext& context_;
+  const StageDesk& stage_desk_;
+  EndpointChooser& chooser_;
+  base::Random& random_;
+  std::shared_ptr<const ForwardConfiguration> configuration_;
+  bool is_accepting_ = true;
+};
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/run_permits.cc
@@ -0,0 +1,76 @@
+#include "LibForward/run_permits.h"
+
+#include <string>
+#include <utility>
+
+#include "LibBase/overloaded.h"
+
+namespace bilberry::forward {
+
+void RunPermits::Ask(const LimitedEndpoint& endpoint,
+                     base::CallerId caller,
+                     ForwardedRun& run,
+                     base::TimePoint now) {
+  const PermitAskId ask =
+      permit_desk_.Ask(endpoint.listed, endpoint.longest_wait, now);
+  run.permit_ask = ask;
+  asks_.emplace(ask, caller);
+}
+
+void RunPermits::Withdraw(const ForwardedRun& run) {
+  if (!run.permit_ask)
+    return;
+  asks_.erase(*run.permit_ask);
+  permit_desk_.Withdraw(*run.permit_ask);
+}
+
+std::optional<base::CallerId> RunPermits::TakeCaller(PermitAskId ask) {
+  const auto node = asks_.extract(ask);
+  if (node.empty())
+    return std::nullopt;
+  return node.mapped();
+}
+
+void RunPermits::Note(const PermitOutcome& outcome,
+                      ForwardedRun& run,
+                      base::TimePoint now) {
+  run.permit_ask.reset();
+  const base::EndpointName& endpoint = outcome.endpoint.name;
+  base::Duration wait{0};
+  std::visit(base::Overloaded{
+                 [&](const HeldPermit& it) {
+                   wait = it.begins - now;
+                   run.permit = it;
+                 },
+                 [&](const NoPermitBefore& it) {
+                   wait = it.next - now;
+                   chooser_.NoteNextPermit(endpoint, it.next);
+                 },
+                 [&](const KeeperUnknown& it) {
+                   wait = it.retry - now;
+                   chooser_.NoteNoPermits(endpoint, it.retry);
+                 },
+             },
+             outcome.result);
+  context_.Log(base::LogEventId::kPermitEnded, run.request->request_id,
+               {{"endpoint", endpoint.value},
+                {"keeper", outcome.keeper.value},
+                {"outcome", std::string(ToText(outcome.result))},
+                {"wait_ms", ToMilliseconds(wait)}});
+}
+
+std::optional<ListedEndpoint> RunPermits::Use(ForwardedRun& run,
+                                              base::TimePoint now) {
+  if (!run.permit || now < run.permit->begins)
+    return std::nullopt;
+  HeldPermit permit = *std::exchange(run.permit, std::nullopt);
+  if (now > permit.lapses || !chooser_.IsOpen(permit.endpoint, now)) {
+    context_.Log(
+        base::LogEventId::kPermitEnded, run.request->request_id,
+        {{"endpoint", permit.endpoint.name.value}, {"outcome", "not_used"}});
+    return std::nullopt;
+  }
+  return std::move(permit.endpoint);
+}
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/run_timers.cc
@@ -0,0 +1,69 @@
+#include "LibForward/run_timers.h"
+
+#include <algorithm>
+
+namespace bilberry::forward {
+
+void RunTimers::Add(base::CallerId caller, const ForwardedRun& run) {
+  deadlines_.emplace(run.begin_deadline, caller);
+}
+
+void RunTimers::Remove(base::CallerId caller, const ForwardedRun& run) {
+  Forget(deadlines_, run.begin_deadline, caller);
+  Forget(deadlines_, run.deadline, caller);
+  if (run.looked_at_again)
+    Forget(looks_, *run.looked_at_again, caller);
+}
+
+void RunTimers::LookAgain(base::CallerId caller,
+                          ForwardedRun& run,
+                          base::TimePoint time) {
+  if (run.looked_at_again && *run.looked_at_again <= time)
+    return;
+  if (run.looked_at_again)
+    Forget(looks_, *run.looked_at_again, caller);
+  run.looked_at_again = time;
+  looks_.emplace(time, caller);
+}
+
+std::optional<base::CallerId> RunTimers::TakeLook(base::TimePoint now) {
+  return TakeFirst(looks_, now);
+}
+
+std::optional<base::CallerId> RunTimers::TakeDeadline(base::TimePoint now) {
+  return TakeFirst(deadlines_, now);
+}
+
+void RunTimers::GiveTimeForEnd(base::CallerId caller, const ForwardedRun& run) {
+  deadlines_.emplace(run.deadline, caller);
+}
+
+std::optional<base::CallerId> RunTimers::TakeFirst(Times& times,
+                                                   base::TimePoint now) {
+  if (times.empty() || times.begin()->first > now)
+    return std::nullopt;
+  const base::CallerId caller = times.begin()->second;
+  times.erase(times.begin());
+  return caller;
+}
+
+void RunTimers::Forget(Times& times,
+                       base::TimePoint time,
+                       base::CallerId caller) {
+  const auto [begin, end] = times.equal_range(time);
+  const auto it = std::find_if(
+      begin, end, [caller](const auto& it) { return it.second == caller; });
+  if (it != end)
+    times.erase(it);
+}
+
+std::optional<base::TimePoint> RunTimers::NextWakeup() const {
+  std::optional<base::TimePoint> next;
+  for (const Times* times : {&deadlines_, &looks_}) {
+    if (!times->empty() && (!next || times->begin()->first < *next))
+      next = times->begin()->first;
+  }
+  return next;
+}
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/run_wishes.cc
@@ -0,0 +1,56 @@
+#include "LibForward/run_wishes.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string_view>
+#include <vector>
+
+namespace bilberry::forward {
+
+namespace {
+
+// The most urgent requests wait so long for a permit, the others half of it
+// for each step of urgency.
+constexpr std::chrono::milliseconds kLongestPermitWait{1000};
+constexpr uint32_t kMostHalvings = 5;
+
+// The longest prefix that other requests may share: the last part is the
+// request's own, the one before it is its session's.
+std::string_view SharedPartOf(const std::vector<PrefixPart>& prefix) {
+  if (prefix.empty())
+    return {};
+  return prefix.size() == 1 ? prefix.front().id : prefix[prefix.size() - 2].id;
+}
+
+// No longer than there is time for the answer behind it.
+base::Duration LongestPermitWait(const ForwardedRun& run, base::TimePoint now) {
+  const uint32_t halvings =
+      std::min(static_cast<uint32_t>(run.urgency), kMostHalvings);
+  const base::Duration left = run.begin_deadline - now - kLeastFinalTime;
+  return std::clamp<base::Duration>(left, base::Duration(0),
+                                    kLongestPermitWait / (1U << halvings));
+}
+
+}  // namespace
+
+EndpointWish WishOf(const ForwardedRun& run, base::TimePoint now) {
+  EndpointWish wish;
+  wish.pool = run.final_pool;
+  wish.avoided = run.tried;
+  wish.affinity = SharedPartOf(run.request->prefix);
+  wish.longest_wait = LongestPermitWait(run, now);
+  return wish;
+}
+
+CellWish CellWishOf(const ForwardedRun& run) {
+  CellWish wish;
+  for (size_t i = 0; i < run.stages.size(); ++i) {
+    if (run.stages[i].phase != StagePhase::kDone)
+      wish.pools.push_back(run.pipeline->stages[i].pool);
+  }
+  wish.reader_zone = run.final_zone;
+  wish.avoided = run.cells_tried;
+  return wish;
+}
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/run_wishes.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "LibBase/time.h"
+#include "LibForward/cell_chooser.h"
+#include "LibForward/endpoint_chooser.h"
+#include "LibForward/forwarded_run.h"
+
+// What a run wants of those who serve it.
+namespace bilberry::forward {
+
+// Of the endpoint that runs the request itself. The run must outlive the wish.
+EndpointWish WishOf(const ForwardedRun& run, base::TimePoint now);
+
+// Of the cell that makes what is left of its stages.
+CellWish CellWishOf(const ForwardedRun& run);
+
+}  // namespace bilberry::forward
