--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -32,6 +32,8 @@
     {kLimitHandedOver, kInfo, "limit-handed-over"},
     {kZoneEvacuated, kInfo, "zone-evacuated"},
     {kZoneTakenBack, kInfo, "zone-taken-back"},
+    {kEndpointCold, kInfo, "endpoint-cold"},
+    {kEndpointWarm, kInfo, "endpoint-warm"},
     {kPlatformUnreachable, kWarning, "platform-unreachable"},
     {kPlatformReachable, kInfo, "platform-reachable"},
     {kPlatformRowUnreadable, kWarning, "platform-row-unreadable"},
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -30,6 +30,8 @@
   kLimitHandedOver = 1208,
   kZoneEvacuated = 1209,
   kZoneTakenBack = 1210,
+  kEndpointCold = 1215,
+  kEndpointWarm = 1216,
   kPlatformUnreachable = 1301,
   kPlatformReachable = 1302,
   kPlatformRowUnreadable = 1303,
--- a/Libraries/LibDeclare/forward_settings.cc
+++ b/Libraries/LibDeclare/forward_settings.cc
@@ -1,6 +1,10 @@
 #include "LibDeclare/forward_settings.h"
 
+#include <algorithm>
+#include <charconv>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "LibDeclare/object_reader.h"
 
@@ -13,6 +17,8 @@
 constexpr double kMostLinkMbps = 1'000'000;
 constexpr double kLongestGraceSeconds = 3600;
 constexpr double kMostRetrySlack = 1e6;
+constexpr double kMostColdOver = 1000;
+constexpr double kMostColdSlack = 1e6;
 
 void ReadAddress(ObjectReader& reader,
                  const char* key,
@@ -27,6 +33,38 @@
     reader.AddFault(key, "\"" + text + "\" is no address", "IP:PORT");
 }
 
+std::optional<double> NumberIn(std::string_view text, double most) {
+  double number = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, ec] = std::from_chars(text.data(), end, number);
+  if (ec != std::errc() || rest != end || !(number >= 0 && number <= most))
+    return std::nullopt;
+  return number;
+}
+
+// Two numbers with a comma between them, which stands alone where the platform
+// knows none.
+void ReadColdBound(ObjectReader& reader,
+                   const char* key,
+                   ForwardSettings& settings) {
+  std::string text;
+  reader.Read(key, text, Presence::kOptional);
+  if (text.empty() || text == ",")
+    return;
+  const std::string_view all = text;
+  const size_t comma = std::min(all.find(','), all.size());
+  const auto over = NumberIn(all.substr(0, comma), kMostColdOver);
+  const auto slack =
+      NumberIn(all.substr(std::min(comma + 1, all.size())), kMostColdSlack);
+  if (!over || !slack) {
+    reader.AddFault(key, "\"" + text + "\" holds no two numbers",
+                    "OVER,SLACK, or a comma alone");
+    return;
+  }
+  settings.cold_over = over;
+  settings.cold_slack = slack;
+}
+
 }  // namespace
 
 ParsedForwardSettings ParseForwardSettings(std::string_view text) {
@@ -57,6 +95,7 @@
             Presence::kOptional);
   if (root.Has("retry_slack"))
     settings.retry_slack = static_cast<uint32_t>(retry_slack);
+  ReadColdBound(root, "cold_bound", settings);
   root.Finish();
   return parsed;
 }
--- a/Libraries/LibDeclare/forward_settings.h
+++ b/Libraries/LibDeclare/forward_settings.h
@@ -24,6 +24,10 @@
   // How many retries of a pool all hosts together may make within some seconds,
   // beside a part of its requests; empty if that isn't known.
   std::optional<uint32_t> retry_slack;
+  // What all hosts together may send a cold endpoint in any second: so many
+  // times what it bears, and some more; empty if that isn't known.
+  std::optional<double> cold_over;
+  std::optional<double> cold_slack;
   // From the order to stop until the process is killed.
   std::chrono::milliseconds stop_grace{8000};
 
--- /dev/null
+++ b/Libraries/LibEmulation/emulated_coldness.cc
@@ -0,0 +1,130 @@
+#include "LibEmulation/emulated_coldness.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace bilberry::emulation {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr seconds kWindow{1};
+// An endpoint writes its entry so often, each at another moment.
+constexpr milliseconds kBeat{1000};
+constexpr milliseconds kBeatShift{37};
+// One that starts is listed so much later.
+constexpr milliseconds kListedAfter{50};
+// What comes so shortly behind the cold time is looked at for bursts.
+constexpr seconds kBehind{4};
+
+}  // namespace
+
+void EmulatedColdness::Add(const forward::ListedEndpoint& endpoint,
+                           uint32_t index) {
+  Endpoint& added = endpoints_[endpoint.name];
+  added.listed = endpoint;
+  added.index = index;
+  for (const PoolColdness& it : sheet_.coldness) {
+    if (it.pool == endpoint.pool.value && it.starts && index % it.one_in == 0)
+      added.starts = base::TimePoint::max();
+  }
+}
+
+void EmulatedColdness::Begin(base::TimePoint now) {
+  for (auto& [name, endpoint] : endpoints_) {
+    for (const PoolColdness& it : sheet_.coldness) {
+      if (it.pool != endpoint.listed.pool.value)
+        continue;
+      endpoint.cold_until = now + it.at + it.lasts;
+      endpoint.is_ever_cold = endpoint.index % it.one_in == 0;
+      endpoint.cold_from =
+          endpoint.is_ever_cold ? now + it.at : endpoint.cold_until;
+      if (!endpoint.is_ever_cold)
+        continue;
+      if (it.starts)
+        endpoint.starts = endpoint.cold_from;
+      AddWritings(endpoint);
+    }
+  }
+  std::ranges::stable_sort(writings_, {}, &Writing::time);
+}
+
+void EmulatedColdness::AddWritings(const Endpoint& endpoint) {
+  const base::Duration first = endpoint.starts
+                                   ? base::Duration(kListedAfter)
+                                   : kBeatShift * endpoint.index % kBeat;
+  for (base::TimePoint time = endpoint.cold_from + first;
+       time < endpoint.cold_until + kBeat; time += kBeat)
+    writings_.push_back({time, endpoint.listed.name,
+                         std::max<base::Duration>(endpoint.cold_until - time,
+                                                  base::Duration(0))});
+}
+
+uint64_t EmulatedColdness::VersionAt(base::TimePoint now) const {
+  const auto end = std::ranges::upper_bound(writings_, now, {}, &Writing::time);
+  return static_cast<uint64_t>(end - writings_.begin()) + 1;
+}
+
+forward::FeedRow EmulatedColdness::RowOf(const Writing& writing) const {
+  forward::ListedEndpoint listed = endpoints_.at(writing.name).listed;
+  listed.cold_for = writing.cold_for;
+  return {writing.name.value, listed};
+}
+
+std::vector<forward::FeedRow> EmulatedColdness::RowsSince(
+    uint64_t version,
+    base::TimePoint now) const {
+  std::map<base::EndpointName, const Writing*> newest;
+  for (uint64_t i = std::max<uint64_t>(version, 1); i < VersionAt(now); ++i)
+    newest[writings_.at(i - 1).name] = &writings_.at(i - 1);
+  std::vector<forward::FeedRow> rows;
+  rows.reserve(newest.size());
+  for (const auto& [name, writing] : newest)
+    rows.push_back(RowOf(*writing));
+  return rows;
+}
+
+std::vector<forward::FeedRow> EmulatedColdness::RowsAt(
+    base::TimePoint now) const {
+  std::map<base::EndpointName, forward::FeedRow> rows;
+  for (const auto& [name, endpoint] : endpoints_) {
+    if (!endpoint.starts)
+      rows[name] = {name.value, endpoint.listed};
+  }
+  for (forward::FeedRow& row : RowsSince(1, now))
+    rows[{row.key}] = std::move(row);
+  std::vector<forward::FeedRow> all;
+  all.reserve(rows.size());
+  for (auto& [name, row] : rows)
+    all.push_back(std::move(row));
+  return all;
+}
+
+void EmulatedColdness::NoteArrival(const forward::ListedEndpoint& endpoint,
+                                   base::TimePoint now) {
+  const auto it = endpoints_.find(endpoint.name);
+  if (it == endpoints_.end() || now < it->second.cold_from ||
+      now >= it->second.cold_until + kBehind)
+    return;
+  Endpoint& noted = it->second;
+  noted.arrivals.push_back(now);
+  while (noted.arrivals.front() <= now - kWindow)
+    noted.arrivals.pop_front();
+  const double allowed =
+      sheet_.cold_per_second * sheet_.cold_over + sheet_.cold_slack;
+  const double part = static_cast<double>(noted.arrivals.size()) / allowed;
+  if (now >= noted.cold_until) {
+    double& most = noted.is_ever_cold ? report_.most_behind_cold
+                                      : report_.most_beside_cold;
+    most = std::max(most, part);
+    return;
+  }
+  ++report_.cold_arrivals;
+  report_.most_of_cold = std::max(report_.most_of_cold, part);
+  if (part > 1)
+    ++report_.sent_over_cold;
+}
+
+}  // namespace bilberry::emulation
--- a/Libraries/LibEmulation/emulation.cc
+++ b/Libraries/LibEmulation/emulation.cc
@@ -83,6 +83,7 @@
           timeline_, listed, pool.limits, tally, random_.Next()));
       makers_by_address_[listed.address] = makers_.back().get();
       notices_.Add(listed.name, i);
+      coldness_.Add(listed, i);
     }
   }
 }
@@ -100,6 +101,7 @@
         std::make_unique<EmulatedEngine>(listed, sheet_.engines));
     engines_by_name_[listed.name] = engines_.back().get();
     notices_.Add(listed.name, i);
+    coldness_.Add(listed, i);
   }
 }
 
@@ -128,6 +130,7 @@
     options.shares_calls = options_.shares_calls;
     if (sheet_.retry_slack > 0)
       options.retry_slack = sheet_.retry_slack;
+    options.cold_bound = {sheet_.cold_over, sheet_.cold_slack};
     host.node = std::make_unique<forward::ForwardNode>(options);
     hosts_.push_back(std::move(host));
   }
@@ -138,6 +141,7 @@
     Feed(i, forward::TimerDue{});
   timeline_.RunUntil(timeline_.now() + kLead);
   notices_.Begin(timeline_.now());
+  coldness_.Begin(timeline_.now());
   callers_.Begin(
       [this](forward::ForwardedRequest it) { SendToHost(std::move(it)); },
       [this](base::CallerId id) {
@@ -288,6 +292,9 @@
       DelayBetween(hosts_[host].self.zone, engine->listed().zone);
   notices_.NoteArrival(host, engine->listed(), timeline_.now() + way);
   retries_.NoteArrival(action.request->request_id, timeline_.now());
+  timeline_.After(way, [this, engine] {
+    coldness_.NoteArrival(engine->listed(), timeline_.now());
+  });
   if (notices_.TurnsAwayFor(engine->listed(), timeline_.now() + way)) {
     FeedNotice(host, engine->listed(), timeline_.now(), way * 2);
     forward::AnswerHead refusal;
@@ -425,6 +432,7 @@
   const base::TimePoint asked = timeline_.now();
   timeline_.After(way, [this, host, maker, way, id, asked, call = action.call] {
     notices_.NoteArrival(host, maker->listed(), timeline_.now());
+    coldness_.NoteArrival(maker->listed(), timeline_.now());
     if (notices_.TurnsAwayFor(maker->listed(), timeline_.now())) {
       FeedNotice(host, maker->listed(), asked, way);
       FeedAfter(
@@ -451,6 +459,7 @@
   const base::TimePoint asked = timeline_.now();
   timeline_.After(way, [this, host, maker, way, asked, order = action.order] {
     notices_.NoteOrder(host, maker->listed(), timeline_.now());
+    coldness_.NoteArrival(maker->listed(), timeline_.now());
     FeedNotice(host, maker->listed(), asked, way);
     maker->Free(order.handles);
     FeedAfter(way, host, forward::ResultsFreed{order});
@@ -523,10 +532,7 @@
       rows.push_back({"configuration", configuration_});
       break;
     case forward::FeedKind::kEndpoints:
-      for (const auto& maker : makers_)
-        rows.push_back({maker->listed().name.value, maker->listed()});
-      for (const auto& engine : engines_)
-        rows.push_back({engine->listed().name.value, engine->listed()});
+      rows = coldness_.RowsAt(timeline_.now());
       break;
     case forward::FeedKind::kHosts:
       for (const forward::PeerHost& host : host_rows_)
@@ -591,20 +597,37 @@
   ++store_calls_;
   FeedAfter(kStoreDelay, host,
             forward::TableListed{action.feed, RowsOf(action.feed), false,
-                                 host_rows_.size() + 1});
+                                 VersionOf(action.feed)});
 }
 
 void Emulation::Do(size_t host, const forward::FollowTable& action) {
   ++store_calls_;
-  const uint64_t version = host_rows_.size() + 1;
+  const uint64_t version = VersionOf(action.feed);
   if (action.feed == forward::FeedKind::kHosts && action.version < version) {
     FeedAfter(kStoreDelay, host,
               forward::TableChanged{action.feed, RowsOf(action.feed), version});
     return;
   }
-  // Nothing else changes in a run.
-  FeedAfter(kStoreDelay + action.wait, host,
-            forward::TableChanged{action.feed, {}, action.version});
+  if (action.feed != forward::FeedKind::kEndpoints) {
+    FeedAfter(kStoreDelay + action.wait, host,
+              forward::TableChanged{action.feed, {}, action.version});
+    return;
+  }
+  // A call that has news ends at once.
+  const base::Duration wait =
+      action.version < version ? base::Duration(0) : action.wait;
+  timeline_.After(wait, [this, host, known = action.version] {
+    FeedAfter(kStoreDelay, host,
+              forward::TableChanged{forward::FeedKind::kEndpoints,
+                                    coldness_.RowsSince(known, timeline_.now()),
+                                    coldness_.VersionAt(timeline_.now())});
+  });
+}
+
+uint64_t Emulation::VersionOf(forward::FeedKind feed) const {
+  return feed == forward::FeedKind::kEndpoints
+             ? coldness_.VersionAt(timeline_.now())
+             : host_rows_.size() + 1;
 }
 
 void Emulation::Do(size_t /*host*/, const forward::WriteLog& action) {
--- a/Libraries/LibEmulation/emulation.h
+++ b/Libraries/LibEmulation/emulation.h
@@ -11,6 +11,7 @@
 
 #include "LibBase/random.h"
 #include "LibEmulation/emulated_callers.h"
+#include "LibEmulation/emulated_coldness.h"
 #include "LibEmulation/emulated_engine.h"
 #include "LibEmulation/emulated_maker.h"
 #include "LibEmulation/emulated_notices.h"
@@ -123,6 +124,7 @@
                   base::TimePoint asked,
                   base::Duration way);
   void EndAttempt(uint64_t number);
+  uint64_t VersionOf(forward::FeedKind feed) const;
   std::vector<forward::FeedRow> RowsOf(forward::FeedKind feed) const;
   PieceWork Inspect(const EmulatedMaker& maker,
                     const forward::PieceOrder& piece);
@@ -147,6 +149,7 @@
   std::map<base::EndpointName, EmulatedEngine*> engines_by_name_;
   EmulatedNotices notices_{sheet_, report_};
   EmulatedRetries retries_{sheet_, report_};
+  EmulatedColdness coldness_{sheet_, report_};
   EmulatedCallers callers_;
   std::map<base::CallerId, size_t> host_of_caller_;
   std::map<uint64_t, Attempt> attempts_;
--- a/Libraries/LibEmulation/emulation_report.h
+++ b/Libraries/LibEmulation/emulation_report.h
@@ -67,6 +67,15 @@
   // The most that a limited endpoint got in four seconds, as a part of what it
   // may get.
   double most_of_allowed = 0;
+  // What reached cold endpoints, and what was more than they may get.
+  uint64_t cold_arrivals = 0;
+  uint64_t sent_over_cold = 0;
+  // The most that one got in a second while it was cold, and just behind that,
+  // as a part of what it may get while it is.
+  double most_of_cold = 0;
+  double most_behind_cold = 0;
+  // The same of those of its pool that were never cold, at the same time.
+  double most_beside_cold = 0;
   // The most that reached engines beyond first arrivals in ten seconds, as a
   // part of what may.
   double most_of_retries = 0;
--- a/Libraries/LibEmulation/load_sheet.cc
+++ b/Libraries/LibEmulation/load_sheet.cc
@@ -201,6 +201,8 @@
     configuration->pools.push_back(
         {{pool.name}, pool.limits.calls_at_once, pool.limits});
   configuration->pools.push_back({{sheet.engines.name}, 64, std::nullopt});
+  for (forward::ForwardedPool& pool : configuration->pools)
+    pool.cold_per_second = sheet.tells_coldness ? sheet.cold_per_second : 0;
   return configuration;
 }
 
--- a/Libraries/LibEmulation/load_sheet.h
+++ b/Libraries/LibEmulation/load_sheet.h
@@ -85,6 +85,16 @@
   base::Duration lasts = std::chrono::hours(1);
 };
 
+// One in so many endpoints of a pool is cold for a while, which its entry says;
+// one that starts isn't there before.
+struct PoolColdness {
+  std::string pool;
+  uint32_t one_in = 3;
+  bool starts = false;
+  base::Duration at{};
+  base::Duration lasts = std::chrono::seconds(5);
+};
+
 // A host does nothing for a while, and then goes on.
 struct HostFreeze {
   uint32_t host = 0;
@@ -151,6 +161,13 @@
   std::vector<PoolRefusals> refusals;
   std::vector<PoolDeparture> departures;
   std::vector<PoolLimit> limits;
+  std::vector<PoolColdness> coldness;
+  // What a cold endpoint bears in a second, and what it may get: so many times
+  // that, and some more.
+  double cold_per_second = 0;
+  bool tells_coldness = true;  // Whether hosts are told what one bears.
+  double cold_over = 1.5;
+  double cold_slack = 5;
   // What may reach engines beyond first arrivals in ten seconds: this part of
   // the requests, and so many more.
   double retry_ratio = 0.2;
--- a/Libraries/LibForward/endpoint_chooser.cc
+++ b/Libraries/LibForward/endpoint_chooser.cc
@@ -121,13 +121,22 @@
 }
 
 void EndpointChooser::TakeLimits() {
-  const EndpointLimits& limits = words_.limits;
-  if (seen_limits_ == limits.changes())
+  if (seen_limits_ == words_.rate_changes())
     return;
-  seen_limits_ = limits.changes();
-  for (auto& [name, endpoint] : endpoints_)
-    endpoint.has_limit =
-        limits.RateOf(name, endpoint.listed.incarnation).has_value();
+  seen_limits_ = words_.rate_changes();
+  for (auto& [name, endpoint] : endpoints_) {
+    const base::Incarnation life = endpoint.listed.incarnation;
+    endpoint.has_limit = words_.RateOf(name, life).has_value();
+    endpoint.is_cold =
+        endpoint.has_limit && !words_.limits.RateOf(name, life).has_value();
+  }
+}
+
+bool EndpointChooser::IsTakenBesideOthers(const Endpoint& endpoint,
+                                          const EndpointWish& wish) {
+  if (endpoint.is_cold)
+    return wish.may_warm;
+  return !endpoint.has_limit || !wish.affinity.empty();
 }
 
 base::TimePoint EndpointChooser::OpenFrom(const Endpoint& endpoint,
@@ -179,7 +188,8 @@
 
 // Endpoints without a limit go first. One with a limit is waited for only if
 // all have one, and is taken beside the others only for what it shares with
-// earlier requests.
+// earlier requests. A cold one is taken beside them by requests that can bear
+// it.
 EndpointChoice EndpointChooser::Choose(const EndpointWish& wish,
                                        base::TimePoint now) {
   TakeLimits();
@@ -193,8 +203,10 @@
       has_unlimited ? base::Duration(0) : wish.longest_wait;
   if (!has_unlimited)
     open = OpenOf(eligible, longest_wait, now);
-  else if (wish.affinity.empty())
-    std::erase_if(open, [](const Endpoint* it) { return it->has_limit; });
+  else
+    std::erase_if(open, [&wish](const Endpoint* it) {
+      return !IsTakenBesideOthers(*it, wish);
+    });
   if (open.empty())
     return EndpointsQuiet{FirstOpen(eligible, longest_wait)};
   const Candidates candidates = PreferRested(open, now);
--- a/Libraries/LibForward/endpoint_chooser.h
+++ b/Libraries/LibForward/endpoint_chooser.h
@@ -32,6 +32,8 @@
   std::string_view affinity;
   // Endpoints that have had this request already.
   std::span<const base::EndpointName> avoided;
+  // Whether it may go to a cold endpoint though there are others.
+  bool may_warm = false;
   // How long it may wait for a permit.
   base::Duration longest_wait{};
 };
@@ -88,6 +90,7 @@
   struct Endpoint {
     ListedEndpoint listed;
     bool has_limit = false;
+    bool is_cold = false;  // Its limit goes by that alone.
     uint32_t in_flight = 0;
     // After a quiet time requests begin at intervals.
     base::TimePoint spaced_until;
@@ -106,6 +109,9 @@
 
   // Takes on which endpoints have a limit, if that has changed.
   void TakeLimits();
+  // Whether the endpoint is of use though there are some without a limit.
+  static bool IsTakenBesideOthers(const Endpoint& endpoint,
+                                  const EndpointWish& wish);
   // From when on the endpoint may be sent something, apart from its limit.
   base::TimePoint OpenFrom(const Endpoint& endpoint) const;
   // The same by one who waits so long for a permit.
--- a/Libraries/LibForward/endpoint_directory.cc
+++ b/Libraries/LibForward/endpoint_directory.cc
@@ -28,17 +28,19 @@
       seen.insert(name);
       continue;
     }
-    const auto* listed = std::get_if<ListedEndpoint>(&row.content);
-    if (listed == nullptr) {
+    const auto* told = std::get_if<ListedEndpoint>(&row.content);
+    if (told == nullptr) {
       has_changed |= NoteRemoved(name, now);
       continue;
     }
+    ListedEndpoint listed = *told;
+    listed.cold_for.reset();
     seen.insert(name);
     missing_.erase(name);
-    const auto [it, is_new] = endpoints_.try_emplace(name, *listed);
-    if (!is_new && it->second == *listed)
+    const auto [it, is_new] = endpoints_.try_emplace(name, listed);
+    if (!is_new && it->second == listed)
       continue;
-    it->second = *listed;
+    it->second = listed;
     has_changed = true;
   }
   if (!is_whole)
@@ -149,6 +151,12 @@
          leaving == base::Incarnation{};
 }
 
+bool EndpointDirectory::Lists(const ListedEndpoint& endpoint) const {
+  const auto it = endpoints_.find(endpoint.name);
+  return it != endpoints_.end() &&
+         it->second.incarnation == endpoint.incarnation;
+}
+
 std::vector<ListedEndpoint> EndpointDirectory::endpoints() const {
   std::vector<ListedEndpoint> all;
   all.reserve(endpoints_.size());
--- a/Libraries/LibForward/endpoint_directory.h
+++ b/Libraries/LibForward/endpoint_directory.h
@@ -41,6 +41,8 @@
   // What peers are to be told: what was said lately by a life that is known.
   std::vector<EndpointDeparture> RecentDepartures(base::TimePoint now) const;
 
+  // Whether this life of the endpoint is listed.
+  bool Lists(const ListedEndpoint& endpoint) const;
   // Those that are known to leave have that state.
   std::vector<ListedEndpoint> endpoints() const;
   bool is_empty() const { return endpoints_.empty(); }
--- a/Libraries/LibForward/endpoint_notice.h
+++ b/Libraries/LibForward/endpoint_notice.h
@@ -21,11 +21,14 @@
   std::optional<base::Duration> retry_after;
   // Empty when the answer can't tell.
   std::optional<RequestLimit> limit;
+  // How much longer it is cold; empty when the answer doesn't tell.
+  std::optional<base::Duration> cold_for = std::nullopt;
 
   // Whether it says anything beside that the endpoint has no limit, which is
   // news only of one that had.
   bool is_empty() const {
-    return !is_leaving && !retry_after && !(limit && limit->per_second);
+    return !is_leaving && !retry_after && !cold_for &&
+           !(limit && limit->per_second);
   }
 };
 
--- a/Libraries/LibForward/endpoint_words.h
+++ b/Libraries/LibForward/endpoint_words.h
@@ -1,5 +1,10 @@
 #pragma once
 
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+
+#include "LibForward/cold_times.h"
 #include "LibForward/endpoint_failures.h"
 #include "LibForward/endpoint_limits.h"
 #include "LibForward/quiet_times.h"
@@ -13,6 +18,25 @@
   EndpointFailures failures;
   QuietTimes quiet_times;
   EndpointLimits limits;
+  ColdTimes cold_times;
+
+  // What all hosts together may send this life of the endpoint in a second, by
+  // the limit that it has named and by its cold time; empty if as much as
+  // comes.
+  std::optional<double> RateOf(const base::EndpointName& name,
+                               base::Incarnation incarnation) const {
+    const auto named = limits.RateOf(name, incarnation);
+    const auto cold = cold_times.RateOf(name, incarnation);
+    return named && cold ? std::min(named, cold) : named ? named : cold;
+  }
+  // Whether a rate of any of its lives is known.
+  bool KnowsRateOf(const base::EndpointName& name) const {
+    return limits.Knows(name) || cold_times.Knows(name);
+  }
+  // Grows with each change of a rate.
+  uint64_t rate_changes() const {
+    return limits.changes() + cold_times.changes();
+  }
 };
 
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/forward_configuration.h
+++ b/Libraries/LibForward/forward_configuration.h
@@ -67,6 +67,11 @@
   base::PoolName name;
   uint32_t slots = 0;                 // Of one endpoint; 0 if not told.
   std::optional<PieceLimits> pieces;  // For pools that serve stages.
+  // How many requests a second one endpoint bears while it is cold; 0 if it is
+  // never cold, or if that isn't told.
+  double cold_per_second = 0;
+  // For how long one is cold that starts during traffic.
+  base::Duration cold_start{};
 };
 
 struct ForwardedTeam {
--- a/Libraries/LibForward/forward_context.h
+++ b/Libraries/LibForward/forward_context.h
@@ -29,6 +29,8 @@
   // How many retries of a pool all hosts together may make in a burst of
   // failures, beside a part of its requests; empty if that isn't known.
   std::optional<uint32_t> retry_slack;
+  // What all hosts together may send a cold endpoint.
+  ColdBound cold_bound;
   // Hosts that are to be asked for pieces; alone, a host makes all calls for
   // its own requests (to compare with).
   bool shares_calls = true;
@@ -78,6 +80,22 @@
          {"per_second", ToText(limit)},
          {"told_by", std::string(told_by)}});
   }
+  // The endpoint's entry says, or its answer, that it is cold for so long;
+  // logged when it turns so.
+  void NoteCold(const ListedEndpoint& endpoint,
+                base::Duration left,
+                base::TimePoint now) {
+    if (!words_.cold_times.Note(endpoint, left, now))
+      return;
+    const auto rate =
+        words_.cold_times.RateOf(endpoint.name, endpoint.incarnation);
+    Log(base::LogEventId::kEndpointCold, "",
+        {{"endpoint", endpoint.name.value},
+         {"incarnation",
+          std::to_string(static_cast<uint64_t>(endpoint.incarnation))},
+         {"for_ms", ToMilliseconds(left)},
+         {"per_second", ToText(RequestLimit{rate})}});
+  }
   Actions TakeActions() { return std::exchange(actions_, {}); }
 
  private:
--- a/Libraries/LibForward/forward_endpoint.h
+++ b/Libraries/LibForward/forward_endpoint.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "LibBase/ids.h"
+#include "LibBase/time.h"
 
 namespace bilberry::forward {
 
@@ -23,6 +25,9 @@
   // Of a process that starts again under its name, another; zero if the
   // platform doesn't tell.
   base::Incarnation incarnation{};
+  // How much longer it says that it is cold, from when this is heard; empty if
+  // it doesn't tell. Kept by those who hear it; a list of endpoints has none.
+  std::optional<base::Duration> cold_for = std::nullopt;
 
   friend bool operator==(const ListedEndpoint&,
                          const ListedEndpoint&) = default;
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -32,6 +32,7 @@
   store_.HandleTimer(now);
   EndQuietTimes(now);
   TakeNews(now);
+  WarmUp(now);
   runs_.HandleTimer(now);
   notices_.Tell(now);
   peers_.AskPeers(now);
@@ -97,6 +98,8 @@
 
 void ForwardNode::Handle(const EndpointNoticed& event, base::TimePoint now) {
   notices_.Handle(event, now);
+  if (event.notice.cold_for)
+    NoteCold(event, now);
   const auto& limit = event.notice.limit;
   if (!limit || !context_.words().limits.Note(event.endpoint, event.incarnation,
                                               *limit, event.asked, now))
@@ -105,6 +108,13 @@
   permits_.NoteHeard(event.endpoint, event.incarnation, now);
 }
 
+void ForwardNode::NoteCold(const EndpointNoticed& event, base::TimePoint now) {
+  for (const ListedEndpoint& it : store_.endpoints()) {
+    if (it.name == event.endpoint && it.incarnation == event.incarnation)
+      context_.NoteCold(it, *event.notice.cold_for, now);
+  }
+}
+
 void ForwardNode::EndQuietTimes(base::TimePoint now) {
   for (const base::EndpointName& it :
        context_.words().quiet_times.TakeEnded(now)) {
@@ -113,9 +123,32 @@
   }
 }
 
+// Keepers are to be watched as soon as there is something to keep.
+void ForwardNode::WarmUp(base::TimePoint now) {
+  ColdTimes& cold_times = context_.words().cold_times;
+  for (const base::EndpointName& it : cold_times.TakeWarm(now))
+    context_.Log(base::LogEventId::kEndpointWarm, "", {{"endpoint", it.value}});
+  if (seen_cold_changes_ == cold_times.changes())
+    return;
+  seen_cold_changes_ = cold_times.changes();
+  permits_.Review();
+}
+
+// The pools may have changed their minds on what cold endpoints bear.
+void ForwardNode::SetColdPaces() {
+  std::map<base::PoolName, double> paces;
+  for (const ForwardedPool& pool : store_.configuration()->pools) {
+    if (pool.cold_per_second > 0)
+      paces[pool.name] =
+          ColdPaceOf(pool.cold_per_second, context_.options().cold_bound);
+  }
+  context_.words().cold_times.SetPaces(std::move(paces));
+}
+
 void ForwardNode::TakeNews(base::TimePoint now) {
   if (seen_configuration_ != store_.configuration_changes()) {
     seen_configuration_ = store_.configuration_changes();
+    SetColdPaces();
     runs_.SetConfiguration(store_.configuration());
     stages_.Reconfigure(*store_.configuration());
     context_.Emit(ApplyLimits{store_.configuration()->limits});
@@ -183,6 +216,7 @@
   consider(stages_.NextWakeup());
   consider(runs_.NextWakeup());
   consider(context_.words().quiet_times.NextEnd());
+  consider(context_.words().cold_times.NextStep());
   if (stop_began_ && !has_exited_) {
     const base::TimePoint lingered = *stop_began_ + kLinger;
     consider(runs_.is_accepting()
--- a/Libraries/LibForward/forward_node.h
+++ b/Libraries/LibForward/forward_node.h
@@ -42,7 +42,11 @@
  private:
   void Route(Event event, base::TimePoint now);
   void Handle(const EndpointNoticed& event, base::TimePoint now);
+  void NoteCold(const EndpointNoticed& event, base::TimePoint now);
   void EndQuietTimes(base::TimePoint now);
+  // Takes on which endpoints are cold no longer.
+  void WarmUp(base::TimePoint now);
+  void SetColdPaces();
   void TakeNews(base::TimePoint now);
   void HandleStop(base::TimePoint now);
   void FinishStop(base::TimePoint now);
@@ -58,6 +62,7 @@
   uint64_t seen_endpoints_ = 0;
   uint64_t seen_hosts_ = 0;
   uint64_t seen_peer_changes_ = 0;
+  uint64_t seen_cold_changes_ = 0;
   bool was_ready_ = false;
   std::optional<base::TimePoint> stop_began_;
   bool has_exited_ = false;
--- a/Libraries/LibForward/permit.h
+++ b/Libraries/LibForward/permit.h
@@ -6,6 +6,7 @@
 
 #include "LibBase/ids.h"
 #include "LibBase/time.h"
+#include "LibForward/cold_times.h"
 #include "LibForward/endpoint_limits.h"
 
 // Permits to send one request to an endpoint that has named a limit for all
@@ -20,7 +21,8 @@
   base::Incarnation incarnation{};
   base::ZoneName zone;  // The endpoint's; who keeps its limit goes by it.
   base::Duration longest_wait{};
-  LimitWord limit;  // As the asking host knows it.
+  LimitWord limit;                              // As the asking host knows it.
+  std::optional<ColdWord> cold = std::nullopt;  // The same.
 };
 
 // The request may be sent, once so much time has passed.
--- a/Libraries/LibForward/permit_desk.cc
+++ b/Libraries/LibForward/permit_desk.cc
@@ -42,6 +42,8 @@
   question.longest_wait = longest_wait;
   question.limit = limits.WordOf(endpoint.name, endpoint.incarnation, now)
                        .value_or(LimitWord());
+  question.cold = context_.words().cold_times.WordOf(endpoint.name,
+                                                     endpoint.incarnation, now);
   const PermitAskId id{++last_ask_};
   const PeerHost& keeper =
       peers_.ring().KeeperOf({endpoint.name, endpoint.zone});
@@ -76,7 +78,7 @@
   if (!IsKeeperOf({question.endpoint, question.zone}))
     return NotKeeper{};
   const auto per_second =
-      context_.words().limits.RateOf(question.endpoint, question.incarnation);
+      context_.words().RateOf(question.endpoint, question.incarnation);
   if (!per_second)
     return PermitGranted{};
   if (!book_.Keeps(question.endpoint))
@@ -148,6 +150,9 @@
 void PermitDesk::Handle(const PeerPermitAsked& event, base::TimePoint now) {
   const PermitQuestion& question = event.question;
   TakeWord({question.endpoint, question.incarnation, question.limit}, now);
+  if (question.cold)
+    context_.words().cold_times.NoteByPeer(
+        question.endpoint, question.incarnation, *question.cold, now);
   const PermitVerdict verdict = Grant(question, now);
   context_.Emit(AnswerPermit{
       event.exchange,
@@ -211,14 +216,15 @@
 void PermitDesk::Review() {
   const auto lost = book_.Drop([this](const base::EndpointName& name) {
     const auto kept = Find(name);
-    return !kept || !IsKeeperOf(*kept);
+    // Of a cold endpoint this host may hear by questions first.
+    return kept ? !IsKeeperOf(*kept) : !context_.words().cold_times.Knows(name);
   });
   for (const base::EndpointName& it : lost)
     context_.Log(base::LogEventId::kLimitHandedOver, "",
                  {{"endpoint", it.value}});
   guarded_.clear();
   for (const auto& [name, zone] : zones_) {
-    if (context_.words().limits.Knows(name))
+    if (context_.words().KnowsRateOf(name))
       GuardKeeperOf({name, zone});
   }
   peers_.GuardKeepers(guarded_);
--- a/Libraries/LibForward/piece_endpoint.cc
+++ b/Libraries/LibForward/piece_endpoint.cc
@@ -28,8 +28,7 @@
 }  // namespace
 
 base::Duration PieceEndpoint::LeastInterval() const {
-  const auto per_second =
-      words_->limits.RateOf(listed_.name, listed_.incarnation);
+  const auto per_second = words_->RateOf(listed_.name, listed_.incarnation);
   return per_second ? PermitInterval(*per_second * limit_share_)
                     : base::Duration(0);
 }
--- a/Libraries/LibForward/run_wishes.cc
+++ b/Libraries/LibForward/run_wishes.cc
@@ -31,6 +31,13 @@
                                     kLongestPermitWait / (1U << halvings));
 }
 
+// Whether a cold endpoint would do: there is time for the keeper's answer and
+// for that of a slow endpoint before the target.
+bool MayWarm(const ForwardedRun& run, base::TimePoint now) {
+  return run.tried.empty() &&
+         run.target - now >= kPermitTimeout + 2 * kLeastFinalTime;
+}
+
 }  // namespace
 
 EndpointWish WishOf(const ForwardedRun& run, base::TimePoint now) {
@@ -38,6 +45,7 @@
   wish.pool = run.final_pool;
   wish.avoided = run.tried;
   wish.affinity = SharedPartOf(run.request->prefix);
+  wish.may_warm = MayWarm(run, now);
   wish.longest_wait = LongestPermitWait(run, now);
   return wish;
 }
--- a/Libraries/LibForward/store_desk.cc
+++ b/Libraries/LibForward/store_desk.cc
@@ -139,6 +139,7 @@
       TakeEvacuations(update);
       return;
     case FeedKind::kEndpoints:
+      NoteColdOnes(update, now);
       if (directory_.Apply(update.is_whole, update.rows, now))
         ++endpoint_changes_;
       return;
@@ -148,6 +149,27 @@
   }
 }
 
+// What an entry says counts from when it is heard, which is later than it was
+// said: an endpoint is never taken for warm too early. One whose entry doesn't
+// tell is cold for as long as its pool's are that start, if it is new.
+void StoreDesk::NoteColdOnes(const FeedFollower::Update& update,
+                             base::TimePoint now) {
+  for (const FeedRow& row : update.rows) {
+    const auto* it = std::get_if<ListedEndpoint>(&row.content);
+    if (it == nullptr)
+      continue;
+    if (it->cold_for) {
+      context_.NoteCold(*it, *it->cold_for, now);
+      continue;
+    }
+    const bool is_new = !directory_.is_empty() && !directory_.Lists(*it);
+    const ForwardedPool* pool =
+        configuration_ ? configuration_->FindPool(it->pool) : nullptr;
+    if (is_new && pool != nullptr && pool->cold_start > base::Duration(0))
+      context_.NoteCold(*it, pool->cold_start, now);
+  }
+}
+
 void StoreDesk::TakeConfiguration(const FeedFollower::Update& update) {
   for (const FeedRow& row : update.rows) {
     const auto* it =
--- a/Libraries/LibForward/store_desk.h
+++ b/Libraries/LibForward/store_desk.h
@@ -67,6 +67,8 @@
   void Take(FeedKind feed,
             const FeedFollower::Update& update,
             base::TimePoint now);
+  // Takes on which endpoints say that they are cold.
+  void NoteColdOnes(const FeedFollower::Update& update, base::TimePoint now);
   void TakeConfiguration(const FeedFollower::Update& update);
   void TakeEvacuations(const FeedFollower::Update& update);
   void LogEvacuations(const std::map<std::string, base::ZoneName>& earlier);
--- a/Libraries/LibForward/table_ledger.cc
+++ b/Libraries/LibForward/table_ledger.cc
@@ -17,8 +17,10 @@
 bool AreAlike(const RowContent& left, const RowContent& right) {
   if (left.index() != right.index())
     return false;
+  // That an endpoint is cold for so long is a new word each time.
   if (const auto* endpoint = std::get_if<ListedEndpoint>(&left))
-    return *endpoint == std::get<ListedEndpoint>(right);
+    return *endpoint == std::get<ListedEndpoint>(right) &&
+           endpoint->cold_for.value_or(base::Duration(0)).count() == 0;
   if (const auto* host = std::get_if<PeerHost>(&left))
     return *host == std::get<PeerHost>(right);
   return IsRemoved(left);
--- a/Libraries/LibOperator/request_story.cc
+++ b/Libraries/LibOperator/request_story.cc
@@ -20,6 +20,7 @@
 constexpr const char* kLeavingEvent = "endpoint-leaving";
 constexpr const char* kQuietEvent = "endpoint-quiet";
 constexpr const char* kLimitEvent = "endpoint-limit";
+constexpr const char* kColdEvent = "endpoint-cold";
 
 // Empty when it is no text.
 std::string TextOf(const Json::Value& value) {
@@ -144,7 +145,7 @@
     if (tells_of_it)
       told_.push_back(std::move(line));
     else if (line.event == kLeavingEvent || line.event == kQuietEvent ||
-             line.event == kLimitEvent)
+             line.event == kLimitEvent || line.event == kColdEvent)
       notices_.push_back(std::move(line));
     else if (!line.is_routine && !object->isMember("request"))
       warnings_.push_back(std::move(line));
@@ -152,12 +153,13 @@
 }
 
 // An endpoint that leaves stays away, and a limit holds until another is named;
-// a quiet time has an end.
+// a quiet time and a cold one have an end.
 bool RequestStory::IsInForce(const StoryLine& notice, const Span& span) {
   if (!span.origins.contains(notice.origin) || notice.unix_ms > span.end_ms)
     return false;
-  return notice.event != kQuietEvent ||
-         notice.unix_ms + FactOf(notice, "for_ms") >= span.begin_ms;
+  const bool has_end =
+      notice.event == kQuietEvent || notice.event == kColdEvent;
+  return !has_end || notice.unix_ms + FactOf(notice, "for_ms") >= span.begin_ms;
 }
 
 bool RequestStory::IsAround(const StoryLine& warning, const Span& span) {
--- a/Libraries/LibTransport/forward_metrics.cc
+++ b/Libraries/LibTransport/forward_metrics.cc
@@ -82,6 +82,10 @@
        "Times that a limit which endpoints name for all hosts has changed.",
        {"told_by"},
        LogEventId::kEndpointLimit},
+      {"bilberry_endpoints_cold_total",
+       "Times that an endpoint said that it is cold.",
+       {"endpoint"},
+       LogEventId::kEndpointCold},
       {"bilberry_permits_total",
        "Questions for a permit to send to an endpoint with a limit, and "
        "permits "
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -92,6 +92,8 @@
   node.stop_limit =
       std::max(settings.stop_grace - kStopMargin, settings.stop_grace / 2);
   node.retry_slack = settings.retry_slack;
+  node.cold_bound = {settings.cold_over.value_or(1),
+                     settings.cold_slack.value_or(0)};
   node.shares_calls = options.shares_calls;
   return node;
 }
--- a/Libraries/LibTransport/news_codec.cc
+++ b/Libraries/LibTransport/news_codec.cc
@@ -30,6 +30,8 @@
   object["address"] = base::ToText(endpoint.address);
   object["is_leaving"] = endpoint.state == forward::EndpointState::kLeaving;
   object["incarnation"] = static_cast<Json::UInt64>(endpoint.incarnation);
+  if (endpoint.cold_for)
+    object["cold_us"] = static_cast<Json::Int64>(endpoint.cold_for->count());
   return object;
 }
 
@@ -70,6 +72,11 @@
                        ? forward::EndpointState::kLeaving
                        : forward::EndpointState::kServing;
   endpoint.incarnation = base::Incarnation{object["incarnation"].asUInt64()};
+  if (!object.isMember("cold_us"))
+    return endpoint;
+  if (!object["cold_us"].isInt64() || object["cold_us"].asInt64() < 0)
+    return std::nullopt;
+  endpoint.cold_for = base::Duration(object["cold_us"].asInt64());
   return endpoint;
 }
 
--- a/Libraries/LibTransport/permit_codec.cc
+++ b/Libraries/LibTransport/permit_codec.cc
@@ -32,6 +32,13 @@
   return word;
 }
 
+Json::Value JsonOf(const forward::ColdWord& word) {
+  Json::Value object;
+  object["per_second"] = word.per_second;
+  object["left_us"] = static_cast<Json::Int64>(word.left.count());
+  return object;
+}
+
 // A time that is to pass yet.
 std::optional<base::Duration> TimeOf(const Json::Value& value) {
   if (!value.isInt64() || value.asInt64() < 0)
@@ -39,6 +46,16 @@
   return base::Duration(value.asInt64());
 }
 
+std::optional<forward::ColdWord> ColdWordOf(const Json::Value& object) {
+  if (!object.isObject() || !object["per_second"].isDouble() ||
+      !(object["per_second"].asDouble() > 0))
+    return std::nullopt;
+  const auto left = TimeOf(object["left_us"]);
+  if (!left)
+    return std::nullopt;
+  return forward::ColdWord{object["per_second"].asDouble(), *left};
+}
+
 std::optional<forward::PermitVerdict> VerdictOf(const Json::Value& object) {
   if (const auto begins = TimeOf(object["begins_us"]))
     return forward::PermitGranted{*begins};
@@ -58,6 +75,8 @@
   object["zone"] = question.zone.value;
   object["wait_us"] = static_cast<Json::Int64>(question.longest_wait.count());
   object["limit"] = JsonOf(question.limit);
+  if (question.cold)
+    object["cold"] = JsonOf(*question.cold);
   return PrintCompact(object);
 }
 
@@ -72,12 +91,19 @@
   const auto limit = LimitWordOf((*object)["limit"]);
   if (!wait || !limit)
     return std::nullopt;
+  std::optional<forward::ColdWord> cold;
+  if (object->isMember("cold")) {
+    cold = ColdWordOf((*object)["cold"]);
+    if (!cold)
+      return std::nullopt;
+  }
   return forward::PermitQuestion{
       {(*object)["endpoint"].asString()},
       base::Incarnation{(*object)["incarnation"].asUInt64()},
       {(*object)["zone"].asString()},
       *wait,
-      *limit};
+      *limit,
+      cold};
 }
 
 Json::Value JsonOf(const std::vector<forward::ToldLimit>& limits) {
--- a/Tests/LibDeclare/test_forward_settings.cc
+++ b/Tests/LibDeclare/test_forward_settings.cc
@@ -33,5 +33,24 @@
   }
 }
 
+// Guards against a platform that knows no such bound, and fills in nothing.
+TEST_CASE("what cold endpoints may get is told, or not at all") {
+  const auto told = Parse(R"(, "cold_bound": "1.5,5")");
+  CHECK(told.faults.empty());
+  CHECK(told.settings.cold_over == 1.5);
+  CHECK(told.settings.cold_slack == 5);
+  const auto unknown = Parse(R"(, "cold_bound": ",")");
+  CHECK(unknown.faults.empty());
+  CHECK_FALSE(unknown.settings.cold_over.has_value());
+  CHECK_FALSE(Parse("").settings.cold_slack.has_value());
+  for (const char* text :
+       {"\"1.5\"", "\"1.5,\"", "\",5\"", "\"-1,5\"", "\"x,5\"", "\"1, 5\"",
+        "\"1,5,6\"", "1.5", "\"nan,5\"", "\"1,1e9\""}) {
+    CAPTURE(text);
+    CHECK_FALSE(
+        Parse(std::string(R"(, "cold_bound": )") + text).faults.empty());
+  }
+}
+
 }  // namespace
 }  // namespace bilberry::declare
--- a/Tests/LibOperator/test_request_story.cc
+++ b/Tests/LibOperator/test_request_story.cc
@@ -95,6 +95,19 @@
                   "told_by=peer") != std::string::npos);
 }
 
+TEST_CASE("a story names the endpoints that were cold meanwhile") {
+  RequestStory story("r1");
+  std::istringstream log(
+      kAskingHost +
+      NoticeLine(900, "endpoint-cold", R"("endpoint":"e1","for_ms":"1500")") +
+      NoticeLine(1000, "endpoint-cold", R"("endpoint":"e2","for_ms":"3000")"));
+  story.Read(log, "a.log");
+  const std::string text = story.Print();
+  CHECK(text.find("endpoint=e1") == std::string::npos);
+  CHECK(text.find("endpoint-cold  endpoint=e2  for_ms=3000") !=
+        std::string::npos);
+}
+
 TEST_CASE("lines of other programs are passed over") {
   RequestStory story("r1");
   std::istringstream log(
--- a/Tests/LibTransport/test_news_codec.cc
+++ b/Tests/LibTransport/test_news_codec.cc
@@ -42,6 +42,21 @@
 
 TEST_SUITE_BEGIN("contract");
 
+TEST_CASE("news keeps how much longer an endpoint is cold") {
+  forward::News news = MakeNews();
+  auto& endpoint =
+      std::get<forward::ListedEndpoint>(news.tables[0].rows[0].content);
+  for (const base::Duration left : {milliseconds(0), milliseconds(1300)}) {
+    endpoint.cold_for = left;
+    const auto again = DecodeNews(EncodeNews(news));
+    REQUIRE(again.has_value());
+    CHECK(std::get<forward::ListedEndpoint>(again->tables[0].rows[0].content) ==
+          endpoint);
+  }
+  endpoint.cold_for = milliseconds(-1);
+  CHECK_FALSE(DecodeNews(EncodeNews(news)).has_value());
+}
+
 TEST_CASE("news keeps rows, removals, versions and age") {
   const auto news = DecodeNews(EncodeNews(MakeNews()));
   REQUIRE(news.has_value());
--- a/Tests/LibTransport/test_permit_codec.cc
+++ b/Tests/LibTransport/test_permit_codec.cc
@@ -31,6 +31,29 @@
   CHECK(question->limit.age == milliseconds(40));
 }
 
+TEST_CASE("a question for a permit tells whether the endpoint is cold") {
+  forward::PermitQuestion question = MakeQuestion();
+  CHECK_FALSE(
+      DecodePermitQuestion(EncodePermitQuestion(question))->cold.has_value());
+  question.cold = forward::ColdWord{9.25, milliseconds(1300)};
+  const std::string text = EncodePermitQuestion(question);
+  const auto again = DecodePermitQuestion(text);
+  REQUIRE(again.has_value());
+  REQUIRE(again->cold.has_value());
+  CHECK(again->cold->per_second == 9.25);
+  CHECK(again->cold->left == milliseconds(1300));
+  for (const char* bad :
+       {R"({"left_us":1})", R"({"left_us":-1,"per_second":1.0})",
+        R"({"left_us":1,"per_second":0.0})", "7"}) {
+    CAPTURE(bad);
+    const std::string key = "\"cold\":";
+    const size_t begin = text.find(key) + key.size();
+    std::string broken = text;
+    broken.replace(begin, text.find('}', begin) + 1 - begin, bad);
+    CHECK_FALSE(DecodePermitQuestion(broken).has_value());
+  }
+}
+
 TEST_CASE("the answer to a question for a permit keeps its verdict") {
   const auto again = [](const forward::PermitVerdict& verdict) {
     const auto answer = DecodePermitAnswer(
