--- a/Libraries/LibEmulation/emulation.cc
+++ b/Libraries/LibEmulation/emulation.cc
@@ -299,6 +299,7 @@
     FeedNotice(host, engine->listed(), timeline_.now(), way * 2);
     forward::AnswerHead refusal;
     refusal.status = kUnavailable;
+    refusal.echoed_request_id = action.request->request_id;
     refusal.said_not_run = true;
     FeedAfter(way * 2, host,
               forward::AttemptAnswer{action.attempt, refusal, ""});
--- a/Libraries/LibForward/forwarded_run.h
+++ b/Libraries/LibForward/forwarded_run.h
@@ -33,6 +33,7 @@
   base::SocketAddress address;
   base::TimePoint sent;
   EventSplitter splitter;
+  bool has_begun = false;  // Whether its answer has begun to stream.
 };
 
 // What a request has come to: its stages, its attempt and its stream. Holds
--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -32,6 +32,16 @@
 
 constexpr int kFirstServerError = 500;
 
+// An endpoint that hasn't read the request can't name it. On a connection of
+// its own such a refusal is the request's; on one in use again it may be a late
+// copy of an earlier one.
+bool IsOwnAnswer(const ForwardedRun& run, const AnswerHead& head) {
+  if (head.echoed_request_id == run.request->request_id)
+    return true;
+  return head.said_not_run && head.echoed_request_id.empty() &&
+         run.pipeline->repeatability == declare::Repeatability::kAtMostOnce;
+}
+
 // Only what no endpoint has run may be told as not run.
 OwnAnswerCode NoEndpointCode(const ForwardedRun& run) {
   return run.may_have_run() ? OwnAnswerCode::kAttemptFailed
@@ -287,8 +297,8 @@
   send.inputs = run.FinalInputs();
   if (run.has_begun_stream)
     send.resume_after = run.last_event;
-  run.attempt =
-      FinalAttempt{send.attempt, endpoint.name, endpoint.address, now, {}};
+  run.attempt = FinalAttempt{send.attempt, endpoint.name, endpoint.address, now,
+                             {},           false};
   run.tried.push_back(endpoint.name);
   attempts_.emplace(send.attempt.number, caller);
   chooser_.NoteBegun(endpoint.name, now);
@@ -311,9 +321,13 @@
 
 RunDesk::AnswerMeaning RunDesk::Judge(const ForwardedRun& run,
                                       const AnswerHead& head) const {
+  if (!IsOwnAnswer(run, head))
+    return AnswerMeaning::kInvalid;
+  // Events show that it runs, whatever is said behind them.
   if (head.said_not_run)
-    return AnswerMeaning::kNotRun;
-  if (head.echoed_request_id != run.request->request_id || head.is_encoded)
+    return run.attempt->has_begun ? AnswerMeaning::kFailed
+                                  : AnswerMeaning::kNotRun;
+  if (head.is_encoded)
     return AnswerMeaning::kInvalid;
   if (!head.is_sealed && IsSuccess(head.status))
     return AnswerMeaning::kInvalid;
@@ -326,6 +340,7 @@
                            AnswerHead head,
                            base::TimePoint now) {
   run_times_.NoteFirstByte(run, now);
+  run.attempt->has_begun = true;
   if (!run.first_byte)
     run.first_byte = now;
   // The first event tells that the endpoint has read all its inputs.
--- /dev/null
+++ b/Tests/LibForward/test_misplaced_answers.cc
@@ -0,0 +1,94 @@
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "LibForward/node_bench.h"
+
+// Answers that belong elsewhere, or that don't go with what came before them.
+namespace bilberry::forward {
+namespace {
+
+std::shared_ptr<const ForwardConfiguration> PipelineOf(
+    declare::Repeatability repeatability) {
+  auto configuration = *NodeBench::MakeConfiguration();
+  configuration.pipelines[0].delivery = declare::Delivery::kWhole;
+  configuration.pipelines[0].repeatability = repeatability;
+  return std::make_shared<const ForwardConfiguration>(configuration);
+}
+
+// A request without stages, sent to its endpoint.
+SendAttempt Send(NodeBench& bench, uint64_t caller) {
+  ForwardedRequest request = NodeBench::Request(caller);
+  request.piece_counts = {};
+  bench.Feed(std::move(request));
+  return *bench.Last<SendAttempt>();
+}
+
+AnswerHead RefusalOf(const std::string& request) {
+  AnswerHead head;
+  head.status = 503;
+  head.echoed_request_id = request;
+  head.said_not_run = true;
+  return head;
+}
+
+// Requests that end well, which earn one retry.
+void EarnRetry(NodeBench& bench) {
+  for (uint64_t caller = 100; caller < 110; ++caller) {
+    const SendAttempt send = Send(bench, caller);
+    bench.Feed(
+        AttemptAnswer{send.attempt, GoodHead(send.request->request_id), ""});
+  }
+  bench.actions.clear();
+}
+
+size_t SendCount(const NodeBench& bench) {
+  size_t n = 0;
+  for (const Action& action : bench.actions)
+    n += std::holds_alternative<SendAttempt>(action) ? 1 : 0;
+  return n;
+}
+
+TEST_CASE(
+    "a refusal that names another request tells nobody that nothing ran") {
+  NodeBench bench(PipelineOf(declare::Repeatability::kAtMostOnce));
+  EarnRetry(bench);
+  const SendAttempt send = Send(bench, 1);
+  bench.Feed(AttemptAnswer{send.attempt, RefusalOf("r100"), ""});
+  CHECK(SendCount(bench) == 1);
+  REQUIRE(bench.Last<AnswerCaller>() != nullptr);
+  CHECK(bench.Last<AnswerCaller>()->code == OwnAnswerCode::kAttemptFailed);
+  CHECK(bench.Last<CondemnConnections>() != nullptr);
+}
+
+TEST_CASE("a refusal without a name counts on a connection of its own alone") {
+  for (const auto repeatability : {declare::Repeatability::kAtMostOnce,
+                                   declare::Repeatability::kRepeatable}) {
+    const bool is_shared = repeatability == declare::Repeatability::kRepeatable;
+    CAPTURE(is_shared);
+    NodeBench bench(PipelineOf(repeatability));
+    EarnRetry(bench);
+    const SendAttempt send = Send(bench, 1);
+    bench.Feed(AttemptAnswer{send.attempt, RefusalOf(""), ""});
+    CHECK((bench.Last<CondemnConnections>() != nullptr) == is_shared);
+    CHECK((SendCount(bench) == 2) == !is_shared);
+  }
+}
+
+TEST_CASE("a stream that has begun isn't believed to have been refused") {
+  NodeBench bench;
+  EarnRetry(bench);
+  const SendAttempt send = Send(bench, 1);
+  bench.Feed(AttemptChunk{send.attempt, GoodHead("r1"), "id: 0\n\n"});
+  AnswerHead head = GoodHead("r1");
+  head.said_not_run = true;
+  bench.Feed(AttemptAnswer{send.attempt, head, ""});
+  CHECK(SendCount(bench) == 1);
+  REQUIRE(bench.Last<EndStream>() != nullptr);
+  CHECK(bench.Last<EndStream>()->outcome == StreamOutcome::kCut);
+}
+
+}  // namespace
+}  // namespace bilberry::forward
--- a/Tests/Standins/piece_endpoint_standin.cc
+++ b/Tests/Standins/piece_endpoint_standin.cc
@@ -19,15 +19,20 @@
 constexpr const char* kOtherRequest = "0000000000000000";
 constexpr uint32_t kCutAt = 2;  // The event that a cut stream ends inside.
 
-HttpResponse NotRun(int status) {
-  return {status, {{wire::kNotRun, "1"}}, ""};
-}
-
 std::string TextOf(const IncomingRequest& request, const char* name) {
   const std::string* value = base::FindHeader(request.headers, name);
   return value == nullptr ? "" : *value;
 }
 
+// Calls for pieces name no request.
+HttpResponse NotRun(const IncomingRequest& request, int status) {
+  HttpResponse response{status, {{wire::kNotRun, "1"}}, ""};
+  const std::string id = TextOf(request, wire::kRequestId);
+  if (!id.empty())
+    response.headers.push_back({wire::kRequestId, id});
+  return response;
+}
+
 std::string EventText(uint32_t number) {
   return "id: " + std::to_string(number) + "\ndata: token " +
          std::to_string(number) + "\n\n";
@@ -77,7 +82,7 @@
 void PieceEndpointStandin::Handle(const IncomingRequest& request) {
   const std::string expected = TextOf(request, wire::kOnlyEndpoint);
   if (!expected.empty() && expected != model_.name.value) {
-    Respond(request.exchange, NotRun(421));
+    Respond(request.exchange, NotRun(request, 421));
     return;
   }
   if (request.path == wire::kStageFreePath) {
@@ -92,11 +97,11 @@
       {request.method, request.target, request.headers, request.body});
   const EndpointFault fault = TakeFault();
   if (fault == EndpointFault::kRefuses) {
-    Respond(request.exchange, NotRun(503));
+    Respond(request.exchange, NotRun(request, 503));
     return;
   }
   if (model_.needs_inputs && TextOf(request, wire::kInputs).empty()) {
-    Respond(request.exchange, NotRun(400));
+    Respond(request.exchange, NotRun(request, 400));
     return;
   }
   if (fault == EndpointFault::kHangs)
@@ -108,7 +113,7 @@
 void PieceEndpointStandin::RunStage(const IncomingRequest& request) {
   const EndpointFault fault = TakeFault();
   if (fault == EndpointFault::kRefuses) {
-    Respond(request.exchange, NotRun(503));
+    Respond(request.exchange, NotRun(request, 503));
     return;
   }
   const auto body = transport::ParseCompact(request.body);
