--- a/Libraries/LibForward/forward_event.h
+++ b/Libraries/LibForward/forward_event.h
@@ -39,6 +39,7 @@
 struct AnswerHead {
   int status = 0;
   base::HttpHeaders headers;  // To be passed on.
+  std::string content_type;   // Empty if it told none.
   std::string echoed_request_id;
   bool said_not_run = false;
   // Whether it bears the endpoint's own mark; without it the answer may be
--- a/Libraries/LibForward/forwarded_run.cc
+++ b/Libraries/LibForward/forwarded_run.cc
@@ -18,6 +18,15 @@
 
 }  // namespace
 
+StreamKind StreamKindOf(const AnswerHead& head) {
+  const size_t end = head.content_type.find_first_of("; \t");
+  std::string type = head.content_type.substr(0, end);
+  std::ranges::transform(type, type.begin(), [](char c) {
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+  });
+  return {head.status, std::move(type)};
+}
+
 std::vector<StageState> InitialStages(const ForwardedPipeline& pipeline,
                                       const ForwardedRequest& request) {
   std::vector<StageState> stages(pipeline.stages.size());
--- a/Libraries/LibForward/forwarded_run.h
+++ b/Libraries/LibForward/forwarded_run.h
@@ -8,6 +8,7 @@
 
 #include "LibForward/event_splitter.h"
 #include "LibForward/forward_configuration.h"
+#include "LibForward/forward_event.h"
 #include "LibForward/forwarded_request.h"
 #include "LibForward/permit_desk.h"
 #include "LibForward/stage_desk.h"
@@ -36,6 +37,16 @@
   bool has_begun = false;  // Whether its answer has begun to stream.
 };
 
+// What the head of a streamed answer tells of what follows.
+struct StreamKind {
+  int status = 0;
+  std::string media_type;  // Without parameters, in lower case.
+
+  friend bool operator==(const StreamKind&, const StreamKind&) = default;
+};
+
+StreamKind StreamKindOf(const AnswerHead& head);
+
 // What a request has come to: its stages, its attempt and its stream. Holds
 // the configuration that it began with.
 struct ForwardedRun {
@@ -62,6 +73,8 @@
   std::vector<base::EndpointName> tried;
   uint32_t runs = 0;  // Attempts that may have run.
   bool has_begun_stream = false;
+  // Of the head that began the stream; who goes on with it has the same.
+  StreamKind stream_kind;
   std::optional<base::TimePoint> first_byte;  // Of the answer.
   std::optional<std::string> last_event;
 
--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -333,6 +333,9 @@
     return AnswerMeaning::kInvalid;
   if (head.status >= kFirstServerError || PromisesNotRun(head.status))
     return AnswerMeaning::kFailed;
+  // Neither a rejection nor a whole answer is the rest of a stream.
+  if (run.has_begun_stream && StreamKindOf(head) != run.stream_kind)
+    return AnswerMeaning::kFailed;
   return AnswerMeaning::kPass;
 }
 
@@ -348,6 +351,7 @@
   if (run.has_begun_stream)
     return;
   run.has_begun_stream = true;
+  run.stream_kind = StreamKindOf(head);
   context_.Emit(BeginStream{run.request->caller, std::move(head)});
 }
 
--- a/Tests/LibForward/test_misplaced_answers.cc
+++ b/Tests/LibForward/test_misplaced_answers.cc
@@ -18,6 +18,13 @@
   return std::make_shared<const ForwardConfiguration>(configuration);
 }
 
+std::shared_ptr<const ForwardConfiguration> ResumableStreams() {
+  auto configuration = *NodeBench::MakeConfiguration();
+  configuration.pipelines[0].may_resume = true;
+  configuration.pipelines[0].max_attempts = 2;
+  return std::make_shared<const ForwardConfiguration>(configuration);
+}
+
 // A request without stages, sent to its endpoint.
 SendAttempt Send(NodeBench& bench, uint64_t caller) {
   ForwardedRequest request = NodeBench::Request(caller);
@@ -44,6 +51,31 @@
   bench.actions.clear();
 }
 
+// A stream whose first event has been passed on, and whose rest is asked for at
+// another endpoint.
+SendAttempt ResumedStream(NodeBench& bench) {
+  EarnRetry(bench);
+  const SendAttempt first = Send(bench, 1);
+  AnswerHead head = GoodHead("r1");
+  head.content_type = "text/event-stream";
+  bench.Feed(AttemptChunk{first.attempt, head, "id: 0\n\n"});
+  bench.Feed(
+      AttemptFailure{first.attempt, AttemptFailureKind::kBroken, "reset"});
+  SendAttempt rest = *bench.Last<SendAttempt>();
+  REQUIRE(rest.endpoint != first.endpoint);
+  REQUIRE(rest.resume_after == "0");
+  return rest;
+}
+
+std::string TextPassed(const NodeBench& bench) {
+  std::string text;
+  for (const Action& action : bench.actions) {
+    if (const auto* it = std::get_if<StreamToCaller>(&action))
+      text += it->bytes;
+  }
+  return text;
+}
+
 size_t SendCount(const NodeBench& bench) {
   size_t n = 0;
   for (const Action& action : bench.actions)
@@ -90,5 +122,58 @@
   CHECK(bench.Last<EndStream>()->outcome == StreamOutcome::kCut);
 }
 
+TEST_CASE(
+    "an error in place of a stream's rest neither ends it nor enters it") {
+  for (const int status :
+       {204, 301, 400, 404, 408, 409, 421, 429, 500, 503, 504}) {
+    CAPTURE(status);
+    NodeBench bench(ResumableStreams());
+    const SendAttempt rest = ResumedStream(bench);
+    AnswerHead head = GoodHead("r1");
+    head.status = status;
+    bench.Feed(AttemptAnswer{rest.attempt, head, "its text\n\n"});
+    CHECK(TextPassed(bench) == "id: 0\n\n");
+    REQUIRE(bench.Last<EndStream>() != nullptr);
+    CHECK(bench.Last<EndStream>()->outcome == StreamOutcome::kCut);
+  }
+}
+
+TEST_CASE("a refusal of a stream's rest cuts the stream") {
+  NodeBench bench(ResumableStreams());
+  const SendAttempt rest = ResumedStream(bench);
+  bench.Feed(AttemptAnswer{rest.attempt, RefusalOf("r1"), "its text\n\n"});
+  CHECK(TextPassed(bench) == "id: 0\n\n");
+  REQUIRE(bench.Last<EndStream>() != nullptr);
+  CHECK(bench.Last<EndStream>()->outcome == StreamOutcome::kCut);
+  CHECK(bench.Last<AnswerCaller>() == nullptr);
+}
+
+TEST_CASE("what isn't of the stream's type doesn't go on with it") {
+  for (const bool has_length : {false, true}) {
+    CAPTURE(has_length);
+    NodeBench bench(ResumableStreams());
+    const SendAttempt rest = ResumedStream(bench);
+    AnswerHead head = GoodHead("r1");
+    head.content_type = "text/html";
+    if (!has_length)
+      bench.Feed(AttemptChunk{rest.attempt, head, "<p>busy</p>\n\n"});
+    bench.Feed(AttemptAnswer{rest.attempt, head, ""});
+    CHECK(TextPassed(bench) == "id: 0\n\n");
+    REQUIRE(bench.Last<EndStream>() != nullptr);
+    CHECK(bench.Last<EndStream>()->outcome == StreamOutcome::kCut);
+  }
+}
+
+TEST_CASE("a stream whose rest is empty ends whole") {
+  NodeBench bench(ResumableStreams());
+  const SendAttempt rest = ResumedStream(bench);
+  AnswerHead head = GoodHead("r1");
+  head.content_type = "text/event-stream; charset=utf-8";
+  bench.Feed(AttemptAnswer{rest.attempt, head, ""});
+  CHECK(TextPassed(bench) == "id: 0\n\n");
+  REQUIRE(bench.Last<EndStream>() != nullptr);
+  CHECK(bench.Last<EndStream>()->outcome == StreamOutcome::kWhole);
+}
+
 }  // namespace
 }  // namespace bilberry::forward
--- a/Tests/Standins/piece_endpoint_standin.cc
+++ b/Tests/Standins/piece_endpoint_standin.cc
@@ -167,6 +167,16 @@
     service_->Abort(request.exchange);
     return;
   }
+  if (fault == EndpointFault::kRejects) {
+    Respond(request.exchange, {404, HeadersFor(request, fault), "none\n\n"});
+    return;
+  }
+  if (fault == EndpointFault::kOtherType) {
+    base::HttpHeaders headers = HeadersFor(request, fault);
+    headers.push_back({transport::kContentTypeHeader, transport::kTextType});
+    Respond(request.exchange, {200, headers, "a page\n\n"});
+    return;
+  }
   if (!TextOf(request, wire::kPrefix).empty() &&
       fault != EndpointFault::kFails) {
     BeginStream(request, fault);
--- a/Tests/Standins/piece_endpoint_standin.h
+++ b/Tests/Standins/piece_endpoint_standin.h
@@ -22,6 +22,8 @@
   kUnsealed,      // Answers without its mark.
   kBreaks,        // Closes without an answer, run.
   kCutsStream,    // Closes in the middle of the third event.
+  kRejects,       // 404 with a text.
+  kOtherType,     // A page in place of events.
   kHangs,         // Never answers.
 };
 
