--- a/Libraries/LibForward/event_splitter.cc
+++ b/Libraries/LibForward/event_splitter.cc
@@ -21,13 +21,14 @@
   return std::string::npos;
 }
 
-std::optional<std::string> IdOf(std::string_view event) {
-  constexpr std::string_view kField = "id:";
+// The value of an event's first field of this name, which ends in a colon.
+std::optional<std::string> FieldOf(std::string_view event,
+                                   std::string_view name) {
   while (!event.empty()) {
     const size_t end = event.find('\n');
     std::string_view line = event.substr(0, end);
-    if (line.starts_with(kField)) {
-      line.remove_prefix(kField.size());
+    if (line.starts_with(name)) {
+      line.remove_prefix(name.size());
       if (line.starts_with(' '))
         line.remove_prefix(1);
       if (line.ends_with('\r'))
@@ -51,7 +52,8 @@
        end = EndOfEvent(rest_, begin)) {
     StreamEvent event;
     event.bytes = rest_.substr(begin, end - begin);
-    event.id = IdOf(event.bytes);
+    event.id = FieldOf(event.bytes, "id:");
+    event.has_data = FieldOf(event.bytes, "data:").has_value();
     events.push_back(std::move(event));
     begin = end;
   }
--- a/Libraries/LibForward/event_splitter.h
+++ b/Libraries/LibForward/event_splitter.h
@@ -11,6 +11,7 @@
 struct StreamEvent {
   std::string bytes;
   std::optional<std::string> id;
+  bool has_data = false;
 };
 
 // Cuts the bytes of a stream into whole events.
--- a/Libraries/LibForward/forwarded_run.h
+++ b/Libraries/LibForward/forwarded_run.h
@@ -77,6 +77,9 @@
   StreamKind stream_kind;
   std::optional<base::TimePoint> first_byte;  // Of the answer.
   std::optional<std::string> last_event;
+  // Whether data has been passed on behind it without an id: nobody can be
+  // asked for the rest.
+  bool has_unnamed_data = false;
 
   bool may_have_run() const { return attempt || runs > 0; }
   // Stages whose inputs are there and that have not been asked for.
--- a/Libraries/LibForward/run_desk.cc
+++ b/Libraries/LibForward/run_desk.cc
@@ -370,6 +370,7 @@
   std::string whole;
   for (StreamEvent& it : run.attempt->splitter.Add(event.bytes)) {
     whole += it.bytes;
+    run.has_unnamed_data = !it.id && (run.has_unnamed_data || it.has_data);
     if (it.id)
       run.last_event = std::move(it.id);
   }
@@ -449,7 +450,7 @@
   const uint32_t runs = run.runs + (may_have_run ? 1 : 0);
   const bool may_repeat =
       run.pipeline->repeatability == declare::Repeatability::kRepeatable ||
-      run.pipeline->may_resume;
+      (run.pipeline->may_resume && !run.has_unnamed_data);
   if (runs > 0 && (!may_repeat || runs >= run.pipeline->max_attempts))
     return false;
   if (run.tried.size() >= run.pipeline->max_attempts + kMaxRefusals)
--- a/Tests/LibForward/test_misplaced_answers.cc
+++ b/Tests/LibForward/test_misplaced_answers.cc
@@ -175,5 +175,17 @@
   CHECK(bench.Last<EndStream>()->outcome == StreamOutcome::kWhole);
 }
 
+TEST_CASE("events without a name are not asked for again") {
+  NodeBench bench(ResumableStreams());
+  EarnRetry(bench);
+  const SendAttempt first = Send(bench, 1);
+  bench.Feed(AttemptChunk{first.attempt, GoodHead("r1"), "data: a\n\n"});
+  bench.Feed(
+      AttemptFailure{first.attempt, AttemptFailureKind::kBroken, "reset"});
+  CHECK(SendCount(bench) == 1);
+  REQUIRE(bench.Last<EndStream>() != nullptr);
+  CHECK(bench.Last<EndStream>()->outcome == StreamOutcome::kCut);
+}
+
 }  // namespace
 }  // namespace bilberry::forward
