--- a/Libraries/LibNode/run_coordinator.cc
+++ b/Libraries/LibNode/run_coordinator.cc
@@ -414,7 +414,8 @@
     return;
   }
   quarantine_.NoteAnswer(endpoint, active->run.attempt_began(), now);
-  if (IsDefiniteRefusal(answer.status)) {
+  // The rest of a stream that is refused is missing, not refused.
+  if (IsDefiniteRefusal(answer.status) && !active->has_stream_begun) {
     PassOnRefusal(*active, answer, now);
     return;
   }
--- a/Tests/LibNode/test_retries.cc
+++ b/Tests/LibNode/test_retries.cc
@@ -323,6 +323,33 @@
   }
 }
 
+TEST_CASE("an error in place of a stream's rest is not its end") {
+  for (const int status : {400, 404, 408, 409, 421, 422, 429, 500, 503}) {
+    for (const bool said_not_run : {false, true}) {
+      CAPTURE(status);
+      CAPTURE(said_not_run);
+      TwoEndpoints two;
+      NodeHarness& harness = two.harness;
+      two.WarmUp();
+      const SendToEndpoint rest = CutStream(harness);
+      EndpointAnswer answer = AnswerTo(rest, status);
+      answer.said_not_run = said_not_run;
+      answer.body = "its text";
+      harness.Feed(answer);
+      harness.Advance(std::chrono::seconds(30));
+      size_t ends = 0;
+      for (const Action& action : harness.TakeOthers()) {
+        CHECK_FALSE(std::holds_alternative<StreamToCaller>(action));
+        if (const auto* end = std::get_if<EndStream>(&action)) {
+          ++ends;
+          CHECK(end->answer.error);
+        }
+      }
+      CHECK(ends == 1);
+    }
+  }
+}
+
 TEST_SUITE_END();
 
 }  // namespace
