--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -454,8 +454,8 @@
 void ForwardShell::Do(const forward::FreeResults& action) {
   HttpRequest request = adapter_.EncodeFree(action.order);
   request.timeout = kFreeTimeout;
-  // Another answer in place of this one would say nothing else: results that
-  // aren't freed end by themselves.
+  // Another success in place of this one would say nothing else: results that
+  // aren't freed end by themselves. In a call's place it is malformed.
   request.connection = node::ConnectionUse::kPooled;
   http_->Send(std::move(request),
               [this, order = action.order,
--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -325,6 +325,8 @@
     response.headers.clear();
     return size;
   }
+  if (line == "\r\n" || line == "\n")
+    DecideReuse(it);
   const size_t colon = line.find(':');
   if (colon != std::string_view::npos)
     response.headers.push_back({std::string(line.substr(0, colon)),
@@ -345,9 +347,23 @@
   if (it.response.body.size() + size > it.request.max_body_bytes)
     return 0;
   it.response.body.append(data, size);
+  DecideReuse(it);
   return size;
 }
 
+// libcurl reads the option when the answer is complete.
+void HttpClient::DecideReuse(const Transfer& transfer) {
+  const auto& proof = transfer.request.reuse_proof;
+  if (!proof)
+    return;
+  long status = 0;
+  curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
+  const bool is_proven =
+      status >= 200 && status < 300 &&
+      transfer.response.body.find(*proof) != std::string::npos;
+  curl_easy_setopt(transfer.easy, CURLOPT_FORBID_REUSE, is_proven ? 0L : 1L);
+}
+
 void HttpClient::RunTurn(base::TimePoint now) {
   if (curl_due_ && *curl_due_ <= now) {
     curl_due_.reset();
--- a/Libraries/LibTransport/http_client.h
+++ b/Libraries/LibTransport/http_client.h
@@ -44,6 +44,10 @@
   // Asks another entry host to name this request in its answer; any other
   // answer is a failure.
   bool expects_exchange_id = false;
+  // For answers that name nothing: what the body of a success must hold for its
+  // connection to be used again. Behind any other answer a late copy of it
+  // would be taken for the next one.
+  std::optional<std::string> reuse_proof;
 };
 
 struct HttpFailure {
@@ -119,6 +123,8 @@
   void DeliverChunks();
   void DeliverDone();
   HttpOutcome OutcomeOf(Transfer& transfer, CURLcode code);
+  // Has the connection closed behind an answer that doesn't prove itself.
+  static void DecideReuse(const Transfer& transfer);
   static bool IsOwnAnswer(const Transfer& transfer);
   static HttpFailure FailureOf(const Transfer& transfer, std::string detail);
   void Release(Transfer& transfer);
