--- /dev/null
+++ b/Tests/LibTransport/odd_json.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <json/value.h>
+
+#include <string>
+#include <vector>
+
+#include "LibTransport/json_text.h"
+
+namespace bilberry::transport {
+
+// Far beyond any nesting that a reader bears.
+inline constexpr size_t kDeepLevels = 100'000;
+
+inline std::string DeepObjects() {
+  std::string text;
+  for (size_t i = 0; i < kDeepLevels; ++i)
+    text += R"({"":)";
+  return text + "0" + std::string(kDeepLevels, '}');
+}
+
+// What another writer may have put where something else is due, as JSON text.
+inline std::vector<std::string> OddTexts() {
+  return {std::string(kDeepLevels, '[') + std::string(kDeepLevels, ']'),
+          DeepObjects(),
+          "1e999",
+          "-1e999",
+          "1e300",
+          "1e30",
+          "99999999999999999999",
+          "18446744073709551615",
+          "9223372036854775807",
+          "-9223372036854775808",
+          "4294967296",
+          "65616",
+          "-80",
+          "0",
+          "0.5",
+          "null",
+          "true",
+          "[]",
+          "{}",
+          "[null]",
+          "[[]]",
+          "[1]",
+          R"([{"":1}])",
+          R"("")",
+          R"("\u0000")",
+          R"("\ud800")",
+          R"("x\r\nName: value")",
+          R"("10.0.0.1")",
+          R"("10.0.0.1:")",
+          R"("10.0.0.1:0")",
+          R"("10.0.0.1:-80")",
+          R"("10.0.0.1:65536")",
+          R"("10.0.0.1:1000000000")",
+          R"("10.0.0.1:80\u0000")",
+          R"("endpoint.example:80")"};
+}
+
+inline void AppendOddVariants(Json::Value& root,
+                              Json::Value& node,
+                              std::vector<std::string>& variants) {
+  constexpr const char* kPlace = "the odd one's place";
+  const Json::Value kept = node;
+  node = kPlace;
+  const std::string text = PrintCompact(root);
+  node = kept;
+  const std::string mark = std::string("\"") + kPlace + "\"";
+  const size_t at = text.find(mark);
+  for (const std::string& odd : OddTexts())
+    variants.push_back(std::string(text).replace(at, mark.size(), odd));
+  if (node.isObject()) {
+    for (const std::string& name : node.getMemberNames()) {
+      const Json::Value member = node[name];
+      node.removeMember(name);
+      variants.push_back(PrintCompact(root));
+      node[name] = member;
+      AppendOddVariants(root, node[name], variants);
+    }
+  } else if (node.isArray()) {
+    for (Json::Value& it : node)
+      AppendOddVariants(root, it, variants);
+  }
+}
+
+// A JSON text with each of its values in turn replaced by each odd one or left
+// out.
+inline std::vector<std::string> OddVariants(const std::string& text) {
+  auto root = ParseCompact(text);
+  std::vector<std::string> variants;
+  AppendOddVariants(*root, *root, variants);
+  return variants;
+}
+
+}  // namespace bilberry::transport
--- /dev/null
+++ b/Tests/Platform/test_odd_entries.cc
@@ -0,0 +1,156 @@
+#include <doctest/doctest.h>
+
+#include <json/value.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "../LibTransport/odd_json.h"
+#include "platform/configuration_codec.h"
+#include "platform/request_codec.h"
+#include "platform/stage_codec.h"
+#include "platform/store_codec.h"
+#include "platform/wire_names.h"
+#include "platform_world.h"
+
+// What other writers, endpoints and callers may write in place of what is due.
+namespace bilberry::platform {
+namespace {
+
+using transport::OddVariants;
+
+constexpr const char* kEntry =
+    R"({"service":"desk","address":"10.0.0.1:80","zone":"z1","version":"3",
+        "slots":8,"state":"ready","coldRemainingMs":0,"seq":1,
+        "born":1764900000000})";
+
+transport::HttpOutcome Page(const std::string& rows) {
+  return transport::HttpResponse{
+      200, {}, R"({"rows":)" + rows + R"(,"ver":7,"nowMs":1})"};
+}
+
+TEST_SUITE_BEGIN("contract");
+
+TEST_CASE("an odd entry names no endpoint, and a reader goes on") {
+  REQUIRE(std::holds_alternative<forward::ListedEndpoint>(
+      DecodeEndpoint("e1", kEntry)));
+  for (const std::string& entry : OddVariants(kEntry)) {
+    const std::string shown = entry.substr(0, 300);
+    CAPTURE(shown);
+    const auto content = DecodeEndpoint("e1", entry);
+    const auto* endpoint = std::get_if<forward::ListedEndpoint>(&content);
+    if (endpoint == nullptr)
+      continue;
+    CHECK(endpoint->address == base::SocketAddress{"10.0.0.1", 80});
+    CHECK_FALSE(endpoint->pool.value.empty());
+  }
+}
+
+TEST_CASE("an entry whose numbers are out of their range names no endpoint") {
+  for (const char* odd :
+       {R"("born":1e30)", R"("born":-1)", R"("born":"x")", R"("born":0.5)",
+        R"("seq":1e300)", R"("seq":[1])", R"("slots":-1)",
+        R"("slots":4294967296)", R"("zone":7)", R"("zone":null)"}) {
+    CAPTURE(odd);
+    const std::string entry =
+        std::string(
+            R"({"service":"desk","address":"10.0.0.1:80","state":"ready",)") +
+        odd +
+        (std::string(odd).starts_with("\"zone") ? "}" : R"(,"zone":"z1"})");
+    CHECK(std::holds_alternative<forward::RowUnreadable>(
+        DecodeEndpoint("e1", entry)));
+  }
+}
+
+TEST_CASE("an entry whose name can't stand in a header names no endpoint") {
+  for (const std::string& name :
+       {std::string(""), std::string("e1\r\nX: y"), std::string("e\0", 2),
+        std::string("e 1"), std::string("\xff")}) {
+    CAPTURE(name);
+    CHECK(std::holds_alternative<forward::RowUnreadable>(
+        DecodeEndpoint(name, kEntry)));
+  }
+}
+
+TEST_CASE("a value that is no base64 is unreadable, and the other rows hold") {
+  const std::string sound = "eyJ9";
+  for (const std::string& value :
+       {std::string("!") + std::string(1 << 20, 'A'), std::string("A"),
+        std::string("===="), std::string("="), std::string("AAA=AAAA"),
+        std::string("\\u0000AAAA"), std::string("")}) {
+    const std::string shown = value.substr(0, 20);
+    CAPTURE(shown);
+    const auto event =
+        DecodeChanged(forward::FeedKind::kEndpoints,
+                      Page(R"([{"key":"odd","value":")" + value +
+                           R"("},{"key":"e1","removed":true}])"));
+    const auto* changed = std::get_if<forward::TableChanged>(&event);
+    REQUIRE(changed != nullptr);
+    REQUIRE(changed->rows.size() == 2);
+    CHECK(std::holds_alternative<forward::RowUnreadable>(
+        changed->rows[0].content));
+    CHECK(
+        std::holds_alternative<forward::RowRemoved>(changed->rows[1].content));
+  }
+}
+
+TEST_CASE("no page of the store ends the reader") {
+  const std::string page =
+      R"({"rows":[{"table":"servers","part":"","key":"e1","value":"e30=",
+         "ver":3},{"key":"e2","removed":true,"ver":4}],"ver":7,"nowMs":1,
+         "truncated":false})";
+  for (const std::string& odd : OddVariants(page)) {
+    for (const auto feed :
+         {forward::FeedKind::kConfiguration, forward::FeedKind::kEndpoints,
+          forward::FeedKind::kHosts}) {
+      const transport::HttpOutcome outcome =
+          transport::HttpResponse{200, {}, odd};
+      CHECK_NOTHROW(DecodeListed(feed, outcome));
+      CHECK_NOTHROW(DecodeChanged(feed, outcome));
+    }
+  }
+}
+
+TEST_CASE("hosts follow the list of endpoints past an odd entry") {
+  PlatformWorld world;
+  const std::string deep(transport::kDeepLevels, '[');
+  const std::string& address = base::ToText(world.desk.address());
+  const auto entry = [&](const std::string& more) {
+    return R"({"service":"desk","zone":"z1","state":"ready","address":")" +
+           address + "\"," + more + "}";
+  };
+  size_t n = 0;
+  for (
+      const std::string& value :
+      {deep, entry("\"seq\":" + deep), entry("\"seq\":1e999"),
+       entry("\"seq\":1e300"), entry("\"born\":1e300"),
+       std::string(
+           R"({"service":"desk","zone":"z1","state":"ready","address":"127.0.0.1:70000"})"),
+       std::string(
+           R"({"service":"desk","zone":"z1","state":"ready","address":"127.0.0.1:-1"})"),
+       std::string(
+           R"({"service":"desk","zone":"z1","state":"ready","address":"127.0.0.1:1000000000"})"),
+       std::string(
+           R"({"service":"desk","zone":"z1","state":"ready","address":"127.0.0.1"})"),
+       std::string(1, '\0'), std::string()})
+    world.store.Put(wire::kEndpointTable, "odd-" + std::to_string(++n), value);
+  world.RunFor(std::chrono::milliseconds(1100));
+  // Written behind them, and heard of.
+  world.platform->List(world.desk, "desk", "draining");
+  world.RunFor(std::chrono::milliseconds(1100));
+  const size_t before = world.desk.arrivals().size();
+  for (int i = 0; i < 8; ++i)
+    CHECK(world.Answer(world.Request("GET", "/read/x")).status == 200);
+  CHECK(world.desk.arrivals().size() == before);
+  // A host that starts beside them, too.
+  world.AddHost("entry-2");
+  world.WaitUntilReady();
+  CHECK(world.Answer(world.Request("GET", "/read/x", 1)).status == 200);
+}
+
+TEST_SUITE_END();
+
+}  // namespace
+}  // namespace bilberry::platform
