--- a/Tests/Platform/test_odd_entries.cc
+++ b/Tests/Platform/test_odd_entries.cc
@@ -113,6 +113,34 @@
   }
 }
 
+TEST_CASE("no configuration ends the reader") {
+  constexpr std::chrono::hours kLongest{24};
+  for (const std::string& text : OddVariants(standins::SmallConfiguration(7))) {
+    const std::string shown = text.substr(0, 2000);
+    CAPTURE(shown);
+    std::optional<forward::RowContent> content;
+    REQUIRE_NOTHROW(content = DecodeConfiguration(text));
+    const auto* configuration =
+        std::get_if<std::shared_ptr<const forward::ForwardConfiguration>>(
+            &*content);
+    if (configuration == nullptr)
+      continue;
+    for (const auto& it : (*configuration)->pipelines) {
+      CHECK(it.timeout >= std::chrono::milliseconds(0));
+      CHECK(it.timeout <= kLongest);
+      CHECK(it.first_event_limit <= kLongest * 8);
+    }
+    for (const auto& it : (*configuration)->pools) {
+      if (!it.pieces)
+        continue;
+      CHECK(it.pieces->call_time >= base::Duration(0));
+      CHECK(it.pieces->call_time <= kLongest);
+      CHECK(it.pieces->piece_time <= kLongest);
+      CHECK(it.pieces->result_life <= kLongest);
+    }
+  }
+}
+
 TEST_CASE("hosts follow the list of endpoints past an odd entry") {
   PlatformWorld world;
   const std::string deep(transport::kDeepLevels, '[');
