--- a/Libraries/LibTransport/news_codec.cc
+++ b/Libraries/LibTransport/news_codec.cc
@@ -88,11 +88,14 @@
   const auto address = base::ParseSocketAddress(object["address"].asString());
   if (!address)
     return std::nullopt;
-  return forward::PeerHost{{key},
-                           *address,
-                           {object["zone"].asString()},
-                           object["capacity"].asDouble(),
-                           object["link_mbps"].asDouble()};
+  forward::PeerHost host{{key},
+                         *address,
+                         {object["zone"].asString()},
+                         object["capacity"].asDouble(),
+                         object["link_mbps"].asDouble()};
+  if (!forward::IsPlausible(host))
+    return std::nullopt;
+  return host;
 }
 
 std::optional<forward::FeedRow> RowOf(forward::FeedKind feed,
--- a/Tests/Platform/test_odd_entries.cc
+++ b/Tests/Platform/test_odd_entries.cc
@@ -113,6 +113,23 @@
   }
 }
 
+TEST_CASE("no host's row ends the reader or outweighs all others") {
+  for (const std::string& row : OddVariants(
+           R"({"address":"10.0.0.2:7740","zone":"z1","capacity":2.0,
+               "link_mbps":100.0})")) {
+    const std::string shown = row.substr(0, 300);
+    CAPTURE(shown);
+    const auto content = DecodeHost("entry-1", row);
+    const auto* host = std::get_if<forward::PeerHost>(&content);
+    if (host == nullptr)
+      continue;
+    CHECK(host->capacity > 0);
+    CHECK(host->capacity <= 1e5);
+    CHECK(host->link_mbps >= 0);
+    CHECK(host->link_mbps <= 1e7);
+  }
+}
+
 TEST_CASE("no configuration ends the reader") {
   constexpr std::chrono::hours kLongest{24};
   for (const std::string& text : OddVariants(standins::SmallConfiguration(7))) {
