--- a/Libraries/LibForward/run_door.cc
+++ b/Libraries/LibForward/run_door.cc
@@ -76,7 +76,9 @@
     Refuse(request, OwnAnswerCode::kStopping, kStoppingRetry);
     return std::nullopt;
   }
-  if (request.request_id.empty()) {
+  const bool asks_too_much = std::ranges::any_of(
+      request.piece_counts, [](uint32_t it) { return it > kMostPieces; });
+  if (request.request_id.empty() || asks_too_much) {
     Refuse(request, OwnAnswerCode::kBadRequest, std::nullopt);
     return std::nullopt;
   }
--- a/Libraries/LibForward/stage_job.h
+++ b/Libraries/LibForward/stage_job.h
@@ -25,6 +25,9 @@
 // Whether any stage of the request has run yet.
 enum class RequestProgress { kNew, kUnderWay };
 
+// Of one stage of one request; who asks for more is refused.
+inline constexpr uint32_t kMostPieces = 10'000;
+
 // All pieces of one stage of one request. Times are what is left, so that a
 // job may be sent to another host.
 struct StageJob {
--- a/Libraries/LibTransport/stage_job_codec.cc
+++ b/Libraries/LibTransport/stage_job_codec.cc
@@ -92,8 +92,9 @@
       !HasNumbers(it, {"stage", "pieces", "result_bytes", "urgency",
                        "target_us", "deadline_us", "after_us"}) ||
       !it["is_new"].isBool() || !it["stage"].isUInt() ||
-      !it["pieces"].isUInt() || !it["urgency"].isUInt() ||
-      !it["result_bytes"].isUInt64() || !it["crossing_bytes"].isUInt64() ||
+      !it["pieces"].isUInt() || it["pieces"].asUInt() > forward::kMostPieces ||
+      !it["urgency"].isUInt() || !it["result_bytes"].isUInt64() ||
+      !it["crossing_bytes"].isUInt64() ||
       (it.isMember("inputs_gone_us") && !it["inputs_gone_us"].isInt64()))
     return std::nullopt;
   forward::StageJob job;
--- a/Tests/Platform/test_odd_entries.cc
+++ b/Tests/Platform/test_odd_entries.cc
@@ -158,6 +158,31 @@
   }
 }
 
+TEST_CASE("a caller's numbers beyond all bounds end no host") {
+  PlatformWorld world;
+  for (const char* counts :
+       {"4294967295,1", "1,4294967295", "18446744073709551615,1"}) {
+    for (const char* left : {"18446744073709551615", "9223372036854775807"}) {
+      CAPTURE(counts);
+      CAPTURE(left);
+      auto request = world.StreamRequest("/draft/x");
+      for (auto& header : request.headers) {
+        if (header.name == wire::kPieceCounts)
+          header.value = counts;
+        if (header.name == wire::kTimeLeft)
+          header.value = left;
+      }
+      CHECK(world.Answer(request).status >= 400);
+    }
+  }
+  auto request = world.Request("GET", "/read/x");
+  for (auto& header : request.headers) {
+    if (header.name == wire::kTimeLeft)
+      header.value = "18446744073709551615";
+  }
+  CHECK(world.Answer(request).status == 200);
+}
+
 TEST_CASE("hosts follow the list of endpoints past an odd entry") {
   PlatformWorld world;
   const std::string deep(transport::kDeepLevels, '[');
