--- a/Tests/Platform/test_odd_entries.cc
+++ b/Tests/Platform/test_odd_entries.cc
@@ -158,6 +158,30 @@
   }
 }
 
+TEST_CASE("no answer to a call for pieces ends the reader") {
+  for (const std::string& body : OddVariants(
+           R"({"items":[{"handle":"10.0.0.1:80/1"},{"reason":"gone"}]})")) {
+    const std::string shown = body.substr(0, 300);
+    CAPTURE(shown);
+    std::optional<forward::StageCallOutcome> outcome;
+    REQUIRE_NOTHROW(
+        outcome = DecodeStageCall(transport::HttpResponse{200, {}, body}));
+    const auto* pieces =
+        std::get_if<std::vector<forward::PieceOutcome>>(&*outcome);
+    if (pieces == nullptr)
+      continue;
+    // It goes into a header's list.
+    for (const forward::PieceOutcome& it : *pieces) {
+      const auto* handle = std::get_if<std::string>(&it);
+      if (handle == nullptr)
+        continue;
+      CHECK_FALSE(handle->empty());
+      CHECK(handle->find_first_of(std::string(", \r\n\0", 5)) ==
+            std::string::npos);
+    }
+  }
+}
+
 TEST_CASE("a caller's numbers beyond all bounds end no host") {
   PlatformWorld world;
   for (const char* counts :
