--- a/Libraries/LibTransport/platform_codec.cc
+++ b/Libraries/LibTransport/platform_codec.cc
@@ -1,12 +1,17 @@
 #include "LibTransport/platform_codec.h"
 
+#include <arpa/inet.h>
 #include <curl/curl.h>
 
 #include <array>
+#include <limits>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <utility>
 
 #include "LibBase/overloaded.h"
+#include "LibTransport/json_elements.h"
 #include "LibTransport/json_text.h"
 
 namespace bilberry::transport {
@@ -123,14 +128,21 @@
   return base::PlatformAnswer(std::move(listed));
 }
 
-base::Result<base::PlatformAnswer> DecodeHosts(const Json::Value& body) {
-  if (!body["version"].isUInt64() || !body["hosts"].isArray())
+// An entry that can't be read names no host, and the others hold.
+base::Result<base::PlatformAnswer> DecodeHosts(const std::string& text) {
+  const auto cut = CutOutArray(text, "hosts");
+  const auto body = cut ? ParseCompact(cut->rest) : std::nullopt;
+  if (!body || !body->isObject() || !(*body)["version"].isUInt64())
     return Malformed("a host list lacks a field");
   base::HostsPolled polled;
-  polled.version = body["version"].asUInt64();
-  for (const Json::Value& value : body["hosts"]) {
-    TRY(entry, DecodeHost(value));
-    polled.changed.push_back(std::move(entry));
+  polled.version = (*body)["version"].asUInt64();
+  for (const std::string_view element : cut->elements) {
+    const auto value = ParseCompact(element);
+    if (!value)
+      continue;
+    auto entry = DecodeHost(*value);
+    if (entry)
+      polled.changed.push_back(std::move(entry.value()));
   }
   return base::PlatformAnswer(std::move(polled));
 }
@@ -155,6 +167,22 @@
   return std::nullopt;
 }
 
+bool IsIpNumber(const std::string& text) {
+  in6_addr number{};
+  return text.find('\0') == std::string::npos &&
+         (inet_pton(AF_INET, text.c_str(), &number) == 1 ||
+          inet_pton(AF_INET6, text.c_str(), &number) == 1);
+}
+
+base::Result<base::SocketAddress> AddressOf(const Json::Value& host) {
+  const std::string ip = host["ip"].asString();
+  const uint32_t port = host["port"].asUInt();
+  if (!IsIpNumber(ip) || port == 0 ||
+      port > std::numeric_limits<uint16_t>::max())
+    return Malformed("a host has no such address");
+  return base::SocketAddress{ip, static_cast<uint16_t>(port)};
+}
+
 }  // namespace
 
 Json::Value EncodeRow(const base::TableRow& row) {
@@ -196,8 +224,10 @@
   entry.kind = *kind;
   entry.pool = {value["pool"].asString()};
   entry.zone = {value["zone"].asString()};
-  entry.address = {value["ip"].asString(),
-                   static_cast<uint16_t>(value["port"].asUInt())};
+  if (entry.name.empty())
+    return Malformed("a host has no name");
+  TRY(address, AddressOf(value));
+  entry.address = std::move(address);
   entry.incarnation = base::Incarnation{value["incarnation"].asUInt64()};
   entry.state = *state;
   return entry;
@@ -262,6 +292,8 @@
     return base::PlatformAnswer(base::ObjectStored{});
   if (std::holds_alternative<base::FetchObject>(request))
     return base::PlatformAnswer(base::ObjectFetched{response.body});
+  if (std::holds_alternative<base::PollHosts>(request))
+    return DecodeHosts(response.body);
   const auto body = ParseCompact(response.body);
   if (!body || !body->isObject())
     return Malformed("the answer isn't a JSON object");
@@ -269,8 +301,6 @@
     return DecodeWritten(*write, *body);
   if (std::holds_alternative<base::ListRows>(request))
     return DecodeRows(*body);
-  if (std::holds_alternative<base::PollHosts>(request))
-    return DecodeHosts(*body);
   TRY(row, DecodeRow(*body));
   return base::PlatformAnswer(base::RowRead{std::move(row)});
 }
--- /dev/null
+++ b/Tests/LibTransport/test_odd_texts.cc
@@ -0,0 +1,169 @@
+#include <doctest/doctest.h>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "LibTransport/news_codec.h"
+#include "LibTransport/peer_client.h"
+#include "LibTransport/peer_codec.h"
+#include "LibTransport/peer_server.h"
+#include "LibTransport/permit_codec.h"
+#include "LibTransport/platform_codec.h"
+#include "LibTransport/report_codec.h"
+#include "LibTransport/stage_job_codec.h"
+#include "LibTransport/status_codec.h"
+#include "Standins/free_address.h"
+#include "http_pair.h"
+#include "odd_json.h"
+
+// What other writers and peers may send in place of what is due.
+namespace bilberry::transport {
+namespace {
+
+constexpr const char* kHosts =
+    R"({"version":9,"hosts":[
+      {"name":"e1","kind":"endpoint","pool":"desk","zone":"z1","ip":"10.0.0.1",
+       "port":80,"incarnation":5,"state":"live"},
+      {"name":"e2","kind":"endpoint","pool":"desk","zone":"z1","ip":"10.0.0.2",
+       "port":80,"incarnation":6,"state":"live"}]})";
+
+base::HostsPolled Polled(const std::string& body) {
+  const auto answer =
+      DecodePlatformAnswer(base::PollHosts{1}, HttpResponse{200, {}, body});
+  REQUIRE(answer.has_value());
+  return std::get<base::HostsPolled>(answer.value());
+}
+
+TEST_SUITE_BEGIN("contract");
+
+TEST_CASE("a host list is followed past an odd entry") {
+  for (const std::string& odd : OddTexts()) {
+    for (const char* field : {"name", "kind", "pool", "zone", "ip", "port",
+                              "incarnation", "state", "another"}) {
+      const std::string shown = odd.substr(0, 80);
+      CAPTURE(shown);
+      CAPTURE(field);
+      std::string body = kHosts;
+      if (std::string(field) == "another") {
+        body.replace(body.find("\"kind\""), 0, "\"another\":" + odd + ",");
+      } else {
+        const size_t at = body.find(std::string("\"") + field + "\":") +
+                          std::string(field).size() + 3;
+        const size_t end = body.find_first_of(",}", at);
+        body.replace(at, end - at, odd);
+      }
+      const base::HostsPolled polled = Polled(body);
+      CHECK(polled.version == 9);
+      REQUIRE_FALSE(polled.changed.empty());
+      CHECK(polled.changed.back().name == "e2");
+      for (const base::HostEntry& entry : polled.changed) {
+        CHECK(entry.address.port == 80);
+        CHECK(entry.address.ip.starts_with("10.0.0."));
+        CHECK_FALSE(entry.name.empty());
+      }
+    }
+  }
+}
+
+TEST_CASE("no answer of a platform ends the reader") {
+  const std::string row = R"({"key":"k","version":3,"value":"v"})";
+  for (const std::string& body : OddVariants(kHosts))
+    CHECK_NOTHROW((void)DecodePlatformAnswer(base::PollHosts{1},
+                                             HttpResponse{200, {}, body}));
+  for (const std::string& body : OddVariants(R"({"rows":[)" + row + "]}"))
+    CHECK_NOTHROW((void)DecodePlatformAnswer(base::ListRows{},
+                                             HttpResponse{200, {}, body}));
+  for (const std::string& body : OddVariants(row))
+    CHECK_NOTHROW((void)DecodePlatformAnswer(base::ReadRow{},
+                                             HttpResponse{200, {}, body}));
+  base::WriteRows write;
+  write.writes.emplace_back();
+  for (const std::string& body :
+       OddVariants(R"({"results":[{"applied":true,"row":)" + row + "}]}"))
+    CHECK_NOTHROW(
+        (void)DecodePlatformAnswer(write, HttpResponse{200, {}, body}));
+}
+
+TEST_CASE("no message between forwarding hosts ends the reader") {
+  for (const std::string& text : OddVariants(
+           R"({"age_us":1,"revision":2,"operators_version":3,
+               "departures":[{"endpoint":"e1","incarnation":4,"age_us":5}],
+               "limits":[{"endpoint":"e1","incarnation":4,"age_us":5,
+                          "per_second":2.5}],
+               "tables":[
+                 {"feed":"endpoints","version":4,"is_whole":true,"rows":[
+                   {"key":"e1","pool":"p","zone":"z","address":"10.0.0.1:80",
+                    "is_leaving":false,"incarnation":4},{"key":"e2"}]},
+                 {"feed":"hosts","version":4,"is_whole":true,"rows":[
+                   {"key":"h1","zone":"z","address":"10.0.0.1:80",
+                    "capacity":2.0,"link_mbps":100.0}]}]})"))
+    CHECK_NOTHROW((void)DecodeNews(text));
+  for (const std::string& text : OddVariants(
+           R"({"known":{"endpoints":1,"hosts":2},
+               "departures":[{"endpoint":"e1","incarnation":4,"age_us":5}]})"))
+    CHECK_NOTHROW((void)DecodeNewsQuestion(text));
+  for (const std::string& text : OddVariants(
+           R"({"endpoint":"e1","incarnation":4,"zone":"z","wait_us":1,
+               "limit":{"per_second":2.5,"age_us":1}})"))
+    CHECK_NOTHROW((void)DecodePermitQuestion(text));
+  for (const std::string& text :
+       OddVariants(R"({"begins_us":1,"next_us":2,"is_keeper":false,
+                       "limit":{"per_second":2.5,"age_us":1}})"))
+    CHECK_NOTHROW((void)DecodePermitAnswer(text));
+  for (const std::string& text : OddVariants(
+           R"({"request":"r","pool":"p","cell":"z","stage":0,"pieces":2,
+               "inputs":[["10.0.0.1:80","h1"]],"result_bytes":1,"urgency":1,
+               "target_us":1,"deadline_us":2,"inputs_gone_us":3,"after_us":4,
+               "reader_zone":"z","crossing_bytes":5,"is_new":true})"))
+    CHECK_NOTHROW((void)DecodeStageJob(text));
+  for (const std::string& text : OddVariants(
+           R"({"backlog_us":1,"results":[["10.0.0.1:80","h1"]],
+               "failure":"too_late","retry_after_us":4})"))
+    CHECK_NOTHROW((void)DecodeJobAnswer(forward::AskId{1}, text));
+  for (const std::string& text : OddVariants(
+           R"({"pool":"p","cell":"z","results":[["10.0.0.1:80","h1"]]})"))
+    CHECK_NOTHROW((void)DecodeResultsRead(text));
+}
+
+TEST_CASE("a peer's order for pieces beyond all bounds is no order") {
+  const std::string order =
+      R"({"request":"r","pool":"p","cell":"z","stage":0,"pieces":4294967295,
+          "key":"k","result_bytes":1,"urgency":1,"target_us":1,"deadline_us":2,
+          "after_us":4,"reader_zone":"z","crossing_bytes":5,"is_new":true})";
+  CHECK_FALSE(DecodeStageJob(order).has_value());
+}
+
+TEST_CASE("no message between entry hosts ends the reader") {
+  const struct {
+    const char* method;
+    const char* text;
+  } messages[] = {
+      {"digest",
+       R"({"v":1,"host":"h","incarnation":1,"revision":2,"leaving":[["e1",3]],
+           "quarantined":["q"],"suspected":[["q","e1"]],"shares":[["p",1,2]]})"},
+      {"configuration_query", R"({"revision":1,"wants_hosts":true})"},
+      {"configuration_offer",
+       R"({"revision":1,"document":"{}","hosts_age_us":4,"hosts":[
+           {"name":"e1","kind":"endpoint","pool":"desk","zone":"z1",
+            "ip":"10.0.0.1","port":80,"incarnation":5,"state":"live"}]})"},
+      {"booking_query", R"({"claim_token":"t"})"},
+      {"booking_reply", R"({"standing":"done","status":200,"answer":"00"})"},
+      {"booking_copies",
+       R"({"settlements":[{"row_key":"k","record":"{}","expected":1}]})"},
+      {"booking_copies_held", R"({"claim_tokens":["t"]})"},
+  };
+  for (const auto& message : messages) {
+    CAPTURE(message.method);
+    for (const std::string& text : OddVariants(message.text)) {
+      const auto value = ParseCompact(text);
+      if (value)
+        CHECK_NOTHROW((void)DecodePeerMessage(message.method, *value));
+    }
+  }
+}
+
+TEST_SUITE_END();
+
+}  // namespace
+}  // namespace bilberry::transport
