--- a/Libraries/LibTransport/peer_client.cc
+++ b/Libraries/LibTransport/peer_client.cc
@@ -29,7 +29,7 @@
   // JSON-RPC 2.0 section 5: either a result or an error.
   if (envelope->isMember("error"))
     return ErrorAt(address, base::ErrorCode::kRefused,
-                   PrintCompact((*envelope)["error"]["message"]));
+                   PrintCompact((*envelope)["error"]));
   return (*envelope)["result"];
 }
 
--- a/Libraries/LibTransport/peer_server.cc
+++ b/Libraries/LibTransport/peer_server.cc
@@ -156,7 +156,15 @@
   methods_->set_is_operator(token != nullptr &&
                             IsEqualInConstantTime(*token, operator_token_));
   std::string response;
-  connector_->OnRequest(request.body, &response);
+  // libjsonrpccpp passes on what its reader throws on deep nesting.
+  try {
+    connector_->OnRequest(request.body, &response);
+  } catch (const Json::Exception&) {
+    refused_();
+    listener_->Respond(request.exchange,
+                       {400, {{kContentTypeHeader, kTextType}}, "no JSON\n"});
+    return;
+  }
   // libjsonrpccpp prints an object's members in the order of their names, and
   // a response has no member before "error".
   if (token == nullptr && response.starts_with(R"({"error")"))
--- a/Tests/LibTransport/test_odd_texts.cc
+++ b/Tests/LibTransport/test_odd_texts.cc
@@ -163,6 +163,56 @@
   }
 }
 
+TEST_CASE("no question to a peer ends it") {
+  HttpPair pair([](const IncomingRequest&) {});
+  const base::SocketAddress address = standins::FreeAddress(pair.reactor);
+  auto server = Sound(PeerServer::Create(
+      pair.reactor, address, "token",
+      {[] {},
+       [](const node::PeerMessage&) -> base::Result<node::PeerMessage> {
+         return node::PeerMessage(node::BookingReply{});
+       },
+       nullptr, nullptr}));
+  HttpRequest request = pair.Request(kRpcPath);
+  request.address = address;
+  for (const std::string& text : OddVariants(
+           R"({"jsonrpc":"2.0","id":1,"method":"digest","params":{"v":1}})")) {
+    request.body = text;
+    const auto outcome = pair.Ask(request);
+    CHECK(std::holds_alternative<HttpResponse>(outcome));
+  }
+}
+
+TEST_CASE("no answer of a peer ends who asked") {
+  std::string body;
+  HttpPair pair([](const IncomingRequest&) {});
+  std::unique_ptr<HttpListener> listener;
+  ListenerOptions options;
+  options.address = {"127.0.0.1", 0};
+  options.echoes_exchange_ids = true;
+  listener = Sound(HttpListener::Create(
+      pair.reactor, options, [&](const IncomingRequest& it) {
+        listener->Respond(it.exchange, {200, {}, body});
+      }));
+  PeerClient peers(*pair.client);
+  base::SocketAddress address = listener->address();
+  std::vector<std::string> bodies = OddVariants(
+      R"({"jsonrpc":"2.0","id":1,"error":{"code":1,"message":"m"}})");
+  for (std::string& it : OddVariants(
+           R"({"jsonrpc":"2.0","id":1,"result":{"kind":"booking_reply",
+               "value":{"standing":"done","status":200,"answer":"00"}}})"))
+    bodies.push_back(std::move(it));
+  for (const std::string& it : bodies) {
+    body = it;
+    const std::string shown = it.substr(0, 300);
+    CAPTURE(shown);
+    bool is_done = false;
+    peers.Send(address, node::BookingQuery{"t"}, std::chrono::seconds(5),
+               [&](const auto&) { is_done = true; });
+    CHECK(pair.RunUntil([&] { return is_done; }));
+  }
+}
+
 TEST_SUITE_END();
 
 }  // namespace
