--- a/Libraries/LibTransport/json_text.cc
+++ b/Libraries/LibTransport/json_text.cc
@@ -20,6 +20,13 @@
       keys, [&](const char* key) { return object[key].isString(); });
 }
 
+std::optional<base::Duration> DurationOf(const Json::Value& value) {
+  constexpr base::Duration kLongest = std::chrono::hours(24);
+  if (!value.isInt64())
+    return std::nullopt;
+  return std::clamp(base::Duration(value.asInt64()), -kLongest, kLongest);
+}
+
 std::optional<Json::Value> ParseCompact(std::string_view text) {
   declare::Faults faults;
   auto document = declare::ParseJson(text, faults);
--- a/Libraries/LibTransport/json_text.h
+++ b/Libraries/LibTransport/json_text.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <string_view>
 
+#include "LibBase/time.h"
+
 namespace bilberry::transport {
 
 // Without line breaks or comments.
@@ -16,6 +18,10 @@
 bool HasTexts(const Json::Value& object,
               std::initializer_list<const char*> keys);
 
+// Microseconds; what is longer than a day counts as one, so that sums stay
+// within their type. Empty when the value is no whole number.
+std::optional<base::Duration> DurationOf(const Json::Value& value);
+
 // Empty when the text isn't one JSON value.
 std::optional<Json::Value> ParseCompact(std::string_view text);
 
--- a/Libraries/LibTransport/news_codec.cc
+++ b/Libraries/LibTransport/news_codec.cc
@@ -157,7 +157,7 @@
       return std::nullopt;
     departures.push_back({{it["endpoint"].asString()},
                           base::Incarnation{it["incarnation"].asUInt64()},
-                          base::Duration(it["age_us"].asInt64())});
+                          *DurationOf(it["age_us"])});
   }
   return departures;
 }
@@ -269,7 +269,8 @@
   const auto object = ParseCompact(text);
   if (!object || !object->isObject() || !(*object)["revision"].isUInt64() ||
       !(*object)["operators_version"].isUInt64() ||
-      !(*object)["age_us"].isInt64() || !(*object)["tables"].isArray())
+      !(*object)["age_us"].isInt64() || (*object)["age_us"].asInt64() < 0 ||
+      !(*object)["tables"].isArray())
     return std::nullopt;
   auto notices = NoticesOf((*object)["notices"]);
   auto limits = ToldLimitsOf((*object)["limits"]);
@@ -278,7 +279,7 @@
   forward::News news;
   news.limits = std::move(*limits);
   news.notices = std::move(*notices);
-  news.age = base::Duration((*object)["age_us"].asInt64());
+  news.age = *DurationOf((*object)["age_us"]);
   news.revision = (*object)["revision"].asUInt64();
   news.operators_version = (*object)["operators_version"].asUInt64();
   for (const Json::Value& it : (*object)["tables"]) {
--- a/Libraries/LibTransport/permit_codec.cc
+++ b/Libraries/LibTransport/permit_codec.cc
@@ -22,7 +22,7 @@
       object["age_us"].asInt64() < 0)
     return std::nullopt;
   forward::LimitWord word;
-  word.age = base::Duration(object["age_us"].asInt64());
+  word.age = *DurationOf(object["age_us"]);
   const Json::Value& per_second = object["per_second"];
   if (per_second.isNull())
     return word;
@@ -43,7 +43,7 @@
 std::optional<base::Duration> TimeOf(const Json::Value& value) {
   if (!value.isInt64() || value.asInt64() < 0)
     return std::nullopt;
-  return base::Duration(value.asInt64());
+  return DurationOf(value);
 }
 
 std::optional<forward::ColdWord> ColdWordOf(const Json::Value& object) {
--- a/Libraries/LibTransport/stage_job_codec.cc
+++ b/Libraries/LibTransport/stage_job_codec.cc
@@ -51,10 +51,6 @@
       keys, [&](const char* key) { return object[key].isInt64(); });
 }
 
-base::Duration DurationOf(const Json::Value& value) {
-  return base::Duration(value.asInt64());
-}
-
 }  // namespace
 
 std::string EncodeStageJob(const forward::StageJob& job) {
@@ -114,11 +110,11 @@
   }
   job.result_bytes = it["result_bytes"].asUInt64();
   job.urgency = forward::Urgency{it["urgency"].asUInt()};
-  job.until_target = DurationOf(it["target_us"]);
-  job.until_deadline = DurationOf(it["deadline_us"]);
+  job.until_target = *DurationOf(it["target_us"]);
+  job.until_deadline = *DurationOf(it["deadline_us"]);
   if (it.isMember("inputs_gone_us"))
-    job.until_inputs_gone = DurationOf(it["inputs_gone_us"]);
-  job.time_after = DurationOf(it["after_us"]);
+    job.until_inputs_gone = *DurationOf(it["inputs_gone_us"]);
+  job.time_after = *DurationOf(it["after_us"]);
   job.reader_zone.value = it["reader_zone"].asString();
   job.crossing_bytes = it["crossing_bytes"].asUInt64();
   job.progress = it["is_new"].asBool() ? forward::RequestProgress::kNew
@@ -145,7 +141,7 @@
   if (!object || !object->isObject() || !HasNumbers(*object, {"backlog_us"}))
     return std::nullopt;
   const Json::Value& it = *object;
-  const base::Duration backlog = DurationOf(it["backlog_us"]);
+  const base::Duration backlog = *DurationOf(it["backlog_us"]);
   if (it.isMember("results")) {
     auto results = ResultsOf(it["results"]);
     if (!results)
@@ -163,7 +159,7 @@
   if (kind == std::end(kFailureKinds))
     return std::nullopt;
   return forward::PeerJobEnded{
-      ask, forward::JobFailure{*kind, DurationOf(it["retry_after_us"])},
+      ask, forward::JobFailure{*kind, *DurationOf(it["retry_after_us"])},
       backlog};
 }
 
--- a/Tests/LibTransport/test_odd_texts.cc
+++ b/Tests/LibTransport/test_odd_texts.cc
@@ -134,6 +134,31 @@
   CHECK_FALSE(DecodeStageJob(order).has_value());
 }
 
+TEST_CASE("times that peers tell stay within a day") {
+  for (const char* us : {"9223372036854775807", "-9223372036854775808"}) {
+    CAPTURE(us);
+    const std::string order =
+        R"({"request":"r","pool":"p","cell":"z","stage":0,"pieces":1,"key":"k",
+            "result_bytes":1,"urgency":1,"reader_zone":"z","crossing_bytes":5,
+            "is_new":true,"target_us":)" +
+        std::string(us) + R"(,"deadline_us":)" + us + R"(,"after_us":)" + us +
+        "}";
+    const auto job = DecodeStageJob(order);
+    REQUIRE(job.has_value());
+    for (const base::Duration it :
+         {job->until_target, job->until_deadline, job->time_after}) {
+      CHECK(it <= std::chrono::hours(24));
+      CHECK(it >= -std::chrono::hours(24));
+    }
+    const auto news = DecodeNews(
+        R"({"age_us":)" + std::string(us) +
+        R"(,"revision":2,"operators_version":3,"departures":[],"limits":[],
+            "tables":[]})");
+    CHECK((!news || news->age <= std::chrono::hours(24)));
+    CHECK((!news || news->age >= base::Duration(0)));
+  }
+}
+
 TEST_CASE("no message between entry hosts ends the reader") {
   const struct {
     const char* method;
