--- a/Tests/Platform/test_refusals.cc
+++ b/Tests/Platform/test_refusals.cc
@@ -82,6 +82,34 @@
   CHECK(world.Answer(world.Request("GET", "/read/x")).status == 200);
 }
 
+TEST_CASE(
+    "a host that starts while the store is away knows nothing withdrawn") {
+  PlatformWorld world;
+  auto request = world.Request("GET", "/read/x");
+  request.headers.back().value = std::string(wire::kKeyScheme) + "key-2";
+  CHECK(world.Answer(request).status == 200);
+  std::string withdrawn = standins::SmallConfiguration(8);
+  withdrawn.replace(withdrawn.find(R"(,"key-2")"), 8, "");
+  world.store.Put(wire::kConfigurationTable, wire::kConfigurationKey,
+                  withdrawn);
+  world.platform->List(world.desk, "desk", "draining");
+  REQUIRE(world.RunUntil([&] { return world.Answer(request).status == 401; }));
+  const size_t before = world.desk.arrivals().size();
+  world.store.OrderFault({standins::FaultKind::kDown, {}, 0});
+  world.AddHost("entry-1");
+  request.address = world.settings[1].callers;
+  for (int i = 0; i < 10; ++i) {
+    CHECK(world.Answer(request).status == 503);
+    world.RunFor(std::chrono::milliseconds(50));
+  }
+  world.store.OrderFault({});
+  world.WaitUntilReady();
+  CHECK(world.Answer(request).status == 401);
+  for (int i = 0; i < 4; ++i)
+    CHECK(world.Answer(world.Request("GET", "/read/x", 1)).status == 200);
+  CHECK(world.desk.arrivals().size() == before);
+}
+
 TEST_CASE("a pool without endpoints is refused at once") {
   PlatformWorld world;
   world.platform->List(world.desk, "desk", "draining");
