--- a/Tests/LibTransport/test_odd_texts.cc
+++ b/Tests/LibTransport/test_odd_texts.cc
@@ -111,8 +111,9 @@
        OddVariants(R"({"begins_us":1,"next_us":2,"is_keeper":false,
                        "limit":{"per_second":2.5,"age_us":1}})"))
     CHECK_NOTHROW((void)DecodePermitAnswer(text));
-  for (const std::string& text : OddVariants(
-           R"({"request":"r","pool":"p","cell":"z","stage":0,"pieces":2,
+  for (
+      const std::string& text : OddVariants(
+          R"({"request":"r","pipeline":"d","pool":"p","cell":"z","stage":0,"pieces":2,
                "inputs":[["10.0.0.1:80","h1"]],"result_bytes":1,"urgency":1,
                "target_us":1,"deadline_us":2,"inputs_gone_us":3,"after_us":4,
                "reader_zone":"z","crossing_bytes":5,"is_new":true})"))
@@ -128,7 +129,7 @@
 
 TEST_CASE("a peer's order for pieces beyond all bounds is no order") {
   const std::string order =
-      R"({"request":"r","pool":"p","cell":"z","stage":0,"pieces":4294967295,
+      R"({"request":"r","pipeline":"d","pool":"p","cell":"z","stage":0,"pieces":4294967295,
           "key":"k","result_bytes":1,"urgency":1,"target_us":1,"deadline_us":2,
           "after_us":4,"reader_zone":"z","crossing_bytes":5,"is_new":true})";
   CHECK_FALSE(DecodeStageJob(order).has_value());
@@ -138,7 +139,7 @@
   for (const char* us : {"9223372036854775807", "-9223372036854775808"}) {
     CAPTURE(us);
     const std::string order =
-        R"({"request":"r","pool":"p","cell":"z","stage":0,"pieces":1,"key":"k",
+        R"({"request":"r","pipeline":"d","pool":"p","cell":"z","stage":0,"pieces":1,"key":"k",
             "result_bytes":1,"urgency":1,"reader_zone":"z","crossing_bytes":5,
             "is_new":true,"target_us":)" +
         std::string(us) + R"(,"deadline_us":)" + us + R"(,"after_us":)" + us +
