--- /dev/null
+++ b/Libraries/LibSoak/answer_check.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "LibSoak/observation.h"
+#include "LibSoak/promise.h"
+
+namespace bilberry::soak {
+
+// What the soak's endpoints answer with.
+struct AnswerShape {
+  size_t padding = 20'000;  // Bytes behind the line that names the request.
+  uint32_t events = 8;      // Of a stream.
+};
+
+struct BrokenPromise {
+  Promise promise{};
+  std::string detail;
+};
+
+// Compares an answer with the request that its caller sent.
+std::optional<BrokenPromise> CheckAnswer(const SentRequest& request,
+                                         const SeenAnswer& answer,
+                                         const AnswerShape& shape);
+
+}  // namespace bilberry::soak
--- /dev/null
+++ b/Libraries/LibSoak/caller.cc
@@ -0,0 +1,129 @@
+#include "LibSoak/caller.h"
+
+#include <utility>
+
+#include "Standins/caller_words.h"
+
+namespace bilberry::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kShortestPause{20};
+constexpr uint64_t kPauseRange = 130;  // In ms.
+constexpr milliseconds kTimeLeft{3000};
+// Beyond it, so that an answer at the last moment is seen.
+constexpr milliseconds kPatience{5000};
+constexpr uint64_t kPercent = 100;
+// Of requests, in percent, each up to its number.
+constexpr uint64_t kReads = 30;
+constexpr uint64_t kBooks = 60;
+constexpr uint64_t kDrafts = 80;
+constexpr uint64_t kWithdrawnKeys = 10;
+constexpr uint64_t kChangingKeys = 40;
+
+RequestKind KindOf(uint64_t percent) {
+  if (percent < kReads)
+    return RequestKind::kRead;
+  if (percent < kBooks)
+    return RequestKind::kBook;
+  return percent < kDrafts ? RequestKind::kDraft : RequestKind::kResume;
+}
+
+}  // namespace
+
+Caller::Caller(transport::Reactor& reactor,
+               PromiseBook& book,
+               EventTrail& trail,
+               const KeyRing& keys,
+               std::string host,
+               base::SocketAddress address,
+               uint64_t seed)
+    : reactor_(reactor),
+      timers_(reactor),
+      book_(book),
+      trail_(trail),
+      keys_(keys),
+      host_(std::move(host)),
+      address_(std::move(address)),
+      random_(seed),
+      name_(host_ + "-" + std::to_string(seed)),
+      connection_(
+          reactor,
+          [this](ConnectionAnswer it) { NoteAnswer(std::move(it)); },
+          [this](size_t n) {
+            book_.NoteStrayBytes(host_, n, reactor_.Now());
+          }) {}
+
+void Caller::AskLater() {
+  waiting_.clear();
+  timers_.After(kShortestPause + milliseconds(random_.Below(kPauseRange)),
+                [this] { Ask(); });
+}
+
+SentRequest Caller::Draw() {
+  SentRequest request;
+  request.id = name_ + "-" + std::to_string(++last_number_);
+  request.host = host_;
+  request.kind = KindOf(random_.Below(kPercent));
+  request.method = request.kind == RequestKind::kRead ? "GET" : "POST";
+  request.target = "/" + std::string(ToText(request.kind)) + "/" + request.id;
+  const uint64_t percent = random_.Below(kPercent);
+  request.key = keys_.lasting;
+  if (percent < kWithdrawnKeys && keys_.withdrawn)
+    request.key = *keys_.withdrawn;
+  else if (percent < kChangingKeys)
+    request.key = keys_.changing;
+  return request;
+}
+
+void Caller::Ask() {
+  if (has_ceased_)
+    return;
+  if (!connection_.is_open() && !connection_.Open(address_)) {
+    AskLater();
+    return;
+  }
+  SentRequest request = Draw();
+  request.sent = reactor_.Now();
+  const std::string text =
+      standins::ToHttp({request.id, request.method, request.target, request.key,
+                        kTimeLeft, IsStream(request.kind)});
+  waiting_ = request.id;
+  trail_.Add(request.sent,
+             request.id + " goes to " + host_ + " with " + request.key);
+  book_.NoteSent(std::move(request));
+  if (!connection_.Send(text)) {
+    AskLater();
+    return;
+  }
+  timers_.After(kPatience, [this, n = last_number_] { GiveUp(n); });
+}
+
+void Caller::GiveUp(uint64_t number) {
+  if (waiting_.empty() || number != last_number_)
+    return;
+  connection_.Close();
+  ConnectionAnswer answer;
+  answer.end = AnswerEnd::kGivenUp;
+  NoteAnswer(std::move(answer));
+}
+
+void Caller::NoteAnswer(ConnectionAnswer answer) {
+  SeenAnswer seen;
+  seen.request = waiting_;
+  seen.end = answer.end;
+  seen.status = answer.status;
+  seen.is_sealed = standins::IsSealed(answer.headers);
+  seen.named_id = standins::NamedRequest(answer.headers);
+  seen.body = std::move(answer.body);
+  seen.ended = reactor_.Now();
+  trail_.Add(seen.ended, waiting_ + " ends: " + std::to_string(seen.status) +
+                             ", " + std::string(ToText(seen.end)) + ", " +
+                             std::to_string(seen.body.size()) + " bytes");
+  book_.NoteAnswer(seen);
+  AskLater();
+}
+
+}  // namespace bilberry::soak
--- /dev/null
+++ b/Libraries/LibSoak/endpoint_fleet.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibSoak/event_trail.h"
+#include "LibSoak/promise_book.h"
+#include "LibTransport/timer_queue.h"
+#include "Standins/caller_words.h"
+#include "Standins/row_store_standin.h"
+
+namespace bilberry::soak {
+
+// The pools' endpoints, which come and go, and write their entries.
+class EndpointFleet {
+ public:
+  static base::Result<std::unique_ptr<EndpointFleet>> Create(
+      transport::Reactor& reactor,
+      standins::RowStoreStandin& store,
+      PromiseBook& book,
+      EventTrail& trail,
+      std::string ip,
+      AnswerShape shape);
+
+  // Notes what has come to run since the last call.
+  void Poll(base::TimePoint now);
+
+  // `target` picks the endpoint. Each is replaced.
+  void Leave(uint64_t target);
+  void Die(uint64_t target, std::chrono::milliseconds lasts);
+  void Misbehave(uint64_t target, std::chrono::milliseconds lasts);
+
+ private:
+  struct Member {
+    std::unique_ptr<standins::PieceEndpointStandin> endpoint;
+    std::string pool;
+    std::string zone;
+    standins::EntryState state = standins::EntryState::kReady;
+    uint64_t sequence = 0;
+    size_t polled = 0;  // Arrivals.
+  };
+
+  EndpointFleet(transport::Reactor& reactor,
+                standins::RowStoreStandin& store,
+                PromiseBook& book,
+                EventTrail& trail,
+                std::string ip,
+                AnswerShape shape);
+
+  base::Result<void> Add(const std::string& pool,
+                         const std::string& zone,
+                         uint16_t port);
+  void AddAgain(const std::string& pool,
+                const std::string& zone,
+                uint16_t port);
+  void Write(Member& member);
+  void WriteAll();
+  void PollMember(Member& member, base::TimePoint now);
+  // Also takes its entry from the store.
+  void Remove(const std::string& name);
+  Member* Find(const std::string& name);
+  // One of those that serve.
+  Member& Pick(uint64_t target);
+
+  transport::Reactor& reactor_;
+  transport::TimerQueue timers_;
+  standins::RowStoreStandin& store_;
+  PromiseBook& book_;
+  EventTrail& trail_;
+  std::string ip_;
+  AnswerShape shape_;
+  uint64_t last_number_ = 0;
+  std::vector<std::unique_ptr<Member>> members_;
+};
+
+}  // namespace bilberry::soak
--- /dev/null
+++ b/Libraries/LibSoak/host_fleet.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "LibSoak/event_trail.h"
+#include "LibSoak/host_process.h"
+#include "LibSoak/promise_book.h"
+#include "LibTransport/timer_queue.h"
+#include "Standins/relay.h"
+
+namespace bilberry::soak {
+
+// The links of a host that a fault may touch.
+enum class LinkOf { kCallers, kStore };
+
+// Where a host's callers find it.
+struct HostDoor {
+  std::string host;
+  base::SocketAddress direct;
+  base::SocketAddress by_link;
+};
+
+struct HostFleetOptions {
+  size_t hosts = 3;
+  std::string program;
+  std::string folder;  // Of settings and logs.
+  std::string net;     // The first three numbers of all IP numbers.
+  base::SocketAddress store;
+  std::chrono::milliseconds grace{4000};
+};
+
+// The entry hosts' processes, with links to callers and to the store.
+class HostFleet {
+ public:
+  static base::Result<std::unique_ptr<HostFleet>> Create(
+      transport::Reactor& reactor,
+      PromiseBook& book,
+      EventTrail& trail,
+      HostFleetOptions options);
+
+  std::vector<HostDoor> doors() const;
+  std::set<std::string> names() const;
+  bool are_all_gone() const;
+
+  // Takes note of processes that have ended, and starts them again.
+  void Reap(base::TimePoint now);
+
+  // Each does nothing to a host that is gone or going already; what ends, ends
+  // after `lasts`.
+  void Stop(uint64_t target, std::chrono::milliseconds lasts);
+  void Kill(uint64_t target, std::chrono::milliseconds lasts);
+  void Freeze(uint64_t target, std::chrono::milliseconds lasts);
+  void Reload(uint64_t target);
+  void Disturb(uint64_t target,
+               LinkOf which,
+               standins::LinkState state,
+               std::chrono::milliseconds lasts);
+  // For good.
+  void StopAll();
+
+ private:
+  enum class State { kUp, kStopping, kKilled, kGone };
+
+  struct Host {
+    std::string name;
+    HostDoor door;
+    std::unique_ptr<HostProcess> process;
+    std::unique_ptr<standins::Relay> callers_link;
+    std::unique_ptr<standins::Relay> store_link;
+    State state = State::kGone;
+    uint64_t life = 0;
+    bool is_frozen = false;
+    base::TimePoint started;
+    base::TimePoint ordered;
+    std::chrono::milliseconds gone_for{0};
+    // Work and disturbances that end with the next start.
+    uint32_t open_work = 0;
+    uint32_t open_disturbances = 0;
+  };
+
+  HostFleet(transport::Reactor& reactor,
+            PromiseBook& book,
+            EventTrail& trail,
+            HostFleetOptions options);
+
+  base::Result<void> Add(size_t number);
+  std::string WriteSettings(const Host& host,
+                            size_t number,
+                            const base::SocketAddress& store) const;
+  base::Result<void> Start(Host& host);
+  void StartAgain(Host& host);
+  bool TakesOrders(const Host& host) const;
+  void NoteEnd(Host& host, const ProcessEnd& end, base::TimePoint now);
+  Host& Pick(uint64_t target) { return *hosts_.at(target % hosts_.size()); }
+  void Tell(const Host& host, const std::string& what);
+
+  transport::Reactor& reactor_;
+  transport::TimerQueue timers_;
+  PromiseBook& book_;
+  EventTrail& trail_;
+  HostFleetOptions options_;
+  bool is_ending_ = false;
+  std::vector<std::unique_ptr<Host>> hosts_;
+};
+
+}  // namespace bilberry::soak
--- /dev/null
+++ b/Libraries/LibSoak/observation.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <array>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "LibBase/http_header.h"
+#include "LibBase/time.h"
+
+// What callers and endpoints see of a request.
+namespace bilberry::soak {
+
+enum class RequestKind { kRead, kBook, kDraft, kResume };
+
+inline constexpr std::array kRequestKinds{
+    std::pair{RequestKind::kRead, "read"},
+    std::pair{RequestKind::kBook, "book"},
+    std::pair{RequestKind::kDraft, "draft"},
+    std::pair{RequestKind::kResume, "resume"},
+};
+
+constexpr bool IsStream(RequestKind kind) {
+  return kind == RequestKind::kDraft || kind == RequestKind::kResume;
+}
+
+constexpr bool MayRunOnceOnly(RequestKind kind) {
+  return kind == RequestKind::kBook || kind == RequestKind::kDraft;
+}
+
+struct SentRequest {
+  std::string id;
+  RequestKind kind{};
+  std::string host;
+  std::string method;
+  std::string target;
+  std::string key;
+  base::TimePoint sent;
+};
+
+// How the connection had it.
+enum class AnswerEnd {
+  kWhole,      // Complete by its framing.
+  kCut,        // Broken off within the answer, and to be seen as such.
+  kNone,       // Closed before any answer.
+  kMalformed,  // No answer in the protocol.
+  kGivenUp,    // The caller waited no longer.
+};
+
+inline constexpr std::array kAnswerEnds{
+    std::pair{AnswerEnd::kWhole, "whole"},
+    std::pair{AnswerEnd::kCut, "cut"},
+    std::pair{AnswerEnd::kNone, "closed"},
+    std::pair{AnswerEnd::kMalformed, "malformed"},
+    std::pair{AnswerEnd::kGivenUp, "given up"},
+};
+
+constexpr std::string_view ToText(AnswerEnd end) {
+  for (const auto& [it, text] : kAnswerEnds) {
+    if (it == end)
+      return text;
+  }
+  return "";
+}
+
+constexpr std::string_view ToText(RequestKind kind) {
+  for (const auto& [it, text] : kRequestKinds) {
+    if (it == kind)
+      return text;
+  }
+  return "";
+}
+
+struct SeenAnswer {
+  std::string request;
+  AnswerEnd end = AnswerEnd::kWhole;
+  int status = 0;
+  bool is_sealed = false;  // By an endpoint.
+  std::string named_id;    // Which request it says it answers.
+  std::string body;
+  base::TimePoint ended;
+};
+
+struct SeenRun {
+  std::string request;
+  std::string endpoint;
+  std::string method;
+  std::string target;
+  base::TimePoint at;
+};
+
+}  // namespace bilberry::soak
--- /dev/null
+++ b/Libraries/LibSoak/promise_book.cc
@@ -0,0 +1,277 @@
+#include "LibSoak/promise_book.h"
+
+#include <algorithm>
+
+namespace bilberry::soak {
+
+namespace {
+
+constexpr int kSuccess = 200;
+
+// Answers that say that a request has not run and never will.
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+bool IsDenial(int status) {
+  return status == 401 || status == 403 || status == 404;
+}
+
+std::string OutcomeOf(const SeenAnswer& answer) {
+  return answer.end == AnswerEnd::kWhole ? std::to_string(answer.status)
+                                         : std::string(ToText(answer.end));
+}
+
+}  // namespace
+
+void PromiseBook::Report(Promise promise,
+                         base::TimePoint now,
+                         const std::string& request,
+                         std::string detail) {
+  violations_.push_back({promise, now, request, std::move(detail)});
+}
+
+void PromiseBook::NoteTime(Promise promise, base::Duration time) {
+  base::Duration& worst = worst_[promise];
+  worst = std::max(worst, time);
+}
+
+uint64_t PromiseBook::checks(Promise promise) const {
+  const auto it = checks_.find(promise);
+  return it == checks_.end() ? 0 : it->second;
+}
+
+base::Duration PromiseBook::worst(Promise promise) const {
+  const auto it = worst_.find(promise);
+  return it == worst_.end() ? base::Duration::zero() : it->second;
+}
+
+bool PromiseBook::IsInTouch(const std::string& host,
+                            base::TimePoint since) const {
+  return any_.WasCalm(host, since - bounds_.calm) &&
+         any_.WasCalm(kStorePart, since - bounds_.calm);
+}
+
+void PromiseBook::NoteSent(SentRequest request) {
+  const std::string id = request.id;
+  followed_[id].request = std::move(request);
+}
+
+void PromiseBook::NoteRun(const SeenRun& run) {
+  Count(Promise::kOwnRun);
+  const auto it = followed_.find(run.request);
+  if (it == followed_.end()) {
+    Report(Promise::kOwnRun, run.at, run.request, "nobody sent it");
+    return;
+  }
+  Followed& followed = it->second;
+  const SentRequest& request = followed.request;
+  if (run.method != request.method || run.target != request.target)
+    Report(Promise::kOwnRun, run.at, request.id,
+           "it ran as " + run.method + " " + run.target);
+  ++followed.runs;
+  if (MayRunOnceOnly(request.kind)) {
+    Count(Promise::kAtMostOnce);
+    if (followed.runs > 1)
+      Report(Promise::kAtMostOnce, run.at, request.id,
+             "run " + std::to_string(followed.runs) + " at " + run.endpoint);
+    if (followed.refusal)
+      Report(Promise::kTrueRefusal, run.at, request.id,
+             "it runs at " + run.endpoint + " after " +
+                 std::to_string(*followed.refusal));
+  }
+  CheckKeyOfRun(request, run);
+  CheckEndpointOfRun(request, run);
+}
+
+void PromiseBook::CheckKeyOfRun(const SentRequest& request,
+                                const SeenRun& run) {
+  const auto it = withdrawn_.find(request.key);
+  if (it == withdrawn_.end() || !IsInTouch(request.host, request.sent))
+    return;
+  Count(Promise::kWithdrawnKey);
+  const base::Duration since = request.sent - it->second;
+  NoteTime(Promise::kWithdrawnKey, since);
+  if (since > bounds_.configuration)
+    Report(Promise::kWithdrawnKey, run.at, request.id,
+           request.key + " was withdrawn " + std::to_string(since.count()) +
+               " us before it was sent");
+}
+
+void PromiseBook::CheckEndpointOfRun(const SentRequest& request,
+                                     const SeenRun& run) {
+  if (!IsInTouch(request.host, request.sent))
+    return;
+  Count(Promise::kLeavingEndpoint);
+  const auto it = leaving_.find(run.endpoint);
+  if (it == leaving_.end())
+    return;
+  const base::Duration since = request.sent - it->second;
+  NoteTime(Promise::kLeavingEndpoint, since);
+  if (since > bounds_.drain)
+    Report(Promise::kLeavingEndpoint, run.at, request.id,
+           run.endpoint + " left " + std::to_string(since.count()) +
+               " us before it was sent");
+}
+
+void PromiseBook::NoteAnswer(const SeenAnswer& answer) {
+  const auto it = followed_.find(answer.request);
+  if (it == followed_.end())
+    return;
+  Followed& followed = it->second;
+  const SentRequest& request = followed.request;
+  ++outcomes_[std::string(ToText(request.kind)) + " " + OutcomeOf(answer)];
+  Count(Promise::kOwnAnswer);
+  if (answer.status == kSuccess) {
+    Count(Promise::kWholeAnswer);
+    if (IsStream(request.kind))
+      Count(Promise::kStreamOrder);
+  }
+  const auto broken = CheckAnswer(request, answer, shape_);
+  if (broken)
+    Report(broken->promise, answer.ended, request.id, broken->detail);
+  CheckRefusal(followed, answer);
+  CheckCut(followed, answer);
+  CheckDenial(request, answer);
+  if (!broken && answer.status == kSuccess && answer.end == AnswerEnd::kWhole)
+    NoteSuccess(request, answer.ended);
+}
+
+void PromiseBook::CheckRefusal(Followed& followed, const SeenAnswer& answer) {
+  if (answer.end != AnswerEnd::kWhole || answer.is_sealed ||
+      !PromisesNotRun(answer.status) || !MayRunOnceOnly(followed.request.kind))
+    return;
+  Count(Promise::kTrueRefusal);
+  followed.refusal = answer.status;
+  if (followed.runs > 0)
+    Report(Promise::kTrueRefusal, answer.ended, answer.request,
+           "it has run, and is told " + std::to_string(answer.status));
+}
+
+// Bound is who passed the request on: a request that crosses a close was not
+// read.
+void PromiseBook::CheckCut(const Followed& followed, const SeenAnswer& answer) {
+  const SentRequest& request = followed.request;
+  if (followed.runs == 0 || answer.end == AnswerEnd::kGivenUp ||
+      !unplanned_.WereAllCalm(request.sent - bounds_.calm))
+    return;
+  Count(Promise::kUncut);
+  if (answer.end == AnswerEnd::kCut || answer.end == AnswerEnd::kNone)
+    Report(Promise::kUncut, answer.ended, request.id,
+           "its connection at " + request.host + " ended after " +
+               std::to_string((answer.ended - request.sent).count()) + " us");
+}
+
+void PromiseBook::CheckDenial(const SentRequest& request,
+                              const SeenAnswer& answer) {
+  if (withdrawn_.contains(request.key)) {
+    // Served in spite of it: seen where it runs.
+    if (IsDenial(answer.status))
+      Count(Promise::kWithdrawnKey);
+    return;
+  }
+  const auto added = added_.find(request.key);
+  const bool is_in_force =
+      added == added_.end() ||
+      (request.sent - added->second > bounds_.configuration &&
+       IsInTouch(request.host, request.sent));
+  if (!is_in_force)
+    return;
+  Count(Promise::kKnownKey);
+  if (IsDenial(answer.status) && !answer.is_sealed)
+    Report(Promise::kKnownKey, answer.ended, request.id,
+           request.key + " is told " + std::to_string(answer.status));
+}
+
+void PromiseBook::NoteStrayBytes(const std::string& host,
+                                 size_t bytes,
+                                 base::TimePoint now) {
+  Report(Promise::kOwnAnswer, now, "",
+         std::to_string(bytes) + " bytes from " + host + " that nobody asked");
+}
+
+void PromiseBook::BeginPlannedWork(const std::string& part) {
+  any_.Begin(part);
+}
+
+void PromiseBook::EndPlannedWork(const std::string& part, base::TimePoint now) {
+  any_.End(part, now);
+}
+
+void PromiseBook::BeginDisturbance(const std::string& part) {
+  any_.Begin(part);
+  unplanned_.Begin(part);
+}
+
+void PromiseBook::EndDisturbance(const std::string& part, base::TimePoint now) {
+  any_.End(part, now);
+  unplanned_.End(part, now);
+}
+
+void PromiseBook::NoteKeyAdded(const std::string& key, base::TimePoint now) {
+  added_[key] = now;
+}
+
+void PromiseBook::NoteKeyWithdrawn(const std::string& key,
+                                   base::TimePoint now) {
+  withdrawn_[key] = now;
+}
+
+void PromiseBook::NoteLeaving(const std::string& endpoint,
+                              base::TimePoint now) {
+  leaving_[endpoint] = now;
+}
+
+void PromiseBook::NoteStopped(const std::string& host,
+                              int exit_code,
+                              base::TimePoint ordered,
+                              base::TimePoint now) {
+  if (!unplanned_.WasCalm(host, ordered))
+    return;
+  Count(Promise::kStop);
+  NoteTime(Promise::kStop, now - ordered);
+  if (exit_code != 0)
+    Report(Promise::kStop, now, "",
+           host + " ended with " + std::to_string(exit_code));
+  else if (now - ordered > bounds_.grace)
+    Report(Promise::kStop, now, "",
+           host + " took " + std::to_string((now - ordered).count()) + " us");
+}
+
+void PromiseBook::NoteEndedByItself(const std::string& host,
+                                    const std::string& how,
+                                    base::TimePoint now) {
+  Report(Promise::kLife, now, "", host + " " + how);
+}
+
+bool PromiseBook::is_undisturbed(base::TimePoint now) const {
+  return any_.WereAllCalm(now);
+}
+
+void PromiseBook::BeginRecovery(const std::set<std::string>& hosts,
+                                base::TimePoint now) {
+  recovery_began_ = now;
+  for (const std::string& host : hosts) {
+    for (const auto& [kind, name] : kRequestKinds)
+      missing_.insert({host, kind});
+  }
+}
+
+void PromiseBook::NoteSuccess(const SentRequest& request, base::TimePoint now) {
+  if (missing_.empty() || request.sent < recovery_began_ ||
+      missing_.erase({request.host, request.kind}) == 0)
+    return;
+  Count(Promise::kRecovery);
+  NoteTime(Promise::kRecovery, now - recovery_began_);
+}
+
+void PromiseBook::CheckRecovery(base::TimePoint now) {
+  if (now - recovery_began_ <= bounds_.recovery)
+    return;
+  for (const auto& [host, kind] : missing_)
+    Report(Promise::kRecovery, now, "",
+           host + " has not served " + std::string(ToText(kind)) + " again");
+  missing_.clear();
+}
+
+}  // namespace bilberry::soak
--- /dev/null
+++ b/Libraries/LibSoak/promise_book.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "LibSoak/answer_check.h"
+#include "LibSoak/disturbances.h"
+#include "LibSoak/observation.h"
+#include "LibSoak/promise.h"
+
+namespace bilberry::soak {
+
+inline constexpr const char* kStorePart = "the store";
+inline constexpr const char* kEndpointsPart = "the endpoints";
+
+// The stated times that promises hold from or within.
+struct Bounds {
+  // Without disturbance for so long, a host is bound by all others.
+  std::chrono::milliseconds calm{3000};
+  std::chrono::milliseconds configuration{2000};
+  std::chrono::milliseconds drain{2000};
+  std::chrono::milliseconds grace{8000};
+  std::chrono::milliseconds recovery{12'000};
+};
+
+// Checks promises by what callers and endpoints have seen, never by a host's
+// own word.
+class PromiseBook {
+ public:
+  PromiseBook(Bounds bounds, AnswerShape shape)
+      : bounds_(bounds), shape_(shape) {}
+
+  // What callers and endpoints see.
+  void NoteSent(SentRequest request);
+  void NoteRun(const SeenRun& run);
+  void NoteAnswer(const SeenAnswer& answer);
+  // Bytes with no request waiting on the connection.
+  void NoteStrayBytes(const std::string& host,
+                      size_t bytes,
+                      base::TimePoint now);
+
+  // What is done to the world.
+  void BeginPlannedWork(const std::string& part);
+  void EndPlannedWork(const std::string& part, base::TimePoint now);
+  void BeginDisturbance(const std::string& part);
+  void EndDisturbance(const std::string& part, base::TimePoint now);
+  void NoteKeyAdded(const std::string& key, base::TimePoint now);
+  void NoteKeyWithdrawn(const std::string& key, base::TimePoint now);
+  void NoteLeaving(const std::string& endpoint, base::TimePoint now);
+
+  // Whether nothing is being done to the world.
+  bool is_undisturbed(base::TimePoint now) const;
+
+  // What becomes of processes.
+  void NoteStopped(const std::string& host,
+                   int exit_code,
+                   base::TimePoint ordered,
+                   base::TimePoint now);
+  void NoteEndedByItself(const std::string& host,
+                         const std::string& how,
+                         base::TimePoint now);
+
+  // From now on each kind is to be served again at each of these.
+  void BeginRecovery(const std::set<std::string>& hosts, base::TimePoint now);
+  bool has_recovered() const { return missing_.empty(); }
+  // Call in between; notes what is missing when the time is over.
+  void CheckRecovery(base::TimePoint now);
+
+  const std::vector<Violation>& violations() const { return violations_; }
+  uint64_t checks(Promise promise) const;
+  // The longest time seen of what the promise bounds.
+  base::Duration worst(Promise promise) const;
+  // How requests ended, by kind and status.
+  const std::map<std::string, uint64_t>& outcomes() const { return outcomes_; }
+
+ private:
+  struct Followed {
+    SentRequest request;
+    uint32_t runs = 0;
+    std::optional<int> refusal;
+  };
+
+  void Report(Promise promise,
+              base::TimePoint now,
+              const std::string& request,
+              std::string detail);
+  void Count(Promise promise) { ++checks_[promise]; }
+  void NoteTime(Promise promise, base::Duration time);
+  bool IsInTouch(const std::string& host, base::TimePoint since) const;
+  void CheckKeyOfRun(const SentRequest& request, const SeenRun& run);
+  void CheckEndpointOfRun(const SentRequest& request, const SeenRun& run);
+  void CheckRefusal(Followed& followed, const SeenAnswer& answer);
+  void CheckCut(const Followed& followed, const SeenAnswer& answer);
+  void CheckDenial(const SentRequest& request, const SeenAnswer& answer);
+  void NoteSuccess(const SentRequest& request, base::TimePoint now);
+
+  Bounds bounds_;
+  AnswerShape shape_;
+  Disturbances unplanned_;
+  Disturbances any_;
+  std::map<std::string, Followed> followed_;
+  std::map<std::string, base::TimePoint> added_;
+  std::map<std::string, base::TimePoint> withdrawn_;
+  std::map<std::string, base::TimePoint> leaving_;
+  std::set<std::pair<std::string, RequestKind>> missing_;
+  base::TimePoint recovery_began_;
+  std::vector<Violation> violations_;
+  std::map<Promise, uint64_t> checks_;
+  std::map<Promise, base::Duration> worst_;
+  std::map<std::string, uint64_t> outcomes_;
+};
+
+}  // namespace bilberry::soak
--- /dev/null
+++ b/Libraries/LibSoak/soak_report.cc
@@ -0,0 +1,92 @@
+#include "LibSoak/soak_report.h"
+
+#include <algorithm>
+#include <chrono>
+#include <fstream>
+
+#include "LibOperator/request_story.h"
+
+namespace bilberry::soak {
+
+namespace {
+
+constexpr std::chrono::milliseconds kAround{3000};
+constexpr size_t kMostFindings = 20;
+
+void Tell(std::ostream& out, const SoakRun& run, const Violation& violation) {
+  out << "seed " << run.options().seed << ": " << ToText(violation.promise)
+      << " broken at unix_ms " << run.trail().UnixMs(violation.at) << " "
+      << violation.request << ": " << violation.detail << "\n";
+}
+
+void WriteFinding(std::ostream& out,
+                  const SoakRun& run,
+                  const Violation& violation) {
+  Tell(out, run, violation);
+  out << "\nEvents around it:\n";
+  run.trail().Print(out, violation.at, kAround, violation.request);
+  if (violation.request.empty())
+    return;
+  operators::RequestStory story(violation.request);
+  for (const std::string& log : run.logs()) {
+    std::ifstream file(log);
+    story.Read(file, log);
+  }
+  out << "\nWhat the hosts' logs tell of it:\n" << story.Print();
+}
+
+}  // namespace
+
+void SoakReport::Add(const SoakRun& run) {
+  const PromiseBook& book = run.book();
+  seeds_.push_back(run.options().seed);
+  for (const PlannedFault& fault : run.plan())
+    ++faults_[std::string(ToText(fault.kind))];
+  for (const auto& [outcome, n] : book.outcomes())
+    outcomes_[outcome] += n;
+  for (const auto& [promise, name] : kPromises) {
+    checks_[promise] += book.checks(promise);
+    worst_[promise] = std::max(worst_[promise], book.worst(promise));
+  }
+  violations_ += book.violations().size();
+  for (const Violation& violation : book.violations())
+    ++broken_[violation.promise];
+}
+
+void SoakReport::Print(std::ostream& out) const {
+  out << "seeds:";
+  for (const uint64_t seed : seeds_)
+    out << " " << seed;
+  out << "\nfaults:\n";
+  for (const auto& [kind, n] : faults_)
+    out << "  " << kind << " " << n << "\n";
+  out << "requests:\n";
+  for (const auto& [outcome, n] : outcomes_)
+    out << "  " << outcome << " " << n << "\n";
+  out << "promises: checked, broken, longest time in ms\n";
+  for (const auto& [promise, name] : kPromises) {
+    const auto broken = broken_.find(promise);
+    out << "  " << name << " " << checks_.at(promise) << " "
+        << (broken == broken_.end() ? 0 : broken->second) << " "
+        << std::chrono::duration_cast<std::chrono::milliseconds>(
+               worst_.at(promise))
+               .count()
+        << "\n";
+  }
+}
+
+void WriteFindings(const SoakRun& run) {
+  size_t n = 0;
+  for (const Violation& violation : run.book().violations()) {
+    if (++n > kMostFindings)
+      return;
+    std::ofstream file(run.options().folder + "/finding-" + std::to_string(n) +
+                       ".txt");
+    WriteFinding(file, run, violation);
+  }
+  std::ofstream plan(run.options().folder + "/plan.txt");
+  for (const PlannedFault& fault : run.plan())
+    plan << ToText(fault) << "\n";
+}
+
+}  // namespace bilberry::soak
--- /dev/null
+++ b/Libraries/LibSoak/soak_run.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibSoak/caller.h"
+#include "LibSoak/endpoint_fleet.h"
+#include "LibSoak/event_trail.h"
+#include "LibSoak/fault_plan.h"
+#include "LibSoak/host_fleet.h"
+#include "LibSoak/promise_book.h"
+#include "Standins/row_store_standin.h"
+
+namespace bilberry::soak {
+
+struct SoakOptions {
+  uint64_t seed = 1;
+  std::chrono::seconds span{30};  // In which faults begin.
+  size_t hosts = 3;
+  std::string program;  // Of an entry host.
+  std::string folder;   // Of settings and logs; what it held is removed.
+};
+
+// One seed: real entry hosts under load, with a plan of faults, until each has
+// recovered and all have been stopped.
+class SoakRun {
+ public:
+  static base::Result<std::unique_ptr<SoakRun>> Create(SoakOptions options);
+
+  // Ends early when `is_interrupted` says so.
+  void Play(const std::function<bool()>& is_interrupted);
+
+  const SoakOptions& options() const { return options_; }
+  const PromiseBook& book() const { return book_; }
+  const EventTrail& trail() const { return trail_; }
+  const FaultPlan& plan() const { return plan_; }
+  std::vector<std::string> logs() const;
+
+ private:
+  explicit SoakRun(SoakOptions options);
+
+  base::Result<void> SetUp();
+  void RunTurn();
+  // Whether it came true in that time.
+  bool RunUntil(const std::function<bool()>& is_done,
+                std::chrono::milliseconds longest);
+  bool HasRecovered();
+  void Begin(const PlannedFault& fault);
+  void BeginAtHost(const PlannedFault& fault);
+  void BeginAtStore(const PlannedFault& fault);
+  void BeginAtEndpoint(const PlannedFault& fault);
+  void DisturbStore(standins::Fault fault, std::chrono::milliseconds lasts);
+  void ChangeConfiguration();
+  void ChangeKey();
+
+  SoakOptions options_;
+  transport::Reactor reactor_;
+  transport::TimerQueue timers_{reactor_};
+  FaultPlan plan_;
+  PromiseBook book_;
+  EventTrail trail_{reactor_.Now()};
+  KeyRing keys_;
+  uint64_t revision_ = 1;
+  uint64_t last_key_ = 0;
+  uint64_t last_store_fault_ = 0;
+  std::function<bool()> is_interrupted_;
+  std::unique_ptr<standins::RowStoreStandin> store_;
+  std::unique_ptr<EndpointFleet> endpoints_;
+  std::unique_ptr<HostFleet> hosts_;
+  std::vector<std::unique_ptr<Caller>> callers_;
+};
+
+}  // namespace bilberry::soak
--- a/Tests/Standins/piece_endpoint_standin.cc
+++ b/Tests/Standins/piece_endpoint_standin.cc
@@ -33,9 +33,9 @@
   return response;
 }
 
-std::string EventText(uint32_t number) {
+std::string EventText(uint32_t number, const std::string& request) {
   return "id: " + std::to_string(number) + "\ndata: token " +
-         std::to_string(number) + "\n\n";
+         std::to_string(number) + request + "\n\n";
 }
 
 }  // namespace
@@ -93,15 +93,14 @@
     RunStage(request);
     return;
   }
-  arrivals_.push_back(
-      {request.method, request.target, request.headers, request.body});
   const EndpointFault fault = TakeFault();
-  if (fault == EndpointFault::kRefuses) {
-    Respond(request.exchange, NotRun(request, 503));
-    return;
-  }
-  if (model_.needs_inputs && TextOf(request, wire::kInputs).empty()) {
-    Respond(request.exchange, NotRun(request, 400));
+  const bool lacks_inputs =
+      model_.needs_inputs && TextOf(request, wire::kInputs).empty();
+  const bool has_run = fault != EndpointFault::kRefuses && !lacks_inputs;
+  arrivals_.push_back(
+      {request.method, request.target, request.headers, request.body, has_run});
+  if (!has_run) {
+    Respond(request.exchange, NotRun(request, lacks_inputs ? 400 : 503));
     return;
   }
   if (fault == EndpointFault::kHangs)
@@ -182,10 +181,12 @@
     BeginStream(request, fault);
     return;
   }
-  Respond(
-      request.exchange,
-      {fault == EndpointFault::kFails ? 500 : 200, HeadersFor(request, fault),
-       request.method + " " + request.target + " by " + model_.name.value});
+  std::string body =
+      request.method + " " + request.target + " by " + model_.name.value;
+  if (model_.answer_padding > 0)
+    body += "\n" + std::string(model_.answer_padding, 'x');
+  Respond(request.exchange, {fault == EndpointFault::kFails ? 500 : 200,
+                             HeadersFor(request, fault), std::move(body)});
 }
 
 void PieceEndpointStandin::BeginStream(const IncomingRequest& request,
@@ -197,6 +198,8 @@
   service_->BeginStream(request.exchange, 200, headers);
   auto stream = std::make_shared<Stream>();
   stream->exchange = request.exchange;
+  if (model_.names_requests)
+    stream->name = " of " + request.target;
   const std::string last = TextOf(request, wire::kLastEvent);
   if (!last.empty())
     stream->next = static_cast<uint32_t>(std::atoi(last.c_str())) + 1;
@@ -206,7 +209,7 @@
 
 void PieceEndpointStandin::GoOn(const std::shared_ptr<Stream>& stream) {
   if (stream->is_cut && stream->next == kCutAt) {
-    const std::string event = EventText(stream->next);
+    const std::string event = EventText(stream->next, stream->name);
     service_->WriteStream(stream->exchange, event.substr(0, event.size() / 2));
     service_->EndStream(stream->exchange, transport::StreamEnd::kCut);
     return;
@@ -215,7 +218,8 @@
     service_->EndStream(stream->exchange, transport::StreamEnd::kWhole);
     return;
   }
-  service_->WriteStream(stream->exchange, EventText(stream->next));
+  service_->WriteStream(stream->exchange,
+                        EventText(stream->next, stream->name));
   ++stream->next;
   timers_.After(model_.event_gap, [this, stream] { GoOn(stream); });
 }
--- a/Tests/Standins/piece_endpoint_standin.h
+++ b/Tests/Standins/piece_endpoint_standin.h
@@ -33,6 +33,8 @@
   uint32_t events = 5;                   // Of a stream.
   std::chrono::milliseconds event_gap{2};
   bool needs_inputs = false;
+  size_t answer_padding = 0;    // Bytes of a plain answer behind its line.
+  bool names_requests = false;  // In each event of a stream.
 };
 
 // A request as it reached the endpoint.
@@ -41,6 +43,7 @@
   std::string target;
   base::HttpHeaders headers;
   std::string body;
+  bool has_run = true;
 };
 
 // An endpoint of the users' platform: a plain service, a model engine that
@@ -74,6 +77,7 @@
  private:
   struct Stream {
     transport::ExchangeId exchange{};
+    std::string name;  // Of the request, in events.
     uint32_t next = 0;
     bool is_cut = false;
   };
--- a/Tests/Standins/relay.cc
+++ b/Tests/Standins/relay.cc
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cerrno>
+#include <chrono>
 #include <cstring>
 #include <utility>
 #include <vector>
@@ -17,6 +18,7 @@
 
 constexpr int kBacklog = 128;
 constexpr size_t kBlock = 16384;
+constexpr std::chrono::milliseconds kLateness{100};
 
 sockaddr_in NativeOf(const base::SocketAddress& address) {
   sockaddr_in native{};
@@ -109,8 +111,8 @@
     close(caller);
     return;
   }
-  sides_[caller] = {onward, true, false, ""};
-  sides_[onward] = {caller, false, false, ""};
+  sides_[caller] = {onward, true, false, "", ++last_serial_};
+  sides_[onward] = {caller, false, false, "", ++last_serial_};
   reactor_.Watch(caller, *this, ACE_Event_Handler::READ_MASK);
   reactor_.Watch(onward, *this, ACE_Event_Handler::READ_MASK);
 }
@@ -121,6 +123,7 @@
   switch (state_) {
     case LinkState::kSound:
     case LinkState::kForgetsOld:
+    case LinkState::kSlow:
       return true;
     case LinkState::kOneWayOut:
       return from.is_from_caller;
@@ -142,9 +145,13 @@
   if (n < 0 && (errno == EAGAIN || errno == EINTR))
     return;
   const bool does_pass = DoesPass(it->second);
+  // What comes behind late bytes doesn't overtake them.
+  const bool is_late = state_ == LinkState::kSlow || it->second.late > 0;
   if (n <= 0) {
     // On a silent link, not even the end of a connection gets through.
-    if (does_pass)
+    if (does_pass && is_late)
+      PassLater(descriptor, it->second, "");
+    else if (does_pass)
       Close(descriptor);
     else
       reactor_.Unwatch(descriptor);
@@ -153,11 +160,43 @@
   if (!does_pass)
     return;
   passed_bytes_ += static_cast<uint64_t>(n);
+  if (is_late) {
+    PassLater(descriptor, it->second,
+              std::string(buf.data(), static_cast<size_t>(n)));
+    return;
+  }
   const int peer = it->second.peer;
   sides_.at(peer).unsent.append(buf.data(), static_cast<size_t>(n));
   Flush(peer);
 }
 
+// No bytes stand for the end of the connection.
+void Relay::PassLater(int descriptor, Side& from, std::string bytes) {
+  if (bytes.empty())
+    reactor_.Unwatch(descriptor);
+  ++from.late;
+  timers_.After(kLateness, [this, descriptor, serial = from.serial,
+                            text = std::move(bytes)] {
+    EndLate(descriptor, serial, text);
+  });
+}
+
+void Relay::EndLate(int descriptor, uint64_t serial, const std::string& bytes) {
+  const auto it = sides_.find(descriptor);
+  if (it == sides_.end() || it->second.serial != serial)
+    return;
+  --it->second.late;
+  if (!DoesPass(it->second))
+    return;
+  if (bytes.empty()) {
+    Close(descriptor);
+    return;
+  }
+  const int peer = it->second.peer;
+  sides_.at(peer).unsent.append(bytes);
+  Flush(peer);
+}
+
 void Relay::Flush(int descriptor) {
   const auto it = sides_.find(descriptor);
   if (it == sides_.end())
--- a/Tests/Standins/relay_main.cc
+++ b/Tests/Standins/relay_main.cc
@@ -31,6 +31,7 @@
     std::pair{LinkState::kOneWayOut, "one-way-out"},
     std::pair{LinkState::kOneWayBack, "one-way-back"},
     std::pair{LinkState::kRefusing, "refusing"},
+    std::pair{LinkState::kSlow, "slow"},
 };
 
 struct Link {
--- /dev/null
+++ b/Utilities/bilberrysoak/main.cc
@@ -0,0 +1,131 @@
+// Plays faults drawn from seeds on real entry hosts, and checks what callers
+// and endpoints were promised.
+
+#include <cxxopts.hpp>
+#include <filesystem>
+#include <iostream>
+#include <optional>
+#include <string>
+
+#include "LibSoak/soak_report.h"
+#include "LibTransport/program.h"
+
+namespace {
+
+using bilberry::soak::DrawFaultPlan;
+using bilberry::soak::FaultPlan;
+using bilberry::soak::SoakOptions;
+using bilberry::soak::SoakReport;
+using bilberry::soak::SoakRun;
+using bilberry::transport::kExitUsage;
+using bilberry::transport::StopWasOrdered;
+
+constexpr int kExitBroken = 1;
+constexpr int kExitStart = 3;
+constexpr size_t kMostHosts = 60;
+
+struct Seeds {
+  uint64_t first = 1;
+  uint64_t last = 1;
+};
+
+cxxopts::Options MakeOptions() {
+  cxxopts::Options options(
+      "bilberrysoak",
+      "Plays faults drawn from a seed on real entry hosts under load.\n"
+      "Exit codes: 0 all promises kept, 1 one was broken, 2 bad flags, 3 can't "
+      "start.");
+  options.add_options()("seed", "What to draw the plan from",
+                        cxxopts::value<uint64_t>()->default_value("1"))(
+      "seeds", "A-B: one run after the other in place of --seed",
+      cxxopts::value<std::string>())(
+      "seconds", "For how long faults begin",
+      cxxopts::value<uint64_t>()->default_value("30"))(
+      "hosts", "Entry hosts, 1 to 60",
+      cxxopts::value<size_t>()->default_value("3"))(
+      "entry", "The program of an entry host",
+      cxxopts::value<std::string>()->default_value(
+          "build/platform/bilberryentry"))(
+      "keep", "Folder of logs and findings, one in it for each seed",
+      cxxopts::value<std::string>()->default_value("Results/soak"))(
+      "plan", "Print the plan and end");
+  return options;
+}
+
+std::optional<Seeds> SeedsOf(const cxxopts::ParseResult& flags) {
+  if (flags.count("seeds") == 0) {
+    const auto seed = flags["seed"].as<uint64_t>();
+    return Seeds{seed, seed};
+  }
+  const std::string text = flags["seeds"].as<std::string>();
+  const size_t dash = text.find('-');
+  const auto is_number = [](const std::string& it) {
+    constexpr size_t kMostDigits = 18;
+    return !it.empty() && it.size() <= kMostDigits &&
+           it.find_first_not_of("0123456789") == std::string::npos;
+  };
+  if (dash == std::string::npos || !is_number(text.substr(0, dash)) ||
+      !is_number(text.substr(dash + 1)))
+    return std::nullopt;
+  const Seeds seeds{std::stoull(text.substr(0, dash)),
+                    std::stoull(text.substr(dash + 1))};
+  return seeds.first <= seeds.last ? std::optional(seeds) : std::nullopt;
+}
+
+void PrintPlan(uint64_t seed, const FaultPlan& plan) {
+  std::cout << "plan of seed " << seed << ":\n";
+  for (const auto& fault : plan)
+    std::cout << "  " << ToText(fault) << "\n";
+}
+
+// False if it can't be started.
+bool PlaySeed(const SoakOptions& options, SoakReport& report) {
+  PrintPlan(options.seed, DrawFaultPlan(options.seed, options.span));
+  std::cout.flush();
+  auto run = SoakRun::Create(options);
+  if (!run) {
+    std::cerr << "bilberrysoak: " << ToText(run.error()) << "\n";
+    return false;
+  }
+  run.value()->Play(StopWasOrdered);
+  WriteFindings(*run.value());
+  for (const auto& violation : run.value()->book().violations())
+    std::cout << "BROKEN " << ToText(violation.promise) << " "
+              << violation.request << ": " << violation.detail << " (in "
+              << options.folder << ")\n";
+  report.Add(*run.value());
+  return true;
+}
+
+int Run(const cxxopts::ParseResult& flags) {
+  const auto seeds = SeedsOf(flags);
+  SoakOptions options;
+  options.span = std::chrono::seconds(flags["seconds"].as<uint64_t>());
+  options.hosts = flags["hosts"].as<size_t>();
+  options.program = flags["entry"].as<std::string>();
+  if (!seeds || options.hosts < 1 || options.hosts > kMostHosts) {
+    std::cerr << "bilberrysoak: --seeds is A-B, --hosts 1 to 60\n";
+    return kExitUsage;
+  }
+  SoakReport report;
+  for (uint64_t seed = seeds->first; seed <= seeds->last && !StopWasOrdered();
+       ++seed) {
+    options.seed = seed;
+    options.folder =
+        flags["keep"].as<std::string>() + "/seed-" + std::to_string(seed);
+    if (flags.count("plan") > 0)
+      PrintPlan(seed, DrawFaultPlan(seed, options.span));
+    else if (!PlaySeed(options, report))
+      return kExitStart;
+  }
+  if (flags.count("plan") > 0)
+    return 0;
+  report.Print(std::cout);
+  return report.has_violations() ? kExitBroken : 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  return bilberry::transport::RunProgram(argc, argv, MakeOptions(), Run);
+}
