--- a/Libraries/LibSoak/endpoint_fleet.cc
+++ b/Libraries/LibSoak/endpoint_fleet.cc
@@ -16,6 +16,8 @@
 constexpr milliseconds kWriteInterval{1000};
 // Of an endpoint that leaves, which serves on meanwhile.
 constexpr milliseconds kLeaveTime{4000};
+// Until an address is used again, by whichever pool.
+constexpr milliseconds kReuseTime{2000};
 constexpr uint32_t kMisdeeds = 3;
 constexpr milliseconds kService{15};
 constexpr milliseconds kEventGap{10};
@@ -84,15 +86,22 @@
   return base::Success();
 }
 
-// Its port may be taken meanwhile: another one does as well.
-void EndpointFleet::AddAgain(const std::string& pool,
-                             const std::string& zone,
-                             uint16_t port) {
+// The address may be taken meanwhile: another one does as well.
+void EndpointFleet::AddAgain(const std::string& pool, const std::string& zone) {
+  uint16_t port = 0;
+  if (!free_ports_.empty()) {
+    port = free_ports_.back();
+    free_ports_.pop_back();
+  }
   if (Add(pool, zone, port) || Add(pool, zone, 0))
     return;
   trail_.Add(reactor_.Now(), "no endpoint could be made for " + pool);
 }
 
+void EndpointFleet::FreeLater(uint16_t port) {
+  timers_.After(kReuseTime, [this, port] { free_ports_.push_back(port); });
+}
+
 void EndpointFleet::Write(Member& member) {
   store_.Put(standins::kEndpointRows, member.endpoint->model().name.value,
              standins::EndpointEntry(*member.endpoint, member.pool, member.zone,
@@ -119,7 +128,7 @@
     const std::string what = it.has_run ? " runs at " : " is turned away by ";
     trail_.Add(now, std::string(id).append(what).append(name));
     if (it.has_run)
-      book_.NoteRun({id, name, it.method, it.target, now});
+      book_.NoteRun({id, name, member.pool, it.method, it.target, now});
   }
 }
 
@@ -144,6 +153,7 @@
   if (member == nullptr)
     return;
   PollMember(*member, reactor_.Now());
+  FreeLater(member->endpoint->address().port);
   store_.Remove(standins::kEndpointRows, name);
   std::erase_if(members_, [&](const auto& it) { return it.get() == member; });
 }
@@ -155,11 +165,11 @@
   member.state = EntryState::kDraining;
   Write(member);
   book_.NoteLeaving(name, reactor_.Now());
-  AddAgain(member.pool, member.zone, 0);
+  AddAgain(member.pool, member.zone);
   timers_.After(kLeaveTime, [this, name] { Remove(name); });
 }
 
-// Its entry lapses only when the next life begins, at the same address.
+// Its entry lapses only when another one takes its place.
 void EndpointFleet::Die(uint64_t target, milliseconds lasts) {
   Member& member = Pick(target);
   if (std::ranges::count_if(members_, [&](const auto& it) {
@@ -169,10 +179,10 @@
   const std::string name = member.endpoint->model().name.value;
   trail_.Add(reactor_.Now(), name + " dies");
   book_.BeginDisturbance(kEndpointsPart);
-  timers_.After(lasts, [this, name, pool = member.pool, zone = member.zone,
-                        port = member.endpoint->address().port] {
+  FreeLater(member.endpoint->address().port);
+  timers_.After(lasts, [this, name, pool = member.pool, zone = member.zone] {
     store_.Remove(standins::kEndpointRows, name);
-    AddAgain(pool, zone, port);
+    AddAgain(pool, zone);
     book_.EndDisturbance(kEndpointsPart, reactor_.Now());
   });
   PollMember(member, reactor_.Now());
--- a/Libraries/LibSoak/endpoint_fleet.h
+++ b/Libraries/LibSoak/endpoint_fleet.h
@@ -53,9 +53,9 @@
   base::Result<void> Add(const std::string& pool,
                          const std::string& zone,
                          uint16_t port);
-  void AddAgain(const std::string& pool,
-                const std::string& zone,
-                uint16_t port);
+  // At an address that is free again, if there is one.
+  void AddAgain(const std::string& pool, const std::string& zone);
+  void FreeLater(uint16_t port);
   void Write(Member& member);
   void WriteAll();
   void PollMember(Member& member, base::TimePoint now);
@@ -73,6 +73,7 @@
   std::string ip_;
   AnswerShape shape_;
   uint64_t last_number_ = 0;
+  std::vector<uint16_t> free_ports_;
   std::vector<std::unique_ptr<Member>> members_;
 };
 
--- a/Libraries/LibSoak/host_fleet.cc
+++ b/Libraries/LibSoak/host_fleet.cc
@@ -189,7 +189,8 @@
   host.state = State::kStopping;
   host.ordered = reactor_.Now();
   host.gone_for = lasts;
-  host.process->Signal(SIGTERM);
+  const bool is_killed = options_.sabotage == Sabotage::kKillingStops;
+  host.process->Signal(is_killed ? SIGKILL : SIGTERM);
   timers_.After(options_.grace, [this, &host, life = host.life] {
     if (host.life != life || !host.process->is_alive())
       return;
@@ -253,6 +254,15 @@
   });
 }
 
+void HostFleet::BeginSabotage() {
+  for (const auto& host : hosts_) {
+    if (options_.sabotage == Sabotage::kDoublingLinks)
+      host->callers_link->Order(LinkState::kDoubling);
+    if (options_.sabotage == Sabotage::kDeafHosts)
+      host->store_link->Order(LinkState::kSilent);
+  }
+}
+
 void HostFleet::StopAll() {
   for (size_t i = 0; i < hosts_.size(); ++i)
     Stop(i, {});
--- a/Libraries/LibSoak/host_fleet.h
+++ b/Libraries/LibSoak/host_fleet.h
@@ -11,6 +11,7 @@
 #include "LibSoak/event_trail.h"
 #include "LibSoak/host_process.h"
 #include "LibSoak/promise_book.h"
+#include "LibSoak/sabotage.h"
 #include "LibTransport/timer_queue.h"
 #include "Standins/relay.h"
 
@@ -33,6 +34,7 @@
   std::string net;     // The first three numbers of all IP numbers.
   base::SocketAddress store;
   std::chrono::milliseconds grace{4000};
+  Sabotage sabotage = Sabotage::kNone;
 };
 
 // The entry hosts' processes, with links to callers and to the store.
@@ -63,6 +65,8 @@
                std::chrono::milliseconds lasts);
   // For good.
   void StopAll();
+  // Call once hosts serve.
+  void BeginSabotage();
 
  private:
   enum class State { kUp, kStopping, kKilled, kGone };
--- a/Libraries/LibSoak/observation.h
+++ b/Libraries/LibSoak/observation.h
@@ -28,6 +28,11 @@
   return kind == RequestKind::kBook || kind == RequestKind::kDraft;
 }
 
+// The pool that its pipeline names.
+constexpr std::string_view PoolOf(RequestKind kind) {
+  return IsStream(kind) ? "llm" : "desk";
+}
+
 struct SentRequest {
   std::string id;
   RequestKind kind{};
@@ -84,6 +89,7 @@
 struct SeenRun {
   std::string request;
   std::string endpoint;
+  std::string pool;
   std::string method;
   std::string target;
   base::TimePoint at;
--- a/Libraries/LibSoak/promise_book.cc
+++ b/Libraries/LibSoak/promise_book.cc
@@ -69,6 +69,8 @@
   if (run.method != request.method || run.target != request.target)
     Report(Promise::kOwnRun, run.at, request.id,
            "it ran as " + run.method + " " + run.target);
+  if (run.pool != PoolOf(request.kind))
+    Report(Promise::kOwnRun, run.at, request.id, "it runs in " + run.pool);
   ++followed.runs;
   if (MayRunOnceOnly(request.kind)) {
     Count(Promise::kAtMostOnce);
--- a/Libraries/LibSoak/soak_run.cc
+++ b/Libraries/LibSoak/soak_run.cc
@@ -22,7 +22,7 @@
 constexpr milliseconds kLongestAftermath{20'000};
 constexpr milliseconds kStoreDelay{700};
 constexpr size_t kCallersPerHost = 4;
-constexpr size_t kMostViolations = 20;
+constexpr size_t kMostViolations = 200;
 constexpr const char* kStoreIp = ".250";
 constexpr const char* kEndpointIp = ".251";
 constexpr uint16_t kStorePort = 7000;
@@ -89,7 +89,7 @@
   TRY(hosts,
       HostFleet::Create(reactor_, book_, trail_,
                         {options_.hosts, options_.program, options_.folder, net,
-                         store_->address(), kGrace}));
+                         store_->address(), kGrace, options_.sabotage}));
   hosts_ = std::move(hosts);
   for (const HostDoor& door : hosts_->doors()) {
     for (size_t i = 0; i < kCallersPerHost; ++i)
@@ -140,6 +140,7 @@
     RunUntil([this] { return HasRecovered(); }, kLongestAftermath);
   };
   recover();
+  hosts_->BeginSabotage();
   for (const PlannedFault& fault : plan_)
     timers_.After(fault.at, [this, fault] { Begin(fault); });
   RunUntil([] { return false; }, options_.span);
--- a/Libraries/LibSoak/soak_run.h
+++ b/Libraries/LibSoak/soak_run.h
@@ -21,6 +21,7 @@
   uint64_t seed = 1;
   std::chrono::seconds span{30};  // In which faults begin.
   size_t hosts = 3;
+  Sabotage sabotage = Sabotage::kNone;
   std::string program;  // Of an entry host.
   std::string folder;   // Of settings and logs; what it held is removed.
 };
--- a/Tests/LibSoak/test_promises.cc
+++ b/Tests/LibSoak/test_promises.cc
@@ -32,8 +32,10 @@
   }
 
   void Run(const std::string& id, const std::string& endpoint = "desk-1") {
-    book.NoteRun({id, endpoint, id.starts_with("read") ? "GET" : "POST",
-                  "/" + id, At(11 * kSecond)});
+    const bool is_plain = id.starts_with("read") || id.starts_with("book");
+    book.NoteRun({id, endpoint, is_plain ? "desk" : "llm",
+                  id.starts_with("read") ? "GET" : "POST", "/" + id,
+                  At(11 * kSecond)});
   }
 
   static std::string Events(const std::string& id, uint32_t from, uint32_t to) {
@@ -174,13 +176,16 @@
 TEST_CASE("what nobody sent, or sent otherwise, is caught where it runs") {
   Told told;
   SUBCASE("nobody") {
-    told.book.NoteRun({"none", "desk-1", "GET", "/none", At(kSecond)});
+    told.book.NoteRun({"none", "desk-1", "desk", "GET", "/none", At(kSecond)});
   }
   SUBCASE("another target") {
-    told.book.NoteRun({"read", "desk-1", "GET", "/book", At(kSecond)});
+    told.book.NoteRun({"read", "desk-1", "desk", "GET", "/book", At(kSecond)});
   }
   SUBCASE("another method") {
-    told.book.NoteRun({"read", "desk-1", "POST", "/read", At(kSecond)});
+    told.book.NoteRun({"read", "desk-1", "desk", "POST", "/read", At(kSecond)});
+  }
+  SUBCASE("another pool") {
+    told.book.NoteRun({"read", "llm-1", "llm", "GET", "/read", At(kSecond)});
   }
   CHECK(told.Broken() == Promises{Promise::kOwnRun});
 }
--- a/Tests/Standins/relay.cc
+++ b/Tests/Standins/relay.cc
@@ -124,6 +124,7 @@
     case LinkState::kSound:
     case LinkState::kForgetsOld:
     case LinkState::kSlow:
+    case LinkState::kDoubling:
       return true;
     case LinkState::kOneWayOut:
       return from.is_from_caller;
@@ -167,6 +168,8 @@
   }
   const int peer = it->second.peer;
   sides_.at(peer).unsent.append(buf.data(), static_cast<size_t>(n));
+  if (state_ == LinkState::kDoubling && it->second.is_from_caller)
+    sides_.at(peer).unsent.append(buf.data(), static_cast<size_t>(n));
   Flush(peer);
 }
 
--- a/Tests/Standins/relay.h
+++ b/Tests/Standins/relay.h
@@ -26,6 +26,7 @@
   kOneWayBack,  // Only what goes to the connecting end passes.
   kRefusing,    // Old connections are reset, new ones closed.
   kSlow,        // All comes late.
+  kDoubling,    // What comes from the connecting end passes twice.
 };
 
 // A TCP link between two ends that a test can cut: listens at one address and
--- a/Tests/Standins/relay_main.cc
+++ b/Tests/Standins/relay_main.cc
@@ -32,6 +32,7 @@
     std::pair{LinkState::kOneWayBack, "one-way-back"},
     std::pair{LinkState::kRefusing, "refusing"},
     std::pair{LinkState::kSlow, "slow"},
+    std::pair{LinkState::kDoubling, "doubling"},
 };
 
 struct Link {
--- a/Utilities/bilberrysoak/main.cc
+++ b/Utilities/bilberrysoak/main.cc
@@ -14,6 +14,8 @@
 
 using bilberry::soak::DrawFaultPlan;
 using bilberry::soak::FaultPlan;
+using bilberry::soak::kSabotages;
+using bilberry::soak::Sabotage;
 using bilberry::soak::SoakOptions;
 using bilberry::soak::SoakReport;
 using bilberry::soak::SoakRun;
@@ -22,6 +24,7 @@
 
 constexpr int kExitBroken = 1;
 constexpr int kExitStart = 3;
+constexpr int kExitInterrupted = 4;
 constexpr size_t kMostHosts = 60;
 
 struct Seeds {
@@ -34,7 +37,7 @@
       "bilberrysoak",
       "Plays faults drawn from a seed on real entry hosts under load.\n"
       "Exit codes: 0 all promises kept, 1 one was broken, 2 bad flags, 3 can't "
-      "start.");
+      "start, 4 interrupted.");
   options.add_options()("seed", "What to draw the plan from",
                         cxxopts::value<uint64_t>()->default_value("1"))(
       "seeds", "A-B: one run after the other in place of --seed",
@@ -48,6 +51,10 @@
           "build/platform/bilberryentry"))(
       "keep", "Folder of logs and findings, one in it for each seed",
       cxxopts::value<std::string>()->default_value("Results/soak"))(
+      "sabotage",
+      "Break promises, to see that it is seen: doubling-links, deaf-hosts, "
+      "killing-stops",
+      cxxopts::value<std::string>()->default_value("none"))(
       "plan", "Print the plan and end");
   return options;
 }
@@ -72,6 +79,14 @@
   return seeds.first <= seeds.last ? std::optional(seeds) : std::nullopt;
 }
 
+std::optional<Sabotage> SabotageOf(const std::string& text) {
+  for (const auto& [sabotage, name] : kSabotages) {
+    if (text == name)
+      return sabotage;
+  }
+  return std::nullopt;
+}
+
 void PrintPlan(uint64_t seed, const FaultPlan& plan) {
   std::cout << "plan of seed " << seed << ":\n";
   for (const auto& fault : plan)
@@ -103,10 +118,13 @@
   options.span = std::chrono::seconds(flags["seconds"].as<uint64_t>());
   options.hosts = flags["hosts"].as<size_t>();
   options.program = flags["entry"].as<std::string>();
-  if (!seeds || options.hosts < 1 || options.hosts > kMostHosts) {
-    std::cerr << "bilberrysoak: --seeds is A-B, --hosts 1 to 60\n";
+  const auto sabotage = SabotageOf(flags["sabotage"].as<std::string>());
+  if (!seeds || !sabotage || options.hosts < 1 || options.hosts > kMostHosts) {
+    std::cerr << "bilberrysoak: --seeds is A-B, --hosts 1 to 60, --sabotage as "
+                 "--help says\n";
     return kExitUsage;
   }
+  options.sabotage = *sabotage;
   SoakReport report;
   for (uint64_t seed = seeds->first; seed <= seeds->last && !StopWasOrdered();
        ++seed) {
@@ -121,6 +139,10 @@
   if (flags.count("plan") > 0)
     return 0;
   report.Print(std::cout);
+  if (StopWasOrdered()) {
+    std::cout << "interrupted: the last seed wasn't played to its end\n";
+    return kExitInterrupted;
+  }
   return report.has_violations() ? kExitBroken : 0;
 }
 
