--- a/Libraries/LibSoak/caller.cc
+++ b/Libraries/LibSoak/caller.cc
@@ -12,7 +12,6 @@
 
 constexpr milliseconds kShortestPause{20};
 constexpr uint64_t kPauseRange = 130;  // In ms.
-constexpr milliseconds kTimeLeft{3000};
 // Beyond it, so that an answer at the last moment is seen.
 constexpr milliseconds kPatience{5000};
 constexpr uint64_t kPercent = 100;
@@ -89,7 +88,7 @@
   request.sent = reactor_.Now();
   const std::string text =
       standins::ToHttp({request.id, request.method, request.target, request.key,
-                        kTimeLeft, IsStream(request.kind)});
+                        request.time_left, IsStream(request.kind)});
   waiting_ = request.id;
   trail_.Add(request.sent,
              request.id + " goes to " + host_ + " with " + request.key);
--- a/Libraries/LibSoak/observation.h
+++ b/Libraries/LibSoak/observation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <chrono>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -41,6 +42,7 @@
   std::string target;
   std::string key;
   base::TimePoint sent;
+  std::chrono::milliseconds time_left{3000};
 };
 
 // How the connection had it.
--- a/Libraries/LibSoak/promise.h
+++ b/Libraries/LibSoak/promise.h
@@ -17,6 +17,7 @@
   kOwnRun,           // What runs was asked for, unchanged.
   kAtMostOnce,       // What may run once does so at most.
   kTrueRefusal,      // What was refused as not run doesn't run.
+  kAnswered,         // Each request is, when its time is over.
   kUncut,            // Planned work cuts nothing off.
   kWithdrawnKey,     // Not served after its time.
   kKnownKey,         // Not refused as unknown.
@@ -33,6 +34,7 @@
     std::pair{Promise::kOwnRun, "own-run"},
     std::pair{Promise::kAtMostOnce, "at-most-once"},
     std::pair{Promise::kTrueRefusal, "true-refusal"},
+    std::pair{Promise::kAnswered, "answered"},
     std::pair{Promise::kUncut, "uncut"},
     std::pair{Promise::kWithdrawnKey, "withdrawn-key"},
     std::pair{Promise::kKnownKey, "known-key"},
--- a/Libraries/LibSoak/promise_book.cc
+++ b/Libraries/LibSoak/promise_book.cc
@@ -134,6 +134,7 @@
     Report(broken->promise, answer.ended, request.id, broken->detail);
   CheckRefusal(followed, answer);
   CheckCut(followed, answer);
+  CheckLateness(request, answer);
   CheckDenial(request, answer);
   if (!broken && answer.status == kSuccess && answer.end == AnswerEnd::kWhole)
     NoteSuccess(request, answer.ended);
@@ -164,6 +165,19 @@
                std::to_string((answer.ended - request.sent).count()) + " us");
 }
 
+void PromiseBook::CheckLateness(const SentRequest& request,
+                                const SeenAnswer& answer) {
+  if (!unplanned_.WereAllCalm(request.sent - bounds_.calm))
+    return;
+  Count(Promise::kAnswered);
+  const base::Duration time = answer.ended - request.sent;
+  NoteTime(Promise::kAnswered, time);
+  if (time > request.time_left + bounds_.lateness)
+    Report(Promise::kAnswered, answer.ended, request.id,
+           std::string(ToText(answer.end)) + " after " +
+               std::to_string(time.count()) + " us");
+}
+
 void PromiseBook::CheckDenial(const SentRequest& request,
                               const SeenAnswer& answer) {
   if (withdrawn_.contains(request.key)) {
--- a/Libraries/LibSoak/promise_book.h
+++ b/Libraries/LibSoak/promise_book.h
@@ -28,6 +28,8 @@
   std::chrono::milliseconds drain{2000};
   std::chrono::milliseconds grace{8000};
   std::chrono::milliseconds recovery{12'000};
+  // Behind the time that a caller gives.
+  std::chrono::milliseconds lateness{500};
 };
 
 // Checks promises by what callers and endpoints have seen, never by a host's
@@ -98,6 +100,7 @@
   void CheckEndpointOfRun(const SentRequest& request, const SeenRun& run);
   void CheckRefusal(Followed& followed, const SeenAnswer& answer);
   void CheckCut(const Followed& followed, const SeenAnswer& answer);
+  void CheckLateness(const SentRequest& request, const SeenAnswer& answer);
   void CheckDenial(const SentRequest& request, const SeenAnswer& answer);
   void NoteSuccess(const SentRequest& request, base::TimePoint now);
 
--- a/Tests/LibSoak/test_promises.cc
+++ b/Tests/LibSoak/test_promises.cc
@@ -222,6 +222,27 @@
   CHECK(told.Broken() == Promises{Promise::kTrueRefusal});
 }
 
+TEST_CASE("a request that is left waiting beyond its time is caught") {
+  Told told;
+  SeenAnswer answer = Told::Refusal("read", 504);
+  answer.ended = At(milliseconds(13'501));
+  Promises expected{Promise::kAnswered};
+  SUBCASE("answered late") {}
+  SUBCASE("not answered at all") {
+    answer.end = AnswerEnd::kGivenUp;
+  }
+  SUBCASE("answered at the last moment") {
+    answer.ended = At(milliseconds(13'500));
+    expected = {};
+  }
+  SUBCASE("not beside a disturbance") {
+    told.book.BeginDisturbance("entry-2");
+    expected = {};
+  }
+  told.book.NoteAnswer(answer);
+  CHECK(told.Broken() == expected);
+}
+
 TEST_CASE("what planned work cuts off is caught") {
   Told told;
   SeenAnswer answer = Told::Refusal("read", 0);
