--- a/Libraries/LibTransport/news_codec.cc
+++ b/Libraries/LibTransport/news_codec.cc
@@ -76,7 +76,7 @@
     return endpoint;
   if (!object["cold_us"].isInt64() || object["cold_us"].asInt64() < 0)
     return std::nullopt;
-  endpoint.cold_for = base::Duration(object["cold_us"].asInt64());
+  endpoint.cold_for = *DurationOf(object["cold_us"]);
   return endpoint;
 }
 
@@ -184,8 +184,8 @@
   return forward::ToldQuietTime{
       {object["endpoint"].asString()},
       base::Incarnation{object["incarnation"].asUInt64()},
-      base::Duration(object["lasts_us"].asInt64()),
-      base::Duration(object["age_us"].asInt64())};
+      *DurationOf(object["lasts_us"]),
+      *DurationOf(object["age_us"])};
 }
 
 std::optional<forward::ToldNotices> NoticesOf(const Json::Value& object) {
