--- a/Libraries/LibForward/recent_delay.cc
+++ b/Libraries/LibForward/recent_delay.cc
@@ -7,8 +7,7 @@
 
 namespace {
 
-// A host sees a few samples a second of each kind: the mean follows a burst
-// within a second.
+// The mean follows a burst within a few samples.
 constexpr double kSampleWeight = 0.3;
 // A mean holds for this long after its last sample; then it halves as often as
 // kHalfLife passes.
--- a/Libraries/LibForward/run_times.cc
+++ b/Libraries/LibForward/run_times.cc
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-RunTimes::JobKind RunTimes::KindOf(const ForwardedRun& run, size_t stage) {
+RunTimes::WaitKey RunTimes::WaitKeyOf(const ForwardedRun& run, size_t stage) {
   return {run.pipeline->stages[stage].pool, run.pipeline->name, run.urgency};
 }
 
@@ -30,8 +30,8 @@
   const StageState& state = run.stages[stage];
   const base::Duration excess =
       now - state.asked - CallTimeOf(*limits, state.pieces);
-  job_excess_[KindOf(run, stage)].Note(std::max(excess, base::Duration(0)),
-                                       now);
+  job_excess_[WaitKeyOf(run, stage)].Note(std::max(excess, base::Duration(0)),
+                                          now);
 }
 
 void RunTimes::NoteFirstByte(const ForwardedRun& run, base::TimePoint now) {
@@ -44,7 +44,7 @@
   const PieceLimits* limits = LimitsOf(run, stage);
   if (limits == nullptr)
     return base::Duration(0);
-  const auto excess = job_excess_.find(KindOf(run, stage));
+  const auto excess = job_excess_.find(WaitKeyOf(run, stage));
   return CallTimeOf(*limits, run.stages[stage].pieces) +
          (excess == job_excess_.end() ? base::Duration(0)
                                       : excess->second.At(now));
--- a/Libraries/LibForward/run_times.h
+++ b/Libraries/LibForward/run_times.h
@@ -28,10 +28,10 @@
                           base::TimePoint now) const;
 
  private:
-  // Whose jobs wait alike: those of another kind or urgency are served before
-  // or behind them.
-  using JobKind = std::tuple<base::PoolName, base::PipelineName, Urgency>;
-  static JobKind KindOf(const ForwardedRun& run, size_t stage);
+  // What waits are learned by: jobs of another pipeline or urgency are served
+  // before these or behind them.
+  using WaitKey = std::tuple<base::PoolName, base::PipelineName, Urgency>;
+  static WaitKey WaitKeyOf(const ForwardedRun& run, size_t stage);
 
   // What a stage takes, with the wait for its turn.
   base::Duration TimeOf(const ForwardedRun& run,
@@ -39,7 +39,7 @@
                         base::TimePoint now) const;
 
   // By how much jobs take longer than their calls, since they wait.
-  std::map<JobKind, RecentDelay> job_excess_;
+  std::map<WaitKey, RecentDelay> job_excess_;
   // From the sending of a request to its first byte.
   std::map<base::PipelineName, RecentDelay> first_byte_;
 };
--- a/Libraries/LibForward/service_order.cc
+++ b/Libraries/LibForward/service_order.cc
@@ -57,17 +57,17 @@
   return order;
 }
 
-base::Duration WaitOf(const QueuedJob& job,
-                      const ServiceOrder& order,
-                      const PoolPace& pace,
-                      base::TimePoint now) {
+base::Duration WaitOnTime(const QueuedJob& job,
+                          const ServiceOrder& order,
+                          const PoolPace& pace,
+                          base::TimePoint now) {
   uint64_t ahead = 0;
   for (const QueuedJob& it : order.on_time) {
-    const bool is_due_before =
+    const bool goes_before =
         std::pair(it.urgency, it.target) <= std::pair(job.urgency, job.target);
     const bool is_of_its_kind =
-        it.urgency == job.urgency && it.kind == job.kind;
-    if (is_due_before || is_of_its_kind)
+        it.urgency == job.urgency && it.pipeline == job.pipeline;
+    if (goes_before || is_of_its_kind)
       ahead += it.pieces;
   }
   return pace.next_turn - now + pace.TimeFor(ahead);
--- a/Libraries/LibForward/service_order.h
+++ b/Libraries/LibForward/service_order.h
@@ -11,7 +11,7 @@
 // A job that waits for its turn, as far as the order goes by it.
 struct QueuedJob {
   JobId id{};
-  base::PipelineName kind;
+  base::PipelineName pipeline;
   Urgency urgency = Urgency::kMost;
   base::TimePoint target;
   // From its turn until its request is answered.
@@ -45,13 +45,14 @@
 
 ServiceOrder OrderOfService(std::vector<QueuedJob> jobs, const PoolPace& pace);
 
-// Until a job has its turn that isn't in the order yet: behind those on time
-// that are more urgent, due before it, or of its own kind, where who came first
-// is served first.
-base::Duration WaitOf(const QueuedJob& job,
-                      const ServiceOrder& order,
-                      const PoolPace& pace,
-                      base::TimePoint now);
+// Until a job that isn't in the order yet has its turn: behind those on time
+// that are more urgent or, of its urgency, due before it. All of its own
+// pipeline and urgency count too, also those due later: a margin for those who
+// have been let in.
+base::Duration WaitOnTime(const QueuedJob& job,
+                          const ServiceOrder& order,
+                          const PoolPace& pace,
+                          base::TimePoint now);
 
 // Until one has its turn that can't be on time: behind all that waits, and
 // behind those on time that come meanwhile.
--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -192,7 +192,7 @@
   if (OpenCount(now) == 0 && job.job.progress == RequestProgress::kNew)
     return TooLate(job, order, pace, now);
   const QueuedJob queued = Queued(id, job);
-  if (now + WaitOf(queued, order, pace, now) + queued.needed <= job.target)
+  if (now + WaitOnTime(queued, order, pace, now) + queued.needed <= job.target)
     return std::nullopt;
   const base::Duration wait = WaitOfLate(order, pace, now);
   if (now + wait + queued.needed <= job.deadline &&
--- a/Libraries/LibTransport/stage_job_codec.cc
+++ b/Libraries/LibTransport/stage_job_codec.cc
@@ -84,17 +84,19 @@
   if (!object || !object->isObject())
     return std::nullopt;
   const Json::Value& it = *object;
-  if (!HasTexts(it, {"request", "pipeline", "pool", "cell", "reader_zone"}) ||
+  if (!HasTexts(it, {"request", "pool", "cell", "reader_zone"}) ||
       !HasNumbers(it, {"stage", "pieces", "result_bytes", "urgency",
                        "target_us", "deadline_us", "after_us"}) ||
       !it["is_new"].isBool() || !it["stage"].isUInt() ||
       !it["pieces"].isUInt() || it["pieces"].asUInt() > forward::kMostPieces ||
       !it["urgency"].isUInt() || !it["result_bytes"].isUInt64() ||
       !it["crossing_bytes"].isUInt64() ||
+      (it.isMember("pipeline") && !it["pipeline"].isString()) ||
       (it.isMember("inputs_gone_us") && !it["inputs_gone_us"].isInt64()))
     return std::nullopt;
   forward::StageJob job;
   job.request_id = it["request"].asString();
+  // Hosts of the version before don't name it.
   job.pipeline.value = it["pipeline"].asString();
   job.pool.value = it["pool"].asString();
   job.cell.zone.value = it["cell"].asString();
--- a/Tests/LibForward/test_service_order.cc
+++ b/Tests/LibForward/test_service_order.cc
@@ -114,26 +114,26 @@
       OrderOfService({MakeJob(1, milliseconds(4000)), lesser}, pace);
   QueuedJob job = MakeJob(3, milliseconds(4000));
   job.urgency = Urgency{0};
-  CHECK(WaitOf(job, order, pace, kNow) == milliseconds(0));
+  CHECK(WaitOnTime(job, order, pace, kNow) == milliseconds(0));
   job.urgency = Urgency{1};
-  CHECK(WaitOf(job, order, pace, kNow) == pace.TimeFor(10));
+  CHECK(WaitOnTime(job, order, pace, kNow) == pace.TimeFor(10));
   job.urgency = Urgency{2};
-  CHECK(WaitOf(job, order, pace, kNow) == pace.TimeFor(20));
+  CHECK(WaitOnTime(job, order, pace, kNow) == pace.TimeFor(20));
 }
 
 TEST_CASE("a job doesn't wait for another kind that is due behind it") {
   const PoolPace pace = MakePace();
   QueuedJob other = MakeJob(1, milliseconds(4000));
-  other.kind.value = "other";
+  other.pipeline.value = "other";
   const ServiceOrder order = OrderOfService({other}, pace);
   QueuedJob job = MakeJob(2, milliseconds(1500));
-  CHECK(WaitOf(job, order, pace, kNow) == milliseconds(0));
+  CHECK(WaitOnTime(job, order, pace, kNow) == milliseconds(0));
   job.target = other.target + milliseconds(1);
-  CHECK(WaitOf(job, order, pace, kNow) == pace.TimeFor(10));
+  CHECK(WaitOnTime(job, order, pace, kNow) == pace.TimeFor(10));
   // Of its own kind, who came first is served first.
   job = MakeJob(2, milliseconds(1500));
-  job.kind = other.kind;
-  CHECK(WaitOf(job, order, pace, kNow) == pace.TimeFor(10));
+  job.pipeline = other.pipeline;
+  CHECK(WaitOnTime(job, order, pace, kNow) == pace.TimeFor(10));
 }
 
 TEST_SUITE_END();
--- a/Tests/LibForward/test_stage_dispatcher.cc
+++ b/Tests/LibForward/test_stage_dispatcher.cc
@@ -460,6 +460,7 @@
   Bench bench;
   const StageCall busy = (bench.Submit(4), bench.Next());
   StageJob patient;
+  patient.pipeline.value = "patient";
   patient.urgency = Urgency{1};
   patient.until_target = milliseconds(3000);
   for (int i = 0; i < 9; ++i)
--- a/Tests/LibTransport/test_stage_job_codec.cc
+++ b/Tests/LibTransport/test_stage_job_codec.cc
@@ -33,6 +33,16 @@
 
 TEST_SUITE_BEGIN("contract");
 
+TEST_CASE("a job of a host that doesn't name the pipeline is taken") {
+  std::string text = EncodeStageJob(MakeJob());
+  const std::string name = R"("pipeline":"chat",)";
+  REQUIRE(text.find(name) != std::string::npos);
+  text.erase(text.find(name), name.size());
+  const auto job = DecodeStageJob(text);
+  REQUIRE(job.has_value());
+  CHECK(job->pipeline.value.empty());
+}
+
 TEST_CASE("a job for a peer keeps all that its order goes by") {
   const auto job = DecodeStageJob(EncodeStageJob(MakeJob()));
   REQUIRE(job.has_value());
