--- /dev/null
+++ b/Tests/LibPolicy/test_team_queue.cc
@@ -0,0 +1,41 @@
+#include <doctest/doctest.h>
+
+#include "LibPolicy/team_queue.h"
+
+namespace bilberry::policy {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr uint64_t kFreshRuns = 10;
+constexpr milliseconds kStageTime{100};
+
+TEST_SUITE_BEGIN("under-way");
+
+TEST_CASE("a run under way isn't judged behind fresh runs of its team") {
+  TeamQueue queue;
+  for (uint64_t i = 1; i <= kFreshRuns; ++i) {
+    Work work;
+    work.run = base::RunId{i};
+    work.team.value = "team";
+    work.service.typical = kStageTime;
+    queue.Push(work);
+  }
+  Claim claim;
+  claim.team.value = "team";
+  CHECK(queue.Ahead(claim) == kStageTime * kFreshRuns);
+  claim.progress = Progress::kUnderWay;
+  CHECK(queue.Ahead(claim) == base::Duration(0));
+  // As the queue serves it.
+  Work under_way;
+  under_way.run = base::RunId{kFreshRuns + 1};
+  under_way.team.value = "team";
+  under_way.progress = Progress::kUnderWay;
+  queue.Push(under_way);
+  CHECK(queue.Front()->run == under_way.run);
+}
+
+TEST_SUITE_END();
+
+}  // namespace
+}  // namespace bilberry::policy
