--- a/Libraries/LibSoak/fault_plan.h
+++ b/Libraries/LibSoak/fault_plan.h
@@ -8,6 +8,8 @@
 #include <utility>
 #include <vector>
 
+#include "LibSoak/value_names.h"
+
 // What befalls the world, and when, all drawn from a seed.
 namespace bilberry::soak {
 
@@ -62,11 +64,7 @@
 };
 
 constexpr std::string_view ToText(FaultKind kind) {
-  for (const auto& [it, text] : kFaultKinds) {
-    if (it == kind)
-      return text;
-  }
-  return "";
+  return NameIn(kFaultKinds, kind);
 }
 
 // The kinds of planned work stand first.
--- a/Libraries/LibSoak/observation.h
+++ b/Libraries/LibSoak/observation.h
@@ -8,6 +8,7 @@
 
 #include "LibBase/http_header.h"
 #include "LibBase/time.h"
+#include "LibSoak/value_names.h"
 
 // What callers and endpoints see of a request.
 namespace bilberry::soak {
@@ -63,19 +64,11 @@
 };
 
 constexpr std::string_view ToText(AnswerEnd end) {
-  for (const auto& [it, text] : kAnswerEnds) {
-    if (it == end)
-      return text;
-  }
-  return "";
+  return NameIn(kAnswerEnds, end);
 }
 
 constexpr std::string_view ToText(RequestKind kind) {
-  for (const auto& [it, text] : kRequestKinds) {
-    if (it == kind)
-      return text;
-  }
-  return "";
+  return NameIn(kRequestKinds, kind);
 }
 
 struct SeenAnswer {
--- a/Libraries/LibSoak/promise.h
+++ b/Libraries/LibSoak/promise.h
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "LibBase/time.h"
+#include "LibSoak/value_names.h"
 
 namespace bilberry::soak {
 
@@ -45,11 +46,7 @@
 };
 
 constexpr std::string_view ToText(Promise promise) {
-  for (const auto& [it, text] : kPromises) {
-    if (it == promise)
-      return text;
-  }
-  return "";
+  return NameIn(kPromises, promise);
 }
 
 struct Violation {
