--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -109,6 +109,10 @@
 }
 
 void ForwardNode::NoteCold(const EndpointNoticed& event, base::TimePoint now) {
+  // Nearly all answers are of warm endpoints.
+  if (*event.notice.cold_for <= base::Duration(0) &&
+      !context_.words().cold_times.Knows(event.endpoint))
+    return;
   for (const ListedEndpoint& it : store_.endpoints()) {
     if (it.name == event.endpoint && it.incarnation == event.incarnation)
       context_.NoteCold(it, *event.notice.cold_for, now);
