--- a/Libraries/LibEmulation/load_sheet.cc
+++ b/Libraries/LibEmulation/load_sheet.cc
@@ -261,7 +261,7 @@
 
 LoadSheet LanternFirms(uint32_t hosts) {
   constexpr uint32_t kMostEqualHosts = 20;
-  constexpr double kGrownHosts = 77;
+  constexpr double kHostsOfSheet = 77;
   constexpr uint32_t kHostsToALargeOne = 12;
   // The largest fleets have more zones, and not more load for each host.
   constexpr uint32_t kLeastOfLargest = 200;
@@ -277,7 +277,7 @@
     return sheet;
   }
   const bool is_largest = hosts >= kLeastOfLargest;
-  const double scale = is_largest ? kScaleOfLargest : hosts / kGrownHosts;
+  const double scale = is_largest ? kScaleOfLargest : hosts / kHostsOfSheet;
   if (is_largest)
     sheet.zones = 5;
   const uint32_t large = hosts / kHostsToALargeOne;
