Tests: A request that crashes every endpoint, sent again and again

The platform's endpoint stand-in learns to end under a request: it closes all connections, forgets its results, is away for a moment and comes back as another process under another name. It answers health checks, too.

--- a/Tests/Standins/piece_endpoint_standin.cc
+++ b/Tests/Standins/piece_endpoint_standin.cc
@@ -16,9 +16,11 @@
 using transport::HttpResponse;
 using transport::IncomingRequest;
 
+constexpr const char* kHealthPath = "/health";
 constexpr const char* kOtherRequest = "0000000000000000";
 // Index of the event in which a cut stream ends.
 constexpr uint32_t kCutAt = 2;
+constexpr std::chrono::milliseconds kRestartRetry{20};
 
 std::string TextOf(const IncomingRequest& request, const char* name) {
   const std::string* value = base::FindHeader(request.headers, name);
@@ -43,7 +45,10 @@
 
 PieceEndpointStandin::PieceEndpointStandin(transport::Reactor& reactor,
                                            PieceEndpointModel model)
-    : timers_(reactor), model_(std::move(model)) {}
+    : reactor_(reactor),
+      timers_(reactor),
+      model_(std::move(model)),
+      first_name_(model_.name.value) {}
 
 base::Result<std::unique_ptr<PieceEndpointStandin>>
 PieceEndpointStandin::Create(transport::Reactor& reactor,
@@ -51,21 +56,60 @@
                              PieceEndpointModel model) {
   std::unique_ptr<PieceEndpointStandin> endpoint(
       new PieceEndpointStandin(reactor, std::move(model)));
-  PieceEndpointStandin* raw = endpoint.get();
-  transport::ListenerOptions options;
-  options.address = address;
-  TRY(service, transport::HttpListener::Create(
-                   reactor, options,
-                   [raw](const IncomingRequest& it) { raw->Handle(it); },
-                   [raw](transport::ExchangeId it) {
-                     ++raw->left_count_;
-                     raw->service_->EndStream(it, transport::StreamEnd::kCut);
-                     raw->service_->Abort(it);
-                   }));
-  endpoint->service_ = std::move(service);
+  endpoint->address_ = address;
+  TRY(endpoint->Listen());
   return endpoint;
 }
 
+base::Result<void> PieceEndpointStandin::Listen() {
+  transport::ListenerOptions options;
+  options.address = address_;
+  TRY(service,
+      transport::HttpListener::Create(
+          reactor_, options, [this](const IncomingRequest& it) { Handle(it); },
+          [this](transport::ExchangeId it) {
+            ++left_count_;
+            service_->EndStream(it, transport::StreamEnd::kCut);
+            service_->Abort(it);
+          }));
+  service_ = std::move(service);
+  address_ = service_->address();
+  return base::Success();
+}
+
+void PieceEndpointStandin::Die() {
+  ++death_count_;
+  service_.reset();
+  results_.clear();
+  timers_.After(model_.restart_time, [this] { Restart(); });
+}
+
+// The address may still be in use by connections that are closing.
+void PieceEndpointStandin::Restart() {
+  if (!Listen()) {
+    timers_.After(kRestartRetry, [this] { Restart(); });
+    return;
+  }
+  const base::EndpointName earlier = model_.name;
+  model_.name.value = first_name_ + "-" + std::to_string(death_count_);
+  if (on_restart_)
+    on_restart_(earlier);
+}
+
+void PieceEndpointStandin::After(base::Duration delay,
+                                 std::function<void()> call) {
+  timers_.After(delay, [this, deaths = death_count_, call = std::move(call)] {
+    if (deaths == death_count_)
+      call();
+  });
+}
+
+bool PieceEndpointStandin::Crashes(const IncomingRequest& request) const {
+  const std::string& mark = model_.crash_mark;
+  return !mark.empty() && (request.target.find(mark) != std::string::npos ||
+                           request.body.find(mark) != std::string::npos);
+}
+
 void PieceEndpointStandin::Respond(transport::ExchangeId exchange,
                                    HttpResponse response) {
   response.headers.insert(response.headers.end(), notices_.begin(),
@@ -82,6 +126,11 @@
 
 void PieceEndpointStandin::Handle(const IncomingRequest& request) {
   const std::string expected = TextOf(request, wire::kExpectedEndpoint);
+  if (request.path == kHealthPath) {
+    Respond(request.exchange,
+            {200, {{wire::kEndpointName, model_.name.value}}, ""});
+    return;
+  }
   if (!expected.empty() && expected != model_.name.value) {
     Respond(request.exchange, NotRun(request, 421));
     return;
@@ -94,6 +143,13 @@
     RunStage(request);
     return;
   }
+  if (Crashes(request)) {
+    arrivals_.push_back(
+        {request.method, request.target, request.headers, request.body, true});
+    // Not inside the listener's own call.
+    After(base::Duration(0), [this] { Die(); });
+    return;
+  }
   const EndpointFault fault = TakeFault();
   const bool lacks_inputs =
       model_.needs_inputs && TextOf(request, wire::kInputs).empty();
@@ -106,8 +162,7 @@
   }
   if (fault == EndpointFault::kHangs)
     return;
-  timers_.After(model_.service,
-                [this, request, fault] { Serve(request, fault); });
+  After(model_.service, [this, request, fault] { Serve(request, fault); });
 }
 
 void PieceEndpointStandin::RunStage(const IncomingRequest& request) {
@@ -119,9 +174,13 @@
   const auto body = transport::ParseJsonValue(request.body);
   const size_t n = body ? (*body)["items"].size() : 0;
   calls_.push_back(n);
+  if (Crashes(request)) {
+    After(base::Duration(0), [this] { Die(); });
+    return;
+  }
   if (fault == EndpointFault::kHangs)
     return;
-  timers_.After(model_.service, [this, n, fault, exchange = request.exchange] {
+  After(model_.service, [this, n, fault, exchange = request.exchange] {
     if (fault == EndpointFault::kBreaks) {
       service_->Abort(exchange);
       return;
@@ -223,7 +282,7 @@
   service_->WriteStream(stream->exchange,
                         EventText(stream->next, stream->name));
   ++stream->next;
-  timers_.After(model_.event_gap, [this, stream] { ContinueStream(stream); });
+  After(model_.event_gap, [this, stream] { ContinueStream(stream); });
 }
 
 }  // namespace bilberry::standins
--- a/Tests/Standins/piece_endpoint_standin.h
+++ b/Tests/Standins/piece_endpoint_standin.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -37,6 +38,10 @@
   size_t answer_padding = 0;  // Bytes after the first line of a plain answer.
   // Whether each event of a stream names its request.
   bool names_requests = false;
+  // A request or a stage call whose target or body contains this text crashes
+  // the endpoint; empty for no crashes.
+  std::string crash_mark;
+  std::chrono::milliseconds restart_time{150};
 };
 
 // A request as received by the endpoint.
@@ -58,9 +63,20 @@
       const base::SocketAddress& address,
       PieceEndpointModel model);
 
-  const base::SocketAddress& address() const { return service_->address(); }
+  const base::SocketAddress& address() const { return address_; }
   const PieceEndpointModel& model() const { return model_; }
 
+  void SetCrashMark(std::string mark) { model_.crash_mark = std::move(mark); }
+  // Ends the process: closes all connections, forgets all results, and starts
+  // again under another name after the restart time.
+  void Die();
+  // Called after a restart with the name of the earlier process.
+  using RestartHandler = std::function<void(const base::EndpointName& earlier)>;
+  void SetOnRestart(RestartHandler on_restart) {
+    on_restart_ = std::move(on_restart);
+  }
+  uint32_t death_count() const { return death_count_; }
+
   // Applies the fault to the next `count` requests.
   void InjectFault(EndpointFault fault, uint32_t count = 1) {
     fault_ = fault;
@@ -87,6 +103,11 @@
 
   PieceEndpointStandin(transport::Reactor& reactor, PieceEndpointModel model);
 
+  base::Result<void> Listen();
+  void Restart();
+  // Calls `call` after the delay, unless the process has ended by then.
+  void After(base::Duration delay, std::function<void()> call);
+  bool Crashes(const transport::IncomingRequest& request) const;
   void Handle(const transport::IncomingRequest& request);
   EndpointFault TakeFault();
   void Respond(transport::ExchangeId exchange,
@@ -100,9 +121,14 @@
   base::HttpHeaders HeadersFor(const transport::IncomingRequest& request,
                                EndpointFault fault) const;
 
+  transport::Reactor& reactor_;
   transport::TimerQueue timers_;
   PieceEndpointModel model_;
-  std::unique_ptr<transport::HttpListener> service_;
+  std::string first_name_;
+  base::SocketAddress address_;
+  std::unique_ptr<transport::HttpListener> service_;  // Null while restarting.
+  uint32_t death_count_ = 0;
+  RestartHandler on_restart_;
   EndpointFault fault_ = EndpointFault::kNone;
   uint32_t fault_count_ = 0;
   base::HttpHeaders notices_;
--- a/Tests/Standins/small_platform.cc
+++ b/Tests/Standins/small_platform.cc
@@ -48,8 +48,9 @@
        "resumable":true,
        "stages":[{"service":"maker","after":[],"bytes":8000}]}],
     "services":[
-      {"name":"desk"},{"name":"llm","engine":{"slots":64}},
-      {"name":"maker","pieces":{"slots":1,"queue":2,"batch":8,"callMs":20,
+      {"name":"desk","healthPath":"/health"},
+      {"name":"llm","healthPath":"/health","engine":{"slots":64}},
+      {"name":"maker","healthPath":"/health","pieces":{"slots":1,"queue":2,"batch":8,"callMs":20,
        "itemMs":1,"roomMb":10,"handleS":4}}],
     "limits":{"maxHeaderBytes":8192,"maxBodyBytes":65536,
               "headerTimeoutMs":3000,"idleTimeoutMs":15000},
@@ -75,14 +76,24 @@
   platform->maker = std::move(maker);
   platform->store->Put(wire::kConfigurationTable, wire::kConfigurationKey,
                        SmallConfiguration(kFirstRevision));
-  platform->List(*platform->desk, "desk");
-  platform->List(*platform->other_desk, "desk");
-  platform->List(*platform->engine, "llm");
-  platform->List(*platform->other_engine, "llm");
-  platform->List(*platform->maker, "maker");
+  platform->Add(*platform->desk, "desk");
+  platform->Add(*platform->other_desk, "desk");
+  platform->Add(*platform->engine, "llm");
+  platform->Add(*platform->other_engine, "llm");
+  platform->Add(*platform->maker, "maker");
   return platform;
 }
 
+void SmallPlatform::Add(PieceEndpointStandin& endpoint,
+                        const std::string& pool) {
+  List(endpoint, pool);
+  endpoint.SetOnRestart(
+      [this, &endpoint, pool](const base::EndpointName& earlier) {
+        store->Remove(wire::kEndpointTable, earlier.value);
+        List(endpoint, pool);
+      });
+}
+
 void SmallPlatform::List(const PieceEndpointStandin& endpoint,
                          const std::string& pool,
                          const std::string& state) {
--- a/Tests/Standins/small_platform.h
+++ b/Tests/Standins/small_platform.h
@@ -21,6 +21,8 @@
       transport::Reactor& reactor,
       const base::SocketAddress& store_address);
 
+  // Lists the endpoint, and again under its new name after each restart.
+  void Add(PieceEndpointStandin& endpoint, const std::string& pool);
   // Writes an endpoint's entry to the store.
   void List(const PieceEndpointStandin& endpoint,
             const std::string& pool,
