--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -34,6 +34,7 @@
     {kZoneTakenBack, kInfo, "zone-taken-back"},
     {kEndpointCold, kInfo, "endpoint-cold"},
     {kEndpointWarm, kInfo, "endpoint-warm"},
+    {kEndpointCrashed, kWarning, "endpoint-crashed"},
     {kPlatformUnreachable, kWarning, "platform-unreachable"},
     {kPlatformReachable, kInfo, "platform-reachable"},
     {kPlatformRowUnreadable, kWarning, "platform-row-unreadable"},
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -32,6 +32,7 @@
   kZoneTakenBack = 1210,
   kEndpointCold = 1215,
   kEndpointWarm = 1216,
+  kEndpointCrashed = 1217,
   kPlatformUnreachable = 1301,
   kPlatformReachable = 1302,
   kPlatformRowUnreadable = 1303,
--- a/Libraries/LibEmulation/emulated_callers.cc
+++ b/Libraries/LibEmulation/emulated_callers.cc
@@ -72,7 +72,9 @@
 forward::ForwardedRequest EmulatedCallers::DrawRequest(const CallerKind& kind) {
   forward::ForwardedRequest request;
   request.host = kind.name;
+  request.method = "POST";
   request.path = "/";
+  request.target = "/" + std::to_string(last_caller_ + 1);
   const uint64_t session = random_.Below(kind.sessions);
   const std::string common =
       kind.name + "-common-" + std::to_string(session % kind.common_parts);
--- a/Libraries/LibEmulation/emulated_callers.h
+++ b/Libraries/LibEmulation/emulated_callers.h
@@ -41,6 +41,9 @@
   const PieceDemand* DemandOf(const std::string& request_id,
                               uint32_t stage) const;
 
+  // Draws a request that no caller counts.
+  forward::ForwardedRequest DrawRequest(const CallerKind& kind);
+
  private:
   struct Caller {
     const CallerKind* kind = nullptr;
@@ -66,7 +69,6 @@
   // Increments the counter of the caller's kind, and that of the second in
   // which the caller arrived.
   void Count(const Caller& caller, uint64_t CallerTally::*field);
-  forward::ForwardedRequest DrawRequest(const CallerKind& kind);
   uint32_t DrawPieces(const PieceDemand& demand);
   uint64_t DrawTokens(double mean);
 
--- a/Libraries/LibEmulation/emulated_cold_endpoints.cc
+++ b/Libraries/LibEmulation/emulated_cold_endpoints.cc
@@ -64,6 +64,15 @@
                                   base::Duration(0))});
 }
 
+void EmulatedColdEndpoints::Relist(const base::EndpointName& name,
+                                   base::Incarnation incarnation,
+                                   base::TimePoint now) {
+  endpoints_.at(name).listed.incarnation = incarnation;
+  const auto later =
+      std::ranges::upper_bound(entry_writes_, now, {}, &EntryWrite::time);
+  entry_writes_.insert(later, {now, name, base::Duration(0)});
+}
+
 uint64_t EmulatedColdEndpoints::VersionAt(base::TimePoint now) const {
   const auto end =
       std::ranges::upper_bound(entry_writes_, now, {}, &EntryWrite::time);
--- a/Libraries/LibEmulation/emulated_cold_endpoints.h
+++ b/Libraries/LibEmulation/emulated_cold_endpoints.h
@@ -27,6 +27,11 @@
   // Starts the scenario's clock; called when the first callers arrive.
   void Begin(base::TimePoint now);
 
+  // Lists the endpoint's new process.
+  void Relist(const base::EndpointName& name,
+              base::Incarnation incarnation,
+              base::TimePoint now);
+
   // The version of the store's endpoint table.
   uint64_t VersionAt(base::TimePoint now) const;
   std::vector<forward::FeedRow> RowsAt(base::TimePoint now) const;
--- a/Libraries/LibEmulation/emulated_piece_endpoint.cc
+++ b/Libraries/LibEmulation/emulated_piece_endpoint.cc
@@ -34,16 +34,16 @@
                                    Finished finished) {
   waiting_.push_back(
       {std::move(call), std::move(inspect), std::move(finished)});
-  if (!is_busy_)
+  if (!running_)
     BeginNext();
 }
 
 void EmulatedPieceEndpoint::BeginNext() {
   if (waiting_.empty())
     return;
-  is_busy_ = true;
   const Waiting waiting = std::move(waiting_.front());
   waiting_.pop_front();
+  running_ = waiting.finished;
   std::vector<PieceWork> works;
   base::Duration fetch{0};
   base::Duration work = limits_.call_time;
@@ -59,8 +59,23 @@
   ++tally_.calls;
   tally_.pieces += waiting.call.pieces.size();
   tally_.busy += fetch + work;
-  timeline_.After(fetch + work,
-                  [this, waiting, works] { End(waiting, works); });
+  timeline_.After(fetch + work, [this, waiting, works, crashes = crash_count_] {
+    if (crashes == crash_count_)
+      End(waiting, works);
+  });
+}
+
+void EmulatedPieceEndpoint::Crash() {
+  ++crash_count_;
+  std::vector<Finished> broken;
+  if (running_)
+    broken.push_back(*std::exchange(running_, std::nullopt));
+  for (Waiting& it : waiting_)
+    broken.push_back(std::move(it.finished));
+  waiting_.clear();
+  CountUnreadResults();
+  for (const Finished& finished : broken)
+    finished(forward::StageCallFailure::kBroken);
 }
 
 void EmulatedPieceEndpoint::End(const Waiting& waiting,
@@ -90,7 +105,7 @@
       outcomes.emplace_back(std::move(handle));
     }
   }
-  is_busy_ = false;
+  running_.reset();
   waiting.finished(std::move(outcomes));
   BeginNext();
 }
--- a/Libraries/LibEmulation/emulated_piece_endpoint.h
+++ b/Libraries/LibEmulation/emulated_piece_endpoint.h
@@ -49,6 +49,8 @@
   const forward::ListedEndpoint& listed() const { return listed_; }
 
   void Submit(forward::StageCall call, Inspect inspect, Finished finished);
+  // Ends the process: breaks all calls and loses all results.
+  void Crash();
   void Free(const std::vector<std::string>& handles);
   // Marks the result as read. Null when it is no longer stored.
   const StoredResult* Read(const std::string& handle);
@@ -76,7 +78,8 @@
   PoolTally& tally_;
   base::Random random_;
   std::deque<Waiting> waiting_;
-  bool is_busy_ = false;
+  std::optional<Finished> running_;  // Of the call in progress.
+  uint64_t crash_count_ = 0;
   std::map<std::string, StoredResult> results_;
   uint64_t stored_bytes_ = 0;
   uint64_t last_handle_ = 0;
--- a/Libraries/LibEmulation/emulation.cc
+++ b/Libraries/LibEmulation/emulation.cc
@@ -15,6 +15,8 @@
 // Lets the last callers and their retries complete.
 constexpr seconds kDrainTime{60};
 constexpr milliseconds kStoreDelay{4};
+// Time in which a host that was frozen or partitioned catches up.
+constexpr seconds kCatchUpTime{3};
 // Timeout of a store sync request to a host that doesn't answer.
 constexpr milliseconds kStoreSyncTimeout{600};
 // Incarnation of all endpoints; none of them restarts.
@@ -25,6 +27,9 @@
 constexpr double kFetchBytesPerMicrosecond = 1250;
 constexpr uint16_t kPort = 80;
 constexpr int kUnavailable = 503;
+constexpr int kMisdirected = 421;
+// Above the numbers of all other callers.
+constexpr uint64_t kDeadlyCallers = 1'000'000'000;
 constexpr uint64_t kHostsPerByte = 250;
 
 base::SocketAddress AddressOf(int network, size_t index) {
@@ -157,9 +162,12 @@
     timeline_.After(freeze.at, [this, freeze] { Freeze(freeze); });
   for (const HostPartition& cut : scenario_.partitions)
     timeline_.After(cut.at, [this, cut] {
-      hosts_.at(cut.host).partitioned_until = timeline_.now() + cut.lasts;
+      Host& host = hosts_.at(cut.host);
+      host.partitioned_until = timeline_.now() + cut.lasts;
+      host.in_touch_from = host.partitioned_until + kCatchUpTime;
       notices_.Exempt(cut.host);
     });
+  BeginDeadlyRequests();
   timeline_.RunUntil(timeline_.now() + scenario_.lasts);
   report_.store_calls = store_calls_;
   timeline_.RunUntil(timeline_.now() + kDrainTime);
@@ -183,13 +191,92 @@
     callers_.NoteFailed(caller);
 }
 
+void Emulation::BeginDeadlyRequests() {
+  const DeadlyRequests& deadly = scenario_.deadly;
+  for (const CallerKind& kind : scenario_.kinds) {
+    for (uint32_t i = 0; kind.name == deadly.kind && i < deadly.count; ++i) {
+      forward::ForwardedRequest request = callers_.DrawRequest(kind);
+      request.target = "/deadly-" + std::to_string(i);
+      request.budget = kind.deadline;
+      if (deadly.crashes_pieces)
+        std::ranges::replace(request.piece_counts, 0U, 1U);
+      // Different requests don't come at the same moment.
+      timeline_.After(deadly.at + deadly.interval * i / deadly.count,
+                      [this, request] { SendDeadly(request, 0); });
+    }
+  }
+  for (uint32_t i = 0; i < scenario_.engine_ends.count; ++i) {
+    timeline_.After(
+        scenario_.engine_ends.at + scenario_.engine_ends.interval * i,
+        [this, i] { EndEngine(*engines_.at(i % engines_.size())); });
+  }
+}
+
+void Emulation::SendDeadly(forward::ForwardedRequest request, uint32_t repeat) {
+  if (repeat + 1 < scenario_.deadly.repeats)
+    timeline_.After(scenario_.deadly.interval, [this, request, repeat] {
+      SendDeadly(request, repeat + 1);
+    });
+  request.caller = base::CallerId{kDeadlyCallers + ++last_deadly_caller_};
+  request.request_id = "deadly-" + std::to_string(last_deadly_caller_);
+  crashes_.AddDeadly(request);
+  SendToHost(std::move(request));
+}
+
+void Emulation::RestartLater(const base::EndpointName& endpoint) {
+  timeline_.After(scenario_.restart_time, [this, endpoint] {
+    crashes_.NoteRestart(endpoint);
+    cold_endpoints_.Relist(endpoint, crashes_.IncarnationOf(endpoint),
+                           timeline_.now());
+  });
+}
+
+void Emulation::EndEngine(EmulatedEngine& engine) {
+  if (!crashes_.IsDown(engine.listed().name))
+    crashes_.NoteEnd(engine.listed().name);
+  std::vector<uint64_t> broken;
+  for (const auto& [key, attempt] : attempts_) {
+    if (attempt.engine == &engine)
+      broken.push_back(key);
+  }
+  for (const uint64_t key : broken) {
+    const Attempt attempt = attempts_.at(key);
+    crashes_.NoteBystander(attempt.request_id);
+    EndAttempt(key);
+    DeliverAfter(
+        DelayBetween(hosts_[attempt.host].self.zone, engine.listed().zone),
+        attempt.host,
+        forward::AttemptFailure{attempt.id,
+                                forward::AttemptFailureKind::kBroken,
+                                "the engine ended"});
+  }
+  RestartLater(engine.listed().name);
+}
+
+void Emulation::CrashPieceEndpoint(size_t host,
+                                   EmulatedPieceEndpoint& producer,
+                                   const forward::StageCall& call,
+                                   const std::string& request_id) {
+  crashes_.NoteCrash(producer.listed().name, request_id, IsInTouch(host),
+                     timeline_.now());
+  for (const forward::PieceRequest& piece : call.pieces)
+    crashes_.NoteBystander(piece.request_id);
+  producer.Crash();
+  RestartLater(producer.listed().name);
+}
+
 // A frozen host looks to others like one with a busy processor.
 void Emulation::Freeze(const HostFreeze& freeze) {
   base::TimePoint& busy_until = hosts_.at(freeze.host).busy_until;
   busy_until = std::max(busy_until, timeline_.now()) + freeze.lasts;
+  hosts_.at(freeze.host).in_touch_from = busy_until + kCatchUpTime;
   notices_.Exempt(freeze.host);
 }
 
+bool Emulation::IsInTouch(size_t host) const {
+  return timeline_.now() >= hosts_[host].in_touch_from;
+}
+
 bool Emulation::IsPartitioned(size_t host) const {
   return timeline_.now() < hosts_[host].partitioned_until;
 }
@@ -268,6 +355,7 @@
   if (!host)
     return;
   host_of_caller_[request.caller] = *host;
+  request_of_caller_[request.caller] = request.request_id;
   retries_.NoteRequest(request.request_id, timeline_.now());
   DeliverAfter(kCallerDelay, *host, std::move(request));
 }
@@ -289,7 +377,43 @@
                std::move(event));
 }
 
+bool Emulation::Reaches(size_t host, const forward::SendAttempt& action) {
+  const EmulatedEngine& engine = *engines_by_name_.at(action.endpoint);
+  const base::Duration delay =
+      DelayBetween(hosts_[host].self.zone, engine.listed().zone);
+  if (crashes_.IsDown(action.endpoint)) {
+    DeliverAfter(delay * 2, host,
+                 forward::AttemptFailure{
+                     action.attempt, forward::AttemptFailureKind::kUnreachable,
+                     "no process"});
+    return false;
+  }
+  if (crashes_.IncarnationOf(action.endpoint) == action.incarnation)
+    return true;
+  forward::AnswerHead refusal;
+  refusal.status = kMisdirected;
+  refusal.echoed_request_id = action.request->request_id;
+  refusal.reported_not_run = true;
+  DeliverAfter(delay * 2, host,
+               forward::AttemptAnswer{action.attempt, refusal, ""});
+  return false;
+}
+
+void Emulation::Execute(size_t host,
+                        const forward::CheckEndpointHealth& action) {
+  const base::Duration delay =
+      DelayBetween(hosts_[host].self.zone, action.endpoint.zone);
+  timeline_.After(delay, [this, host, delay, endpoint = action.endpoint] {
+    DeliverAfter(
+        delay, host,
+        forward::EndpointHealthChecked{endpoint.name, endpoint.incarnation,
+                                       crashes_.Check(endpoint)});
+  });
+}
+
 void Emulation::Execute(size_t host, const forward::SendAttempt& action) {
+  if (!Reaches(host, action))
+    return;
   EmulatedEngine* engine = engines_by_name_.at(action.endpoint);
   const base::Duration delay =
       DelayBetween(hosts_[host].self.zone, engine->listed().zone);
@@ -321,7 +445,19 @@
       timeline_.now() + delay + *fetch, prefilled_parts_);
   report_.tokens_prefilled_again += times.tokens_prefilled_again;
   const uint64_t key = AttemptKey(host, action.attempt);
-  attempts_[key] = {host, action.request->caller, engine};
+  attempts_[key] = {host, action.request->caller, engine, action.attempt,
+                    action.request->request_id};
+  if (crashes_.CrashesEngines(action.request->request_id)) {
+    timeline_.After(delay, [this, key, engine,
+                            id = action.request->request_id] {
+      if (!attempts_.contains(key))
+        return;
+      crashes_.NoteCrash(engine->listed().name, id,
+                         IsInTouch(attempts_.at(key).host), timeline_.now());
+      EndEngine(*engine);
+    });
+    return;
+  }
   forward::AnswerHead head;
   head.status = 200;
   head.echoed_request_id = action.request->request_id;
@@ -386,10 +522,12 @@
 
 void Emulation::Execute(size_t /*host*/, const forward::EndStream& action) {
   host_of_caller_.erase(action.caller);
-  if (action.outcome == forward::StreamOutcome::kWhole)
+  if (action.outcome == forward::StreamOutcome::kWhole) {
+    crashes_.NoteAnswered(request_of_caller_[action.caller]);
     callers_.NoteDone(action.caller);
-  else
+  } else {
     callers_.NoteFailed(action.caller);
+  }
 }
 
 std::optional<base::Duration> Emulation::Fetch(
@@ -439,6 +577,12 @@
   const base::TimePoint sent_at = timeline_.now();
   timeline_.After(
       delay, [this, host, producer, delay, id, sent_at, call = action.call] {
+        if (crashes_.IsDown(producer->listed().name)) {
+          DeliverAfter(delay, host,
+                       forward::StageCallEnded{
+                           id, forward::StageCallFailure::kUnreachable});
+          return;
+        }
         notices_.NoteArrival(host, producer->listed(), timeline_.now());
         cold_endpoints_.NoteArrival(producer->listed(), timeline_.now());
         if (notices_.RefusalTimeLeft(producer->listed(), timeline_.now())) {
@@ -459,6 +603,12 @@
               DeliverAfter(delay, host,
                            forward::StageCallEnded{id, std::move(outcome)});
             });
+        for (const forward::PieceRequest& it : call.pieces) {
+          if (crashes_.CrashesPieceEndpoints(it.request_id)) {
+            CrashPieceEndpoint(host, *producer, call, it.request_id);
+            return;
+          }
+        }
       });
 }
 
@@ -657,6 +807,8 @@
 void Emulation::Execute(size_t /*host*/, const forward::WriteLog& action) {
   if (action.id == base::LogEventId::kDispatcherLost)
     ++report_.dispatchers_lost;
+  if (action.id == base::LogEventId::kRequestQuarantined)
+    crashes_.NoteQuarantined(action.fields.front().value);
 }
 
 void Emulation::Execute(size_t host, const forward::WriteOwnRow& action) {
--- a/Libraries/LibEmulation/emulation.h
+++ b/Libraries/LibEmulation/emulation.h
@@ -12,6 +12,7 @@
 #include "LibBase/random.h"
 #include "LibEmulation/emulated_callers.h"
 #include "LibEmulation/emulated_cold_endpoints.h"
+#include "LibEmulation/emulated_crashes.h"
 #include "LibEmulation/emulated_engine.h"
 #include "LibEmulation/emulated_notices.h"
 #include "LibEmulation/emulated_piece_endpoint.h"
@@ -53,6 +54,8 @@
     base::TimePoint busy_until;
     base::TimePoint
         partitioned_until;  // Partitioned from its peers until then.
+    // From then on it must know again what its peers know.
+    base::TimePoint in_touch_from;
     uint64_t messages = 0;  // Received from peers.
   };
 
@@ -67,6 +70,8 @@
     size_t host = 0;
     base::CallerId caller{};
     EmulatedEngine* engine = nullptr;
+    base::AttemptId id;
+    std::string request_id;
   };
 
   void AddHosts();
@@ -93,7 +98,11 @@
   void DeliverToPeer(size_t from, size_t to, forward::Event event);
 
   void Execute(size_t host, const forward::SendAttempt& action);
+  // Returns false if the endpoint's process is not the one that the host knows;
+  // the host is told so then.
+  bool Reaches(size_t host, const forward::SendAttempt& action);
   void Execute(size_t host, const forward::CancelAttempt& action);
+  void Execute(size_t host, const forward::CheckEndpointHealth& action);
   void Execute(size_t host, const forward::AnswerCaller& action);
   void Execute(size_t host, const forward::BeginStream& action);
   void Execute(size_t host, const forward::EndStream& action);
@@ -136,8 +145,18 @@
       const std::vector<forward::StageResult>& results,
       const base::ZoneName& reader);
   void CrashHost(size_t host);
+  void BeginDeadlyRequests();
+  void SendDeadly(forward::ForwardedRequest request, uint32_t repeat);
+  // Breaks all attempts at the engine, which is away for some time.
+  void EndEngine(EmulatedEngine& engine);
+  void CrashPieceEndpoint(size_t host,
+                          EmulatedPieceEndpoint& producer,
+                          const forward::StageCall& call,
+                          const std::string& request_id);
+  void RestartLater(const base::EndpointName& endpoint);
   void Freeze(const HostFreeze& freeze);
   bool IsPartitioned(size_t host) const;
+  bool IsInTouch(size_t host) const;
 
   LoadScenario scenario_;
   EmulationOptions options_;
@@ -154,6 +173,7 @@
   EmulatedNotices notices_{scenario_, report_};
   EmulatedRetries retries_{scenario_, report_};
   EmulatedColdEndpoints cold_endpoints_{scenario_, report_};
+  EmulatedCrashes crashes_{scenario_, report_};
   EmulatedCallers callers_;
   std::map<base::CallerId, size_t> host_of_caller_;
   std::map<uint64_t, Attempt> attempts_;
@@ -168,6 +188,8 @@
       exchanges_;
   std::vector<forward::PeerHost> host_rows_;
   std::set<std::string> prefilled_parts_;
+  std::map<base::CallerId, std::string> request_of_caller_;
+  uint64_t last_deadly_caller_ = 0;
   uint64_t last_exchange_ = 0;
   uint64_t last_probe_ = 0;
   uint64_t store_calls_ = 0;
--- a/Libraries/LibEmulation/emulation_report.h
+++ b/Libraries/LibEmulation/emulation_report.h
@@ -81,6 +81,17 @@
   // The most arrivals at engines in ten seconds beyond the first one of each
   // request, as a fraction of the retry budget.
   double max_retry_usage = 0;
+  // The most endpoints that crashed under one request, sent by hosts in touch
+  // with the others, and the crashes later than all should have known of the
+  // third.
+  size_t most_crashes = 0;
+  uint64_t late_crashes = 0;
+  // Attempts of callers that broke off with a crashed endpoint, without those
+  // under which it crashed, and how many of them were answered all the same.
+  uint64_t bystanders = 0;
+  uint64_t bystanders_answered = 0;
+  // Requests that a host refuses though they crashed no endpoint.
+  uint64_t innocents_quarantined = 0;
   // Counted once for each host that reports the loss.
   uint64_t dispatchers_lost = 0;
 
--- a/Libraries/LibEmulation/load_scenario.cc
+++ b/Libraries/LibEmulation/load_scenario.cc
@@ -160,6 +160,10 @@
   return kind;
 }
 
+constexpr uint32_t kEngineSlots = 64;
+// Endpoints that one attempt of a caller may be sent to.
+constexpr uint32_t kMaxAttempts = 2;
+
 forward::ForwardedPipeline PipelineOf(const CallerKind& kind,
                                       const LoadScenario& scenario) {
   forward::ForwardedPipeline pipeline;
@@ -167,6 +171,10 @@
   pipeline.host = kind.name;
   pipeline.path_prefix = "/";
   pipeline.delivery = declare::Delivery::kStreamed;
+  if (kind.may_repeat) {
+    pipeline.repeatability = declare::Repeatability::kRepeatable;
+    pipeline.max_attempts = kMaxAttempts;
+  }
   pipeline.urgency = kind.urgency;
   pipeline.timeout = std::chrono::duration_cast<milliseconds>(kind.deadline);
   pipeline.target_latency =
@@ -199,13 +207,20 @@
   configuration->revision = 1;
   for (const CallerKind& kind : scenario.kinds)
     configuration->pipelines.push_back(PipelineOf(kind, scenario));
-  for (const PiecePool& pool : scenario.piece_pools)
-    configuration->pools.push_back(
-        {{pool.name}, pool.limits.calls_at_once, pool.limits});
-  configuration->pools.push_back({{scenario.engines.name}, 64, std::nullopt});
-  for (forward::ForwardedPool& pool : configuration->pools)
+  for (const PiecePool& pool : scenario.piece_pools) {
+    forward::ForwardedPool& declared = configuration->pools.emplace_back();
+    declared.name.value = pool.name;
+    declared.slots = pool.limits.calls_at_once;
+    declared.pieces = pool.limits;
+  }
+  forward::ForwardedPool& engines = configuration->pools.emplace_back();
+  engines.name.value = scenario.engines.name;
+  engines.slots = kEngineSlots;
+  for (forward::ForwardedPool& pool : configuration->pools) {
     pool.cold_per_second =
         scenario.publishes_cold_rate ? scenario.cold_per_second : 0;
+    pool.health_path = "/health";
+  }
   return configuration;
 }
 
--- a/Libraries/LibEmulation/load_scenario.h
+++ b/Libraries/LibEmulation/load_scenario.h
@@ -27,6 +27,7 @@
   double per_second = 0;
   base::Duration target{};  // Time to the first event.
   base::Duration deadline{};
+  bool may_repeat = false;  // Whether a request may be sent to two engines.
   forward::Urgency urgency{};
   double worth = 1;
   double late_worth = 0;
@@ -143,6 +144,25 @@
   kWithinDeadline,
 };
 
+// Requests that crash each endpoint that runs them. Each of them comes again
+// and again, each time at another host.
+struct DeadlyRequests {
+  std::string kind;    // Kind of request; empty for none.
+  uint32_t count = 0;  // Different requests.
+  uint32_t repeats = 0;
+  base::Duration interval{};  // Between the repeats of one request.
+  base::Duration at{};
+  // Whether they crash endpoints that run their pieces, instead of engines.
+  bool crashes_pieces = false;
+};
+
+// Endpoints that end for a reason of their own: one engine after the other.
+struct EngineEnds {
+  uint32_t count = 0;
+  base::Duration at{};
+  base::Duration interval{};
+};
+
 struct LoadScenario {
   std::string name;
   uint32_t hosts = 1;
@@ -166,6 +186,10 @@
   std::vector<PoolDeparture> departures;
   std::vector<PoolLimit> limits;
   std::vector<PoolColdPeriod> cold_periods;
+  DeadlyRequests deadly;
+  EngineEnds engine_ends;
+  // How long an endpoint that has ended is away.
+  base::Duration restart_time = std::chrono::seconds(3);
   // Requests per second that a cold endpoint can take. In any second it may get
   // `cold_factor` times as many plus `cold_allowance`.
   double cold_per_second = 0;
--- a/Libraries/LibForward/admission_control.cc
+++ b/Libraries/LibForward/admission_control.cc
@@ -29,10 +29,12 @@
 
 void AdmissionControl::Refuse(const ForwardedRequest& request,
                               LocalAnswerCode code,
-                              std::optional<base::Duration> retry_after) {
+                              std::optional<base::Duration> retry_after,
+                              std::string digest) {
   context_.Log(
       base::LogEventId::kRequestRefused, request.request_id,
       {{"reason", std::string(ToText(code))},
+       {"digest", std::move(digest)},
        {"revision",
         std::to_string(configuration_ ? configuration_->revision : 0)}});
   context_.Emit(
@@ -95,6 +97,12 @@
     Refuse(request, LocalAnswerCode::kUnknownKey, std::nullopt);
     return std::nullopt;
   }
+  run.digest = DigestOf(run.team, request);
+  if (context_.conditions().crashes.IsQuarantined(run.digest, now)) {
+    Refuse(request, LocalAnswerCode::kQuarantined, policy::kQuarantinePeriod,
+           run.digest);
+    return std::nullopt;
+  }
   run.arrived = now;
   run.target = now + run.pipeline->target_latency;
   base::Duration budget = request.budget.value_or(kDefaultTimeLimit);
--- /dev/null
+++ b/Libraries/LibForward/crash_tracker.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "LibBase/ids.h"
+#include "LibBase/time.h"
+#include "LibForward/forward_endpoint.h"
+#include "LibForward/notice_batch.h"
+#include "LibPolicy/quarantine.h"
+
+namespace bilberry::forward {
+
+// What a health check found at the address of an endpoint whose connection
+// broke.
+enum class HealthCheckResult {
+  kSameProcess,
+  kOtherProcess,
+  kNoProcess,  // The address refuses connections.
+  kUnknown,    // No answer in time.
+};
+
+// An endpoint that crashed, and the digests of the requests that it ran.
+struct EndpointCrash {
+  ListedEndpoint endpoint;
+  std::string evidence;
+  std::vector<std::string> suspects;
+};
+
+// Finds the requests that crash the endpoints which run them. A broken
+// connection counts as a crash only once a health check or the endpoint list
+// shows that the process is gone; until then the requests that broke with it
+// are undecided. Requests are identified by the digests of their contents.
+class CrashTracker {
+ public:
+  void SetEndpoints(std::span<const ListedEndpoint> endpoints,
+                    base::TimePoint now);
+
+  // A connection broke while the endpoint ran these requests.
+  void NoteBroken(const base::EndpointName& name,
+                  const std::vector<std::string>& digests,
+                  base::TimePoint now);
+  void NoteChecked(const base::EndpointName& name,
+                   base::Incarnation incarnation,
+                   HealthCheckResult result,
+                   base::TimePoint now);
+  // An endpoint answered the request, so it crashes none.
+  void NoteAnswered(const std::string& digest, base::TimePoint now);
+  // Applies what a peer tells.
+  void Apply(const CrashNews& news, base::TimePoint now);
+
+  // Whether the request is refused.
+  bool IsQuarantined(const std::string& digest, base::TimePoint now);
+  // The number of crashes, known or undecided, of which the request is a
+  // suspect.
+  size_t CrashCountOf(const std::string& digest) const;
+  // Until when the request waits for a health check before it is sent again;
+  // empty if it doesn't.
+  std::optional<base::TimePoint> UndecidedUntil(const std::string& digest,
+                                                base::TimePoint now) const;
+
+  // Returns the endpoints to check now.
+  std::vector<ListedEndpoint> TakeDueChecks(base::TimePoint now);
+  // Return what has happened since the last call.
+  std::vector<EndpointCrash> TakeCrashes();
+  std::vector<std::string> TakeQuarantined();
+  // News that this host is the first to know.
+  CrashNews TakeNews();
+  // News for peers that may have missed them.
+  CrashNews NewsToRepeat(base::TimePoint now) const;
+
+  // What this host observed itself in the last seconds.
+  CrashNews OwnNews() const;
+  bool knows_crashes() const { return quarantine_.crash_count() > 0; }
+
+  std::optional<base::TimePoint> NextWakeup() const;
+
+ private:
+  // Broken connections of an endpoint of which it isn't known whether it
+  // crashed.
+  struct BrokenEndpoint {
+    ListedEndpoint listed;
+    base::TimePoint broke_at;
+    std::set<std::string> digests;
+    base::TimePoint next_check;
+    base::Duration check_interval{};
+    bool is_being_checked = false;
+  };
+
+  struct Clearance {
+    std::string digest;
+    base::TimePoint at;
+  };
+
+  bool IsIdle() const;
+  void NoteCrash(const base::EndpointName& name,
+                 std::string evidence,
+                 base::TimePoint now);
+  void Clear(const std::string& digest, base::TimePoint now);
+  void NoteSuspect(const std::string& digest, base::TimePoint now);
+  void Advance(base::TimePoint now);
+
+  policy::Quarantine quarantine_{
+      {policy::kCrashesToConfirm, /*reports_tell_age=*/true}};
+  std::map<base::EndpointName, ListedEndpoint> listed_;
+  std::map<base::EndpointName, BrokenEndpoint> broken_;
+  std::vector<Clearance> clearances_;
+  std::vector<EndpointCrash> crashes_;
+  std::set<std::string> refused_;
+  std::vector<std::string> newly_refused_;
+  CrashNews news_;
+};
+
+}  // namespace bilberry::forward
--- a/Libraries/LibForward/endpoint_chooser.cc
+++ b/Libraries/LibForward/endpoint_chooser.cc
@@ -219,8 +219,10 @@
     });
   if (available.empty())
     return NoEndpointUntil{FirstAvailable(eligible, longest_wait)};
-  const Candidates candidates = KeepPreferred(available, now);
-  const Endpoint& chosen = criteria.affinity.empty()
+  Candidates candidates = KeepPreferred(available, now);
+  if (criteria.is_suspect)
+    candidates = KeepFewestSuspects(candidates);
+  const Endpoint& chosen = criteria.affinity.empty() || criteria.is_suspect
                                ? LeastLoaded(candidates)
                                : BestFor(criteria.affinity, candidates);
   if (chosen.has_limit)
@@ -228,6 +230,19 @@
   return chosen.listed;
 }
 
+EndpointChooser::Candidates EndpointChooser::KeepFewestSuspects(
+    const Candidates& candidates) {
+  const Endpoint* const fewest = *std::ranges::min_element(
+      candidates, {},
+      [](const Endpoint* it) { return it->suspects_in_flight; });
+  Candidates kept;
+  std::ranges::copy_if(
+      candidates, std::back_inserter(kept), [fewest](const Endpoint* it) {
+        return it->suspects_in_flight == fewest->suspects_in_flight;
+      });
+  return kept;
+}
+
 void EndpointChooser::NoteNextPermit(const base::EndpointName& name,
                                      base::TimePoint begins) {
   const auto it = endpoints_.find(name);
@@ -282,12 +297,15 @@
 }
 
 void EndpointChooser::NoteBegun(const base::EndpointName& name,
+                                bool is_suspect,
                                 base::TimePoint now) {
   const auto it = endpoints_.find(name);
   if (it == endpoints_.end())
     return;
   Endpoint& endpoint = it->second;
   ++endpoint.in_flight;
+  if (is_suspect)
+    ++endpoint.suspects_in_flight;
   if (now < endpoint.ramp_up_until)
     endpoint.next_begin = now + kRampUpInterval;
 }
@@ -301,6 +319,7 @@
 
 void EndpointChooser::NoteEnded(const base::EndpointName& name,
                                 AttemptOutcome outcome,
+                                bool was_suspect,
                                 base::TimePoint now) {
   const auto it = endpoints_.find(name);
   if (it == endpoints_.end())
@@ -308,6 +327,8 @@
   Endpoint& endpoint = it->second;
   if (endpoint.in_flight > 0)
     --endpoint.in_flight;
+  if (was_suspect && endpoint.suspects_in_flight > 0)
+    --endpoint.suspects_in_flight;
   switch (outcome) {
     case AttemptOutcome::kAnswered:
       conditions_.ejector.NoteAnswered(name);
--- a/Libraries/LibForward/endpoint_chooser.h
+++ b/Libraries/LibForward/endpoint_chooser.h
@@ -35,6 +35,9 @@
   std::span<const base::EndpointName> avoided;
   // Whether a cold endpoint may be chosen although others are available.
   bool may_use_cold = false;
+  // Whether the request may crash endpoints, so that it is kept apart from
+  // other such requests: the next crash then tells which of them it was.
+  bool is_suspect = false;
   // Longest acceptable wait for a permit.
   base::Duration longest_wait{};
 };
@@ -86,12 +89,15 @@
   // for example because the owner of its limit did not answer.
   void NoteNoPermits(const base::EndpointName& name, base::TimePoint until);
 
-  void NoteBegun(const base::EndpointName& name, base::TimePoint now);
+  void NoteBegun(const base::EndpointName& name,
+                 bool is_suspect,
+                 base::TimePoint now);
   // Records that the endpoint's backoff is over. Its requests are spaced out
   // for some time, so that those which waited don't arrive at once.
   void NoteBackoffEnded(const base::EndpointName& name, base::TimePoint now);
   void NoteEnded(const base::EndpointName& name,
                  AttemptOutcome outcome,
+                 bool was_suspect,
                  base::TimePoint now);
 
  private:
@@ -100,6 +106,7 @@
     bool has_limit = false;
     bool is_cold = false;  // The limit comes from being cold only.
     uint32_t in_flight = 0;
+    uint32_t suspects_in_flight = 0;
     // Until then, requests are spaced out after a backoff.
     base::TimePoint ramp_up_until;
     base::TimePoint next_begin;
@@ -141,6 +148,8 @@
   // backoff, or all candidates if there are none.
   Candidates KeepPreferred(const Candidates& candidates,
                            base::TimePoint now) const;
+  // Returns the candidates with the fewest suspects in flight.
+  static Candidates KeepFewestSuspects(const Candidates& candidates);
   const Endpoint& LeastLoaded(const Candidates& candidates);
   static const Endpoint& BestFor(std::string_view affinity,
                                  const Candidates& candidates);
--- a/Libraries/LibForward/endpoint_conditions.h
+++ b/Libraries/LibForward/endpoint_conditions.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "LibForward/cold_endpoints.h"
+#include "LibForward/crash_tracker.h"
 #include "LibForward/endpoint_backoffs.h"
 #include "LibForward/endpoint_limits.h"
 #include "LibForward/outlier_ejector.h"
@@ -12,13 +13,14 @@
 namespace bilberry::forward {
 
 // State beside the endpoint list that restricts which requests endpoints get:
-// ejections after failures, and what endpoints announced about themselves. One
-// instance is shared by all parts of a host.
+// ejections after failures, what endpoints announced about themselves, and the
+// requests that crash them. One instance is shared by all parts of a host.
 struct EndpointConditions {
   OutlierEjector ejector;
   EndpointBackoffs backoffs;
   EndpointLimits limits;
   ColdEndpoints cold_endpoints;
+  CrashTracker crashes;
 
   // Returns the rate, in requests per second, that all hosts together may send
   // to this incarnation: the lower of its announced limit and its limit while
--- a/Libraries/LibForward/forward_action.h
+++ b/Libraries/LibForward/forward_action.h
@@ -47,6 +47,12 @@
   base::SocketAddress address;
 };
 
+// Asks an endpoint whether it is alive. Results in one EndpointHealthChecked.
+struct CheckEndpointHealth {
+  ListedEndpoint endpoint;
+  std::string path;  // Of the pool's health check.
+};
+
 // A final answer that this host itself gives. kAttemptFailed and kTimeout leave
 // open whether the request ran; the other codes guarantee that it did not.
 struct AnswerCaller {
@@ -201,6 +207,7 @@
 using Action = std::variant<SendAttempt,
                             CancelAttempt,
                             RetireConnections,
+                            CheckEndpointHealth,
                             AnswerCaller,
                             ForwardAnswer,
                             BeginStream,
--- a/Libraries/LibForward/forward_configuration.h
+++ b/Libraries/LibForward/forward_configuration.h
@@ -74,6 +74,7 @@
   double cold_per_second = 0;
   // How long an endpoint that starts during traffic is cold.
   base::Duration cold_start{};
+  std::string health_path;  // Of health checks; empty if there are none.
 };
 
 struct ForwardedTeam {
--- a/Libraries/LibForward/forward_event.h
+++ b/Libraries/LibForward/forward_event.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "LibBase/ids.h"
+#include "LibForward/crash_tracker.h"
 #include "LibForward/endpoint_notice.h"
 #include "LibForward/feed_row.h"
 #include "LibForward/forwarded_request.h"
@@ -74,6 +75,13 @@
   std::string detail;
 };
 
+// The outcome of a health check of an endpoint whose connection broke.
+struct EndpointHealthChecked {
+  base::EndpointName endpoint;
+  base::Incarnation incarnation{};  // As known when the check began.
+  HealthCheckResult result = HealthCheckResult::kUnknown;
+};
+
 struct StageCallEnded {
   StageCallId call{};
   StageCallOutcome outcome;
@@ -201,6 +209,7 @@
                            AttemptChunk,
                            AttemptAnswer,
                            AttemptFailure,
+                           EndpointHealthChecked,
                            StageCallEnded,
                            ResultsFreed,
                            PeerJobRequested,
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -34,6 +34,7 @@
   ApplyChanges(now);
   UpdateColdEndpoints(now);
   runs_.HandleTimer(now);
+  WatchCrashes(now);
   notices_.SendDue(now);
   peers_.SendProbes(now);
   stages_.Dispatch(now);
@@ -61,6 +62,11 @@
           [&](AttemptChunk& it) { runs_.Handle(std::move(it), now); },
           [&](AttemptAnswer& it) { runs_.Handle(std::move(it), now); },
           [&](const AttemptFailure& it) { runs_.Handle(it, now); },
+          [&](const EndpointHealthChecked& it) {
+            context_.conditions().crashes.NoteChecked(
+                it.endpoint, it.incarnation, it.result, now);
+            runs_.SendDecided(now);
+          },
           [&](const StageCallEnded& it) { stages_.Handle(it, now); },
           [&](const ResultsFreed& it) { stages_.Handle(it); },
           [&](const PeerJobRequested& it) { stages_.Handle(it, now); },
@@ -147,6 +153,28 @@
   permits_.UpdateLimitOwners();
 }
 
+void ForwardNode::WatchCrashes(base::TimePoint now) {
+  CrashTracker& crashes = context_.conditions().crashes;
+  for (ListedEndpoint& it : crashes.TakeDueChecks(now)) {
+    const ForwardedPool* pool = store_.configuration()->FindPool(it.pool);
+    if (pool != nullptr && !pool->health_path.empty())
+      context_.Emit(CheckEndpointHealth{std::move(it), pool->health_path});
+  }
+  for (const EndpointCrash& it : crashes.TakeCrashes()) {
+    std::string digests;
+    for (const std::string& digest : it.suspects)
+      digests += (digests.empty() ? "" : " ") + digest;
+    context_.Log(base::LogEventId::kEndpointCrashed, "",
+                 {{"endpoint", it.endpoint.name.value},
+                  {"pool", it.endpoint.pool.value},
+                  {"evidence", it.evidence},
+                  {"digests", std::move(digests)}});
+  }
+  for (std::string& digest : crashes.TakeQuarantined())
+    context_.Log(base::LogEventId::kRequestQuarantined, "",
+                 {{"digest", std::move(digest)}});
+}
+
 // Applies the rates of the current configuration to endpoints that are cold.
 void ForwardNode::SetColdRates() {
   std::map<base::PoolName, double> rates;
@@ -170,6 +198,7 @@
     seen_endpoints_ = store_.endpoint_changes();
     const std::vector<ListedEndpoint> endpoints = store_.endpoints();
     context_.conditions().ejector.KeepOnly(endpoints);
+    context_.conditions().crashes.SetEndpoints(endpoints, now);
     runs_.SetEndpoints(endpoints);
     stages_.SetEndpoints(endpoints);
     permits_.SetEndpoints(endpoints);
@@ -230,6 +259,7 @@
   consider(runs_.NextWakeup());
   consider(context_.conditions().backoffs.NextEnd());
   consider(context_.conditions().cold_endpoints.NextStep());
+  consider(context_.conditions().crashes.NextWakeup());
   if (stop_began_ && !has_exited_) {
     const base::TimePoint lingered = *stop_began_ + kLinger;
     consider(runs_.is_accepting()
--- a/Libraries/LibForward/forward_node.h
+++ b/Libraries/LibForward/forward_node.h
@@ -47,6 +47,9 @@
   // Takes the due steps of cold endpoints and logs those that are warm.
   void UpdateColdEndpoints(base::TimePoint now);
   void SetColdRates();
+  // Checks the endpoints whose connections broke, and logs those that crashed
+  // and the requests that are refused for it.
+  void WatchCrashes(base::TimePoint now);
   void ApplyChanges(base::TimePoint now);
   void HandleStop(base::TimePoint now);
   void FinishStop(base::TimePoint now);
--- /dev/null
+++ b/Libraries/LibForward/forwarded_request.cc
@@ -0,0 +1,14 @@
+#include "LibForward/forwarded_request.h"
+
+#include "LibBase/content_digest.h"
+
+namespace bilberry::forward {
+
+std::string DigestOf(const std::optional<base::TeamName>& team,
+                     const ForwardedRequest& request) {
+  const std::string_view team_name = team ? team->value : std::string_view();
+  return base::DigestOf(
+      {team_name, request.method, request.host, request.target, request.body});
+}
+
+}  // namespace bilberry::forward
--- a/Libraries/LibForward/forwarded_request.h
+++ b/Libraries/LibForward/forwarded_request.h
@@ -42,4 +42,9 @@
       last_event;  // Last-Event-Id: the last event that the caller received.
 };
 
+// Returns the digest of what makes two requests of a team the same: method,
+// host, path with query, and body. The caller's request id differs each time.
+std::string DigestOf(const std::optional<base::TeamName>& team,
+                     const ForwardedRequest& request);
+
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/forwarded_run.h
+++ b/Libraries/LibForward/forwarded_run.h
@@ -36,7 +36,8 @@
   base::SocketAddress address;
   base::TimePoint sent;
   EventSplitter splitter;
-  bool has_begun = false;  // Whether the answer has begun to stream.
+  bool has_begun = false;   // Whether the answer has begun to stream.
+  bool is_suspect = false;  // Whether the request may crash endpoints.
 };
 
 // Properties of a streamed answer that a resumed stream has to match.
@@ -56,6 +57,7 @@
   std::shared_ptr<const ForwardConfiguration> configuration;
   const ForwardedPipeline* pipeline = nullptr;
   std::optional<base::TeamName> team;
+  std::string digest;  // Of the request's content, equal for its repeats.
   Urgency urgency = Urgency::kMost;
   base::TimePoint arrived;
   base::TimePoint target;
@@ -74,6 +76,9 @@
   std::optional<PermitRequestId> permit_request;  // Permit request in flight.
   std::optional<HeldPermit> permit;
   std::optional<FinalAttempt> attempt;
+  // Whether the request waits for the health check of an endpoint that may have
+  // crashed under it.
+  bool is_undecided = false;
   std::vector<base::EndpointName> tried;
   uint32_t runs = 0;  // Number of attempts that may have been executed.
   bool has_begun_stream = false;
--- a/Libraries/LibForward/forwarded_run_coordinator.cc
+++ b/Libraries/LibForward/forwarded_run_coordinator.cc
@@ -17,6 +17,11 @@
 constexpr uint32_t kMaxRefusals = 2;
 // Maximum size of one event of a stream.
 constexpr size_t kMaxEventBytes = size_t{256} * 1024;
+// A request that may have crashed this many endpoints is sent to one endpoint
+// at a time.
+constexpr size_t kCrashesToSerialize = 2;
+// Retry-After of a request whose repeat is being tried.
+constexpr std::chrono::milliseconds kTrialRetry{500};
 // Number of cells tried for a stage before its request is refused.
 constexpr size_t kMaxCells = 2;
 
@@ -96,6 +101,7 @@
   StageState& state = run.stages[stage];
   StageJob job;
   job.request_id = run.request->request_id;
+  job.digest = run.digest;
   job.pipeline = run.pipeline->name;
   job.pool = declared.pool;
   job.cell = run.cell;
@@ -251,11 +257,57 @@
   return true;
 }
 
+bool ForwardedRunCoordinator::IsInFlight(const std::string& digest) const {
+  return std::ranges::any_of(runs_, [&digest](const auto& it) {
+    return it.second.attempt && it.second.digest == digest;
+  });
+}
+
+bool ForwardedRunCoordinator::HoldSuspect(base::CallerId caller,
+                                          base::TimePoint now) {
+  ForwardedRun& run = runs_.at(caller);
+  CrashTracker& crashes = context_.conditions().crashes;
+  const size_t count = crashes.CrashCountOf(run.digest);
+  if (count == 0)
+    return false;
+  if (const auto until = crashes.UndecidedUntil(run.digest, now)) {
+    run.is_undecided = true;
+    timers_.ScheduleRecheck(caller, run, *until);
+    return true;
+  }
+  run.is_undecided = false;
+  const bool is_quarantined = crashes.IsQuarantined(run.digest, now);
+  if (!is_quarantined &&
+      (count < kCrashesToSerialize || !IsInFlight(run.digest)))
+    return false;
+  AnswerAndEnd(
+      caller,
+      run.may_have_run() ? LocalAnswerCode::kAttemptFailed
+                         : LocalAnswerCode::kQuarantined,
+      is_quarantined ? base::Duration(policy::kQuarantinePeriod) : kTrialRetry,
+      now);
+  return true;
+}
+
+void ForwardedRunCoordinator::SendDecided(base::TimePoint now) {
+  std::vector<base::CallerId> decided;
+  for (const auto& [caller, run] : runs_) {
+    if (run.is_undecided &&
+        !context_.conditions().crashes.UndecidedUntil(run.digest, now))
+      decided.push_back(caller);
+  }
+  for (const base::CallerId caller : decided)
+    Advance(caller, now);
+}
+
 void ForwardedRunCoordinator::SendFinal(base::CallerId caller,
                                         base::TimePoint now) {
-  if (SendWithPermit(caller, now))
+  if (HoldSuspect(caller, now) || SendWithPermit(caller, now))
     return;
   ForwardedRun& run = runs_.at(caller);
+  EndpointCriteria criteria = EndpointCriteriaOf(run, now);
+  criteria.is_suspect =
+      context_.conditions().crashes.CrashCountOf(run.digest) > 0;
   std::visit(base::Overloaded{
                  [&](const ListedEndpoint& it) { SendTo(it, caller, now); },
                  [&](const RateLimitedEndpoint& it) {
@@ -269,7 +321,7 @@
                                 now);
                  },
              },
-             chooser_.Choose(EndpointCriteriaOf(run, now), now));
+             chooser_.Choose(criteria, now));
 }
 
 // The results of the run's stages are kept by waiting, as long as there is time
@@ -303,11 +355,13 @@
   send.inputs = run.FinalInputs();
   if (run.has_begun_stream)
     send.resume_after = run.last_event;
+  const bool is_suspect =
+      context_.conditions().crashes.CrashCountOf(run.digest) > 0;
   run.attempt = FinalAttempt{send.attempt, endpoint.name, endpoint.address, now,
-                             {},           false};
+                             {},           false,         is_suspect};
   run.tried.push_back(endpoint.name);
   attempts_.emplace(send.attempt.number, caller);
-  chooser_.NoteBegun(endpoint.name, now);
+  chooser_.NoteBegun(endpoint.name, is_suspect, now);
   context_.Log(base::LogEventId::kAttemptSent, run.request->request_id,
                {{"endpoint", endpoint.name.value},
                 {"zone", endpoint.zone.value},
@@ -394,7 +448,11 @@
   if (!caller)
     return;
   ForwardedRun& run = runs_.at(*caller);
-  switch (ClassifyAnswer(run, event.head)) {
+  const AnswerClass answer_class = ClassifyAnswer(run, event.head);
+  if (answer_class == AnswerClass::kPass ||
+      (answer_class == AnswerClass::kFailed && event.head.is_sealed))
+    context_.conditions().crashes.NoteAnswered(run.digest, now);
+  switch (answer_class) {
     case AnswerClass::kNotRun:
       FailAttempt(*caller, AttemptOutcome::kRefused,
                   "refused with " + std::to_string(event.head.status), now);
@@ -438,6 +496,10 @@
   const auto caller = CallerOf(event.attempt);
   if (!caller)
     return;
+  const ForwardedRun& run = runs_.at(*caller);
+  if (event.kind == AttemptFailureKind::kBroken)
+    context_.conditions().crashes.NoteBroken(run.attempt->endpoint,
+                                             {run.digest}, now);
   FailAttempt(*caller,
               event.kind == AttemptFailureKind::kUnreachable
                   ? AttemptOutcome::kUnreachable
@@ -448,7 +510,8 @@
 void ForwardedRunCoordinator::EndAttempt(ForwardedRun& run,
                                          AttemptOutcome outcome,
                                          base::TimePoint now) {
-  chooser_.NoteEnded(run.attempt->endpoint, outcome, now);
+  chooser_.NoteEnded(run.attempt->endpoint, outcome, run.attempt->is_suspect,
+                     now);
   attempts_.erase(run.attempt->id.number);
   run.attempt.reset();
 }
@@ -479,6 +542,7 @@
   context_.Log(base::LogEventId::kAttemptFailed, run.request->request_id,
                {{"endpoint", run.attempt->endpoint.value},
                 {"verdict", std::string(ToText(outcome))},
+                {"digest", run.digest},
                 {"reason", std::move(reason)},
                 {"sent_again", may_send_again ? "yes" : "no"}});
   EndAttempt(run, outcome, now);
--- a/Libraries/LibForward/forwarded_run_coordinator.h
+++ b/Libraries/LibForward/forwarded_run_coordinator.h
@@ -50,6 +50,9 @@
   void Handle(AttemptChunk event, base::TimePoint now);
   void Handle(AttemptAnswer event, base::TimePoint now);
   void Handle(const AttemptFailure& event, base::TimePoint now);
+  // Sends the requests again that waited for the health check of an endpoint
+  // and don't any more.
+  void SendDecided(base::TimePoint now);
 
   // Processes the outcomes of stages and permit requests until none is left.
   void ProcessOutcomes(base::TimePoint now);
@@ -100,6 +103,10 @@
   // false if there is no usable permit.
   bool SendWithPermit(base::CallerId caller, base::TimePoint now);
   void SendFinal(base::CallerId caller, base::TimePoint now);
+  // Holds back or ends a request that may crash endpoints. Returns false if it
+  // may be sent now.
+  bool HoldSuspect(base::CallerId caller, base::TimePoint now);
+  bool IsInFlight(const std::string& digest) const;
   void SendTo(const ListedEndpoint& endpoint,
               base::CallerId caller,
               base::TimePoint now);
--- a/Libraries/LibForward/local_answer_code.cc
+++ b/Libraries/LibForward/local_answer_code.cc
@@ -20,6 +20,8 @@
       return "too_late";
     case LocalAnswerCode::kRefusedByEndpoint:
       return "refused_by_endpoint";
+    case LocalAnswerCode::kQuarantined:
+      return "quarantined";
     case LocalAnswerCode::kStageFailed:
       return "stage_failed";
     case LocalAnswerCode::kAttemptFailed:
--- a/Libraries/LibForward/local_answer_code.h
+++ b/Libraries/LibForward/local_answer_code.h
@@ -14,6 +14,7 @@
   kNoEndpoint,         // The pool has no available endpoint.
   kTooLate,            // The request can't meet its deadline.
   kRefusedByEndpoint,  // Endpoints refused the request without executing it.
+  kQuarantined,        // Endpoints crashed while they ran the same request.
   kStageFailed,
   kAttemptFailed,  // The request may have been executed.
   kTimeout,        // The request may have been executed.
--- a/Libraries/LibForward/local_dispatchers.cc
+++ b/Libraries/LibForward/local_dispatchers.cc
@@ -23,6 +23,16 @@
   return ids;
 }
 
+// Lists each digest once.
+std::vector<std::string> DigestsOf(const StageCall& call) {
+  std::vector<std::string> digests;
+  for (const PieceRequest& piece : call.pieces) {
+    if (digests.empty() || digests.back() != piece.digest)
+      digests.push_back(piece.digest);
+  }
+  return digests;
+}
+
 }  // namespace
 
 void LocalDispatchers::Reconfigure(const ForwardConfiguration& configuration) {
@@ -111,6 +121,9 @@
     return;
   const OpenCall& call = node.mapped();
   LogCall(call, event.outcome, now);
+  const auto* failure = std::get_if<StageCallFailure>(&event.outcome);
+  if (failure != nullptr && *failure == StageCallFailure::kBroken)
+    context_.conditions().crashes.NoteBroken(call.endpoint, call.digests, now);
   const auto it = entries_.find(call.at);
   if (it == entries_.end())
     return;
@@ -169,7 +182,7 @@
     calls_.emplace(id, OpenCall{at, call->id, call->endpoint, call->address,
                                 now, call->pieces.size(), RequestIdsOf(*call),
                                 call->used_percent, call->usable_percent,
-                                call->waiting_pieces});
+                                call->waiting_pieces, DigestsOf(*call)});
     call->id = id;
     context_.Emit(CallStage{std::move(*call)});
   }
--- a/Libraries/LibForward/notice_batch.h
+++ b/Libraries/LibForward/notice_batch.h
@@ -4,6 +4,7 @@
 
 #include "LibBase/ids.h"
 #include "LibBase/time.h"
+#include "LibPolicy/quarantine.h"
 
 // Endpoints' notices as gossiped between hosts.
 namespace bilberry::forward {
@@ -23,11 +24,24 @@
   base::Duration age{};  // Since the answer.
 };
 
+// Which requests were running at endpoints that crashed. Requests are named by
+// digests, endpoints by name and incarnation.
+struct CrashNews {
+  std::vector<policy::CrashSuspicion> suspicions;
+  // Requests that endpoints have answered, which clears them of suspicion.
+  std::vector<std::string> cleared;
+
+  bool is_empty() const { return suspicions.empty() && cleared.empty(); }
+};
+
 struct NoticeBatch {
   std::vector<EndpointDeparture> departures;
   std::vector<BackoffReport> backoffs;
+  CrashNews crashes;
 
-  bool is_empty() const { return departures.empty() && backoffs.empty(); }
+  bool is_empty() const {
+    return departures.empty() && backoffs.empty() && crashes.is_empty();
+  }
 };
 
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/notice_gossip.cc
+++ b/Libraries/LibForward/notice_gossip.cc
@@ -13,6 +13,9 @@
 constexpr size_t kMaxQueued = 200;
 // A backoff that extends the known one by less than this isn't gossiped again.
 constexpr std::chrono::milliseconds kMinExtension{250};
+// Interval at which known crashes are told again, for hosts that were cut off
+// or have started since.
+constexpr std::chrono::seconds kRepeatInterval{2};
 
 }  // namespace
 
@@ -65,8 +68,23 @@
     queue_.push_back({std::move(notices), now});
 }
 
+void NoticeGossip::EnqueueCrashNews(base::TimePoint now) {
+  CrashTracker& crashes = context_.conditions().crashes;
+  NoticeBatch news;
+  news.crashes = crashes.TakeNews();
+  Enqueue(std::move(news), now);
+  if (!crashes.knows_crashes() || now < next_repeat_ ||
+      !peers_.is_store_sync_source())
+    return;
+  next_repeat_ = now + kRepeatInterval;
+  NoticeBatch repeated;
+  repeated.crashes = crashes.NewsToRepeat(now);
+  Enqueue(std::move(repeated), now);
+}
+
 void NoticeGossip::ApplyReports(const NoticeBatch& notices,
                                 base::TimePoint now) {
+  context_.conditions().crashes.Apply(notices.crashes, now);
   store_.ApplyDepartures(notices.departures, now);
   for (const BackoffReport& it : notices.backoffs) {
     if (context_.conditions().backoffs.NoteByPeer(it, now))
@@ -75,6 +93,7 @@
 }
 
 void NoticeGossip::SendDue(base::TimePoint now) {
+  EnqueueCrashNews(now);
   if (queue_.empty() || now < next_send_)
     return;
   next_send_ = now + kBatchInterval;
@@ -88,15 +107,24 @@
       it.age = now - queued.at;
       all.backoffs.push_back(std::move(it));
     }
+    CrashNews crashes = queued.notices.crashes;
+    for (policy::CrashSuspicion& it : crashes.suspicions) {
+      it.age += now - queued.at;
+      all.crashes.suspicions.push_back(std::move(it));
+    }
+    std::ranges::move(crashes.cleared, std::back_inserter(all.crashes.cleared));
   }
   for (const PeerHost& it : peers_.store_sync_sources())
     context_.Emit(SendNoticesToPeer{it.address, all});
 }
 
 std::optional<base::TimePoint> NoticeGossip::NextWakeup() const {
-  if (queue_.empty())
-    return std::nullopt;
-  return next_send_;
+  if (!queue_.empty())
+    return next_send_;
+  if (context_.conditions().crashes.knows_crashes() &&
+      peers_.is_store_sync_source())
+    return next_repeat_;
+  return std::nullopt;
 }
 
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/notice_gossip.h
+++ b/Libraries/LibForward/notice_gossip.h
@@ -12,8 +12,8 @@
 
 // Applies the notices of endpoints, received in answers to this host or
 // reported by peers, except for rate limits. Gossips to peers the notices that
-// this host was the first to receive; relays pass them on to the rest of a
-// large fleet.
+// this host was the first to receive, and the crashes that it was the first to
+// see; relays pass them on to the rest of a large fleet.
 class NoticeGossip {
  public:
   NoticeGossip(ForwardContext& context,
@@ -41,12 +41,14 @@
                    base::Duration lasts,
                    base::TimePoint now);
   void Enqueue(NoticeBatch notices, base::TimePoint now);
+  void EnqueueCrashNews(base::TimePoint now);
 
   ForwardContext& context_;
   StoreSynchronizer& store_;
   PeerDirectory& peers_;
   std::vector<QueuedNotices> queue_;
   base::TimePoint next_send_;
+  base::TimePoint next_repeat_;
 };
 
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/peer_directory.cc
+++ b/Libraries/LibForward/peer_directory.cc
@@ -28,7 +28,7 @@
     for (PeerHost& it : RelaysOf(assignment_.hosts(), zone))
       found.emplace(it.name, std::move(it));
   }
-  found.erase(context_.options().own.name);
+  is_store_sync_source_ = found.erase(context_.options().own.name) > 0;
   store_sync_sources_.clear();
   for (auto& [name, host] : found)
     store_sync_sources_.push_back(std::move(host));
--- a/Libraries/LibForward/peer_directory.h
+++ b/Libraries/LibForward/peer_directory.h
@@ -36,6 +36,9 @@
     return store_sync_sources_;
   }
 
+  // Whether this host is one of them.
+  bool is_store_sync_source() const { return is_store_sync_source_; }
+
   // Records that something was requested from the host.
   void NoteUse(const base::HostName& host, base::TimePoint now) {
     failure_detector_.NoteUse(host, now);
@@ -70,6 +73,7 @@
   std::set<base::HostName> dispatchers_;
   std::set<base::HostName> limit_owners_;
   std::vector<PeerHost> store_sync_sources_;
+  bool is_store_sync_source_ = false;
   base::TimePoint changed_at_;
   uint64_t changes_ = 0;
 };
--- a/Libraries/LibForward/stage_dispatcher.cc
+++ b/Libraries/LibForward/stage_dispatcher.cc
@@ -36,6 +36,10 @@
 constexpr std::chrono::milliseconds kNoEndpointRetryDelay{1000};
 constexpr std::chrono::milliseconds kMinRetryDelay{100};
 
+// The pieces of a request that may have crashed this many endpoints, of any
+// pool, get calls of their own.
+constexpr size_t kCrashesToIsolate = 2;
+
 constexpr uint64_t kPercent = 100;
 // Weight of one call in the moving averages of call load.
 constexpr double kFullnessWeight = 0.1;
@@ -90,6 +94,11 @@
         id, JobFailure{JobFailureKind::kNoEndpoint, kNoEndpointRetryDelay});
     return id;
   }
+  if (conditions_.crashes.IsQuarantined(record.job.digest, now)) {
+    outcomes_.emplace_back(
+        id, JobFailure{JobFailureKind::kFailed, policy::kQuarantinePeriod});
+    return id;
+  }
   if (const auto refusal = RefusalOf(id, record, now)) {
     outcomes_.emplace_back(id, *refusal);
     return id;
@@ -299,6 +308,17 @@
   return needs_probe ? 1 : limits_.pieces_per_call;
 }
 
+// A crash elsewhere alone is no reason to give a call to one job: many requests
+// are suspects of each crash.
+bool StageDispatcher::IsSuspect(const Job& job) const {
+  const size_t crashes = conditions_.crashes.CrashCountOf(job.job.digest);
+  return crashes >= kCrashesToIsolate || (crashes > 0 && job.retries > 0);
+}
+
+bool StageDispatcher::IsUndecided(const Job& job, base::TimePoint now) const {
+  return conditions_.crashes.UndecidedUntil(job.job.digest, now).has_value();
+}
+
 // Pieces with much cross-zone traffic are produced in their reader's zone as
 // long as they can be on time there.
 bool StageDispatcher::MayTake(const PieceEndpoint& endpoint,
@@ -342,12 +362,17 @@
   size_t on_time_pieces = 0;
   for (size_t i = 0; i < ordered.jobs.size(); ++i) {
     const auto& [id, job] = ordered.jobs[i];
-    if (!MayTake(endpoint, *job, ordered.queue_time, now))
+    if (!MayTake(endpoint, *job, ordered.queue_time, now) ||
+        IsUndecided(*job, now))
+      continue;
+    const bool is_suspect = IsSuspect(*job);
+    if (is_suspect && !call.pieces.empty())
       continue;
     TakePieces(endpoint, id, *job, call, record, now);
     if (i < ordered.on_time)
       on_time_pieces = call.pieces.size();
-    if (call.pieces.size() >= PiecesFor(endpoint))
+    const bool is_alone = is_suspect && !call.pieces.empty();
+    if (is_alone || call.pieces.size() >= PiecesFor(endpoint))
       break;
   }
   if (call.pieces.empty())
@@ -385,8 +410,8 @@
     job.waiting.erase(job.waiting.begin());
     endpoint.held_results().Reserve(bytes);
     record.pieces.push_back({id, piece, bytes});
-    call.pieces.push_back({job.job.request_id, job.job.stage, piece,
-                           job.deadline - now - job.job.time_after,
+    call.pieces.push_back({job.job.request_id, job.job.digest, job.job.stage,
+                           piece, job.deadline - now - job.job.time_after,
                            job.job.input});
     if (job.retries == 0)
       retry_budget_.NoteFirstAttempt();
@@ -531,6 +556,7 @@
     return;
   Job& job = it->second;
   if (job.retries >= kMaxRetries * job.job.piece_count ||
+      conditions_.crashes.IsQuarantined(job.job.digest, last_time_) ||
       !retry_budget_.TryTake()) {
     Fail(piece.job, {JobFailureKind::kFailed, kNoEndpointRetryDelay});
     return;
@@ -597,8 +623,12 @@
       consider(*change);
   }
   for (const auto& [id, job] : jobs_) {
-    if (!job.waiting.empty())
-      consider(ExpiryOf(job));
+    if (job.waiting.empty())
+      continue;
+    consider(ExpiryOf(job));
+    if (const auto until =
+            conditions_.crashes.UndecidedUntil(job.job.digest, last_time_))
+      consider(*until);
   }
   return next;
 }
--- a/Libraries/LibForward/stage_dispatcher.h
+++ b/Libraries/LibForward/stage_dispatcher.h
@@ -101,6 +101,12 @@
 
   bool HasMemoryFor(const PieceEndpoint& endpoint, uint64_t bytes) const;
   size_t PiecesFor(const PieceEndpoint& endpoint) const;
+  // Whether the job's request may crash endpoints, so that its pieces get calls
+  // of their own.
+  bool IsSuspect(const Job& job) const;
+  // Whether the job's pieces wait for the health check of an endpoint that may
+  // have crashed under them.
+  bool IsUndecided(const Job& job, base::TimePoint now) const;
   bool MayTake(const PieceEndpoint& endpoint,
                const Job& job,
                base::Duration queue_time,
--- a/Libraries/LibForward/stage_job.h
+++ b/Libraries/LibForward/stage_job.h
@@ -33,6 +33,7 @@
 // be sent to another host.
 struct StageJob {
   std::string request_id;
+  std::string digest;           // Of the request's content.
   base::PipelineName pipeline;  // The kind of request.
   base::PoolName pool;
   Cell cell;           // Endpoints of this cell produce the pieces.
@@ -86,6 +87,7 @@
 // One piece within a call.
 struct PieceRequest {
   std::string request_id;
+  std::string digest;  // Of the request's content; not sent to the endpoint.
   uint32_t stage = 0;
   uint32_t piece = 0;
   base::Duration left{};
--- a/Libraries/LibForward/store_sync_messages.h
+++ b/Libraries/LibForward/store_sync_messages.h
@@ -36,6 +36,8 @@
   std::vector<KnownVersion> known;
   // Recent departures known to the requesting host.
   std::vector<EndpointDeparture> departures;
+  // Recent crashes that the requesting host observed.
+  CrashNews crashes;
 };
 
 struct StoreSyncResponse {
--- a/Libraries/LibForward/store_synchronizer.cc
+++ b/Libraries/LibForward/store_synchronizer.cc
@@ -287,6 +287,7 @@
   for (const FeedKind feed : kRelayedFeeds)
     request.request.known.push_back({feed, FollowerOf(feed).version()});
   request.request.departures = directory_.RecentDepartures(now);
+  request.request.crashes = context_.conditions().crashes.OwnNews();
   context_.Emit(std::move(request));
 }
 
@@ -299,9 +300,12 @@
 void StoreSynchronizer::Handle(const PeerStoreSyncRequested& event,
                                base::TimePoint now) {
   ApplyDepartures(event.request.departures, now);
+  CrashTracker& crashes = context_.conditions().crashes;
+  crashes.Apply(event.request.crashes, now);
   AnswerStoreSync answer{event.exchange, {}};
   answer.response.notices = {directory_.RecentDepartures(now),
-                             context_.conditions().backoffs.ActiveReports(now)};
+                             context_.conditions().backoffs.ActiveReports(now),
+                             crashes.NewsToRepeat(now)};
   answer.response.limits = context_.conditions().limits.RecentReports(now);
   answer.response.age = now - endpoints_as_of_;
   answer.response.revision = configuration_ ? configuration_->revision : 0;
--- a/Libraries/LibOperator/request_history.cc
+++ b/Libraries/LibOperator/request_history.cc
@@ -22,6 +22,11 @@
 constexpr const char* kQuietEvent = "endpoint-quiet";
 constexpr const char* kLimitEvent = "endpoint-limit";
 constexpr const char* kColdEvent = "endpoint-cold";
+constexpr const char* kCrashedEvent = "endpoint-crashed";
+constexpr const char* kQuarantinedEvent = "request-quarantined";
+// Fields of such events and of a request's records.
+constexpr const char* kDigestField = "digest";
+constexpr const char* kDigestsField = "digests";
 
 // Empty if the value isn't a string.
 std::string TextOf(const Json::Value& value) {
@@ -94,17 +99,31 @@
   std::ranges::stable_sort(records, {}, &LogRecord::unix_ms);
 }
 
-// 0 if the record has no such field, or if its value isn't a number.
-int64_t FieldOf(const LogRecord& record, const std::string& name) {
+// Empty if the record has no such field.
+std::string TextFieldOf(const LogRecord& record, const std::string& name) {
   const auto it = std::ranges::find(
       record.fields, name, &std::pair<std::string, std::string>::first);
+  return it == record.fields.end() ? "" : it->second;
+}
+
+// 0 if the record has no such field, or if its value isn't a number.
+int64_t FieldOf(const LogRecord& record, const std::string& name) {
+  const std::string text = TextFieldOf(record, name);
   int64_t number = 0;
-  if (it != record.fields.end())
-    std::from_chars(it->second.data(), it->second.data() + it->second.size(),
-                    number);
+  std::from_chars(text.data(), text.data() + text.size(), number);
   return number;
 }
 
+// The digest of the request's content; empty if no record tells it.
+std::string DigestOf(const std::vector<LogRecord>& records) {
+  for (const LogRecord& record : records) {
+    std::string digest = TextFieldOf(record, kDigestField);
+    if (!digest.empty())
+      return digest;
+  }
+  return "";
+}
+
 void PrintFirst(const char* title,
                 std::vector<LogRecord> records,
                 int64_t begin,
@@ -151,6 +170,8 @@
     else if (record.event == kLeavingEvent || record.event == kQuietEvent ||
              record.event == kLimitEvent || record.event == kColdEvent)
       notices_.push_back(std::move(record));
+    else if (record.event == kCrashedEvent || record.event == kQuarantinedEvent)
+      crashes_.push_back(std::move(record));
     else if (!record.is_routine && !object->isMember("request"))
       warnings_.push_back(std::move(record));
   }
@@ -167,6 +188,12 @@
          notice.unix_ms + FieldOf(notice, "for_ms") >= span.begin_ms;
 }
 
+bool RequestHistory::IsOfDigest(const LogRecord& record,
+                                const std::string& digest) {
+  return !digest.empty() && (TextFieldOf(record, kDigestField) == digest ||
+                             Lists(TextFieldOf(record, kDigestsField), digest));
+}
+
 bool RequestHistory::IsNear(const LogRecord& warning, const Span& span) {
   return span.origins.contains(warning.origin) &&
          warning.unix_ms >= span.begin_ms - kLookbackMs &&
@@ -191,6 +218,13 @@
       [&span](const LogRecord& it) { return IsInForce(it, span); });
   PrintLast("what endpoints had said of themselves to these hosts:",
             std::move(in_force), span.begin_ms, out);
+  std::vector<LogRecord> crashes;
+  std::ranges::copy_if(crashes_, std::back_inserter(crashes),
+                       [digest = DigestOf(records)](const LogRecord& it) {
+                         return IsOfDigest(it, digest);
+                       });
+  PrintFirst("endpoints that crashed under the same request, at all hosts:",
+             std::move(crashes), span.begin_ms, out);
   std::vector<LogRecord> around;
   std::ranges::copy_if(
       warnings_, std::back_inserter(around),
--- a/Libraries/LibOperator/request_history.h
+++ b/Libraries/LibOperator/request_history.h
@@ -31,8 +31,8 @@
 
   bool is_empty() const { return records_.empty(); }
   // Prints the records that name the request in order of time, then the
-  // endpoint notices in force at the same hosts, and other warnings of these
-  // hosts.
+  // endpoint notices in force at the same hosts, the endpoints that crashed
+  // under a request with the same content, and other warnings of these hosts.
   std::string Print() const;
 
  private:
@@ -44,6 +44,8 @@
   };
 
   static bool IsInForce(const LogRecord& notice, const Span& span);
+  // Whether the record is about a request with the same content.
+  static bool IsOfDigest(const LogRecord& record, const std::string& digest);
   static bool IsNear(const LogRecord& warning, const Span& span);
 
   std::string request_id_;
@@ -51,6 +53,8 @@
   // Notices of endpoints that announce a departure, a limit, a Retry-After or a
   // cold period.
   std::vector<LogRecord> notices_;
+  // Endpoints that crashed, and requests refused for it, of all hosts.
+  std::vector<LogRecord> crashes_;
   std::vector<LogRecord> warnings_;  // Warnings that name no request.
 };
 
--- a/Libraries/LibPolicy/quarantine.cc
+++ b/Libraries/LibPolicy/quarantine.cc
@@ -6,55 +6,98 @@
 
 void Quarantine::NoteDisconnect(const std::string& request,
                                 const base::EndpointName& endpoint,
-                                base::TimePoint now) {
-  AddSuspect(FindOrAddCrash(endpoint, Source::kOwn, now), request);
+                                base::TimePoint now,
+                                CrashedName kind) {
+  const CrashSuspicion suspicion{request, endpoint, base::Duration(0), kind};
+  AddSuspect(FindOrAddCrash(suspicion, Source::kOwn, now), request);
   Evaluate(request, now);
 }
 
 void Quarantine::NotePeerSuspicion(const CrashSuspicion& suspicion,
                                    base::TimePoint now) {
-  Crash& crash = FindOrAddCrash(suspicion.endpoint, Source::kPeer, now);
+  Crash& crash = FindOrAddCrash(suspicion, Source::kPeer, now);
   crash.last_reported = now;
   AddSuspect(crash, suspicion.request);
   Evaluate(suspicion.request, now);
 }
 
-Quarantine::Crash& Quarantine::FindOrAddCrash(
-    const base::EndpointName& endpoint,
-    Source source,
-    base::TimePoint now) {
+bool Quarantine::IsSameCrash(const Crash& crash,
+                             const CrashSuspicion& suspicion,
+                             Source source,
+                             base::TimePoint now) const {
+  if (crash.endpoint != suspicion.endpoint)
+    return false;
+  if (suspicion.kind == CrashedName::kProcess)
+    return true;
+  const bool is_from_peer =
+      source == Source::kPeer || crash.source == Source::kPeer;
+  if (is_from_peer && !options_.reports_tell_age)
+    return now - crash.last_reported <= kPeerCrashMergeWindow;
+  const base::TimePoint began = now - suspicion.age;
+  return std::chrono::abs(began - crash.began) <= kCrashMergeWindow;
+}
+
+Quarantine::Crash& Quarantine::FindOrAddCrash(const CrashSuspicion& suspicion,
+                                              Source source,
+                                              base::TimePoint now) {
   const auto found =
       std::find_if(crashes_.rbegin(), crashes_.rend(), [&](const Crash& crash) {
-        if (crash.endpoint != endpoint)
-          return false;
-        const bool is_from_peer =
-            source == Source::kPeer || crash.source == Source::kPeer;
-        return is_from_peer ? now - crash.last_reported <= kPeerCrashMergeWindow
-                            : now - crash.began <= kCrashMergeWindow;
+        return IsSameCrash(crash, suspicion, source, now);
       });
   if (found != crashes_.rend()) {
     // A crash that this host observes itself is gossiped to its peers, even if
     // a peer reported it first.
     if (source == Source::kOwn && found->source == Source::kPeer) {
       found->source = Source::kOwn;
-      found->began = now;
+      if (!options_.reports_tell_age)
+        found->began = now;
     }
     return *found;
   }
   if (crashes_.size() == kMaxCrashes)
-    crashes_.pop_front();
-  crashes_.push_back({endpoint, now, now, source, {}});
+    EraseCrashes([oldest = &crashes_.front()](const Crash& crash) {
+      return &crash == oldest;
+    });
+  crashes_.push_back({suspicion.endpoint,
+                      suspicion.kind,
+                      now - suspicion.age,
+                      now,
+                      source,
+                      {}});
   return crashes_.back();
 }
 
 void Quarantine::AddSuspect(Crash& crash, const std::string& request) {
-  if (crash.suspects.size() < kMaxSuspectsPerCrash)
-    crash.suspects.insert(request);
+  if (crash.suspects.size() < kMaxSuspectsPerCrash &&
+      crash.suspects.insert(request).second)
+    ++crash_counts_[request];
+}
+
+bool Quarantine::EraseSuspect(Crash& crash, const std::string& request) {
+  if (crash.suspects.erase(request) == 0)
+    return false;
+  const auto count = crash_counts_.find(request);
+  if (--count->second == 0)
+    crash_counts_.erase(count);
+  return true;
+}
+
+template <typename Predicate>
+void Quarantine::EraseCrashes(Predicate is_erased) {
+  for (Crash& crash : crashes_) {
+    if (!is_erased(crash))
+      continue;
+    for (const std::string& request : std::set(crash.suspects))
+      EraseSuspect(crash, request);
+  }
+  std::erase_if(crashes_, is_erased);
 }
 
 std::vector<const Quarantine::Crash*> Quarantine::CrashesWithSuspect(
     const std::string& request) const {
   std::vector<const Crash*> found;
+  if (!crash_counts_.contains(request))
+    return found;
   for (const Crash& crash : crashes_) {
     if (crash.suspects.contains(request))
       found.push_back(&crash);
@@ -74,7 +117,7 @@
 
 void Quarantine::Evaluate(const std::string& request, base::TimePoint now) {
   const auto crashes = CrashesWithSuspect(request);
-  if (crashes.size() < kCrashesToQuarantine)
+  if (crashes.size() < options_.crashes_to_quarantine)
     return;
   if (crashes.size() >= kCrashesToConfirm || !HasOtherSuspect(crashes))
     BeginQuarantine(request, now);
@@ -105,7 +148,7 @@
     return true;
   }
   const auto crashes = CrashesWithSuspect(request);
-  if (crashes.size() < kCrashesToQuarantine)
+  if (crashes.size() < options_.crashes_to_quarantine)
     return false;
   if (HasOtherSuspect(crashes))
     return now < crashes.back()->began + kAmbiguousQuarantinePeriod;
@@ -132,22 +175,30 @@
     if (was_no_crash(crash))
       cleared.insert(crash.suspects.begin(), crash.suspects.end());
   }
-  std::erase_if(crashes_, was_no_crash);
+  EraseCrashes(was_no_crash);
   for (const std::string& request : cleared) {
-    if (CrashesWithSuspect(request).size() < kCrashesToQuarantine)
+    if (CrashCountOf(request) < options_.crashes_to_quarantine)
       quarantined_.erase(request);
   }
 }
 
-void Quarantine::Clear(const std::string& request) {
+bool Quarantine::Clear(const std::string& request) {
+  bool was_suspect = quarantined_.erase(request) > 0;
   for (Crash& crash : crashes_)
-    crash.suspects.erase(request);
+    was_suspect = EraseSuspect(crash, request) || was_suspect;
+  return was_suspect;
+}
+
+size_t Quarantine::CrashCountOf(const std::string& request) const {
+  const auto it = crash_counts_.find(request);
+  return it == crash_counts_.end() ? 0 : it->second;
 }
 
 void Quarantine::Advance(base::TimePoint now) {
   last_advance_ = now;
-  while (!crashes_.empty() && crashes_.front().began + kQuarantinePeriod <= now)
-    crashes_.pop_front();
+  EraseCrashes([now](const Crash& crash) {
+    return crash.began + kQuarantinePeriod <= now;
+  });
   std::erase_if(quarantined_,
                 [now](const auto& it) { return it.second.until <= now; });
 }
@@ -159,7 +210,8 @@
       continue;
     for (const std::string& request : it->suspects) {
       if (result.size() < kMaxGossipedItems)
-        result.push_back({request, it->endpoint});
+        result.push_back(
+            {request, it->endpoint, last_advance_ - it->began, it->kind});
     }
   }
   return result;
@@ -175,4 +227,21 @@
   return result;
 }
 
+std::vector<CrashSuspicion> Quarantine::SuspicionsToRepeat(
+    size_t min_crashes,
+    base::TimePoint since,
+    base::TimePoint now) const {
+  std::vector<CrashSuspicion> result;
+  for (auto it = crashes_.rbegin(); it != crashes_.rend(); ++it) {
+    const bool is_recent = it->began >= since;
+    for (const std::string& request : it->suspects) {
+      if (result.size() == kMaxGossipedItems)
+        return result;
+      if (is_recent || CrashCountOf(request) >= min_crashes)
+        result.push_back({request, it->endpoint, now - it->began, it->kind});
+    }
+  }
+  return result;
+}
+
 }  // namespace bilberry::policy
--- a/Libraries/LibPolicy/quarantine.h
+++ b/Libraries/LibPolicy/quarantine.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "LibBase/ids.h"
@@ -27,17 +28,33 @@
 inline constexpr std::chrono::milliseconds kLateAnswerWindow{50};
 // How long a new suspicion or quarantine is gossiped.
 inline constexpr std::chrono::seconds kGossipPeriod{10};
-inline constexpr size_t kCrashesToQuarantine = 2;
 inline constexpr size_t kCrashesToConfirm = 3;
 inline constexpr size_t kMaxCrashes = 256;
-inline constexpr size_t kMaxSuspectsPerCrash = 64;
+inline constexpr size_t kMaxSuspectsPerCrash = 256;
 inline constexpr size_t kMaxQuarantinedRequests = 1024;
-inline constexpr size_t kMaxGossipedItems = 64;
+inline constexpr size_t kMaxGossipedItems = 256;
+
+struct QuarantineOptions {
+  // The number of crashes after which their only common suspect is refused. At
+  // kCrashesToConfirm crashes all common suspects are.
+  size_t crashes_to_quarantine = 2;
+  // Whether peers tell how long ago a crash was. Reports of one name are of one
+  // crash then if their crashes are of about the same time, whenever they come.
+  bool reports_tell_age = false;
+};
+
+// What the name of a crashed endpoint stands for.
+enum class CrashedName {
+  kEndpoint,  // A later process may have the name, and crash too.
+  kProcess,   // It crashes once.
+};
 
 // A request that was in flight at an endpoint when the endpoint crashed.
 struct CrashSuspicion {
   std::string request;
   base::EndpointName endpoint;
+  base::Duration age{};  // Of the crash; 0 if it isn't told.
+  CrashedName kind = CrashedName::kEndpoint;
 
   friend auto operator<=>(const CrashSuspicion&,
                           const CrashSuspicion&) = default;
@@ -50,10 +67,13 @@
 // Requests are identified by their digests.
 class Quarantine {
  public:
+  explicit Quarantine(QuarantineOptions options = {}) : options_(options) {}
+
   // The connection of an attempt of this request broke.
   void NoteDisconnect(const std::string& request,
                       const base::EndpointName& endpoint,
-                      base::TimePoint now);
+                      base::TimePoint now,
+                      CrashedName kind = CrashedName::kEndpoint);
 
   // The endpoint answered an attempt, which shows that disconnects just before
   // were no crash.
@@ -61,8 +81,9 @@
                   base::TimePoint attempt_began,
                   base::TimePoint now);
 
-  // The request was answered, so it is no longer a suspect of any crash.
-  void Clear(const std::string& request);
+  // The request was answered, so it is no longer a suspect of any crash, and is
+  // not refused any more. Returns false if it was no suspect.
+  bool Clear(const std::string& request);
 
   // A peer reported a suspicion, or that it refuses a request.
   void NotePeerSuspicion(const CrashSuspicion& suspicion, base::TimePoint now);
@@ -71,6 +92,9 @@
   // Whether the request is refused now. Each request extends its quarantine.
   bool IsQuarantined(const std::string& request, base::TimePoint now);
 
+  // The number of crashes of which the request is a suspect.
+  size_t CrashCountOf(const std::string& request) const;
+
   // Drops expired crashes and quarantines.
   void Advance(base::TimePoint now);
 
@@ -79,6 +103,12 @@
   // gossiped by every host that has begun one lately.
   std::vector<CrashSuspicion> SuspicionsToGossip() const;
   std::vector<std::string> QuarantinedToGossip() const;
+  // Suspicions for peers, whoever observed the crash, with their ages: those of
+  // crashes that began at `since` or later and, however old, those of requests
+  // that are suspects of at least `min_crashes`.
+  std::vector<CrashSuspicion> SuspicionsToRepeat(size_t min_crashes,
+                                                 base::TimePoint since,
+                                                 base::TimePoint now) const;
 
   size_t crash_count() const { return crashes_.size(); }
   size_t quarantined_count() const { return quarantined_.size(); }
@@ -88,6 +118,7 @@
 
   struct Crash {
     base::EndpointName endpoint;
+    CrashedName kind = CrashedName::kEndpoint;
     base::TimePoint began;
     base::TimePoint last_reported;
     Source source = Source::kOwn;
@@ -99,19 +130,30 @@
     base::TimePoint until;
   };
 
-  Crash& FindOrAddCrash(const base::EndpointName& endpoint,
+  bool IsSameCrash(const Crash& crash,
+                   const CrashSuspicion& suspicion,
+                   Source source,
+                   base::TimePoint now) const;
+  Crash& FindOrAddCrash(const CrashSuspicion& suspicion,
                         Source source,
                         base::TimePoint now);
   void AddSuspect(Crash& crash, const std::string& request);
   // Quarantines the request for the full time if the crashes identify it as the
   // cause.
   void Evaluate(const std::string& request, base::TimePoint now);
+  // Drops the crashes for which the predicate holds.
+  template <typename Predicate>
+  void EraseCrashes(Predicate is_erased);
+  bool EraseSuspect(Crash& crash, const std::string& request);
   std::vector<const Crash*> CrashesWithSuspect(
       const std::string& request) const;
   static bool HasOtherSuspect(const std::vector<const Crash*>& crashes);
   void BeginQuarantine(const std::string& request, base::TimePoint now);
 
+  QuarantineOptions options_;
   std::deque<Crash> crashes_;  // In order of creation.
+  // The number of crashes by suspect.
+  std::unordered_map<std::string, size_t> crash_counts_;
   std::map<std::string, QuarantineEntry> quarantined_;
   base::TimePoint last_advance_;
 };
--- a/Libraries/LibSoak/caller.cc
+++ b/Libraries/LibSoak/caller.cc
@@ -22,6 +22,8 @@
 constexpr uint64_t kDrafts = 80;
 constexpr uint64_t kWithdrawnKeys = 10;
 constexpr uint64_t kChangingKeys = 40;
+// Share of the requests that are the deadly one while there is one.
+constexpr uint64_t kDeadly = 20;
 
 RequestKind KindOf(uint64_t percent) {
   if (percent < kReads)
@@ -37,6 +39,7 @@
                InvariantChecker& checker,
                EventTrail& trail,
                const CallerKeys& keys,
+               const std::optional<DeadlyRequest>& deadly,
                std::string host,
                base::SocketAddress address,
                uint64_t seed)
@@ -45,6 +48,7 @@
       checker_(checker),
       trail_(trail),
       keys_(keys),
+      deadly_(deadly),
       host_(std::move(host)),
       address_(std::move(address)),
       random_(seed),
@@ -67,10 +71,17 @@
   request.id = name_ + "-" + std::to_string(++last_number_);
   request.host = host_;
   request.kind = KindOf(random_.Below(kPercent));
-  request.method = request.kind == RequestKind::kRead ? "GET" : "POST";
   request.target = "/" + std::string(ToText(request.kind)) + "/" + request.id;
+  if (deadly_ && random_.Below(kPercent) < kDeadly) {
+    request.kind = deadly_->kind;
+    request.target = deadly_->target;
+    request.is_deadly = true;
+  }
+  request.method = request.kind == RequestKind::kRead ? "GET" : "POST";
   const uint64_t percent = random_.Below(kPercent);
   request.key = keys_.lasting;
+  if (request.is_deadly)
+    return request;
   if (percent < kWithdrawnKeys && keys_.withdrawn)
     request.key = *keys_.withdrawn;
   else if (percent < kChangingKeys)
--- a/Libraries/LibSoak/caller.h
+++ b/Libraries/LibSoak/caller.h
@@ -20,6 +20,13 @@
   std::optional<std::string> withdrawn;  // The key that was withdrawn last.
 };
 
+// A request that several callers send, again and again, and that crashes the
+// endpoints that run it.
+struct DeadlyRequest {
+  RequestKind kind{};
+  std::string target;
+};
+
 // Sends requests to one host one after the other, over a connection that is
 // kept until the host closes it.
 class Caller {
@@ -28,6 +35,7 @@
          InvariantChecker& checker,
          EventTrail& trail,
          const CallerKeys& keys,
+         const std::optional<DeadlyRequest>& deadly,
          std::string host,
          base::SocketAddress address,
          uint64_t seed);
@@ -49,6 +57,7 @@
   InvariantChecker& checker_;
   EventTrail& trail_;
   const CallerKeys& keys_;
+  const std::optional<DeadlyRequest>& deadly_;
   std::string host_;
   base::SocketAddress address_;
   base::Random random_;
--- a/Libraries/LibSoak/disturbances.cc
+++ b/Libraries/LibSoak/disturbances.cc
@@ -24,4 +24,11 @@
       parts_, [&](const auto& it) { return WasUndisturbed(it.first, since); });
 }
 
+bool Disturbances::WereOthersUndisturbed(const std::string& part,
+                                         base::TimePoint since) const {
+  return std::ranges::all_of(parts_, [&](const auto& it) {
+    return it.first == part || WasUndisturbed(it.first, since);
+  });
+}
+
 }  // namespace bilberry::soak
--- a/Libraries/LibSoak/disturbances.h
+++ b/Libraries/LibSoak/disturbances.h
@@ -19,6 +19,8 @@
   // Whether the part has been undisturbed from `since` until now.
   bool WasUndisturbed(const std::string& part, base::TimePoint since) const;
   bool WereAllUndisturbed(base::TimePoint since) const;
+  bool WereOthersUndisturbed(const std::string& part,
+                             base::TimePoint since) const;
 
  private:
   struct Part {
--- a/Libraries/LibSoak/endpoint_fleet.cc
+++ b/Libraries/LibSoak/endpoint_fleet.cc
@@ -76,9 +76,15 @@
   model.answer_padding = shape_.padding;
   model.names_requests = true;
   model.needs_inputs = pool == "llm";
+  model.crash_mark = kDeadlyMark;
   auto member = std::make_unique<Member>();
   TRY(endpoint, PieceEndpointStandin::Create(reactor_, {ip_, port}, model));
   member->endpoint = std::move(endpoint);
+  PieceEndpointStandin* raw = member->endpoint.get();
+  raw->SetOnDeath([this] { checker_.BeginDisturbance(kEndpointsPart); });
+  raw->SetOnRestart([this, raw](const base::EndpointName& earlier) {
+    NoteRestarted(earlier, raw->model().name.value);
+  });
   member->pool = pool;
   member->zone = zone;
   Write(*member);
@@ -86,6 +92,24 @@
   return base::Success();
 }
 
+void EndpointFleet::NoteRestarted(const base::EndpointName& earlier,
+                                  const std::string& name) {
+  trail_.Add(reactor_.Now(), earlier.value + " is back as " + name);
+  store_.Remove(standins::kEndpointRows, earlier.value);
+  checker_.EndDisturbance(kEndpointsPart, reactor_.Now());
+  Member& member = *Find(name);
+  if (member.state == EntryState::kReady)
+    Write(member);
+  else
+    timers_.After(milliseconds(0), [this, name] { Remove(name); });
+}
+
+// An endpoint that is removed while it is down doesn't come back.
+void EndpointFleet::EndOutageOf(const Member& member) {
+  if (member.endpoint->is_down())
+    checker_.EndDisturbance(kEndpointsPart, reactor_.Now());
+}
+
 // If the address is in use by now, takes another one.
 void EndpointFleet::AddAgain(const std::string& pool, const std::string& zone) {
   uint16_t port = 0;
@@ -109,8 +133,10 @@
 }
 
 void EndpointFleet::WriteAll() {
-  for (const auto& member : members_)
-    Write(*member);
+  for (const auto& member : members_) {
+    if (!member->endpoint->is_down())
+      Write(*member);
+  }
   timers_.After(kWriteInterval, [this] { WriteAll(); });
 }
 
@@ -153,6 +179,7 @@
   if (member == nullptr)
     return;
   PollMember(*member, reactor_.Now());
+  EndOutageOf(*member);
   FreeLater(member->endpoint->address().port);
   store_.Remove(standins::kEndpointRows, name);
   std::erase_if(members_, [&](const auto& it) { return it.get() == member; });
@@ -179,6 +206,7 @@
   const std::string name = member.endpoint->model().name.value;
   trail_.Add(reactor_.Now(), name + " dies");
   checker_.BeginDisturbance(kEndpointsPart);
+  EndOutageOf(member);
   FreeLater(member.endpoint->address().port);
   timers_.After(lasts, [this, name, pool = member.pool, zone = member.zone] {
     store_.Remove(standins::kEndpointRows, name);
--- a/Libraries/LibSoak/endpoint_fleet.h
+++ b/Libraries/LibSoak/endpoint_fleet.h
@@ -14,6 +14,9 @@
 
 namespace bilberry::soak {
 
+// A request whose target contains this text crashes the endpoints that run it.
+inline constexpr const char* kDeadlyMark = "deadly-";
+
 // Endpoints of all pools, which join, leave and fail, and write their entries
 // to the store.
 class EndpointFleet {
@@ -57,6 +60,9 @@
   // Reuses a free address if there is one.
   void AddAgain(const std::string& pool, const std::string& zone);
   void FreeLater(uint16_t port);
+  void NoteRestarted(const base::EndpointName& earlier,
+                     const std::string& name);
+  void EndOutageOf(const Member& member);
   void Write(Member& member);
   void WriteAll();
   void PollMember(Member& member, base::TimePoint now);
--- a/Libraries/LibSoak/fault_plan.h
+++ b/Libraries/LibSoak/fault_plan.h
@@ -37,6 +37,7 @@
   kStoreForgets,
   kEndpointDies,
   kEndpointMisbehaves,
+  kDeadlyRequest,
 };
 
 inline constexpr std::array kFaultKinds{
@@ -61,6 +62,7 @@
     std::pair{FaultKind::kStoreForgets, "store-forgets"},
     std::pair{FaultKind::kEndpointDies, "endpoint-dies"},
     std::pair{FaultKind::kEndpointMisbehaves, "endpoint-misbehaves"},
+    std::pair{FaultKind::kDeadlyRequest, "deadly-request"},
 };
 
 constexpr std::string_view ToText(FaultKind kind) {
--- a/Libraries/LibSoak/invariant.h
+++ b/Libraries/LibSoak/invariant.h
@@ -27,6 +27,8 @@
   kLeavingEndpoint,
   kStop,              // An ordered stop exits cleanly within its grace period.
   kNoUnexpectedExit,  // No process ends on its own.
+  // A request that crashes endpoints reaches none once all hosts know of it.
+  kContained,
   // After faults every host serves each kind of request again in time.
   kRecovery,
 };
@@ -45,6 +47,7 @@
     std::pair{Invariant::kLeavingEndpoint, "leaving-endpoint"},
     std::pair{Invariant::kStop, "stop"},
     std::pair{Invariant::kNoUnexpectedExit, "life"},
+    std::pair{Invariant::kContained, "contained"},
     std::pair{Invariant::kRecovery, "recovery"},
 };
 
--- a/Libraries/LibSoak/invariant_checker.cc
+++ b/Libraries/LibSoak/invariant_checker.cc
@@ -84,10 +84,33 @@
              "it runs at " + run.endpoint + " after " +
                  std::to_string(*tracked.refusal));
   }
+  if (request.is_deadly)
+    CheckContained(request, run);
   CheckKeyOfRun(request, run);
   CheckEndpointOfRun(request, run);
 }
 
+// A host that was disturbed may not have told the others, or not been told.
+void InvariantChecker::CheckContained(const SentRequest& request,
+                                      const ObservedRun& run) {
+  std::vector<base::TimePoint>& crashes = crashes_[request.target];
+  crashes.push_back(run.at);
+  if (crashes.size() < bounds_.crashes)
+    return;
+  const base::TimePoint last_allowed = crashes[bounds_.crashes - 1];
+  if (!any_.WereOthersUndisturbed(kEndpointsPart,
+                                  crashes.front() - bounds_.calm))
+    return;
+  Count(Invariant::kContained);
+  const base::Duration since = run.at - last_allowed;
+  NoteTime(Invariant::kContained, since);
+  if (since > bounds_.spread)
+    Report(Invariant::kContained, run.at, request.id,
+           request.target + " crashed " + run.endpoint + " as endpoint " +
+               std::to_string(crashes.size()) + ", " +
+               std::to_string(since.count()) + " us after the last allowed");
+}
+
 void InvariantChecker::CheckKeyOfRun(const SentRequest& request,
                                      const ObservedRun& run) {
   const auto it = withdrawn_.find(request.key);
--- a/Libraries/LibSoak/invariant_checker.h
+++ b/Libraries/LibSoak/invariant_checker.h
@@ -31,6 +31,10 @@
   std::chrono::milliseconds recovery{12'000};
   // Allowed delay after the caller's deadline.
   std::chrono::milliseconds lateness{500};
+  // The time in which all hosts learn of a request that crashed as many
+  // endpoints as it may.
+  std::chrono::milliseconds spread{1000};
+  uint32_t crashes = 3;
 };
 
 // Checks the invariants against what callers and endpoints observe, never
@@ -99,6 +103,7 @@
   void NoteTime(Invariant invariant, base::Duration time);
   bool IsHostUndisturbed(const std::string& host, base::TimePoint since) const;
   void CheckKeyOfRun(const SentRequest& request, const ObservedRun& run);
+  void CheckContained(const SentRequest& request, const ObservedRun& run);
   void CheckEndpointOfRun(const SentRequest& request, const ObservedRun& run);
   void CheckRefusal(TrackedRequest& tracked, const ObservedAnswer& answer);
   void CheckCut(const TrackedRequest& tracked, const ObservedAnswer& answer);
@@ -114,6 +119,8 @@
   std::map<std::string, base::TimePoint> added_;
   std::map<std::string, base::TimePoint> withdrawn_;
   std::map<std::string, base::TimePoint> leaving_;
+  // When endpoints crashed under each deadly request, by its target.
+  std::map<std::string, std::vector<base::TimePoint>> crashes_;
   std::set<std::pair<std::string, RequestKind>> missing_;
   base::TimePoint recovery_began_;
   std::vector<Violation> violations_;
--- a/Libraries/LibSoak/observation.h
+++ b/Libraries/LibSoak/observation.h
@@ -44,6 +44,7 @@
   std::string key;
   base::TimePoint sent;
   std::chrono::milliseconds time_left{3000};
+  bool is_deadly = false;  // Whether endpoints crash while they run it.
 };
 
 // How an answer ended on the connection.
--- a/Libraries/LibSoak/soak_run.cc
+++ b/Libraries/LibSoak/soak_run.cc
@@ -21,6 +21,8 @@
 // All faults of a plan end within this time.
 constexpr milliseconds kRecoveryTimeout{20'000};
 constexpr milliseconds kStoreDelay{700};
+// Time in which all hosts learn of a deadly request, and some more.
+constexpr milliseconds kDeadlyTime{2500};
 constexpr size_t kCallersPerHost = 4;
 constexpr size_t kMaxViolations = 200;
 constexpr const char* kStoreIp = ".250";
@@ -95,7 +97,7 @@
   for (const CallerAddresses& addresses : hosts_->addresses()) {
     for (size_t i = 0; i < kCallersPerHost; ++i)
       callers_.push_back(std::make_unique<Caller>(
-          reactor_, checker_, trail_, keys_, addresses.host,
+          reactor_, checker_, trail_, keys_, deadly_, addresses.host,
           i % 2 == 0 ? addresses.direct : addresses.via_relay,
           callers_.size() + 1));
   }
@@ -174,6 +176,9 @@
     case Plan::kEndpointMisbehaves:
       BeginAtEndpoint(fault);
       return;
+    case Plan::kDeadlyRequest:
+      BeginDeadlyRequest(fault);
+      return;
     default:
       BeginAtHost(fault);
       return;
@@ -254,6 +259,18 @@
   }
 }
 
+void SoakRun::BeginDeadlyRequest(const PlannedFault& fault) {
+  const auto kind =
+      fault.target % 2 == 0 ? RequestKind::kRead : RequestKind::kBook;
+  const std::string number = std::to_string(++last_deadly_);
+  deadly_ = DeadlyRequest{
+      kind, "/" + std::string(ToText(kind)) + "/" + kDeadlyMark + number};
+  timers_.After(fault.lasts + kDeadlyTime, [this, n = last_deadly_] {
+    if (n == last_deadly_)
+      deadly_.reset();
+  });
+}
+
 void SoakRun::ChangeConfiguration() {
   store_->Put(standins::kOperatorRows, standins::kConfigurationRow,
               standins::KeyedConfiguration(++revision_,
--- a/Libraries/LibSoak/soak_run.h
+++ b/Libraries/LibSoak/soak_run.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,7 @@
   void DisturbStore(standins::Fault fault, std::chrono::milliseconds lasts);
   void ChangeConfiguration();
   void ChangeKey();
+  void BeginDeadlyRequest(const PlannedFault& fault);
 
   SoakOptions options_;
   transport::Reactor reactor_;
@@ -67,6 +69,8 @@
   InvariantChecker checker_;
   EventTrail trail_{reactor_.Now()};
   CallerKeys keys_;
+  std::optional<DeadlyRequest> deadly_;
+  uint64_t last_deadly_ = 0;
   uint64_t revision_ = 1;
   uint64_t last_key_ = 0;
   uint64_t last_store_fault_ = 0;
--- a/Libraries/LibTransport/forward_adapter.h
+++ b/Libraries/LibTransport/forward_adapter.h
@@ -38,6 +38,11 @@
       const HttpResponse& response) const = 0;
   virtual forward::EndpointNotice DecodeNotice(
       const HttpResponse& response) const = 0;
+  virtual HttpRequest EncodeHealthCheck(
+      const forward::CheckEndpointHealth& check) const = 0;
+  virtual forward::HealthCheckResult DecodeHealthCheck(
+      const base::EndpointName& endpoint,
+      const HttpOutcome& outcome) const = 0;
   virtual HttpRequest EncodeStageCall(const forward::StageCall& call) const = 0;
   virtual forward::StageCallOutcome DecodeStageCall(
       const HttpOutcome& outcome) const = 0;
--- a/Libraries/LibTransport/forward_metrics.cc
+++ b/Libraries/LibTransport/forward_metrics.cc
@@ -87,6 +87,15 @@
        "Times that an endpoint said that it is cold.",
        {"endpoint"},
        LogEventId::kEndpointCold},
+      {"bilberry_endpoint_crashes_total",
+       "Endpoints that crashed while they ran requests of this host.",
+       {"pool"},
+       LogEventId::kEndpointCrashed},
+      {"bilberry_requests_quarantined_total",
+       "Requests that are refused because endpoints crashed while they ran "
+       "them.",
+       {},
+       LogEventId::kRequestQuarantined},
       {"bilberry_permits_total",
        "Questions for a permit to send to an endpoint with a limit, and "
        "permits "
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -30,6 +30,7 @@
 constexpr std::chrono::milliseconds kNotificationTimeout{1000};
 constexpr std::chrono::milliseconds kStoreSyncTimeout{600};
 constexpr std::chrono::milliseconds kFreeTimeout{1000};
+constexpr std::chrono::milliseconds kHealthCheckTimeout{500};
 constexpr std::chrono::milliseconds kStoreTimeout{1500};
 // Added to the time for which the store holds a follow call open, to get the
 // timeout of that call. Together with the backoff after a failed call it bounds
@@ -409,6 +410,17 @@
   http_->RetireConnections(action.address);
 }
 
+void ForwardShell::Execute(const forward::CheckEndpointHealth& action) {
+  HttpRequest request = adapter_.EncodeHealthCheck(action);
+  request.timeout = kHealthCheckTimeout;
+  http_->Send(std::move(request),
+              [this, endpoint = action.endpoint](const HttpOutcome& outcome) {
+                HandleEvent(forward::EndpointHealthChecked{
+                    endpoint.name, endpoint.incarnation,
+                    adapter_.DecodeHealthCheck(endpoint.name, outcome)});
+              });
+}
+
 void ForwardShell::Execute(const forward::AnswerCaller& action) {
   HttpResponse response = adapter_.EncodeLocalAnswer(action);
   AddConnectionHeader(response.headers);
--- a/Libraries/LibTransport/forward_shell.h
+++ b/Libraries/LibTransport/forward_shell.h
@@ -101,6 +101,7 @@
   void Execute(const forward::SendAttempt& action);
   void Execute(const forward::CancelAttempt& action);
   void Execute(const forward::RetireConnections& action);
+  void Execute(const forward::CheckEndpointHealth& action);
   void Execute(const forward::AnswerCaller& action);
   void Execute(const forward::ForwardAnswer& action);
   void Execute(const forward::BeginStream& action);
--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 
 namespace bilberry::transport {
@@ -428,8 +429,11 @@
 }
 
 HttpOutcome HttpClient::OutcomeOf(Transfer& transfer, CURLcode code) {
-  if (code != CURLE_OK)
-    return FailureOf(transfer, curl_easy_strerror(code));
+  if (code != CURLE_OK) {
+    HttpFailure failure = FailureOf(transfer, curl_easy_strerror(code));
+    failure.was_refused = WasRefused(transfer, code);
+    return failure;
+  }
   if (!HasMatchingExchangeId(transfer)) {
     // The next answer on this connection would be the one to this request, so
     // that connections to the peer must not be reused.
@@ -442,6 +446,12 @@
   return std::move(transfer.response);
 }
 
+bool HttpClient::WasRefused(const Transfer& transfer, CURLcode code) {
+  long error = 0;
+  curl_easy_getinfo(transfer.easy, CURLINFO_OS_ERRNO, &error);
+  return code == CURLE_COULDNT_CONNECT && error == ECONNREFUSED;
+}
+
 bool HttpClient::HasMatchingExchangeId(const Transfer& transfer) {
   if (!transfer.request.expects_exchange_id)
     return true;
--- a/Libraries/LibTransport/http_client.h
+++ b/Libraries/LibTransport/http_client.h
@@ -54,6 +54,7 @@
 struct HttpFailure {
   node::EndpointFailureKind kind = node::EndpointFailureKind::kBroken;
   node::ConnectionAge connection = node::ConnectionAge::kFresh;
+  bool was_refused = false;  // The peer's address refused the connection.
   std::string detail;
 };
 
@@ -128,6 +129,7 @@
   // Has the connection closed after an answer without the request's
   // `reuse_marker`.
   static void UpdateReuse(const Transfer& transfer);
+  static bool WasRefused(const Transfer& transfer, CURLcode code);
   static bool HasMatchingExchangeId(const Transfer& transfer);
   static HttpFailure FailureOf(const Transfer& transfer, std::string detail);
   void Release(Transfer& transfer);
--- a/Libraries/LibTransport/stage_job_codec.cc
+++ b/Libraries/LibTransport/stage_job_codec.cc
@@ -56,6 +56,7 @@
 std::string EncodeStageJob(const forward::StageJob& job) {
   Json::Value object;
   object["request"] = job.request_id;
+  object["digest"] = job.digest;
   object["pipeline"] = job.pipeline.value;
   object["pool"] = job.pool.value;
   object["cell"] = job.cell.zone.value;
@@ -92,12 +93,14 @@
       !it["urgency"].isUInt() || !it["result_bytes"].isUInt64() ||
       !it["crossing_bytes"].isUInt64() ||
       (it.isMember("pipeline") && !it["pipeline"].isString()) ||
+      (it.isMember("digest") && !it["digest"].isString()) ||
       (it.isMember("inputs_gone_us") && !it["inputs_gone_us"].isInt64()))
     return std::nullopt;
   forward::StageJob job;
   job.request_id = it["request"].asString();
-  // Optional: hosts of the previous version do not send the pipeline.
+  // Optional: hosts of earlier versions don't send these.
   job.pipeline.value = it["pipeline"].asString();
+  job.digest = it["digest"].asString();
   job.pool.value = it["pool"].asString();
   job.cell.zone.value = it["cell"].asString();
   job.stage = it["stage"].asUInt();
--- a/Libraries/LibTransport/store_sync_codec.cc
+++ b/Libraries/LibTransport/store_sync_codec.cc
@@ -162,8 +162,54 @@
   return departures;
 }
 
+Json::Value JsonOf(const forward::CrashNews& news) {
+  Json::Value object;
+  Json::Value& suspicions = object["suspicions"] =
+      Json::Value(Json::arrayValue);
+  for (const policy::CrashSuspicion& it : news.suspicions) {
+    Json::Value& suspicion = suspicions.append(Json::Value(Json::objectValue));
+    suspicion["request"] = it.request;
+    suspicion["endpoint"] = it.endpoint.value;
+    suspicion["age_us"] = static_cast<Json::Int64>(it.age.count());
+    suspicion["is_process"] = it.kind == policy::CrashedName::kProcess;
+  }
+  Json::Value& cleared = object["cleared"] = Json::Value(Json::arrayValue);
+  for (const std::string& request : news.cleared)
+    cleared.append(request);
+  return object;
+}
+
+// A message of a host of an earlier version tells nothing of crashes.
+std::optional<forward::CrashNews> CrashNewsOf(const Json::Value& object) {
+  if (object.isNull())
+    return forward::CrashNews();
+  if (!object.isObject() || !object["suspicions"].isArray() ||
+      !object["cleared"].isArray())
+    return std::nullopt;
+  forward::CrashNews news;
+  for (const Json::Value& it : object["suspicions"]) {
+    if (!it.isObject() || !HasStringMembers(it, {"request", "endpoint"}) ||
+        !it["age_us"].isInt64() || !it["is_process"].isBool())
+      return std::nullopt;
+    news.suspicions.push_back({it["request"].asString(),
+                               {it["endpoint"].asString()},
+                               *ParseMicroseconds(it["age_us"]),
+                               it["is_process"].asBool()
+                                   ? policy::CrashedName::kProcess
+                                   : policy::CrashedName::kEndpoint});
+  }
+  for (const Json::Value& it : object["cleared"]) {
+    if (!it.isString())
+      return std::nullopt;
+    news.cleared.push_back(it.asString());
+  }
+  return news;
+}
+
 Json::Value JsonOf(const forward::NoticeBatch& notices) {
   Json::Value object;
+  if (!notices.crashes.is_empty())
+    object["crashes"] = JsonOf(notices.crashes);
   object["departures"] = JsonOf(notices.departures);
   Json::Value& array = object["quiet_times"] = Json::Value(Json::arrayValue);
   for (const forward::BackoffReport& it : notices.backoffs) {
@@ -192,9 +238,10 @@
   if (!object.isObject() || !object["quiet_times"].isArray())
     return std::nullopt;
   auto departures = DeparturesOf(object["departures"]);
-  if (!departures)
+  auto crashes = CrashNewsOf(object["crashes"]);
+  if (!departures || !crashes)
     return std::nullopt;
-  forward::NoticeBatch notices{std::move(*departures), {}};
+  forward::NoticeBatch notices{std::move(*departures), {}, std::move(*crashes)};
   for (const Json::Value& it : object["quiet_times"]) {
     auto backoff = BackoffOf(it);
     if (!backoff)
@@ -223,6 +270,8 @@
     known[std::string(forward::ToText(it.feed))] =
         static_cast<Json::UInt64>(it.version);
   object["departures"] = JsonOf(sync_request.departures);
+  if (!sync_request.crashes.is_empty())
+    object["crashes"] = JsonOf(sync_request.crashes);
   return PrintCompact(object);
 }
 
@@ -232,9 +281,11 @@
   if (!object || !object->isObject() || !(*object)["known"].isObject())
     return std::nullopt;
   auto departures = DeparturesOf((*object)["departures"]);
-  if (!departures)
+  auto crashes = CrashNewsOf((*object)["crashes"]);
+  if (!departures || !crashes)
     return std::nullopt;
   forward::StoreSyncRequest sync_request;
+  sync_request.crashes = std::move(*crashes);
   sync_request.departures = std::move(*departures);
   const Json::Value& known = (*object)["known"];
   for (const std::string& name : known.getMemberNames()) {
--- a/Tests/LibForward/node_bench.h
+++ b/Tests/LibForward/node_bench.h
@@ -59,7 +59,12 @@
                                milliseconds(10),
                                1'000'000,
                                milliseconds(4000)};
-    configuration.pools = {{{"llm"}, 64, std::nullopt}, maker};
+    ForwardedPool engines;
+    engines.name.value = "llm";
+    engines.slots = 64;
+    configuration.pools = {engines, maker};
+    for (ForwardedPool& pool : configuration.pools)
+      pool.health_path = "/health";
     return std::make_shared<const ForwardConfiguration>(configuration);
   }
 
@@ -115,6 +120,14 @@
         1});
   }
 
+  // Answers the last health check.
+  void EndHealthCheck(HealthCheckResult result) {
+    const auto* check = Last<CheckEndpointHealth>();
+    REQUIRE(check != nullptr);
+    Feed(EndpointHealthChecked{check->endpoint.name,
+                               check->endpoint.incarnation, result});
+  }
+
   void EndStage(const StageCall& call) {
     std::vector<PieceOutcome> pieces;
     for (size_t i = 0; i < call.pieces.size(); ++i)
--- a/Tests/LibForward/test_endpoint_notices.cc
+++ b/Tests/LibForward/test_endpoint_notices.cc
@@ -146,7 +146,7 @@
   }
   SUBCASE("in the peer's own poll") {
     bench.Feed(PeerStoreSyncRequested{
-        PeerExchangeId{1}, {{}, {DepartureOf("e1", milliseconds(900))}}});
+        PeerExchangeId{1}, {{}, {DepartureOf("e1", milliseconds(900))}, {}}});
   }
   CHECK(bench.AskedByManyRequests() == std::set<std::string>{"e2"});
   bench.Feed(TableChanged{
@@ -259,7 +259,8 @@
   bench.AddPeer();
   bench.Feed(PeerNoticesReceived{
       {{DepartureOf("e1", milliseconds(10))},
-       {{{"e2"}, kFirstIncarnation, milliseconds(2000), milliseconds(10)}}}});
+       {{{"e2"}, kFirstIncarnation, milliseconds(2000), milliseconds(10)}},
+       {}}});
   bench.Notice("e1", Leaving());
   bench.Notice("e2", BackoffOf(milliseconds(2000)));
   CHECK(bench.CountOf<SendNoticesToPeer>() == 0);
@@ -278,7 +279,7 @@
   const BackoffReport report{
       {"e1"}, kFirstIncarnation, milliseconds(2000), milliseconds(500)};
   SUBCASE("by gossip") {
-    bench.Feed(PeerNoticesReceived{{{}, {report}}});
+    bench.Feed(PeerNoticesReceived{{{}, {report}, {}}});
   }
   SUBCASE("in the response to a poll") {
     StoreSyncResponse response;
@@ -286,10 +287,11 @@
     bench.Feed(StoreSyncReceived{response});
   }
   SUBCASE("repeated with an earlier end") {
-    bench.Feed(PeerNoticesReceived{{{}, {report}}});
+    bench.Feed(PeerNoticesReceived{{{}, {report}, {}}});
     bench.Feed(PeerNoticesReceived{
         {{},
-         {{{"e1"}, kFirstIncarnation, milliseconds(400), milliseconds(10)}}}});
+         {{{"e1"}, kFirstIncarnation, milliseconds(400), milliseconds(10)}},
+         {}}});
   }
   CHECK(bench.AskedByManyRequests() == std::set<std::string>{"e2"});
   bench.Pass(milliseconds(1490));
@@ -310,7 +312,7 @@
             {"e1"}, kSecondIncarnation, milliseconds(500), milliseconds(0)},
         BackoffReport{
             {"e1"}, kFirstIncarnation, std::chrono::hours(2), milliseconds(0)}})
-    bench.Feed(PeerNoticesReceived{{{}, {it}}});
+    bench.Feed(PeerNoticesReceived{{{}, {it}, {}}});
   CHECK(bench.AskedByManyRequests() == kBoth);
 }
 
@@ -321,7 +323,8 @@
   for (const char* name : {"e1", "e2"})
     bench.Feed(PeerNoticesReceived{
         {{},
-         {{{name}, kFirstIncarnation, milliseconds(2000), milliseconds(0)}}}});
+         {{{name}, kFirstIncarnation, milliseconds(2000), milliseconds(0)}},
+         {}}});
   CHECK(bench.AskedByManyRequests() == kBoth);
 }
 
--- a/Tests/LibForward/test_misplaced_answers.cc
+++ b/Tests/LibForward/test_misplaced_answers.cc
@@ -61,6 +61,7 @@
   bench.Feed(AttemptChunk{first.attempt, head, "id: 0\n\n"});
   bench.Feed(
       AttemptFailure{first.attempt, AttemptFailureKind::kBroken, "reset"});
+  bench.EndHealthCheck(HealthCheckResult::kSameProcess);
   SendAttempt rest = *bench.Last<SendAttempt>();
   REQUIRE(rest.endpoint != first.endpoint);
   REQUIRE(rest.resume_after == "0");
--- a/Tests/LibForward/test_parts.cc
+++ b/Tests/LibForward/test_parts.cc
@@ -364,7 +364,7 @@
   std::map<std::string, int> counts;
   for (int i = 0; i < 90; ++i) {
     const auto chosen = Chosen(chooser, criteria, At(0));
-    chooser.NoteBegun(chosen.name, At(0));
+    chooser.NoteBegun(chosen.name, false, At(0));
     ++counts[chosen.name.value];
   }
   CHECK(counts[first.name.value] >= 10);
@@ -379,11 +379,11 @@
   const std::vector<ListedEndpoint> endpoints{Endpoint("a"), Endpoint("b")};
   chooser.SetEndpoints(endpoints);
   for (int i = 0; i < 2; ++i)
-    chooser.NoteEnded({"a"}, AttemptOutcome::kFailed, At(0));
+    chooser.NoteEnded({"a"}, AttemptOutcome::kFailed, false, At(0));
   for (int i = 0; i < 10; ++i)
     CHECK(Chosen(chooser, {{"p"}, {}, {}}, At(1)).name.value == "b");
   for (int i = 0; i < 2; ++i)
-    chooser.NoteEnded({"b"}, AttemptOutcome::kFailed, At(0));
+    chooser.NoteEnded({"b"}, AttemptOutcome::kFailed, false, At(0));
   CHECK_FALSE(Chosen(chooser, {{"p"}, {}, {}}, At(1)).name.value.empty());
 }
 
@@ -399,8 +399,8 @@
     CHECK(Chosen(chooser, {{"p"}, {}, {}}, At(1)).name.value == "b");
   maker.NoteFailed(At(0));
   CHECK(maker.needs_probe());
-  chooser.NoteBegun({"a"}, At(300));
-  chooser.NoteEnded({"a"}, AttemptOutcome::kAnswered, At(310));
+  chooser.NoteBegun({"a"}, false, At(300));
+  chooser.NoteEnded({"a"}, AttemptOutcome::kAnswered, false, At(310));
   CHECK_FALSE(maker.needs_probe());
   // An endpoint that was delisted starts without failures.
   maker.NoteFailed(At(400));
@@ -418,22 +418,22 @@
   for (ListedEndpoint& it : endpoints)
     it.zone.value = it.name.value.substr(0, 1);
   chooser.SetEndpoints(endpoints);
-  chooser.NoteEnded({"a1"}, AttemptOutcome::kUnreachable, At(0));
-  chooser.NoteEnded({"a2"}, AttemptOutcome::kUnreachable, At(0));
+  chooser.NoteEnded({"a1"}, AttemptOutcome::kUnreachable, false, At(0));
+  chooser.NoteEnded({"a2"}, AttemptOutcome::kUnreachable, false, At(0));
   for (int i = 0; i < 10; ++i)
     CHECK(Chosen(chooser, {{"p"}, {}, {}}, At(1)).name.value == "b1");
   // After the ejection, the zone gets one request.
   std::vector<std::string> chosen;
   for (int i = 0; i < 5; ++i) {
     const auto endpoint = Chosen(chooser, {{"p"}, {}, {}}, At(300));
-    chooser.NoteBegun(endpoint.name, At(300));
+    chooser.NoteBegun(endpoint.name, false, At(300));
     chosen.push_back(endpoint.name.value);
   }
   CHECK(std::ranges::count_if(chosen,
                               [](const auto& it) { return it != "b1"; }) == 1);
   const auto probe =
       *std::ranges::find_if(chosen, [](const auto& it) { return it != "b1"; });
-  chooser.NoteEnded({probe}, AttemptOutcome::kAnswered, At(310));
+  chooser.NoteEnded({probe}, AttemptOutcome::kAnswered, false, At(310));
   const std::vector<base::EndpointName> avoided{{"b1"}};
   CHECK(Chosen(chooser, {{"p"}, {}, avoided}, At(311)).zone.value == "a");
 }
--- a/Tests/LibOperator/test_request_history.cc
+++ b/Tests/LibOperator/test_request_history.cc
@@ -111,6 +111,26 @@
         std::string::npos);
 }
 
+TEST_CASE("the history shows the endpoints that crashed under the request") {
+  RequestHistory history("r1");
+  std::istringstream log(
+      kAskingHost +
+      NoticeLine(2600, "request-refused",
+                 R"("request":"r1","reason":"quarantined","digest":"d1")"));
+  history.Read(log, "a.log");
+  std::istringstream other(
+      NoticeLine(900, "endpoint-crashed",
+                 R"("endpoint":"e1","digests":"d0 d1")") +
+      NoticeLine(950, "endpoint-crashed", R"("endpoint":"e2","digests":"d0")") +
+      NoticeLine(990, "request-quarantined", R"("digest":"d1")"));
+  history.Read(other, "b.log");
+  const std::string text = history.Print();
+  CHECK(text.find("endpoint-crashed  digests=d0 d1  endpoint=e1") !=
+        std::string::npos);
+  CHECK(text.find("endpoint=e2") == std::string::npos);
+  CHECK(text.find("request-quarantined  digest=d1") != std::string::npos);
+}
+
 TEST_CASE("lines of other programs are skipped") {
   RequestHistory history("r1");
   std::istringstream log(
--- a/Tests/LibPolicy/test_quarantine.cc
+++ b/Tests/LibPolicy/test_quarantine.cc
@@ -141,6 +141,66 @@
   CHECK_FALSE(other.IsQuarantined("r", now));
 }
 
+constexpr QuarantineOptions kWithAges{kCrashesToConfirm, true};
+
+TEST_CASE("a late report of a known crash is no second crash") {
+  for (const CrashedName kind :
+       {CrashedName::kEndpoint, CrashedName::kProcess}) {
+    CAPTURE(static_cast<int>(kind));
+    Quarantine quarantine(kWithAges);
+    quarantine.NoteDisconnect("r", kFirst, At(seconds(1)), kind);
+    quarantine.NoteDisconnect("r", kSecond, At(seconds(2)), kind);
+    for (int i = 1; i < 10; ++i) {
+      const TimePoint now = At(seconds(60 * i));
+      quarantine.NotePeerSuspicion(
+          {"r", kFirst, seconds(60 * i - 1) - milliseconds(700), kind}, now);
+      quarantine.NotePeerSuspicion({"r", kSecond, seconds(60 * i - 2), kind},
+                                   now);
+    }
+    CHECK(quarantine.CrashCountOf("r") == 2);
+    CHECK_FALSE(quarantine.IsQuarantined("r", At(seconds(600))));
+    quarantine.NotePeerSuspicion({"r", kThird}, At(seconds(600)));
+    CHECK(quarantine.IsQuarantined("r", At(seconds(600))));
+  }
+}
+
+TEST_CASE("a name crashes again unless it stands for one process") {
+  for (const CrashedName kind :
+       {CrashedName::kEndpoint, CrashedName::kProcess}) {
+    CAPTURE(static_cast<int>(kind));
+    Quarantine quarantine(kWithAges);
+    quarantine.NoteDisconnect("r", kFirst, At(seconds(1)), kind);
+    quarantine.NotePeerSuspicion({"r", kFirst, seconds(1), kind},
+                                 At(seconds(6)));
+    CHECK(quarantine.CrashCountOf("r") ==
+          (kind == CrashedName::kEndpoint ? 2 : 1));
+  }
+}
+
+TEST_CASE("an answer ends the quarantine of a request") {
+  Quarantine quarantine(kWithAges);
+  for (const base::EndpointName& it : {kFirst, kSecond, kThird})
+    quarantine.NoteDisconnect("r", it, At(seconds(1)));
+  REQUIRE(quarantine.IsQuarantined("r", At(seconds(1))));
+  CHECK(quarantine.Clear("r"));
+  CHECK_FALSE(quarantine.IsQuarantined("r", At(seconds(1))));
+  CHECK(quarantine.CrashCountOf("r") == 0);
+  CHECK_FALSE(quarantine.Clear("r"));
+}
+
+TEST_CASE("peers are told recent crashes and requests with several crashes") {
+  Quarantine quarantine(kWithAges);
+  quarantine.NoteDisconnect("twice", kFirst, At(seconds(1)));
+  quarantine.NoteDisconnect("once", kFirst, At(seconds(1)));
+  quarantine.NotePeerSuspicion({"twice", kSecond, seconds(3)}, At(seconds(4)));
+  quarantine.NoteDisconnect("recent", kThird, At(seconds(9)));
+  const auto told =
+      quarantine.SuspicionsToRepeat(2, At(seconds(8)), At(seconds(10)));
+  CHECK(told == std::vector<CrashSuspicion>{{"recent", kThird, seconds(1)},
+                                            {"twice", kSecond, seconds(9)},
+                                            {"twice", kFirst, seconds(9)}});
+}
+
 TEST_CASE("a flood of disconnects stays within the memory bounds") {
   Quarantine quarantine;
   for (int i = 0; i < 5000; ++i) {
--- a/Tests/LibSoak/test_invariants.cc
+++ b/Tests/LibSoak/test_invariants.cc
@@ -341,6 +341,33 @@
   }
 }
 
+TEST_CASE("a request that crashes endpoints after the bound is detected") {
+  CheckerFixture fixture;
+  const auto crash = [&](const std::string& id, milliseconds at) {
+    fixture.checker.NoteSent({id, RequestKind::kRead, "entry-1", "GET",
+                              "/read/deadly-1", "key-1", At(at),
+                              milliseconds(3000), true});
+    fixture.checker.NoteRun(
+        {id, "desk-1", "desk", "GET", "/read/deadly-1", At(at)});
+  };
+  for (int i = 1; i <= 3; ++i)
+    crash("d" + std::to_string(i), 10 * kSecond * i);
+  CHECK(fixture.Violated().empty());
+  SUBCASE("before all hosts can know") {
+    crash("d4", 31 * kSecond);
+    CHECK(fixture.Violated().empty());
+  }
+  SUBCASE("later") {
+    crash("d4", 31 * kSecond + milliseconds(1));
+    CHECK(fixture.Violated() == Invariants{Invariant::kContained});
+  }
+  SUBCASE("not when a host was disturbed") {
+    fixture.checker.BeginDisturbance("entry-2");
+    crash("d4", 40 * kSecond);
+    CHECK(fixture.Violated().empty());
+  }
+}
+
 TEST_CASE("a failed or late stop is detected") {
   CheckerFixture fixture;
   SUBCASE("in time with exit code 0") {
--- a/Tests/LibTransport/test_stage_job_codec.cc
+++ b/Tests/LibTransport/test_stage_job_codec.cc
@@ -13,6 +13,7 @@
 forward::StageJob MakeJob() {
   forward::StageJob job;
   job.request_id = "r1";
+  job.digest = "0123";
   job.pipeline.value = "chat";
   job.pool.value = "makers";
   job.cell.zone.value = "z";
@@ -49,6 +50,7 @@
   CHECK(EncodeStageJob(*job) == EncodeStageJob(MakeJob()));
   CHECK(job->until_inputs_expire == milliseconds(3500));
   CHECK(job->pipeline.value == "chat");
+  CHECK(job->digest == "0123");
   CHECK(job->cell.zone.value == "z");
   CHECK(job->progress == forward::RequestProgress::kUnderWay);
   // A job of a first stage, which reads no results.
--- a/Tests/LibTransport/test_store_sync_codec.cc
+++ b/Tests/LibTransport/test_store_sync_codec.cc
@@ -36,6 +36,9 @@
       {{"e1"}, base::Incarnation{1764}, milliseconds(300)}};
   response.notices.backoffs = {
       {{"e3"}, base::Incarnation{1766}, milliseconds(2000), milliseconds(400)}};
+  response.notices.crashes = {
+      {{"digest", {"e4#7"}, milliseconds(600), policy::CrashedName::kProcess}},
+      {"cleared"}};
   response.limits = {
       {{"e2"}, base::Incarnation{1765}, {{2.5}, milliseconds(200)}}};
   return response;
@@ -85,6 +88,14 @@
   CHECK(response->notices.backoffs[0].incarnation == base::Incarnation{1766});
   CHECK(response->notices.backoffs[0].lasts == milliseconds(2000));
   CHECK(response->notices.backoffs[0].age == milliseconds(400));
+  REQUIRE(response->notices.crashes.suspicions.size() == 1);
+  const auto& suspicion = response->notices.crashes.suspicions[0];
+  CHECK(suspicion.request == "digest");
+  CHECK(suspicion.endpoint.value == "e4#7");
+  CHECK(suspicion.age == milliseconds(600));
+  CHECK(suspicion.kind == policy::CrashedName::kProcess);
+  CHECK(response->notices.crashes.cleared ==
+        std::vector<std::string>{"cleared"});
   REQUIRE(response->limits.size() == 1);
   CHECK(response->limits[0].endpoint.value == "e2");
   CHECK(response->limits[0].incarnation == base::Incarnation{1765});
@@ -107,17 +118,38 @@
     object["quiet_times"][0][field] = Json::objectValue;
     CHECK_FALSE(DecodeNoticeBatch(PrintCompact(object)).has_value());
   }
+  for (const char* field : {"request", "endpoint", "age_us", "is_process"}) {
+    CAPTURE(field);
+    auto object = *ParseJsonValue(whole);
+    object["crashes"]["suspicions"][0][field] = Json::objectValue;
+    CHECK_FALSE(DecodeNoticeBatch(PrintCompact(object)).has_value());
+  }
+  for (const char* list : {"suspicions", "cleared"}) {
+    CAPTURE(list);
+    auto object = *ParseJsonValue(whole);
+    object["crashes"][list] = Json::objectValue;
+    CHECK_FALSE(DecodeNoticeBatch(PrintCompact(object)).has_value());
+  }
+  // From a host of an earlier version.
+  auto object = *ParseJsonValue(whole);
+  object.removeMember("crashes");
+  const auto earlier = DecodeNoticeBatch(PrintCompact(object));
+  REQUIRE(earlier.has_value());
+  CHECK(earlier->crashes.is_empty());
 }
 
 TEST_CASE("a sync request keeps the versions that the sender has") {
   const auto sync_request = DecodeStoreSyncRequest(EncodeStoreSyncRequest(
       {{{forward::FeedKind::kEndpoints, 40}},
-       {{{"e1"}, base::Incarnation{7}, milliseconds(20)}}}));
+       {{{"e1"}, base::Incarnation{7}, milliseconds(20)}},
+       {{{"digest", {"e2"}, milliseconds(30)}}, {}}}));
   REQUIRE(sync_request.has_value());
   REQUIRE(sync_request->known.size() == 1);
   CHECK(sync_request->known.front().version == 40);
   REQUIRE(sync_request->departures.size() == 1);
   CHECK(sync_request->departures[0].incarnation == base::Incarnation{7});
+  REQUIRE(sync_request->crashes.suspicions.size() == 1);
+  CHECK(sync_request->crashes.suspicions[0].age == milliseconds(30));
   for (const char* text :
        {"", "{}", "{\"known\":{}}", "{\"known\":{},\"departures\":[1]}",
         "{\"known\":{\"x\":1},\"departures\":[]}",
--- a/Tests/Standins/piece_endpoint_standin.cc
+++ b/Tests/Standins/piece_endpoint_standin.cc
@@ -79,8 +79,11 @@
 
 void PieceEndpointStandin::Die() {
   ++death_count_;
+  fault_count_ = 0;
   service_.reset();
   results_.clear();
+  if (on_death_)
+    on_death_();
   timers_.After(model_.restart_time, [this] { Restart(); });
 }
 
--- a/Tests/Standins/piece_endpoint_standin.h
+++ b/Tests/Standins/piece_endpoint_standin.h
@@ -70,12 +70,16 @@
   // Ends the process: closes all connections, forgets all results, and starts
   // again under another name after the restart time.
   void Die();
+  void SetOnDeath(std::function<void()> on_death) {
+    on_death_ = std::move(on_death);
+  }
   // Called after a restart with the name of the earlier process.
   using RestartHandler = std::function<void(const base::EndpointName& earlier)>;
   void SetOnRestart(RestartHandler on_restart) {
     on_restart_ = std::move(on_restart);
   }
   uint32_t death_count() const { return death_count_; }
+  bool is_down() const { return service_ == nullptr; }
 
   // Applies the fault to the next `count` requests.
   void InjectFault(EndpointFault fault, uint32_t count = 1) {
@@ -128,6 +132,7 @@
   base::SocketAddress address_;
   std::unique_ptr<transport::HttpListener> service_;  // Null while restarting.
   uint32_t death_count_ = 0;
+  std::function<void()> on_death_;
   RestartHandler on_restart_;
   EndpointFault fault_ = EndpointFault::kNone;
   uint32_t fault_count_ = 0;
