LibTransport: Fail an answer whose head breaks off

HttpClient took CURLE_OK for a whole answer.

The fix: HttpClient asks for the empty line of a final head itself. All calls go through it, so that stage calls, peers, the store and bilberryd are mended, too. An answer without a length that ends with its connection is still whole.

--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -28,6 +28,7 @@
 // transfer.
 constexpr size_t kMaxHeadBytes = size_t{64} * 1024;
 constexpr long kMaxPooledConnections = 2048;
+constexpr int kFirstFinalStatus = 200;
 
 void AppendHeader(curl_slist*& list,
                   const std::string& name,
@@ -63,6 +64,7 @@
   CURL* easy = nullptr;
   curl_slist* headers = nullptr;
   size_t head_bytes = 0;
+  bool has_whole_head = false;  // Of the final response.
   HttpResponse response;
 };
 
@@ -330,10 +332,13 @@
   // A status line begins a new head, for example after "100 Continue".
   if (line.starts_with("HTTP/")) {
     response.headers.clear();
+    it.has_whole_head = false;
     return size;
   }
-  if (line == "\r\n" || line == "\n")
+  if (line == "\r\n" || line == "\n") {
+    it.has_whole_head = !IsInterim(it);
     UpdateReuse(it);
+  }
   const size_t colon = line.find(':');
   if (colon != std::string_view::npos)
     response.headers.push_back({std::string(line.substr(0, colon)),
@@ -359,14 +364,23 @@
   return size;
 }
 
+int HttpClient::StatusOf(const Transfer& transfer) {
+  long status = 0;
+  curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
+  return static_cast<int>(status);
+}
+
+bool HttpClient::IsInterim(const Transfer& transfer) {
+  return StatusOf(transfer) < kFirstFinalStatus;
+}
+
 // libcurl reads CURLOPT_FORBID_REUSE when the answer is complete, so the option
 // can still be set here.
 void HttpClient::UpdateReuse(const Transfer& transfer) {
   const auto& marker = transfer.request.reuse_marker;
   if (!marker)
     return;
-  long status = 0;
-  curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
+  const int status = StatusOf(transfer);
   const bool has_marker =
       status >= 200 && status < 300 &&
       transfer.response.body.find(*marker) != std::string::npos;
@@ -406,9 +420,7 @@
     if (it == transfers_.end())
       continue;
     Transfer& transfer = *it->second;
-    long status = 0;
-    curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
-    transfer.response.status = static_cast<int>(status);
+    transfer.response.status = StatusOf(transfer);
     transfer.chunk(transfer.response, std::move(chunk.bytes));
   }
 }
@@ -434,15 +446,17 @@
     failure.was_refused = WasRefused(transfer, code);
     return failure;
   }
+  // If the connection closes inside a head that has named neither a length nor
+  // chunks so far, libcurl takes the answer for a complete one.
+  if (!transfer.has_whole_head)
+    return FailureOf(transfer, "the head of the answer broke off");
   if (!HasMatchingExchangeId(transfer)) {
     // The next answer on this connection would be the one to this request, so
     // that connections to the peer must not be reused.
     RetireConnections(transfer.request.address);
     return FailureOf(transfer, "the answer to another request");
   }
-  long status = 0;
-  curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
-  transfer.response.status = static_cast<int>(status);
+  transfer.response.status = StatusOf(transfer);
   return std::move(transfer.response);
 }
 
--- a/Libraries/LibTransport/http_client.h
+++ b/Libraries/LibTransport/http_client.h
@@ -129,6 +129,9 @@
   // Has the connection closed after an answer without the request's
   // `reuse_marker`.
   static void UpdateReuse(const Transfer& transfer);
+  static int StatusOf(const Transfer& transfer);
+  // Whether the response that is being read is only an interim one.
+  static bool IsInterim(const Transfer& transfer);
   static bool WasRefused(const Transfer& transfer, CURLcode code);
   static bool HasMatchingExchangeId(const Transfer& transfer);
   static HttpFailure FailureOf(const Transfer& transfer, std::string detail);
--- a/Tests/LibTransport/test_endless_answers.cc
+++ b/Tests/LibTransport/test_endless_answers.cc
@@ -1,82 +1,13 @@
 #include <doctest/doctest.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include <atomic>
 #include <string>
-#include <thread>
-#include <vector>
 
+#include "flood_server.h"
 #include "http_pair.h"
 
 namespace bilberry::transport {
 namespace {
 
-// Sends each connection one prefix and then an endless repetition of other
-// bytes, until the client closes. Must outlive the client.
-class FloodServer {
- public:
-  FloodServer(std::string begin, std::string rest)
-      : begin_(std::move(begin)),
-        rest_(std::move(rest)),
-        listening_(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(bind(listening_, reinterpret_cast<sockaddr*>(&address),
-                 sizeof(address)) == 0);
-    REQUIRE(listen(listening_, 4) == 0);
-    socklen_t size = sizeof(address);
-    getsockname(listening_, reinterpret_cast<sockaddr*>(&address), &size);
-    port_ = ntohs(address.sin_port);
-    accepting_ = std::thread([this] { Serve(); });
-  }
-  ~FloodServer() {
-    shutdown(listening_, SHUT_RDWR);
-    accepting_.join();
-    for (std::thread& it : floods_)
-      it.join();
-    close(listening_);
-  }
-  FloodServer(const FloodServer&) = delete;
-  FloodServer& operator=(const FloodServer&) = delete;
-
-  base::SocketAddress address() const { return {"127.0.0.1", port_}; }
-  size_t sent_bytes() const { return sent_bytes_; }
-
- private:
-  void Serve() {
-    for (;;) {
-      const int connection = accept(listening_, nullptr, nullptr);
-      if (connection < 0)
-        return;
-      floods_.emplace_back([this, connection] { Flood(connection); });
-    }
-  }
-
-  void Flood(int connection) {
-    std::string block = begin_;
-    while (send(connection, block.data(), block.size(), MSG_NOSIGNAL) > 0) {
-      sent_bytes_ += block.size();
-      block.clear();
-      while (block.size() < 4096)
-        block += rest_;
-    }
-    close(connection);
-  }
-
-  std::string begin_;
-  std::string rest_;
-  int listening_;
-  uint16_t port_ = 0;
-  std::atomic<size_t> sent_bytes_ = 0;
-  std::thread accepting_;
-  std::vector<std::thread> floods_;  // Joined after accepting_.
-};
-
 // Bound on bytes in the kernel's socket buffers, beside those that the client
 // reads.
 constexpr size_t kSocketBufferBytes = size_t{16} * 1024 * 1024;
