LibForward: Send no request so late that a planned stop breaks it off

Here new requests are refused from 2.5 s after the order on, and the end is an answer, not a cut. But what was taken before could wait for its stages or a permit and be sent to an endpoint at any later moment: sent 0.1 s before the end, a booking was answered 502, its fate unknown, though it could have been refused as not run.

The fix: from 1.5 s before the end on nothing is sent to an endpoint.

--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -1,5 +1,6 @@
 #include "LibForward/forward_node.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "LibBase/overloaded.h"
@@ -11,6 +12,9 @@
 // How long a stopping host still accepts requests: the load balancer probes
 // readiness once a second and sends new callers until the second failed probe.
 constexpr std::chrono::milliseconds kLinger{2500};
+// A request that isn't sent this long before a stop ends might be broken off by
+// it; another host can serve it.
+constexpr std::chrono::milliseconds kMinTimeToServe{1500};
 
 }  // namespace
 
@@ -229,11 +233,19 @@
   context_.Log(base::LogEventId::kStopOrdered, "");
 }
 
+base::TimePoint ForwardNode::SendingEnds() const {
+  return *stop_began_ +
+         std::max<base::Duration>(
+             kLinger, context_.options().stop_timeout - kMinTimeToServe);
+}
+
 void ForwardNode::FinishStop(base::TimePoint now) {
   if (!stop_began_ || has_exited_)
     return;
   if (now >= *stop_began_ + kLinger)
     runs_.StopAccepting();
+  if (now >= SendingEnds())
+    runs_.StopSending(now);
   const bool is_over = now >= *stop_began_ + context_.options().stop_timeout;
   if (is_over)
     runs_.EndAll(now);
@@ -262,8 +274,9 @@
   consider(context_.conditions().crashes.NextWakeup());
   if (stop_began_ && !has_exited_) {
     const base::TimePoint lingered = *stop_began_ + kLinger;
-    consider(runs_.is_accepting()
-                 ? lingered
+    consider(runs_.is_accepting() ? lingered
+             : runs_.is_sending()
+                 ? SendingEnds()
                  : *stop_began_ + context_.options().stop_timeout);
   }
   return next;
--- a/Libraries/LibForward/forward_node.h
+++ b/Libraries/LibForward/forward_node.h
@@ -52,6 +52,8 @@
   void WatchCrashes(base::TimePoint now);
   void ApplyChanges(base::TimePoint now);
   void HandleStop(base::TimePoint now);
+  // From when on a stopping host sends no more requests to endpoints.
+  base::TimePoint SendingEnds() const;
   void FinishStop(base::TimePoint now);
 
   ForwardContext context_;
--- a/Libraries/LibForward/forwarded_run_coordinator.cc
+++ b/Libraries/LibForward/forwarded_run_coordinator.cc
@@ -518,6 +518,8 @@
 
 bool ForwardedRunCoordinator::MaySendAgain(const ForwardedRun& run,
                                            AttemptOutcome outcome) {
+  if (!is_sending_)
+    return false;
   const bool may_have_run = outcome == AttemptOutcome::kFailed;
   const uint32_t runs = run.runs + (may_have_run ? 1 : 0);
   const bool may_repeat =
@@ -660,14 +662,29 @@
   }
 }
 
-void ForwardedRunCoordinator::EndAll(base::TimePoint now) {
-  while (!runs_.empty()) {
-    const auto& [caller, run] = *runs_.begin();
-    AnswerAndEnd(caller,
-                 run.may_have_run() ? LocalAnswerCode::kAttemptFailed
-                                    : LocalAnswerCode::kStopping,
-                 kStoppingRetry, now);
+void ForwardedRunCoordinator::StopSending(base::TimePoint now) {
+  if (!std::exchange(is_sending_, false))
+    return;
+  std::vector<base::CallerId> unsent;
+  for (const auto& [caller, run] : runs_) {
+    if (!run.attempt)
+      unsent.push_back(caller);
   }
+  for (const base::CallerId caller : unsent)
+    EndForStop(caller, now);
+}
+
+void ForwardedRunCoordinator::EndAll(base::TimePoint now) {
+  while (!runs_.empty())
+    EndForStop(runs_.begin()->first, now);
+}
+
+void ForwardedRunCoordinator::EndForStop(base::CallerId caller,
+                                         base::TimePoint now) {
+  AnswerAndEnd(caller,
+               runs_.at(caller).may_have_run() ? LocalAnswerCode::kAttemptFailed
+                                               : LocalAnswerCode::kStopping,
+               kStoppingRetry, now);
 }
 
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/forwarded_run_coordinator.h
+++ b/Libraries/LibForward/forwarded_run_coordinator.h
@@ -40,6 +40,10 @@
   // From now on new requests are refused as not executed.
   void StopAccepting() { admission_.StopAccepting(); }
   bool is_accepting() const { return admission_.is_accepting(); }
+  // From now on no request is sent to an endpoint; ends those that are not in
+  // flight.
+  void StopSending(base::TimePoint now);
+  bool is_sending() const { return is_sending_; }
 
   void Handle(ForwardedRequest request, base::TimePoint now);
   void Handle(const CallerDisconnected& event, base::TimePoint now);
@@ -137,6 +141,8 @@
                     LocalAnswerCode code,
                     std::optional<base::Duration> retry_after,
                     base::TimePoint now);
+  // Answers a request that a stopping host can't serve any more.
+  void EndForStop(base::CallerId caller, base::TimePoint now);
   // Removes a run that has been answered or whose caller has left, and releases
   // its resources.
   void EndRun(base::CallerId caller, std::string outcome, base::TimePoint now);
@@ -155,6 +161,7 @@
   std::unordered_map<uint64_t, base::CallerId> attempts_;  // By attempt number.
   RunTimeEstimator run_times_;
   uint64_t last_attempt_ = 0;
+  bool is_sending_ = true;
 };
 
 }  // namespace bilberry::forward
