LibForward: Check no endpoint in an evacuated zone or during its backoff

Health checks after broken connections could go to endpoints whose zone is evacuated, or that had asked for a backoff. A request's mark that it waits for a check now ends with the check also when it is no suspect any more.

--- a/Libraries/LibForward/crash_tracker.cc
+++ b/Libraries/LibForward/crash_tracker.cc
@@ -66,12 +66,13 @@
   }
   for (const base::EndpointName& it : gone)
     NoteCrash(it, "relisted", now);
-  // An endpoint that leaves ends by itself. That an endpoint isn't listed any
-  // more may only mean that it can't reach the store.
+  // An endpoint that leaves ends by itself, and one in an evacuated zone is
+  // sent nothing. That an endpoint isn't listed any more may only mean that it
+  // can't reach the store.
   std::erase_if(broken_, [this](const auto& it) {
     const auto listed = listed_.find(it.first);
     return listed != listed_.end() &&
-           listed->second.state == EndpointState::kLeaving;
+           listed->second.state != EndpointState::kServing;
   });
 }
 
@@ -80,7 +81,7 @@
                               base::TimePoint now) {
   const auto listed = listed_.find(name);
   if (listed == listed_.end() ||
-      listed->second.state == EndpointState::kLeaving)
+      listed->second.state != EndpointState::kServing)
     return;
   if (broken_.size() >= kMaxBroken && !broken_.contains(name))
     return;
--- a/Libraries/LibForward/crash_tracker.h
+++ b/Libraries/LibForward/crash_tracker.h
@@ -65,8 +65,9 @@
 
   // Returns the endpoints to check now.
   std::vector<ListedEndpoint> TakeDueChecks(base::TimePoint now);
-  // Return what has happened since the last call.
+  // Returns the crashes that this host has found since the last call.
   std::vector<EndpointCrash> TakeCrashes();
+  // Returns the digests of the requests that are refused since the last call.
   std::vector<std::string> TakeQuarantined();
   // News that this host is the first to know.
   CrashNews TakeNews();
@@ -108,8 +109,9 @@
       {policy::kCrashesToConfirm, /*reports_tell_age=*/true}};
   std::map<base::EndpointName, ListedEndpoint> listed_;
   std::map<base::EndpointName, BrokenEndpoint> broken_;
-  std::vector<Clearance> clearances_;
+  std::vector<Clearance> clearances_;  // In the order of their times.
   std::vector<EndpointCrash> crashes_;
+  // Digests that were returned by TakeQuarantined(), or will be next.
   std::set<std::string> refused_;
   std::vector<std::string> newly_refused_;
   CrashNews news_;
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -161,7 +161,9 @@
   CrashTracker& crashes = context_.conditions().crashes;
   for (ListedEndpoint& it : crashes.TakeDueChecks(now)) {
     const ForwardedPool* pool = store_.configuration()->FindPool(it.pool);
-    if (pool != nullptr && !pool->health_path.empty())
+    const bool is_backing_off =
+        context_.conditions().backoffs.EndOf(it.name) > now;
+    if (pool != nullptr && !pool->health_path.empty() && !is_backing_off)
       context_.Emit(CheckEndpointHealth{std::move(it), pool->health_path});
   }
   for (const EndpointCrash& it : crashes.TakeCrashes()) {
--- a/Libraries/LibForward/forwarded_run_coordinator.cc
+++ b/Libraries/LibForward/forwarded_run_coordinator.cc
@@ -267,6 +267,7 @@
                                           base::TimePoint now) {
   ForwardedRun& run = runs_.at(caller);
   CrashTracker& crashes = context_.conditions().crashes;
+  run.is_undecided = false;
   const size_t count = crashes.CrashCountOf(run.digest);
   if (count == 0)
     return false;
@@ -275,7 +276,6 @@
     timers_.ScheduleRecheck(caller, run, *until);
     return true;
   }
-  run.is_undecided = false;
   const bool is_quarantined = crashes.IsQuarantined(run.digest, now);
   if (!is_quarantined &&
       (count < kCrashesToSerialize || !IsInFlight(run.digest)))
--- a/Tests/LibForward/test_crash_tracker.cc
+++ b/Tests/LibForward/test_crash_tracker.cc
@@ -88,6 +88,36 @@
   }
 }
 
+TEST_CASE("an endpoint in an evacuated zone is not checked") {
+  TrackerBench it;
+  it.Break("e1");
+  ListedEndpoint evacuated = Endpoint("e1", kFirstLife);
+  evacuated.state = EndpointState::kEvacuated;
+  it.tracker.SetEndpoints(std::vector{evacuated}, it.now);
+  CHECK(it.tracker.TakeDueChecks(it.now).empty());
+  it.Break("e1");
+  CHECK(it.tracker.TakeDueChecks(it.now).empty());
+}
+
+TEST_CASE("an endpoint that asked for a backoff is not checked") {
+  for (const bool backs_off : {false, true}) {
+    CAPTURE(backs_off);
+    NodeBench bench;
+    ForwardedRequest request = NodeBench::Request(1);
+    request.piece_counts.clear();
+    bench.Feed(std::move(request));
+    REQUIRE(bench.Last<SendAttempt>() != nullptr);
+    const SendAttempt sent = *bench.Last<SendAttempt>();
+    EndpointNotice notice;
+    notice.retry_after = std::chrono::seconds(2);
+    if (backs_off)
+      bench.Feed(EndpointNoticeReceived{sent.endpoint, {}, notice, bench.now});
+    bench.Feed(
+        AttemptFailure{sent.attempt, AttemptFailureKind::kBroken, "reset"});
+    CHECK((bench.Last<CheckEndpointHealth>() == nullptr) == backs_off);
+  }
+}
+
 TEST_CASE("requests wait for the first health check, and not for long") {
   TrackerBench it;
   it.Break("e1");
