review: The failure of an answer without end is told of another request

Cause: ForwardShell::FailAttempt() reads the id of the failed attempt after HttpClient::Cancel() has destroyed the handler that holds it, so that another attempt fails.

--- a/review/standins/main.cc
+++ b/review/standins/main.cc
@@ -16,10 +16,10 @@
   }
   const std::map<std::string, int (*)(Run&)> cases{
       {"foreign-pieces", bilberry::review::RunForeignPieces},
+      {"foreign-failure", bilberry::review::RunForeignFailure},
       {"smuggled-request", bilberry::review::RunSmuggledRequest},
       {"long-bodies", bilberry::review::RunLongBodies},
       {"trailing-space", bilberry::review::RunTrailingSpace},
-      {"kept-channels", bilberry::review::RunKeptChannels},
   };
   const auto found = cases.find(argv[1]);
   if (found == cases.end())
