LibTransport: Read heads in one place, which also frames the request

Cause: two readers of one head. libmicrohttpd found the end of the request, CheckHead() looked in the list that was left for what it might have misread, by exact names and for callers alone. A bare CR, a folded line or a space before a colon leaves no trace in that list.

Ruled out: the guard alone (trimmed names leave bare CRs, folded lines and the encoding); callers' listeners alone (the others had no guard at all).

Change: RequestReader (on Boost.Beast's parser) is the only place that interprets a request's bytes, for every listener; a malformed head or chunk gets 400 and its connection is closed. The listener's connections stand on ACE instead of libmicrohttpd, whose version in Debian 12 reads sound spellings wrongly.

Why it works: what frames a body is what everything else is told, so that two readings can't differ; what the grammar doesn't allow is not guessed.

--- a/Libraries/LibBase/http_header.cc
+++ b/Libraries/LibBase/http_header.cc
@@ -10,6 +10,17 @@
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
+bool IsTokenCharacter(char c) {
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return (c >= '0' && c <= '9') || (ToLower(c) >= 'a' && ToLower(c) <= 'z') ||
+         kMarks.find(c) != std::string_view::npos;
+}
+
+bool IsValueCharacter(char c) {
+  const auto byte = static_cast<unsigned char>(c);
+  return c == '\t' || (byte >= ' ' && byte != 0x7f);
+}
+
 }  // namespace
 
 bool IsSameHeader(std::string_view left, std::string_view right) {
@@ -17,6 +28,14 @@
       left, right, [](char a, char b) { return ToLower(a) == ToLower(b); });
 }
 
+bool IsToken(std::string_view text) {
+  return !text.empty() && std::ranges::all_of(text, IsTokenCharacter);
+}
+
+bool IsHeaderValue(std::string_view text) {
+  return std::ranges::all_of(text, IsValueCharacter);
+}
+
 const std::string* FindHeader(const HttpHeaders& headers,
                               std::string_view name) {
   const auto it = std::ranges::find_if(headers, [name](const HttpHeader& it) {
--- a/Libraries/LibSoak/caller.cc
+++ b/Libraries/LibSoak/caller.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "Standins/platform_messages.h"
+#include "Standins/spelled_request.h"
 
 namespace bilberry::soak {
 
@@ -24,6 +25,7 @@
 constexpr uint64_t kChangingKeys = 40;
 // Share of the requests that are the deadly one while there is one.
 constexpr uint64_t kDeadly = 20;
+constexpr uint64_t kMalformed = 5;
 
 RequestKind KindOf(uint64_t percent) {
   if (percent < kReads)
@@ -62,6 +64,7 @@
 
 void Caller::SendLater() {
   waiting_.clear();
+  is_malformed_ = false;
   timers_.After(kShortestPause + milliseconds(random_.Below(kPauseRange)),
                 [this] { Send(); });
 }
@@ -96,6 +99,10 @@
     SendLater();
     return;
   }
+  if (random_.Below(kPercent) < kMalformed) {
+    SendMalformed();
+    return;
+  }
   SentRequest request = Draw();
   request.sent = reactor_.Now();
   const std::string text =
@@ -105,6 +112,27 @@
   trail_.Add(request.sent,
              request.id + " goes to " + host_ + " with " + request.key);
   checker_.NoteSent(std::move(request));
+  Transmit(text);
+}
+
+void Caller::SendMalformed() {
+  const std::string id = name_ + "-" + std::to_string(++last_number_);
+  const std::string target = "/book/" + id;
+  const std::string inner = standins::ToHttp(
+      {id + "-inner", "POST", target + "-inner", keys_.lasting});
+  standins::SpelledRequest request;
+  do
+    request = standins::DrawSpelledRequest(
+        random_, target,
+        standins::CallerHeaders({id, "POST", target, keys_.lasting}), inner);
+  while (request.is_sound);
+  is_malformed_ = true;
+  trail_.Add(reactor_.Now(),
+             id + " goes to " + host_ + " with " + request.spelling);
+  Transmit(request.bytes);
+}
+
+void Caller::Transmit(const std::string& text) {
   if (!connection_.Send(text)) {
     SendLater();
     return;
@@ -113,7 +141,7 @@
 }
 
 void Caller::GiveUp(uint64_t number) {
-  if (waiting_.empty() || number != last_number_)
+  if ((waiting_.empty() && !is_malformed_) || number != last_number_)
     return;
   connection_.Close();
   ConnectionAnswer answer;
@@ -122,6 +150,10 @@
 }
 
 void Caller::NoteAnswer(ConnectionAnswer answer) {
+  if (is_malformed_) {
+    SendLater();
+    return;
+  }
   ObservedAnswer seen;
   seen.request = waiting_;
   seen.end = answer.end;
--- a/Libraries/LibSoak/caller.h
+++ b/Libraries/LibSoak/caller.h
@@ -48,6 +48,10 @@
  private:
   void SendLater();
   void Send();
+  // Sends a request with a malformed head, whose body is the text of another
+  // request. The checker isn't told of them: neither may run.
+  void SendMalformed();
+  void Transmit(const std::string& text);
   SentRequest Draw();
   void NoteAnswer(ConnectionAnswer answer);
   void GiveUp(uint64_t number);
@@ -63,7 +67,8 @@
   base::Random random_;
   std::string name_;
   uint64_t last_number_ = 0;
-  std::string waiting_;  // Id of the unanswered request.
+  std::string waiting_;        // Id of the unanswered request.
+  bool is_malformed_ = false;  // Whether the unanswered request is malformed.
   bool is_stopping_ = false;
   CallerConnection connection_;
 };
--- a/Libraries/LibTransport/forward_adapter.h
+++ b/Libraries/LibTransport/forward_adapter.h
@@ -22,7 +22,7 @@
   virtual std::string_view ReadinessPath() const = 0;
 
   // Callers. CheckHead() returns an answer that refuses a head, for example one
-  // that does not frame exactly one request; empty to accept the head.
+  // over the limits; empty to accept the head.
   virtual std::optional<HttpResponse> CheckHead(
       const IncomingRequest& head) const = 0;
   virtual forward::ForwardedRequest DecodeRequest(
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -40,9 +40,8 @@
 // last answers.
 constexpr std::chrono::milliseconds kStopMargin{1000};
 constexpr std::chrono::milliseconds kFlushTime{500};
-// Has to hold a request head at the configured limit and the data that
-// libmicrohttpd derives from the head.
-constexpr size_t kCallerMemoryBytes = size_t{32} * 1024;
+// The adapter refuses heads over the configured limit, which is lower.
+constexpr size_t kMaxCallerHead = size_t{32} * 1024;
 constexpr size_t kMaxPeerBody = size_t{1024} * 1024;
 // Largest body of an error response in place of a stream; a longer one fails
 // the attempt.
@@ -131,7 +130,7 @@
   http_ = std::move(http);
   ListenerOptions options;
   options.address = settings_.callers;
-  options.connection_memory_bytes = kCallerMemoryBytes;
+  options.max_head_bytes = kMaxCallerHead;
   options.max_body_bytes = forward::CallerLimits().max_body_bytes;
   options.head_check = [this](const IncomingRequest& head) {
     return adapter_.CheckHead(head);
--- a/Libraries/LibTransport/http_listener.cc
+++ b/Libraries/LibTransport/http_listener.cc
@@ -2,12 +2,13 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
-#include <poll.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
-#include <algorithm>
+#include <array>
 #include <cerrno>
-#include <cstdlib>
 #include <cstring>
 #include <utility>
 
@@ -15,58 +16,36 @@
 
 namespace {
 
-// libmicrohttpd doesn't watch suspended connections, so the listener polls them
-// at this interval for a disconnect.
-constexpr std::chrono::milliseconds kDisconnectPollInterval{100};
-constexpr unsigned int kIdleConnectionSeconds = 60;
+constexpr const char* kConnection = "Connection";
+constexpr int kBadRequest = 400;
 constexpr int kPayloadTooLarge = 413;
-// Once this many bytes of a stream's buffer have been sent, their memory is
-// released.
-constexpr size_t kCompactBytes = size_t{64} * 1024;
-constexpr size_t kStreamBlock = 16384;
-
-MHD_Result CollectPair(void* out,
-                       MHD_ValueKind /*kind*/,
-                       const char* key,
-                       const char* value) {
-  static_cast<HttpHeaders*>(out)->push_back(
-      {key, value == nullptr ? "" : value});
-  return MHD_YES;
+constexpr int kHeadTooLarge = 431;
+constexpr size_t kReceiveBlock = 16384;
+// Events that are handled in one turn of the reactor.
+constexpr size_t kMaxEvents = 256;
+constexpr int kMaxAccepts = 64;
+// How often timeouts of connections are looked for.
+constexpr std::chrono::milliseconds kSweepInterval{500};
+// In epoll's data, stands for the listening socket; connections count from 1.
+constexpr uint64_t kListeningSocket = 0;
+
+HttpResponse BodyTooLarge() {
+  return {kPayloadTooLarge,
+          {{kContentTypeHeader, kJsonType}, {kExecutedHeader, "no"}},
+          R"({"code":"body_too_large","step":"admission",)"
+          R"("executed":"no","message":"the body is too large"})"};
 }
 
-void AddHeaders(MHD_Response* response, const HttpHeaders& headers) {
-  for (const HttpHeader& header : headers)
-    MHD_add_response_header(response, header.name.c_str(),
-                            header.value.c_str());
-}
-
-pollfd DisconnectPoll(MHD_Connection* connection) {
-  const auto* info =
-      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  return {info == nullptr ? -1 : info->connect_fd, POLLRDHUP, 0};
+HttpResponse RefusalOf(ReadingState state) {
+  if (state == ReadingState::kBodyTooLarge)
+    return BodyTooLarge();
+  const int status =
+      state == ReadingState::kHeadTooLarge ? kHeadTooLarge : kBadRequest;
+  return {status, {{kConnection, "close"}}, ""};
 }
 
 }  // namespace
 
-struct HttpListener::Exchange {
-  HttpListener* listener = nullptr;
-  ExchangeId id{};
-  MHD_Connection* connection = nullptr;
-  IncomingRequest request;
-  std::optional<std::string> id_to_echo;
-  bool is_too_large = false;
-  bool was_handed_over = false;
-  bool is_suspended = false;
-  bool is_answered = false;
-  bool has_disconnected = false;
-  MHD_Response* queued = nullptr;  // Until passed to libmicrohttpd.
-  int status = 0;
-  std::string stream;
-  size_t stream_sent = 0;
-  bool has_stream_ended = false;
-  StreamEnd stream_end = StreamEnd::kWhole;
-};
-
 HttpListener::HttpListener(Reactor& reactor,
                            ListenerOptions options,
                            RequestHandler request_handler,
@@ -74,355 +53,351 @@
     : reactor_(reactor),
       options_(std::move(options)),
       request_handler_(std::move(request_handler)),
-      disconnect_handler_(std::move(disconnect_handler)) {}
+      disconnect_handler_(std::move(disconnect_handler)),
+      receive_buffer_(kReceiveBlock) {}
 
 base::Result<std::unique_ptr<HttpListener>> HttpListener::Create(
     Reactor& reactor,
     const ListenerOptions& options,
     RequestHandler request_handler,
     DisconnectHandler disconnect_handler) {
-  const auto failure = [&options](std::string reason) {
+  std::unique_ptr<HttpListener> listener(
+      new HttpListener(reactor, options, std::move(request_handler),
+                       std::move(disconnect_handler)));
+  TRY(listener->Listen());
+  reactor.Watch(listener->events_, *listener, ACE_Event_Handler::READ_MASK);
+  reactor.Add(*listener);
+  return listener;
+}
+
+base::Result<void> HttpListener::Listen() {
+  const auto failure = [this](std::string reason) {
     return base::Error{base::ErrorCode::kSystem, base::Step::kListen,
-                       base::ToText(options.address), std::move(reason)};
+                       base::ToText(options_.address), std::move(reason)};
   };
   sockaddr_in address{};
   address.sin_family = AF_INET;
-  address.sin_port = htons(options.address.port);
-  if (inet_pton(AF_INET, options.address.ip.c_str(), &address.sin_addr) != 1)
+  address.sin_port = htons(options_.address.port);
+  if (inet_pton(AF_INET, options_.address.ip.c_str(), &address.sin_addr) != 1)
     return failure("not an IPv4 address");
-  std::unique_ptr<HttpListener> listener(
-      new HttpListener(reactor, options, std::move(request_handler),
-                       std::move(disconnect_handler)));
-  listener->daemon_ = MHD_start_daemon(
-      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, options.address.port, nullptr,
-      nullptr, OnAccess, listener.get(), MHD_OPTION_SOCK_ADDR, &address,
-      MHD_OPTION_NOTIFY_COMPLETED, OnCompleted, listener.get(),
-      MHD_OPTION_CONNECTION_TIMEOUT, kIdleConnectionSeconds,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, options.connection_memory_bytes,
-      MHD_OPTION_URI_LOG_CALLBACK, OnTarget, listener.get(),
-      MHD_OPTION_NOTIFY_CONNECTION, OnConnection, listener.get(),
-      MHD_OPTION_END);
-  if (listener->daemon_ == nullptr)
+  listening_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  events_ = epoll_create1(EPOLL_CLOEXEC);
+  const int on = 1;
+  setsockopt(listening_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  auto* native = reinterpret_cast<sockaddr*>(&address);
+  socklen_t size = sizeof(address);
+  if (listening_ < 0 || events_ < 0 || bind(listening_, native, size) != 0 ||
+      listen(listening_, SOMAXCONN) != 0 ||
+      getsockname(listening_, native, &size) != 0)
     return failure(std::string("failed to listen: ") + std::strerror(errno));
-  listener->options_.address.port =
-      MHD_get_daemon_info(listener->daemon_, MHD_DAEMON_INFO_BIND_PORT)->port;
-  listener->descriptor_ =
-      MHD_get_daemon_info(listener->daemon_, MHD_DAEMON_INFO_EPOLL_FD)
-          ->epoll_fd;
-  reactor.Watch(listener->descriptor_, *listener, ACE_Event_Handler::READ_MASK);
-  reactor.Add(*listener);
-  return listener;
+  options_.address.port = ntohs(address.sin_port);
+  epoll_event event{};
+  event.events = EPOLLIN;
+  event.data.u64 = kListeningSocket;
+  if (epoll_ctl(events_, EPOLL_CTL_ADD, listening_, &event) != 0)
+    return failure(std::string("failed to listen: ") + std::strerror(errno));
+  return base::Success();
 }
 
 HttpListener::~HttpListener() {
-  if (daemon_ == nullptr)
-    return;
   reactor_.Remove(*this);
-  reactor_.Unwatch(descriptor_);
-  disconnect_handler_ = nullptr;
-  // libmicrohttpd must not be stopped while connections are suspended.
-  for (auto& [id, exchange] : exchanges_) {
-    if (exchange->is_suspended)
-      MHD_resume_connection(exchange->connection);
-    exchange->is_suspended = false;
-    exchange->has_stream_ended = true;
-    exchange->stream_end = StreamEnd::kCut;
+  if (events_ >= 0) {
+    reactor_.Unwatch(events_);
+    close(events_);
   }
-  MHD_stop_daemon(daemon_);
+  if (listening_ >= 0)
+    close(listening_);
 }
 
 int HttpListener::handle_input(ACE_HANDLE /*descriptor*/) {
-  needs_turn_ = true;
+  has_events_ = true;
   return 0;
 }
 
 void HttpListener::RunTurn(base::TimePoint now) {
-  const bool is_poll_due = now >= next_poll_;
-  if (!needs_turn_ && !is_poll_due)
-    return;
-  MHD_run(daemon_);
-  MHD_UNSIGNED_LONG_LONG timeout_ms = 0;
-  needs_turn_ =
-      MHD_get_timeout(daemon_, &timeout_ms) == MHD_YES && timeout_ms == 0;
-  if (!is_poll_due)
+  if (std::exchange(has_events_, false))
+    HandleEvents(now);
+  SendPending(now);
+  if (now < next_sweep_)
     return;
-  next_poll_ = now + kDisconnectPollInterval;
-  DetectDisconnects();
+  next_sweep_ = now + kSweepInterval;
+  DropTimedOut(now);
 }
 
 std::optional<base::TimePoint> HttpListener::NextTurn() const {
-  if (needs_turn_)
+  if (!pending_.empty())
     return base::TimePoint();
-  if (exchanges_.empty())
+  if (connections_.empty() && is_accepting_)
     return std::nullopt;
-  return next_poll_;
+  return next_sweep_;
 }
 
-void HttpListener::DetectDisconnects() {
-  std::vector<ExchangeId> waiting;
-  std::vector<pollfd> descriptors;
-  for (auto& [id, exchange] : exchanges_) {
-    if (!exchange->is_suspended || exchange->has_disconnected)
-      continue;
-    waiting.push_back(id);
-    descriptors.push_back(DisconnectPoll(exchange->connection));
+void HttpListener::HandleEvents(base::TimePoint now) {
+  std::array<epoll_event, kMaxEvents> events{};
+  const int n = epoll_wait(events_, events.data(), kMaxEvents, 0);
+  for (int i = 0; i < n; ++i) {
+    const epoll_event& it = events[static_cast<size_t>(i)];
+    if (it.data.u64 == kListeningSocket)
+      AcceptConnections(now);
+    else
+      HandleConnectionEvents(ConnectionId{it.data.u64}, it.events, now);
   }
-  if (descriptors.empty() ||
-      poll(descriptors.data(), descriptors.size(), 0) <= 0)
-    return;
-  for (size_t i = 0; i < waiting.size(); ++i) {
-    constexpr int kClosed = POLLRDHUP | POLLHUP | POLLERR;
-    // A handler may have ended other exchanges.
-    Exchange* exchange = Find(waiting[i]);
-    if ((descriptors[i].revents & kClosed) == 0 || exchange == nullptr)
-      continue;
-    exchange->has_disconnected = true;
-    if (disconnect_handler_)
-      disconnect_handler_(waiting[i]);
+}
+
+void HttpListener::AcceptConnections(base::TimePoint now) {
+  for (int i = 0; i < kMaxAccepts; ++i) {
+    const int descriptor =
+        accept4(listening_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor < 0) {
+      // Without descriptors or memory, the next sweep tries again.
+      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+          errno == ENOMEM)
+        WatchListening(false);
+      return;
+    }
+    const int on = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    const ConnectionId id{++last_connection_};
+    auto& connection =
+        *connections_
+             .emplace(id, std::make_unique<ListenerConnection>(descriptor, now))
+             .first->second;
+    Watch(id, connection, EPOLL_CTL_ADD);
   }
 }
 
-void* HttpListener::OnTarget(void* self,
-                             const char* target,
-                             MHD_Connection* connection) {
-  static_cast<HttpListener*>(self)->targets_[connection] = target;
-  return nullptr;
+void HttpListener::WatchListening(bool is_accepting) {
+  if (std::exchange(is_accepting_, is_accepting) == is_accepting)
+    return;
+  epoll_event event{};
+  if (is_accepting)
+    event.events = EPOLLIN;
+  event.data.u64 = kListeningSocket;
+  epoll_ctl(events_, EPOLL_CTL_MOD, listening_, &event);
 }
 
-void HttpListener::OnConnection(void* self,
-                                MHD_Connection* connection,
-                                void** /*context*/,
-                                MHD_ConnectionNotificationCode code) {
-  if (code == MHD_CONNECTION_NOTIFY_CLOSED)
-    static_cast<HttpListener*>(self)->targets_.erase(connection);
+void HttpListener::Watch(ConnectionId id,
+                         ListenerConnection& connection,
+                         int operation) {
+  const auto interest = connection.TakeNewInterest();
+  if (!interest)
+    return;
+  epoll_event event{};
+  event.events = *interest;
+  event.data.u64 = static_cast<uint64_t>(id);
+  epoll_ctl(events_, operation, connection.descriptor(), &event);
 }
 
-MHD_Result HttpListener::OnAccess(void* self,
-                                  MHD_Connection* connection,
-                                  const char* url,
-                                  const char* method,
-                                  const char* /*version*/,
-                                  const char* data,
-                                  size_t* size,
-                                  void** exchange) {
-  return static_cast<HttpListener*>(self)->HandleAccess(connection, url, method,
-                                                        data, size, exchange);
+void HttpListener::HandleConnectionEvents(ConnectionId id,
+                                          uint32_t events,
+                                          base::TimePoint now) {
+  ListenerConnection* connection = Find(id);
+  if (connection == nullptr)
+    return;
+  const bool is_readable = (events & EPOLLIN) != 0;
+  const bool is_broken = (events & (EPOLLERR | EPOLLHUP)) != 0;
+  if ((is_broken && !is_readable) ||
+      (is_readable && !connection->Receive(receive_buffer_, now))) {
+    Drop(id);
+    return;
+  }
+  if (!is_readable && (events & EPOLLRDHUP) != 0)
+    connection->NotePeerClosed();
+  ReadRequests(id, *connection);
+  if (connection->has_peer_closed())
+    HandlePeerClosed(id);
+  else
+    pending_.push_back(id);
 }
 
-MHD_Result HttpListener::BeginExchange(MHD_Connection* connection,
-                                       const char* url,
-                                       const char* method,
-                                       void** exchange) {
-  auto fresh = std::make_unique<Exchange>();
-  fresh->listener = this;
-  fresh->id = ExchangeId{++last_id_};
-  fresh->connection = connection;
-  *exchange = fresh.get();
-  fresh->request.exchange = fresh->id;
-  fresh->request.method = method;
-  fresh->request.path = url;
-  const auto target = targets_.extract(connection);
-  if (!target.empty())
-    fresh->request.target = target.mapped();
-  MHD_get_connection_values(connection, MHD_HEADER_KIND, CollectPair,
-                            &fresh->request.headers);
-  const std::string* named =
-      FindHeader(fresh->request.headers, kExchangeIdHeader);
-  if (options_.echoes_exchange_ids && named != nullptr)
-    fresh->id_to_echo = *named;
-  MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, CollectPair,
-                            &fresh->request.arguments);
-  if (idle_timeout_)
-    MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
-                              static_cast<unsigned>(idle_timeout_->count()));
-  Exchange& it = *exchanges_.emplace(fresh->id, std::move(fresh)).first->second;
-  if (!options_.head_check)
-    return MHD_YES;
-  const auto answer = options_.head_check(it.request);
-  if (!answer)
-    return MHD_YES;
-  // A response queued on the first call makes libmicrohttpd close the
-  // connection after it without reading the body.
-  it.is_answered = true;
-  MHD_Response* response = MHD_create_response_from_buffer(
-      answer->body.size(), const_cast<char*>(answer->body.data()),
-      MHD_RESPMEM_MUST_COPY);
-  AddHeaders(response, answer->headers);
-  const MHD_Result result = MHD_queue_response(
-      connection, static_cast<unsigned>(answer->status), response);
-  MHD_destroy_response(response);
-  return result;
+void HttpListener::HandlePeerClosed(ConnectionId id) {
+  const ListenerConnection& connection = *Find(id);
+  const bool is_answered =
+      connection.phase() == ListenerConnection::Phase::kAnswered;
+  const bool is_awaited =
+      connection.is_waiting_for_handler() && !disconnect_handler_;
+  // What is ready is still sent: the client may have closed one direction only.
+  if (is_answered || is_awaited)
+    pending_.push_back(id);
+  else
+    Drop(id);
 }
 
-MHD_Result HttpListener::HandleAccess(MHD_Connection* connection,
-                                      const char* url,
-                                      const char* method,
-                                      const char* data,
-                                      size_t* size,
-                                      void** exchange) {
-  if (*exchange == nullptr)
-    return BeginExchange(connection, url, method, exchange);
-  auto& it = *static_cast<Exchange*>(*exchange);
-  if (*size > 0) {
-    it.is_too_large = it.is_too_large ||
-                      it.request.body.size() + *size > options_.max_body_bytes;
-    if (!it.is_too_large)
-      it.request.body.append(data, *size);
-    *size = 0;
-    return MHD_YES;
+void HttpListener::ReadRequests(ConnectionId id,
+                                ListenerConnection& connection) {
+  while (connection.phase() == ListenerConnection::Phase::kReading &&
+         connection.has_input()) {
+    const bool had_head = connection.has_head();
+    const ReadingState state = connection.ReadRequest(Limits());
+    if (!had_head &&
+        (state == ReadingState::kBody || state == ReadingState::kWhole))
+      BeginExchange(id, connection);
+    else if (state != ReadingState::kWhole && state != ReadingState::kBody &&
+             state != ReadingState::kHead)
+      RespondEarly(id, connection, RefusalOf(state));
+    else if (state != ReadingState::kWhole)
+      return;
+    if (connection.phase() == ListenerConnection::Phase::kReading &&
+        state == ReadingState::kWhole)
+      HandOver(connection);
   }
-  if (!it.was_handed_over) {
-    it.was_handed_over = true;
-    Suspend(it);
-    if (it.is_too_large) {
-      Respond(it.id,
-              {kPayloadTooLarge,
-               {{kContentTypeHeader, kJsonType}, {kExecutedHeader, "no"}},
-               R"({"code":"body_too_large","step":"admission",)"
-               R"("executed":"no","message":"the body is too large"})"});
-    } else {
-      request_handler_(std::move(it.request));
+}
+
+void HttpListener::BeginExchange(ConnectionId id,
+                                 ListenerConnection& connection) {
+  const ExchangeId exchange{++last_exchange_};
+  IncomingRequest& request = connection.reader().request();
+  request.exchange = exchange;
+  std::optional<std::string> id_to_echo;
+  const std::string* named = FindHeader(request.headers, kExchangeIdHeader);
+  if (options_.echoes_exchange_ids && named != nullptr)
+    id_to_echo = *named;
+  connection.BeginExchange(exchange, std::move(id_to_echo));
+  exchanges_.emplace(exchange, id);
+  if (idle_timeout_)
+    connection.SetIdleTimeout(*idle_timeout_);
+  if (options_.head_check) {
+    if (const auto answer = options_.head_check(request)) {
+      RespondEarly(id, connection, *answer);
+      return;
     }
-    return MHD_YES;
   }
-  // libmicrohttpd calls again after the connection is resumed: the response is
-  // ready.
-  if (it.queued == nullptr)
-    return MHD_NO;
-  const MHD_Result result = MHD_queue_response(
-      connection, static_cast<unsigned>(it.status), it.queued);
-  MHD_destroy_response(it.queued);
-  it.queued = nullptr;
-  return result;
+  if (connection.reader().state() == ReadingState::kBody &&
+      connection.reader().expects_continue() && !connection.has_input()) {
+    connection.SendContinue();
+    pending_.push_back(id);
+  }
 }
 
-void HttpListener::OnCompleted(void* self,
-                               MHD_Connection* /*connection*/,
-                               void** exchange,
-                               MHD_RequestTerminationCode code) {
-  auto& listener = *static_cast<HttpListener*>(self);
-  auto* it = static_cast<Exchange*>(*exchange);
-  *exchange = nullptr;
-  if (it == nullptr)
-    return;
-  const auto node = listener.exchanges_.extract(it->id);
-  if (it->queued != nullptr)
-    MHD_destroy_response(it->queued);
-  const bool was_cut_short = code != MHD_REQUEST_TERMINATED_COMPLETED_OK;
-  const bool was_open = it->was_handed_over && !it->has_stream_ended &&
-                        !it->is_answered && !it->has_disconnected;
-  if (was_cut_short && was_open && listener.disconnect_handler_)
-    listener.disconnect_handler_(it->id);
+void HttpListener::HandOver(ListenerConnection& connection) {
+  connection.HandOver();
+  if (connection.reader().is_body_too_large())
+    Respond(connection.exchange(), BodyTooLarge());
+  else
+    request_handler_(std::move(connection.reader().request()));
 }
 
-ssize_t HttpListener::OnRead(void* exchange,
-                             uint64_t /*position*/,
-                             char* buffer,
-                             size_t room) {
-  auto& it = *static_cast<Exchange*>(exchange);
-  const size_t n = std::min(room, it.stream.size() - it.stream_sent);
-  if (n > 0) {
-    std::copy_n(it.stream.data() + it.stream_sent, n, buffer);
-    it.stream_sent += n;
-    if (it.stream_sent == it.stream.size() || it.stream_sent >= kCompactBytes) {
-      it.stream.erase(0, it.stream_sent);
-      it.stream_sent = 0;
-    }
-    return static_cast<ssize_t>(n);
+void HttpListener::RespondEarly(ConnectionId id,
+                                ListenerConnection& connection,
+                                const HttpResponse& response) {
+  connection.Respond(response);
+  pending_.push_back(id);
+}
+
+void HttpListener::SendPending(base::TimePoint now) {
+  // A response may let the next request of its connection be read, whose
+  // handler may respond at once.
+  for (size_t turns = 0; !pending_.empty() && turns < kMaxEvents; ++turns) {
+    for (const ConnectionId id : std::exchange(pending_, {}))
+      Send(id, now);
   }
-  if (it.has_stream_ended)
-    return it.stream_end == StreamEnd::kWhole
-               ? MHD_CONTENT_READER_END_OF_STREAM
-               : MHD_CONTENT_READER_END_WITH_ERROR;
-  it.listener->Suspend(it);
-  return 0;
 }
 
-void HttpListener::AddExchangeId(MHD_Response* response,
-                                 const Exchange& exchange) {
-  if (exchange.id_to_echo)
-    MHD_add_response_header(response, kExchangeIdHeader,
-                            exchange.id_to_echo->c_str());
+void HttpListener::Send(ConnectionId id, base::TimePoint now) {
+  ListenerConnection* connection = Find(id);
+  if (connection == nullptr)
+    return;
+  if (connection->is_aborted() || !connection->Send(now)) {
+    Drop(id);
+    return;
+  }
+  if (connection->phase() == ListenerConnection::Phase::kAnswered &&
+      connection->unsent_bytes() == 0) {
+    exchanges_.erase(connection->exchange());
+    if (!connection->FinishExchange(now)) {
+      Drop(id);
+      return;
+    }
+    ReadRequests(id, *connection);
+  }
+  Watch(id, *connection, EPOLL_CTL_MOD);
 }
 
-HttpListener::Exchange* HttpListener::Find(ExchangeId id) const {
-  const auto it = exchanges_.find(id);
-  return it == exchanges_.end() ? nullptr : it->second.get();
+void HttpListener::DropTimedOut(base::TimePoint now) {
+  WatchListening(true);
+  std::vector<ConnectionId> timed_out;
+  for (const auto& [id, connection] : connections_) {
+    if (connection->HasTimedOut(now))
+      timed_out.push_back(id);
+  }
+  for (const ConnectionId id : timed_out)
+    Drop(id);
 }
 
-void HttpListener::Suspend(Exchange& exchange) {
-  if (exchange.is_suspended)
+void HttpListener::Drop(ConnectionId id) {
+  const auto node = connections_.extract(id);
+  if (node.empty())
     return;
-  exchange.is_suspended = true;
-  MHD_suspend_connection(exchange.connection);
+  const bool is_open = node.mapped()->is_waiting_for_handler();
+  const ExchangeId exchange = node.mapped()->exchange();
+  exchanges_.erase(exchange);
+  node.mapped().reset();
+  if (is_open && disconnect_handler_)
+    disconnect_handler_(exchange);
 }
 
-void HttpListener::Resume(Exchange& exchange) {
-  needs_turn_ = true;
-  if (!exchange.is_suspended)
-    return;
-  exchange.is_suspended = false;
-  MHD_resume_connection(exchange.connection);
+ListenerConnection* HttpListener::Find(ConnectionId id) const {
+  const auto it = connections_.find(id);
+  return it == connections_.end() ? nullptr : it->second.get();
+}
+
+ListenerConnection* HttpListener::FindOpen(ExchangeId id) {
+  const auto it = exchanges_.find(id);
+  if (it == exchanges_.end())
+    return nullptr;
+  ListenerConnection* connection = Find(it->second);
+  if (!connection->is_waiting_for_handler())
+    return nullptr;
+  pending_.push_back(it->second);
+  return connection;
+}
+
+RequestLimits HttpListener::Limits() const {
+  return {options_.max_head_bytes, options_.max_body_bytes};
 }
 
 void HttpListener::Respond(ExchangeId id, const HttpResponse& response) {
-  Exchange* exchange = Find(id);
-  if (exchange == nullptr || exchange->is_answered)
-    return;
-  exchange->is_answered = true;
-  exchange->status = response.status;
-  exchange->queued = MHD_create_response_from_buffer(
-      response.body.size(), const_cast<char*>(response.body.data()),
-      MHD_RESPMEM_MUST_COPY);
-  AddHeaders(exchange->queued, response.headers);
-  AddExchangeId(exchange->queued, *exchange);
-  Resume(*exchange);
+  ListenerConnection* connection = FindOpen(id);
+  if (connection != nullptr &&
+      connection->phase() == ListenerConnection::Phase::kWaiting)
+    connection->Respond(response);
 }
 
 void HttpListener::BeginStream(ExchangeId id,
                                int status,
                                const HttpHeaders& headers) {
-  Exchange* exchange = Find(id);
-  if (exchange == nullptr || exchange->queued != nullptr)
-    return;
-  exchange->status = status;
-  exchange->queued = MHD_create_response_from_callback(
-      MHD_SIZE_UNKNOWN, kStreamBlock, OnRead, exchange, nullptr);
-  AddHeaders(exchange->queued, headers);
-  Resume(*exchange);
+  ListenerConnection* connection = FindOpen(id);
+  if (connection != nullptr &&
+      connection->phase() == ListenerConnection::Phase::kWaiting)
+    connection->BeginStream(status, headers);
 }
 
 void HttpListener::WriteStream(ExchangeId id, std::string_view bytes) {
-  Exchange* exchange = Find(id);
-  if (exchange == nullptr)
-    return;
-  exchange->stream += bytes;
-  Resume(*exchange);
+  ListenerConnection* connection = FindOpen(id);
+  if (connection != nullptr &&
+      connection->phase() == ListenerConnection::Phase::kStreaming)
+    connection->WriteStream(bytes);
 }
 
 size_t HttpListener::UnsentBytes(ExchangeId id) const {
-  const Exchange* exchange = Find(id);
-  return exchange == nullptr ? 0
-                             : exchange->stream.size() - exchange->stream_sent;
+  const auto it = exchanges_.find(id);
+  return it == exchanges_.end() ? 0 : Find(it->second)->unsent_bytes();
 }
 
 void HttpListener::EndStream(ExchangeId id, StreamEnd end) {
-  Exchange* exchange = Find(id);
-  if (exchange == nullptr)
+  ListenerConnection* connection = FindOpen(id);
+  if (connection == nullptr)
     return;
-  exchange->has_stream_ended = true;
-  exchange->stream_end = end;
-  Resume(*exchange);
+  if (connection->phase() == ListenerConnection::Phase::kStreaming)
+    connection->EndStream(end);
+  else
+    connection->Abort();
 }
 
 void HttpListener::Abort(ExchangeId id) {
-  Exchange* exchange = Find(id);
-  if (exchange == nullptr)
-    return;
-  exchange->is_answered = true;
-  // Without a queued response, HandleAccess() makes libmicrohttpd close the
-  // connection.
-  Resume(*exchange);
+  ListenerConnection* connection = FindOpen(id);
+  if (connection != nullptr)
+    connection->Abort();
 }
 
 }  // namespace bilberry::transport
--- a/Libraries/LibTransport/http_listener.h
+++ b/Libraries/LibTransport/http_listener.h
@@ -1,46 +1,29 @@
 #pragma once
 
 #include <ace/Event_Handler.h>
-#include <microhttpd.h>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <string>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "LibBase/error.h"
 #include "LibBase/ids.h"
-#include "LibTransport/http_message.h"
+#include "LibTransport/incoming_request.h"
+#include "LibTransport/listener_connection.h"
 #include "LibTransport/reactor.h"
 
 namespace bilberry::transport {
 
-enum class ExchangeId : uint64_t {};
-
-struct IncomingRequest {
-  ExchangeId exchange{};
-  std::string method;
-  std::string path;
-  std::string target;  // Path and query as received.
-  HttpHeaders headers;
-  HttpHeaders arguments;  // Parameters of the URL's query.
-  std::string body;
-};
-
-// How a streamed response ends: kWhole with its closing chunk, kCut by closing
-// the connection.
-enum class StreamEnd { kWhole, kCut };
-
 struct ListenerOptions {
   base::SocketAddress address;  // Port 0 selects a free port.
   size_t max_body_bytes = size_t{1024} * 1024;
-  // Buffer of each connection, for heads and for bodies in transit.
-  // libmicrohttpd clears the buffer with every request, so a large one costs
-  // time.
-  size_t connection_memory_bytes = size_t{8} * 1024;
+  // A longer request line and headers are answered 431.
+  size_t max_head_bytes = size_t{8} * 1024;
   // Whether answers echo the exchange ID of requests that have one.
   bool echoes_exchange_ids = false;
   // Inspects a request's head before the body is read: returns the answer to
@@ -49,10 +32,10 @@
       head_check = nullptr;
 };
 
-// HTTP server for one address, based on libmicrohttpd and driven by the
-// reactor. Each request is answered at any later time, by one Respond(), or by
-// BeginStream(), WriteStream()s and EndStream(). A body over the limit is
-// answered 413 without a call of the handler.
+// HTTP/1.1 server for one address, driven by the reactor. Each request is
+// answered at any later time, by one Respond(), or by BeginStream(),
+// WriteStream()s and EndStream(). Malformed requests are answered 400 and
+// bodies over the limit 413, without a call of the handler.
 class HttpListener final : public LoopParticipant, private ACE_Event_Handler {
  public:
   using RequestHandler = std::function<void(IncomingRequest request)>;
@@ -90,63 +73,66 @@
   std::optional<base::TimePoint> NextTurn() const override;
 
  private:
-  struct Exchange;
+  // Identifies a connection for the listener's lifetime, as descriptors don't.
+  enum class ConnectionId : uint64_t {};
 
   HttpListener(Reactor& reactor,
                ListenerOptions options,
                RequestHandler request_handler,
                DisconnectHandler disconnect_handler);
 
+  base::Result<void> Listen();
   int handle_input(ACE_HANDLE descriptor) override;
 
-  static void* OnTarget(void* self, const char* target, MHD_Connection*);
-  static void OnConnection(void* self,
-                           MHD_Connection* connection,
-                           void** context,
-                           MHD_ConnectionNotificationCode code);
-  static MHD_Result OnAccess(void* self,
-                             MHD_Connection* connection,
-                             const char* url,
-                             const char* method,
-                             const char* version,
-                             const char* data,
-                             size_t* size,
-                             void** exchange);
-  static void OnCompleted(void* self,
-                          MHD_Connection* connection,
-                          void** exchange,
-                          MHD_RequestTerminationCode code);
-  static ssize_t OnRead(void* exchange, uint64_t, char* buffer, size_t room);
-
-  MHD_Result HandleAccess(MHD_Connection* connection,
-                          const char* url,
-                          const char* method,
-                          const char* data,
-                          size_t* size,
-                          void** exchange);
-  MHD_Result BeginExchange(MHD_Connection* connection,
-                           const char* url,
-                           const char* method,
-                           void** exchange);
-  static void AddExchangeId(MHD_Response* response, const Exchange& exchange);
-  Exchange* Find(ExchangeId id) const;
-  void Suspend(Exchange& exchange);
-  void Resume(Exchange& exchange);
-  void DetectDisconnects();
+  void HandleEvents(base::TimePoint now);
+  void AcceptConnections(base::TimePoint now);
+  void HandleConnectionEvents(ConnectionId id,
+                              uint32_t events,
+                              base::TimePoint now);
+  void HandlePeerClosed(ConnectionId id);
+  // Reads requests until one is handed over or more has to arrive.
+  void ReadRequests(ConnectionId id, ListenerConnection& connection);
+  void BeginExchange(ConnectionId id, ListenerConnection& connection);
+  void HandOver(ListenerConnection& connection);
+  // Answers a request that isn't handed over.
+  void RespondEarly(ConnectionId id,
+                    ListenerConnection& connection,
+                    const HttpResponse& response);
+  void SendPending(base::TimePoint now);
+  void Send(ConnectionId id, base::TimePoint now);
+  void DropTimedOut(base::TimePoint now);
+  // Closes the connection, and reports the disconnect if its request has no
+  // complete response yet.
+  void Drop(ConnectionId id);
+
+  void Watch(ConnectionId id, ListenerConnection& connection, int operation);
+  void WatchListening(bool is_accepting);
+  ListenerConnection* Find(ConnectionId id) const;
+  // The connection of a request that has no complete response yet, to be sent
+  // to in this turn; null if there is none.
+  ListenerConnection* FindOpen(ExchangeId id);
+  RequestLimits Limits() const;
 
   Reactor& reactor_;
   ListenerOptions options_;
   RequestHandler request_handler_;
   DisconnectHandler disconnect_handler_;
-  MHD_Daemon* daemon_ = nullptr;
-  int descriptor_ = -1;
+  int listening_ = -1;
+  // An epoll descriptor for all connections, so that the reactor runs one turn
+  // for all events that are due.
+  int events_ = -1;
+  bool has_events_ = false;
+  bool is_accepting_ = true;
+  std::vector<char> receive_buffer_;
   std::optional<std::chrono::seconds> idle_timeout_;
-  // Request targets of connections whose request head is being read.
-  std::unordered_map<MHD_Connection*, std::string> targets_;
-  uint64_t last_id_ = 0;
-  bool needs_turn_ = true;
-  base::TimePoint next_poll_;
-  std::unordered_map<ExchangeId, std::unique_ptr<Exchange>> exchanges_;
+  base::TimePoint next_sweep_;
+  uint64_t last_connection_ = 0;
+  uint64_t last_exchange_ = 0;
+  std::unordered_map<ConnectionId, std::unique_ptr<ListenerConnection>>
+      connections_;
+  std::unordered_map<ExchangeId, ConnectionId> exchanges_;
+  // Connections that have something to send or to finish.
+  std::vector<ConnectionId> pending_;
 };
 
 }  // namespace bilberry::transport
--- /dev/null
+++ b/Libraries/LibTransport/request_reader.cc
@@ -0,0 +1,241 @@
+#include "LibTransport/request_reader.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <functional>
+#include <limits>
+#include <utility>
+
+#include "LibTransport/message_framing.h"
+#include "LibTransport/request_target.h"
+
+namespace bilberry::transport {
+
+namespace http = boost::beast::http;
+using boost::beast::string_view;
+using boost::system::error_code;
+
+namespace {
+
+constexpr const char* kHost = "Host";
+constexpr const char* kTransferEncoding = "Transfer-Encoding";
+constexpr const char* kExpect = "Expect";
+// The part of a body over the limit that is read and discarded before it is
+// refused: closing a connection with unread bytes resets it, and the client may
+// never see the answer.
+constexpr uint64_t kMaxDiscardedBytes = uint64_t{8} * 1024 * 1024;
+constexpr int kVersion10 = 10;
+
+// HTTP/1.0 has no transfer encodings.
+bool HasEncodingOfOldVersion(const HttpHeaders& headers, int version) {
+  return version == kVersion10 &&
+         FindHeader(headers, kTransferEncoding) != nullptr;
+}
+
+// A target of other bytes could not be sent on unchanged.
+bool IsTarget(std::string_view text) {
+  return std::ranges::all_of(
+      text, [](char c) { return c > ' ' && c < '\x7f' && c != '#'; });
+}
+
+}  // namespace
+
+class RequestReader::Parser final : public http::basic_parser<true> {
+ public:
+  explicit Parser(const RequestLimits& limits)
+      : max_body_bytes_(limits.max_body_bytes) {
+    header_limit(static_cast<uint32_t>(limits.max_head_bytes));
+    // What is over the limit is discarded here. The parser of Boost 1.74 takes
+    // the absence of a limit for a limit of zero.
+    body_limit(std::numeric_limits<uint64_t>::max());
+  }
+
+  IncomingRequest& request() { return request_; }
+  int version() const { return version_; }
+  bool is_body_too_large() const { return body_bytes_ > max_body_bytes_; }
+  void SetInput(std::string_view input) { input_ = input; }
+
+ private:
+  void on_request_impl(http::verb /*verb*/,
+                       string_view method,
+                       string_view target,
+                       int version,
+                       error_code& ec) override {
+    if (!IsTarget({target.data(), target.size()})) {
+      ec = http::error::bad_target;
+      return;
+    }
+    request_.method.assign(method.data(), method.size());
+    request_.target.assign(target.data(), target.size());
+    version_ = version;
+  }
+
+  void on_response_impl(int /*code*/,
+                        string_view /*reason*/,
+                        int /*version*/,
+                        error_code& ec) override {
+    ec = http::error::bad_method;
+  }
+
+  void on_field_impl(http::field /*field*/,
+                     string_view name,
+                     string_view value,
+                     error_code& ec) override {
+    // A reader in front of this host may take the next line for a header.
+    if (GoesOn(name, value)) {
+      ec = http::error::bad_value;
+      return;
+    }
+    if (is_header_done())
+      return;  // A trailer.
+    request_.headers.push_back({std::string(name.data(), name.size()),
+                                std::string(value.data(), value.size())});
+  }
+
+  void on_header_impl(error_code& ec) override {
+    if (!IsFramingDefinite(request_.headers) ||
+        HasEncodingOfOldVersion(request_.headers, version_) ||
+        base::CountHeaders(request_.headers, kHost) > 1) {
+      ec = http::error::bad_field;
+      return;
+    }
+    const auto length = content_length();
+    if (length && *length > max_body_bytes_ + kMaxDiscardedBytes)
+      ec = http::error::body_limit;
+  }
+
+  void on_body_init_impl(const boost::optional<uint64_t>& /*length*/,
+                         error_code& /*ec*/) override {}
+
+  size_t on_body_impl(string_view bytes, error_code& ec) override {
+    body_bytes_ += bytes.size();
+    if (!is_body_too_large()) {
+      request_.body.append(bytes.data(), bytes.size());
+      return bytes.size();
+    }
+    request_.body = std::string();
+    if (body_bytes_ > max_body_bytes_ + kMaxDiscardedBytes)
+      ec = http::error::body_limit;
+    return bytes.size();
+  }
+
+  void on_chunk_header_impl(uint64_t /*size*/,
+                            string_view /*extensions*/,
+                            error_code& /*ec*/) override {}
+
+  size_t on_chunk_body_impl(uint64_t /*remaining*/,
+                            string_view bytes,
+                            error_code& ec) override {
+    return on_body_impl(bytes, ec);
+  }
+
+  void on_finish_impl(error_code& /*ec*/) override {}
+
+  // Whether the header's value goes on in the next line. The parser joins such
+  // a value in memory of its own, unless the first line of it is empty.
+  bool GoesOn(string_view name, string_view value) const {
+    const std::less<> is_before;
+    const char* input_end = input_.data() + input_.size();
+    const char* name_end = name.data() + name.size();
+    const bool is_input = !is_before(value.data(), name_end) &&
+                          !is_before(input_end, value.data());
+    return !is_input || std::find(name_end, value.data(), '\n') != value.data();
+  }
+
+  IncomingRequest request_;
+  int version_ = 0;
+  size_t max_body_bytes_;
+  uint64_t body_bytes_ = 0;
+  std::string_view input_;  // What is being parsed.
+};
+
+RequestReader::RequestReader(const RequestLimits& limits)
+    : parser_(std::make_unique<Parser>(limits)),
+      max_head_bytes_(limits.max_head_bytes) {}
+
+RequestReader::~RequestReader() = default;
+
+bool RequestReader::has_begun() const {
+  return parser_->got_some();
+}
+
+bool RequestReader::has_head() const {
+  return parser_->is_header_done();
+}
+
+bool RequestReader::is_body_too_large() const {
+  return parser_->is_body_too_large();
+}
+
+bool RequestReader::keeps_connection() const {
+  return parser_->keep_alive();
+}
+
+bool RequestReader::is_http_1_0() const {
+  return parser_->version() == kVersion10;
+}
+
+bool RequestReader::expects_continue() const {
+  const std::string* expected = FindHeader(parser_->request().headers, kExpect);
+  return !is_http_1_0() && expected != nullptr &&
+         base::IsSameHeader(*expected, "100-continue");
+}
+
+IncomingRequest& RequestReader::request() {
+  return parser_->request();
+}
+
+const IncomingRequest& RequestReader::request() const {
+  return parser_->request();
+}
+
+size_t RequestReader::Read(std::string_view bytes) {
+  size_t used = 0;
+  // Empty lines in front of a request are skipped (RFC 9112 section 2.2).
+  while (!has_begun() && bytes.substr(used).starts_with("\r\n"))
+    used += 2;
+  if (!has_begun() && bytes.substr(used) == "\r")
+    return used;
+  const ReadingState before = state_;
+  for (size_t n = 1; n > 0 && state_ == before && used < bytes.size();) {
+    n = Put(bytes.substr(used));
+    used += n;
+  }
+  return used;
+}
+
+size_t RequestReader::Put(std::string_view bytes) {
+  error_code ec;
+  parser_->SetInput(bytes);
+  const size_t n =
+      parser_->put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
+  if (state_ == ReadingState::kHead)
+    head_bytes_ += n;
+  if (ec == http::error::header_limit || head_bytes_ > max_head_bytes_)
+    state_ = state_ == ReadingState::kHead ? ReadingState::kHeadTooLarge
+                                           : ReadingState::kMalformed;
+  else if (ec == http::error::body_limit)
+    state_ = ReadingState::kBodyTooLarge;
+  else if (ec && ec != http::error::need_more)
+    state_ = ReadingState::kMalformed;
+  else if (parser_->is_header_done())
+    EndHead();
+  // The parser doesn't bound the lines between the chunks of a body.
+  if (state_ == ReadingState::kBody && bytes.size() - n > max_head_bytes_ &&
+      ec == http::error::need_more)
+    state_ = ReadingState::kMalformed;
+  return n;
+}
+
+void RequestReader::EndHead() {
+  if (state_ == ReadingState::kHead) {
+    auto target = ParseTarget(parser_->request().target);
+    parser_->request().path = std::move(target.path);
+    parser_->request().arguments = std::move(target.arguments);
+  }
+  state_ = parser_->is_done() ? ReadingState::kWhole : ReadingState::kBody;
+}
+
+}  // namespace bilberry::transport
--- a/Tests/Standins/platform_messages.cc
+++ b/Tests/Standins/platform_messages.cc
@@ -27,20 +27,24 @@
 const char* const kEndpointRows = wire::kEndpointTable;
 const char* const kConfigurationRow = wire::kConfigurationKey;
 
-std::string ToHttp(const CallerRequest& request) {
+base::HttpHeaders CallerHeaders(const CallerRequest& request) {
   base::HttpHeaders headers{
       {"Host", "shop.example"},
       {wire::kRequestId, request.id},
       {wire::kRemainingTime, std::to_string(request.time_left.count())},
       {wire::kApiKey, wire::kApiKeyScheme + request.key}};
-  std::string body;
   if (request.is_stream) {
-    body = kPrompt;
     headers.push_back({wire::kPrefix, "aa:100,bb:50"});
     headers.push_back({wire::kTokenCounts, "200,20"});
     headers.push_back({wire::kPieceCounts, "2,3"});
     headers.push_back({wire::kPieceKey, "5eed"});
   }
+  return headers;
+}
+
+std::string ToHttp(const CallerRequest& request) {
+  base::HttpHeaders headers = CallerHeaders(request);
+  const std::string body = request.is_stream ? kPrompt : "";
   if (request.method != "GET")
     headers.push_back({"Content-Length", std::to_string(body.size())});
   std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
--- a/Tests/Standins/platform_messages.h
+++ b/Tests/Standins/platform_messages.h
@@ -21,6 +21,9 @@
   bool is_stream = false;
 };
 
+// The request's headers, without those that frame its body.
+base::HttpHeaders CallerHeaders(const CallerRequest& request);
+
 // The request's text for a keep-alive connection.
 std::string ToHttp(const CallerRequest& request);
 
