LibTransport: Take an answer with a malformed head for a failure

What callers saw: nothing yet; an endpoint's "Content-Length : 2" or a bare CR in a value would reach them as it came, beside our own framing (MIXED).

Cause: the cause of request smuggling on the other side. libcurl frames answers and reads heads loosely ("4x" is 4, a space before a colon makes another name), and what it hands on was then read by name.

Change: each line of a head is held to the grammar, and the framing of a head to one length in digits, or "chunked" alone; else the answer is a failure, for endpoints, peers and the store.

Why it works: a head that passes has one reading, so that libcurl's and ours are the same.

--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -8,6 +8,8 @@
 #include <cerrno>
 #include <utility>
 
+#include "LibTransport/message_framing.h"
+
 namespace bilberry::transport {
 
 namespace {
@@ -42,12 +44,25 @@
   list = curl_slist_append(list, line.c_str());
 }
 
-std::string TrimSpaces(std::string_view text) {
-  const size_t first = text.find_first_not_of(" \t\r\n");
-  if (first == std::string_view::npos)
-    return {};
-  const size_t last = text.find_last_not_of(" \t\r\n");
-  return std::string(text.substr(first, last - first + 1));
+// Reads a line of a head. Empty if RFC 9112 doesn't allow the line, or if it
+// goes on with the line before.
+std::optional<HttpHeader> ParseHeaderLine(std::string_view line) {
+  constexpr const char* kWhiteSpace = " \t";
+  if (line.ends_with('\n'))
+    line.remove_suffix(1);
+  if (line.ends_with('\r'))
+    line.remove_suffix(1);
+  const size_t colon = line.find(':');
+  const std::string_view name = line.substr(0, colon);
+  if (colon == std::string_view::npos || !base::IsToken(name))
+    return std::nullopt;
+  std::string_view value = line.substr(colon + 1);
+  value.remove_prefix(
+      std::min(value.find_first_not_of(kWhiteSpace), value.size()));
+  value = value.substr(0, value.find_last_not_of(kWhiteSpace) + 1);
+  if (!base::IsHeaderValue(value))
+    return std::nullopt;
+  return HttpHeader{std::string(name), std::string(value)};
 }
 
 std::string ExchangeIdText(HttpTransferId id) {
@@ -68,6 +83,7 @@
   curl_slist* headers = nullptr;
   size_t head_bytes = 0;
   bool has_whole_head = false;  // Of the final response.
+  bool is_head_malformed = false;
   size_t body_bytes = 0;
   // Whether the body was dropped because all bodies together were too large.
   bool was_body_dropped = false;
@@ -344,12 +360,15 @@
   }
   if (line == "\r\n" || line == "\n") {
     it.has_whole_head = !IsInterim(it);
+    it.is_head_malformed = !IsFramingDefinite(response.headers);
     UpdateReuse(it);
+    return it.is_head_malformed ? 0 : size;
   }
-  const size_t colon = line.find(':');
-  if (colon != std::string_view::npos)
-    response.headers.push_back({std::string(line.substr(0, colon)),
-                                TrimSpaces(line.substr(colon + 1))});
+  auto header = ParseHeaderLine(line);
+  it.is_head_malformed = !header;
+  if (!header)
+    return 0;
+  response.headers.push_back(std::move(*header));
   return size;
 }
 
@@ -472,6 +491,8 @@
 HttpOutcome HttpClient::OutcomeOf(Transfer& transfer, CURLcode code) {
   if (transfer.was_body_dropped)
     return FailureOf(transfer, "the answers being received are too large");
+  if (transfer.is_head_malformed)
+    return FailureOf(transfer, "the head of the answer is malformed");
   if (code != CURLE_OK) {
     HttpFailure failure = FailureOf(transfer, curl_easy_strerror(code));
     failure.was_refused = WasRefused(transfer, code);
--- a/Libraries/LibTransport/http_client.h
+++ b/Libraries/LibTransport/http_client.h
@@ -66,6 +66,9 @@
 // Sends HTTP/1.1 requests through libcurl's multi interface, driven by the
 // reactor. Callbacks run in the loop's turn, never inside Send() or Cancel().
 //
+// An answer with a head that RFC 9112 doesn't allow, or with more than one way
+// to find its end, is a failure: libcurl reads such heads loosely.
+//
 // The bodies that are being received are bounded together: if they exceed the
 // bound, the largest fails.
 class HttpClient final : public LoopParticipant, private ACE_Event_Handler {
