LibTransport: Keep a cancelled transfer until its handler has returned

Cause: FailAttempt() cancels the transfer whose handler is running; that destroys the handler, which holds the attempt's id, and the id is then read from freed memory.

Ruled out: attempt numbers used twice (they only rise).

Change: a cancelled transfer lives on until the end of the client's turn, for all handlers; handlers need not be copied for that any more.

Why it works: what a handler holds can't be destroyed while the handler runs.

--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -237,6 +237,7 @@
   if (it == transfers_.end())
     return;
   Release(*it->second);
+  cancelled_.push_back(std::move(it->second));
   transfers_.erase(it);
 }
 
@@ -443,6 +444,7 @@
   DeliverSendings();
   DeliverChunks();
   DeliverDone();
+  cancelled_.clear();
   std::erase_if(fresh_connections_until_,
                 [now](const auto& it) { return it.second <= now; });
 }
@@ -456,9 +458,7 @@
     const auto it = transfers_.find(sending.id);
     if (it == transfers_.end())
       continue;
-    // The handler may cancel this transfer.
-    const SendingHandler handler = it->second->sending;
-    handler(sending.connection);
+    it->second->sending(sending.connection);
   }
 }
 
--- a/Libraries/LibTransport/http_client.h
+++ b/Libraries/LibTransport/http_client.h
@@ -90,7 +90,9 @@
                       ChunkHandler chunk = nullptr,
                       SendingHandler sending = nullptr);
 
-  // Cancels a transfer; its callbacks won't run. Unknown IDs are ignored.
+  // Cancels a transfer; its callbacks won't run. Unknown IDs are ignored. A
+  // callback may cancel its own transfer: what the callback holds lives on
+  // until it has returned.
   void Cancel(HttpTransferId id);
 
   // Prevents reuse of the connections to this peer that are idle now.
@@ -154,6 +156,8 @@
   CURLM* multi_ = nullptr;
   uint64_t last_id_ = 0;
   std::unordered_map<HttpTransferId, std::unique_ptr<Transfer>> transfers_;
+  // Until the end of the turn: one of their callbacks may be running.
+  std::vector<std::unique_ptr<Transfer>> cancelled_;
   std::vector<CURL*> idle_handles_;
   std::vector<Sending> sendings_;
   std::vector<Chunk> chunks_;
--- a/Tests/LibTransport/test_http.cc
+++ b/Tests/LibTransport/test_http.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -165,6 +167,30 @@
   CHECK_FALSE(was_heard);
 }
 
+// Guards against a failure that is told of another attempt, since the handler
+// that holds the attempt's ID was destroyed while it ran (TWICE).
+TEST_CASE("a handler that cancels its own transfer keeps what it holds") {
+  HttpPair* raw = nullptr;
+  HttpPair pair([&raw](const IncomingRequest& it) {
+    raw->listener->BeginStream(it.exchange, 200, {});
+    raw->listener->WriteStream(it.exchange, "one");
+  });
+  raw = &pair;
+  auto held = std::make_shared<int>(1);
+  const std::weak_ptr<int> watched = held;
+  HttpTransferId transfer{};
+  std::optional<bool> was_kept;
+  transfer = pair.client->Send(
+      pair.Request(), [](const HttpOutcome&) {},
+      [&, held = std::move(held)](const HttpResponse&, const std::string&) {
+        pair.client->Cancel(transfer);
+        was_kept = !watched.expired();
+      });
+  REQUIRE(pair.RunUntil([&] { return was_kept.has_value(); }));
+  CHECK(*was_kept);
+  CHECK(pair.RunUntil([&] { return watched.expired(); }));
+}
+
 TEST_CASE("pooled connections are reused unless they were retired") {
   for (const bool is_condemned : {false, true}) {
     HttpPair* raw = nullptr;
