LibForward: Pass the configuration on to hosts that the store turns away

Cause: a host heard of a configuration from the store alone. Peers passed on endpoints and hosts, of the configuration only its revision, and in fleets of up to 24 hosts nobody asked anybody. A host that the store rejects, doesn't answer or whose open poll's answer is lost learned a change when the store answered it again.

Hosts now pass on the operators' rows like the other tables, as the operators' text. A host that follows the store itself asks a peer drawn at random each second, one whose calls fail at once and then every 0.6 s; a host whose relays are turned away goes on to other peers. What operators have written counts from any peer, however old its copy of the other tables. Rows that a call to the store brings behind newer ones from a peer are dropped.

One test said that hosts of small fleets poll nobody. It now says that they have no relays; two tests say whom they poll and how often.

--- a/Libraries/LibForward/feed_follower.cc
+++ b/Libraries/LibForward/feed_follower.cc
@@ -47,6 +47,11 @@
     TableListed event) {
   is_calling_ = false;
   failures_ = 0;
+  // A peer has delivered a newer table meanwhile.
+  if (has_listed() && event.version < version_) {
+    listed_rows_.clear();
+    return std::nullopt;
+  }
   // The changes since the first page are requested afterwards, so that none
   // made between two pages is missed.
   if (listed_rows_.empty())
@@ -63,10 +68,18 @@
 FeedFollower::Update FeedFollower::HandleChanged(TableChanged event) {
   is_calling_ = false;
   failures_ = 0;
-  version_ = std::max(version_, event.version);
+  if (event.version < version_)
+    return {};
+  version_ = event.version;
   return {false, std::move(event.rows)};
 }
 
+void FeedFollower::NoteRelayed(const TableUpdate& update) {
+  version_ = update.version;
+  phase_ = Phase::kFollowing;
+  listed_rows_.clear();
+}
+
 void FeedFollower::HandleHistoryLost() {
   is_calling_ = false;
   phase_ = Phase::kListing;
--- a/Libraries/LibForward/feed_follower.h
+++ b/Libraries/LibForward/feed_follower.h
@@ -44,6 +44,8 @@
 
   // Empty until the last page has arrived.
   std::optional<Update> HandleListed(TableListed event);
+  // Empty of rows if peers have delivered the table up to a later version:
+  // their rows are newer.
   Update HandleChanged(TableChanged event);
   void HandleHistoryLost();
   void HandleFailed(base::TimePoint now);
@@ -52,8 +54,13 @@
   // more.
   void RestartCallBegunBefore(base::TimePoint time);
 
+  // Whether an update from a peer has what this host lacks: a later version
+  // and, as long as the table hasn't been listed, all of its rows.
+  bool CanUse(const TableUpdate& update) const {
+    return update.version > version_ && (update.is_whole || has_listed());
+  }
   // Records that a peer has delivered the table up to this version.
-  void NoteRelayed(uint64_t version) { version_ = std::max(version_, version); }
+  void NoteRelayed(const TableUpdate& update);
   // No call begins before `time`.
   void DelayCallsUntil(base::TimePoint time) {
     not_before_ = std::max(not_before_, time);
--- a/Libraries/LibForward/forward_configuration.h
+++ b/Libraries/LibForward/forward_configuration.h
@@ -96,6 +96,7 @@
 
 struct ForwardConfiguration {
   uint64_t revision = 0;
+  std::string document;  // The operators' text, for peers that lack it.
   std::vector<ForwardedPipeline> pipelines;
   std::vector<ForwardedPool> pools;
   std::vector<ForwardedTeam> teams;
--- a/Libraries/LibForward/relay_poller.cc
+++ b/Libraries/LibForward/relay_poller.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <tuple>
+#include <utility>
 
 #include "LibForward/host_sizes.h"
 #include "LibForward/rendezvous.h"
@@ -19,6 +20,12 @@
 // half of its notice period.
 constexpr std::chrono::milliseconds kPollInterval{600};
 constexpr std::chrono::milliseconds kRetryDelay{100};
+// Interval of a host that follows the store itself and is answered: it only
+// looks for changes that the store's answers did not bring.
+constexpr std::chrono::milliseconds kCheckInterval{1000};
+// After this many outdated answers in a row, most hosts probably don't reach
+// the store, and further polls are no longer made in quick succession.
+constexpr size_t kQuickRetries = 4;
 // Random jitter added to each delay, so that the hosts don't poll a relay all
 // at once.
 constexpr uint64_t kSpreadMilliseconds = 100;
@@ -48,6 +55,10 @@
 }
 
 void RelayPoller::SetHosts(std::span<const PeerHost> hosts) {
+  peers_.clear();
+  std::ranges::copy_if(
+      hosts, std::back_inserter(peers_),
+      [this](const PeerHost& it) { return it.name != own_.name; });
   relays_.clear();
   if (IsSmallFleet(hosts))
     return;
@@ -61,27 +72,49 @@
 }
 
 std::optional<PeerHost> RelayPoller::TakeDue(base::TimePoint now) {
-  if (relays_.empty() || is_polling_ || now < next_poll_)
+  if (peers_.empty() || is_polling_ || now < next_poll_)
     return std::nullopt;
   is_polling_ = true;
-  return relays_[relay_index_ % relays_.size()];
+  if (misses_ < relays_.size())
+    return relays_[relay_index_ % relays_.size()];
+  return peers_[random_.Below(peers_.size())];
 }
 
-void RelayPoller::NoteAnswered(base::TimePoint now) {
+void RelayPoller::PollAfter(base::Duration delay, base::TimePoint now) {
   is_polling_ = false;
-  next_poll_ = now + kPollInterval +
+  next_poll_ = now + delay +
                std::chrono::milliseconds(random_.Below(kSpreadMilliseconds));
 }
 
+void RelayPoller::NoteAnswered(base::TimePoint now, bool is_outdated) {
+  if (!is_outdated) {
+    misses_ = 0;
+    PollAfter(
+        has_relays() || is_store_failing_ ? kPollInterval : kCheckInterval,
+        now);
+    return;
+  }
+  ++relay_index_;
+  ++misses_;
+  PollAfter(misses_ <= kQuickRetries ? kRetryDelay : kPollInterval, now);
+}
+
 void RelayPoller::NoteFailed(base::TimePoint now) {
-  is_polling_ = false;
   ++relay_index_;
-  next_poll_ = now + kRetryDelay +
-               std::chrono::milliseconds(random_.Below(kSpreadMilliseconds));
+  ++misses_;
+  PollAfter(kRetryDelay, now);
+}
+
+void RelayPoller::SetStoreFailing(bool is_failing, base::TimePoint now) {
+  if (std::exchange(is_store_failing_, is_failing) || !is_failing)
+    return;
+  next_poll_ = std::min(
+      next_poll_,
+      now + std::chrono::milliseconds(random_.Below(kSpreadMilliseconds)));
 }
 
 std::optional<base::TimePoint> RelayPoller::NextWakeup() const {
-  if (relays_.empty() || is_polling_)
+  if (peers_.empty() || is_polling_)
     return std::nullopt;
   return next_poll_;
 }
--- a/Libraries/LibForward/relay_poller.h
+++ b/Libraries/LibForward/relay_poller.h
@@ -17,9 +17,12 @@
 std::vector<PeerHost> RelaysOf(std::span<const PeerHost> hosts,
                                const base::ZoneName& zone);
 
-// Decides which relay this host polls for updates of the store, and when. In a
-// large fleet a few hosts of each zone follow the store and the others poll one
-// of them; in a small fleet each host follows the store itself.
+// Decides which other host this one polls for updates of the store, and when.
+// In a large fleet a few hosts of each zone follow the store and the others
+// poll one of these relays; in a small fleet each host follows the store
+// itself. A host that follows the store itself, or whose relays don't reach it,
+// polls peers drawn at random (gossip): the store may reject some hosts, or
+// lose its answers to them, while it answers others.
 class RelayPoller {
  public:
   RelayPoller(PeerHost own, uint64_t seed)
@@ -27,23 +30,36 @@
 
   void SetHosts(std::span<const PeerHost> hosts);
 
-  // Returns the relay to poll now, if one is due. The caller reports the end of
+  // Whether this host has relays instead of following the store itself.
+  bool has_relays() const { return !relays_.empty(); }
+
+  // Returns the host to poll now, if one is due. The caller reports the end of
   // the poll by NoteAnswered() or NoteFailed().
   std::optional<PeerHost> TakeDue(base::TimePoint now);
-  void NoteAnswered(base::TimePoint now);
-  // Fails over to the next relay.
+  // Fails over to another host if the answer is outdated.
+  void NoteAnswered(base::TimePoint now, bool is_outdated);
+  // Fails over to another host.
   void NoteFailed(base::TimePoint now);
   // Sends the next poll to another relay, if there is one.
   void RotateRelay() { ++relay_index_; }
+  // The store rejects this host's own calls, or doesn't answer them: peers are
+  // polled more often, and the first one soon.
+  void SetStoreFailing(bool is_failing, base::TimePoint now);
 
   std::optional<base::TimePoint> NextWakeup() const;
 
  private:
+  void PollAfter(base::Duration delay, base::TimePoint now);
+
   PeerHost own_;
   base::Random random_;
   // Empty if this host follows the store itself.
   std::vector<PeerHost> relays_;
+  std::vector<PeerHost> peers_;  // All other hosts.
   size_t relay_index_ = 0;
+  // Consecutive polls that brought no current copy.
+  size_t misses_ = 0;
+  bool is_store_failing_ = false;
   bool is_polling_ = false;
   base::TimePoint next_poll_;
 };
--- a/Libraries/LibForward/store_sync_messages.h
+++ b/Libraries/LibForward/store_sync_messages.h
@@ -9,14 +9,11 @@
 #include "LibForward/feed_row.h"
 #include "LibForward/notice_batch.h"
 
-// Messages by which a relay passes the store's tables on to other hosts, so
-// that not every host has to follow the store itself.
+// Messages by which a host passes the store's tables on to other hosts, so that
+// not every host has to follow the store itself, and that hosts which the store
+// rejects know what the others do.
 namespace bilberry::forward {
 
-// The feeds that relays pass on.
-inline constexpr FeedKind kRelayedFeeds[] = {FeedKind::kEndpoints,
-                                             FeedKind::kHosts};
-
 // The version up to which a host knows a table.
 struct KnownVersion {
   FeedKind feed{};
@@ -41,7 +38,7 @@
 };
 
 struct StoreSyncResponse {
-  // Since the store last answered the relay's call for endpoints.
+  // Since the store last answered the sender's call for endpoints.
   base::Duration age{};
   std::vector<TableUpdate> tables;
   NoticeBatch notices;
--- a/Libraries/LibForward/store_synchronizer.cc
+++ b/Libraries/LibForward/store_synchronizer.cc
@@ -91,8 +91,9 @@
                  {{"feed", std::string(forward::ToText(event.feed))},
                   {"reason", event.detail}});
   follower.HandleFailed(now);
+  relays_.SetStoreFailing(true, now);
   short_polls_until_ = now + kShortPollPeriod;
-  if (event.feed == FeedKind::kEndpoints)
+  if (event.feed == FeedKind::kEndpoints && now >= relayed_until_)
     directory_.NoteStoreLost();
 }
 
@@ -112,6 +113,7 @@
     directory_.NoteStoreBack(now);
   if (!was_failing)
     return;
+  relays_.SetStoreFailing(IsStoreFailing(), now);
   context_.Log(base::LogEventId::kPlatformReachable, "",
                {{"feed", std::string(forward::ToText(feed))}});
   RestartOlderCalls(feed);
@@ -149,9 +151,8 @@
                               base::TimePoint now) {
   for (const FeedRow& row : update.rows)
     LogUnreadable(feed, row);
-  if (feed != FeedKind::kConfiguration)
-    ChangeLogOf(feed).Apply(update.is_whole, update.rows,
-                            FollowerOf(feed).version());
+  ChangeLogOf(feed).Apply(update.is_whole, update.rows,
+                          FollowerOf(feed).version());
   switch (feed) {
     case FeedKind::kConfiguration:
       if (!update.rows.empty())
@@ -295,25 +296,23 @@
 }
 
 void StoreSynchronizer::PollRelay(base::TimePoint now) {
-  // Relays send changes since a known version, so the tables must have been
-  // listed first.
-  if (!HasListedAll())
-    return;
   const auto relay = relays_.TakeDue(now);
   if (!relay)
     return;
   RequestStoreSync request{relay->address, {}};
-  for (const FeedKind feed : kRelayedFeeds)
-    request.request.known.push_back({feed, FollowerOf(feed).version()});
+  for (const FeedKind feed : kFeedKinds) {
+    const FeedFollower& follower = FollowerOf(feed);
+    request.request.known.push_back(
+        {feed, follower.has_listed() ? follower.version() : 0});
+  }
   request.request.departures = directory_.RecentDepartures(now);
   request.request.crashes = context_.conditions().crashes.OwnNews();
   context_.Emit(std::move(request));
 }
 
-bool StoreSynchronizer::HasListedAll() const {
-  return std::ranges::all_of(kRelayedFeeds, [this](FeedKind it) {
-    return FollowerOf(it).has_listed();
-  });
+bool StoreSynchronizer::IsStoreFailing() const {
+  return std::ranges::any_of(
+      followers_, [](const FeedFollower& it) { return it.is_failing(); });
 }
 
 void StoreSynchronizer::Handle(const PeerStoreSyncRequested& event,
@@ -330,40 +329,52 @@
   answer.response.revision = configuration_ ? configuration_->revision : 0;
   answer.response.operators_version = operators_version_;
   for (const KnownVersion& it : event.request.known) {
-    answer.response.tables.push_back(
-        ChangeLogOf(it.feed).UpdateSince(it.version));
+    if (FollowerOf(it.feed).has_listed())
+      answer.response.tables.push_back(
+          ChangeLogOf(it.feed).UpdateSince(it.version));
   }
   context_.Emit(std::move(answer));
 }
 
 void StoreSynchronizer::Handle(StoreSyncReceived event, base::TimePoint now) {
-  relays_.NoteAnswered(now);
+  const base::TimePoint valid_until =
+      now - event.response.age + kRelayedValidity;
+  const bool is_fresh = now < valid_until;
+  const bool needs_copy = relays_.has_relays() || IsStoreFailing();
+  relays_.NoteAnswered(now, needs_copy && !is_fresh);
   // Relays don't poll each other. Hosts that poll both relays in turn carry
   // departures from one to the other.
   if (!directory_.RecentDepartures(now).empty())
     relays_.RotateRelay();
-  const base::TimePoint valid_until =
-      now - event.response.age + kRelayedValidity;
-  if (now < valid_until)
-    ApplyFreshUpdates(std::move(event.response.tables), valid_until, now);
-  else
-    SpaceOutFailingCalls();
   const uint64_t own_revision = configuration_ ? configuration_->revision : 0;
   FeedFollower& follower = FollowerOf(FeedKind::kConfiguration);
   const bool knows_less = event.response.operators_version > follower.version();
   if (event.response.revision > own_revision || knows_less)
     follower.RestartCallBegunBefore(now);
+  if (is_fresh)
+    NoteFreshCopy(valid_until, now);
+  else
+    SpaceOutFailingCalls();
+  for (TableUpdate& it : event.response.tables) {
+    // What operators have written holds, however long ago the sender heard it;
+    // an outdated copy of the other tables may lack an endpoint that lives.
+    if (is_fresh || it.feed == FeedKind::kConfiguration)
+      ApplyUpdate(std::move(it), now);
+  }
 }
 
-void StoreSynchronizer::ApplyFreshUpdates(std::vector<TableUpdate> tables,
-                                          base::TimePoint valid_until,
-                                          base::TimePoint now) {
+// A copy from a relay replaces this host's own calls. The configuration's long
+// poll stays open beside it, as nothing else brings a change at once.
+void StoreSynchronizer::NoteFreshCopy(base::TimePoint valid_until,
+                                      base::TimePoint now) {
   endpoints_as_of_ = std::max(endpoints_as_of_, valid_until - kRelayedValidity);
-  relayed_until_ = valid_until;
+  relayed_until_ = std::max(relayed_until_, valid_until);
   directory_.NoteStoreBack(now);
-  for (TableUpdate& table : tables) {
-    FollowerOf(table.feed).DelayCallsUntil(valid_until);
-    ApplyUpdate(std::move(table), now);
+  if (!relays_.has_relays())
+    return;
+  for (const FeedKind feed : {FeedKind::kEndpoints, FeedKind::kHosts}) {
+    if (FollowerOf(feed).has_listed())
+      FollowerOf(feed).DelayCallsUntil(valid_until);
   }
 }
 
@@ -382,9 +393,9 @@
 // store earlier than this host did.
 void StoreSynchronizer::ApplyUpdate(TableUpdate update, base::TimePoint now) {
   FeedFollower& follower = FollowerOf(update.feed);
-  if (update.version <= follower.version() || !follower.has_listed())
+  if (!follower.CanUse(update))
     return;
-  follower.NoteRelayed(update.version);
+  follower.NoteRelayed(update);
   Apply(update.feed, {update.is_whole, std::move(update.rows)}, Source::kPeer,
         now);
 }
@@ -392,7 +403,8 @@
 void StoreSynchronizer::Handle(const StoreSyncFailed& event,
                                base::TimePoint now) {
   relays_.NoteFailed(now);
-  context_.Log(base::LogEventId::kRelayLost, "", {{"reason", event.detail}});
+  if (relays_.has_relays())
+    context_.Log(base::LogEventId::kRelayLost, "", {{"reason", event.detail}});
 }
 
 void StoreSynchronizer::Handle(const OwnRowWritten& /*event*/) {
@@ -436,8 +448,7 @@
   for (const FeedFollower& follower : followers_)
     consider(follower.NextWakeup());
   consider(directory_.NextWakeup());
-  if (HasListedAll())
-    consider(relays_.NextWakeup());
+  consider(relays_.NextWakeup());
   return next;
 }
 
--- a/Libraries/LibForward/store_synchronizer.h
+++ b/Libraries/LibForward/store_synchronizer.h
@@ -64,7 +64,6 @@
   const FeedFollower& FollowerOf(FeedKind feed) const {
     return followers_[static_cast<size_t>(feed)];
   }
-  bool HasListedAll() const;
   // Who told this host something about the store's contents.
   enum class Source { kStore, kPeer };
 
@@ -84,11 +83,10 @@
   void NoteReachable(FeedKind feed, bool was_failing, base::TimePoint now);
   void RestartOlderCalls(FeedKind feed);
   TableChangeLog& ChangeLogOf(FeedKind feed) {
-    return feed == FeedKind::kHosts ? host_change_log_ : endpoint_change_log_;
+    return change_logs_[static_cast<size_t>(feed)];
   }
-  void ApplyFreshUpdates(std::vector<TableUpdate> tables,
-                         base::TimePoint valid_until,
-                         base::TimePoint now);
+  bool IsStoreFailing() const;
+  void NoteFreshCopy(base::TimePoint valid_until, base::TimePoint now);
   void ApplyUpdate(TableUpdate update, base::TimePoint now);
   void SpaceOutFailingCalls();
   void PollRelay(base::TimePoint now);
@@ -99,12 +97,13 @@
   std::array<FeedFollower, 3> followers_;
   EndpointDirectory directory_;
   RelayPoller relays_;
-  TableChangeLog endpoint_change_log_{FeedKind::kEndpoints};
-  TableChangeLog host_change_log_{FeedKind::kHosts};
+  std::array<TableChangeLog, 3> change_logs_{
+      TableChangeLog(FeedKind::kConfiguration),
+      TableChangeLog(FeedKind::kEndpoints), TableChangeLog(FeedKind::kHosts)};
   // When the store last answered with the endpoint table, to this host or to
-  // the relay that passed it on.
+  // the peer that passed it on.
   base::TimePoint endpoints_as_of_;
-  // Until then the relay's copy replaces calls to the store.
+  // Until then the copy that a peer has passed on is valid.
   base::TimePoint relayed_until_;
   StoreEra era_;
   std::map<std::string, PeerHost> hosts_;
--- a/Libraries/LibForward/table_change_log.cc
+++ b/Libraries/LibForward/table_change_log.cc
@@ -25,6 +25,13 @@
            endpoint->cold_for.value_or(base::Duration(0)).count() == 0;
   if (const auto* host = std::get_if<PeerHost>(&left))
     return *host == std::get<PeerHost>(right);
+  if (const auto* zone = std::get_if<ZoneEvacuated>(&left))
+    return zone->zone == std::get<ZoneEvacuated>(right).zone;
+  if (const auto* configuration =
+          std::get_if<std::shared_ptr<const ForwardConfiguration>>(&left))
+    return (*configuration)->revision ==
+           std::get<std::shared_ptr<const ForwardConfiguration>>(right)
+               ->revision;
   return IsRemoved(left);
 }
 
--- a/Libraries/LibTransport/forward_adapter.h
+++ b/Libraries/LibTransport/forward_adapter.h
@@ -63,6 +63,9 @@
   virtual forward::Event DecodeFollowResponse(
       forward::FeedKind feed,
       const HttpOutcome& outcome) const = 0;
+  // Parses the text of a configuration that a peer has passed on.
+  virtual forward::RowContent DecodeConfiguration(
+      std::string_view document) const = 0;
   // Returns OwnRowWritten or OwnRowFailed.
   virtual forward::Event DecodeWriteResponse(
       const HttpOutcome& outcome) const = 0;
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -667,8 +667,11 @@
       HandleEvent(forward::StoreSyncFailed{failure->detail});
       return;
     }
-    if (auto response =
-            DecodeStoreSyncResponse(std::get<HttpResponse>(outcome).body))
+    if (auto response = DecodeStoreSyncResponse(
+            std::get<HttpResponse>(outcome).body,
+            [this](std::string_view document) {
+              return adapter_.DecodeConfiguration(document);
+            }))
       HandleEvent(forward::StoreSyncReceived{std::move(*response)});
     else
       HandleEvent(forward::StoreSyncFailed{"malformed answer"});
--- a/Libraries/LibTransport/store_sync_codec.cc
+++ b/Libraries/LibTransport/store_sync_codec.cc
@@ -16,9 +16,9 @@
     return std::nullopt;
   const std::string text = name.asString();
   const auto* it = std::ranges::find_if(
-      forward::kRelayedFeeds,
+      forward::kFeedKinds,
       [&](forward::FeedKind feed) { return forward::ToText(feed) == text; });
-  if (it == std::end(forward::kRelayedFeeds))
+  if (it == std::end(forward::kFeedKinds))
     return std::nullopt;
   return *it;
 }
@@ -51,6 +51,12 @@
     object = JsonOf(*endpoint);
   else if (const auto* host = std::get_if<forward::PeerHost>(&row.content))
     object = JsonOf(*host);
+  else if (const auto* zone = std::get_if<forward::ZoneEvacuated>(&row.content))
+    object["evacuated_zone"] = zone->zone.value;
+  else if (const auto* configuration = std::get_if<
+               std::shared_ptr<const forward::ForwardConfiguration>>(
+               &row.content))
+    object["document"] = (*configuration)->document;
   object["key"] = row.key;
   return object;
 }
@@ -98,8 +104,36 @@
   return host;
 }
 
-std::optional<forward::FeedRow> RowOf(forward::FeedKind feed,
-                                      const Json::Value& object) {
+std::optional<forward::RowContent> OperatorsRowOf(
+    const Json::Value& object,
+    const ConfigurationDecoder& decode_configuration) {
+  if (object["document"].isString())
+    return decode_configuration(object["document"].asString());
+  if (!object["evacuated_zone"].isString())
+    return std::nullopt;
+  return forward::ZoneEvacuated{{object["evacuated_zone"].asString()}};
+}
+
+std::optional<forward::RowContent> ContentOf(
+    forward::FeedKind feed,
+    const std::string& key,
+    const Json::Value& object,
+    const ConfigurationDecoder& decode_configuration) {
+  switch (feed) {
+    case forward::FeedKind::kConfiguration:
+      return OperatorsRowOf(object, decode_configuration);
+    case forward::FeedKind::kEndpoints:
+      return EndpointOf(key, object);
+    case forward::FeedKind::kHosts:
+      return HostOf(key, object);
+  }
+  return std::nullopt;
+}
+
+std::optional<forward::FeedRow> RowOf(
+    forward::FeedKind feed,
+    const Json::Value& object,
+    const ConfigurationDecoder& decode_configuration) {
   if (!object.isObject() || !object["key"].isString())
     return std::nullopt;
   forward::FeedRow row;
@@ -108,16 +142,16 @@
     row.content = forward::RowRemoved{};
     return row;
   }
-  auto content = feed == forward::FeedKind::kHosts
-                     ? HostOf(row.key, object)
-                     : EndpointOf(row.key, object);
+  auto content = ContentOf(feed, row.key, object, decode_configuration);
   if (!content)
     return std::nullopt;
   row.content = std::move(*content);
   return row;
 }
 
-std::optional<forward::TableUpdate> TableOf(const Json::Value& object) {
+std::optional<forward::TableUpdate> TableOf(
+    const Json::Value& object,
+    const ConfigurationDecoder& decode_configuration) {
   const auto feed = object.isObject() ? FeedOf(object["feed"]) : std::nullopt;
   if (!feed || !object["version"].isUInt64() || !object["is_whole"].isBool() ||
       !object["rows"].isArray())
@@ -127,7 +161,7 @@
   table.version = object["version"].asUInt64();
   table.is_whole = object["is_whole"].asBool();
   for (const Json::Value& it : object["rows"]) {
-    auto row = RowOf(*feed, it);
+    auto row = RowOf(*feed, it, decode_configuration);
     if (!row)
       return std::nullopt;
     table.rows.push_back(std::move(*row));
@@ -352,7 +386,8 @@
 }
 
 std::optional<forward::StoreSyncResponse> DecodeStoreSyncResponse(
-    std::string_view text) {
+    std::string_view text,
+    const ConfigurationDecoder& decode_configuration) {
   const auto object = ParseJsonValue(text);
   if (!object || !object->isObject() || !(*object)["revision"].isUInt64() ||
       !(*object)["operators_version"].isUInt64() ||
@@ -370,7 +405,7 @@
   response.revision = (*object)["revision"].asUInt64();
   response.operators_version = (*object)["operators_version"].asUInt64();
   for (const Json::Value& it : (*object)["tables"]) {
-    auto table = TableOf(it);
+    auto table = TableOf(it, decode_configuration);
     if (!table)
       return std::nullopt;
     response.tables.push_back(std::move(*table));
--- a/Libraries/LibTransport/store_sync_codec.h
+++ b/Libraries/LibTransport/store_sync_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,9 +21,14 @@
 std::optional<forward::StoreSyncRequest> DecodeStoreSyncRequest(
     std::string_view text);
 
+// Parses the operators' text of a configuration.
+using ConfigurationDecoder =
+    std::function<forward::RowContent(std::string_view)>;
+
 std::string EncodeStoreSyncResponse(const forward::StoreSyncResponse& response);
 // Returns empty if any part of the text is malformed.
 std::optional<forward::StoreSyncResponse> DecodeStoreSyncResponse(
-    std::string_view text);
+    std::string_view text,
+    const ConfigurationDecoder& decode_configuration);
 
 }  // namespace bilberry::transport
--- a/Tests/LibForward/test_relays.cc
+++ b/Tests/LibForward/test_relays.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -129,11 +130,12 @@
   for (const PeerHost& own : hosts) {
     RelayPoller poller(own, 1);
     poller.SetHosts(hosts);
-    const auto relay = poller.TakeDue(At(0));
-    if (!relay) {
+    if (!poller.has_relays()) {
       ++followers;
       continue;
     }
+    const auto relay = poller.TakeDue(At(0));
+    REQUIRE(relay.has_value());
     CHECK(relay->zone == own.zone);
     CHECK(relay->capacity == 0.5);
     ++asked[relay->name];
@@ -149,9 +151,57 @@
   for (const PeerHost& own : hosts) {
     RelayPoller poller(own, 1);
     poller.SetHosts(hosts);
-    CHECK_FALSE(poller.TakeDue(At(0)).has_value());
-    CHECK_FALSE(poller.NextWakeup().has_value());
+    CHECK_FALSE(poller.has_relays());
+  }
+}
+
+TEST_CASE("a host alone polls nobody") {
+  const std::vector<PeerHost> hosts(1, Fleet(0).front());
+  RelayPoller poller(hosts.front(), 1);
+  poller.SetHosts(hosts);
+  CHECK_FALSE(poller.TakeDue(At(0)).has_value());
+  CHECK_FALSE(poller.NextWakeup().has_value());
+}
+
+// Guards against a host that learns nothing while the store turns it away.
+TEST_CASE("a host that follows the store itself checks with all peers") {
+  const std::vector<PeerHost> hosts = Fleet(3);
+  RelayPoller poller(hosts.front(), 1);
+  poller.SetHosts(hosts);
+  std::set<std::string> polled;
+  for (int64_t ms = 0; ms < 200'000; ms += 10) {
+    const auto peer = poller.TakeDue(At(ms));
+    if (!peer)
+      continue;
+    CHECK(peer->name != hosts.front().name);
+    polled.insert(peer->name.value);
+    poller.NoteAnswered(At(ms), false);
+    // At most once a second while the store answers.
+    CHECK_FALSE(poller.TakeDue(At(ms + 999)).has_value());
+  }
+  CHECK(polled.size() == hosts.size() - 1);
+}
+
+TEST_CASE("a host whose relays don't reach the store polls other peers") {
+  const std::vector<PeerHost> hosts = Fleet(25);
+  RelayPoller poller(hosts.back(), 1);
+  poller.SetHosts(hosts);
+  std::set<std::string> polled;
+  for (int64_t ms = 0; ms < 20'000; ms += 10) {
+    const auto peer = poller.TakeDue(At(ms));
+    if (!peer)
+      continue;
+    polled.insert(peer->name.value);
+    poller.NoteAnswered(At(ms), true);
   }
+  CHECK(polled.size() > 10);
+  const auto peer = poller.TakeDue(At(21'000));
+  REQUIRE(peer.has_value());
+  poller.NoteAnswered(At(21'000), false);
+  const auto relay = poller.TakeDue(At(21'800));
+  REQUIRE(relay.has_value());
+  CHECK(relay->zone == hosts.back().zone);
+  CHECK(relay->capacity == 0.5);
 }
 
 TEST_CASE("relays are polled in turn on request") {
@@ -160,12 +210,12 @@
   poller.SetHosts(hosts);
   const auto first = poller.TakeDue(At(0));
   REQUIRE(first.has_value());
-  poller.NoteAnswered(At(10));
+  poller.NoteAnswered(At(10), false);
   poller.RotateRelay();
   const auto second = poller.TakeDue(At(710));
   REQUIRE(second.has_value());
   CHECK(second->name != first->name);
-  poller.NoteAnswered(At(720));
+  poller.NoteAnswered(At(720), false);
   CHECK(poller.TakeDue(At(1420))->name == second->name);
 }
 
@@ -181,7 +231,7 @@
   const auto second = poller.TakeDue(At(800));
   REQUIRE(second.has_value());
   CHECK(second->name != first->name);
-  poller.NoteAnswered(At(810));
+  poller.NoteAnswered(At(810), false);
   CHECK_FALSE(poller.TakeDue(At(1400)).has_value());
   CHECK(poller.TakeDue(At(1510))->name == second->name);
 }
--- a/Tests/LibTransport/test_store_sync_codec.cc
+++ b/Tests/LibTransport/test_store_sync_codec.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <memory>
 #include <string>
 
 #include "LibTransport/json_text.h"
@@ -31,7 +32,18 @@
   hosts.is_whole = true;
   hosts.rows = {
       {"h1", forward::PeerHost{{"h1"}, {"10.0.0.2", 7740}, {"z"}, 0.5, 200.0}}};
-  response.tables = {endpoints, hosts};
+  forward::TableUpdate operators;
+  operators.feed = forward::FeedKind::kConfiguration;
+  operators.version = 39;
+  forward::ForwardConfiguration configuration;
+  configuration.document = "routes";
+  configuration.revision = configuration.document.size();
+  operators.rows = {
+      {"config",
+       std::make_shared<const forward::ForwardConfiguration>(configuration)},
+      {"evacuate/z", forward::ZoneEvacuated{{"z"}}},
+      {"evacuate/y", forward::RowRemoved{}}};
+  response.tables = {endpoints, hosts, operators};
   response.notices.departures = {
       {{"e1"}, base::Incarnation{1764}, milliseconds(300)}};
   response.notices.backoffs = {
@@ -50,6 +62,16 @@
   return response;
 }
 
+// Takes any text for the configuration whose revision is the text's length.
+std::optional<forward::StoreSyncResponse> Decode(std::string_view text) {
+  return DecodeStoreSyncResponse(text, [](std::string_view document) {
+    forward::ForwardConfiguration configuration;
+    configuration.revision = document.size();
+    configuration.document = document;
+    return std::make_shared<const forward::ForwardConfiguration>(configuration);
+  });
+}
+
 TEST_SUITE_BEGIN("contract");
 
 TEST_CASE("a sync response keeps an endpoint's remaining cold time") {
@@ -58,27 +80,29 @@
       std::get<forward::ListedEndpoint>(response.tables[0].rows[0].content);
   for (const base::Duration left : {milliseconds(0), milliseconds(1300)}) {
     endpoint.cold_for = left;
-    const auto again =
-        DecodeStoreSyncResponse(EncodeStoreSyncResponse(response));
+    const auto again = Decode(EncodeStoreSyncResponse(response));
     REQUIRE(again.has_value());
     CHECK(std::get<forward::ListedEndpoint>(again->tables[0].rows[0].content) ==
           endpoint);
   }
   endpoint.cold_for = milliseconds(-1);
-  CHECK_FALSE(
-      DecodeStoreSyncResponse(EncodeStoreSyncResponse(response)).has_value());
+  CHECK_FALSE(Decode(EncodeStoreSyncResponse(response)).has_value());
 }
 
 TEST_CASE("a sync response keeps rows, removals, versions and age") {
-  const auto response =
-      DecodeStoreSyncResponse(EncodeStoreSyncResponse(MakeResponse()));
+  const auto response = Decode(EncodeStoreSyncResponse(MakeResponse()));
   REQUIRE(response.has_value());
   CHECK(EncodeStoreSyncResponse(*response) ==
         EncodeStoreSyncResponse(MakeResponse()));
   CHECK(response->age == milliseconds(700));
   CHECK(response->revision == 12);
   CHECK(response->operators_version == 39);
-  REQUIRE(response->tables.size() == 2);
+  REQUIRE(response->tables.size() == 3);
+  const auto* configuration =
+      std::get_if<std::shared_ptr<const forward::ForwardConfiguration>>(
+          &response->tables[2].rows[0].content);
+  REQUIRE(configuration != nullptr);
+  CHECK((*configuration)->document == "routes");
   const auto& rows = response->tables[0].rows;
   CHECK(std::get<forward::ListedEndpoint>(rows[0].content) ==
         std::get<forward::ListedEndpoint>(
@@ -174,18 +198,18 @@
 
 TEST_CASE("a sync response with a malformed part is rejected as a whole") {
   for (const char* text : {"", "[]", "{}", "{\"revision\":1,\"tables\":[]}"})
-    CHECK_FALSE(DecodeStoreSyncResponse(text).has_value());
+    CHECK_FALSE(Decode(text).has_value());
   for (const char* field : {"feed", "version", "is_whole", "rows"}) {
     CAPTURE(field);
     auto object = *ParseJsonValue(EncodeStoreSyncResponse(MakeResponse()));
     object["tables"][0][field] = Json::objectValue;
-    CHECK_FALSE(DecodeStoreSyncResponse(PrintCompact(object)).has_value());
+    CHECK_FALSE(Decode(PrintCompact(object)).has_value());
   }
   for (const char* field : {"key", "pool", "zone", "address", "is_leaving"}) {
     CAPTURE(field);
     auto object = *ParseJsonValue(EncodeStoreSyncResponse(MakeResponse()));
     object["tables"][0]["rows"][0][field] = Json::objectValue;
-    CHECK_FALSE(DecodeStoreSyncResponse(PrintCompact(object)).has_value());
+    CHECK_FALSE(Decode(PrintCompact(object)).has_value());
   }
   for (const char* text : {"", "[]", "{\"endpoints\":\"1\"}", "{\"none\":1}"})
     CHECK_FALSE(DecodeStoreSyncRequest(text).has_value());
--- a/Tests/LibTransport/test_unexpected_json.cc
+++ b/Tests/LibTransport/test_unexpected_json.cc
@@ -37,6 +37,10 @@
   return std::get<base::HostsPolled>(answer.value());
 }
 
+forward::RowContent DecodeNothing(std::string_view /*document*/) {
+  return forward::RowUnreadable{"not decoded"};
+}
+
 TEST_SUITE_BEGIN("contract");
 
 TEST_CASE("a malformed entry of a host list does not affect the others") {
@@ -98,10 +102,13 @@
                  {"feed":"endpoints","version":4,"is_whole":true,"rows":[
                    {"key":"e1","pool":"p","zone":"z","address":"10.0.0.1:80",
                     "is_leaving":false,"incarnation":4},{"key":"e2"}]},
+                 {"feed":"configuration","version":4,"is_whole":true,"rows":[
+                   {"key":"c","document":"d"},
+                   {"key":"v","evacuated_zone":"z"}]},
                  {"feed":"hosts","version":4,"is_whole":true,"rows":[
                    {"key":"h1","zone":"z","address":"10.0.0.1:80",
                     "capacity":2.0,"link_mbps":100.0}]}]})"))
-    CHECK_NOTHROW((void)DecodeStoreSyncResponse(text));
+    CHECK_NOTHROW((void)DecodeStoreSyncResponse(text, DecodeNothing));
   for (const std::string& text : UnexpectedVariants(
            R"({"known":{"endpoints":1,"hosts":2},
                "departures":[{"endpoint":"e1","incarnation":4,"age_us":5}]})"))
@@ -177,8 +184,9 @@
     }
     const auto response = DecodeStoreSyncResponse(
         R"({"age_us":)" + std::string(us) +
-        R"(,"revision":2,"operators_version":3,"departures":[],"limits":[],
-            "tables":[]})");
+            R"(,"revision":2,"operators_version":3,"departures":[],"limits":[],
+            "tables":[]})",
+        DecodeNothing);
     CHECK((!response || response->age <= std::chrono::hours(24)));
     CHECK((!response || response->age >= base::Duration(0)));
   }
