LibForward, platform: Follow a store that comes back from an older copy

Cause: the store's versions were taken to increase for ever. After it has come back from an older copy it assigns versions again; a host that asks for what came after its version misses what was written under lower ones. 410 (no such version) helps only while the store's versions are still behind the host's.

Each answer of the store states its era (Store-Era), and hosts tell it to each other beside their versions. In a later era every table is listed again, versions of another era are compared no more, relays pass on whole tables, and the own row is written again. Answers of an earlier era are dropped.

The row store stand-in and the soak can restore an older copy. The own row's writer and the evacuated zones are classes of their own now.

--- a/Libraries/LibForward/endpoint_directory.cc
+++ b/Libraries/LibForward/endpoint_directory.cc
@@ -83,6 +83,19 @@
   trusted_from_ = now + kRelistTime;
 }
 
+void EndpointDirectory::NoteStoreRestored(base::TimePoint now) {
+  is_store_lost_ = false;
+  trusted_from_ = now + kRelistTime;
+}
+
+bool EndpointDirectory::Confirms(const ListedEndpoint& entry) const {
+  const auto it = endpoints_.find(entry.name);
+  if (it == endpoints_.end() || it->second.incarnation != entry.incarnation)
+    return false;
+  return it->second.state == EndpointState::kServing ||
+         entry.state == EndpointState::kLeaving;
+}
+
 bool EndpointDirectory::DropMissing(base::TimePoint now) {
   if (missing_.empty() || is_store_lost_ || now < trusted_from_)
     return false;
--- a/Libraries/LibForward/endpoint_directory.h
+++ b/Libraries/LibForward/endpoint_directory.h
@@ -25,6 +25,12 @@
 
   void NoteStoreLost();
   void NoteStoreBack(base::TimePoint now);
+  // The store has come back from an older copy, which may lack endpoints that
+  // live.
+  void NoteStoreRestored(base::TimePoint now);
+  // Whether an entry in a restored store agrees with what is known. If not, it
+  // may be that of an endpoint that has left or is leaving since.
+  bool Confirms(const ListedEndpoint& entry) const;
 
   // Removes endpoints that were missing when the store came back and have not
   // been listed again since. Returns true if there were any.
--- a/Libraries/LibForward/feed_follower.cc
+++ b/Libraries/LibForward/feed_follower.cc
@@ -62,7 +62,8 @@
     return std::nullopt;
   }
   phase_ = Phase::kFollowing;
-  return Update{true, std::exchange(listed_rows_, {})};
+  return Update{true, std::exchange(listed_rows_, {}),
+                std::exchange(is_restored_, false)};
 }
 
 FeedFollower::Update FeedFollower::HandleChanged(TableChanged event) {
@@ -74,10 +75,19 @@
   return {false, std::move(event.rows)};
 }
 
-void FeedFollower::NoteRelayed(const TableUpdate& update) {
+FeedFollower::Update FeedFollower::TakeRelayed(TableUpdate update) {
   version_ = update.version;
   phase_ = Phase::kFollowing;
   listed_rows_.clear();
+  return {update.is_whole, std::move(update.rows),
+          std::exchange(is_restored_, false)};
+}
+
+void FeedFollower::ListRestored() {
+  HandleHistoryLost();
+  version_ = 0;
+  is_restored_ = true;
+  not_before_ = base::TimePoint();
 }
 
 void FeedFollower::HandleHistoryLost() {
--- a/Libraries/LibForward/feed_follower.h
+++ b/Libraries/LibForward/feed_follower.h
@@ -30,6 +30,9 @@
   struct Update {
     bool is_whole = false;  // The rows are the whole table.
     std::vector<FeedRow> rows;
+    // The rows are of a store that has come back from an older copy, so they
+    // may be older than what is known.
+    bool is_restored = false;
   };
 
   FeedFollower(FeedKind feed, FeedPace pace, uint64_t seed)
@@ -59,8 +62,12 @@
   bool CanUse(const TableUpdate& update) const {
     return update.version > version_ && (update.is_whole || has_listed());
   }
-  // Records that a peer has delivered the table up to this version.
-  void NoteRelayed(const TableUpdate& update);
+  // Takes over what a peer has delivered.
+  Update TakeRelayed(TableUpdate update);
+  // Lists the table again, because the store has come back from an older copy
+  // whose versions can't be compared with the known one. An answer to an
+  // earlier call must not be passed in any more.
+  void ListRestored();
   // No call begins before `time`.
   void DelayCallsUntil(base::TimePoint time) {
     not_before_ = std::max(not_before_, time);
@@ -82,6 +89,7 @@
   FeedPace pace_;
   base::Random random_;
   Phase phase_ = Phase::kListing;
+  bool is_restored_ = false;  // The next whole table is of a restored store.
   bool is_calling_ = false;
   uint32_t failures_ = 0;  // Consecutive failures.
   base::TimePoint call_began_;
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -114,7 +114,7 @@
           [&](TableChanged& it) { store_.Handle(std::move(it), now); },
           [&](const TableHistoryLost& it) { store_.Handle(it, now); },
           [&](const TableCallFailed& it) { store_.Handle(it, now); },
-          [&](const OwnRowWritten& it) { store_.Handle(it); },
+          [&](const OwnRowWritten& it) { store_.Handle(it, now); },
           [&](const OwnRowFailed& it) { store_.Handle(it, now); },
           [](const TimerDue&) {},
           [&](const StopRequested&) { HandleStop(now); },
--- a/Libraries/LibForward/store_sync_messages.h
+++ b/Libraries/LibForward/store_sync_messages.h
@@ -8,6 +8,7 @@
 #include "LibForward/endpoint_limits.h"
 #include "LibForward/feed_row.h"
 #include "LibForward/notice_batch.h"
+#include "LibForward/store_era.h"
 
 // Messages by which a host passes the store's tables on to other hosts, so that
 // not every host has to follow the store itself, and that hosts which the store
@@ -35,9 +36,11 @@
   std::vector<EndpointDeparture> departures;
   // Recent crashes that the requesting host observed.
   CrashNews crashes;
+  StoreEra era = std::nullopt;  // Of the known versions.
 };
 
 struct StoreSyncResponse {
+  StoreEra era;  // Of the tables' versions.
   // Since the store last answered the sender's call for endpoints.
   base::Duration age{};
   std::vector<TableUpdate> tables;
--- a/Libraries/LibForward/store_synchronizer.cc
+++ b/Libraries/LibForward/store_synchronizer.cc
@@ -19,7 +19,6 @@
                                  std::chrono::milliseconds(900)};
 constexpr FeedPace kHostPace{std::chrono::milliseconds(500),
                              std::chrono::milliseconds(20'000)};
-constexpr std::chrono::milliseconds kOwnRowRetry{700};
 // For this long after a failed call, long polls are limited to kShortPollWait:
 // an answer that the store loses is only noticed when the poll times out, and
 // that timeout extends the period again.
@@ -47,36 +46,41 @@
                  FeedFollower(FeedKind::kHosts,
                               kHostPace,
                               context.options().seed + 4)},
-      relays_(context.options().own, context.options().seed + 5) {}
+      relays_(context.options().own, context.options().seed + 5),
+      evacuated_zones_(context),
+      own_row_(context, context.options().seed + 6) {}
 
 std::string_view StoreSynchronizer::ToText(Source source) {
   return source == Source::kStore ? "store" : "peer";
 }
 
 void StoreSynchronizer::Handle(TableListed event, base::TimePoint now) {
-  NoteEra(event.era, Source::kStore);
   const FeedKind feed = event.feed;
+  if (!IsUsable(feed, event.era, now))
+    return;
   const bool was_failing = FollowerOf(feed).is_failing();
-  const auto update = FollowerOf(feed).HandleListed(std::move(event));
+  auto update = FollowerOf(feed).HandleListed(std::move(event));
   NoteEndpointsAnswered(feed, now);
   NoteReachable(feed, was_failing, now);
   if (update)
-    Apply(feed, *update, Source::kStore, now);
+    Apply(feed, std::move(*update), Source::kStore, now);
 }
 
 void StoreSynchronizer::Handle(TableChanged event, base::TimePoint now) {
-  NoteEra(event.era, Source::kStore);
   const FeedKind feed = event.feed;
+  if (!IsUsable(feed, event.era, now))
+    return;
   const bool was_failing = FollowerOf(feed).is_failing();
-  const auto update = FollowerOf(feed).HandleChanged(std::move(event));
+  auto update = FollowerOf(feed).HandleChanged(std::move(event));
   NoteEndpointsAnswered(feed, now);
   NoteReachable(feed, was_failing, now);
-  Apply(feed, update, Source::kStore, now);
+  Apply(feed, std::move(update), Source::kStore, now);
 }
 
 void StoreSynchronizer::Handle(const TableHistoryLost& event,
                                base::TimePoint now) {
-  NoteEra(event.era, Source::kStore);
+  if (!IsUsable(event.feed, event.era, now))
+    return;
   const bool was_failing = FollowerOf(event.feed).is_failing();
   FollowerOf(event.feed).HandleHistoryLost();
   NoteReachable(event.feed, was_failing, now);
@@ -136,21 +140,71 @@
                   {"reason", it->reason}});
 }
 
-void StoreSynchronizer::NoteEra(StoreEra era, Source source) {
+StoreSynchronizer::EraOrder StoreSynchronizer::NoteEra(StoreEra era,
+                                                       Source source,
+                                                       base::TimePoint now) {
   if (!era || era == era_)
+    return EraOrder::kSame;
+  if (era_ && *era < *era_)
+    return EraOrder::kEarlier;
+  era_ = era;
+  const bool knows_tables = std::ranges::any_of(
+      followers_, [](const FeedFollower& it) { return it.has_listed(); });
+  if (!knows_tables)
+    return EraOrder::kSame;
+  BeginEra(source, now);
+  return EraOrder::kLater;
+}
+
+// What is known stays in use until the store's rows replace it. What this host
+// wrote may be lost.
+void StoreSynchronizer::BeginEra(Source source, base::TimePoint now) {
+  context_.Log(base::LogEventId::kStoreRestored, "",
+               {{"era", std::to_string(*era_)},
+                {"told_by", std::string(ToText(source))}});
+  for (FeedFollower& it : followers_)
+    it.ListRestored();
+  for (TableChangeLog& it : change_logs_)
+    it.BeginEra();
+  operators_version_ = 0;
+  directory_.NoteStoreRestored(now);
+  own_row_.WriteAgain(now);
+}
+
+// The first answer of an era only shows that one has begun; the tables are
+// listed then. An answer of an earlier era comes from a call made before.
+bool StoreSynchronizer::IsUsable(FeedKind feed,
+                                 StoreEra era,
+                                 base::TimePoint now) {
+  const EraOrder order = NoteEra(era, Source::kStore, now);
+  if (order == EraOrder::kEarlier)
+    FollowerOf(feed).HandleFailed(now);
+  return order == EraOrder::kSame;
+}
+
+// Endpoints that live write their entries again and again. An entry of a
+// restored store that says other than what is known therefore counts only once
+// it has been written again.
+void StoreSynchronizer::DropUnconfirmed(std::vector<FeedRow>& rows) const {
+  if (directory_.is_empty())
     return;
-  if (std::exchange(era_, era))
-    context_.Log(base::LogEventId::kStoreRestored, "",
-                 {{"era", std::to_string(*era)},
-                  {"told_by", std::string(ToText(source))}});
+  std::erase_if(rows, [this](const FeedRow& row) {
+    const auto* endpoint = std::get_if<ListedEndpoint>(&row.content);
+    return endpoint != nullptr && !directory_.Confirms(*endpoint);
+  });
 }
 
 void StoreSynchronizer::Apply(FeedKind feed,
-                              const FeedFollower::Update& update,
+                              FeedFollower::Update update,
                               Source source,
                               base::TimePoint now) {
   for (const FeedRow& row : update.rows)
     LogUnreadable(feed, row);
+  if (update.is_restored && feed == FeedKind::kEndpoints)
+    DropUnconfirmed(update.rows);
+  // The other rows that a restored store lacks will be written again.
+  if (update.is_restored && feed != FeedKind::kEndpoints)
+    update.is_whole = false;
   ChangeLogOf(feed).Apply(update.is_whole, update.rows,
                           FollowerOf(feed).version());
   switch (feed) {
@@ -158,7 +212,8 @@
       if (!update.rows.empty())
         operators_version_ = FollowerOf(feed).version();
       ApplyConfiguration(update, source);
-      ApplyEvacuations(update);
+      if (evacuated_zones_.Apply(update))
+        ++endpoint_changes_;
       return;
     case FeedKind::kEndpoints:
       NoteColdEndpoints(update, now);
@@ -208,46 +263,11 @@
   }
 }
 
-void StoreSynchronizer::ApplyEvacuations(const FeedFollower::Update& update) {
-  const std::map<std::string, base::ZoneName> earlier = evacuations_;
-  if (update.is_whole)
-    evacuations_.clear();
-  for (const FeedRow& row : update.rows) {
-    if (const auto* it = std::get_if<ZoneEvacuated>(&row.content))
-      evacuations_[row.key] = it->zone;
-    else if (std::holds_alternative<RowRemoved>(row.content))
-      evacuations_.erase(row.key);
-    // An unreadable row still exists, so its evacuation stays in force.
-    else if (const auto known = earlier.find(row.key); known != earlier.end())
-      evacuations_.insert(*known);
-  }
-  if (evacuations_ == earlier)
-    return;
-  ++endpoint_changes_;
-  LogEvacuations(earlier);
-}
-
-void StoreSynchronizer::LogEvacuations(
-    const std::map<std::string, base::ZoneName>& earlier) {
-  for (const auto& [key, zone] : evacuations_) {
-    if (!earlier.contains(key))
-      context_.Log(base::LogEventId::kZoneEvacuated, "",
-                   {{"zone", zone.value}});
-  }
-  for (const auto& [key, zone] : earlier) {
-    if (!evacuations_.contains(key))
-      context_.Log(base::LogEventId::kZoneTakenBack, "",
-                   {{"zone", zone.value}});
-  }
-}
-
 std::vector<ListedEndpoint> StoreSynchronizer::endpoints() const {
   std::vector<ListedEndpoint> all = directory_.endpoints();
-  for (const auto& [key, zone] : evacuations_) {
-    for (ListedEndpoint& it : all) {
-      if (it.zone == zone)
-        it.state = EndpointState::kEvacuated;
-    }
+  for (ListedEndpoint& it : all) {
+    if (evacuated_zones_.Contains(it.zone))
+      it.state = EndpointState::kEvacuated;
   }
   return all;
 }
@@ -300,6 +320,7 @@
   if (!relay)
     return;
   RequestStoreSync request{relay->address, {}};
+  request.request.era = era_;
   for (const FeedKind feed : kFeedKinds) {
     const FeedFollower& follower = FollowerOf(feed);
     request.request.known.push_back(
@@ -317,6 +338,7 @@
 
 void StoreSynchronizer::Handle(const PeerStoreSyncRequested& event,
                                base::TimePoint now) {
+  NoteEra(event.request.era, Source::kPeer, now);
   ApplyDepartures(event.request.departures, now);
   CrashTracker& crashes = context_.conditions().crashes;
   crashes.Apply(event.request.crashes, now);
@@ -328,10 +350,12 @@
   answer.response.age = now - endpoints_as_of_;
   answer.response.revision = configuration_ ? configuration_->revision : 0;
   answer.response.operators_version = operators_version_;
+  answer.response.era = era_;
+  const bool is_comparable = event.request.era == era_;
   for (const KnownVersion& it : event.request.known) {
     if (FollowerOf(it.feed).has_listed())
       answer.response.tables.push_back(
-          ChangeLogOf(it.feed).UpdateSince(it.version));
+          ChangeLogOf(it.feed).UpdateSince(is_comparable ? it.version : 0));
   }
   context_.Emit(std::move(answer));
 }
@@ -339,7 +363,9 @@
 void StoreSynchronizer::Handle(StoreSyncReceived event, base::TimePoint now) {
   const base::TimePoint valid_until =
       now - event.response.age + kRelayedValidity;
-  const bool is_fresh = now < valid_until;
+  const bool is_earlier =
+      NoteEra(event.response.era, Source::kPeer, now) == EraOrder::kEarlier;
+  const bool is_fresh = !is_earlier && now < valid_until;
   const bool needs_copy = relays_.has_relays() || IsStoreFailing();
   relays_.NoteAnswered(now, needs_copy && !is_fresh);
   // Relays don't poll each other. Hosts that poll both relays in turn carry
@@ -348,13 +374,16 @@
     relays_.RotateRelay();
   const uint64_t own_revision = configuration_ ? configuration_->revision : 0;
   FeedFollower& follower = FollowerOf(FeedKind::kConfiguration);
-  const bool knows_less = event.response.operators_version > follower.version();
+  const bool knows_less =
+      !is_earlier && event.response.operators_version > follower.version();
   if (event.response.revision > own_revision || knows_less)
     follower.RestartCallBegunBefore(now);
   if (is_fresh)
     NoteFreshCopy(valid_until, now);
   else
     SpaceOutFailingCalls();
+  if (is_earlier)
+    return;
   for (TableUpdate& it : event.response.tables) {
     // What operators have written holds, however long ago the sender heard it;
     // an outdated copy of the other tables may lack an endpoint that lives.
@@ -395,9 +424,8 @@
   FeedFollower& follower = FollowerOf(update.feed);
   if (!follower.CanUse(update))
     return;
-  follower.NoteRelayed(update);
-  Apply(update.feed, {update.is_whole, std::move(update.rows)}, Source::kPeer,
-        now);
+  const FeedKind feed = update.feed;
+  Apply(feed, follower.TakeRelayed(std::move(update)), Source::kPeer, now);
 }
 
 void StoreSynchronizer::Handle(const StoreSyncFailed& event,
@@ -407,26 +435,24 @@
     context_.Log(base::LogEventId::kRelayLost, "", {{"reason", event.detail}});
 }
 
-void StoreSynchronizer::Handle(const OwnRowWritten& /*event*/) {
-  own_row_due_.reset();
+void StoreSynchronizer::Handle(const OwnRowWritten& event,
+                               base::TimePoint now) {
+  own_row_.HandleWritten();
+  NoteEra(event.era, Source::kStore, now);
 }
 
 void StoreSynchronizer::Handle(const OwnRowFailed& event, base::TimePoint now) {
   context_.Log(base::LogEventId::kPlatformUnreachable, "",
                {{"feed", "own_row"}, {"reason", event.detail}});
-  own_row_due_ = now + kOwnRowRetry;
+  own_row_.HandleFailed(now);
 }
 
 void StoreSynchronizer::NoteStopping() {
-  own_row_due_.reset();
-  context_.Emit(RemoveOwnRow{context_.options().own.name});
+  own_row_.Remove();
 }
 
 void StoreSynchronizer::HandleTimer(base::TimePoint now) {
-  if (own_row_due_ && *own_row_due_ <= now) {
-    own_row_due_.reset();
-    context_.Emit(WriteOwnRow{context_.options().own});
-  }
+  own_row_.HandleTimer(now);
   if (directory_.DropMissing(now))
     ++endpoint_changes_;
   PollRelay(now);
@@ -440,7 +466,7 @@
 }
 
 std::optional<base::TimePoint> StoreSynchronizer::NextWakeup() const {
-  std::optional<base::TimePoint> next = own_row_due_;
+  std::optional<base::TimePoint> next = own_row_.NextWakeup();
   const auto consider = [&next](std::optional<base::TimePoint> time) {
     if (time && (!next || *time < *next))
       next = time;
--- a/Libraries/LibForward/store_synchronizer.h
+++ b/Libraries/LibForward/store_synchronizer.h
@@ -6,8 +6,10 @@
 #include <vector>
 
 #include "LibForward/endpoint_directory.h"
+#include "LibForward/evacuated_zones.h"
 #include "LibForward/feed_follower.h"
 #include "LibForward/forward_context.h"
+#include "LibForward/own_row_writer.h"
 #include "LibForward/relay_poller.h"
 #include "LibForward/table_change_log.h"
 
@@ -34,7 +36,7 @@
   void Handle(const PeerStoreSyncRequested& event, base::TimePoint now);
   void Handle(StoreSyncReceived event, base::TimePoint now);
   void Handle(const StoreSyncFailed& event, base::TimePoint now);
-  void Handle(const OwnRowWritten& event);
+  void Handle(const OwnRowWritten& event, base::TimePoint now);
   void Handle(const OwnRowFailed& event, base::TimePoint now);
   void HandleTimer(base::TimePoint now);
   void NoteStopping();
@@ -66,18 +68,18 @@
   }
   // Who told this host something about the store's contents.
   enum class Source { kStore, kPeer };
+  // How an era compares with the latest one known before.
+  enum class EraOrder { kEarlier, kSame, kLater };
 
   static std::string_view ToText(Source source);
   void Apply(FeedKind feed,
-             const FeedFollower::Update& update,
+             FeedFollower::Update update,
              Source source,
              base::TimePoint now);
   // Records the endpoints that are cold according to their rows.
   void NoteColdEndpoints(const FeedFollower::Update& update,
                          base::TimePoint now);
   void ApplyConfiguration(const FeedFollower::Update& update, Source source);
-  void ApplyEvacuations(const FeedFollower::Update& update);
-  void LogEvacuations(const std::map<std::string, base::ZoneName>& earlier);
   void ApplyHosts(const FeedFollower::Update& update);
   void NoteEndpointsAnswered(FeedKind feed, base::TimePoint now);
   void NoteReachable(FeedKind feed, bool was_failing, base::TimePoint now);
@@ -91,7 +93,11 @@
   void SpaceOutFailingCalls();
   void PollRelay(base::TimePoint now);
   void LogUnreadable(FeedKind feed, const FeedRow& row);
-  void NoteEra(StoreEra era, Source source);
+  EraOrder NoteEra(StoreEra era, Source source, base::TimePoint now);
+  void BeginEra(Source source, base::TimePoint now);
+  // Whether an answer of the store to a call for this table can be used.
+  bool IsUsable(FeedKind feed, StoreEra era, base::TimePoint now);
+  void DropUnconfirmed(std::vector<FeedRow>& rows) const;
 
   ForwardContext& context_;
   std::array<FeedFollower, 3> followers_;
@@ -105,10 +111,10 @@
   base::TimePoint endpoints_as_of_;
   // Until then the copy that a peer has passed on is valid.
   base::TimePoint relayed_until_;
-  StoreEra era_;
+  StoreEra era_;  // The latest one known.
   std::map<std::string, PeerHost> hosts_;
   std::shared_ptr<const ForwardConfiguration> configuration_;
-  std::map<std::string, base::ZoneName> evacuations_;  // By row key.
+  EvacuatedZones evacuated_zones_;
   // Version of the configuration feed at the last change of one of the
   // operators' rows.
   uint64_t operators_version_ = 0;
@@ -118,8 +124,7 @@
   uint64_t configuration_changes_ = 0;
   uint64_t endpoint_changes_ = 0;
   uint64_t host_changes_ = 0;
-  // When to write this host's row; empty while a write is in flight or done.
-  std::optional<base::TimePoint> own_row_due_ = base::TimePoint();
+  OwnRowWriter own_row_;
 };
 
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/table_change_log.cc
+++ b/Libraries/LibForward/table_change_log.cc
@@ -56,6 +56,15 @@
   }
 }
 
+void TableChangeLog::BeginEra() {
+  std::erase_if(entries_,
+                [](const auto& it) { return IsRemoved(it.second.content); });
+  tombstone_count_ = 0;
+  for (auto& [key, entry] : entries_)
+    entry.changed = 0;
+  version_ = 0;
+}
+
 void TableChangeLog::ApplyRow(const FeedRow& row, uint64_t version) {
   // An unreadable row leaves the known content unchanged.
   if (std::holds_alternative<RowUnreadable>(row.content))
--- a/Libraries/LibForward/table_change_log.h
+++ b/Libraries/LibForward/table_change_log.h
@@ -21,6 +21,10 @@
 
   TableUpdate UpdateSince(uint64_t version) const;
 
+  // The store has come back from an older copy: what follows has versions that
+  // can't be compared with the earlier ones.
+  void BeginEra();
+
  private:
   struct Entry {
     RowContent content;  // RowRemoved for removed rows (tombstones).
--- a/Libraries/LibSoak/fault_plan.h
+++ b/Libraries/LibSoak/fault_plan.h
@@ -38,6 +38,7 @@
   kEndpointDies,
   kEndpointMisbehaves,
   kDeadlyRequest,
+  kStoreRestored,
 };
 
 inline constexpr std::array kFaultKinds{
@@ -63,6 +64,7 @@
     std::pair{FaultKind::kEndpointDies, "endpoint-dies"},
     std::pair{FaultKind::kEndpointMisbehaves, "endpoint-misbehaves"},
     std::pair{FaultKind::kDeadlyRequest, "deadly-request"},
+    std::pair{FaultKind::kStoreRestored, "store-restored"},
 };
 
 constexpr std::string_view ToText(FaultKind kind) {
--- a/Libraries/LibSoak/soak_run.cc
+++ b/Libraries/LibSoak/soak_run.cc
@@ -21,6 +21,8 @@
 // All faults of a plan end within this time.
 constexpr milliseconds kRecoveryTimeout{20'000};
 constexpr milliseconds kStoreDelay{700};
+// Within this time after a restoration, lost rows have been written again.
+constexpr milliseconds kRewriteTime{500};
 // Time in which all hosts learn of a deadly request, and some more.
 constexpr milliseconds kDeadlyTime{2500};
 constexpr size_t kCallersPerHost = 4;
@@ -169,6 +171,7 @@
     case Plan::kStoreFrozen:
     case Plan::kStoreLosesAnswers:
     case Plan::kStoreForgets:
+    case Plan::kStoreRestored:
       BeginAtStore(fault);
       return;
     case Plan::kEndpointLeaves:
@@ -225,6 +228,9 @@
     case Plan::kStoreLosesAnswers:
       DisturbStore({StoreFault::kAnswerLost}, fault.lasts);
       return;
+    case Plan::kStoreRestored:
+      RestoreStoreAfter(fault.lasts);
+      return;
     default:
       store_->ForgetHistory();
       checker_.BeginDisturbance(kStorePart);
@@ -233,6 +239,18 @@
   }
 }
 
+// What is written in the meantime is lost. The operators' and endpoints' rows
+// are written again soon afterwards.
+void SoakRun::RestoreStoreAfter(milliseconds time) {
+  checker_.BeginDisturbance(kStorePart);
+  timers_.After(time, [this, copy = store_->TakeCopy()] {
+    store_->Restore(copy);
+    timers_.After(kRewriteTime, [this] {
+      checker_.EndDisturbance(kStorePart, reactor_.Now());
+    });
+  });
+}
+
 // A new fault replaces the previous one, and stays until the timer of the last
 // one expires.
 void SoakRun::DisturbStore(standins::Fault fault, milliseconds lasts) {
--- a/Libraries/LibSoak/soak_run.h
+++ b/Libraries/LibSoak/soak_run.h
@@ -57,6 +57,7 @@
   void BeginAtHost(const PlannedFault& fault);
   void BeginAtStore(const PlannedFault& fault);
   void BeginAtEndpoint(const PlannedFault& fault);
+  void RestoreStoreAfter(std::chrono::milliseconds time);
   void DisturbStore(standins::Fault fault, std::chrono::milliseconds lasts);
   void ChangeConfiguration();
   void ChangeKey();
--- a/Libraries/LibTransport/store_sync_codec.cc
+++ b/Libraries/LibTransport/store_sync_codec.cc
@@ -221,6 +221,22 @@
   return object;
 }
 
+void SetEra(forward::StoreEra era, Json::Value& object) {
+  if (era)
+    object["era"] = static_cast<Json::UInt64>(*era);
+}
+
+bool HasEraOrNone(const Json::Value& object) {
+  return !object.isMember("era") || object["era"].isUInt64();
+}
+
+// Empty if the message has none, as that of a host of an earlier version.
+forward::StoreEra EraOf(const Json::Value& object) {
+  if (!object.isMember("era"))
+    return std::nullopt;
+  return object["era"].asUInt64();
+}
+
 // Hosts of earlier versions tell of no parts of prompts.
 std::optional<std::vector<forward::PartAnswer>> PartAnswersOf(
     const Json::Value& array) {
@@ -331,6 +347,7 @@
 std::string EncodeStoreSyncRequest(
     const forward::StoreSyncRequest& sync_request) {
   Json::Value object;
+  SetEra(sync_request.era, object);
   Json::Value& known = object["known"] = Json::Value(Json::objectValue);
   for (const forward::KnownVersion& it : sync_request.known)
     known[std::string(forward::ToText(it.feed))] =
@@ -344,13 +361,15 @@
 std::optional<forward::StoreSyncRequest> DecodeStoreSyncRequest(
     std::string_view text) {
   const auto object = ParseJsonValue(text);
-  if (!object || !object->isObject() || !(*object)["known"].isObject())
+  if (!object || !object->isObject() || !(*object)["known"].isObject() ||
+      !HasEraOrNone(*object))
     return std::nullopt;
   auto departures = DeparturesOf((*object)["departures"]);
   auto crashes = CrashNewsOf((*object)["crashes"]);
   if (!departures || !crashes)
     return std::nullopt;
   forward::StoreSyncRequest sync_request;
+  sync_request.era = EraOf(*object);
   sync_request.crashes = std::move(*crashes);
   sync_request.departures = std::move(*departures);
   const Json::Value& known = (*object)["known"];
@@ -366,6 +385,7 @@
 std::string EncodeStoreSyncResponse(
     const forward::StoreSyncResponse& response) {
   Json::Value object;
+  SetEra(response.era, object);
   object["age_us"] = static_cast<Json::UInt64>(response.age.count());
   object["revision"] = static_cast<Json::UInt64>(response.revision);
   object["operators_version"] =
@@ -392,13 +412,14 @@
   if (!object || !object->isObject() || !(*object)["revision"].isUInt64() ||
       !(*object)["operators_version"].isUInt64() ||
       !(*object)["age_us"].isInt64() || (*object)["age_us"].asInt64() < 0 ||
-      !(*object)["tables"].isArray())
+      !(*object)["tables"].isArray() || !HasEraOrNone(*object))
     return std::nullopt;
   auto notices = NoticesOf((*object)["notices"]);
   auto limits = DecodeLimitReports((*object)["limits"]);
   if (!notices || !limits)
     return std::nullopt;
   forward::StoreSyncResponse response;
+  response.era = EraOf(*object);
   response.limits = std::move(*limits);
   response.notices = std::move(*notices);
   response.age = *ParseMicroseconds((*object)["age_us"]);
--- a/Tests/LibForward/store_fleet.cc
+++ b/Tests/LibForward/store_fleet.cc
@@ -199,7 +199,7 @@
         continue;
       }
       Put(FeedKind::kHosts, write->host.name.value, write->host);
-      it.synchronizer->Handle(OwnRowWritten{era_});
+      it.synchronizer->Handle(OwnRowWritten{era_}, now());
     } else if (auto* sync = std::get_if<RequestStoreSync>(&action)) {
       ++poll_count_;
       const PeerExchangeId exchange{++last_exchange_};
--- a/Tests/LibForward/store_fleet.h
+++ b/Tests/LibForward/store_fleet.h
@@ -45,6 +45,8 @@
   // The store comes back from that copy in a new era, in which versions are
   // assigned again from the copy's on.
   void RestoreStore();
+  // Others write to tables that hosts don't follow.
+  void WriteElsewhere(uint64_t n) { tables_.version += n; }
 
   uint64_t revision_of(size_t host) const;
   // The number of hosts whose configuration is older than this revision.
--- a/Tests/LibForward/test_store_fleet.cc
+++ b/Tests/LibForward/test_store_fleet.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
-#include <optional>
+#include <algorithm>
+#include <string>
 
 #include "LibForward/store_fleet.h"
 
@@ -107,6 +108,163 @@
   }
 }
 
+// Runs for `time`; returns the highest number of hosts that would have sent
+// requests to the endpoint meanwhile.
+size_t MostServing(StoreFleet& fleet,
+                   const std::string& endpoint,
+                   milliseconds time) {
+  size_t most = 0;
+  for (milliseconds passed(0); passed < time; passed += milliseconds(20)) {
+    fleet.RunFor(milliseconds(20));
+    most = std::max(most, fleet.CountServing(endpoint));
+  }
+  return most;
+}
+
+// Guards against hosts that ask a restored store for what came after a version
+// of the time before, which is assigned to other rows now.
+TEST_CASE("a configuration written to a restored store reaches all hosts") {
+  for (const size_t hosts : kFleetSizes) {
+    for (const uint64_t written : {0, 20, 100'000}) {
+      CAPTURE(hosts);
+      CAPTURE(written);
+      StoreFleet fleet = RunningFleet(hosts, 1);
+      fleet.CopyStore();
+      fleet.RunFor(seconds(3));
+      fleet.WriteConfiguration(2);
+      fleet.RunFor(seconds(1));
+      fleet.RestoreStore();
+      fleet.WriteConfiguration(2);
+      fleet.WriteConfiguration(3);
+      fleet.EvacuateZone("z0");
+      fleet.WriteElsewhere(written);
+      fleet.RunFor(ApplyTimeOf(hosts));
+      CHECK(fleet.CountOlderThan(3) == 0);
+      CHECK(fleet.CountEvacuated("e1") == hosts);
+    }
+  }
+}
+
+TEST_CASE("a restored store doesn't bring an older configuration into force") {
+  for (const size_t hosts : kFleetSizes) {
+    CAPTURE(hosts);
+    StoreFleet fleet = RunningFleet(hosts, 1);
+    fleet.CopyStore();
+    fleet.WriteConfiguration(2);
+    fleet.EvacuateZone("z0");
+    fleet.RunFor(seconds(3));
+    REQUIRE(fleet.CountOlderThan(2) == 0);
+    fleet.RestoreStore();
+    for (int i = 0; i < 200; ++i) {
+      fleet.RunFor(milliseconds(20));
+      REQUIRE(fleet.CountOlderThan(2) == 0);
+      REQUIRE(fleet.CountServing("e1") == 0);
+    }
+  }
+}
+
+TEST_CASE("endpoints that left don't come back with an older store") {
+  for (const size_t hosts : kFleetSizes) {
+    CAPTURE(hosts);
+    StoreFleet fleet = RunningFleet(hosts, 1);
+    fleet.WriteEndpoint("gone", EndpointState::kServing);
+    fleet.RunFor(seconds(2));
+    REQUIRE(fleet.CountServing("gone") == hosts);
+    fleet.CopyStore();
+    fleet.RemoveEndpoint("gone");
+    fleet.WriteEndpoint("e1", EndpointState::kLeaving);
+    fleet.WriteEndpoint("e3", EndpointState::kServing);
+    fleet.RunFor(seconds(3));
+    REQUIRE(fleet.CountServing("e3") == hosts);
+    fleet.RestoreStore();
+    fleet.WriteElsewhere(100'000);
+    CHECK(MostServing(fleet, "gone", milliseconds(500)) == 0);
+    // Endpoints that live write their entries again.
+    fleet.WriteEndpoint("e1", EndpointState::kLeaving);
+    fleet.WriteEndpoint("e3", EndpointState::kServing);
+    CHECK(MostServing(fleet, "gone", seconds(4)) == 0);
+    CHECK(MostServing(fleet, "e1", seconds(4)) == 0);
+    CHECK(fleet.CountServing("e3") == hosts);
+    CHECK(fleet.CountServing("e2") == hosts);
+  }
+}
+
+TEST_CASE("endpoints that an older store lacks stay in use") {
+  for (const size_t hosts : kFleetSizes) {
+    CAPTURE(hosts);
+    StoreFleet fleet = RunningFleet(hosts, 1);
+    fleet.CopyStore();
+    fleet.WriteEndpoint("e3", EndpointState::kServing);
+    fleet.RunFor(seconds(3));
+    fleet.RestoreStore();
+    for (int i = 0; i < 60; ++i) {
+      fleet.RunFor(milliseconds(20));
+      REQUIRE(fleet.CountServing("e3") == hosts);
+    }
+    fleet.WriteEndpoint("e3", EndpointState::kServing);
+    fleet.RunFor(seconds(4));
+    CHECK(fleet.CountServing("e3") == hosts);
+  }
+}
+
+TEST_CASE("hosts write their rows again after the store was restored") {
+  for (const size_t hosts : kFleetSizes) {
+    CAPTURE(hosts);
+    StoreFleet fleet(hosts, 1);
+    fleet.CopyStore();
+    fleet.WriteConfiguration(1);
+    fleet.WriteEndpoint("e1", EndpointState::kServing);
+    fleet.RunFor(seconds(8));
+    REQUIRE(fleet.CountListedHosts() == hosts);
+    fleet.RestoreStore();
+    REQUIRE(fleet.CountListedHosts() == 0);
+    for (int i = 0; i < 100; ++i) {
+      fleet.RunFor(milliseconds(20));
+      REQUIRE(fleet.FewestKnownHosts() == hosts);
+    }
+    CHECK(fleet.CountListedHosts() == hosts);
+  }
+}
+
+TEST_CASE("a host that the store turns away follows its peers to a new era") {
+  for (const size_t hosts : kFleetSizes) {
+    CAPTURE(hosts);
+    StoreFleet fleet = RunningFleet(hosts, 1);
+    fleet.CopyStore();
+    fleet.RunFor(seconds(3));
+    fleet.SetAccessOfEach(2, StoreAccess::kRejects);
+    fleet.RestoreStore();
+    fleet.RunFor(seconds(2));
+    fleet.WriteConfiguration(2);
+    fleet.WriteEndpoint("e3", EndpointState::kServing);
+    fleet.RunFor(ApplyTimeOf(hosts));
+    CHECK(fleet.CountOlderThan(2) == 0);
+    CHECK(fleet.CountServing("e3") == hosts);
+  }
+}
+
+TEST_CASE("an answer from before the store was restored is dropped") {
+  ForwardContext context{ForwardOptions()};
+  StoreSynchronizer synchronizer(context);
+  const base::TimePoint now(seconds(1));
+  const auto row = [](const char* name) {
+    return FeedRow{name, ListedEndpoint{{name}, {"p"}, {"z"}, {"10.0.0.1", 1}}};
+  };
+  synchronizer.Handle(
+      TableListed{FeedKind::kEndpoints, {row("e1")}, false, 90, 1}, now);
+  synchronizer.Handle(TableChanged{FeedKind::kEndpoints, {row("e2")}, 40, 2},
+                      now);
+  synchronizer.Handle(
+      TableListed{FeedKind::kEndpoints, {row("e1")}, false, 40, 2}, now);
+  synchronizer.Handle(
+      TableChanged{
+          FeedKind::kEndpoints, {{"e1", RowRemoved{}}, row("e3")}, 91, 1},
+      now);
+  const auto endpoints = synchronizer.endpoints();
+  REQUIRE(endpoints.size() == 1);
+  CHECK(endpoints.front().name.value == "e1");
+}
+
 TEST_SUITE_END();
 
 }  // namespace
--- a/Tests/LibForward/test_store_synchronizer.cc
+++ b/Tests/LibForward/test_store_synchronizer.cc
@@ -132,7 +132,7 @@
       if (const auto* follow = std::get_if<FollowTable>(&action))
         Begin(follow->feed, *follow);
       if (std::holds_alternative<WriteOwnRow>(action))
-        synchronizer_.Handle(OwnRowWritten{});
+        synchronizer_.Handle(OwnRowWritten{}, At(now_ms_));
     }
   }
 
--- a/Tests/LibTransport/test_store_sync_codec.cc
+++ b/Tests/LibTransport/test_store_sync_codec.cc
@@ -13,6 +13,7 @@
 
 forward::StoreSyncResponse MakeResponse() {
   forward::StoreSyncResponse response;
+  response.era = 3;
   response.age = milliseconds(700);
   response.revision = 12;
   response.operators_version = 39;
@@ -95,6 +96,7 @@
   CHECK(EncodeStoreSyncResponse(*response) ==
         EncodeStoreSyncResponse(MakeResponse()));
   CHECK(response->age == milliseconds(700));
+  CHECK(response->era == 3);
   CHECK(response->revision == 12);
   CHECK(response->operators_version == 39);
   REQUIRE(response->tables.size() == 3);
@@ -180,8 +182,10 @@
   const auto sync_request = DecodeStoreSyncRequest(EncodeStoreSyncRequest(
       {{{forward::FeedKind::kEndpoints, 40}},
        {{{"e1"}, base::Incarnation{7}, milliseconds(20)}},
-       {{{"digest", {"e2"}, milliseconds(30)}}, {}, {}}}));
+       {{{"digest", {"e2"}, milliseconds(30)}}, {}, {}},
+       4}));
   REQUIRE(sync_request.has_value());
+  CHECK(sync_request->era == 4);
   REQUIRE(sync_request->known.size() == 1);
   CHECK(sync_request->known.front().version == 40);
   REQUIRE(sync_request->departures.size() == 1);
@@ -189,7 +193,9 @@
   REQUIRE(sync_request->crashes.suspicions.size() == 1);
   CHECK(sync_request->crashes.suspicions[0].age == milliseconds(30));
   for (const char* text :
-       {"", "{}", "{\"known\":{}}", "{\"known\":{},\"departures\":[1]}",
+       {"", "{}", "{\"known\":{}}",
+        "{\"era\":\"1\",\"known\":{},\"departures\":[]}",
+        "{\"known\":{},\"departures\":[1]}",
         "{\"known\":{\"x\":1},\"departures\":[]}",
         "{\"known\":{\"endpoints\":\"1\"},\"departures\":[]}",
         "{\"known\":{},\"departures\":[{\"endpoint\":\"e\"}]}"})
--- a/Tests/Standins/row_store_standin.cc
+++ b/Tests/Standins/row_store_standin.cc
@@ -20,12 +20,8 @@
 
 constexpr int kConflict = 412;
 constexpr int kGone = 410;
-
-HttpResponse Json(int status, std::string body) {
-  return {status,
-          {{transport::kContentTypeHeader, transport::kJsonType}},
-          std::move(body)};
-}
+// How long after a restoration lost rows are written again.
+constexpr std::chrono::milliseconds kRewriteDelay{300};
 
 std::string ArgumentOf(const IncomingRequest& request, const char* name) {
   const std::string* value = base::FindHeader(request.arguments, name);
@@ -91,6 +87,48 @@
   return it != rows_.end() && !it->second.is_removed;
 }
 
+RowStoreStandin::Copy RowStoreStandin::TakeCopy() const {
+  return {rows_, version_};
+}
+
+void RowStoreStandin::Restore(Copy copy) {
+  std::map<RowKey, Row> lost;
+  for (const auto& [key, row] : rows_) {
+    if (row.version > copy.version && key.first != wire::kHostTable)
+      lost.emplace(key, row);
+  }
+  rows_ = std::move(copy.rows);
+  version_ = copy.version;
+  forgotten_ = 0;
+  ++era_;
+  for (const HeldPoll& it : std::exchange(held_polls_, {}))
+    service_->Abort(it.exchange);
+  timers_.After(kRewriteDelay,
+                [this, lost = std::move(lost), restored = version_] {
+                  WriteAgain(lost, restored);
+                });
+}
+
+void RowStoreStandin::WriteAgain(const std::map<RowKey, Row>& lost,
+                                 uint64_t restored) {
+  for (const auto& [key, row] : lost) {
+    const auto it = rows_.find(key);
+    if (it != rows_.end() && it->second.version > restored)
+      continue;
+    if (row.is_removed)
+      Remove(key.first, key.second);
+    else
+      Put(key.first, key.second, row.value);
+  }
+}
+
+HttpResponse RowStoreStandin::Answer(int status, std::string body) const {
+  return {status,
+          {{transport::kContentTypeHeader, transport::kJsonType},
+           {wire::kStoreEra, std::to_string(era_)}},
+          std::move(body)};
+}
+
 void RowStoreStandin::Handle(const IncomingRequest& request) {
   ++call_count_;
   if (request.path == wire::kRowsFollowPath) {
@@ -102,7 +140,7 @@
       return List(request);
     if (request.path == wire::kRowsWritePath)
       return Write(request);
-    return HttpResponse{404, {}, ""};
+    return Answer(404, "");
   });
 }
 
@@ -132,7 +170,7 @@
 }
 
 HttpResponse RowStoreStandin::List(const IncomingRequest& request) const {
-  return Json(200, PageOf(ArgumentOf(request, "table"), 0, false));
+  return Answer(200, PageOf(ArgumentOf(request, "table"), 0, false));
 }
 
 bool RowStoreStandin::HasChanged(const std::string& table,
@@ -146,8 +184,8 @@
   const std::string table = ArgumentOf(request, "table");
   const uint64_t after =
       std::strtoull(ArgumentOf(request, "after").c_str(), nullptr, 10);
-  if (after < forgotten_) {
-    service_->Respond(request.exchange, {kGone, {}, ""});
+  if (after < forgotten_ || after > version_) {
+    service_->Respond(request.exchange, Answer(kGone, ""));
     return;
   }
   held_polls_.push_back({request.exchange, table, after});
@@ -162,7 +200,7 @@
         const HeldPoll held = *it;
         held_polls_.erase(it);
         service_->Respond(exchange,
-                          Json(200, PageOf(held.table, held.after, true)));
+                          Answer(200, PageOf(held.table, held.after, true)));
       });
   AnswerHeldPolls();
 }
@@ -177,21 +215,21 @@
   });
   for (const HeldPoll& held : due)
     fault_injector_.Serve(service_, held.exchange, [this, held] {
-      return Json(200, PageOf(held.table, held.after, true));
+      return Answer(200, PageOf(held.table, held.after, true));
     });
 }
 
 HttpResponse RowStoreStandin::Write(const IncomingRequest& request) {
   const auto body = transport::ParseJsonValue(request.body);
   if (!body)
-    return {400, {}, ""};
+    return Answer(400, "");
   for (const Json::Value& row : (*body)["expectedRev"]) {
     const auto it =
         rows_.find({row["table"].asString(), row["key"].asString()});
     const uint64_t version =
         it == rows_.end() || it->second.is_removed ? 0 : it->second.version;
     if (version != row["ver"].asUInt64())
-      return {kConflict, {}, ""};
+      return Answer(kConflict, "");
   }
   for (const Json::Value& row : (*body)["writes"])
     Put(row["table"].asString(), row["key"].asString(),
@@ -200,7 +238,7 @@
     Remove(row["table"].asString(), row["key"].asString());
   Json::Value answer;
   answer["ver"] = static_cast<Json::UInt64>(version_);
-  return Json(200, transport::PrintCompact(answer));
+  return Answer(200, transport::PrintCompact(answer));
 }
 
 }  // namespace bilberry::standins
--- a/Tests/Standins/row_store_standin.h
+++ b/Tests/Standins/row_store_standin.h
@@ -31,9 +31,17 @@
   void InjectFault(Fault fault) { fault_injector_.Order(fault); }
   // Drops the change history: polls for changes up to now fail.
   void ForgetHistory() { forgotten_ = version_; }
+  // The store's data at one moment.
+  struct Copy;
+  Copy TakeCopy() const;
+  // Comes back from an older copy, in a new era. What operators and endpoints
+  // have written since is written again a little later; the hosts' own rows are
+  // not.
+  void Restore(Copy copy);
   uint64_t call_count() const { return call_count_; }
 
  private:
+  using RowKey = std::pair<std::string, std::string>;  // Table and key.
   struct Row {
     std::string value;
     uint64_t version = 0;
@@ -47,10 +55,11 @@
     uint64_t after = 0;
   };
 
-  using RowKey = std::pair<std::string, std::string>;  // Table and key.
-
   explicit RowStoreStandin(transport::Reactor& reactor);
 
+  transport::HttpResponse Answer(int status, std::string body) const;
+  void WriteAgain(const std::map<RowKey, Row>& lost, uint64_t restored);
+
   void Handle(const transport::IncomingRequest& request);
   transport::HttpResponse List(const transport::IncomingRequest& request) const;
   transport::HttpResponse Write(const transport::IncomingRequest& request);
@@ -68,7 +77,13 @@
   std::vector<HeldPoll> held_polls_;
   uint64_t version_ = 0;
   uint64_t forgotten_ = 0;
+  uint64_t era_ = 1;
   uint64_t call_count_ = 0;
 };
 
+struct RowStoreStandin::Copy {
+  std::map<RowKey, Row> rows;
+  uint64_t version = 0;
+};
+
 }  // namespace bilberry::standins
