--- a/Libraries/LibForward/forward_endpoint.h
+++ b/Libraries/LibForward/forward_endpoint.h
@@ -29,6 +29,9 @@
   // Differs between successive processes of one name; zero if the platform
   // doesn't state it.
   base::Incarnation incarnation{};
+  // Version of the endpoint's software; empty if its row doesn't state it. What
+  // endpoints of two versions write doesn't fit together in one stream.
+  std::string software_version = {};
   // Remaining cold time as stated by the endpoint's row, counted from its
   // receipt; empty if the row doesn't state it. Recorded by the receiver;
   // endpoint lists leave this field empty.
--- a/Libraries/LibForward/forwarded_request.h
+++ b/Libraries/LibForward/forwarded_request.h
@@ -42,6 +42,10 @@
   uint64_t max_output_tokens = 0;
   std::optional<std::string>
       last_event;  // Last-Event-Id: the last event that the caller received.
+  // Of a request that takes up a broken stream: the id of the caller's attempt
+  // that brought the stream's first event. Empty if the caller doesn't state
+  // it.
+  std::string resumed_stream;
 };
 
 // Returns the digest of what makes two requests of a team the same: method,
--- a/Libraries/LibForward/forwarded_run_coordinator.cc
+++ b/Libraries/LibForward/forwarded_run_coordinator.cc
@@ -434,6 +434,9 @@
                 {"team", run.team ? run.team->value : ""},
                 {"placed_by", placement ? "owner" : "host"},
                 {"resumed", run.has_begun_stream ? "yes" : "no"},
+                {"version", endpoint.software_version},
+                {"takes_up", run.request->last_event ? "yes" : "no"},
+                {"stream", run.request->resumed_stream},
                 {"left_ms", ToMilliseconds(send.left)}});
   context_.Emit(std::move(send));
 }
--- a/Libraries/LibTransport/store_sync_codec.cc
+++ b/Libraries/LibTransport/store_sync_codec.cc
@@ -30,6 +30,8 @@
   object["address"] = base::ToText(endpoint.address);
   object["is_leaving"] = endpoint.state == forward::EndpointState::kLeaving;
   object["incarnation"] = static_cast<Json::UInt64>(endpoint.incarnation);
+  if (!endpoint.software_version.empty())
+    object["software_version"] = endpoint.software_version;
   if (endpoint.cold_for)
     object["cold_us"] = static_cast<Json::Int64>(endpoint.cold_for->count());
   return object;
@@ -78,6 +80,8 @@
                        ? forward::EndpointState::kLeaving
                        : forward::EndpointState::kServing;
   endpoint.incarnation = base::Incarnation{object["incarnation"].asUInt64()};
+  if (object["software_version"].isString())
+    endpoint.software_version = object["software_version"].asString();
   if (!object.isMember("cold_us"))
     return endpoint;
   if (!object["cold_us"].isInt64() || object["cold_us"].asInt64() < 0)
