LibForward: Go on with a broken stream only at the version that began it

Cause: a host that goes on with a broken stream took any endpoint of the pool; nothing read the version of an endpoint's software.

A run keeps the version of the endpoint whose head was passed on, and only endpoints of that version are eligible from then on, whether the host chooses, an owner has placed the request or a permit is held. Without one, the stream ends at once. A request without a first event still goes to any.

--- a/Libraries/LibForward/endpoint_chooser.cc
+++ b/Libraries/LibForward/endpoint_chooser.cc
@@ -107,7 +107,9 @@
   for (const auto& [name, endpoint] : endpoints_) {
     if (endpoint.listed.pool == criteria.pool &&
         endpoint.listed.state == EndpointState::kServing &&
-        std::ranges::find(criteria.avoided, name) == criteria.avoided.end())
+        std::ranges::find(criteria.avoided, name) == criteria.avoided.end() &&
+        (!criteria.software_version ||
+         endpoint.listed.software_version == *criteria.software_version))
       eligible.push_back(&endpoint);
   }
   return eligible;
--- a/Libraries/LibForward/endpoint_chooser.h
+++ b/Libraries/LibForward/endpoint_chooser.h
@@ -35,6 +35,9 @@
   std::string_view affinity;
   // Endpoints at which this request was already attempted.
   std::span<const base::EndpointName> avoided;
+  // Software version at which the request's stream began; empty if it may begin
+  // at any.
+  std::optional<std::string_view> software_version = std::nullopt;
   // Whether a cold endpoint may be chosen although others are available.
   bool may_use_cold = false;
   // Whether the request may crash endpoints, so that it is kept apart from
--- a/Libraries/LibForward/forwarded_run.h
+++ b/Libraries/LibForward/forwarded_run.h
@@ -45,6 +45,7 @@
   // Set if the endpoint was chosen by its placement owner.
   std::optional<PlacementRequestId> placement = std::nullopt;
   PauseTracker pauses = {};
+  std::string software_version = {};  // Of the endpoint.
 };
 
 // A placement that the run has not used yet.
@@ -105,6 +106,10 @@
   std::vector<base::EndpointName> tried;
   uint32_t runs = 0;  // Number of attempts that may have been executed.
   bool has_begun_stream = false;
+  // Version of the endpoint at which the stream began, here or in an earlier
+  // attempt of the caller. It goes on only at endpoints of this version. Empty
+  // as long as it may begin at any.
+  std::optional<std::string> stream_version;
   // Format of the stream's first head; a resumed stream must have the same.
   StreamKind stream_kind;
   std::optional<base::TimePoint> first_byte;  // First byte of the answer.
@@ -115,6 +120,10 @@
   bool has_unnamed_data = false;
 
   bool may_have_run() const { return attempt || runs > 0; }
+  // Whether the endpoint is of the version at which the stream began.
+  bool FitsStream(const ListedEndpoint& endpoint) const {
+    return !stream_version || endpoint.software_version == *stream_version;
+  }
   // Returns the stages whose inputs are complete and that have not been
   // requested.
   std::vector<size_t> ReadyStages() const;
--- a/Libraries/LibForward/forwarded_run_coordinator.cc
+++ b/Libraries/LibForward/forwarded_run_coordinator.cc
@@ -422,9 +422,17 @@
     send.resume_after = run.last_event;
   const bool is_suspect =
       context_.conditions().crashes.CrashCountOf(run.digest) > 0;
-  run.attempt = FinalAttempt{
-      send.attempt, endpoint.name, endpoint.address, now,       {},
-      false,        false,         is_suspect,       placement, {}};
+  run.attempt = FinalAttempt{send.attempt,
+                             endpoint.name,
+                             endpoint.address,
+                             now,
+                             {},
+                             false,
+                             false,
+                             is_suspect,
+                             placement,
+                             {},
+                             endpoint.software_version};
   run.tried.push_back(endpoint.name);
   attempts_.emplace(send.attempt.number, caller);
   chooser_.NoteBegun(endpoint.name, is_suspect, now);
@@ -482,6 +490,7 @@
   if (run.has_begun_stream)
     return;
   run.has_begun_stream = true;
+  run.stream_version = run.attempt->software_version;
   run.stream_kind = StreamKindOf(head);
   context_.Emit(BeginStream{run.request->caller, std::move(head)});
 }
--- a/Libraries/LibForward/run_permits.cc
+++ b/Libraries/LibForward/run_permits.cc
@@ -64,7 +64,8 @@
   if (!run.permit || now < run.permit->begins)
     return std::nullopt;
   HeldPermit permit = *std::exchange(run.permit, std::nullopt);
-  if (now > permit.expires || !chooser_.IsAvailable(permit.endpoint, now)) {
+  if (now > permit.expires || !run.FitsStream(permit.endpoint) ||
+      !chooser_.IsAvailable(permit.endpoint, now)) {
     context_.Log(
         base::LogEventId::kPermitEnded, run.request->request_id,
         {{"endpoint", permit.endpoint.name.value}, {"outcome", "not_used"}});
--- a/Libraries/LibForward/run_placements.cc
+++ b/Libraries/LibForward/run_placements.cc
@@ -59,9 +59,10 @@
   return context_.conditions().crashes.CrashCountOf(run.digest) > 0;
 }
 
+// The owner doesn't know at which version a stream has to go on.
 bool RunPlacements::IsRequestDue(const ForwardedRun& run) {
-  return run.uses_placement && !run.has_asked_placement && !run.attempt &&
-         run.AreStagesRequested();
+  return run.uses_placement && !run.stream_version &&
+         !run.has_asked_placement && !run.attempt && run.AreStagesRequested();
 }
 
 void RunPlacements::Request(base::CallerId caller,
@@ -125,8 +126,8 @@
       std::ranges::find(run.tried, placement.placed.endpoint) !=
       run.tried.end();
   auto endpoint = chooser_.FindPlaced(placement.placed, now);
-  const bool is_usable =
-      endpoint && endpoint->pool == run.final_pool && !is_suspect && !was_tried;
+  const bool is_usable = endpoint && endpoint->pool == run.final_pool &&
+                         run.FitsStream(*endpoint) && !is_suspect && !was_tried;
   Log(run, placement,
       is_suspect   ? "suspect"
       : !is_usable ? "endpoint"
--- a/Libraries/LibForward/selection_criteria.cc
+++ b/Libraries/LibForward/selection_criteria.cc
@@ -46,6 +46,8 @@
   EndpointCriteria criteria;
   criteria.pool = run.final_pool;
   criteria.avoided = run.tried;
+  if (run.stream_version)
+    criteria.software_version = *run.stream_version;
   criteria.affinity = SharedPrefixOf(run.request->prefix);
   criteria.may_use_cold = MayUseCold(run, now);
   criteria.longest_wait = LongestPermitWait(run, now);
