LibForward: Notice a second restoration before the tables are listed again

Cause: an era counted as the first one heard of while no table was listed, which is also so right after a restoration. A second one in that moment was adopted in silence: this host's rows were not written again.

Only a host that has never heard of an era adopts one in silence. Restorations are counted for those who keep rows of their own.

--- a/Libraries/LibForward/store_synchronizer.cc
+++ b/Libraries/LibForward/store_synchronizer.cc
@@ -147,10 +147,10 @@
     return EraOrder::kSame;
   if (era_ && *era < *era_)
     return EraOrder::kEarlier;
+  const bool is_first =
+      !era_ && std::ranges::none_of(followers_, &FeedFollower::has_listed);
   era_ = era;
-  const bool knows_tables = std::ranges::any_of(
-      followers_, [](const FeedFollower& it) { return it.has_listed(); });
-  if (!knows_tables)
+  if (is_first)
     return EraOrder::kSame;
   BeginEra(source, now);
   return EraOrder::kLater;
@@ -166,6 +166,7 @@
     it.ListRestored();
   for (TableChangeLog& it : change_logs_)
     it.BeginEra();
+  ++restorations_;
   operators_version_ = 0;
   directory_.NoteStoreRestored(now);
   own_row_.WriteAgain(now);
--- a/Libraries/LibForward/store_synchronizer.h
+++ b/Libraries/LibForward/store_synchronizer.h
@@ -58,6 +58,8 @@
   uint64_t configuration_changes() const { return configuration_changes_; }
   uint64_t endpoint_changes() const { return endpoint_changes_; }
   uint64_t host_changes() const { return host_changes_; }
+  // How often the store has come back from an older copy.
+  uint64_t restorations() const { return restorations_; }
 
  private:
   FeedFollower& FollowerOf(FeedKind feed) {
@@ -124,6 +126,7 @@
   uint64_t configuration_changes_ = 0;
   uint64_t endpoint_changes_ = 0;
   uint64_t host_changes_ = 0;
+  uint64_t restorations_ = 0;
   OwnRowWriter own_row_;
 };
 
--- a/Tests/LibForward/test_store_fleet.cc
+++ b/Tests/LibForward/test_store_fleet.cc
@@ -226,6 +226,26 @@
   }
 }
 
+TEST_CASE("hosts write their rows again after two restorations in a row") {
+  for (const size_t hosts : kFleetSizes) {
+    CAPTURE(hosts);
+    StoreFleet fleet(hosts, 1);
+    fleet.CopyStore();
+    fleet.WriteConfiguration(1);
+    fleet.WriteEndpoint("e1", EndpointState::kServing);
+    fleet.RunFor(seconds(8));
+    fleet.RestoreStore();
+    // The first hosts have heard of it, and none has listed a table again.
+    fleet.RunFor(milliseconds(4));
+    fleet.RestoreStore();
+    fleet.RunFor(seconds(2));
+    CHECK(fleet.CountListedHosts() == hosts);
+    fleet.WriteConfiguration(2);
+    fleet.RunFor(ApplyTimeOf(hosts));
+    CHECK(fleet.CountOlderThan(2) == 0);
+  }
+}
+
 TEST_CASE("a host that the store turns away follows its peers to a new era") {
   for (const size_t hosts : kFleetSizes) {
     CAPTURE(hosts);
