--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -64,6 +64,7 @@
     {kJobRefused, kInfo, "job-refused"},
     {kPermitEnded, kInfo, "permit-ended"},
     {kPlacementEnded, kInfo, "placement-ended"},
+    {kStreamLookedUp, kInfo, "stream-looked-up"},
 });
 
 }  // namespace
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -62,6 +62,7 @@
   kJobRefused = 1606,
   kPermitEnded = 1607,
   kPlacementEnded = 1608,
+  kStreamLookedUp = 1609,
 };
 
 enum class LogSeverity { kInfo, kWarning, kError };
--- a/Libraries/LibEmulation/emulation.cc
+++ b/Libraries/LibEmulation/emulation.cc
@@ -899,4 +899,13 @@
   });
 }
 
+// The emulated store keeps no streams.
+void Emulation::Execute(size_t host, const forward::ReadStreamRows& action) {
+  DeliverAfter(kStoreDelay, host, forward::StreamRowsRead{action.id, {}});
+}
+
+void Emulation::Execute(size_t host, const forward::WriteStreamRows& action) {
+  DeliverAfter(kStoreDelay, host, forward::StreamRowsWritten{action.id});
+}
+
 }  // namespace bilberry::emulation
--- a/Libraries/LibEmulation/emulation.h
+++ b/Libraries/LibEmulation/emulation.h
@@ -139,6 +139,8 @@
   void Execute(size_t host, const forward::ListTable& action);
   void Execute(size_t host, const forward::FollowTable& action);
   void Execute(size_t host, const forward::WriteOwnRow& action);
+  void Execute(size_t host, const forward::ReadStreamRows& action);
+  void Execute(size_t host, const forward::WriteStreamRows& action);
   void Execute(size_t host, const forward::WriteLog& action);
   // Ignores all other actions; they don't affect the emulation.
   template <typename T>
--- a/Libraries/LibForward/admission_control.cc
+++ b/Libraries/LibForward/admission_control.cc
@@ -72,6 +72,17 @@
   return pipeline.final_pools.front().pool;
 }
 
+void AdmissionControl::FindOrigin(const ForwardedRequest& request,
+                                  ForwardedRun& run) const {
+  if (!request.last_event || !run.pipeline->may_resume)
+    return;
+  const auto found = stream_versions_.Find(request.resumed_stream);
+  if (const auto* origin = std::get_if<StreamOrigin>(&found))
+    run.GoOnAt(origin->pool, origin->software_version);
+  else
+    run.awaits_origin = true;
+}
+
 std::optional<ForwardedRun> AdmissionControl::Admit(ForwardedRequest request,
                                                     base::TimePoint now) {
   ForwardedRun run;
@@ -120,6 +131,7 @@
     run.begin_deadline =
         std::min(run.deadline, now + run.pipeline->first_event_timeout);
   run.final_pool = DrawFinalPool(*run.pipeline);
+  FindOrigin(request, run);
   run.parts = PartSuspectsOf(run.final_pool, request.prefix);
   if (const auto refused =
           context_.conditions().crashes.FindRefusedPart(run.parts, now)) {
--- a/Libraries/LibForward/admission_control.h
+++ b/Libraries/LibForward/admission_control.h
@@ -10,6 +10,7 @@
 #include "LibForward/forwarded_run.h"
 #include "LibForward/run_placements.h"
 #include "LibForward/stage_job_router.h"
+#include "LibForward/stream_versions.h"
 
 namespace bilberry::forward {
 
@@ -25,11 +26,13 @@
                    const StageJobRouter& stages,
                    EndpointChooser& chooser,
                    const RunPlacements& placements,
+                   const StreamVersions& streams,
                    base::Random& random)
       : context_(context),
         stage_job_router_(stages),
         chooser_(chooser),
         placements_(placements),
+        stream_versions_(streams),
         random_(random) {}
 
   void SetConfiguration(
@@ -54,6 +57,7 @@
   };
 
   bool Authenticate(const ForwardedRequest& request, ForwardedRun& run);
+  void FindOrigin(const ForwardedRequest& request, ForwardedRun& run) const;
   const base::PoolName& DrawFinalPool(const ForwardedPipeline& pipeline);
   // `run` holds what is known of the request's pipeline and team.
   void Refuse(const ForwardedRequest& request,
@@ -64,6 +68,7 @@
   const StageJobRouter& stage_job_router_;
   EndpointChooser& chooser_;
   const RunPlacements& placements_;
+  const StreamVersions& stream_versions_;
   base::Random& random_;
   std::shared_ptr<const ForwardConfiguration> configuration_;
   bool is_accepting_ = true;
--- a/Libraries/LibForward/forward_action.h
+++ b/Libraries/LibForward/forward_action.h
@@ -198,6 +198,23 @@
 struct WriteOwnRow {
   PeerHost host;
 };
+// Reads rows of the table of streams in the store: the one with this key, or
+// all of the part. Results in one StreamRowsRead or StreamRowsFailed.
+struct ReadStreamRows {
+  StreamCallId id{};
+  std::string part;
+  std::optional<std::string> key;
+};
+
+// Writes and removes rows of one part of that table, all or none. Results in
+// one StreamRowsWritten or StreamRowsFailed.
+struct WriteStreamRows {
+  StreamCallId id{};
+  std::string part;
+  std::vector<StreamRow> written;
+  std::vector<std::string> removed;  // Keys.
+};
+
 struct RemoveOwnRow {
   base::HostName name;
 };
@@ -251,6 +268,8 @@
                             FollowTable,
                             WriteOwnRow,
                             RemoveOwnRow,
+                            ReadStreamRows,
+                            WriteStreamRows,
                             WriteLog,
                             ApplyCallerLimits,
                             Exit>;
--- a/Libraries/LibForward/forward_event.h
+++ b/Libraries/LibForward/forward_event.h
@@ -16,6 +16,7 @@
 #include "LibForward/stage_job.h"
 #include "LibForward/store_era.h"
 #include "LibForward/store_sync_messages.h"
+#include "LibForward/stream_row.h"
 
 // Input events of an entry host that forwards requests.
 namespace bilberry::forward {
@@ -226,6 +227,19 @@
   std::string detail;
 };
 
+// Answers to ReadStreamRows and WriteStreamRows.
+struct StreamRowsRead {
+  StreamCallId id{};
+  std::vector<StreamRow> rows;
+};
+struct StreamRowsWritten {
+  StreamCallId id{};
+};
+struct StreamRowsFailed {
+  StreamCallId id{};
+  std::string detail;
+};
+
 struct TimerDue {};
 // Begins a graceful shutdown.
 struct StopRequested {};
@@ -264,6 +278,9 @@
                            TableCallFailed,
                            OwnRowWritten,
                            OwnRowFailed,
+                           StreamRowsRead,
+                           StreamRowsWritten,
+                           StreamRowsFailed,
                            TimerDue,
                            StopRequested>;
 
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -27,7 +27,13 @@
       chooser_(context_.options().seed, context_.conditions()),
       placements_(context_, peers_, chooser_),
       stages_(context_, peers_),
-      runs_(context_, chooser_, stages_, permits_, placements_) {
+      stream_versions_(context_),
+      runs_(context_,
+            chooser_,
+            stages_,
+            permits_,
+            placements_,
+            stream_versions_) {
   context_.Log(base::LogEventId::kHostStarted, "",
                {{"host", context_.options().own.name.value},
                 {"zone", context_.options().own.zone.value}});
@@ -40,6 +46,7 @@
   ApplyChanges(now);
   UpdateColdEndpoints(now);
   placements_.HandleTimer(now);
+  stream_versions_.HandleTimer(now);
   runs_.HandleTimer(now);
   WatchCrashes(now);
   notices_.SendDue(now);
@@ -116,6 +123,9 @@
           [&](const TableCallFailed& it) { store_.Handle(it, now); },
           [&](const OwnRowWritten& it) { store_.Handle(it, now); },
           [&](const OwnRowFailed& it) { store_.Handle(it, now); },
+          [&](const StreamRowsRead& it) { stream_versions_.Handle(it, now); },
+          [&](const StreamRowsWritten& it) { stream_versions_.Handle(it); },
+          [&](const StreamRowsFailed& it) { stream_versions_.Handle(it, now); },
           [](const TimerDue&) {},
           [&](const StopRequested&) { HandleStop(now); },
       },
@@ -227,6 +237,7 @@
     SetColdRates();
     runs_.SetConfiguration(store_.configuration());
     placements_.SetConfiguration(store_.configuration());
+    stream_versions_.SetConfiguration(*store_.configuration());
     stages_.Reconfigure(*store_.configuration());
     context_.Emit(ApplyCallerLimits{store_.configuration()->limits});
   }
@@ -238,6 +249,7 @@
     context_.conditions().crashes.SetEndpoints(endpoints, now);
     chooser_.SetEndpoints(endpoints);
     placements_.SetEndpoints(endpoints);
+    stream_versions_.SetEndpoints(endpoints, now);
     stages_.SetEndpoints(endpoints);
     permits_.SetEndpoints(endpoints);
   }
@@ -246,8 +258,13 @@
     peers_.SetHosts(store_.hosts(), now);
     stages_.MonitorDispatchers();
     runs_.SetFleetSize(peers_.assignment().host_count());
+    stream_versions_.SetFleetSize(peers_.assignment().host_count());
     store_.ChooseRelays();
   }
+  if (seen_restorations_ != store_.restorations()) {
+    seen_restorations_ = store_.restorations();
+    stream_versions_.WriteAgain();
+  }
   if (seen_peer_changes_ != peers_.changes()) {
     seen_peer_changes_ = peers_.changes();
     permits_.UpdateLimitOwners();
@@ -304,6 +321,7 @@
   consider(peers_.NextWakeup());
   consider(stages_.NextWakeup());
   consider(placements_.NextWakeup());
+  consider(stream_versions_.NextWakeup());
   consider(runs_.NextWakeup());
   consider(context_.conditions().backoffs.NextEnd());
   consider(context_.conditions().cold_endpoints.NextStep());
--- a/Libraries/LibForward/forward_node.h
+++ b/Libraries/LibForward/forward_node.h
@@ -73,12 +73,14 @@
   EndpointChooser chooser_;
   PlacementCoordinator placements_;
   StageJobRouter stages_;
+  StreamVersions stream_versions_;
   ForwardedRunCoordinator runs_;
   uint64_t seen_configuration_ = 0;
   uint64_t seen_endpoints_ = 0;
   uint64_t seen_hosts_ = 0;
   uint64_t seen_peer_changes_ = 0;
   uint64_t seen_cold_changes_ = 0;
+  uint64_t seen_restorations_ = 0;
   bool was_ready_ = false;
   std::optional<base::TimePoint> stop_began_;
   bool has_exited_ = false;
--- a/Libraries/LibForward/forwarded_run.cc
+++ b/Libraries/LibForward/forwarded_run.cc
@@ -39,6 +39,14 @@
   return stages;
 }
 
+void ForwardedRun::GoOnAt(const base::PoolName& pool,
+                          const std::string& version) {
+  stream_version = version;
+  const auto& pools = pipeline->final_pools;
+  if (std::ranges::find(pools, pool, &PoolShare::pool) != pools.end())
+    final_pool = pool;
+}
+
 std::vector<size_t> ForwardedRun::ReadyStages() const {
   std::vector<size_t> ready;
   for (size_t i = 0; i < stages.size(); ++i) {
--- a/Libraries/LibForward/forwarded_run.h
+++ b/Libraries/LibForward/forwarded_run.h
@@ -110,6 +110,9 @@
   // attempt of the caller. It goes on only at endpoints of this version. Empty
   // as long as it may begin at any.
   std::optional<std::string> stream_version;
+  // Whether the store is being asked where the stream began that the request
+  // takes up. The request isn't sent before.
+  bool awaits_origin = false;
   // Format of the stream's first head; a resumed stream must have the same.
   StreamKind stream_kind;
   std::optional<base::TimePoint> first_byte;  // First byte of the answer.
@@ -120,6 +123,9 @@
   bool has_unnamed_data = false;
 
   bool may_have_run() const { return attempt || runs > 0; }
+  // The stream began in this pool, if the pipeline still uses it, and at this
+  // version.
+  void GoOnAt(const base::PoolName& pool, const std::string& version);
   // Whether the endpoint is of the version at which the stream began.
   bool FitsStream(const ListedEndpoint& endpoint) const {
     return !stream_version || endpoint.software_version == *stream_version;
--- a/Libraries/LibForward/forwarded_run_coordinator.cc
+++ b/Libraries/LibForward/forwarded_run_coordinator.cc
@@ -78,13 +78,15 @@
     EndpointChooser& chooser,
     StageJobRouter& stages,
     PermitCoordinator& permits,
-    PlacementCoordinator& placements)
+    PlacementCoordinator& placements,
+    StreamVersions& streams)
     : context_(context),
       stage_job_router_(stages),
       chooser_(chooser),
       random_(context.options().seed + 1),
       placements_(context, placements, chooser),
-      admission_(context, stages, chooser, placements_, random_),
+      stream_versions_(streams),
+      admission_(context, stages, chooser, placements_, streams, random_),
       permits_(context, permits, chooser_),
       budgets_(context.options().retry_allowance) {}
 
@@ -96,6 +98,9 @@
     return;
   budgets_.Of(run->final_pool).NoteFirstAttempt();
   timers_.Add(caller, *run);
+  if (run->awaits_origin)
+    stream_versions_.LookUp(run->request->resumed_stream, run->final_pool,
+                            caller);
   runs_.emplace(caller, std::move(*run));
   Advance(caller, now);
 }
@@ -113,7 +118,7 @@
   if (RunPlacements::IsRequestDue(run))
     placements_.Request(caller, run, run_times_.StagesEndOf(run, now), now);
   if (!run.attempt && !run.permit_request && !run.placement_request &&
-      run.AreStagesDone())
+      !run.awaits_origin && run.AreStagesDone())
     SendFinal(caller, now);
 }
 
@@ -158,10 +163,55 @@
 void ForwardedRunCoordinator::ProcessOutcomes(base::TimePoint now) {
   do
     ProcessStageOutcomes(now);
-  while (ProcessOutcomesOf(placements_, now) ||
+  while (ProcessLookups(now) || ProcessOutcomesOf(placements_, now) ||
          ProcessOutcomesOf(permits_, now));
 }
 
+bool ForwardedRunCoordinator::CanGoOn(const ForwardedRun& run,
+                                      base::TimePoint now) {
+  return !std::holds_alternative<NoEndpointAvailable>(
+      chooser_.Choose(EndpointCriteriaOf(run, now), now));
+}
+
+bool ForwardedRunCoordinator::ProcessLookups(base::TimePoint now) {
+  bool has_any = false;
+  while (const auto lookup = stream_versions_.TakeLookup()) {
+    const auto it = runs_.find(lookup->caller);
+    if (it == runs_.end() || !it->second.awaits_origin)
+      continue;
+    has_any = true;
+    ForwardedRun& run = it->second;
+    run.awaits_origin = false;
+    const auto* origin = std::get_if<StreamOrigin>(&lookup->verdict);
+    if (origin != nullptr)
+      run.GoOnAt(origin->pool, origin->software_version);
+    const bool is_unknown =
+        std::holds_alternative<UnknownOrigin>(lookup->verdict);
+    context_.Log(
+        base::LogEventId::kStreamLookedUp, run.request->request_id,
+        {{"stream", lookup->stream},
+         {"outcome", is_unknown ? "unknown"
+                     : origin   ? "found"
+                                : "any"},
+         {"version", origin != nullptr ? origin->software_version : ""}});
+    if (is_unknown || !CanGoOn(run, now))
+      AnswerAndEnd(lookup->caller, LocalAnswerCode::kNoEndpoint,
+                   kNoEndpointRetry, now);
+    else
+      Advance(lookup->caller, now);
+  }
+  return has_any;
+}
+
+// A stream that a caller has taken up began in an earlier attempt.
+void ForwardedRunCoordinator::NoteStreamBegun(const ForwardedRun& run,
+                                              base::TimePoint now) {
+  if (run.pipeline->may_resume && !run.request->last_event)
+    stream_versions_.NoteBegun(run.request->request_id,
+                               {run.final_pool, run.attempt->software_version},
+                               now);
+}
+
 void ForwardedRunCoordinator::ProcessStageOutcomes(base::TimePoint now) {
   for (auto outcomes = stage_job_router_.TakeOutcomes(); !outcomes.empty();
        outcomes = stage_job_router_.TakeOutcomes()) {
@@ -518,6 +568,7 @@
     if (!std::exchange(run.attempt->has_event, true)) {
       context_.conditions().crashes.NoteBegun(run.parts, now);
       placements_.NoteFirstEvent(run, now);
+      NoteStreamBegun(run, now);
     }
     run.attempt->pauses.NoteEvent(now);
     run.pauses.NoteEvent(now);
@@ -570,11 +621,15 @@
   if (!run.first_byte)
     run.first_byte = now;
   std::string outcome = "answered " + std::to_string(event.head.status);
-  if (run.has_begun_stream)
+  if (run.has_begun_stream) {
+    stream_versions_.NoteComplete(run.request->last_event
+                                      ? run.request->resumed_stream
+                                      : run.request->request_id);
     context_.Emit(EndStream{*caller, StreamOutcome::kWhole});
-  else
+  } else {
     context_.Emit(
         ForwardAnswer{*caller, std::move(event.head), std::move(event.body)});
+  }
   EndRun(*caller, std::move(outcome), now);
 }
 
--- a/Libraries/LibForward/forwarded_run_coordinator.h
+++ b/Libraries/LibForward/forwarded_run_coordinator.h
@@ -31,7 +31,8 @@
                           EndpointChooser& chooser,
                           StageJobRouter& stages,
                           PermitCoordinator& permits,
-                          PlacementCoordinator& placements);
+                          PlacementCoordinator& placements,
+                          StreamVersions& streams);
 
   void SetConfiguration(
       std::shared_ptr<const ForwardConfiguration> configuration) {
@@ -108,6 +109,12 @@
                 const JobRequestOutcome& outcome,
                 base::TimePoint now);
   void ProcessStageOutcomes(base::TimePoint now);
+  // Continues the requests whose streams' origins were looked up. Returns
+  // whether there were any.
+  bool ProcessLookups(base::TimePoint now);
+  // Whether an endpoint serves at which the run's stream can go on.
+  bool CanGoOn(const ForwardedRun& run, base::TimePoint now);
+  void NoteStreamBegun(const ForwardedRun& run, base::TimePoint now);
   // Processes the outcomes of permit or placement requests. Returns false if
   // there was none.
   template <typename Requests>
@@ -170,6 +177,7 @@
   EndpointChooser& chooser_;
   base::Random random_;
   RunPlacements placements_;
+  StreamVersions& stream_versions_;
   AdmissionControl admission_;
   RunPermits permits_;
   RetryBudgets budgets_;
--- a/Libraries/LibForward/run_placements.cc
+++ b/Libraries/LibForward/run_placements.cc
@@ -61,7 +61,7 @@
 
 // The owner doesn't know at which version a stream has to go on.
 bool RunPlacements::IsRequestDue(const ForwardedRun& run) {
-  return run.uses_placement && !run.stream_version &&
+  return run.uses_placement && !run.stream_version && !run.awaits_origin &&
          !run.has_asked_placement && !run.attempt && run.AreStagesRequested();
 }
 
--- /dev/null
+++ b/Libraries/LibForward/stream_versions.cc
@@ -0,0 +1,352 @@
+#include "LibForward/stream_versions.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "LibForward/rendezvous.h"
+
+namespace bilberry::forward {
+
+namespace {
+
+// A stream is not taken up later than this after its first event.
+constexpr std::chrono::seconds kStreamLife{60};
+// Streams whose rows aren't written yet are unknown if their host is killed.
+constexpr std::chrono::milliseconds kFlushInterval{200};
+// All hosts of a fleet together write about 150 times a second at most.
+constexpr std::chrono::milliseconds kFlushIntervalPerHost{6};
+constexpr std::chrono::milliseconds kRetryDelay{700};
+// The store runs the transactions of one part of a table one after another, so
+// the rows of streams are spread over several.
+constexpr uint64_t kParts = 16;
+constexpr const char* kPoolsPart = "pools";
+constexpr size_t kMaxRowsPerWrite = 100;
+// The store's bound on keys; a stream with a longer id isn't kept.
+constexpr size_t kMaxKeyBytes = 200;
+
+std::string PartOf(const std::string& stream) {
+  return "streams-" + std::to_string(RendezvousWeight(stream, "") % kParts);
+}
+
+std::vector<std::string> NamesOf(
+    const std::map<std::string, std::optional<base::TimePoint>>& versions) {
+  std::vector<std::string> names;
+  for (const auto& [name, gone] : versions)
+    names.push_back(name);
+  return names;
+}
+
+}  // namespace
+
+void StreamVersions::SetConfiguration(
+    const ForwardConfiguration& configuration) {
+  resumable_pools_.clear();
+  for (const ForwardedPipeline& pipeline : configuration.pipelines) {
+    if (!pipeline.may_resume)
+      continue;
+    for (const PoolShare& it : pipeline.final_pools)
+      resumable_pools_.insert(it.pool);
+  }
+  for (const auto& [pool, versions] : versions_)
+    NoteVersionsChanged(pool);
+}
+
+void StreamVersions::SetEndpoints(std::span<const ListedEndpoint> endpoints,
+                                  base::TimePoint now) {
+  std::map<base::PoolName, std::set<std::string>> listed;
+  for (const ListedEndpoint& it : endpoints)
+    listed[it.pool].insert(it.software_version);
+  for (auto& [pool, times] : versions_) {
+    for (auto& [version, gone] : times) {
+      const bool is_listed =
+          listed.contains(pool) && listed[pool].contains(version);
+      if (is_listed)
+        gone.reset();
+      else if (!gone)
+        gone = now;
+    }
+  }
+  for (const auto& [pool, names] : listed) {
+    bool has_changed = false;
+    for (const std::string& it : names)
+      has_changed |= versions_[pool].try_emplace(it, std::nullopt).second;
+    if (has_changed)
+      NoteVersionsChanged(pool);
+  }
+}
+
+// As long as the rows of the pools haven't been read, endpoints of another
+// version may have left while no host was up.
+bool StreamVersions::IsMixed(const base::PoolName& pool) const {
+  const auto it = versions_.find(pool);
+  return !knows_pools_ || it == versions_.end() || it->second.size() > 1;
+}
+
+// Once a pool is mixed, the streams that began before need rows as well.
+void StreamVersions::NoteVersionsChanged(const base::PoolName& pool) {
+  if (!resumable_pools_.contains(pool))
+    return;
+  if (knows_pools_ && written_versions_[pool] != NamesOf(versions_[pool]))
+    unwritten_pools_.insert(pool);
+  if (!IsMixed(pool))
+    return;
+  for (const auto& [name, stream] : streams_) {
+    if (!stream.is_written && stream.origin.pool == pool)
+      unwritten_.insert(name);
+  }
+}
+
+void StreamVersions::WriteAgain() {
+  written_versions_.clear();
+  for (auto& [name, stream] : streams_)
+    stream.is_written = false;
+  for (const auto& [pool, versions] : versions_)
+    NoteVersionsChanged(pool);
+}
+
+void StreamVersions::NoteBegun(const std::string& stream,
+                               StreamOrigin origin,
+                               base::TimePoint now) {
+  if (stream.empty() || stream.size() > kMaxKeyBytes)
+    return;
+  const bool is_mixed = IsMixed(origin.pool);
+  if (!streams_.try_emplace(stream, Stream{std::move(origin)}).second)
+    return;
+  begun_at_.emplace_back(now, stream);
+  if (is_mixed)
+    unwritten_.insert(stream);
+}
+
+void StreamVersions::NoteComplete(const std::string& stream) {
+  Forget(stream);
+}
+
+void StreamVersions::Forget(const std::string& stream) {
+  const auto it = streams_.find(stream);
+  if (it == streams_.end())
+    return;
+  if (it->second.is_written)
+    unremoved_.insert(stream);
+  unwritten_.erase(stream);
+  streams_.erase(it);
+}
+
+std::variant<StreamOrigin, OriginNeedsLookup> StreamVersions::Find(
+    const std::string& stream) const {
+  const auto it = streams_.find(stream);
+  if (it == streams_.end())
+    return OriginNeedsLookup{};
+  return it->second.origin;
+}
+
+void StreamVersions::LookUp(const std::string& stream,
+                            const base::PoolName& pool,
+                            base::CallerId caller) {
+  if (stream.empty() || stream.size() > kMaxKeyBytes) {
+    ended_lookups_.push_back(
+        {caller, stream,
+         IsMixed(pool) ? OriginVerdict(UnknownOrigin{}) : AnyOrigin{}});
+    return;
+  }
+  const StreamCallId id{++last_call_};
+  lookups_[id] = {stream, pool, caller};
+  context_.Emit(ReadStreamRows{id, PartOf(stream), stream});
+}
+
+std::optional<StreamVersions::Lookup> StreamVersions::TakeLookup() {
+  if (ended_lookups_.empty())
+    return std::nullopt;
+  Lookup ended = std::move(ended_lookups_.front());
+  ended_lookups_.pop_front();
+  return ended;
+}
+
+void StreamVersions::Handle(const StreamRowsRead& event, base::TimePoint now) {
+  if (event.id == pools_call_) {
+    pools_call_.reset();
+    ApplyPools(event.rows, now);
+    return;
+  }
+  const auto node = lookups_.extract(event.id);
+  if (node.empty())
+    return;
+  const PendingLookup& lookup = node.mapped();
+  OriginVerdict verdict = AnyOrigin{};
+  if (IsMixed(lookup.pool))
+    verdict = UnknownOrigin{};
+  for (const StreamRow& it : event.rows) {
+    if (it.key == lookup.stream && it.software_versions.size() == 1)
+      verdict = StreamOrigin{it.pool, it.software_versions.front()};
+  }
+  if (const auto* origin = std::get_if<StreamOrigin>(&verdict)) {
+    streams_.try_emplace(lookup.stream, Stream{*origin, true});
+    begun_at_.emplace_back(now, lookup.stream);
+  }
+  ended_lookups_.push_back({lookup.caller, lookup.stream, std::move(verdict)});
+}
+
+// Versions that only a row names were listed before this host started.
+void StreamVersions::ApplyPools(const std::vector<StreamRow>& rows,
+                                base::TimePoint now) {
+  knows_pools_ = true;
+  for (const StreamRow& row : rows) {
+    written_versions_[row.pool] = row.software_versions;
+    for (const std::string& it : row.software_versions)
+      versions_[row.pool].try_emplace(it, now);
+  }
+  for (const auto& [pool, versions] : versions_) {
+    NoteVersionsChanged(pool);
+    if (IsMixed(pool))
+      continue;
+    std::erase_if(unwritten_, [&](const std::string& it) {
+      return streams_.at(it).origin.pool == pool;
+    });
+  }
+}
+
+void StreamVersions::Handle(const StreamRowsWritten& event) {
+  const auto node = writes_.extract(event.id);
+  if (node.empty())
+    return;
+  for (const StreamRow& row : node.mapped().written) {
+    if (node.mapped().part == kPoolsPart) {
+      written_versions_[row.pool] = row.software_versions;
+      NoteVersionsChanged(row.pool);
+      continue;
+    }
+    const auto it = streams_.find(row.key);
+    // The stream has ended meanwhile.
+    if (it == streams_.end())
+      unremoved_.insert(row.key);
+    else
+      it->second.is_written = true;
+  }
+}
+
+void StreamVersions::Handle(const StreamRowsFailed& event,
+                            base::TimePoint now) {
+  if (event.id == pools_call_) {
+    pools_call_.reset();
+    read_pools_at_ = now + kRetryDelay;
+    return;
+  }
+  if (const auto node = lookups_.extract(event.id); !node.empty()) {
+    const PendingLookup& lookup = node.mapped();
+    ended_lookups_.push_back(
+        {lookup.caller, lookup.stream,
+         IsMixed(lookup.pool) ? OriginVerdict(UnknownOrigin{}) : AnyOrigin{}});
+    return;
+  }
+  const auto node = writes_.extract(event.id);
+  if (node.empty())
+    return;
+  next_flush_ = std::max(next_flush_, now + kRetryDelay);
+  for (const StreamRow& row : node.mapped().written) {
+    if (node.mapped().part == kPoolsPart)
+      unwritten_pools_.insert(row.pool);
+    else if (streams_.contains(row.key))
+      unwritten_.insert(row.key);
+    else
+      unremoved_.insert(row.key);
+  }
+  unremoved_.insert(node.mapped().removed.begin(), node.mapped().removed.end());
+}
+
+base::Duration StreamVersions::FlushInterval() const {
+  return std::max(kFlushInterval,
+                  kFlushIntervalPerHost * static_cast<int64_t>(fleet_size_));
+}
+
+bool StreamVersions::HasUnwritten() const {
+  return !unwritten_.empty() || !unremoved_.empty() ||
+         !unwritten_pools_.empty();
+}
+
+void StreamVersions::ForgetOldVersions(base::TimePoint now) {
+  for (auto& [pool, times] : versions_) {
+    const size_t n = std::erase_if(times, [now](const auto& it) {
+      return it.second && now - *it.second >= kStreamLife;
+    });
+    if (n > 0)
+      NoteVersionsChanged(pool);
+  }
+}
+
+void StreamVersions::ForgetOldStreams(base::TimePoint now) {
+  while (!begun_at_.empty() && now - begun_at_.front().first >= kStreamLife) {
+    Forget(begun_at_.front().second);
+    begun_at_.pop_front();
+  }
+}
+
+void StreamVersions::ReadPools() {
+  read_pools_at_.reset();
+  pools_call_ = StreamCallId{++last_call_};
+  context_.Emit(ReadStreamRows{*pools_call_, kPoolsPart, std::nullopt});
+}
+
+void StreamVersions::Write(WriteStreamRows rows) {
+  rows.id = StreamCallId{++last_call_};
+  writes_[rows.id] = rows;
+  context_.Emit(std::move(rows));
+}
+
+void StreamVersions::Flush(base::TimePoint now) {
+  next_flush_ = now + FlushInterval();
+  WriteStreamRows pools{{}, kPoolsPart, {}, {}};
+  for (const base::PoolName& it : std::exchange(unwritten_pools_, {}))
+    pools.written.push_back({it.value, it, NamesOf(versions_[it])});
+  if (!pools.written.empty())
+    Write(std::move(pools));
+  std::map<std::string, WriteStreamRows> parts;
+  const auto part_of = [&](const std::string& stream) -> WriteStreamRows& {
+    WriteStreamRows& rows = parts[PartOf(stream)];
+    rows.part = PartOf(stream);
+    if (rows.written.size() + rows.removed.size() >= kMaxRowsPerWrite) {
+      Write(std::exchange(rows, {}));
+      rows.part = PartOf(stream);
+    }
+    return rows;
+  };
+  for (const std::string& it : std::exchange(unwritten_, {})) {
+    const StreamOrigin& origin = streams_.at(it).origin;
+    part_of(it).written.push_back({it, origin.pool, {origin.software_version}});
+  }
+  for (const std::string& it : std::exchange(unremoved_, {}))
+    part_of(it).removed.push_back(it);
+  for (auto& [part, rows] : parts)
+    Write(std::move(rows));
+}
+
+// Without streams that may be resumed, nothing is kept.
+void StreamVersions::HandleTimer(base::TimePoint now) {
+  ForgetOldVersions(now);
+  ForgetOldStreams(now);
+  if (read_pools_at_ && *read_pools_at_ <= now && !resumable_pools_.empty())
+    ReadPools();
+  if (knows_pools_ && HasUnwritten() && now >= next_flush_)
+    Flush(now);
+}
+
+std::optional<base::TimePoint> StreamVersions::NextWakeup() const {
+  std::optional<base::TimePoint> next;
+  const auto consider = [&next](std::optional<base::TimePoint> time) {
+    if (time && (!next || *time < *next))
+      next = time;
+  };
+  if (!resumable_pools_.empty())
+    consider(read_pools_at_);
+  if (knows_pools_ && HasUnwritten())
+    consider(next_flush_);
+  if (!begun_at_.empty())
+    consider(begun_at_.front().first + kStreamLife);
+  for (const auto& [pool, times] : versions_) {
+    for (const auto& [version, gone] : times) {
+      if (gone)
+        consider(*gone + kStreamLife);
+    }
+  }
+  return next;
+}
+
+}  // namespace bilberry::forward
--- /dev/null
+++ b/Libraries/LibForward/stream_versions.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "LibBase/time.h"
+#include "LibForward/forward_configuration.h"
+#include "LibForward/forward_context.h"
+#include "LibForward/stream_row.h"
+
+namespace bilberry::forward {
+
+// The endpoint at which a stream began.
+struct StreamOrigin {
+  base::PoolName pool;
+  std::string software_version;
+};
+// The stream can't have begun at a version other than the one listed now.
+struct AnyOrigin {};
+// The stream may have begun at a version other than those listed now.
+struct UnknownOrigin {};
+// The store has to be asked.
+struct OriginNeedsLookup {};
+
+using OriginVerdict = std::variant<StreamOrigin, AnyOrigin, UnknownOrigin>;
+
+// Knows at which software version each resumable stream of this host began, and
+// keeps it in the store while endpoints of several versions serve in a pool or
+// did so lately. Callers may take a broken stream up at any host, also after
+// all hosts were killed and the endpoints of its version have left.
+class StreamVersions {
+ public:
+  explicit StreamVersions(ForwardContext& context) : context_(context) {}
+
+  // The pools of streams that may be resumed.
+  void SetConfiguration(const ForwardConfiguration& configuration);
+  void SetEndpoints(std::span<const ListedEndpoint> endpoints,
+                    base::TimePoint now);
+  void SetFleetSize(size_t hosts) { fleet_size_ = hosts; }
+  // The store may have lost what this host wrote.
+  void WriteAgain();
+
+  // The first event of the stream has been passed on.
+  void NoteBegun(const std::string& stream,
+                 StreamOrigin origin,
+                 base::TimePoint now);
+  // The stream is complete: it won't be taken up.
+  void NoteComplete(const std::string& stream);
+
+  // Returns what this host knows by itself.
+  std::variant<StreamOrigin, OriginNeedsLookup> Find(
+      const std::string& stream) const;
+  // Asks the store for the origin of a stream, which a request for this pool
+  // takes up. TakeLookup() returns the verdict to the caller.
+  void LookUp(const std::string& stream,
+              const base::PoolName& pool,
+              base::CallerId caller);
+
+  struct Lookup {
+    base::CallerId caller{};
+    std::string stream;
+    OriginVerdict verdict;
+  };
+  std::optional<Lookup> TakeLookup();
+
+  void Handle(const StreamRowsRead& event, base::TimePoint now);
+  void Handle(const StreamRowsWritten& event);
+  void Handle(const StreamRowsFailed& event, base::TimePoint now);
+  void HandleTimer(base::TimePoint now);
+  std::optional<base::TimePoint> NextWakeup() const;
+
+ private:
+  // When a version was last listed; empty if it is listed now.
+  using VersionTimes = std::map<std::string, std::optional<base::TimePoint>>;
+  struct Stream {
+    StreamOrigin origin;
+    bool is_written = false;
+  };
+  struct PendingLookup {
+    std::string stream;
+    base::PoolName pool;
+    base::CallerId caller{};
+  };
+
+  bool IsMixed(const base::PoolName& pool) const;
+  void NoteVersionsChanged(const base::PoolName& pool);
+  void ForgetOldVersions(base::TimePoint now);
+  void ForgetOldStreams(base::TimePoint now);
+  void Forget(const std::string& stream);
+  void ReadPools();
+  void ApplyPools(const std::vector<StreamRow>& rows, base::TimePoint now);
+  void Flush(base::TimePoint now);
+  void Write(WriteStreamRows rows);
+  bool HasUnwritten() const;
+  base::Duration FlushInterval() const;
+
+  ForwardContext& context_;
+  size_t fleet_size_ = 1;
+  std::set<base::PoolName> resumable_pools_;
+  std::map<base::PoolName, VersionTimes> versions_;
+  // The versions that the pools' rows hold, as far as known.
+  std::map<base::PoolName, std::vector<std::string>> written_versions_;
+  bool knows_pools_ = false;
+  std::optional<base::TimePoint> read_pools_at_ = base::TimePoint();
+  std::map<std::string, Stream> streams_;  // By the caller's attempt.
+  std::deque<std::pair<base::TimePoint, std::string>> begun_at_;
+  std::set<std::string> unwritten_;
+  std::set<std::string> unremoved_;
+  std::set<base::PoolName> unwritten_pools_;
+  std::optional<StreamCallId> pools_call_;
+  std::map<StreamCallId, WriteStreamRows> writes_;
+  std::map<StreamCallId, PendingLookup> lookups_;
+  std::deque<Lookup> ended_lookups_;
+  base::TimePoint next_flush_;
+  uint64_t last_call_ = 0;
+};
+
+}  // namespace bilberry::forward
--- a/Libraries/LibTransport/forward_adapter.h
+++ b/Libraries/LibTransport/forward_adapter.h
@@ -66,6 +66,17 @@
   // Parses the text of a configuration that a peer has passed on.
   virtual forward::RowContent DecodeConfiguration(
       std::string_view document) const = 0;
+  virtual HttpRequest EncodeStreamRead(
+      const forward::ReadStreamRows& read) const = 0;
+  virtual HttpRequest EncodeStreamWrite(
+      const forward::WriteStreamRows& write) const = 0;
+  // Returns StreamRowsRead or StreamRowsFailed.
+  virtual forward::Event DecodeStreamRead(forward::StreamCallId id,
+                                          const HttpOutcome& outcome) const = 0;
+  // Returns StreamRowsWritten or StreamRowsFailed.
+  virtual forward::Event DecodeStreamWrite(
+      forward::StreamCallId id,
+      const HttpOutcome& outcome) const = 0;
   // Returns OwnRowWritten or OwnRowFailed.
   virtual forward::Event DecodeWriteResponse(
       const HttpOutcome& outcome) const = 0;
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -738,6 +738,26 @@
   });
 }
 
+void ForwardShell::Execute(const forward::ReadStreamRows& action) {
+  HttpRequest request = adapter_.EncodeStreamRead(action);
+  request.timeout = kStoreTimeout;
+  http_->Send(std::move(request),
+              [this, id = action.id](const HttpOutcome& outcome) {
+                RecordStoreCall("read_streams", outcome);
+                HandleEvent(adapter_.DecodeStreamRead(id, outcome));
+              });
+}
+
+void ForwardShell::Execute(const forward::WriteStreamRows& action) {
+  HttpRequest request = adapter_.EncodeStreamWrite(action);
+  request.timeout = kStoreTimeout;
+  http_->Send(std::move(request),
+              [this, id = action.id](const HttpOutcome& outcome) {
+                RecordStoreCall("write_streams", outcome);
+                HandleEvent(adapter_.DecodeStreamWrite(id, outcome));
+              });
+}
+
 void ForwardShell::RecordStoreCall(std::string_view call,
                                    const HttpOutcome& outcome) {
   const auto* response = std::get_if<HttpResponse>(&outcome);
--- a/Tests/LibForward/node_bench.h
+++ b/Tests/LibForward/node_bench.h
@@ -19,17 +19,19 @@
  public:
   explicit NodeBench(std::shared_ptr<const ForwardConfiguration> configuration =
                          MakeConfiguration(),
-                     ForwardOptions options = Options())
+                     ForwardOptions options = Options(),
+                     std::vector<FeedRow> endpoints = MakeEndpoints())
       : node(std::move(options)) {
     Feed(TimerDue{});
     Feed(TableListed{
         FeedKind::kConfiguration, {{"c", std::move(configuration)}}, false, 1});
-    Feed(TableListed{FeedKind::kEndpoints,
-                     {{"e1", MakeEndpoint("e1", "llm")},
-                      {"e2", MakeEndpoint("e2", "llm")},
-                      {"m1", MakeEndpoint("m1", "maker")}},
-                     false,
-                     1});
+    Feed(TableListed{FeedKind::kEndpoints, std::move(endpoints), false, 1});
+  }
+
+  static std::vector<FeedRow> MakeEndpoints() {
+    return {{"e1", MakeEndpoint("e1", "llm")},
+            {"e2", MakeEndpoint("e2", "llm")},
+            {"m1", MakeEndpoint("m1", "maker")}};
   }
 
   static ForwardOptions Options() {
--- a/Tests/LibForward/test_stream_versions.cc
+++ b/Tests/LibForward/test_stream_versions.cc
@@ -1,7 +1,10 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "LibForward/node_bench.h"
@@ -10,6 +13,8 @@
 namespace bilberry::forward {
 namespace {
 
+using std::chrono::seconds;
+
 std::shared_ptr<const ForwardConfiguration> ResumableStreams() {
   auto configuration = *NodeBench::MakeConfiguration();
   configuration.pipelines[0].may_resume = true;
@@ -17,30 +22,118 @@
   return std::make_shared<const ForwardConfiguration>(configuration);
 }
 
+// The store's table of streams, which all hosts share.
+struct StreamTable {
+  std::map<std::pair<std::string, std::string>, StreamRow> rows;  // Part, key.
+  bool is_failing = false;
+
+  bool Has(const std::string& key) const {
+    return std::ranges::any_of(
+        rows, [&key](const auto& it) { return it.first.second == key; });
+  }
+
+  Event AnswerTo(const ReadStreamRows& read) const {
+    if (is_failing)
+      return StreamRowsFailed{read.id, "answered 503"};
+    StreamRowsRead answer{read.id, {}};
+    for (const auto& [place, row] : rows) {
+      if (place.first == read.part && (!read.key || place.second >= *read.key))
+        answer.rows.push_back(row);
+    }
+    if (read.key && answer.rows.size() > 1)
+      answer.rows.resize(1);
+    return answer;
+  }
+  Event AnswerTo(const WriteStreamRows& write) {
+    if (is_failing)
+      return StreamRowsFailed{write.id, "answered 503"};
+    for (const StreamRow& it : write.written)
+      rows[{write.part, it.key}] = it;
+    for (const std::string& it : write.removed)
+      rows.erase({write.part, it});
+    return StreamRowsWritten{write.id};
+  }
+};
+
 // A host whose endpoints are named by their software version: v1-a, v2-b.
 class VersionBench : public NodeBench {
  public:
   explicit VersionBench(const std::vector<std::string>& endpoints)
-      : NodeBench(ResumableStreams()) {
-    ListEndpoints(endpoints);
+      : VersionBench(endpoints, own_table_) {}
+  VersionBench(const std::vector<std::string>& endpoints, StreamTable& table)
+      : NodeBench(ResumableStreams(), Options(), RowsOf(endpoints)),
+        table_(table) {
+    RunFor(milliseconds(10));
     // Enough requests to earn retries.
     for (uint64_t caller = 100; caller < 140; ++caller)
       EndWhole(Send(caller));
-    actions.clear();
+    RunFor(milliseconds(500));
+  }
+
+  // Runs with the store answering the calls for rows of streams.
+  void RunFor(milliseconds time) {
+    const base::TimePoint end = now + time;
+    while (now < end) {
+      PassTo(now + milliseconds(5));
+      AnswerStreamCalls();
+    }
+  }
+  void AnswerStreamCalls() {
+    for (; answered_ < actions.size(); ++answered_) {
+      const Action action = actions[answered_];
+      if (const auto* read = std::get_if<ReadStreamRows>(&action))
+        Feed(table_.AnswerTo(*read));
+      else if (const auto* write = std::get_if<WriteStreamRows>(&action))
+        Feed(table_.AnswerTo(*write));
+    }
+  }
+
+  // Begins a stream at an endpoint of this version; returns its name.
+  std::string BeginAt(const std::string& wanted) {
+    for (uint64_t caller = 1000;; ++caller) {
+      REQUIRE(caller < 1100);
+      const SendAttempt send = Send(caller);
+      Begin(send);
+      if (VersionOf(send.endpoint) == wanted)
+        return send.request->request_id;
+    }
+  }
+
+  // The version at which a caller's take-up goes on; empty if it is refused.
+  std::string TakeUp(const std::string& stream, uint64_t caller) {
+    const size_t before = actions.size();
+    ForwardedRequest request = Request(caller);
+    request.piece_counts = {};
+    request.last_event = "0";
+    request.resumed_stream = stream;
+    Feed(std::move(request));
+    AnswerStreamCalls();
+    for (size_t i = before; i < actions.size(); ++i) {
+      if (const auto* send = std::get_if<SendAttempt>(&actions[i]))
+        return VersionOf(send->endpoint);
+    }
+    const auto* answer = Last<AnswerCaller>();
+    REQUIRE(answer != nullptr);
+    CHECK(answer->code == LocalAnswerCode::kNoEndpoint);
+    CHECK(answer->retry_after.has_value());
+    return "";
   }
 
   static std::string VersionOf(const base::EndpointName& name) {
     return name.value.substr(0, 2);
   }
 
-  void ListEndpoints(const std::vector<std::string>& names) {
+  static std::vector<FeedRow> RowsOf(const std::vector<std::string>& names) {
     std::vector<FeedRow> rows;
     for (const std::string& it : names) {
       ListedEndpoint endpoint = MakeEndpoint(it, "llm");
       endpoint.software_version = VersionOf(endpoint.name);
       rows.push_back({it, endpoint});
     }
-    Feed(TableListed{FeedKind::kEndpoints, rows, false, ++version});
+    return rows;
+  }
+  void ListEndpoints(const std::vector<std::string>& names) {
+    Feed(TableListed{FeedKind::kEndpoints, RowsOf(names), false, ++version});
   }
 
   // The attempt sent for a new request.
@@ -54,9 +147,7 @@
   }
 
   void Begin(const SendAttempt& send) {
-    AnswerHead head = GoodHead(send.request->request_id);
-    head.content_type = "text/event-stream";
-    Feed(AttemptChunk{send.attempt, head, "id: 0\n\n"});
+    Feed(AttemptChunk{send.attempt, HeadFor(send), "id: 0\n\n"});
   }
   void Break(const SendAttempt& send) {
     Feed(AttemptFailure{send.attempt, AttemptFailureKind::kBroken, "reset"});
@@ -64,10 +155,21 @@
       EndHealthCheck(HealthCheckResult::kSameProcess);
   }
   void EndWhole(const SendAttempt& send) {
-    Feed(AttemptAnswer{send.attempt, GoodHead(send.request->request_id), ""});
+    Feed(AttemptAnswer{send.attempt, HeadFor(send), ""});
   }
 
   uint64_t version = 1;
+
+ private:
+  static AnswerHead HeadFor(const SendAttempt& send) {
+    AnswerHead head = GoodHead(send.request->request_id);
+    head.content_type = "text/event-stream";
+    return head;
+  }
+
+  StreamTable own_table_;
+  StreamTable& table_;
+  size_t answered_ = 0;
 };
 
 TEST_SUITE_BEGIN("stream-versions");
@@ -113,6 +215,140 @@
   CHECK(has_changed_version);
 }
 
+const std::vector<std::string> kBothVersions{"v1-a", "v1-b", "v2-a", "v2-b"};
+
+TEST_CASE("a caller's take-up goes on at the version that began the stream") {
+  for (uint64_t caller = 1; caller < 20; ++caller) {
+    for (const std::string version : {"v1", "v2"}) {
+      CAPTURE(caller);
+      StreamTable table;
+      VersionBench host(kBothVersions, table);
+      const std::string stream = host.BeginAt(version);
+      CHECK(host.TakeUp(stream, caller) == version);
+      host.RunFor(milliseconds(300));
+      // At a host that has just started.
+      VersionBench other(kBothVersions, table);
+      CHECK(other.TakeUp(stream, caller) == version);
+      CHECK(other.TakeUp(stream, caller + 50) == version);
+    }
+  }
+}
+
+TEST_CASE("a stream isn't joined after all hosts were killed") {
+  StreamTable table;
+  std::string old_stream;
+  std::string new_stream;
+  {
+    VersionBench host(kBothVersions, table);
+    old_stream = host.BeginAt("v1");
+    new_stream = host.BeginAt("v2");
+    host.RunFor(milliseconds(300));
+  }
+  VersionBench host({"v2-a", "v2-b", "v2-c"}, table);
+  CHECK(host.TakeUp(old_stream, 1).empty());
+  CHECK(host.TakeUp(new_stream, 2) == "v2");
+  // The old version is back.
+  host.ListEndpoints({"v1-d", "v2-a"});
+  CHECK(host.TakeUp(old_stream, 3) == "v1");
+}
+
+TEST_CASE("a stream isn't joined if its version left while no host was up") {
+  StreamTable table;
+  std::string stream;
+  {
+    VersionBench host({"v1-a", "v1-b"}, table);
+    stream = host.BeginAt("v1");
+    host.RunFor(milliseconds(300));
+    CHECK_FALSE(table.Has(stream));
+  }
+  VersionBench host({"v2-a", "v2-b"}, table);
+  CHECK(host.TakeUp(stream, 1).empty());
+  host.RunFor(std::chrono::minutes(2));
+  CHECK(host.TakeUp(stream, 2) == "v2");
+}
+
+TEST_CASE("streams from before a second version appeared keep their version") {
+  StreamTable table;
+  std::string stream;
+  {
+    VersionBench host({"v1-a", "v1-b"}, table);
+    stream = host.BeginAt("v1");
+    host.ListEndpoints({"v1-a", "v2-a", "v2-b"});
+    host.RunFor(milliseconds(300));
+  }
+  VersionBench host({"v1-a", "v2-a", "v2-b"}, table);
+  CHECK(host.TakeUp(stream, 1) == "v1");
+}
+
+// Guards against take-ups that are refused although nothing can be joined.
+TEST_CASE("in a pool of one version each take-up goes on") {
+  StreamTable table;
+  VersionBench host({"v1-a", "v1-b"}, table);
+  CHECK(host.TakeUp("unknown", 1) == "v1");
+  CHECK(host.TakeUp("", 2) == "v1");
+  VersionBench other({"v1-a", "v1-b"}, table);
+  table.is_failing = true;
+  CHECK(other.TakeUp("unknown", 3) == "v1");
+}
+
+TEST_CASE("in a mixed pool a take-up of an unknown stream is refused") {
+  StreamTable table;
+  VersionBench host(kBothVersions, table);
+  CHECK(host.TakeUp("unknown", 1).empty());
+  CHECK(host.TakeUp("", 2).empty());
+  const std::string stream = host.BeginAt("v2");
+  host.RunFor(milliseconds(300));
+  VersionBench other(kBothVersions, table);
+  table.is_failing = true;
+  CHECK(other.TakeUp(stream, 3).empty());
+  table.is_failing = false;
+  CHECK(other.TakeUp(stream, 4) == "v2");
+}
+
+TEST_CASE("rows of streams are written only while a pool is mixed") {
+  StreamTable table;
+  VersionBench host({"v1-a", "v1-b"}, table);
+  const std::string first = host.BeginAt("v1");
+  host.RunFor(milliseconds(300));
+  CHECK_FALSE(table.Has(first));
+  host.ListEndpoints(kBothVersions);
+  const SendAttempt send = host.Send(3);
+  host.Begin(send);
+  host.RunFor(milliseconds(300));
+  CHECK(table.Has(first));
+  CHECK(table.Has("r3"));
+  host.EndWhole(send);
+  host.RunFor(milliseconds(300));
+  CHECK_FALSE(table.Has("r3"));
+  host.RunFor(std::chrono::minutes(2));
+  CHECK_FALSE(table.Has(first));
+}
+
+TEST_CASE("rows of streams are written again when the store rejects them") {
+  StreamTable table;
+  VersionBench host(kBothVersions, table);
+  table.is_failing = true;
+  const std::string stream = host.BeginAt("v1");
+  host.RunFor(seconds(1));
+  CHECK_FALSE(table.Has(stream));
+  table.is_failing = false;
+  host.RunFor(seconds(1));
+  CHECK(table.Has(stream));
+}
+
+TEST_CASE("rows of streams are written again when the store was restored") {
+  StreamTable table;
+  VersionBench host(kBothVersions, table);
+  host.Feed(TableChanged{FeedKind::kHosts, {}, 9, 1});
+  const std::string stream = host.BeginAt("v1");
+  host.RunFor(seconds(1));
+  table.rows.clear();
+  host.Feed(TableChanged{FeedKind::kHosts, {}, 2, 2});
+  host.RunFor(seconds(1));
+  CHECK(table.Has(stream));
+  CHECK(table.Has("llm"));
+}
+
 TEST_SUITE_END();
 
 }  // namespace
--- a/Tests/Standins/row_store_standin.cc
+++ b/Tests/Standins/row_store_standin.cc
@@ -43,6 +43,27 @@
   return {reinterpret_cast<const char*>(bytes.get()), size};
 }
 
+Json::Value NameOf(const std::string& table,
+                   const std::string& part,
+                   const std::string& key) {
+  Json::Value row;
+  row["table"] = table;
+  row["part"] = part;
+  row["key"] = key;
+  return row;
+}
+
+template <typename RowKey>
+RowKey KeyOf(const Json::Value& row) {
+  return {row["table"].asString(), row["part"].asString(),
+          row["key"].asString()};
+}
+
+// Whether hosts write the table themselves.
+bool IsOwnTable(const std::string& table) {
+  return table == wire::kHostTable || table == wire::kStreamTable;
+}
+
 }  // namespace
 
 RowStoreStandin::RowStoreStandin(transport::Reactor& reactor)
@@ -69,21 +90,29 @@
   return store;
 }
 
+void RowStoreStandin::Write(const RowKey& key, const std::string& value) {
+  rows_[key] = {value, ++version_, false};
+  AnswerHeldPolls();
+}
+
+void RowStoreStandin::Remove(const RowKey& key) {
+  rows_[key] = {"", ++version_, true};
+  AnswerHeldPolls();
+}
+
 void RowStoreStandin::Put(const std::string& table,
                           const std::string& key,
                           const std::string& value) {
-  rows_[{table, key}] = {value, ++version_, false};
-  AnswerHeldPolls();
+  Write(RowKey{table, "", key}, value);
 }
 
 void RowStoreStandin::Remove(const std::string& table, const std::string& key) {
-  rows_[{table, key}] = {"", ++version_, true};
-  AnswerHeldPolls();
+  Remove(RowKey{table, "", key});
 }
 
 bool RowStoreStandin::Has(const std::string& table,
                           const std::string& key) const {
-  const auto it = rows_.find({table, key});
+  const auto it = rows_.find({table, "", key});
   return it != rows_.end() && !it->second.is_removed;
 }
 
@@ -94,7 +123,7 @@
 void RowStoreStandin::Restore(Copy copy) {
   std::map<RowKey, Row> lost;
   for (const auto& [key, row] : rows_) {
-    if (row.version > copy.version && key.first != wire::kHostTable)
+    if (row.version > copy.version && !IsOwnTable(key.table))
       lost.emplace(key, row);
   }
   rows_ = std::move(copy.rows);
@@ -116,9 +145,9 @@
     if (it != rows_.end() && it->second.version > restored)
       continue;
     if (row.is_removed)
-      Remove(key.first, key.second);
+      Remove(key);
     else
-      Put(key.first, key.second, row.value);
+      Write(key, row.value);
   }
 }
 
@@ -144,39 +173,51 @@
   });
 }
 
-std::string RowStoreStandin::PageOf(const std::string& table,
-                                    uint64_t after,
-                                    bool with_removed) const {
+std::string RowStoreStandin::Print(Json::Value rows) const {
   Json::Value body;
-  Json::Value& rows = body["rows"] = Json::Value(Json::arrayValue);
+  body["rows"] = std::move(rows);
+  body["truncated"] = false;
+  body["ver"] = static_cast<Json::UInt64>(version_);
+  body["nowMs"] = 0;
+  return transport::PrintCompact(body);
+}
+
+std::string RowStoreStandin::ChangesOf(const std::string& table,
+                                       uint64_t after) const {
+  Json::Value rows(Json::arrayValue);
   for (const auto& [key, row] : rows_) {
-    if (key.first != table || row.version <= after ||
-        (row.is_removed && !with_removed))
+    if (key.table != table || row.version <= after)
       continue;
-    Json::Value& it = rows.append(Json::Value());
-    it["table"] = table;
-    it["part"] = "";
-    it["key"] = key.second;
+    Json::Value& it = rows.append(NameOf(key.table, key.part, key.key));
     it["ver"] = static_cast<Json::UInt64>(row.version);
     if (row.is_removed)
       it["removed"] = true;
     else
       it["value"] = Encode(row.value);
   }
-  body["truncated"] = false;
-  body["ver"] = static_cast<Json::UInt64>(version_);
-  body["nowMs"] = 0;
-  return transport::PrintCompact(body);
+  return Print(std::move(rows));
 }
 
 HttpResponse RowStoreStandin::List(const IncomingRequest& request) const {
-  return Answer(200, PageOf(ArgumentOf(request, "table"), 0, false));
+  const std::string limit = ArgumentOf(request, "limit");
+  const size_t most = limit.empty() ? SIZE_MAX : std::stoul(limit);
+  Json::Value rows(Json::arrayValue);
+  for (const auto& [key, row] : rows_) {
+    if (row.is_removed || key.table != ArgumentOf(request, "table") ||
+        key.part != ArgumentOf(request, "part") ||
+        key.key < ArgumentOf(request, "startFrom") || rows.size() >= most)
+      continue;
+    Json::Value& it = rows.append(NameOf(key.table, key.part, key.key));
+    it["ver"] = static_cast<Json::UInt64>(row.version);
+    it["value"] = Encode(row.value);
+  }
+  return Answer(200, Print(std::move(rows)));
 }
 
 bool RowStoreStandin::HasChanged(const std::string& table,
                                  uint64_t after) const {
   return std::ranges::any_of(rows_, [&](const auto& it) {
-    return it.first.first == table && it.second.version > after;
+    return it.first.table == table && it.second.version > after;
   });
 }
 
@@ -191,17 +232,16 @@
   held_polls_.push_back({request.exchange, table, after});
   const long wait =
       std::strtol(ArgumentOf(request, "waitMs").c_str(), nullptr, 10);
-  timers_.After(
-      std::chrono::milliseconds(wait), [this, exchange = request.exchange] {
-        const auto it =
-            std::ranges::find(held_polls_, exchange, &HeldPoll::exchange);
-        if (it == held_polls_.end())
-          return;
-        const HeldPoll held = *it;
-        held_polls_.erase(it);
-        service_->Respond(exchange,
-                          Answer(200, PageOf(held.table, held.after, true)));
-      });
+  timers_.After(std::chrono::milliseconds(wait), [this,
+                                                  exchange = request.exchange] {
+    const auto it =
+        std::ranges::find(held_polls_, exchange, &HeldPoll::exchange);
+    if (it == held_polls_.end())
+      return;
+    const HeldPoll held = *it;
+    held_polls_.erase(it);
+    service_->Respond(exchange, Answer(200, ChangesOf(held.table, held.after)));
+  });
   AnswerHeldPolls();
 }
 
@@ -215,7 +255,7 @@
   });
   for (const HeldPoll& held : due)
     fault_injector_.Serve(service_, held.exchange, [this, held] {
-      return Answer(200, PageOf(held.table, held.after, true));
+      return Answer(200, ChangesOf(held.table, held.after));
     });
 }
 
@@ -224,18 +264,16 @@
   if (!body)
     return Answer(400, "");
   for (const Json::Value& row : (*body)["expectedRev"]) {
-    const auto it =
-        rows_.find({row["table"].asString(), row["key"].asString()});
+    const auto it = rows_.find(KeyOf<RowKey>(row));
     const uint64_t version =
         it == rows_.end() || it->second.is_removed ? 0 : it->second.version;
     if (version != row["ver"].asUInt64())
       return Answer(kConflict, "");
   }
   for (const Json::Value& row : (*body)["writes"])
-    Put(row["table"].asString(), row["key"].asString(),
-        Decode(row["value"].asString()));
+    Write(KeyOf<RowKey>(row), Decode(row["value"].asString()));
   for (const Json::Value& row : (*body)["remove"])
-    Remove(row["table"].asString(), row["key"].asString());
+    Remove(KeyOf<RowKey>(row));
   Json::Value answer;
   answer["ver"] = static_cast<Json::UInt64>(version_);
   return Answer(200, transport::PrintCompact(answer));
--- a/Tests/Standins/row_store_standin.h
+++ b/Tests/Standins/row_store_standin.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <json/value.h>
+
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -22,6 +25,7 @@
 
   const base::SocketAddress& address() const { return service_->address(); }
 
+  // Rows of the empty part.
   void Put(const std::string& table,
            const std::string& key,
            const std::string& value);
@@ -41,7 +45,13 @@
   uint64_t call_count() const { return call_count_; }
 
  private:
-  using RowKey = std::pair<std::string, std::string>;  // Table and key.
+  struct RowKey {
+    std::string table;
+    std::string part;
+    std::string key;
+
+    friend auto operator<=>(const RowKey&, const RowKey&) = default;
+  };
   struct Row {
     std::string value;
     uint64_t version = 0;
@@ -57,6 +67,8 @@
 
   explicit RowStoreStandin(transport::Reactor& reactor);
 
+  void Write(const RowKey& key, const std::string& value);
+  void Remove(const RowKey& key);
   transport::HttpResponse Answer(int status, std::string body) const;
   void WriteAgain(const std::map<RowKey, Row>& lost, uint64_t restored);
 
@@ -64,9 +76,9 @@
   transport::HttpResponse List(const transport::IncomingRequest& request) const;
   transport::HttpResponse Write(const transport::IncomingRequest& request);
   void Follow(const transport::IncomingRequest& request);
-  std::string PageOf(const std::string& table,
-                     uint64_t after,
-                     bool with_removed) const;
+  // Returns the table's changes since a version.
+  std::string ChangesOf(const std::string& table, uint64_t after) const;
+  std::string Print(Json::Value rows) const;
   bool HasChanged(const std::string& table, uint64_t after) const;
   void AnswerHeldPolls();
 
