--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -35,6 +35,8 @@
 constexpr size_t kOwnBudgetBytes = size_t{64} * 1024 * 1024;
 constexpr long kMaxPooledConnections = 2048;
 constexpr int kFirstFinalStatus = 200;
+// Statuses above it are invalid (RFC 9110 section 15).
+constexpr int kLastStatus = 599;
 
 void AppendHeader(curl_slist*& list,
                   const std::string& name,
@@ -373,7 +375,8 @@
   }
   if (line == "\r\n" || line == "\n") {
     it.has_whole_head = !IsInterim(it);
-    it.is_head_malformed = !IsFramingDefinite(response.headers);
+    it.is_head_malformed =
+        !IsFramingDefinite(response.headers) || StatusOf(it) > kLastStatus;
     UpdateReuse(it);
     return it.is_head_malformed ? 0 : size;
   }
--- /dev/null
+++ b/Tests/LibTransport/hasty_server.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <doctest/doctest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <utility>
+
+#include "LibBase/ids.h"
+#include "flood_server.h"
+
+namespace bilberry::transport {
+
+// Reads the head of each request and so many bytes of its body, sends a fixed
+// answer and, after a while, ends the connection.
+class HastyServer {
+ public:
+  HastyServer(std::string answer,
+              size_t read_bytes,
+              std::chrono::milliseconds wait,
+              ServerEnd end)
+      : answer_(std::move(answer)),
+        read_bytes_(read_bytes),
+        wait_(wait),
+        end_(end),
+        listening_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(bind(listening_, reinterpret_cast<sockaddr*>(&address),
+                 sizeof(address)) == 0);
+    REQUIRE(listen(listening_, 16) == 0);
+    socklen_t size = sizeof(address);
+    getsockname(listening_, reinterpret_cast<sockaddr*>(&address), &size);
+    port_ = ntohs(address.sin_port);
+    serving_ = std::thread([this] { Serve(); });
+  }
+  ~HastyServer() {
+    shutdown(listening_, SHUT_RDWR);
+    serving_.join();
+    close(listening_);
+  }
+  HastyServer(const HastyServer&) = delete;
+  HastyServer& operator=(const HastyServer&) = delete;
+
+  base::SocketAddress address() const { return {"127.0.0.1", port_}; }
+
+ private:
+  void Serve() {
+    for (int connection = accept(listening_, nullptr, nullptr); connection >= 0;
+         connection = accept(listening_, nullptr, nullptr))
+      Answer(connection);
+  }
+
+  void Answer(int connection) {
+    constexpr std::string_view kHeadEnd = "\r\n\r\n";
+    std::string received;
+    std::array<char, 4096> buf{};
+    for (size_t head = std::string::npos;
+         head == std::string::npos ||
+         received.size() < head + kHeadEnd.size() + read_bytes_;
+         head = received.find(kHeadEnd)) {
+      const ssize_t n = recv(connection, buf.data(), buf.size(), 0);
+      if (n <= 0)
+        break;
+      received.append(buf.data(), static_cast<size_t>(n));
+    }
+    send(connection, answer_.data(), answer_.size(), MSG_NOSIGNAL);
+    std::this_thread::sleep_for(wait_);
+    if (end_ == ServerEnd::kReset) {
+      const linger reset{1, 0};
+      setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    }
+    close(connection);
+  }
+
+  std::string answer_;
+  size_t read_bytes_ = 0;
+  std::chrono::milliseconds wait_;
+  ServerEnd end_;
+  int listening_ = -1;
+  uint16_t port_ = 0;
+  std::thread serving_;
+};
+
+}  // namespace bilberry::transport
