--- a/Libraries/LibForward/stream_versions.cc
+++ b/Libraries/LibForward/stream_versions.cc
@@ -31,6 +31,7 @@
 std::vector<std::string> NamesOf(
     const std::map<std::string, std::optional<base::TimePoint>>& versions) {
   std::vector<std::string> names;
+  names.reserve(versions.size());
   for (const auto& [name, gone] : versions)
     names.push_back(name);
   return names;
@@ -194,14 +195,11 @@
     for (const std::string& it : row.software_versions)
       versions_[row.pool].try_emplace(it, now);
   }
-  for (const auto& [pool, versions] : versions_) {
+  for (const auto& [pool, versions] : versions_)
     NoteVersionsChanged(pool);
-    if (IsMixed(pool))
-      continue;
-    std::erase_if(unwritten_, [&](const std::string& it) {
-      return streams_.at(it).origin.pool == pool;
-    });
-  }
+  std::erase_if(unwritten_, [this](const std::string& it) {
+    return !IsMixed(streams_.at(it).origin.pool);
+  });
 }
 
 void StreamVersions::Handle(const StreamRowsWritten& event) {
--- a/Tests/LibTransport/flood_server.h
+++ b/Tests/LibTransport/flood_server.h
@@ -1,9 +1,5 @@
 #pragma once
 
-#include <doctest/doctest.h>
-
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -16,6 +12,7 @@
 #include <vector>
 
 #include "LibBase/ids.h"
+#include "loopback_listener.h"
 
 namespace bilberry::transport {
 
@@ -33,37 +30,29 @@
       : begin_(std::move(begin)),
         rest_(std::move(rest)),
         end_(end),
-        listening_(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(bind(listening_, reinterpret_cast<sockaddr*>(&address),
-                 sizeof(address)) == 0);
-    REQUIRE(listen(listening_, 64) == 0);
-    socklen_t size = sizeof(address);
-    getsockname(listening_, reinterpret_cast<sockaddr*>(&address), &size);
-    port_ = ntohs(address.sin_port);
+        listener_(kBacklog) {
     accepting_ = std::thread([this] { Serve(); });
   }
   ~FloodServer() {
-    shutdown(listening_, SHUT_RDWR);
+    listener_.Stop();
     accepting_.join();
     for (std::thread& it : floods_)
       it.join();
-    close(listening_);
   }
   FloodServer(const FloodServer&) = delete;
   FloodServer& operator=(const FloodServer&) = delete;
 
-  base::SocketAddress address() const { return {"127.0.0.1", port_}; }
+  base::SocketAddress address() const { return listener_.address(); }
   size_t sent_bytes() const { return sent_bytes_; }
   // Endless answers to requests other than health checks.
   size_t request_count() const { return request_count_; }
 
  private:
+  static constexpr int kBacklog = 64;
+
   void Serve() {
     for (;;) {
-      const int connection = accept(listening_, nullptr, nullptr);
+      const int connection = listener_.Accept();
       if (connection < 0)
         return;
       floods_.emplace_back([this, connection] { Flood(connection); });
@@ -113,8 +102,7 @@
   std::string begin_;
   std::string rest_;
   ServerEnd end_;
-  int listening_;
-  uint16_t port_ = 0;
+  LoopbackListener listener_;
   std::atomic<size_t> sent_bytes_ = 0;
   std::atomic<size_t> request_count_ = 0;
   std::thread accepting_;
--- a/Tests/LibTransport/hasty_server.h
+++ b/Tests/LibTransport/hasty_server.h
@@ -1,9 +1,5 @@
 #pragma once
 
-#include <doctest/doctest.h>
-
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -16,6 +12,7 @@
 
 #include "LibBase/ids.h"
 #include "flood_server.h"
+#include "loopback_listener.h"
 
 namespace bilberry::transport {
 
@@ -31,32 +28,24 @@
         read_bytes_(read_bytes),
         wait_(wait),
         end_(end),
-        listening_(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(bind(listening_, reinterpret_cast<sockaddr*>(&address),
-                 sizeof(address)) == 0);
-    REQUIRE(listen(listening_, 16) == 0);
-    socklen_t size = sizeof(address);
-    getsockname(listening_, reinterpret_cast<sockaddr*>(&address), &size);
-    port_ = ntohs(address.sin_port);
+        listener_(kBacklog) {
     serving_ = std::thread([this] { Serve(); });
   }
   ~HastyServer() {
-    shutdown(listening_, SHUT_RDWR);
+    listener_.Stop();
     serving_.join();
-    close(listening_);
   }
   HastyServer(const HastyServer&) = delete;
   HastyServer& operator=(const HastyServer&) = delete;
 
-  base::SocketAddress address() const { return {"127.0.0.1", port_}; }
+  base::SocketAddress address() const { return listener_.address(); }
 
  private:
+  static constexpr int kBacklog = 16;
+
   void Serve() {
-    for (int connection = accept(listening_, nullptr, nullptr); connection >= 0;
-         connection = accept(listening_, nullptr, nullptr))
+    for (int connection = listener_.Accept(); connection >= 0;
+         connection = listener_.Accept())
       Answer(connection);
   }
 
@@ -86,8 +75,7 @@
   size_t read_bytes_ = 0;
   std::chrono::milliseconds wait_;
   ServerEnd end_;
-  int listening_ = -1;
-  uint16_t port_ = 0;
+  LoopbackListener listener_;
   std::thread serving_;
 };
 
--- a/Tests/LibTransport/test_early_answers.cc
+++ b/Tests/LibTransport/test_early_answers.cc
@@ -29,6 +29,11 @@
   return std::move(*outcome);
 }
 
+std::string AnswerOf(const std::string& status, const std::string& rest) {
+  std::string answer = "HTTP/1.1 ";
+  return answer.append(status).append(" Odd").append(rest);
+}
+
 TEST_SUITE_BEGIN("early-answers");
 
 // Guards against a part of an answer that callers get as the whole (MIXED).
@@ -82,7 +87,7 @@
         CAPTURE(status);
         CAPTURE(rest);
         CAPTURE(streams);
-        const HastyServer server("HTTP/1.1 " + status + " Odd" + rest, 4,
+        const HastyServer server(AnswerOf(status, rest), 4,
                                  std::chrono::milliseconds(0),
                                  ServerEnd::kClose);
         const auto outcome = AskOf(server, 4, streams);
