--- a/Libraries/LibForward/store_synchronizer.cc
+++ b/Libraries/LibForward/store_synchronizer.cc
@@ -50,13 +50,13 @@
       evacuated_zones_(context),
       own_row_(context, context.options().seed + 6) {}
 
-std::string_view StoreSynchronizer::ToText(Source source) {
+std::string_view StoreSynchronizer::NameOf(Source source) {
   return source == Source::kStore ? "store" : "peer";
 }
 
 void StoreSynchronizer::Handle(TableListed event, base::TimePoint now) {
   const FeedKind feed = event.feed;
-  if (!IsUsable(feed, event.era, now))
+  if (!AcceptAnswer(feed, event.era, now))
     return;
   const bool was_failing = FollowerOf(feed).is_failing();
   auto update = FollowerOf(feed).HandleListed(std::move(event));
@@ -68,7 +68,7 @@
 
 void StoreSynchronizer::Handle(TableChanged event, base::TimePoint now) {
   const FeedKind feed = event.feed;
-  if (!IsUsable(feed, event.era, now))
+  if (!AcceptAnswer(feed, event.era, now))
     return;
   const bool was_failing = FollowerOf(feed).is_failing();
   auto update = FollowerOf(feed).HandleChanged(std::move(event));
@@ -79,7 +79,7 @@
 
 void StoreSynchronizer::Handle(const TableHistoryLost& event,
                                base::TimePoint now) {
-  if (!IsUsable(event.feed, event.era, now))
+  if (!AcceptAnswer(event.feed, event.era, now))
     return;
   const bool was_failing = FollowerOf(event.feed).is_failing();
   FollowerOf(event.feed).HandleHistoryLost();
@@ -91,9 +91,9 @@
                                base::TimePoint now) {
   FeedFollower& follower = FollowerOf(event.feed);
   if (!follower.is_failing())
-    context_.Log(base::LogEventId::kPlatformUnreachable, "",
-                 {{"feed", std::string(forward::ToText(event.feed))},
-                  {"reason", event.detail}});
+    context_.Log(
+        base::LogEventId::kPlatformUnreachable, "",
+        {{"feed", std::string(ToText(event.feed))}, {"reason", event.detail}});
   follower.HandleFailed(now);
   relays_.SetStoreFailing(true, now);
   short_polls_until_ = now + kShortPollPeriod;
@@ -119,7 +119,7 @@
     return;
   relays_.SetStoreFailing(IsStoreFailing(), now);
   context_.Log(base::LogEventId::kPlatformReachable, "",
-               {{"feed", std::string(forward::ToText(feed))}});
+               {{"feed", std::string(ToText(feed))}});
   RestartOlderCalls(feed);
 }
 
@@ -135,7 +135,7 @@
 void StoreSynchronizer::LogUnreadable(FeedKind feed, const FeedRow& row) {
   if (const auto* it = std::get_if<RowUnreadable>(&row.content))
     context_.Log(base::LogEventId::kPlatformRowUnreadable, "",
-                 {{"feed", std::string(forward::ToText(feed))},
+                 {{"feed", std::string(ToText(feed))},
                   {"key", row.key},
                   {"reason", it->reason}});
 }
@@ -161,7 +161,7 @@
 void StoreSynchronizer::BeginEra(Source source, base::TimePoint now) {
   context_.Log(base::LogEventId::kStoreRestored, "",
                {{"era", std::to_string(*era_)},
-                {"told_by", std::string(ToText(source))}});
+                {"told_by", std::string(NameOf(source))}});
   for (FeedFollower& it : followers_)
     it.ListRestored();
   for (TableChangeLog& it : change_logs_)
@@ -174,9 +174,9 @@
 
 // The first answer of an era only shows that one has begun; the tables are
 // listed then. An answer of an earlier era comes from a call made before.
-bool StoreSynchronizer::IsUsable(FeedKind feed,
-                                 StoreEra era,
-                                 base::TimePoint now) {
+bool StoreSynchronizer::AcceptAnswer(FeedKind feed,
+                                     StoreEra era,
+                                     base::TimePoint now) {
   const EraOrder order = NoteEra(era, Source::kStore, now);
   if (order == EraOrder::kEarlier)
     FollowerOf(feed).HandleFailed(now);
@@ -260,7 +260,7 @@
     ++configuration_changes_;
     context_.Log(base::LogEventId::kConfigurationAdopted, "",
                  {{"revision", std::to_string((*it)->revision)},
-                  {"told_by", std::string(ToText(source))}});
+                  {"told_by", std::string(NameOf(source))}});
   }
 }
 
@@ -381,7 +381,7 @@
     follower.RestartCallBegunBefore(now);
   if (is_fresh)
     NoteFreshCopy(valid_until, now);
-  else
+  else if (relays_.has_relays())
     SpaceOutFailingCalls();
   if (is_earlier)
     return;
--- a/Libraries/LibForward/store_synchronizer.h
+++ b/Libraries/LibForward/store_synchronizer.h
@@ -73,7 +73,7 @@
   // How an era compares with the latest one known before.
   enum class EraOrder { kEarlier, kSame, kLater };
 
-  static std::string_view ToText(Source source);
+  static std::string_view NameOf(Source source);
   void Apply(FeedKind feed,
              FeedFollower::Update update,
              Source source,
@@ -97,8 +97,9 @@
   void LogUnreadable(FeedKind feed, const FeedRow& row);
   EraOrder NoteEra(StoreEra era, Source source, base::TimePoint now);
   void BeginEra(Source source, base::TimePoint now);
-  // Whether an answer of the store to a call for this table can be used.
-  bool IsUsable(FeedKind feed, StoreEra era, base::TimePoint now);
+  // Takes note of an answer's era. Returns whether the answer itself can be
+  // used.
+  bool AcceptAnswer(FeedKind feed, StoreEra era, base::TimePoint now);
   void DropUnconfirmed(std::vector<FeedRow>& rows) const;
 
   ForwardContext& context_;
--- a/Tests/LibForward/test_store_fleet.cc
+++ b/Tests/LibForward/test_store_fleet.cc
@@ -285,6 +285,25 @@
   CHECK(endpoints.front().name.value == "e1");
 }
 
+// Guards against hosts that all wait for each other after an outage.
+TEST_CASE("hosts have what was written when the store answers all again") {
+  for (const size_t hosts : {7, 8}) {
+    for (const StoreAccess access :
+         {StoreAccess::kRejects, StoreAccess::kSilent}) {
+      CAPTURE(hosts);
+      CAPTURE(static_cast<int>(access));
+      StoreFleet fleet = RunningFleet(hosts, 1);
+      fleet.SetAccessOfEach(1, access);
+      fleet.RunFor(seconds(6));
+      fleet.WriteConfiguration(2);
+      fleet.SetAccessOfEach(1, StoreAccess::kAnswers);
+      // The longest delay after a failed call, with its jitter.
+      fleet.RunFor(milliseconds(access == StoreAccess::kRejects ? 610 : 1600));
+      CHECK(fleet.CountOlderThan(2) == 0);
+    }
+  }
+}
+
 TEST_SUITE_END();
 
 }  // namespace
