LibSoak: Two software versions in each pool, and no stream joined of them

Each pool has endpoints of two versions now, each event names its own, and the new invariant `one-version` holds all events of a stream to one.

--- a/Libraries/LibSoak/answer_check.cc
+++ b/Libraries/LibSoak/answer_check.cc
@@ -10,6 +10,9 @@
 using MaybeFault = std::optional<AnswerFault>;
 
 constexpr std::string_view kEventEnd = "\n\n";
+// Before the software version in an event, and behind it.
+constexpr std::string_view kVersionBegin = " at ";
+constexpr std::string_view kVersionEnd = " of ";
 constexpr int kSuccess = 200;
 
 MaybeFault CheckPlain(const SentRequest& request,
@@ -50,15 +53,31 @@
   return std::nullopt;
 }
 
+std::string_view VersionOf(std::string_view event) {
+  const size_t begin = event.find(kVersionBegin);
+  if (begin == std::string_view::npos)
+    return {};
+  event.remove_prefix(begin + kVersionBegin.size());
+  return event.substr(0, event.find(kVersionEnd));
+}
+
 MaybeFault CheckStream(const SentRequest& request,
                        const ObservedAnswer& answer,
                        const AnswerShape& shape) {
   std::string_view rest = answer.body;
   uint32_t number = 0;
+  const std::string_view version =
+      VersionOf(rest.substr(0, rest.find(kEventEnd)));
   for (size_t end = rest.find(kEventEnd); end != std::string_view::npos;
        end = rest.find(kEventEnd)) {
-    if (MaybeFault broken = CheckEvent(request, rest.substr(0, end), number))
+    const std::string_view event = rest.substr(0, end);
+    if (MaybeFault broken = CheckEvent(request, event, number))
       return broken;
+    if (VersionOf(event) != version)
+      return AnswerFault{Invariant::kOneVersion,
+                         "event " + std::to_string(number) + " is from " +
+                             std::string(VersionOf(event)) + ", not " +
+                             std::string(version)};
     rest.remove_prefix(end + kEventEnd.size());
     ++number;
   }
--- a/Libraries/LibSoak/endpoint_fleet.cc
+++ b/Libraries/LibSoak/endpoint_fleet.cc
@@ -22,6 +22,8 @@
 constexpr milliseconds kService{15};
 constexpr milliseconds kEventGap{10};
 
+// Software versions that serve side by side in each pool.
+constexpr uint64_t kVersions = 2;
 constexpr std::array kPools{"desk", "llm", "maker"};
 constexpr std::array kZones{"z1", "z2", "z3"};
 
@@ -75,6 +77,7 @@
   model.events = shape_.events;
   model.answer_padding = shape_.padding;
   model.names_requests = true;
+  model.software_version = "v" + std::to_string(last_number_ % kVersions + 1);
   model.needs_inputs = pool == "llm";
   model.crash_mark = kDeadlyMark;
   auto member = std::make_unique<Member>();
--- a/Libraries/LibSoak/invariant.h
+++ b/Libraries/LibSoak/invariant.h
@@ -15,11 +15,13 @@
   kAnswerMatchesRequest,  // Every answer belongs to its request.
   kWholeAnswer,           // No incomplete answer looks complete.
   kStreamOrder,           // Each event of a stream arrives once and in order.
-  kRunMatchesRequest,     // Everything that runs was requested, unchanged.
-  kAtMostOnce,            // Requests that may run once run at most once.
-  kRefusalMeansNotRun,    // A request refused as not run never runs.
-  kAnswered,              // Every request gets an answer by its deadline.
-  kNoInterruption,        // Planned maintenance interrupts no request.
+  // All events of a stream are from endpoints of one software version.
+  kOneVersion,
+  kRunMatchesRequest,   // Everything that runs was requested, unchanged.
+  kAtMostOnce,          // Requests that may run once run at most once.
+  kRefusalMeansNotRun,  // A request refused as not run never runs.
+  kAnswered,            // Every request gets an answer by its deadline.
+  kNoInterruption,      // Planned maintenance interrupts no request.
   // A withdrawn key isn't accepted after the configuration bound.
   kWithdrawnKey,
   kKnownKey,  // A valid key isn't rejected as unknown.
@@ -37,6 +39,7 @@
     std::pair{Invariant::kAnswerMatchesRequest, "own-answer"},
     std::pair{Invariant::kWholeAnswer, "whole-answer"},
     std::pair{Invariant::kStreamOrder, "stream-order"},
+    std::pair{Invariant::kOneVersion, "one-version"},
     std::pair{Invariant::kRunMatchesRequest, "own-run"},
     std::pair{Invariant::kAtMostOnce, "at-most-once"},
     std::pair{Invariant::kRefusalMeansNotRun, "true-refusal"},
--- a/Libraries/LibSoak/invariant_checker.cc
+++ b/Libraries/LibSoak/invariant_checker.cc
@@ -151,8 +151,10 @@
   Count(Invariant::kAnswerMatchesRequest);
   if (answer.status == kSuccess) {
     Count(Invariant::kWholeAnswer);
-    if (IsStream(request.kind))
+    if (IsStream(request.kind)) {
       Count(Invariant::kStreamOrder);
+      Count(Invariant::kOneVersion);
+    }
   }
   const auto broken = CheckAnswer(request, answer, shape_);
   if (broken)
--- a/Tests/LibSoak/test_invariants.cc
+++ b/Tests/LibSoak/test_invariants.cc
@@ -179,6 +179,28 @@
   CHECK(fixture.Violated() == Invariants{Invariant::kStreamOrder});
 }
 
+TEST_CASE("a stream joined from two software versions is detected") {
+  CheckerFixture fixture;
+  std::string events = CheckerFixture::Events("resume", 0, 3);
+  const auto set_version = [&events](uint32_t event, const std::string& text) {
+    const std::string token = "token " + std::to_string(event);
+    events.insert(events.find(token) + token.size(), " at " + text);
+  };
+  SUBCASE("one version") {
+    for (uint32_t i = 0; i < 3; ++i)
+      set_version(i, "v1");
+    fixture.checker.NoteAnswer(CheckerFixture::Answer("resume", events));
+    CHECK(fixture.Violated().empty());
+  }
+  SUBCASE("two versions") {
+    set_version(0, "v1");
+    set_version(1, "v1");
+    set_version(2, "v2");
+    fixture.checker.NoteAnswer(CheckerFixture::Answer("resume", events));
+    CHECK(fixture.Violated() == Invariants{Invariant::kOneVersion});
+  }
+}
+
 TEST_CASE("an execution without a matching request is detected") {
   CheckerFixture fixture;
   SUBCASE("no request") {
--- a/Tests/Standins/piece_endpoint_standin.cc
+++ b/Tests/Standins/piece_endpoint_standin.cc
@@ -268,8 +268,10 @@
   service_->BeginStream(request.exchange, 200, headers);
   auto stream = std::make_shared<Stream>();
   stream->exchange = request.exchange;
+  if (!model_.software_version.empty())
+    stream->name = " at " + model_.software_version;
   if (model_.names_requests)
-    stream->name = " of " + request.target;
+    stream->name += " of " + request.target;
   const std::string last = TextOf(request, wire::kLastEvent);
   if (!last.empty())
     stream->next = static_cast<uint32_t>(std::atoi(last.c_str())) + 1;
--- a/Tests/Standins/piece_endpoint_standin.h
+++ b/Tests/Standins/piece_endpoint_standin.h
@@ -38,6 +38,8 @@
   size_t answer_padding = 0;  // Bytes after the first line of a plain answer.
   // Whether each event of a stream names its request.
   bool names_requests = false;
+  // Listed, and named by each event of a stream; empty for none.
+  std::string software_version = {};
   // A request or a stage call whose target or body contains this text crashes
   // the endpoint; empty for no crashes.
   std::string crash_mark;
--- a/Tests/Standins/platform_messages.cc
+++ b/Tests/Standins/platform_messages.cc
@@ -87,6 +87,8 @@
   entry["zone"] = zone;
   entry["state"] = state == EntryState::kReady ? "ready" : "draining";
   entry["seq"] = static_cast<Json::UInt64>(sequence);
+  if (!endpoint.model().software_version.empty())
+    entry["version"] = endpoint.model().software_version;
   return transport::PrintCompact(entry);
 }
 
