LibForward: Write a stream's row with its first event

What callers saw: take-ups refused although endpoints of the stream's version serve (LOST, in a pool of several versions).

Cause: rows of streams waited up to 200 ms, in larger fleets 6 ms a host, to be written in batches; many streams live no longer, and break or lose their host before.

The first event writes the row at once, and what comes in the next 50 ms goes into one batch. Removals wait for 5 s in exchange.

--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -258,7 +258,6 @@
     peers_.SetHosts(store_.hosts(), now);
     stages_.MonitorDispatchers();
     runs_.SetFleetSize(peers_.assignment().host_count());
-    stream_versions_.SetFleetSize(peers_.assignment().host_count());
     store_.ChooseRelays();
   }
   if (seen_restorations_ != store_.restorations()) {
--- a/Libraries/LibForward/stream_versions.cc
+++ b/Libraries/LibForward/stream_versions.cc
@@ -11,10 +11,12 @@
 
 // A stream is not taken up later than this after its first event.
 constexpr std::chrono::seconds kStreamLife{60};
-// Streams whose rows aren't written yet are unknown if their host is killed.
-constexpr std::chrono::milliseconds kFlushInterval{200};
-// All hosts of a fleet together write about 150 times a second at most.
-constexpr std::chrono::milliseconds kFlushIntervalPerHost{6};
+// Minimum time between the writes of new rows. Streams whose rows aren't
+// written yet are unknown if their host is killed, and many break within
+// moments.
+constexpr std::chrono::milliseconds kFlushInterval{50};
+// Minimum time between removals, for which nobody waits.
+constexpr std::chrono::seconds kRemovalInterval{5};
 constexpr std::chrono::milliseconds kRetryDelay{700};
 // The store runs the transactions of one part of a table one after another, so
 // the rows of streams are spread over several.
@@ -250,14 +252,14 @@
   unremoved_.insert(node.mapped().removed.begin(), node.mapped().removed.end());
 }
 
-base::Duration StreamVersions::FlushInterval() const {
-  return std::max(kFlushInterval,
-                  kFlushIntervalPerHost * static_cast<int64_t>(fleet_size_));
-}
-
-bool StreamVersions::HasUnwritten() const {
-  return !unwritten_.empty() || !unremoved_.empty() ||
-         !unwritten_pools_.empty();
+std::optional<base::TimePoint> StreamVersions::FlushDue() const {
+  if (!knows_pools_)
+    return std::nullopt;
+  if (!unwritten_.empty() || !unwritten_pools_.empty())
+    return next_flush_;
+  if (!unremoved_.empty())
+    return std::max(next_flush_, next_removal_);
+  return std::nullopt;
 }
 
 void StreamVersions::ForgetOldVersions(base::TimePoint now) {
@@ -290,7 +292,7 @@
 }
 
 void StreamVersions::Flush(base::TimePoint now) {
-  next_flush_ = now + FlushInterval();
+  next_flush_ = now + kFlushInterval;
   WriteStreamRows pools{{}, kPoolsPart, {}, {}};
   for (const base::PoolName& it : std::exchange(unwritten_pools_, {}))
     pools.written.push_back({it.value, it, NamesOf(versions_[it])});
@@ -310,8 +312,11 @@
     const StreamOrigin& origin = streams_.at(it).origin;
     part_of(it).written.push_back({it, origin.pool, {origin.software_version}});
   }
-  for (const std::string& it : std::exchange(unremoved_, {}))
-    part_of(it).removed.push_back(it);
+  if (now >= next_removal_) {
+    next_removal_ = now + kRemovalInterval;
+    for (const std::string& it : std::exchange(unremoved_, {}))
+      part_of(it).removed.push_back(it);
+  }
   for (auto& [part, rows] : parts)
     Write(std::move(rows));
 }
@@ -322,7 +327,7 @@
   ForgetOldStreams(now);
   if (read_pools_at_ && *read_pools_at_ <= now && !resumable_pools_.empty())
     ReadPools();
-  if (knows_pools_ && HasUnwritten() && now >= next_flush_)
+  if (const auto due = FlushDue(); due && *due <= now)
     Flush(now);
 }
 
@@ -334,8 +339,7 @@
   };
   if (!resumable_pools_.empty())
     consider(read_pools_at_);
-  if (knows_pools_ && HasUnwritten())
-    consider(next_flush_);
+  consider(FlushDue());
   if (!begun_at_.empty())
     consider(begun_at_.front().first + kStreamLife);
   for (const auto& [pool, times] : versions_) {
--- a/Libraries/LibForward/stream_versions.h
+++ b/Libraries/LibForward/stream_versions.h
@@ -44,7 +44,6 @@
   void SetConfiguration(const ForwardConfiguration& configuration);
   void SetEndpoints(std::span<const ListedEndpoint> endpoints,
                     base::TimePoint now);
-  void SetFleetSize(size_t hosts) { fleet_size_ = hosts; }
   // The store may have lost what this host wrote.
   void WriteAgain();
 
@@ -99,11 +98,10 @@
   void ApplyPools(const std::vector<StreamRow>& rows, base::TimePoint now);
   void Flush(base::TimePoint now);
   void Write(WriteStreamRows rows);
-  bool HasUnwritten() const;
-  base::Duration FlushInterval() const;
+  // When rows are to be written or removed; empty if none are.
+  std::optional<base::TimePoint> FlushDue() const;
 
   ForwardContext& context_;
-  size_t fleet_size_ = 1;
   std::set<base::PoolName> resumable_pools_;
   std::map<base::PoolName, VersionTimes> versions_;
   // The versions that the pools' rows hold, as far as known.
@@ -120,6 +118,7 @@
   std::map<StreamCallId, PendingLookup> lookups_;
   std::deque<Lookup> ended_lookups_;
   base::TimePoint next_flush_;
+  base::TimePoint next_removal_;
   uint64_t last_call_ = 0;
 };
 
