LibForward, LibTransport, platform: Say each thing of this change once

From reading the whole change again. No behaviour is meant to change.

Calls to the store that answer no feed: CallStoreOnce in the shell. - StreamVersions: a variant of origin or "ask the store" is an optional; the verdict without a row stood three times; NoteComplete only called Forget. - NoteStoreBack and NoteStoreRestored had the same body; the condition on a restored table in EvacuatedZones was dead, as StoreSynchronizer decides that for all feeds. - The actions on rows of streams stood between the two on a host's own row. - store_fleet: an unused member and include; what access loses stood twice.

The boundary test knows the two new wire names.

--- a/Libraries/LibForward/admission_control.cc
+++ b/Libraries/LibForward/admission_control.cc
@@ -76,8 +76,7 @@
                                   ForwardedRun& run) const {
   if (!request.last_event || !run.pipeline->may_resume)
     return;
-  const auto found = stream_versions_.Find(request.resumed_stream);
-  if (const auto* origin = std::get_if<StreamOrigin>(&found))
+  if (const auto origin = stream_versions_.Find(request.resumed_stream))
     run.GoOnAt(origin->pool, origin->software_version);
   else
     run.awaits_origin = true;
--- a/Libraries/LibForward/endpoint_directory.cc
+++ b/Libraries/LibForward/endpoint_directory.cc
@@ -77,10 +77,8 @@
 }
 
 void EndpointDirectory::NoteStoreBack(base::TimePoint now) {
-  if (!is_store_lost_)
-    return;
-  is_store_lost_ = false;
-  trusted_from_ = now + kRelistTime;
+  if (is_store_lost_)
+    NoteStoreRestored(now);
 }
 
 void EndpointDirectory::NoteStoreRestored(base::TimePoint now) {
--- a/Libraries/LibForward/evacuated_zones.cc
+++ b/Libraries/LibForward/evacuated_zones.cc
@@ -4,11 +4,9 @@
 
 namespace bilberry::forward {
 
-// A restored store may lack rows that the operators will write again, so that
-// zones are taken back only by a row's removal then.
 bool EvacuatedZones::Apply(const FeedFollower::Update& update) {
   const Zones earlier = zones_;
-  if (update.is_whole && !update.is_restored)
+  if (update.is_whole)
     zones_.clear();
   for (const FeedRow& row : update.rows) {
     if (const auto* it = std::get_if<ZoneEvacuated>(&row.content))
--- a/Libraries/LibForward/forward_action.h
+++ b/Libraries/LibForward/forward_action.h
@@ -198,6 +198,10 @@
 struct WriteOwnRow {
   PeerHost host;
 };
+struct RemoveOwnRow {
+  base::HostName name;
+};
+
 // Reads rows of the table of streams in the store: the one with this key, or
 // all of the part. Results in one StreamRowsRead or StreamRowsFailed.
 struct ReadStreamRows {
@@ -215,10 +219,6 @@
   std::vector<std::string> removed;  // Keys.
 };
 
-struct RemoveOwnRow {
-  base::HostName name;
-};
-
 // One field of a log record.
 struct LogField {
   std::string_view name;
--- a/Libraries/LibForward/forwarded_run_coordinator.cc
+++ b/Libraries/LibForward/forwarded_run_coordinator.cc
@@ -622,9 +622,9 @@
     run.first_byte = now;
   std::string outcome = "answered " + std::to_string(event.head.status);
   if (run.has_begun_stream) {
-    stream_versions_.NoteComplete(run.request->last_event
-                                      ? run.request->resumed_stream
-                                      : run.request->request_id);
+    stream_versions_.Forget(run.request->last_event
+                                ? run.request->resumed_stream
+                                : run.request->request_id);
     context_.Emit(EndStream{*caller, StreamOutcome::kWhole});
   } else {
     context_.Emit(
--- a/Libraries/LibForward/store_synchronizer.cc
+++ b/Libraries/LibForward/store_synchronizer.cc
@@ -203,8 +203,9 @@
     LogUnreadable(feed, row);
   if (update.is_restored && feed == FeedKind::kEndpoints)
     DropUnconfirmed(update.rows);
-  // The other rows that a restored store lacks will be written again.
-  if (update.is_restored && feed != FeedKind::kEndpoints)
+  else if (update.is_restored)
+    // Hosts and operators will write the rows that the store lacks again, so
+    // that only a removal takes something away.
     update.is_whole = false;
   ChangeLogOf(feed).Apply(update.is_whole, update.rows,
                           FollowerOf(feed).version());
--- a/Libraries/LibForward/stream_versions.cc
+++ b/Libraries/LibForward/stream_versions.cc
@@ -120,10 +120,6 @@
     unwritten_.insert(stream);
 }
 
-void StreamVersions::NoteComplete(const std::string& stream) {
-  Forget(stream);
-}
-
 void StreamVersions::Forget(const std::string& stream) {
   const auto it = streams_.find(stream);
   if (it == streams_.end())
@@ -134,21 +130,26 @@
   streams_.erase(it);
 }
 
-std::variant<StreamOrigin, OriginNeedsLookup> StreamVersions::Find(
+std::optional<StreamOrigin> StreamVersions::Find(
     const std::string& stream) const {
   const auto it = streams_.find(stream);
   if (it == streams_.end())
-    return OriginNeedsLookup{};
+    return std::nullopt;
   return it->second.origin;
 }
 
+OriginVerdict StreamVersions::VerdictWithoutRow(
+    const base::PoolName& pool) const {
+  if (IsMixed(pool))
+    return UnknownOrigin{};
+  return AnyOrigin{};
+}
+
 void StreamVersions::LookUp(const std::string& stream,
                             const base::PoolName& pool,
                             base::CallerId caller) {
   if (stream.empty() || stream.size() > kMaxKeyBytes) {
-    ended_lookups_.push_back(
-        {caller, stream,
-         IsMixed(pool) ? OriginVerdict(UnknownOrigin{}) : AnyOrigin{}});
+    ended_lookups_.push_back({caller, stream, VerdictWithoutRow(pool)});
     return;
   }
   const StreamCallId id{++last_call_};
@@ -174,9 +175,7 @@
   if (node.empty())
     return;
   const PendingLookup& lookup = node.mapped();
-  OriginVerdict verdict = AnyOrigin{};
-  if (IsMixed(lookup.pool))
-    verdict = UnknownOrigin{};
+  OriginVerdict verdict = VerdictWithoutRow(lookup.pool);
   for (const StreamRow& it : event.rows) {
     if (it.key == lookup.stream && it.software_versions.size() == 1)
       verdict = StreamOrigin{it.pool, it.software_versions.front()};
@@ -233,8 +232,7 @@
   if (const auto node = lookups_.extract(event.id); !node.empty()) {
     const PendingLookup& lookup = node.mapped();
     ended_lookups_.push_back(
-        {lookup.caller, lookup.stream,
-         IsMixed(lookup.pool) ? OriginVerdict(UnknownOrigin{}) : AnyOrigin{}});
+        {lookup.caller, lookup.stream, VerdictWithoutRow(lookup.pool)});
     return;
   }
   const auto node = writes_.extract(event.id);
--- a/Libraries/LibForward/stream_versions.h
+++ b/Libraries/LibForward/stream_versions.h
@@ -27,8 +27,6 @@
 struct AnyOrigin {};
 // The stream may have begun at a version other than those listed now.
 struct UnknownOrigin {};
-// The store has to be asked.
-struct OriginNeedsLookup {};
 
 using OriginVerdict = std::variant<StreamOrigin, AnyOrigin, UnknownOrigin>;
 
@@ -51,12 +49,11 @@
   void NoteBegun(const std::string& stream,
                  StreamOrigin origin,
                  base::TimePoint now);
-  // The stream is complete: it won't be taken up.
-  void NoteComplete(const std::string& stream);
+  // The stream is complete or too old to be taken up.
+  void Forget(const std::string& stream);
 
-  // Returns what this host knows by itself.
-  std::variant<StreamOrigin, OriginNeedsLookup> Find(
-      const std::string& stream) const;
+  // Returns what this host knows by itself; empty if the store has to be asked.
+  std::optional<StreamOrigin> Find(const std::string& stream) const;
   // Asks the store for the origin of a stream, which a request for this pool
   // takes up. TakeLookup() returns the verdict to the caller.
   void LookUp(const std::string& stream,
@@ -93,7 +90,8 @@
   void NoteVersionsChanged(const base::PoolName& pool);
   void ForgetOldVersions(base::TimePoint now);
   void ForgetOldStreams(base::TimePoint now);
-  void Forget(const std::string& stream);
+  // What holds for a stream of this pool of which no row is known.
+  OriginVerdict VerdictWithoutRow(const base::PoolName& pool) const;
   void ReadPools();
   void ApplyPools(const std::vector<StreamRow>& rows, base::TimePoint now);
   void Flush(base::TimePoint now);
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -719,15 +719,25 @@
             });
 }
 
-void ForwardShell::Execute(const forward::WriteOwnRow& action) {
-  HttpRequest request = adapter_.EncodeWriteOwnRow(action.host);
+void ForwardShell::CallStoreOnce(
+    std::string_view call,
+    HttpRequest request,
+    std::function<forward::Event(const HttpOutcome&)> decode) {
   request.timeout = kStoreTimeout;
-  http_->Send(std::move(request), [this](const HttpOutcome& outcome) {
-    RecordStoreCall("write_row", outcome);
-    HandleEvent(adapter_.DecodeWriteResponse(outcome));
+  http_->Send(std::move(request), [this, call, decode = std::move(decode)](
+                                      const HttpOutcome& outcome) {
+    RecordStoreCall(call, outcome);
+    HandleEvent(decode(outcome));
   });
 }
 
+void ForwardShell::Execute(const forward::WriteOwnRow& action) {
+  CallStoreOnce("write_row", adapter_.EncodeWriteOwnRow(action.host),
+                [this](const HttpOutcome& outcome) {
+                  return adapter_.DecodeWriteResponse(outcome);
+                });
+}
+
 void ForwardShell::Execute(const forward::RemoveOwnRow& action) {
   HttpRequest request = adapter_.EncodeRemoveOwnRow(action.name);
   request.timeout = kStoreTimeout;
@@ -739,23 +749,17 @@
 }
 
 void ForwardShell::Execute(const forward::ReadStreamRows& action) {
-  HttpRequest request = adapter_.EncodeStreamRead(action);
-  request.timeout = kStoreTimeout;
-  http_->Send(std::move(request),
-              [this, id = action.id](const HttpOutcome& outcome) {
-                RecordStoreCall("read_streams", outcome);
-                HandleEvent(adapter_.DecodeStreamRead(id, outcome));
-              });
+  CallStoreOnce("read_streams", adapter_.EncodeStreamRead(action),
+                [this, id = action.id](const HttpOutcome& outcome) {
+                  return adapter_.DecodeStreamRead(id, outcome);
+                });
 }
 
 void ForwardShell::Execute(const forward::WriteStreamRows& action) {
-  HttpRequest request = adapter_.EncodeStreamWrite(action);
-  request.timeout = kStoreTimeout;
-  http_->Send(std::move(request),
-              [this, id = action.id](const HttpOutcome& outcome) {
-                RecordStoreCall("write_streams", outcome);
-                HandleEvent(adapter_.DecodeStreamWrite(id, outcome));
-              });
+  CallStoreOnce("write_streams", adapter_.EncodeStreamWrite(action),
+                [this, id = action.id](const HttpOutcome& outcome) {
+                  return adapter_.DecodeStreamWrite(id, outcome);
+                });
 }
 
 void ForwardShell::RecordStoreCall(std::string_view call,
--- a/Libraries/LibTransport/forward_shell.h
+++ b/Libraries/LibTransport/forward_shell.h
@@ -79,6 +79,11 @@
   void CallStore(forward::FeedKind feed,
                  HttpRequest request,
                  HttpClient::DoneHandler done);
+  // Makes a call that answers no feed, and passes the event of its answer to
+  // the node. `call` names it in metrics.
+  void CallStoreOnce(std::string_view call,
+                     HttpRequest request,
+                     std::function<forward::Event(const HttpOutcome&)> decode);
   // Passes what an answer says about the endpoint's own state to the node.
   // `sent_at` is the time at which the request was sent.
   void HandleNotice(const base::EndpointName& endpoint,
--- a/Tests/LibForward/store_fleet.cc
+++ b/Tests/LibForward/store_fleet.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "LibBase/overloaded.h"
-
 namespace bilberry::forward {
 
 namespace {
@@ -31,9 +29,15 @@
   return follow == nullptr ? milliseconds(0) : follow->wait;
 }
 
+bool LosesAnswer(StoreAccess access, FeedKind feed) {
+  return access == StoreAccess::kSilent ||
+         (access == StoreAccess::kLosesConfiguration &&
+          feed == FeedKind::kConfiguration);
+}
+
 }  // namespace
 
-StoreFleet::StoreFleet(size_t hosts, uint64_t seed) : random_(seed) {
+StoreFleet::StoreFleet(size_t hosts, uint64_t seed) {
   for (size_t i = 0; i < hosts; ++i) {
     ForwardOptions options;
     options.own = HostOf(i);
@@ -53,11 +57,8 @@
 
 void StoreFleet::SetAccess(size_t host, StoreAccess access) {
   hosts_[host].access = access;
-  for (auto& [feed, call] : hosts_[host].calls) {
-    call.is_lost |= access == StoreAccess::kSilent ||
-                    (access == StoreAccess::kLosesConfiguration &&
-                     feed == FeedKind::kConfiguration);
-  }
+  for (auto& [feed, call] : hosts_[host].calls)
+    call.is_lost |= LosesAnswer(access, feed);
 }
 
 void StoreFleet::SetAccessOfEach(size_t n, StoreAccess access) {
@@ -230,10 +231,7 @@
   Host& it = hosts_[host];
   const FeedKind feed =
       std::visit([](const auto& call) { return call.feed; }, action);
-  const bool is_lost = it.access == StoreAccess::kSilent ||
-                       (it.access == StoreAccess::kLosesConfiguration &&
-                        feed == FeedKind::kConfiguration);
-  it.calls[feed] = {std::move(action), now_ms_, is_lost};
+  it.calls[feed] = {std::move(action), now_ms_, LosesAnswer(it.access, feed)};
 }
 
 void StoreFleet::AnswerIfDue(size_t host, FeedKind feed) {
--- a/Tests/LibForward/store_fleet.h
+++ b/Tests/LibForward/store_fleet.h
@@ -6,7 +6,6 @@
 #include <string>
 #include <vector>
 
-#include "LibBase/random.h"
 #include "LibForward/store_synchronizer.h"
 
 namespace bilberry::forward {
@@ -107,7 +106,6 @@
   Tables tables_;
   Tables copy_;
   StoreEra era_ = 0;
-  base::Random random_;
   uint64_t last_exchange_ = 0;
   uint64_t poll_count_ = 0;
   int64_t now_ms_ = 1;
--- a/Tests/Platform/test_boundary.cc
+++ b/Tests/Platform/test_boundary.cc
@@ -18,7 +18,7 @@
     "targetLatencyMs",  "apiKeys",       "itemMs",        "roomMb",
     "expectedRev",      "BILBERRYLEVER", "internalPorts", "\"draining\"",
     "\"non_idempotent", "Pin-Ms",        "Kv-From",       "Instance-Id",
-    "Server-Load",      "gapAimMs"};
+    "Server-Load",      "gapAimMs",      "Store-Era",     "\"Resumes"};
 
 std::string TextOf(const fs::path& path) {
   std::ifstream file(path);
