LibTransport: A handle for each transfer; a folded first line ended the host

What callers saw: an endpoint answered "HTTP/1.1 200 OK" and then, as the first line of the head, one that begins with a blank or a tab. The host ended by a signal, every request that it held was lost, and whoever repeated the request at another host ended that one, too.

Cause: libcurl 7.88 joins a folded line to the header that it stored last, and curl_easy_reset() leaves that reference standing, though the header is freed when the handle's next transfer begins. Released handles were reset and used again. OnHeader() gets the line only afterwards, too late to refuse it. All of HttpClient is concerned: requests, streams, stage calls, health checks, the store, peers, bilberryd, the operators' client.

Why it works: a new handle has no stored header, and libcurl itself then fails a transfer whose head begins with a folded line. Nothing is carried from one transfer to the next but connections, which belong to the multi handle.

Weighed: checks in callbacks (they come too late), and reading answers without libcurl (connections, time limits and uploads would have to be written anew).

--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -26,7 +26,6 @@
 // Idle time before the first TCP keepalive probe, and the interval of further
 // probes; kUserTimeout bounds how long they may stay unanswered.
 constexpr int kKeepAliveSeconds = 1;
-constexpr size_t kMaxIdleHandles = 1024;
 // Bounds all heads of one answer together: interim responses ("100 Continue"),
 // the final head and the trailers of a chunked body. A longer head fails the
 // transfer.
@@ -126,19 +125,9 @@
   reactor_.Remove(*this);
   for (auto& [id, transfer] : transfers_)
     Release(*transfer);
-  for (CURL* easy : idle_handles_)
-    curl_easy_cleanup(easy);
   curl_multi_cleanup(multi_);
 }
 
-CURL* HttpClient::TakeHandle() {
-  if (idle_handles_.empty())
-    return curl_easy_init();
-  CURL* easy = idle_handles_.back();
-  idle_handles_.pop_back();
-  return easy;
-}
-
 HttpTransferId HttpClient::Send(HttpRequest request,
                                 DoneHandler done,
                                 ChunkHandler chunk,
@@ -150,7 +139,10 @@
   transfer->done = std::move(done);
   transfer->chunk = std::move(chunk);
   transfer->sending = std::move(sending);
-  transfer->easy = TakeHandle();
+  // Each transfer has a handle of its own: libcurl 7.88 keeps a reference to
+  // the last header of an answer beyond a reset, and joins a folded line at the
+  // beginning of the next answer to it, in memory that has been freed.
+  transfer->easy = curl_easy_init();
   SetUp(*transfer);
   curl_multi_add_handle(multi_, transfer->easy);
   const HttpTransferId id = transfer->id;
@@ -258,13 +250,8 @@
 void HttpClient::Release(Transfer& transfer) {
   transfer.memory.reset();
   curl_multi_remove_handle(multi_, transfer.easy);
+  curl_easy_cleanup(transfer.easy);
   curl_slist_free_all(transfer.headers);
-  if (idle_handles_.size() < kMaxIdleHandles) {
-    curl_easy_reset(transfer.easy);
-    idle_handles_.push_back(transfer.easy);
-  } else {
-    curl_easy_cleanup(transfer.easy);
-  }
 }
 
 void HttpClient::RetireConnections(const base::SocketAddress& address) {
--- a/Libraries/LibTransport/http_client.h
+++ b/Libraries/LibTransport/http_client.h
@@ -135,7 +135,6 @@
   // Accounts for the transfer's body. Returns false if it is dropped.
   bool UpdateMemory(Transfer& transfer);
 
-  CURL* TakeHandle();
   void SetUp(Transfer& transfer);
   static void SetMethod(Transfer& transfer);
   static void SetForwardedMethod(Transfer& transfer);
@@ -166,7 +165,6 @@
   std::unordered_map<HttpTransferId, std::unique_ptr<Transfer>> transfers_;
   // Until the end of the turn: one of their callbacks may be running.
   std::vector<std::unique_ptr<Transfer>> cancelled_;
-  std::vector<CURL*> idle_handles_;
   std::vector<Sending> sendings_;
   std::vector<Chunk> chunks_;
   std::optional<base::TimePoint> curl_due_;
--- a/Tests/LibTransport/hasty_server.h
+++ b/Tests/LibTransport/hasty_server.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <chrono>
+#include <mutex>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -39,10 +40,20 @@
   HastyServer& operator=(const HastyServer&) = delete;
 
   base::SocketAddress address() const { return listener_.address(); }
+  // Answers the requests that come from now on.
+  void SetAnswer(std::string answer) {
+    const std::lock_guard lock(mutex_);
+    answer_ = std::move(answer);
+  }
 
  private:
   static constexpr int kBacklog = 16;
 
+  std::string answer() {
+    const std::lock_guard lock(mutex_);
+    return answer_;
+  }
+
   void Serve() {
     for (int connection = listener_.Accept(); connection >= 0;
          connection = listener_.Accept())
@@ -62,7 +73,8 @@
         break;
       received.append(buf.data(), static_cast<size_t>(n));
     }
-    send(connection, answer_.data(), answer_.size(), MSG_NOSIGNAL);
+    const std::string answer = this->answer();
+    send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
     std::this_thread::sleep_for(wait_);
     if (end_ == ServerEnd::kReset) {
       const linger reset{1, 0};
@@ -71,7 +83,8 @@
     close(connection);
   }
 
-  std::string answer_;
+  std::mutex mutex_;
+  std::string answer_;  // Guarded by mutex_.
   size_t read_bytes_ = 0;
   std::chrono::milliseconds wait_;
   ServerEnd end_;
--- a/Tests/LibTransport/test_answer_heads.cc
+++ b/Tests/LibTransport/test_answer_heads.cc
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "flood_server.h"
+#include "hasty_server.h"
 #include "http_pair.h"
 
 // Answers whose heads are spelled unusually or malformed.
@@ -78,6 +79,27 @@
   }
 }
 
+// Guards against a line that is joined to a header of an earlier answer, whose
+// memory has been freed: the process ended.
+TEST_CASE("an answer whose head begins with a folded line ends no process") {
+  const std::string sound =
+      "HTTP/1.1 200 OK\r\nName: value\r\nContent-Length: 4\r\n\r\nbody";
+  HastyServer server(sound, 0, std::chrono::milliseconds(0), ServerEnd::kClose);
+  HttpPair pair([](const IncomingRequest&) {});
+  HttpRequest request = pair.Request();
+  request.address = server.address();
+  for (const std::string line : {" X: a", "\tX: a", "  :", " \t X: a"}) {
+    for (int i = 0; i < 20; ++i) {
+      CAPTURE(line);
+      server.SetAnswer(sound);
+      CHECK(std::holds_alternative<HttpResponse>(pair.Ask(request)));
+      server.SetAnswer("HTTP/1.1 200 OK\r\n" + line +
+                       "\r\nContent-Length: 4\r\n\r\nbody");
+      CHECK(std::holds_alternative<HttpFailure>(pair.Ask(request)));
+    }
+  }
+}
+
 TEST_SUITE_END();
 
 }  // namespace
