LibTransport: A body without chunks that came in parts ended the host

What callers saw: one request with "Transfer-Encoding: chunked" whose body is "0\r\n" and, in a packet of its own, "\r" ended the host by SIGABRT, with every request that it held.

Cause: the parser of Boost 1.74 asserts that it has five bytes when it looks again for the end of a chunked body whose last size it has seen. That holds behind a chunk, whose line end belongs to them, but not without any chunk.

Why it works: the shortest end of a chunked body has five bytes, so that between chunks nothing can be complete with fewer. The parser gets none until then.

--- a/Libraries/LibTransport/request_reader.cc
+++ b/Libraries/LibTransport/request_reader.cc
@@ -28,6 +28,8 @@
 // never see the answer.
 constexpr uint64_t kMaxDiscardedBytes = uint64_t{8} * 1024 * 1024;
 constexpr int kVersion10 = 10;
+// Bytes of the shortest end of a chunked body: a size of zero and two line ends.
+constexpr size_t kShortestChunkedEnd = 5;
 // The parser copies a head to parts that it doesn't release before the request.
 constexpr size_t kHeadCopies = 2;
 
@@ -65,6 +67,10 @@
     is_discarding_ = true;
   }
   void SetInput(std::string_view input) { input_ = input; }
+  // Whether the next bytes are a chunk's size or the end of a chunked body.
+  bool IsBetweenChunks() const {
+    return is_header_done() && chunked() && chunk_bytes_left_ == 0;
+  }
 
  private:
   void on_request_impl(http::verb /*verb*/,
@@ -137,13 +143,16 @@
     return bytes.size();
   }
 
-  void on_chunk_header_impl(uint64_t /*size*/,
+  void on_chunk_header_impl(uint64_t size,
                             string_view /*extensions*/,
-                            error_code& /*ec*/) override {}
+                            error_code& /*ec*/) override {
+    chunk_bytes_left_ = size;
+  }
 
-  size_t on_chunk_body_impl(uint64_t /*remaining*/,
+  size_t on_chunk_body_impl(uint64_t remaining,
                             string_view bytes,
                             error_code& ec) override {
+    chunk_bytes_left_ = remaining - bytes.size();
     return on_body_impl(bytes, ec);
   }
 
@@ -165,6 +174,7 @@
   size_t max_body_bytes_;
   uint64_t body_bytes_ = 0;
   size_t announced_body_bytes_ = 0;
+  uint64_t chunk_bytes_left_ = 0;
   bool is_discarding_ = false;
   std::string_view input_;  // What is being parsed.
 };
@@ -245,6 +255,10 @@
 }
 
 size_t RequestReader::Put(std::string_view bytes) {
+  // The parser ends the process if it gets the end of a body without chunks in
+  // parts of which one is shorter.
+  if (parser_->IsBetweenChunks() && bytes.size() < kShortestChunkedEnd)
+    return 0;
   error_code ec;
   parser_->SetInput(bytes);
   const size_t n =
--- a/Tests/LibTransport/test_request_heads.cc
+++ b/Tests/LibTransport/test_request_heads.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "LibTransport/request_reader.h"
 #include "Standins/spelled_request.h"
 #include "http_pair.h"
 #include "raw_connection.h"
@@ -90,6 +91,41 @@
   CHECK(connection.received().ends_with("\r\n\r\n"));
 }
 
+// Guards against a caller that ends the process with a body without chunks.
+TEST_CASE("a chunked body is read in whatever parts it arrives") {
+  const std::string head =
+      "POST /x HTTP/1.1\r\nHost: shop.example\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::string chunks : {"", "2\r\nok\r\n", "2;a=b\r\nok\r\n"}) {
+    for (const std::string end : {"0\r\n\r\n", "00\r\nName: value\r\n\r\n"}) {
+      std::string bytes = head;
+      bytes.append(chunks).append(end);
+      for (size_t first = 1; first < bytes.size(); ++first) {
+        for (size_t size : {size_t{1}, size_t{2}, size_t{3}, bytes.size()}) {
+          CAPTURE(bytes);
+          CAPTURE(first);
+          CAPTURE(size);
+          RequestReader reader{RequestLimits{}};
+          std::string input = bytes.substr(0, first);
+          size_t received = first;
+          input.erase(0, reader.Read(input));
+          while (received < bytes.size()) {
+            input += bytes.substr(received, size);
+            received += size;
+            size_t used = 1;
+            while (used > 0 && !input.empty()) {
+              used = reader.Read(input);
+              input.erase(0, used);
+            }
+          }
+          CHECK(reader.state() == ReadingState::kWhole);
+          CHECK(reader.request().body == (chunks.empty() ? "" : "ok"));
+        }
+      }
+    }
+  }
+}
+
 TEST_SUITE_END();
 
 }  // namespace
