LibTransport: A length beyond 63 bits made a body of any length complete

What callers saw: an endpoint's answer named a length of 2^63 or more.

Cause: two readings. IsFramingDefinite() asked for digits alone; libcurl counts bytes in 63 bits, takes a greater number for no length at all and reads until the connection ends.

Evidence: four lengths, each whole and streamed, are in the table of malformed heads; on the code before all eight checks failed. They pass now.

Why it works: a length that nobody can count is no length that ends a body. The one rule for requests and answers says so now; a number with zeros before it stays sound (in the table of unusual heads).

--- a/Libraries/LibTransport/message_framing.cc
+++ b/Libraries/LibTransport/message_framing.cc
@@ -1,15 +1,23 @@
 #include "LibTransport/message_framing.h"
 
-#include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <limits>
 #include <string_view>
+#include <system_error>
 
 namespace bilberry::transport {
 
 namespace {
 
-bool IsNumber(std::string_view text) {
-  return !text.empty() &&
-         std::ranges::all_of(text, [](char c) { return c >= '0' && c <= '9'; });
+// libcurl reads a body of a greater length until its connection ends.
+constexpr uint64_t kMaxLength = std::numeric_limits<int64_t>::max();
+
+bool IsLength(std::string_view text) {
+  uint64_t length = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, ec] = std::from_chars(text.data(), end, length);
+  return ec == std::errc() && rest == end && length <= kMaxLength;
 }
 
 }  // namespace
@@ -23,7 +31,7 @@
     return false;
   const std::string* length = FindHeader(headers, kLength);
   if (length != nullptr)
-    return IsNumber(*length);
+    return IsLength(*length);
   const std::string* encoding = FindHeader(headers, kEncoding);
   return encoding == nullptr || base::IsSameHeader(*encoding, "chunked");
 }
--- a/Libraries/LibTransport/message_framing.h
+++ b/Libraries/LibTransport/message_framing.h
@@ -6,7 +6,7 @@
 
 // Whether the headers of a request or a response leave only one way to find the
 // end of its body (RFC 9112 section 6.3): at most one length, which is a
-// number, or one transfer encoding, which is "chunked".
+// number of at most 63 bits, or one transfer encoding, which is "chunked".
 bool IsFramingDefinite(const HttpHeaders& headers);
 
 }  // namespace bilberry::transport
--- a/Tests/LibTransport/test_answer_heads.cc
+++ b/Tests/LibTransport/test_answer_heads.cc
@@ -51,6 +51,10 @@
            "Content-Length: 4x\r\n"s,
            "Content-Length: +4\r\n"s,
            "Content-Length: \r\n"s,
+           "Content-Length: 9223372036854775808\r\n"s,
+           "Content-Length: 18446744073709551615\r\n"s,
+           "Content-Length: 18446744073709551620\r\n"s,
+           "Content-Length: 4000000000000000000000000000000\r\n"s,
            "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"s,
            "Transfer-Encoding: identity\r\n"s,
            "Transfer-Encoding: xchunked\r\n"s,
@@ -68,6 +72,7 @@
   for (const std::string& head : {
            "Content-Length:4\r\n"s,
            "content-length: \t 4 \t\r\n"s,
+           "Content-Length: 0000000000000000000000000000004\r\n"s,
            "X_Y: \r\n!#$%&'*+-.^_`|~0: \x80\xff\r\nContent-Length: 4\r\n"s,
            ""s,
        }) {
