LibTransport: One strict reading of an answer decides what goes on

Cause: what libcurl believes of an answer and what was checked of it were two readings. Status lines were read by libcurl alone, loosely; OnHeader() took any line that begins with "HTTP/" for a new head and forgot the headers before it, framing included, which libcurl did not; chunks were read by libcurl alone.

Why it works: AnswerReader reads all bytes that libcurl receives, chunks as they come (CURLOPT_HTTP_TRANSFER_DECODING off), by the parser that reads requests; what both need beyond that parser is stated once (MessageParser, message_framing). Status, headers and body come from it alone. libcurl only finds where the bytes of an answer end; if it finds another end, the answer is malformed and connections to the peer are not used again.

Weighed: a list of bad forms in OnHeader() (the next form is not on it), and a client of our own without libcurl (connections, time limits and uploads anew).

Refused from now on, too: lines that end with LF alone (as in requests), and an interim head that names a length, which libcurl uses for the final answer. A marker for reuse is searched once the answer is whole, not at each part.

--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -10,7 +10,6 @@
 
 #include "LibBase/release_memory.h"
 #include "LibTransport/memory_reservation.h"
-#include "LibTransport/message_framing.h"
 
 namespace bilberry::transport {
 
@@ -26,16 +25,9 @@
 // Idle time before the first TCP keepalive probe, and the interval of further
 // probes; kUserTimeout bounds how long they may stay unanswered.
 constexpr int kKeepAliveSeconds = 1;
-// Bounds all heads of one answer together: interim responses ("100 Continue"),
-// the final head and the trailers of a chunked body. A longer head fails the
-// transfer.
-constexpr size_t kMaxHeadBytes = size_t{64} * 1024;
 // The budget of a client that shares none.
 constexpr size_t kOwnBudgetBytes = size_t{64} * 1024 * 1024;
 constexpr long kMaxPooledConnections = 2048;
-constexpr int kFirstFinalStatus = 200;
-// Statuses above it are invalid (RFC 9110 section 15).
-constexpr int kLastStatus = 599;
 
 void AppendHeader(curl_slist*& list,
                   const std::string& name,
@@ -46,31 +38,15 @@
   list = curl_slist_append(list, line.c_str());
 }
 
-// Reads a line of a head. Empty if RFC 9112 doesn't allow the line, or if it
-// goes on with the line before.
-std::optional<HttpHeader> ParseHeaderLine(std::string_view line) {
-  constexpr const char* kWhiteSpace = " \t";
-  if (line.ends_with('\n'))
-    line.remove_suffix(1);
-  if (line.ends_with('\r'))
-    line.remove_suffix(1);
-  const size_t colon = line.find(':');
-  const std::string_view name = line.substr(0, colon);
-  if (colon == std::string_view::npos || !base::IsToken(name))
-    return std::nullopt;
-  std::string_view value = line.substr(colon + 1);
-  value.remove_prefix(
-      std::min(value.find_first_not_of(kWhiteSpace), value.size()));
-  value = value.substr(0, value.find_last_not_of(kWhiteSpace) + 1);
-  if (!base::IsHeaderValue(value))
-    return std::nullopt;
-  return HttpHeader{std::string(name), std::string(value)};
-}
-
 const std::string& BodyOf(const HttpRequest& request) {
   return request.shared_body ? *request.shared_body : request.body;
 }
 
+AnswerBody AnswerBodyOf(const HttpRequest& request) {
+  return request.forwarded_method == "HEAD" ? AnswerBody::kNever
+                                            : AnswerBody::kAllowed;
+}
+
 std::string ExchangeIdText(HttpTransferId id) {
   return std::to_string(static_cast<uint64_t>(id));
 }
@@ -87,9 +63,7 @@
   bool was_sent = false;
   CURL* easy = nullptr;
   curl_slist* headers = nullptr;
-  size_t head_bytes = 0;
-  bool has_whole_head = false;  // Of the final response.
-  bool is_head_malformed = false;
+  std::optional<AnswerReader> reader;
   std::unique_ptr<MemoryReservation> memory;  // Once the body has begun.
   // Whether the body was dropped because the budget had no room for it.
   bool was_body_dropped = false;
@@ -136,6 +110,7 @@
   transfer->client = this;
   transfer->id = HttpTransferId{++last_id_};
   transfer->request = std::move(request);
+  transfer->reader.emplace(AnswerBodyOf(transfer->request));
   transfer->done = std::move(done);
   transfer->chunk = std::move(chunk);
   transfer->sending = std::move(sending);
@@ -171,6 +146,8 @@
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, OnSocketOpened);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, OnSending);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+  // Chunked bodies are passed on as they come.
+  curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
@@ -348,31 +325,9 @@
                             size_t size,
                             void* transfer) {
   auto& it = *static_cast<Transfer*>(transfer);
-  it.head_bytes += size;
-  // Returning fewer bytes than curl passed makes curl fail the transfer.
-  if (it.head_bytes > kMaxHeadBytes)
-    return 0;
-  HttpResponse& response = it.response;
-  const std::string_view line(data, size);
-  // A status line begins a new head, for example after "100 Continue".
-  if (line.starts_with("HTTP/")) {
-    response.headers.clear();
-    it.has_whole_head = false;
-    return size;
-  }
-  if (line == "\r\n" || line == "\n") {
-    it.has_whole_head = !IsInterim(it);
-    it.is_head_malformed =
-        !IsFramingDefinite(response.headers) || StatusOf(it) > kLastStatus;
-    UpdateReuse(it);
-    return it.is_head_malformed ? 0 : size;
-  }
-  auto header = ParseHeaderLine(line);
-  it.is_head_malformed = !header;
-  if (!header)
-    return 0;
-  response.headers.push_back(std::move(*header));
-  return size;
+  // Returning fewer bytes than curl passed makes curl fail the transfer and
+  // close its connection.
+  return it.client->Read(it, {data, size}) ? size : 0;
 }
 
 size_t HttpClient::OnBody(char* data,
@@ -380,20 +335,39 @@
                           size_t size,
                           void* transfer) {
   auto& it = *static_cast<Transfer*>(transfer);
+  return it.client->Read(it, {data, size}) ? size : 0;
+}
+
+bool HttpClient::Read(Transfer& transfer, std::string_view bytes) {
+  AnswerReader& reader = *transfer.reader;
+  const bool had_head = reader.has_head();
+  if (!reader.Read(bytes))
+    return false;
+  if (!had_head && reader.has_head()) {
+    transfer.response.status = reader.status();
+    transfer.response.headers = reader.headers();
+  }
+  std::string body = reader.TakeBody();
+  if (!body.empty() && !AddBody(transfer, std::move(body)))
+    return false;
+  if (reader.is_whole())
+    DecideReuse(transfer);
+  return true;
+}
+
+bool HttpClient::AddBody(Transfer& transfer, std::string bytes) {
   // Chunks are delivered after curl has returned, since a handler may call into
   // curl.
-  if (it.chunk) {
-    it.client->chunks_.push_back({it.id, std::string(data, size)});
-    return size;
+  if (transfer.chunk) {
+    chunks_.push_back({transfer.id, std::move(bytes)});
+    return true;
   }
-  if (it.was_body_dropped ||
-      it.response.body.size() + size > it.request.max_body_bytes)
-    return 0;
-  it.response.body.append(data, size);
-  if (!it.client->UpdateMemory(it))
-    return 0;
-  UpdateReuse(it);
-  return size;
+  std::string& body = transfer.response.body;
+  if (transfer.was_body_dropped ||
+      body.size() + bytes.size() > transfer.request.max_body_bytes)
+    return false;
+  body += bytes;
+  return UpdateMemory(transfer);
 }
 
 bool HttpClient::UpdateMemory(Transfer& transfer) {
@@ -416,27 +390,22 @@
   transfer.was_body_dropped = true;
 }
 
-int HttpClient::StatusOf(const Transfer& transfer) {
-  long status = 0;
-  curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
-  return static_cast<int>(status);
-}
-
-bool HttpClient::IsInterim(const Transfer& transfer) {
-  return StatusOf(transfer) < kFirstFinalStatus;
-}
-
 // libcurl reads CURLOPT_FORBID_REUSE when the answer is complete, so the option
 // can still be set here.
-void HttpClient::UpdateReuse(const Transfer& transfer) {
+void HttpClient::DecideReuse(const Transfer& transfer) {
+  const bool may_reuse =
+      transfer.request.connection == node::ConnectionUse::kPooled &&
+      transfer.reader->keeps_connection() && HasReuseMarker(transfer);
+  curl_easy_setopt(transfer.easy, CURLOPT_FORBID_REUSE, may_reuse ? 0L : 1L);
+}
+
+bool HttpClient::HasReuseMarker(const Transfer& transfer) {
   const auto& marker = transfer.request.reuse_marker;
   if (!marker)
-    return;
-  const int status = StatusOf(transfer);
-  const bool has_marker =
-      status >= 200 && status < 300 &&
-      transfer.response.body.find(*marker) != std::string::npos;
-  curl_easy_setopt(transfer.easy, CURLOPT_FORBID_REUSE, has_marker ? 0L : 1L);
+    return true;
+  const HttpResponse& response = transfer.response;
+  return response.status >= 200 && response.status < 300 &&
+         response.body.find(*marker) != std::string::npos;
 }
 
 void HttpClient::RunTurn(base::TimePoint now) {
@@ -471,7 +440,6 @@
     if (it == transfers_.end())
       continue;
     Transfer& transfer = *it->second;
-    transfer.response.status = StatusOf(transfer);
     transfer.chunk(transfer.response, std::move(chunk.bytes));
   }
 }
@@ -487,6 +455,9 @@
     HttpOutcome outcome = OutcomeOf(transfer, message->data.result);
     const auto node = transfers_.extract(transfer.id);
     Release(*node.mapped());
+    const auto* failure = std::get_if<HttpFailure>(&outcome);
+    if (failure != nullptr && failure->is_malformed && on_malformed_)
+      on_malformed_(node.mapped()->request.address, failure->detail);
     node.mapped()->done(std::move(outcome));
   }
 }
@@ -494,8 +465,15 @@
 HttpOutcome HttpClient::OutcomeOf(Transfer& transfer, CURLcode code) {
   if (transfer.was_body_dropped)
     return FailureOf(transfer, "the answers being received are too large");
-  if (transfer.is_head_malformed)
-    return FailureOf(transfer, "the head of the answer is malformed");
+  const bool is_whole = code == CURLE_OK && transfer.reader->End();
+  if (auto fault = FaultOf(*transfer.reader, code)) {
+    HttpFailure failure = FailureOf(transfer, std::move(*fault));
+    failure.is_malformed = true;
+    // libcurl may have read the answer to an end, and kept its connection.
+    if (code == CURLE_OK)
+      RetireConnections(transfer.request.address);
+    return failure;
+  }
   if (code != CURLE_OK) {
     HttpFailure failure = FailureOf(transfer, curl_easy_strerror(code));
     failure.was_refused = WasRefused(transfer, code);
@@ -503,18 +481,30 @@
   }
   // If the connection closes inside a head that has named neither a length nor
   // chunks so far, libcurl takes the answer for a complete one.
-  if (!transfer.has_whole_head)
+  if (!is_whole)
     return FailureOf(transfer, "the head of the answer broke off");
+  transfer.response.headers = transfer.reader->headers();
   if (!HasMatchingExchangeId(transfer)) {
     // The next answer on this connection would be the one to this request, so
     // that connections to the peer must not be reused.
     RetireConnections(transfer.request.address);
     return FailureOf(transfer, "the answer to another request");
   }
-  transfer.response.status = StatusOf(transfer);
   return std::move(transfer.response);
 }
 
+// libcurl refuses some heads before this program sees the line.
+std::optional<std::string> HttpClient::FaultOf(const AnswerReader& reader,
+                                               CURLcode code) {
+  if (!reader.fault().empty())
+    return reader.fault();
+  if (code != CURLE_UNSUPPORTED_PROTOCOL && code != CURLE_WEIRD_SERVER_REPLY &&
+      code != CURLE_BAD_FUNCTION_ARGUMENT)
+    return std::nullopt;
+  return "line " + std::to_string(reader.line_count() + 1) +
+         " of the head can't be read: " + curl_easy_strerror(code);
+}
+
 bool HttpClient::WasRefused(const Transfer& transfer, CURLcode code) {
   long error = 0;
   curl_easy_getinfo(transfer.easy, CURLINFO_OS_ERRNO, &error);
--- a/Libraries/LibTransport/http_client.h
+++ b/Libraries/LibTransport/http_client.h
@@ -10,7 +10,9 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -18,6 +20,7 @@
 #include "LibBase/ids.h"
 #include "LibNode/action.h"
 #include "LibNode/event.h"
+#include "LibTransport/answer_reader.h"
 #include "LibTransport/http_message.h"
 #include "LibTransport/memory_budget.h"
 #include "LibTransport/reactor.h"
@@ -59,6 +62,8 @@
   node::EndpointFailureKind kind = node::EndpointFailureKind::kBroken;
   node::ConnectionAge connection = node::ConnectionAge::kFresh;
   bool was_refused = false;  // The peer's address refused the connection.
+  // Bytes came that are no answer in the protocol.
+  bool is_malformed = false;
   std::string detail;
 };
 
@@ -69,8 +74,8 @@
 // Sends HTTP/1.1 requests through libcurl's multi interface, driven by the
 // reactor. Callbacks run in the loop's turn, never inside Send() or Cancel().
 //
-// An answer with a head that RFC 9112 doesn't allow, or with more than one way
-// to find its end, is a failure: libcurl reads such heads loosely.
+// What an answer is decides an AnswerReader, from all bytes that were received.
+// A malformed answer is a failure, and its connection is closed.
 //
 // The bodies that are being received are held in a memory budget, as the part
 // of endpoints: transfers that are evicted from it fail.
@@ -84,6 +89,9 @@
   // Called exactly once, after all other callbacks. The body is empty if a
   // ChunkHandler was given.
   using DoneHandler = std::function<void(HttpOutcome outcome)>;
+  // Told of each malformed answer, before the transfer's own callback.
+  using MalformedHandler = std::function<void(const base::SocketAddress& peer,
+                                              const std::string& fault)>;
 
   // Has a budget of its own if none is given. The budget must outlive the
   // client.
@@ -92,6 +100,10 @@
       MemoryBudget* budget = nullptr);
   ~HttpClient() override;
 
+  void SetMalformedHandler(MalformedHandler handler) {
+    on_malformed_ = std::move(handler);
+  }
+
   HttpTransferId Send(HttpRequest request,
                       DoneHandler done,
                       ChunkHandler chunk = nullptr,
@@ -131,6 +143,10 @@
   static size_t OnHeader(char* data, size_t, size_t size, void* transfer);
   static size_t OnBody(char* data, size_t, size_t size, void* transfer);
 
+  // These return false if the transfer is to fail.
+  bool Read(Transfer& transfer, std::string_view bytes);
+  bool AddBody(Transfer& transfer, std::string bytes);
+
   static void DropBody(Transfer& transfer);
   // Accounts for the transfer's body. Returns false if it is dropped.
   bool UpdateMemory(Transfer& transfer);
@@ -145,12 +161,12 @@
   void DeliverChunks();
   void DeliverDone();
   HttpOutcome OutcomeOf(Transfer& transfer, CURLcode code);
-  // Has the connection closed after an answer without the request's
-  // `reuse_marker`.
-  static void UpdateReuse(const Transfer& transfer);
-  static int StatusOf(const Transfer& transfer);
-  // Whether the response that is being read is only an interim one.
-  static bool IsInterim(const Transfer& transfer);
+  // What is malformed about an answer, if anything is.
+  static std::optional<std::string> FaultOf(const AnswerReader& reader,
+                                            CURLcode code);
+  // Has the connection of a whole answer closed, or kept if that is safe.
+  static void DecideReuse(const Transfer& transfer);
+  static bool HasReuseMarker(const Transfer& transfer);
   static bool WasRefused(const Transfer& transfer, CURLcode code);
   static bool HasMatchingExchangeId(const Transfer& transfer);
   static HttpFailure FailureOf(const Transfer& transfer, std::string detail);
@@ -161,6 +177,7 @@
   std::unique_ptr<MemoryBudget> own_budget_;
   MemoryBudget& budget_;
   CURLM* multi_ = nullptr;
+  MalformedHandler on_malformed_;
   uint64_t last_id_ = 0;
   std::unordered_map<HttpTransferId, std::unique_ptr<Transfer>> transfers_;
   // Until the end of the turn: one of their callbacks may be running.
--- a/Libraries/LibTransport/message_framing.cc
+++ b/Libraries/LibTransport/message_framing.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr const char* kLength = "Content-Length";
+constexpr const char* kEncoding = "Transfer-Encoding";
 // libcurl reads a body of a greater length until its connection ends.
 constexpr uint64_t kMaxLength = std::numeric_limits<int64_t>::max();
 
@@ -20,20 +22,25 @@
   return ec == std::errc() && rest == end && length <= kMaxLength;
 }
 
+size_t CountFramingHeaders(const HttpHeaders& headers) {
+  return base::CountHeaders(headers, kLength) +
+         base::CountHeaders(headers, kEncoding);
+}
+
 }  // namespace
 
-bool IsFramingDefinite(const HttpHeaders& headers) {
-  constexpr const char* kLength = "Content-Length";
-  constexpr const char* kEncoding = "Transfer-Encoding";
-  if (base::CountHeaders(headers, kLength) +
-          base::CountHeaders(headers, kEncoding) >
-      1)
+bool IsFramingDefinite(const HttpHeaders& headers, HttpVersion version) {
+  if (CountFramingHeaders(headers) > 1)
     return false;
-  const std::string* length = FindHeader(headers, kLength);
-  if (length != nullptr)
+  if (const std::string* length = FindHeader(headers, kLength))
     return IsLength(*length);
   const std::string* encoding = FindHeader(headers, kEncoding);
-  return encoding == nullptr || base::IsSameHeader(*encoding, "chunked");
+  return encoding == nullptr || (version != HttpVersion::kHttp10 &&
+                                 base::IsSameHeader(*encoding, "chunked"));
+}
+
+bool HasFraming(const HttpHeaders& headers) {
+  return CountFramingHeaders(headers) > 0;
 }
 
 }  // namespace bilberry::transport
--- a/Libraries/LibTransport/request_reader.cc
+++ b/Libraries/LibTransport/request_reader.cc
@@ -1,15 +1,10 @@
 #include "LibTransport/request_reader.h"
 
 #include <algorithm>
-#include <boost/asio/buffer.hpp>
-#include <boost/beast/http/basic_parser.hpp>
-#include <boost/beast/http/error.hpp>
-#include <functional>
-#include <limits>
 #include <utility>
 
 #include "LibBase/release_memory.h"
-#include "LibTransport/message_framing.h"
+#include "LibTransport/message_parser.h"
 #include "LibTransport/request_target.h"
 
 namespace bilberry::transport {
@@ -21,24 +16,14 @@
 namespace {
 
 constexpr const char* kHost = "Host";
-constexpr const char* kTransferEncoding = "Transfer-Encoding";
 constexpr const char* kExpect = "Expect";
 // The part of a body over the limit that is read and discarded before it is
 // refused: closing a connection with unread bytes resets it, and the client may
 // never see the answer.
 constexpr uint64_t kMaxDiscardedBytes = uint64_t{8} * 1024 * 1024;
-constexpr int kVersion10 = 10;
-// Bytes of the shortest end of a chunked body: a size of zero and two line ends.
-constexpr size_t kShortestChunkedEnd = 5;
 // The parser copies a head to parts that it doesn't release before the request.
 constexpr size_t kHeadCopies = 2;
 
-// HTTP/1.0 has no transfer encodings.
-bool HasEncodingOfOldVersion(const HttpHeaders& headers, int version) {
-  return version == kVersion10 &&
-         FindHeader(headers, kTransferEncoding) != nullptr;
-}
-
 // A target of other bytes could not be sent on unchanged.
 bool IsTarget(std::string_view text) {
   return std::ranges::all_of(
@@ -47,18 +32,13 @@
 
 }  // namespace
 
-class RequestReader::Parser final : public http::basic_parser<true> {
+class RequestReader::Parser final : public MessageParser<true> {
  public:
   explicit Parser(const RequestLimits& limits)
-      : max_body_bytes_(limits.max_body_bytes) {
-    header_limit(static_cast<uint32_t>(limits.max_head_bytes));
-    // What is over the limit is discarded here. The parser of Boost 1.74 takes
-    // the absence of a limit for a limit of zero.
-    body_limit(std::numeric_limits<uint64_t>::max());
-  }
+      : MessageParser(limits.max_head_bytes),
+        max_body_bytes_(limits.max_body_bytes) {}
 
   IncomingRequest& request() { return request_; }
-  int version() const { return version_; }
   bool is_body_too_large() const { return body_bytes_ > max_body_bytes_; }
   uint64_t body_bytes() const { return body_bytes_; }
   size_t announced_body_bytes() const { return announced_body_bytes_; }
@@ -66,11 +46,6 @@
     base::ReleaseMemory(request_.body);
     is_discarding_ = true;
   }
-  void SetInput(std::string_view input) { input_ = input; }
-  // Whether the next bytes are a chunk's size or the end of a chunked body.
-  bool IsBetweenChunks() const {
-    return is_header_done() && chunked() && chunk_bytes_left_ == 0;
-  }
 
  private:
   void on_request_impl(http::verb /*verb*/,
@@ -84,7 +59,7 @@
     }
     request_.method.assign(method.data(), method.size());
     request_.target.assign(target.data(), target.size());
-    version_ = version;
+    SetVersion(version);
   }
 
   void on_response_impl(int /*code*/,
@@ -94,25 +69,9 @@
     ec = http::error::bad_method;
   }
 
-  void on_field_impl(http::field /*field*/,
-                     string_view name,
-                     string_view value,
-                     error_code& ec) override {
-    // A reader in front of this host may take the next line for a header.
-    if (GoesOn(name, value)) {
-      ec = http::error::bad_value;
-      return;
-    }
-    if (is_header_done())
-      return;  // A trailer.
-    request_.headers.push_back({std::string(name.data(), name.size()),
-                                std::string(value.data(), value.size())});
-  }
-
-  void on_header_impl(error_code& ec) override {
-    if (!IsFramingDefinite(request_.headers) ||
-        HasEncodingOfOldVersion(request_.headers, version_) ||
-        base::CountHeaders(request_.headers, kHost) > 1) {
+  void HandleHead(error_code& ec) override {
+    request_.headers = std::move(headers());
+    if (base::CountHeaders(request_.headers, kHost) > 1) {
       ec = http::error::bad_field;
       return;
     }
@@ -127,56 +86,23 @@
       announced_body_bytes_ = static_cast<size_t>(*length);
   }
 
-  void on_body_init_impl(const boost::optional<uint64_t>& /*length*/,
-                         error_code& /*ec*/) override {}
-
-  size_t on_body_impl(string_view bytes, error_code& ec) override {
+  void HandleBody(std::string_view bytes, error_code& ec) override {
     body_bytes_ += bytes.size();
     if (!is_body_too_large()) {
       if (!is_discarding_)
-        request_.body.append(bytes.data(), bytes.size());
-      return bytes.size();
+        request_.body.append(bytes);
+      return;
     }
     base::ReleaseMemory(request_.body);
     if (body_bytes_ > max_body_bytes_ + kMaxDiscardedBytes)
       ec = http::error::body_limit;
-    return bytes.size();
-  }
-
-  void on_chunk_header_impl(uint64_t size,
-                            string_view /*extensions*/,
-                            error_code& /*ec*/) override {
-    chunk_bytes_left_ = size;
-  }
-
-  size_t on_chunk_body_impl(uint64_t remaining,
-                            string_view bytes,
-                            error_code& ec) override {
-    chunk_bytes_left_ = remaining - bytes.size();
-    return on_body_impl(bytes, ec);
-  }
-
-  void on_finish_impl(error_code& /*ec*/) override {}
-
-  // Whether the header's value goes on in the next line. The parser joins such
-  // a value in memory of its own, unless the first line of it is empty.
-  bool GoesOn(string_view name, string_view value) const {
-    const std::less<> is_before;
-    const char* input_end = input_.data() + input_.size();
-    const char* name_end = name.data() + name.size();
-    const bool is_input = !is_before(value.data(), name_end) &&
-                          !is_before(input_end, value.data());
-    return !is_input || std::find(name_end, value.data(), '\n') != value.data();
   }
 
   IncomingRequest request_;
-  int version_ = 0;
   size_t max_body_bytes_;
   uint64_t body_bytes_ = 0;
   size_t announced_body_bytes_ = 0;
-  uint64_t chunk_bytes_left_ = 0;
   bool is_discarding_ = false;
-  std::string_view input_;  // What is being parsed.
 };
 
 RequestReader::RequestReader(const RequestLimits& limits)
@@ -202,7 +128,7 @@
 }
 
 bool RequestReader::is_http_1_0() const {
-  return parser_->version() == kVersion10;
+  return parser_->version() == HttpVersion::kHttp10;
 }
 
 bool RequestReader::expects_continue() const {
@@ -255,14 +181,8 @@
 }
 
 size_t RequestReader::Put(std::string_view bytes) {
-  // The parser ends the process if it gets the end of a body without chunks in
-  // parts of which one is shorter.
-  if (parser_->IsBetweenChunks() && bytes.size() < kShortestChunkedEnd)
-    return 0;
   error_code ec;
-  parser_->SetInput(bytes);
-  const size_t n =
-      parser_->put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
+  const size_t n = parser_->Put(bytes, ec);
   if (state_ == ReadingState::kHead)
     head_bytes_ += n;
   if (ec == http::error::header_limit || head_bytes_ > max_head_bytes_)
--- a/Tests/LibTransport/hasty_server.h
+++ b/Tests/LibTransport/hasty_server.h
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <mutex>
 #include <string>
@@ -40,6 +41,8 @@
   HastyServer& operator=(const HastyServer&) = delete;
 
   base::SocketAddress address() const { return listener_.address(); }
+  // Requests other than health checks.
+  size_t request_count() const { return request_count_; }
   // Answers the requests that come from now on.
   void SetAnswer(std::string answer) {
     const std::lock_guard lock(mutex_);
@@ -73,6 +76,8 @@
         break;
       received.append(buf.data(), static_cast<size_t>(n));
     }
+    if (received.find("/health") == std::string::npos)
+      ++request_count_;
     const std::string answer = this->answer();
     send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
     std::this_thread::sleep_for(wait_);
@@ -83,6 +88,7 @@
     close(connection);
   }
 
+  std::atomic<size_t> request_count_ = 0;
   std::mutex mutex_;
   std::string answer_;  // Guarded by mutex_.
   size_t read_bytes_ = 0;
