--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -47,6 +47,7 @@
     {kAnswerMismatched, kError, "answer-mismatched"},
     {kEndpointEjected, kWarning, "endpoint-ejected"},
     {kEndpointRestored, kInfo, "endpoint-restored"},
+    {kMalformedAnswer, kWarning, "malformed-answer"},
     {kRequestQuarantined, kError, "request-quarantined"},
     {kPartQuarantined, kError, "part-quarantined"},
     {kConnectionsCondemned, kWarning, "connections-condemned"},
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -45,6 +45,7 @@
   kAnswerMismatched = 1402,
   kEndpointEjected = 1403,
   kEndpointRestored = 1404,
+  kMalformedAnswer = 1405,
   kRequestQuarantined = 1430,
   kConnectionsCondemned = 1431,
   kAttemptGivenUp = 1432,
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -134,6 +134,13 @@
 base::Result<void> ForwardShell::Listen() {
   TRY(http, HttpClient::Create(reactor_, &budget_));
   http_ = std::move(http);
+  http_->SetMalformedHandler(
+      [this](const base::SocketAddress& peer, const std::string& fault) {
+        log_.Add({base::LogEventId::kMalformedAnswer,
+                  "",
+                  {{"peer", base::ToText(peer)}, {"reason", fault}}},
+                 reactor_.Now());
+      });
   ListenerOptions options;
   options.address = settings_.callers;
   options.max_head_bytes = kMaxCallerHead;
--- a/Libraries/LibTransport/node_shell.cc
+++ b/Libraries/LibTransport/node_shell.cc
@@ -87,6 +87,11 @@
   const declare::HostSettings& settings = shell->settings_;
   TRY(http, HttpClient::Create(reactor, &shell->budget_));
   shell->http_ = std::move(http);
+  shell->http_->SetMalformedHandler(
+      [](const base::SocketAddress& peer, const std::string& fault) {
+        WriteLogLine({base::LogEventId::kMalformedAnswer,
+                      base::ToText(peer) + ": " + fault});
+      });
   shell->platform_ =
       std::make_unique<PlatformClient>(*shell->http_, settings.platform);
   shell->peers_ = std::make_unique<PeerClient>(*shell->http_);
