LibForward: A host out of step joined streams of two software versions

What callers saw: a host was cut off, or stood still, while endpoints of a new version joined.

Cause: a look-up that failed, or found no row, was judged by the endpoints that this host had heard of, however long ago (VerdictWithoutRow, AnyOrigin).

Why it works: a take-up goes on only at a version that is known to have begun the stream: by its row, or because its pool had no other. The latter is known while this host's endpoints are at most 3 s old, counted from the beginning of the call for them, so that an answer that waited during a standstill isn't young; if the look-up failed they must have been asked for since. After a longer gap the rows of the pools, which other hosts write, are read again. What isn't known yet is waited for, 2 s at most from the take-up; then the caller is told to come back in a second, or goes to another host. AnyOrigin is gone: the verdict names the version, so that one that joins meanwhile isn't chosen.

A test is changed: "in a pool of one version each take-up goes on" asked a host whose look-up has just failed to go on at once, which is the fault. It must go on as before, and may wait until the store has listed the endpoints again; the test's store now does that, and takes part in all tests of the suite.

--- a/Libraries/LibForward/feed_follower.cc
+++ b/Libraries/LibForward/feed_follower.cc
@@ -54,14 +54,17 @@
   }
   // The changes since the first page are requested afterwards, so that none
   // made between two pages is missed.
-  if (listed_rows_.empty())
+  if (listed_rows_.empty()) {
     version_ = event.version;
+    listing_began_ = call_began_;
+  }
   std::ranges::move(event.rows, std::back_inserter(listed_rows_));
   if (event.is_truncated && !listed_rows_.empty()) {
     not_before_ = base::TimePoint();
     return std::nullopt;
   }
   phase_ = Phase::kFollowing;
+  known_as_of_ = std::max(known_as_of_, listing_began_);
   return Update{true, std::exchange(listed_rows_, {}),
                 std::exchange(is_restored_, false)};
 }
@@ -69,6 +72,7 @@
 FeedFollower::Update FeedFollower::HandleChanged(TableChanged event) {
   is_calling_ = false;
   failures_ = 0;
+  known_as_of_ = std::max(known_as_of_, call_began_);
   if (event.version < version_)
     return {};
   version_ = event.version;
--- a/Libraries/LibForward/feed_follower.h
+++ b/Libraries/LibForward/feed_follower.h
@@ -64,6 +64,14 @@
   }
   // Takes over what a peer has delivered.
   Update TakeRelayed(TableUpdate update);
+  // What is known holds all that the table held at this time: a peer says so.
+  void NoteRelayedAsOf(base::TimePoint time) {
+    known_as_of_ = std::max(known_as_of_, time);
+  }
+  // What is known holds all that the table held at this time. Counts from the
+  // beginning of calls: their answers may have waited while this host stood
+  // still.
+  base::TimePoint known_as_of() const { return known_as_of_; }
   // Lists the table again, because the store has come back from an older copy
   // whose versions can't be compared with the known one. An answer to an
   // earlier call must not be passed in any more.
@@ -93,6 +101,8 @@
   bool is_calling_ = false;
   uint32_t failures_ = 0;  // Consecutive failures.
   base::TimePoint call_began_;
+  base::TimePoint listing_began_;
+  base::TimePoint known_as_of_;
   base::TimePoint not_before_;
   uint64_t version_ = 0;
   std::vector<FeedRow> listed_rows_;
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -253,6 +253,7 @@
     stages_.SetEndpoints(endpoints);
     permits_.SetEndpoints(endpoints);
   }
+  stream_versions_.NoteEndpointsKnown(store_.endpoints_known_as_of(), now);
   if (seen_hosts_ != store_.host_changes()) {
     seen_hosts_ = store_.host_changes();
     peers_.SetHosts(store_.hosts(), now);
--- a/Libraries/LibForward/forwarded_run_coordinator.cc
+++ b/Libraries/LibForward/forwarded_run_coordinator.cc
@@ -100,7 +100,7 @@
   timers_.Add(caller, *run);
   if (run->awaits_origin)
     stream_versions_.LookUp(run->request->resumed_stream, run->final_pool,
-                            caller);
+                            caller, now);
   runs_.emplace(caller, std::move(*run));
   Advance(caller, now);
 }
@@ -182,19 +182,14 @@
     has_any = true;
     ForwardedRun& run = it->second;
     run.awaits_origin = false;
-    const auto* origin = std::get_if<StreamOrigin>(&lookup->verdict);
-    if (origin != nullptr)
+    const auto& origin = lookup->origin;
+    if (origin)
       run.GoOnAt(origin->pool, origin->software_version);
-    const bool is_unknown =
-        std::holds_alternative<UnknownOrigin>(lookup->verdict);
-    context_.Log(
-        base::LogEventId::kStreamLookedUp, run.request->request_id,
-        {{"stream", lookup->stream},
-         {"outcome", is_unknown ? "unknown"
-                     : origin   ? "found"
-                                : "any"},
-         {"version", origin != nullptr ? origin->software_version : ""}});
-    if (is_unknown || !CanGoOn(run, now))
+    context_.Log(base::LogEventId::kStreamLookedUp, run.request->request_id,
+                 {{"stream", lookup->stream},
+                  {"outcome", std::string(ToText(lookup->evidence))},
+                  {"version", origin ? origin->software_version : ""}});
+    if (!origin || !CanGoOn(run, now))
       AnswerAndEnd(lookup->caller, LocalAnswerCode::kNoEndpoint,
                    kNoEndpointRetry, now);
     else
--- a/Libraries/LibForward/store_synchronizer.cc
+++ b/Libraries/LibForward/store_synchronizer.cc
@@ -321,6 +321,7 @@
   const auto relay = relays_.TakeDue(now);
   if (!relay)
     return;
+  relay_polled_at_ = now;
   RequestStoreSync request{relay->address, {}};
   request.request.era = era_;
   for (const FeedKind feed : kFeedKinds) {
@@ -389,8 +390,10 @@
   for (TableUpdate& it : event.response.tables) {
     // What operators have written holds, however long ago the sender heard it;
     // an outdated copy of the other tables may lack an endpoint that lives.
-    if (is_fresh || it.feed == FeedKind::kConfiguration)
-      ApplyUpdate(std::move(it), now);
+    if (!is_fresh && it.feed != FeedKind::kConfiguration)
+      continue;
+    FollowerOf(it.feed).NoteRelayedAsOf(relay_polled_at_ - event.response.age);
+    ApplyUpdate(std::move(it), now);
   }
 }
 
--- a/Libraries/LibForward/store_synchronizer.h
+++ b/Libraries/LibForward/store_synchronizer.h
@@ -52,6 +52,10 @@
   // Returns all endpoints; those in evacuated zones have the state kEvacuated.
   std::vector<ListedEndpoint> endpoints() const;
   bool knows_endpoints() const { return !directory_.is_empty(); }
+  // endpoints() holds all that the store listed at this time.
+  base::TimePoint endpoints_known_as_of() const {
+    return FollowerOf(FeedKind::kEndpoints).known_as_of();
+  }
   std::vector<PeerHost> hosts() const;
 
   // Counters that are incremented with each change.
@@ -112,6 +116,7 @@
   // When the store last answered with the endpoint table, to this host or to
   // the peer that passed it on.
   base::TimePoint endpoints_as_of_;
+  base::TimePoint relay_polled_at_;
   // Until then the copy that a peer has passed on is valid.
   base::TimePoint relayed_until_;
   StoreEra era_;  // The latest one known.
--- a/Libraries/LibForward/stream_versions.cc
+++ b/Libraries/LibForward/stream_versions.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 #include "LibForward/rendezvous.h"
 
@@ -26,6 +27,12 @@
 // The store's bound on keys; a stream with a longer id isn't kept.
 constexpr size_t kMaxKeyBytes = 200;
 
+// A host in touch hears of its endpoints more often than this.
+constexpr std::chrono::milliseconds kMaxEndpointsAge{3000};
+// Longest time from a lookup's beginning for which it waits for endpoints that
+// the store has listed since.
+constexpr std::chrono::milliseconds kMaxConfirmationWait{2000};
+
 std::string PartOf(const std::string& stream) {
   return "streams-" + std::to_string(RendezvousWeight(stream, "") % kParts);
 }
@@ -41,6 +48,18 @@
 
 }  // namespace
 
+std::string_view ToText(OriginEvidence evidence) {
+  switch (evidence) {
+    case OriginEvidence::kRow:
+      return "found";
+    case OriginEvidence::kOnlyVersion:
+      return "any";
+    case OriginEvidence::kNone:
+      return "unknown";
+  }
+  return "";
+}
+
 void StreamVersions::SetConfiguration(
     const ForwardConfiguration& configuration) {
   resumable_pools_.clear();
@@ -78,11 +97,15 @@
   }
 }
 
+bool StreamVersions::HasSeveralVersions(const base::PoolName& pool) const {
+  const auto it = versions_.find(pool);
+  return it != versions_.end() && it->second.size() > 1;
+}
+
 // As long as the rows of the pools haven't been read, endpoints of another
 // version may have left while no host was up.
 bool StreamVersions::IsMixed(const base::PoolName& pool) const {
-  const auto it = versions_.find(pool);
-  return !knows_pools_ || it == versions_.end() || it->second.size() > 1;
+  return !knows_pools_ || !versions_.contains(pool) || HasSeveralVersions(pool);
 }
 
 // Once a pool is mixed, the streams that began before need rows as well.
@@ -138,23 +161,59 @@
   return it->second.origin;
 }
 
-OriginVerdict StreamVersions::VerdictWithoutRow(
-    const base::PoolName& pool) const {
-  if (IsMixed(pool))
-    return UnknownOrigin{};
-  return AnyOrigin{};
-}
-
+// A stream of which no row can be kept is judged by the rows of the pools.
 void StreamVersions::LookUp(const std::string& stream,
                             const base::PoolName& pool,
-                            base::CallerId caller) {
-  if (stream.empty() || stream.size() > kMaxKeyBytes) {
-    ended_lookups_.push_back({caller, stream, VerdictWithoutRow(pool)});
+                            base::CallerId caller,
+                            base::TimePoint now) {
+  const StreamCallId id{++last_call_};
+  lookups_[id] = {stream, pool, caller, now, now - kMaxEndpointsAge};
+  if (stream.empty() || stream.size() > kMaxKeyBytes)
+    context_.Emit(ReadStreamRows{id, kPoolsPart, std::nullopt});
+  else
+    context_.Emit(ReadStreamRows{id, PartOf(stream), stream});
+}
+
+bool StreamVersions::KnowsVersions(const PendingLookup& lookup) const {
+  return knows_pools_ && versions_.contains(lookup.pool) &&
+         endpoints_known_as_of_ >= lookup.endpoints_needed_as_of;
+}
+
+// In a pool of one version a stream can have begun at no other. A host that was
+// out of touch may not have heard of others: it waits until it has, and doesn't
+// guess.
+void StreamVersions::EndWithoutRow(PendingLookup lookup, base::TimePoint now) {
+  const bool is_mixed = HasSeveralVersions(lookup.pool);
+  const bool is_too_late = now - lookup.began >= kMaxConfirmationWait;
+  if (!is_mixed && !is_too_late && !KnowsVersions(lookup)) {
+    unconfirmed_lookups_.push_back(std::move(lookup));
     return;
   }
-  const StreamCallId id{++last_call_};
-  lookups_[id] = {stream, pool, caller};
-  context_.Emit(ReadStreamRows{id, PartOf(stream), stream});
+  Lookup ended{lookup.caller, lookup.stream, {}};
+  if (!is_mixed && KnowsVersions(lookup)) {
+    ended.origin = {lookup.pool, versions_.at(lookup.pool).begin()->first};
+    ended.evidence = OriginEvidence::kOnlyVersion;
+  }
+  ended_lookups_.push_back(std::move(ended));
+}
+
+void StreamVersions::EndUnconfirmedLookups(base::TimePoint now) {
+  for (PendingLookup& it : std::exchange(unconfirmed_lookups_, {}))
+    EndWithoutRow(std::move(it), now);
+}
+
+// Versions may have come and gone while this host heard nothing; other hosts
+// have written them to the rows of the pools.
+void StreamVersions::NoteEndpointsKnown(base::TimePoint as_of,
+                                        base::TimePoint now) {
+  if (as_of == endpoints_known_as_of_)
+    return;
+  if (as_of - endpoints_known_as_of_ > kMaxEndpointsAge) {
+    knows_pools_ = false;
+    read_pools_at_ = now;
+  }
+  endpoints_known_as_of_ = as_of;
+  EndUnconfirmedLookups(now);
 }
 
 std::optional<StreamVersions::Lookup> StreamVersions::TakeLookup() {
@@ -168,29 +227,37 @@
 void StreamVersions::Handle(const StreamRowsRead& event, base::TimePoint now) {
   if (event.id == pools_call_) {
     pools_call_.reset();
+    knows_pools_ = true;
     ApplyPools(event.rows, now);
+    EndUnconfirmedLookups(now);
     return;
   }
   const auto node = lookups_.extract(event.id);
   if (node.empty())
     return;
-  const PendingLookup& lookup = node.mapped();
-  OriginVerdict verdict = VerdictWithoutRow(lookup.pool);
-  for (const StreamRow& it : event.rows) {
-    if (it.key == lookup.stream && it.software_versions.size() == 1)
-      verdict = StreamOrigin{it.pool, it.software_versions.front()};
+  PendingLookup& lookup = node.mapped();
+  if (lookup.stream.empty() || lookup.stream.size() > kMaxKeyBytes) {
+    ApplyPools(event.rows, now);
+    EndWithoutRow(std::move(lookup), now);
+    return;
   }
-  if (const auto* origin = std::get_if<StreamOrigin>(&verdict)) {
-    streams_.try_emplace(lookup.stream, Stream{*origin, true});
-    begun_at_.emplace_back(now, lookup.stream);
+  const auto row = std::ranges::find_if(event.rows, [&](const StreamRow& it) {
+    return it.key == lookup.stream && it.software_versions.size() == 1;
+  });
+  if (row == event.rows.end()) {
+    EndWithoutRow(std::move(lookup), now);
+    return;
   }
-  ended_lookups_.push_back({lookup.caller, lookup.stream, std::move(verdict)});
+  const StreamOrigin origin{row->pool, row->software_versions.front()};
+  streams_.try_emplace(lookup.stream, Stream{origin, true});
+  begun_at_.emplace_back(now, lookup.stream);
+  ended_lookups_.push_back(
+      {lookup.caller, lookup.stream, origin, OriginEvidence::kRow});
 }
 
 // Versions that only a row names were listed before this host started.
 void StreamVersions::ApplyPools(const std::vector<StreamRow>& rows,
                                 base::TimePoint now) {
-  knows_pools_ = true;
   for (const StreamRow& row : rows) {
     written_versions_[row.pool] = row.software_versions;
     for (const std::string& it : row.software_versions)
@@ -230,9 +297,10 @@
     return;
   }
   if (const auto node = lookups_.extract(event.id); !node.empty()) {
-    const PendingLookup& lookup = node.mapped();
-    ended_lookups_.push_back(
-        {lookup.caller, lookup.stream, VerdictWithoutRow(lookup.pool)});
+    PendingLookup& lookup = node.mapped();
+    // The store may hold a row, of a version that came a moment ago.
+    lookup.endpoints_needed_as_of = lookup.began;
+    EndWithoutRow(std::move(lookup), now);
     return;
   }
   const auto node = writes_.extract(event.id);
@@ -321,6 +389,7 @@
 
 // Without streams that may be resumed, nothing is kept.
 void StreamVersions::HandleTimer(base::TimePoint now) {
+  EndUnconfirmedLookups(now);
   ForgetOldVersions(now);
   ForgetOldStreams(now);
   if (read_pools_at_ && *read_pools_at_ <= now && !resumable_pools_.empty())
@@ -338,6 +407,8 @@
   if (!resumable_pools_.empty())
     consider(read_pools_at_);
   consider(FlushDue());
+  for (const PendingLookup& it : unconfirmed_lookups_)
+    consider(it.began + kMaxConfirmationWait);
   if (!begun_at_.empty())
     consider(begun_at_.front().first + kStreamLife);
   for (const auto& [pool, times] : versions_) {
--- a/Libraries/LibForward/stream_versions.h
+++ b/Libraries/LibForward/stream_versions.h
@@ -7,8 +7,8 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <utility>
-#include <variant>
 #include <vector>
 
 #include "LibBase/time.h"
@@ -23,12 +23,14 @@
   base::PoolName pool;
   std::string software_version;
 };
-// The stream can't have begun at a version other than the one listed now.
-struct AnyOrigin {};
-// The stream may have begun at a version other than those listed now.
-struct UnknownOrigin {};
+// What tells the origin of a stream.
+enum class OriginEvidence {
+  kRow,          // Its row in the store.
+  kOnlyVersion,  // Its pool had one version all the time.
+  kNone,         // Nothing: the origin is unknown.
+};
 
-using OriginVerdict = std::variant<StreamOrigin, AnyOrigin, UnknownOrigin>;
+std::string_view ToText(OriginEvidence evidence);
 
 // Knows at which software version each resumable stream of this host began, and
 // keeps it in the store while endpoints of several versions serve in a pool or
@@ -55,15 +57,19 @@
   // Returns what this host knows by itself; empty if the store has to be asked.
   std::optional<StreamOrigin> Find(const std::string& stream) const;
   // Asks the store for the origin of a stream, which a request for this pool
-  // takes up. TakeLookup() returns the verdict to the caller.
+  // takes up. TakeLookup() returns the outcome.
   void LookUp(const std::string& stream,
               const base::PoolName& pool,
-              base::CallerId caller);
+              base::CallerId caller,
+              base::TimePoint now);
+  // The endpoints that are known hold all that the store listed at `as_of`.
+  void NoteEndpointsKnown(base::TimePoint as_of, base::TimePoint now);
 
   struct Lookup {
     base::CallerId caller{};
     std::string stream;
-    OriginVerdict verdict;
+    std::optional<StreamOrigin> origin;
+    OriginEvidence evidence = OriginEvidence::kNone;
   };
   std::optional<Lookup> TakeLookup();
 
@@ -84,14 +90,22 @@
     std::string stream;
     base::PoolName pool;
     base::CallerId caller{};
+    base::TimePoint began;
+    // Endpoints as of this time tell which versions the pool has.
+    base::TimePoint endpoints_needed_as_of;
   };
 
+  bool HasSeveralVersions(const base::PoolName& pool) const;
   bool IsMixed(const base::PoolName& pool) const;
   void NoteVersionsChanged(const base::PoolName& pool);
   void ForgetOldVersions(base::TimePoint now);
   void ForgetOldStreams(base::TimePoint now);
-  // What holds for a stream of this pool of which no row is known.
-  OriginVerdict VerdictWithoutRow(const base::PoolName& pool) const;
+  // The store has no row of the stream, or doesn't tell.
+  void EndWithoutRow(PendingLookup lookup, base::TimePoint now);
+  // Whether it is known which versions the pool had while the stream may have
+  // begun.
+  bool KnowsVersions(const PendingLookup& lookup) const;
+  void EndUnconfirmedLookups(base::TimePoint now);
   void ReadPools();
   void ApplyPools(const std::vector<StreamRow>& rows, base::TimePoint now);
   void Flush(base::TimePoint now);
@@ -114,6 +128,9 @@
   std::optional<StreamCallId> pools_call_;
   std::map<StreamCallId, WriteStreamRows> writes_;
   std::map<StreamCallId, PendingLookup> lookups_;
+  // Lookups that wait for newer endpoints, the oldest first.
+  std::deque<PendingLookup> unconfirmed_lookups_;
+  base::TimePoint endpoints_known_as_of_;
   std::deque<Lookup> ended_lookups_;
   base::TimePoint next_flush_;
   base::TimePoint next_removal_;
--- a/Tests/LibForward/test_stream_versions.cc
+++ b/Tests/LibForward/test_stream_versions.cc
@@ -55,13 +55,15 @@
   }
 };
 
-// A host whose endpoints are named by their software version: v1-a, v2-b.
+// A host whose engines are named by their software version: v1-a, v2-b; other
+// endpoints make pieces.
 class VersionBench : public NodeBench {
  public:
   explicit VersionBench(const std::vector<std::string>& endpoints)
       : VersionBench(endpoints, own_table_) {}
   VersionBench(const std::vector<std::string>& endpoints, StreamTable& table)
       : NodeBench(ResumableStreams(), Options(), RowsOf(endpoints)),
+        listed_(endpoints),
         table_(table) {
     RunFor(milliseconds(10));
     // Enough requests to earn retries.
@@ -75,18 +77,30 @@
     const base::TimePoint end = now + time;
     while (now < end) {
       PassTo(now + milliseconds(5));
-      AnswerStreamCalls();
+      AnswerStoreCalls();
     }
   }
-  void AnswerStreamCalls() {
+  // The store answers the calls for rows of streams and those for endpoints,
+  // the latter only while the host isn't cut off from it.
+  void AnswerStoreCalls() {
     for (; answered_ < actions.size(); ++answered_) {
       const Action action = actions[answered_];
       if (const auto* read = std::get_if<ReadStreamRows>(&action))
-        Feed(table_.AnswerTo(*read));
+        Feed(AnswerTo(*read));
       else if (const auto* write = std::get_if<WriteStreamRows>(&action))
-        Feed(table_.AnswerTo(*write));
+        Feed(AnswerTo(*write));
+      else if (const auto* list = std::get_if<ListTable>(&action))
+        is_calling_ |= list->feed == FeedKind::kEndpoints;
+      else if (const auto* follow = std::get_if<FollowTable>(&action))
+        is_calling_ |= follow->feed == FeedKind::kEndpoints;
+    }
+    if (is_calling_ && !is_cut) {
+      is_calling_ = false;
+      Feed(TableListed{FeedKind::kEndpoints, RowsOf(listed_), false, version});
     }
   }
+  // Time passes without any of the host's code running.
+  void StandStill(milliseconds time) { now += time; }
 
   // Begins a stream at an endpoint of this version; returns its name.
   std::string BeginAt(const std::string& wanted) {
@@ -101,17 +115,22 @@
 
   // The version at which a caller's take-up goes on; empty if it is refused.
   std::string TakeUp(const std::string& stream, uint64_t caller) {
+    constexpr milliseconds kLongestWait{2500};
     const size_t before = actions.size();
     ForwardedRequest request = Request(caller);
     request.piece_counts = {};
     request.last_event = "0";
     request.resumed_stream = stream;
     Feed(std::move(request));
-    AnswerStreamCalls();
+    AnswerStoreCalls();
+    for (const base::TimePoint end = now + kLongestWait;
+         !HasEnded(before) && now < end;)
+      RunFor(milliseconds(5));
     for (size_t i = before; i < actions.size(); ++i) {
       if (const auto* send = std::get_if<SendAttempt>(&actions[i]))
         return VersionOf(send->endpoint);
     }
+    REQUIRE(HasEnded(before));
     const auto* answer = Last<AnswerCaller>();
     REQUIRE(answer != nullptr);
     CHECK(answer->code == LocalAnswerCode::kNoEndpoint);
@@ -126,14 +145,21 @@
   static std::vector<FeedRow> RowsOf(const std::vector<std::string>& names) {
     std::vector<FeedRow> rows;
     for (const std::string& it : names) {
-      ListedEndpoint endpoint = MakeEndpoint(it, "llm");
+      ListedEndpoint endpoint =
+          MakeEndpoint(it, it.starts_with('v') ? "llm" : "maker");
       endpoint.software_version = VersionOf(endpoint.name);
       rows.push_back({it, endpoint});
     }
     return rows;
   }
   void ListEndpoints(const std::vector<std::string>& names) {
-    Feed(TableListed{FeedKind::kEndpoints, RowsOf(names), false, ++version});
+    SetListed(names);
+    Feed(TableListed{FeedKind::kEndpoints, RowsOf(names), false, version});
+  }
+  // What the store lists from now on, when it is asked.
+  void SetListed(const std::vector<std::string>& names) {
+    listed_ = names;
+    ++version;
   }
 
   // The attempt sent for a new request.
@@ -159,14 +185,36 @@
   }
 
   uint64_t version = 1;
+  bool is_cut = false;
 
  private:
+  Event AnswerTo(const ReadStreamRows& read) const {
+    if (is_cut)
+      return StreamRowsFailed{read.id, "timeout"};
+    return table_.AnswerTo(read);
+  }
+  Event AnswerTo(const WriteStreamRows& write) {
+    if (is_cut)
+      return StreamRowsFailed{write.id, "timeout"};
+    return table_.AnswerTo(write);
+  }
+  // Whether a request was sent, or refused, since there were so many actions.
+  bool HasEnded(size_t before) const {
+    return std::any_of(actions.begin() + static_cast<ptrdiff_t>(before),
+                       actions.end(), [](const Action& it) {
+                         return std::holds_alternative<SendAttempt>(it) ||
+                                std::holds_alternative<AnswerCaller>(it);
+                       });
+  }
+
   static AnswerHead HeadFor(const SendAttempt& send) {
     AnswerHead head = GoodHead(send.request->request_id);
     head.content_type = "text/event-stream";
     return head;
   }
 
+  std::vector<std::string> listed_;
+  bool is_calling_ = false;  // For endpoints.
   StreamTable own_table_;
   StreamTable& table_;
   size_t answered_ = 0;
@@ -364,6 +412,101 @@
   CHECK(table.Has("llm"));
 }
 
+// The report of issue 66: streams joined at a host that was out of step while
+// endpoints of a new version joined.
+TEST_CASE("a host that is cut off joins no stream of a version it can't know") {
+  for (const int64_t cut_for : {0, 100, 900, 3000, 9000, 70'000}) {
+    CAPTURE(cut_for);
+    StreamTable table;
+    VersionBench cut({"v1-a", "v1-b"}, table);
+    cut.is_cut = true;
+    VersionBench host(kBothVersions, table);
+    const std::string stream = host.BeginAt("v2");
+    host.RunFor(milliseconds(300));
+    cut.RunFor(milliseconds(cut_for));
+    CHECK(cut.TakeUp(stream, 1).empty());
+    CHECK(cut.TakeUp("", 2).empty());
+    // Back in touch, with endpoints of the version that began the stream.
+    cut.is_cut = false;
+    cut.SetListed(kBothVersions);
+    cut.RunFor(seconds(2));
+    CHECK(cut.TakeUp(stream, 3) == "v2");
+  }
+}
+
+TEST_CASE(
+    "a host that stood still joins no stream of a version it can't know") {
+  for (const bool has_row : {true, false}) {
+    CAPTURE(has_row);
+    StreamTable table;
+    VersionBench frozen({"v1-a", "v1-b"}, table);
+    frozen.RunFor(seconds(2));
+    VersionBench host(kBothVersions, table);
+    const std::string stream = host.BeginAt("v2");
+    host.RunFor(milliseconds(300));
+    // Rows of a host that is killed at once are never written.
+    if (!has_row)
+      table.rows.clear();
+    frozen.StandStill(seconds(8));
+    // An answer to a call that was made before is read only now.
+    frozen.Feed(TableListed{FeedKind::kEndpoints,
+                            frozen.RowsOf({"v1-a", "v1-b"}), false,
+                            frozen.version});
+    frozen.SetListed(kBothVersions);
+    CHECK(frozen.TakeUp(stream, 1) != "v1");
+    frozen.RunFor(seconds(2));
+    CHECK(frozen.TakeUp(stream, 2) == (has_row ? "v2" : ""));
+  }
+}
+
+TEST_CASE("a version that came and went while a host was cut off is known") {
+  StreamTable table;
+  VersionBench cut({"v1-a", "v1-b"}, table);
+  cut.is_cut = true;
+  VersionBench host({"v1-a", "v1-b"}, table);
+  host.ListEndpoints(kBothVersions);
+  host.RunFor(milliseconds(300));
+  cut.RunFor(seconds(5));
+  cut.is_cut = false;
+  cut.RunFor(seconds(2));
+  CHECK(cut.TakeUp("unknown", 1).empty());
+}
+
+// Guards against take-ups that are refused at hosts in touch (LOST).
+TEST_CASE("a host in touch goes on in a pool of one version at any time") {
+  StreamTable table;
+  VersionBench host({"v1-a", "v1-b"}, table);
+  for (uint64_t caller = 1; caller < 40; ++caller) {
+    CAPTURE(caller);
+    host.RunFor(milliseconds(static_cast<int64_t>(caller) * 7));
+    CHECK(host.TakeUp("unknown", caller) == "v1");
+  }
+}
+
+// Versions that join while a take-up waits for its stages.
+TEST_CASE("an unknown stream of a pool of one version goes on at that one") {
+  for (uint64_t caller = 1; caller < 20; ++caller) {
+    CAPTURE(caller);
+    VersionBench host({"m1", "v1-a"});
+    ForwardedRequest request = host.Request(caller);
+    request.last_event = "0";
+    request.resumed_stream = "unknown";
+    host.Feed(std::move(request));
+    host.AnswerStoreCalls();
+    host.ListEndpoints({"m1", "v1-a", "v2-a", "v2-b", "v2-c", "v2-d"});
+    host.AnswerStoreCalls();
+    host.RunFor(milliseconds(50));
+    const auto* call = host.Last<CallStage>();
+    REQUIRE(call != nullptr);
+    host.EndStage(call->call);
+    host.RunFor(milliseconds(50));
+    const auto* sent = host.Last<SendAttempt>();
+    REQUIRE(sent != nullptr);
+    REQUIRE(sent->request->request_id == "r" + std::to_string(caller));
+    CHECK(host.VersionOf(sent->endpoint) == "v1");
+  }
+}
+
 TEST_SUITE_END();
 
 }  // namespace
