LibSoak, Standins: Endpoints that send broken answers

The soak's endpoints knew seven ways to misbehave, all of them sound HTTP. They send answers now that are none in the protocol, nine forms in turn and 20 in a row, to requests, streams and stage calls (RespondWithBytes, for stand-ins).

--- a/Libraries/LibSoak/endpoint_fleet.cc
+++ b/Libraries/LibSoak/endpoint_fleet.cc
@@ -18,7 +18,10 @@
 constexpr milliseconds kLeaveTime{4000};
 // Time before an address is reused, by any pool.
 constexpr milliseconds kReuseTime{2000};
+// Requests in a row that an endpoint treats wrongly; of broken answers each
+// form comes, some of them behind others.
 constexpr uint32_t kFaultCount = 3;
+constexpr uint32_t kBrokenAnswerCount = 20;
 constexpr milliseconds kService{15};
 constexpr milliseconds kEventGap{10};
 
@@ -31,7 +34,7 @@
     EndpointFault::kRefuses,      EndpointFault::kFails,
     EndpointFault::kNamesAnother, EndpointFault::kUnsealed,
     EndpointFault::kBreaks,       EndpointFault::kCutsStream,
-    EndpointFault::kHangs};
+    EndpointFault::kHangs,        EndpointFault::kSendsBroken};
 
 }  // namespace
 
@@ -226,7 +229,10 @@
   const size_t fault = target / members_.size() % kEndpointFaults.size();
   trail_.Add(reactor_.Now(),
              name + " misbehaves, fault " + std::to_string(fault));
-  member.endpoint->InjectFault(kEndpointFaults.at(fault), kFaultCount);
+  const EndpointFault kind = kEndpointFaults.at(fault);
+  member.endpoint->InjectFault(kind, kind == EndpointFault::kSendsBroken
+                                         ? kBrokenAnswerCount
+                                         : kFaultCount);
   checker_.BeginDisturbance(kEndpointsPart);
   timers_.After(lasts, [this, name] {
     if (Member* it = Find(name))
--- a/Libraries/LibTransport/http_listener.cc
+++ b/Libraries/LibTransport/http_listener.cc
@@ -495,6 +495,13 @@
     connection->Respond(response);
 }
 
+void HttpListener::RespondWithBytes(ExchangeId id, std::string_view bytes) {
+  ListenerConnection* connection = FindOpen(id);
+  if (connection != nullptr &&
+      connection->phase() == ListenerConnection::Phase::kWaiting)
+    connection->RespondWithBytes(bytes);
+}
+
 void HttpListener::BeginStream(ExchangeId id,
                                int status,
                                const HttpHeaders& headers) {
--- a/Libraries/LibTransport/http_listener.h
+++ b/Libraries/LibTransport/http_listener.h
@@ -66,6 +66,9 @@
 
   // Calls for exchanges that no longer exist are ignored.
   void Respond(ExchangeId id, const HttpResponse& response);
+  // Sends the bytes as they are and closes the connection. For stand-ins of
+  // faulty peers: the bytes need not be an answer.
+  void RespondWithBytes(ExchangeId id, std::string_view bytes);
   void BeginStream(ExchangeId id, int status, const HttpHeaders& headers);
   void WriteStream(ExchangeId id, std::string_view bytes);
   // Bytes written to the stream that the client has not taken yet.
--- a/Libraries/LibTransport/listener_connection.cc
+++ b/Libraries/LibTransport/listener_connection.cc
@@ -170,6 +170,12 @@
   phase_ = Phase::kAnswered;
 }
 
+void ListenerConnection::RespondWithBytes(std::string_view bytes) {
+  output_ += bytes;
+  closes_after_response_ = true;
+  phase_ = Phase::kAnswered;
+}
+
 void ListenerConnection::BeginStream(int status, const HttpHeaders& headers) {
   AddHead(status, headers, FramingOf(status, true), 0);
   phase_ = Phase::kStreaming;
--- a/Libraries/LibTransport/listener_connection.h
+++ b/Libraries/LibTransport/listener_connection.h
@@ -74,6 +74,8 @@
 
   // The connection is closed after the response if the request isn't complete.
   void Respond(const HttpResponse& response);
+  // Sends the bytes as they are; the connection is closed after them.
+  void RespondWithBytes(std::string_view bytes);
   void BeginStream(int status, const HttpHeaders& headers);
   void WriteStream(std::string_view bytes);
   void EndStream(StreamEnd end);
--- a/Tests/Platform/test_broken_heads.cc
+++ b/Tests/Platform/test_broken_heads.cc
@@ -5,6 +5,7 @@
 
 #include "../LibTransport/flood_server.h"
 #include "../LibTransport/hasty_server.h"
+#include "Standins/broken_answers.h"
 #include "platform/wire_names.h"
 #include "platform_fixture.h"
 
@@ -52,56 +53,52 @@
   }
 }
 
-// What an endpoint in trouble sends in place of an answer to the fixture's
-// first request, as the head's first lines and its body.
-std::vector<std::string> BrokenAnswers() {
-  const std::string own = std::string(wire::kRequestId) + ": req-1\r\n" +
-                          wire::kServerSeal + ": seal\r\n";
-  const std::string rest = own + "Content-Length: 4\r\n\r\nbody";
-  return {
-      "HTTP/1.1 200 OK\r\n Folded: x\r\n" + rest,
-      "HTTP/1.1 200 OK\r\n" + own +
-          "Content-Length: 18446744073709551620\r\n\r\nbody",
-      "HTTP/1.1 200 OK\r\n" + own + "Content-Length : 4\r\n\r\nbody",
-      "HTTP/1.1 200 OK\r\n" + own + "no field\r\n\r\nbody",
-      "HTTP/1.1 000 OK\r\n" + rest,
-      "HTTP/1.1 200x OK\r\n" + rest,
-      "HTTP/1.1 200 OK\r\nSeal\x01: x\r\n" + rest,
-      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nHTTP/1.1 200 OK\r\n" + rest,
-      "HTTP/1.1 200 OK\r\n" + own +
-          "Transfer-Encoding: chunked\r\n\r\n4 x\r\nbody\r\n0\r\n\r\n",
-  };
+// Has each endpoint send only broken answers, this form first.
+void BreakAnswers(PlatformFixture& fixture, size_t form) {
+  for (standins::PieceEndpointStandin* it :
+       {&fixture.desk, &fixture.other_desk, &fixture.engine,
+        &fixture.other_engine}) {
+    it->SetNextBrokenForm(form);
+    it->InjectFault(standins::EndpointFault::kSendsBroken, 100);
+  }
 }
 
 // Guards against answers that aren't the endpoint's (MIXED), hosts that end,
 // and bookings that are sent twice (TWICE).
 TEST_CASE("callers get a failure in place of a broken answer") {
-  for (const std::string& answer : BrokenAnswers()) {
+  const size_t forms = standins::BrokenAnswers({}).size();
+  for (size_t form = 0; form < forms; ++form) {
     for (const std::string target : {"/read/x", "/book/x", "/draft/x"}) {
-      CAPTURE(answer);
+      CAPTURE(form);
       CAPTURE(target);
-      const transport::HastyServer server(answer, 0,
-                                          std::chrono::milliseconds(0),
-                                          transport::ServerEnd::kClose);
       PlatformFixture fixture;
-      const bool is_stream = target == "/draft/x";
-      ListBrokenEndpoint(fixture, server.address(), is_stream ? "llm" : "desk");
-      auto request = is_stream ? fixture.StreamRequest(target)
-                               : fixture.Request("POST", target);
-      if (target == "/read/x")
-        request = fixture.Request("GET", target);
-      const auto outcome = fixture.Ask(std::move(request));
-      const auto* response = std::get_if<transport::HttpResponse>(&outcome);
-      REQUIRE(response != nullptr);
-      CHECK(response->status == 502);
-      CHECK(base::FindHeader(response->headers, wire::kServerSeal) == nullptr);
-      CHECK(server.request_count() >= 1);
+      BreakAnswers(fixture, form);
+      auto request = target == "/draft/x"  ? fixture.StreamRequest(target)
+                     : target == "/book/x" ? fixture.Request("POST", target)
+                                           : fixture.Request("GET", target);
+      const auto response = fixture.Answer(std::move(request));
+      CHECK(response.status == 502);
+      CHECK(base::FindHeader(response.headers, wire::kServerSeal) == nullptr);
       if (target == "/book/x")
-        CHECK(server.request_count() == 1);
+        CHECK(fixture.DeskArrivals() == 1);
     }
   }
 }
 
+TEST_CASE("an endpoint that sends broken answers gets little more to do") {
+  constexpr size_t kReads = 60;
+  PlatformFixture fixture;
+  for (size_t i = 0; i < kReads; ++i)
+    CHECK(fixture.Answer(fixture.Request("GET", "/read/x")).status == 200);
+  const size_t before = fixture.desk.arrivals().size();
+  fixture.desk.InjectFault(standins::EndpointFault::kSendsBroken, kReads);
+  for (size_t i = 0; i < kReads; ++i)
+    CHECK(fixture.Answer(fixture.Request("GET", "/read/x")).status == 200);
+  const size_t broken = fixture.desk.arrivals().size() - before;
+  CHECK(broken >= 1);
+  CHECK(broken <= kReads / 10);
+}
+
 // Guards against a store, or whatever answers in its place, that ends a host.
 TEST_CASE("a host serves on while the store sends broken answers") {
   const transport::HastyServer server(
--- a/Tests/Standins/piece_endpoint_standin.cc
+++ b/Tests/Standins/piece_endpoint_standin.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "LibTransport/json_text.h"
+#include "Standins/broken_answers.h"
 #include "platform/wire_names.h"
 
 namespace bilberry::standins {
@@ -127,6 +128,14 @@
   service_->Respond(exchange, response);
 }
 
+void PieceEndpointStandin::RespondBroken(transport::ExchangeId exchange,
+                                         const base::HttpHeaders& headers) {
+  const std::vector<std::string> forms = BrokenAnswers(headers);
+  service_->RespondWithBytes(exchange,
+                             forms.at(next_broken_form_ % forms.size()));
+  ++next_broken_form_;
+}
+
 EndpointFault PieceEndpointStandin::TakeFault() {
   if (fault_count_ == 0)
     return EndpointFault::kNone;
@@ -195,6 +204,10 @@
       service_->Abort(exchange);
       return;
     }
+    if (fault == EndpointFault::kSendsBroken) {
+      RespondBroken(exchange, {});
+      return;
+    }
     Json::Value answer;
     for (size_t i = 0; i < n; ++i) {
       const std::string handle =
@@ -236,6 +249,10 @@
     service_->Abort(request.exchange);
     return;
   }
+  if (fault == EndpointFault::kSendsBroken) {
+    RespondBroken(request.exchange, HeadersFor(request, fault));
+    return;
+  }
   if (fault == EndpointFault::kRejects) {
     Respond(request.exchange, {404, HeadersFor(request, fault), "none\n\n"});
     return;
--- a/Tests/Standins/piece_endpoint_standin.h
+++ b/Tests/Standins/piece_endpoint_standin.h
@@ -26,6 +26,7 @@
   kRejects,     // Answers 404 with a text.
   kOtherType,   // Answers with a page in place of events.
   kHangs,       // Never answers.
+  kSendsBroken,  // Runs the request and answers with bytes that are no answer.
 };
 
 struct PieceEndpointModel {
@@ -89,6 +90,9 @@
     fault_count_ = count;
   }
 
+  // Which of BrokenAnswers() is sent next; the others follow in turn.
+  void SetNextBrokenForm(size_t form) { next_broken_form_ = form; }
+
   // Adds these headers to all answers from now on.
   void SetNotices(base::HttpHeaders notices) { notices_ = std::move(notices); }
 
@@ -124,6 +128,8 @@
   void BeginStream(const transport::IncomingRequest& request,
                    EndpointFault fault);
   void ContinueStream(const std::shared_ptr<Stream>& stream);
+  void RespondBroken(transport::ExchangeId exchange,
+                     const base::HttpHeaders& headers);
   base::HttpHeaders HeadersFor(const transport::IncomingRequest& request,
                                EndpointFault fault) const;
 
@@ -143,6 +149,7 @@
   std::vector<size_t> calls_;
   std::set<std::string> results_;
   uint64_t last_result_ = 0;
+  size_t next_broken_form_ = 0;
   uint32_t left_count_ = 0;
 };
 
