LibForward, platform: Void late writes of a host's row, and put the table right

What callers saw (review/10, LIMIT): after a planned restart of a host an endpoint that had named a limit of 10 a second got 82 requests in 4 s, 65 are allowed.

Cause: the stopping host's removal of its row had no condition and was performed 5 s late, so that it took away the row of the host's next process. Nothing wrote the row again. The others chose another owner of the limit; the host itself stood in its own list whatever the table said, and granted as well.

Now a fence stands beside each row. A call replaces the fence on condition that it has the version which the caller knows, and writes or removes the row in the same transaction; 412 tells the fence in force and is acted on. The writer compares the feed with what it wants and writes again, jittered (line 1211). A host that the table doesn't hold at its address takes no tasks of others while others are listed: limits, pieces, placement. A removal that isn't answered is repeated.

Why it works: whatever the store performs late names a fence that has been replaced; where versions are assigned again the table itself is looked at.

Ruled out: a condition on the row itself, as a row that was removed has no version.

test_placements: the bench of an owner listed the peer alone, in which case the host isn't an owner any more. The table of a real store holds the host as well, and now that of the test; its checks are the same.

--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -32,6 +32,7 @@
     {kLimitHandedOver, kInfo, "limit-handed-over"},
     {kZoneEvacuated, kInfo, "zone-evacuated"},
     {kZoneTakenBack, kInfo, "zone-taken-back"},
+    {kOwnRowReplaced, kWarning, "own-row-replaced"},
     {kEndpointCold, kInfo, "endpoint-cold"},
     {kEndpointWarm, kInfo, "endpoint-warm"},
     {kEndpointCrashed, kWarning, "endpoint-crashed"},
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -30,6 +30,7 @@
   kLimitHandedOver = 1208,
   kZoneEvacuated = 1209,
   kZoneTakenBack = 1210,
+  kOwnRowReplaced = 1211,
   kEndpointCold = 1215,
   kEndpointWarm = 1216,
   kEndpointCrashed = 1217,
--- a/Libraries/LibEmulation/emulation.cc
+++ b/Libraries/LibEmulation/emulation.cc
@@ -895,7 +895,7 @@
 void Emulation::Execute(size_t host, const forward::WriteOwnRow& action) {
   timeline_.After(kStoreDelay, [this, host, row = action.host] {
     host_rows_.push_back(row);
-    Deliver(host, forward::OwnRowWritten{});
+    Deliver(host, forward::OwnRowWritten{std::nullopt, host_rows_.size()});
   });
 }
 
--- a/Libraries/LibForward/forward_action.h
+++ b/Libraries/LibForward/forward_action.h
@@ -12,6 +12,7 @@
 #include "LibBase/log_event.h"
 #include "LibForward/forward_event.h"
 #include "LibForward/local_answer_code.h"
+#include "LibForward/own_row_fence.h"
 
 // Output actions of an entry host that forwards requests.
 namespace bilberry::forward {
@@ -195,11 +196,13 @@
   std::chrono::milliseconds wait{0};
 };
 
+// Writes this host's row in the hosts' table, or removes it if the fence says
+// that the host isn't listed, and writes the fence, whose version is the one
+// that it replaces. Results in one OwnRowWritten, OwnRowConflict or
+// OwnRowFailed.
 struct WriteOwnRow {
   PeerHost host;
-};
-struct RemoveOwnRow {
-  base::HostName name;
+  OwnRowFence fence;
 };
 
 // Reads rows of the table of streams in the store: the one with this key, or
@@ -267,7 +270,6 @@
                             ListTable,
                             FollowTable,
                             WriteOwnRow,
-                            RemoveOwnRow,
                             ReadStreamRows,
                             WriteStreamRows,
                             WriteLog,
--- a/Libraries/LibForward/forward_event.h
+++ b/Libraries/LibForward/forward_event.h
@@ -11,6 +11,7 @@
 #include "LibForward/endpoint_notice.h"
 #include "LibForward/feed_row.h"
 #include "LibForward/forwarded_request.h"
+#include "LibForward/own_row_fence.h"
 #include "LibForward/permit.h"
 #include "LibForward/placement.h"
 #include "LibForward/stage_job.h"
@@ -220,9 +221,17 @@
   std::string detail;
 };
 
+// Answers to WriteOwnRow. The version is that of the fence written.
 struct OwnRowWritten {
   StoreEra era = std::nullopt;
+  uint64_t version = 0;
+};
+// Nothing was written, because the store holds another fence: this one.
+struct OwnRowConflict {
+  StoreEra era = std::nullopt;
+  OwnRowFence fence;
 };
+// Whether the row was written, or will still be, is unknown.
 struct OwnRowFailed {
   std::string detail;
 };
@@ -277,6 +286,7 @@
                            TableHistoryLost,
                            TableCallFailed,
                            OwnRowWritten,
+                           OwnRowConflict,
                            OwnRowFailed,
                            StreamRowsRead,
                            StreamRowsWritten,
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -122,6 +122,7 @@
           [&](const TableHistoryLost& it) { store_.Handle(it, now); },
           [&](const TableCallFailed& it) { store_.Handle(it, now); },
           [&](const OwnRowWritten& it) { store_.Handle(it, now); },
+          [&](const OwnRowConflict& it) { store_.Handle(it, now); },
           [&](const OwnRowFailed& it) { store_.Handle(it, now); },
           [&](const StreamRowsRead& it) { stream_versions_.Handle(it, now); },
           [&](const StreamRowsWritten& it) { stream_versions_.Handle(it); },
@@ -281,7 +282,7 @@
   if (is_stopping())
     return;
   stop_began_ = now;
-  store_.NoteStopping();
+  store_.NoteStopping(now);
   context_.Log(base::LogEventId::kStopOrdered, "");
 }
 
--- a/Libraries/LibForward/host_assignment.cc
+++ b/Libraries/LibForward/host_assignment.cc
@@ -14,11 +14,16 @@
 
 void HostAssignment::SetHosts(std::span<const PeerHost> hosts) {
   hosts_ = {own_};
+  is_listed_ = false;
   for (const PeerHost& it : hosts) {
-    if (!IsOwn(it))
+    if (!IsOwn(it)) {
       hosts_.push_back(it);
+    } else if (it.address == own_.address) {
+      hosts_.front() = it;
+      is_listed_ = true;
+    }
   }
-  sizes_ = HostSizes(hosts_);
+  sizes_ = HostSizes(listed_hosts());
   ClearCaches();
 }
 
@@ -98,7 +103,7 @@
   using Rank = std::tuple<HostTier, size_t, double>;
   size_t best = 0;
   std::optional<Rank> best_rank;
-  for (size_t i = 0; i < hosts_.size(); ++i) {
+  for (size_t i = FirstListed(); i < hosts_.size(); ++i) {
     const PeerHost& host = hosts_[i];
     if (excluded.contains(host.name))
       continue;
--- a/Libraries/LibForward/host_assignment.h
+++ b/Libraries/LibForward/host_assignment.h
@@ -26,11 +26,14 @@
 // preferred to small ones and then hosts of the task's zone to others; ties are
 // broken by rendezvous hashing. The pools of one cell are spread so that each
 // host dispatches as few of them as possible. Hosts with the same host list
-// agree without communication.
+// agree without communication. Therefore a host takes part only while the list
+// holds it at its own address, as it does for the others; until then its tasks
+// are those of other hosts, if there are any.
 class HostAssignment {
  public:
   explicit HostAssignment(PeerHost own);
 
+  // Sets the hosts that the store lists.
   void SetHosts(std::span<const PeerHost> hosts);
   // The pools whose endpoints produce pieces.
   void SetPools(std::set<base::PoolName> pools);
@@ -52,8 +55,10 @@
   // Null if there is no host of this name.
   const PeerHost* Find(const base::HostName& name) const;
   size_t host_count() const { return hosts_.size(); }
-  // This host comes first.
-  std::span<const PeerHost> hosts() const { return hosts_; }
+  // The hosts among which tasks are shared out.
+  std::span<const PeerHost> listed_hosts() const {
+    return std::span(hosts_).subspan(FirstListed());
+  }
 
   // A suspected host gets no tasks until it answers again.
   void MarkSuspect(const base::HostName& name);
@@ -66,6 +71,10 @@
   // The dispatcher of each pool of a cell, as an index into `hosts_`.
   using PoolDispatchers = std::map<base::PoolName, size_t>;
 
+  // The index into `hosts_` of the first host that takes tasks.
+  size_t FirstListed() const {
+    return is_listed_ || hosts_.size() == 1 ? 0 : 1;
+  }
   const PeerHost& Choose(const CellPool& at,
                          const std::set<base::HostName>& excluded,
                          std::map<Cell, PoolDispatchers>& cache) const;
@@ -85,7 +94,8 @@
   void ClearCurrentCaches();
 
   PeerHost own_;
-  std::vector<PeerHost> hosts_;  // Including this host.
+  std::vector<PeerHost> hosts_;  // This host comes first.
+  bool is_listed_ = false;
   std::set<base::PoolName> pools_;
   std::set<base::HostName> suspects_;
   HostSizes sizes_;
--- a/Libraries/LibForward/peer_directory.cc
+++ b/Libraries/LibForward/peer_directory.cc
@@ -21,11 +21,11 @@
 
 void PeerDirectory::UpdateStoreSyncSources() {
   std::set<base::ZoneName> zones;
-  for (const PeerHost& it : assignment_.hosts())
+  for (const PeerHost& it : assignment_.listed_hosts())
     zones.insert(it.zone);
   std::map<base::HostName, PeerHost> found;
   for (const base::ZoneName& zone : zones) {
-    for (PeerHost& it : RelaysOf(assignment_.hosts(), zone))
+    for (PeerHost& it : RelaysOf(assignment_.listed_hosts(), zone))
       found.emplace(it.name, std::move(it));
   }
   is_store_sync_source_ = found.erase(context_.options().own.name) > 0;
--- a/Libraries/LibForward/store_synchronizer.cc
+++ b/Libraries/LibForward/store_synchronizer.cc
@@ -169,7 +169,7 @@
   ++restorations_;
   operators_version_ = 0;
   directory_.NoteStoreRestored(now);
-  own_row_.WriteAgain(now);
+  own_row_.HandleStoreRestored(now);
 }
 
 // The first answer of an era only shows that one has begun; the tables are
@@ -223,7 +223,7 @@
         ++endpoint_changes_;
       return;
     case FeedKind::kHosts:
-      ApplyHosts(update);
+      ApplyHosts(update, now);
       return;
   }
 }
@@ -274,16 +274,26 @@
   return all;
 }
 
-void StoreSynchronizer::ApplyHosts(const FeedFollower::Update& update) {
+// Another host's row that can't be read stays as it was; this host's own is
+// written again.
+void StoreSynchronizer::ApplyHosts(const FeedFollower::Update& update,
+                                   base::TimePoint now) {
+  const std::string& own = context_.options().own.name.value;
   if (update.is_whole)
     hosts_.clear();
   for (const FeedRow& row : update.rows) {
+    const bool is_unreadable =
+        std::holds_alternative<RowUnreadable>(row.content);
     if (const auto* host = std::get_if<PeerHost>(&row.content))
       hosts_[row.key] = *host;
-    else if (std::holds_alternative<RowRemoved>(row.content))
+    else if (std::holds_alternative<RowRemoved>(row.content) ||
+             (is_unreadable && row.key == own))
       hosts_.erase(row.key);
   }
   ++host_changes_;
+  const auto it = hosts_.find(own);
+  own_row_.NoteSeen(it == hosts_.end() ? nullptr : &it->second,
+                    FollowerOf(FeedKind::kHosts).version(), hosts_.size(), now);
 }
 
 std::vector<PeerHost> StoreSynchronizer::hosts() const {
@@ -442,8 +452,20 @@
 
 void StoreSynchronizer::Handle(const OwnRowWritten& event,
                                base::TimePoint now) {
-  own_row_.HandleWritten();
-  NoteEra(event.era, Source::kStore, now);
+  const EraOrder order = NoteEra(event.era, Source::kStore, now);
+  if (order == EraOrder::kSame)
+    own_row_.HandleWritten(event.version, now);
+  else
+    own_row_.HandleFailed(now);
+}
+
+void StoreSynchronizer::Handle(const OwnRowConflict& event,
+                               base::TimePoint now) {
+  const EraOrder order = NoteEra(event.era, Source::kStore, now);
+  if (order == EraOrder::kSame)
+    own_row_.HandleConflict(event.fence, now);
+  else
+    own_row_.HandleFailed(now);
 }
 
 void StoreSynchronizer::Handle(const OwnRowFailed& event, base::TimePoint now) {
@@ -452,8 +474,8 @@
   own_row_.HandleFailed(now);
 }
 
-void StoreSynchronizer::NoteStopping() {
-  own_row_.Remove();
+void StoreSynchronizer::NoteStopping(base::TimePoint now) {
+  own_row_.Remove(now);
 }
 
 void StoreSynchronizer::HandleTimer(base::TimePoint now) {
--- a/Libraries/LibForward/store_synchronizer.h
+++ b/Libraries/LibForward/store_synchronizer.h
@@ -37,9 +37,10 @@
   void Handle(StoreSyncReceived event, base::TimePoint now);
   void Handle(const StoreSyncFailed& event, base::TimePoint now);
   void Handle(const OwnRowWritten& event, base::TimePoint now);
+  void Handle(const OwnRowConflict& event, base::TimePoint now);
   void Handle(const OwnRowFailed& event, base::TimePoint now);
   void HandleTimer(base::TimePoint now);
-  void NoteStopping();
+  void NoteStopping(base::TimePoint now);
   // Chooses the relays anew after a change of the known hosts.
   void ChooseRelays();
 
@@ -86,7 +87,7 @@
   void NoteColdEndpoints(const FeedFollower::Update& update,
                          base::TimePoint now);
   void ApplyConfiguration(const FeedFollower::Update& update, Source source);
-  void ApplyHosts(const FeedFollower::Update& update);
+  void ApplyHosts(const FeedFollower::Update& update, base::TimePoint now);
   void NoteEndpointsAnswered(FeedKind feed, base::TimePoint now);
   void NoteReachable(FeedKind feed, bool was_failing, base::TimePoint now);
   void RestartOlderCalls(FeedKind feed);
--- a/Libraries/LibSoak/fault_plan.h
+++ b/Libraries/LibSoak/fault_plan.h
@@ -39,6 +39,7 @@
   kEndpointMisbehaves,
   kDeadlyRequest,
   kStoreRestored,
+  kStorePerformsLate,
 };
 
 inline constexpr std::array kFaultKinds{
@@ -65,6 +66,7 @@
     std::pair{FaultKind::kEndpointMisbehaves, "endpoint-misbehaves"},
     std::pair{FaultKind::kDeadlyRequest, "deadly-request"},
     std::pair{FaultKind::kStoreRestored, "store-restored"},
+    std::pair{FaultKind::kStorePerformsLate, "store-performs-late"},
 };
 
 constexpr std::string_view ToText(FaultKind kind) {
--- a/Libraries/LibSoak/soak_run.cc
+++ b/Libraries/LibSoak/soak_run.cc
@@ -21,6 +21,7 @@
 // All faults of a plan end within this time.
 constexpr milliseconds kRecoveryTimeout{20'000};
 constexpr milliseconds kStoreDelay{700};
+constexpr milliseconds kWriteDelay{4000};
 // Within this time after a restoration, lost rows have been written again.
 constexpr milliseconds kRewriteTime{500};
 // Time in which all hosts learn of a deadly request, and some more.
@@ -172,6 +173,7 @@
     case Plan::kStoreLosesAnswers:
     case Plan::kStoreForgets:
     case Plan::kStoreRestored:
+    case Plan::kStorePerformsLate:
       BeginAtStore(fault);
       return;
     case Plan::kEndpointLeaves:
@@ -231,6 +233,9 @@
     case Plan::kStoreRestored:
       RestoreStoreAfter(fault.lasts);
       return;
+    case Plan::kStorePerformsLate:
+      PerformWritesLate(fault.lasts);
+      return;
     default:
       store_->ForgetHistory();
       checker_.BeginDisturbance(kStorePart);
@@ -251,6 +256,14 @@
   });
 }
 
+void SoakRun::PerformWritesLate(milliseconds lasts) {
+  checker_.BeginDisturbance(kStorePart);
+  store_->PerformLate(kWriteDelay, lasts);
+  timers_.After(lasts + kWriteDelay, [this] {
+    checker_.EndDisturbance(kStorePart, reactor_.Now());
+  });
+}
+
 // A new fault replaces the previous one, and stays until the timer of the last
 // one expires.
 void SoakRun::DisturbStore(standins::Fault fault, milliseconds lasts) {
--- a/Libraries/LibSoak/soak_run.h
+++ b/Libraries/LibSoak/soak_run.h
@@ -58,6 +58,7 @@
   void BeginAtStore(const PlannedFault& fault);
   void BeginAtEndpoint(const PlannedFault& fault);
   void RestoreStoreAfter(std::chrono::milliseconds time);
+  void PerformWritesLate(std::chrono::milliseconds lasts);
   void DisturbStore(standins::Fault fault, std::chrono::milliseconds lasts);
   void ChangeConfiguration();
   void ChangeKey();
--- a/Libraries/LibTransport/forward_adapter.h
+++ b/Libraries/LibTransport/forward_adapter.h
@@ -54,9 +54,8 @@
   virtual HttpRequest EncodeList(const forward::ListTable& list) const = 0;
   virtual HttpRequest EncodeFollow(
       const forward::FollowTable& follow) const = 0;
-  virtual HttpRequest EncodeWriteOwnRow(
-      const forward::PeerHost& host) const = 0;
-  virtual HttpRequest EncodeRemoveOwnRow(const base::HostName& host) const = 0;
+  virtual HttpRequest EncodeOwnRowWrite(
+      const forward::WriteOwnRow& write) const = 0;
   virtual forward::Event DecodeListResponse(
       forward::FeedKind feed,
       const HttpOutcome& outcome) const = 0;
@@ -77,8 +76,8 @@
   virtual forward::Event DecodeStreamWrite(
       forward::StreamCallId id,
       const HttpOutcome& outcome) const = 0;
-  // Returns OwnRowWritten or OwnRowFailed.
-  virtual forward::Event DecodeWriteResponse(
+  // Returns OwnRowWritten, OwnRowConflict or OwnRowFailed.
+  virtual forward::Event DecodeOwnRowWrite(
       const HttpOutcome& outcome) const = 0;
 };
 
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -739,22 +739,13 @@
 }
 
 void ForwardShell::Execute(const forward::WriteOwnRow& action) {
-  CallStoreOnce("write_row", adapter_.EncodeWriteOwnRow(action.host),
+  CallStoreOnce(action.fence.is_listed ? "write_row" : "remove_row",
+                adapter_.EncodeOwnRowWrite(action),
                 [this](const HttpOutcome& outcome) {
-                  return adapter_.DecodeWriteResponse(outcome);
+                  return adapter_.DecodeOwnRowWrite(outcome);
                 });
 }
 
-void ForwardShell::Execute(const forward::RemoveOwnRow& action) {
-  HttpRequest request = adapter_.EncodeRemoveOwnRow(action.name);
-  request.timeout = kStoreTimeout;
-  // The row is only a hint, and failures are ignored: peers skip a host that
-  // does not answer.
-  http_->Send(std::move(request), [this](const HttpOutcome& outcome) {
-    RecordStoreCall("remove_row", outcome);
-  });
-}
-
 void ForwardShell::Execute(const forward::ReadStreamRows& action) {
   CallStoreOnce("read_streams", adapter_.EncodeStreamRead(action),
                 [this, id = action.id](const HttpOutcome& outcome) {
--- a/Libraries/LibTransport/forward_shell.h
+++ b/Libraries/LibTransport/forward_shell.h
@@ -133,7 +133,6 @@
   void Execute(const forward::ListTable& action);
   void Execute(const forward::FollowTable& action);
   void Execute(const forward::WriteOwnRow& action);
-  void Execute(const forward::RemoveOwnRow& action);
   void Execute(const forward::ReadStreamRows& action);
   void Execute(const forward::WriteStreamRows& action);
   void Execute(const forward::WriteLog& action);
--- a/Tests/LibForward/store_fleet.cc
+++ b/Tests/LibForward/store_fleet.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibForward/host_assignment.h"
+
 namespace bilberry::forward {
 
 namespace {
@@ -12,6 +14,8 @@
 constexpr int64_t kTimeoutSlackMs = 1000;
 constexpr int64_t kPeerDelayMs = 2;
 constexpr int64_t kHeartbeatMs = 1200;
+constexpr int64_t kWriteTimeoutMs = 1500;
+constexpr int64_t kStopMs = 3000;
 
 PeerHost HostOf(size_t index) {
   constexpr size_t kZones = 3;
@@ -38,15 +42,39 @@
 }  // namespace
 
 StoreFleet::StoreFleet(size_t hosts, uint64_t seed) {
-  for (size_t i = 0; i < hosts; ++i) {
-    ForwardOptions options;
-    options.own = HostOf(i);
-    options.seed = seed * 1000 + i;
-    Host host;
-    host.context = std::make_unique<ForwardContext>(std::move(options));
-    host.synchronizer = std::make_unique<StoreSynchronizer>(*host.context);
-    hosts_.push_back(std::move(host));
-  }
+  seed_ = seed;
+  hosts_.resize(hosts);
+  for (size_t i = 0; i < hosts; ++i)
+    Start(i);
+}
+
+void StoreFleet::Start(size_t host) {
+  Host& it = hosts_[host];
+  ++it.starts;
+  ForwardOptions options;
+  options.own = HostOf(host);
+  options.incarnation = base::Incarnation{it.starts};
+  options.seed = (seed_ * 1000 + host) * 100 + it.starts;
+  it.context = std::make_unique<ForwardContext>(std::move(options));
+  it.synchronizer = std::make_unique<StoreSynchronizer>(*it.context);
+  it.calls.clear();
+  it.seen_host_changes = 0;
+  it.ends_at.reset();
+}
+
+void StoreFleet::Kill(size_t host) {
+  hosts_[host].synchronizer.reset();
+  hosts_[host].ends_at.reset();
+}
+
+void StoreFleet::Stop(size_t host) {
+  Host& it = hosts_[host];
+  it.synchronizer->NoteStopping(now());
+  it.ends_at = now_ms_ + kStopMs;
+}
+
+void StoreFleet::RemoveHostRow(size_t host) {
+  Put(FeedKind::kHosts, HostOf(host).name.value, RowRemoved{});
 }
 
 void StoreFleet::RunFor(milliseconds time) {
@@ -104,6 +132,8 @@
 }
 
 uint64_t StoreFleet::revision_of(size_t host) const {
+  if (!is_running(host))
+    return 0;
   const auto configuration = hosts_[host].synchronizer->configuration();
   return configuration == nullptr ? 0 : configuration->revision;
 }
@@ -118,6 +148,8 @@
 size_t StoreFleet::CountEndpoint(const std::string& endpoint,
                                  EndpointState state) const {
   return static_cast<size_t>(std::ranges::count_if(hosts_, [&](auto& host) {
+    if (host.synchronizer == nullptr)
+      return false;
     const auto endpoints = host.synchronizer->endpoints();
     return std::ranges::any_of(endpoints, [&](const ListedEndpoint& it) {
       return it.name.value == endpoint && it.state == state;
@@ -143,10 +175,43 @@
       }));
 }
 
+bool StoreFleet::IsTableRight() const {
+  const auto table = tables_.rows.find(FeedKind::kHosts);
+  for (size_t i = 0; i < hosts_.size(); ++i) {
+    const PeerHost own = HostOf(i);
+    const Row* row = nullptr;
+    if (table != tables_.rows.end()) {
+      const auto it = table->second.find(own.name.value);
+      row = it == table->second.end() ? nullptr : &it->second;
+    }
+    const auto* listed =
+        row == nullptr ? nullptr : std::get_if<PeerHost>(&row->content);
+    if (is_running(i) != (listed != nullptr && *listed == own))
+      return false;
+  }
+  return true;
+}
+
+size_t StoreFleet::CountLimitOwners(const std::string& endpoint,
+                                    const std::string& zone) const {
+  size_t n = 0;
+  for (size_t i = 0; i < hosts_.size(); ++i) {
+    if (!is_running(i))
+      continue;
+    HostAssignment assignment(HostOf(i));
+    assignment.SetHosts(hosts_[i].synchronizer->hosts());
+    n +=
+        assignment.IsOwn(assignment.LimitOwnerOf({{endpoint}, {zone}})) ? 1 : 0;
+  }
+  return n;
+}
+
 size_t StoreFleet::FewestKnownHosts() const {
   size_t fewest = hosts_.size();
   for (const Host& it : hosts_)
-    fewest = std::min(fewest, it.synchronizer->hosts().size());
+    fewest = it.synchronizer == nullptr
+                 ? fewest
+                 : std::min(fewest, it.synchronizer->hosts().size());
   return fewest;
 }
 
@@ -162,6 +227,7 @@
 void StoreFleet::Step() {
   if (now_ms_ % kHeartbeatMs < kStepMs)
     RefreshEndpoints();
+  PerformLateWrites();
   std::vector<Message> due;
   std::erase_if(messages_, [&](Message& it) {
     if (it.due > now_ms_)
@@ -170,14 +236,81 @@
     return true;
   });
   for (Message& it : due) {
+    if (!is_running(it.to))
+      continue;
     StoreSynchronizer& to = *hosts_[it.to].synchronizer;
     if (auto* request = std::get_if<PeerStoreSyncRequested>(&it.event))
       to.Handle(*request, now());
     else
       to.Handle(std::move(std::get<StoreSyncReceived>(it.event)), now());
   }
-  for (size_t i = 0; i < hosts_.size(); ++i)
-    RunHost(i);
+  for (size_t i = 0; i < hosts_.size(); ++i) {
+    if (hosts_[i].ends_at && now_ms_ >= *hosts_[i].ends_at)
+      Kill(i);
+    if (is_running(i))
+      RunHost(i);
+  }
+}
+
+void StoreFleet::Deliver(size_t host, const Event& event) {
+  StoreSynchronizer& to = *hosts_[host].synchronizer;
+  if (const auto* written = std::get_if<OwnRowWritten>(&event))
+    to.Handle(*written, now());
+  else if (const auto* conflict = std::get_if<OwnRowConflict>(&event))
+    to.Handle(*conflict, now());
+  else
+    to.Handle(std::get<OwnRowFailed>(event), now());
+}
+
+Event StoreFleet::Perform(const WriteOwnRow& write) {
+  const std::string& name = write.host.name.value;
+  OwnRowFence& fence = tables_.fences[name];
+  if (fence.version != write.fence.version)
+    return OwnRowConflict{era_, fence};
+  if (write.fence.is_listed)
+    Put(FeedKind::kHosts, name, write.host);
+  else
+    Put(FeedKind::kHosts, name, RowRemoved{});
+  fence = write.fence;
+  fence.version = tables_.version;
+  return OwnRowWritten{era_, fence.version};
+}
+
+void StoreFleet::WriteRow(size_t host, const WriteOwnRow& write) {
+  Host& it = hosts_[host];
+  ++write_count_;
+  if (it.access != StoreAccess::kAnswers) {
+    Deliver(host, OwnRowFailed{"answered 503"});
+    return;
+  }
+  if (it.write_delay > milliseconds(0)) {
+    late_writes_.push_back({now_ms_ + it.write_delay.count(), write});
+    lost_writes_.push_back({now_ms_ + kWriteTimeoutMs, host, it.starts});
+    return;
+  }
+  Deliver(host, Perform(write));
+}
+
+void StoreFleet::PerformLateWrites() {
+  std::vector<WriteOwnRow> due;
+  std::erase_if(late_writes_, [&](const LateWrite& it) {
+    if (it.due > now_ms_)
+      return false;
+    due.push_back(it.write);
+    return true;
+  });
+  for (const WriteOwnRow& it : due)
+    Perform(it);
+  std::vector<size_t> failed;
+  std::erase_if(lost_writes_, [&](const LostWrite& it) {
+    if (it.due > now_ms_)
+      return false;
+    if (is_running(it.host) && hosts_[it.host].starts == it.start)
+      failed.push_back(it.host);
+    return true;
+  });
+  for (const size_t host : failed)
+    Deliver(host, OwnRowFailed{"Timeout was reached"});
 }
 
 void StoreFleet::RunHost(size_t host) {
@@ -195,14 +328,13 @@
     } else if (const auto* follow = std::get_if<FollowTable>(&action)) {
       Begin(host, *follow);
     } else if (const auto* write = std::get_if<WriteOwnRow>(&action)) {
-      if (it.access != StoreAccess::kAnswers) {
-        it.synchronizer->Handle(OwnRowFailed{"answered 503"}, now());
-        continue;
-      }
-      Put(FeedKind::kHosts, write->host.name.value, write->host);
-      it.synchronizer->Handle(OwnRowWritten{era_}, now());
+      WriteRow(host, *write);
     } else if (auto* sync = std::get_if<RequestStoreSync>(&action)) {
       ++poll_count_;
+      if (!is_running(FindHost(sync->address).value())) {
+        it.synchronizer->Handle(StoreSyncFailed{"refused"}, now());
+        continue;
+      }
       const PeerExchangeId exchange{++last_exchange_};
       requesters_[exchange] = host;
       messages_.push_back(
--- a/Tests/LibForward/store_fleet.h
+++ b/Tests/LibForward/store_fleet.h
@@ -23,7 +23,8 @@
 };
 
 // The StoreSynchronizers of a fleet in three zones, which poll each other and a
-// simulated store in virtual time.
+// simulated store in virtual time. Hosts can be killed, stopped and started,
+// and the store can perform their writes late.
 class StoreFleet {
  public:
   StoreFleet(size_t hosts, uint64_t seed);
@@ -33,6 +34,22 @@
   // Each n-th host, beginning with the first.
   void SetAccessOfEach(size_t n, StoreAccess access);
 
+  // The host ends, without a word or after removing its row.
+  void Kill(size_t host);
+  void Stop(size_t host);
+  // Starts it again, as another process of the same name.
+  void Start(size_t host);
+  bool is_running(size_t host) const {
+    return hosts_[host].synchronizer != nullptr;
+  }
+  // The store performs what the host writes only after this time, and its
+  // answer is lost; 0 ends this.
+  void DelayWrites(size_t host, milliseconds time) {
+    hosts_[host].write_delay = time;
+  }
+  // The store performs this removal, whatever the row's fence is.
+  void RemoveHostRow(size_t host);
+
   // Writes by operators and endpoints.
   void WriteConfiguration(uint64_t revision);
   void WriteEndpoint(const std::string& name, EndpointState state);
@@ -55,6 +72,14 @@
   size_t CountEvacuated(const std::string& endpoint) const;
   // The number of hosts listed in the store.
   size_t CountListedHosts() const;
+  // Whether the store lists just the hosts that run, at their own addresses.
+  bool IsTableRight() const;
+  // The number of hosts that take themselves for the owner of the endpoint's
+  // limit.
+  size_t CountLimitOwners(const std::string& endpoint,
+                          const std::string& zone) const;
+  // What hosts have written to their rows, or tried to.
+  uint64_t write_count() const { return write_count_; }
   // The lowest number of other hosts that any host knows.
   size_t FewestKnownHosts() const;
   size_t host_count() const { return hosts_.size(); }
@@ -67,6 +92,7 @@
   };
   struct Tables {
     std::map<FeedKind, std::map<std::string, Row>> rows;
+    std::map<std::string, OwnRowFence> fences;
     uint64_t version = 1;
   };
   struct Call {
@@ -74,12 +100,28 @@
     int64_t began = 0;
     bool is_lost = false;
   };
+  // The synchronizer is null while the host doesn't run.
   struct Host {
     std::unique_ptr<ForwardContext> context;
     std::unique_ptr<StoreSynchronizer> synchronizer;
     std::map<FeedKind, Call> calls;
     StoreAccess access = StoreAccess::kAnswers;
     uint64_t seen_host_changes = 0;
+    milliseconds write_delay{0};
+    uint64_t starts = 0;
+    // When a stopping host ends.
+    std::optional<int64_t> ends_at;
+  };
+  // A write that the store performs late.
+  struct LateWrite {
+    int64_t due = 0;
+    WriteOwnRow write;
+  };
+  // The host's call has timed out.
+  struct LostWrite {
+    int64_t due = 0;
+    size_t host = 0;
+    uint64_t start = 0;  // Of the process that made it.
   };
   // A message between hosts on its way.
   struct Message {
@@ -93,6 +135,11 @@
   void Step();
   void RefreshEndpoints();
   void RunHost(size_t host);
+  void WriteRow(size_t host, const WriteOwnRow& write);
+  // Performs a write unless its fence is outdated.
+  Event Perform(const WriteOwnRow& write);
+  void PerformLateWrites();
+  void Deliver(size_t host, const Event& event);
   void Begin(size_t host, std::variant<ListTable, FollowTable> action);
   void AnswerIfDue(size_t host, FeedKind feed);
   void AnswerFollow(size_t host, const FollowTable& follow);
@@ -100,7 +147,11 @@
   std::optional<size_t> FindHost(const base::SocketAddress& address) const;
   size_t CountEndpoint(const std::string& endpoint, EndpointState state) const;
 
+  uint64_t seed_ = 0;
   std::vector<Host> hosts_;
+  std::vector<LateWrite> late_writes_;
+  std::vector<LostWrite> lost_writes_;
+  uint64_t write_count_ = 0;
   std::vector<Message> messages_;
   std::map<PeerExchangeId, size_t> requesters_;
   Tables tables_;
--- a/Tests/LibForward/test_placements.cc
+++ b/Tests/LibForward/test_placements.cc
@@ -51,8 +51,11 @@
       std::shared_ptr<const ForwardConfiguration> it = Configuration(),
       ForwardOptions options = PlacementOptions())
       : NodeBench(std::move(it), std::move(options)) {
-    Feed(TableListed{
-        FeedKind::kHosts, {{"peer2", Host("peer2", peer_capacity)}}, false, 1});
+    Feed(TableListed{FeedKind::kHosts,
+                     {{"own", PlacementOptions().own},
+                      {"peer2", Host("peer2", peer_capacity)}},
+                     false,
+                     1});
     actions.clear();
   }
 
--- a/Tests/Platform/platform_fixture.cc
+++ b/Tests/Platform/platform_fixture.cc
@@ -34,8 +34,8 @@
   options.settings.readiness = standins::FreeAddress(reactor);
   options.settings.peers = standins::FreeAddress(reactor);
   options.settings.store = store.address();
-  options.incarnation = base::Incarnation{shells.size() + 1};
-  options.seed = shells.size() + 1;
+  options.incarnation = base::Incarnation{++last_boot_};
+  options.seed = last_boot_;
   options.log_descriptor = NullDescriptor();
   settings.push_back(options.settings);
   adapters.push_back(std::make_unique<PlatformAdapter>(options.settings.store));
--- a/Tests/Platform/platform_fixture.h
+++ b/Tests/Platform/platform_fixture.h
@@ -59,6 +59,7 @@
 
  private:
   uint64_t last_request_ = 0;
+  uint64_t last_boot_ = 0;
 };
 
 }  // namespace bilberry::platform
--- a/Tests/Platform/test_restored_store.cc
+++ b/Tests/Platform/test_restored_store.cc
@@ -38,7 +38,7 @@
   CHECK(std::get<forward::TableChanged>(changed).era == 12);
   const auto lost = DecodeFollowResponse(forward::FeedKind::kHosts, gone);
   CHECK(std::get<forward::TableHistoryLost>(lost).era == 13);
-  CHECK(std::get<forward::OwnRowWritten>(DecodeWriteResponse(page)).era == 12);
+  CHECK(std::get<forward::OwnRowWritten>(DecodeOwnRowWrite(page)).era == 12);
   CHECK(EraOfList("0") == 0);
   CHECK(EraOfList("18446744073709551615") == UINT64_MAX);
 }
--- a/Tests/Standins/row_store_standin.cc
+++ b/Tests/Standins/row_store_standin.cc
@@ -61,7 +61,8 @@
 
 // Whether hosts write the table themselves.
 bool IsOwnTable(const std::string& table) {
-  return table == wire::kHostTable || table == wire::kStreamTable;
+  return table == wire::kHostTable || table == wire::kFenceTable ||
+         table == wire::kStreamTable;
 }
 
 }  // namespace
@@ -158,8 +159,19 @@
           std::move(body)};
 }
 
+void RowStoreStandin::PerformLate(std::chrono::milliseconds delay,
+                                  std::chrono::milliseconds lasts) {
+  write_delay_ = delay;
+  ++late_orders_;
+  timers_.After(lasts, [this] { --late_orders_; });
+}
+
 void RowStoreStandin::Handle(const IncomingRequest& request) {
   ++call_count_;
+  if (request.path == wire::kRowsWritePath && late_orders_ > 0) {
+    timers_.After(write_delay_, [this, request] { Write(request); });
+    return;
+  }
   if (request.path == wire::kRowsFollowPath) {
     Follow(request);
     return;
@@ -188,16 +200,21 @@
   for (const auto& [key, row] : rows_) {
     if (key.table != table || row.version <= after)
       continue;
-    Json::Value& it = rows.append(NameOf(key.table, key.part, key.key));
-    it["ver"] = static_cast<Json::UInt64>(row.version);
-    if (row.is_removed)
-      it["removed"] = true;
-    else
-      it["value"] = Encode(row.value);
+    rows.append(PrintRow(key, row));
   }
   return Print(std::move(rows));
 }
 
+Json::Value RowStoreStandin::PrintRow(const RowKey& key, const Row& row) const {
+  Json::Value it = NameOf(key.table, key.part, key.key);
+  it["ver"] = static_cast<Json::UInt64>(row.version);
+  if (row.is_removed)
+    it["removed"] = true;
+  else
+    it["value"] = Encode(row.value);
+  return it;
+}
+
 HttpResponse RowStoreStandin::List(const IncomingRequest& request) const {
   const std::string limit = ArgumentOf(request, "limit");
   const size_t most = limit.empty() ? SIZE_MAX : std::stoul(limit);
@@ -207,9 +224,7 @@
         key.part != ArgumentOf(request, "part") ||
         key.key < ArgumentOf(request, "startFrom") || rows.size() >= most)
       continue;
-    Json::Value& it = rows.append(NameOf(key.table, key.part, key.key));
-    it["ver"] = static_cast<Json::UInt64>(row.version);
-    it["value"] = Encode(row.value);
+    rows.append(PrintRow(key, row));
   }
   return Answer(200, Print(std::move(rows)));
 }
@@ -259,21 +274,37 @@
     });
 }
 
+uint64_t RowStoreStandin::VersionOf(const RowKey& key) const {
+  const auto it = rows_.find(key);
+  return it == rows_.end() || it->second.is_removed ? 0 : it->second.version;
+}
+
+HttpResponse RowStoreStandin::Conflict(const Json::Value& expected) const {
+  Json::Value rows(Json::arrayValue);
+  for (const Json::Value& row : expected) {
+    const auto it = rows_.find(KeyOf<RowKey>(row));
+    if (it != rows_.end() && !it->second.is_removed)
+      rows.append(PrintRow(it->first, it->second));
+  }
+  return Answer(kConflict, Print(std::move(rows)));
+}
+
+// All rows of a transaction get the same version.
 HttpResponse RowStoreStandin::Write(const IncomingRequest& request) {
   const auto body = transport::ParseJsonValue(request.body);
   if (!body)
     return Answer(400, "");
   for (const Json::Value& row : (*body)["expectedRev"]) {
-    const auto it = rows_.find(KeyOf<RowKey>(row));
-    const uint64_t version =
-        it == rows_.end() || it->second.is_removed ? 0 : it->second.version;
-    if (version != row["ver"].asUInt64())
-      return Answer(kConflict, "");
+    if (VersionOf(KeyOf<RowKey>(row)) != row["ver"].asUInt64())
+      return Conflict((*body)["expectedRev"]);
   }
+  ++version_;
   for (const Json::Value& row : (*body)["writes"])
-    Write(KeyOf<RowKey>(row), Decode(row["value"].asString()));
+    rows_[KeyOf<RowKey>(row)] = {Decode(row["value"].asString()), version_,
+                                 false};
   for (const Json::Value& row : (*body)["remove"])
-    Remove(KeyOf<RowKey>(row));
+    rows_[KeyOf<RowKey>(row)] = {"", version_, true};
+  AnswerHeldPolls();
   Json::Value answer;
   answer["ver"] = static_cast<Json::UInt64>(version_);
   return Answer(200, transport::PrintCompact(answer));
--- a/Tests/Standins/row_store_standin.h
+++ b/Tests/Standins/row_store_standin.h
@@ -2,6 +2,7 @@
 
 #include <json/value.h>
 
+#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -42,6 +43,10 @@
   // have written since is written again a little later; the hosts' own rows are
   // not.
   void Restore(Copy copy);
+  // For `lasts`, transactions are performed only after `delay`, if their
+  // conditions still hold then, and are not answered.
+  void PerformLate(std::chrono::milliseconds delay,
+                   std::chrono::milliseconds lasts);
   uint64_t call_count() const { return call_count_; }
 
  private:
@@ -69,6 +74,10 @@
 
   void Write(const RowKey& key, const std::string& value);
   void Remove(const RowKey& key);
+  // The version that a condition has to name; 0 if there is no such row.
+  uint64_t VersionOf(const RowKey& key) const;
+  Json::Value PrintRow(const RowKey& key, const Row& row) const;
+  transport::HttpResponse Conflict(const Json::Value& expected) const;
   transport::HttpResponse Answer(int status, std::string body) const;
   void WriteAgain(const std::map<RowKey, Row>& lost, uint64_t restored);
 
@@ -91,6 +100,9 @@
   uint64_t forgotten_ = 0;
   uint64_t era_ = 1;
   uint64_t call_count_ = 0;
+  std::chrono::milliseconds write_delay_{0};
+  // How many orders of PerformLate() last.
+  uint64_t late_orders_ = 0;
 };
 
 struct RowStoreStandin::Copy {
