LibTransport: Bound what a turn takes in, of answers and of requests

Cause: libcurl reads up to a hundred blocks of a connection in one call, and all of them were delivered before anything else had its turn. The listeners read sixteen blocks of each of up to 256 connections.

Now a turn takes in about 64 KiB of all answers, and as much of a listener's requests. Transfers with more to read are paused and go on in the order in which they began to wait, at least one a turn; the sockets hold the senders back. The client has an epoll descriptor of its own, so that a turn handles the events of many.

Ruled out: a queue of pieces worked off in portions; it is memory that grows.

libcurl doesn't report what goes wrong while a paused transfer is continued, and refuses chunks that it has kept: both are looked at here.

--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -2,10 +2,14 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
+#include <cstring>
 #include <utility>
 
 #include "LibBase/release_memory.h"
@@ -28,6 +32,10 @@
 // The budget of a client that shares none.
 constexpr size_t kOwnBudgetBytes = size_t{64} * 1024 * 1024;
 constexpr long kMaxPooledConnections = 2048;
+// Events are handled in batches until the turn's bytes are used up, and at most
+// so many in one turn.
+constexpr size_t kEventBatch = 8;
+constexpr size_t kMaxEvents = 256;
 
 void AppendHeader(curl_slist*& list,
                   const std::string& name,
@@ -67,6 +75,9 @@
   std::unique_ptr<MemoryReservation> memory;  // Once the body has begun.
   // Whether the body was dropped because the budget had no room for it.
   bool was_body_dropped = false;
+  // Whether libcurl keeps what it has read until the transfer is continued.
+  bool is_paused = false;
+  bool is_held = false;
   HttpResponse response;
 };
 
@@ -82,24 +93,40 @@
     Reactor& reactor,
     MemoryBudget* budget) {
   std::unique_ptr<HttpClient> client(new HttpClient(reactor, budget));
-  if (client->multi_ == nullptr)
-    return base::Error{base::ErrorCode::kSystem, base::Step::kListen, "",
-                       "failed to initialize libcurl"};
-  curl_multi_setopt(client->multi_, CURLMOPT_SOCKETFUNCTION, OnSocket);
-  curl_multi_setopt(client->multi_, CURLMOPT_SOCKETDATA, client.get());
-  curl_multi_setopt(client->multi_, CURLMOPT_TIMERFUNCTION, OnTimer);
-  curl_multi_setopt(client->multi_, CURLMOPT_TIMERDATA, client.get());
-  curl_multi_setopt(client->multi_, CURLMOPT_MAXCONNECTS,
-                    kMaxPooledConnections);
+  TRY(client->SetUpMulti());
+  reactor.Watch(client->events_, *client, ACE_Event_Handler::READ_MASK);
   reactor.Add(*client);
   return client;
 }
 
+base::Result<void> HttpClient::SetUpMulti() {
+  const auto failure = [](std::string reason) {
+    return base::Error{base::ErrorCode::kSystem, base::Step::kListen, "",
+                       std::move(reason)};
+  };
+  if (multi_ == nullptr)
+    return failure("failed to initialize libcurl");
+  events_ = epoll_create1(EPOLL_CLOEXEC);
+  if (events_ < 0)
+    return failure(std::string("failed to create an epoll descriptor: ") +
+                   std::strerror(errno));
+  curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, OnSocket);
+  curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, OnTimer);
+  curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+  curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kMaxPooledConnections);
+  return base::Success();
+}
+
 HttpClient::~HttpClient() {
   reactor_.Remove(*this);
   for (auto& [id, transfer] : transfers_)
     Release(*transfer);
   curl_multi_cleanup(multi_);
+  if (events_ < 0)
+    return;
+  reactor_.Unwatch(events_);
+  close(events_);
 }
 
 HttpTransferId HttpClient::Send(HttpRequest request,
@@ -243,14 +270,79 @@
   return it != fresh_connections_until_.end() && reactor_.Now() < it->second;
 }
 
-int HttpClient::handle_input(ACE_HANDLE descriptor) {
-  HandleSocketEvents(descriptor, CURL_CSELECT_IN);
+// The reactor wakes up for the event; the turn handles it.
+int HttpClient::handle_input(ACE_HANDLE /*descriptor*/) {
   return 0;
 }
 
-int HttpClient::handle_output(ACE_HANDLE descriptor) {
-  HandleSocketEvents(descriptor, CURL_CSELECT_OUT);
-  return 0;
+void HttpClient::HandleEvents() {
+  std::array<epoll_event, kEventBatch> events{};
+  size_t handled = 0;
+  for (;;) {
+    const int n =
+        epoll_wait(events_, events.data(), static_cast<int>(kEventBatch), 0);
+    for (int i = 0; i < n; ++i) {
+      const epoll_event& it = events.at(static_cast<size_t>(i));
+      int mask = (it.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0;
+      mask |= (it.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
+      // libcurl finds out itself what is wrong with a broken connection.
+      if (mask == 0)
+        mask = CURL_CSELECT_IN | CURL_CSELECT_OUT;
+      HandleSocketEvents(it.data.fd, mask);
+    }
+    handled += static_cast<size_t>(std::max(n, 0));
+    if (n < static_cast<int>(kEventBatch) || handled >= kMaxEvents ||
+        turn_bytes_ >= kTurnBytes)
+      return;
+  }
+}
+
+void HttpClient::ContinueWaiting() {
+  for (size_t left = waiting_.size(); left > 0; --left) {
+    const auto it = transfers_.find(waiting_.front());
+    waiting_.pop_front();
+    if (it != transfers_.end() && it->second->is_paused && !it->second->is_held)
+      Continue(*it->second);
+    if (turn_bytes_ >= kTurnBytes)
+      return;
+  }
+}
+
+// libcurl passes on what it has kept, and reads more later. It doesn't report a
+// failure of the former in another way.
+void HttpClient::Continue(Transfer& transfer) {
+  transfer.is_paused = false;
+  const CURLcode code = curl_easy_pause(transfer.easy, CURLPAUSE_CONT);
+  if (code != CURLE_OK)
+    failed_.push_back({transfer.id, code});
+}
+
+void HttpClient::Hold(HttpTransferId id) {
+  const auto it = transfers_.find(id);
+  if (it != transfers_.end())
+    it->second->is_held = true;
+}
+
+void HttpClient::Resume(HttpTransferId id) {
+  const auto it = transfers_.find(id);
+  if (it == transfers_.end())
+    return;
+  it->second->is_held = false;
+  if (it->second->is_paused)
+    waiting_.push_back(id);
+}
+
+bool HttpClient::MustWait(Transfer& transfer) {
+  // A head has a bound of its own.
+  if (!transfer.reader->has_head())
+    return false;
+  const bool is_late = turn_bytes_ >= kTurnBytes;
+  if (!transfer.is_held && !is_late)
+    return false;
+  transfer.is_paused = true;
+  if (!transfer.is_held)
+    waiting_.push_back(transfer.id);
+  return true;
 }
 
 void HttpClient::HandleSocketEvents(curl_socket_t socket, int events) {
@@ -264,18 +356,27 @@
                          void* self,
                          void* /*socket_data*/) {
   auto& client = *static_cast<HttpClient*>(self);
-  ACE_Reactor_Mask mask = ACE_Event_Handler::NULL_MASK;
+  uint32_t events = 0;
   if (what == CURL_POLL_IN || what == CURL_POLL_INOUT)
-    mask |= ACE_Event_Handler::READ_MASK;
+    events |= EPOLLIN;
   if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
-    mask |= ACE_Event_Handler::WRITE_MASK;
-  if (mask == ACE_Event_Handler::NULL_MASK)
-    client.reactor_.Unwatch(socket);
-  else
-    client.reactor_.Watch(socket, client, mask);
+    events |= EPOLLOUT;
+  client.WatchSocket(socket, events);
   return 0;
 }
 
+// libcurl tells of a socket's end after closing it, which has removed it from
+// epoll's set, so that failures of a removal are expected.
+void HttpClient::WatchSocket(curl_socket_t socket, uint32_t events) {
+  epoll_event event{};
+  event.events = events;
+  event.data.fd = socket;
+  if (events == 0)
+    epoll_ctl(events_, EPOLL_CTL_DEL, socket, nullptr);
+  else if (epoll_ctl(events_, EPOLL_CTL_MOD, socket, &event) != 0)
+    epoll_ctl(events_, EPOLL_CTL_ADD, socket, &event);
+}
+
 int HttpClient::OnTimer(CURLM* /*multi*/, long timeout_ms, void* self) {
   auto& client = *static_cast<HttpClient*>(self);
   if (timeout_ms < 0)
@@ -325,6 +426,9 @@
                            size_t size,
                            void* transfer) {
   auto& it = *static_cast<Transfer*>(transfer);
+  if (it.client->MustWait(it))
+    return CURL_WRITEFUNC_PAUSE;
+  it.client->turn_bytes_ += size;
   // Returning fewer bytes than curl passed makes curl fail the transfer and
   // close its connection.
   return it.client->Read(it, {data, size}) ? size : 0;
@@ -396,11 +500,15 @@
   if (!marker)
     return true;
   const HttpResponse& response = transfer.response;
+  searched_bytes_ += response.body.size();
   return response.status >= 200 && response.status < 300 &&
          response.body.find(*marker) != std::string::npos;
 }
 
 void HttpClient::RunTurn(base::TimePoint now) {
+  turn_bytes_ = 0;
+  ContinueWaiting();
+  HandleEvents();
   if (curl_due_ && *curl_due_ <= now) {
     curl_due_.reset();
     HandleSocketEvents(CURL_SOCKET_TIMEOUT, 0);
@@ -414,6 +522,8 @@
 }
 
 std::optional<base::TimePoint> HttpClient::NextTurn() const {
+  if (!waiting_.empty())
+    return base::TimePoint();
   return curl_due_;
 }
 
@@ -437,28 +547,36 @@
 }
 
 void HttpClient::DeliverDone() {
+  for (const Failure& failure : std::exchange(failed_, {})) {
+    const auto it = transfers_.find(failure.id);
+    if (it != transfers_.end())
+      Finish(*it->second, failure.code);
+  }
   int left = 0;
   while (const CURLMsg* message = curl_multi_info_read(multi_, &left)) {
     if (message->msg != CURLMSG_DONE)
       continue;
     char* data = nullptr;
     curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &data);
-    auto& transfer = *reinterpret_cast<Transfer*>(data);
-    HttpOutcome outcome = OutcomeOf(transfer, message->data.result);
-    const auto node = transfers_.extract(transfer.id);
-    Release(*node.mapped());
-    const auto* failure = std::get_if<HttpFailure>(&outcome);
-    if (failure != nullptr && failure->is_malformed && on_malformed_)
-      on_malformed_(node.mapped()->request.address, failure->detail);
-    node.mapped()->done(std::move(outcome));
+    Finish(*reinterpret_cast<Transfer*>(data), message->data.result);
   }
 }
 
+void HttpClient::Finish(Transfer& transfer, CURLcode code) {
+  HttpOutcome outcome = OutcomeOf(transfer, code);
+  const auto node = transfers_.extract(transfer.id);
+  Release(*node.mapped());
+  const auto* failure = std::get_if<HttpFailure>(&outcome);
+  if (failure != nullptr && failure->is_malformed && on_malformed_)
+    on_malformed_(node.mapped()->request.address, failure->detail);
+  node.mapped()->done(std::move(outcome));
+}
+
 HttpOutcome HttpClient::OutcomeOf(Transfer& transfer, CURLcode code) {
   if (transfer.was_body_dropped)
     return FailureOf(transfer, "the answers being received are too large");
   const bool is_whole = code == CURLE_OK && transfer.reader->End();
-  if (auto fault = FaultOf(*transfer.reader, code)) {
+  if (auto fault = FaultOf(transfer, code)) {
     HttpFailure failure = FailureOf(transfer, std::move(*fault));
     failure.is_malformed = true;
     // libcurl may have read the answer to an end, and kept its connection.
@@ -485,11 +603,16 @@
   return std::move(transfer.response);
 }
 
-// libcurl refuses some heads before this program sees the line.
-std::optional<std::string> HttpClient::FaultOf(const AnswerReader& reader,
+// libcurl refuses some heads before this program sees the line, and chunks of
+// what a paused transfer has kept.
+std::optional<std::string> HttpClient::FaultOf(const Transfer& transfer,
                                                CURLcode code) {
+  const AnswerReader& reader = *transfer.reader;
   if (!reader.fault().empty())
     return reader.fault();
+  // A paused transfer doesn't receive, so that it is the chunks that failed.
+  if (transfer.is_paused && code == CURLE_RECV_ERROR)
+    return "a chunk of the body can't be read";
   if (code != CURLE_UNSUPPORTED_PROTOCOL && code != CURLE_WEIRD_SERVER_REPLY &&
       code != CURLE_BAD_FUNCTION_ARGUMENT)
     return std::nullopt;
--- a/Libraries/LibTransport/http_client.h
+++ b/Libraries/LibTransport/http_client.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -79,6 +80,10 @@
 //
 // The bodies that are being received are held in a memory budget, as the part
 // of endpoints: transfers that are evicted from it fail.
+//
+// A turn takes in about kTurnBytes of all answers together. Transfers with more
+// to read wait, without being read from, and go on in later turns in the order
+// in which they began to wait.
 class HttpClient final : public LoopParticipant, private ACE_Event_Handler {
  public:
   // Receives the response's head and the next part of its body, in order.
@@ -95,6 +100,9 @@
 
   // Has a budget of its own if none is given. The budget must outlive the
   // client.
+  // What a turn takes in, up to one block of libcurl's over it.
+  static constexpr size_t kTurnBytes = size_t{64} * 1024;
+
   static base::Result<std::unique_ptr<HttpClient>> Create(
       Reactor& reactor,
       MemoryBudget* budget = nullptr);
@@ -114,12 +122,20 @@
   // until it has returned.
   void Cancel(HttpTransferId id);
 
+  // Takes in no more of the answer's body until Resume(). What this turn has
+  // taken in is still delivered. Unknown IDs are ignored.
+  void Hold(HttpTransferId id);
+  void Resume(HttpTransferId id);
+
   // Prevents reuse of the connections to this peer that are idle now.
   void RetireConnections(const base::SocketAddress& address);
 
   void RunTurn(base::TimePoint now) override;
   std::optional<base::TimePoint> NextTurn() const override;
 
+  // How many bytes of bodies have been searched for a reuse marker so far.
+  uint64_t searched_bytes() const { return searched_bytes_; }
+
  private:
   struct Transfer;
   struct Sending {
@@ -130,11 +146,15 @@
     HttpTransferId id;
     std::string bytes;
   };
+  // A transfer that failed while it was continued.
+  struct Failure {
+    HttpTransferId id;
+    CURLcode code;
+  };
 
   HttpClient(Reactor& reactor, MemoryBudget* budget);
 
   int handle_input(ACE_HANDLE descriptor) override;
-  int handle_output(ACE_HANDLE descriptor) override;
 
   static int OnSocket(CURL* easy, curl_socket_t, int what, void* self, void*);
   static int OnTimer(CURLM* multi, long timeout_ms, void* self);
@@ -143,6 +163,9 @@
   // For the bytes of heads and of bodies.
   static size_t OnBytes(char* data, size_t, size_t size, void* transfer);
 
+  // Whether the transfer takes in no more in this turn. Has it continued later
+  // then.
+  bool MustWait(Transfer& transfer);
   // These return false if the transfer is to fail.
   bool Read(Transfer& transfer, std::string_view bytes);
   bool AddBody(Transfer& transfer, std::string bytes);
@@ -156,17 +179,26 @@
   static void SetForwardedMethod(Transfer& transfer);
   static void SetBody(Transfer& transfer);
   static void SetHeaders(Transfer& transfer);
+  base::Result<void> SetUpMulti();
+  void WatchSocket(curl_socket_t socket, uint32_t events);
+  // Continues waiting transfers, at least one, until the turn's bytes are used
+  // up.
+  void ContinueWaiting();
+  void Continue(Transfer& transfer);
+  void HandleEvents();
   void HandleSocketEvents(curl_socket_t socket, int events);
   void DeliverSendings();
   void DeliverChunks();
   void DeliverDone();
+  // Ends the transfer with libcurl's result.
+  void Finish(Transfer& transfer, CURLcode code);
   HttpOutcome OutcomeOf(Transfer& transfer, CURLcode code);
   // What is malformed about an answer, if anything is.
-  static std::optional<std::string> FaultOf(const AnswerReader& reader,
+  static std::optional<std::string> FaultOf(const Transfer& transfer,
                                             CURLcode code);
   // Has the connection of a whole answer closed, or kept if that is safe.
-  static void DecideReuse(const Transfer& transfer);
-  static bool HasReuseMarker(const Transfer& transfer);
+  void DecideReuse(const Transfer& transfer);
+  bool HasReuseMarker(const Transfer& transfer);
   static bool WasRefused(const Transfer& transfer, CURLcode code);
   static bool HasMatchingExchangeId(const Transfer& transfer);
   static HttpFailure FailureOf(const Transfer& transfer, std::string detail);
@@ -177,6 +209,9 @@
   std::unique_ptr<MemoryBudget> own_budget_;
   MemoryBudget& budget_;
   CURLM* multi_ = nullptr;
+  // An epoll descriptor for libcurl's sockets, so that a turn handles the
+  // events of many and takes in a bounded number of bytes.
+  int events_ = -1;
   MalformedHandler on_malformed_;
   uint64_t last_id_ = 0;
   std::unordered_map<HttpTransferId, std::unique_ptr<Transfer>> transfers_;
@@ -184,6 +219,11 @@
   std::vector<std::unique_ptr<Transfer>> cancelled_;
   std::vector<Sending> sendings_;
   std::vector<Chunk> chunks_;
+  // Bytes taken in by this turn so far.
+  size_t turn_bytes_ = 0;
+  std::deque<HttpTransferId> waiting_;
+  std::vector<Failure> failed_;
+  uint64_t searched_bytes_ = 0;
   std::optional<base::TimePoint> curl_due_;
   // By peer: the time until which requests must open new connections.
   std::map<base::SocketAddress, base::TimePoint> fresh_connections_until_;
--- a/Libraries/LibTransport/http_listener.cc
+++ b/Libraries/LibTransport/http_listener.cc
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -22,8 +23,8 @@
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeadTooLarge = 431;
 constexpr int kUnavailable = 503;
-constexpr size_t kReceiveBlock = 16384;
-// Events that are handled in one turn of the reactor.
+// Events are handled in batches of kEventBatch until the turn's bytes are used
+// up, and at most so many in one turn.
 constexpr size_t kMaxEvents = 256;
 constexpr int kMaxAccepts = 64;
 // How often timeouts of connections are looked for.
@@ -73,7 +74,7 @@
                       : std::make_unique<MemoryBudget>(
                             std::numeric_limits<size_t>::max())),
       budget_(own_budget_ ? *own_budget_ : *options_.budget),
-      receive_buffer_(kReceiveBlock) {}
+      receive_buffer_(kBlockBytes) {}
 
 base::Result<std::unique_ptr<HttpListener>> HttpListener::Create(
     Reactor& reactor,
@@ -133,14 +134,13 @@
     close(listening_);
 }
 
+// The reactor wakes up for the event; the turn handles it.
 int HttpListener::handle_input(ACE_HANDLE /*descriptor*/) {
-  has_events_ = true;
   return 0;
 }
 
 void HttpListener::RunTurn(base::TimePoint now) {
-  if (std::exchange(has_events_, false))
-    HandleEvents(now);
+  HandleEvents(now);
   DropEvicted();
   SendPending(now);
   if (now < next_sweep_)
@@ -158,14 +158,23 @@
 }
 
 void HttpListener::HandleEvents(base::TimePoint now) {
-  std::array<epoll_event, kMaxEvents> events{};
-  const int n = epoll_wait(events_, events.data(), kMaxEvents, 0);
-  for (int i = 0; i < n; ++i) {
-    const epoll_event& it = events[static_cast<size_t>(i)];
-    if (it.data.u64 == kListeningSocket)
-      AcceptConnections(now);
-    else
-      HandleConnectionEvents(ConnectionId{it.data.u64}, it.events, now);
+  const uint64_t begin = received_bytes_;
+  std::array<epoll_event, kEventBatch> events{};
+  size_t handled = 0;
+  for (;;) {
+    const int n =
+        epoll_wait(events_, events.data(), static_cast<int>(kEventBatch), 0);
+    for (int i = 0; i < n; ++i) {
+      const epoll_event& it = events.at(static_cast<size_t>(i));
+      if (it.data.u64 == kListeningSocket)
+        AcceptConnections(now);
+      else
+        HandleConnectionEvents(ConnectionId{it.data.u64}, it.events, now);
+    }
+    handled += static_cast<size_t>(std::max(n, 0));
+    if (n < static_cast<int>(kEventBatch) || handled >= kMaxEvents ||
+        received_bytes_ - begin >= kTurnBytes)
+      return;
   }
 }
 
@@ -276,11 +285,13 @@
     return;
   const bool is_readable = (events & EPOLLIN) != 0;
   const bool is_broken = (events & (EPOLLERR | EPOLLHUP)) != 0;
-  if ((is_broken && !is_readable) ||
-      (is_readable && !connection->Receive(receive_buffer_, now))) {
+  const auto received = is_readable ? connection->Receive(receive_buffer_, now)
+                                    : std::optional<size_t>(0);
+  if ((is_broken && !is_readable) || !received) {
     Drop(id);
     return;
   }
+  received_bytes_ += *received;
   if (!is_readable && (events & EPOLLRDHUP) != 0)
     connection->NotePeerClosed();
   ReadRequests(id, *connection, now);
--- a/Libraries/LibTransport/http_listener.h
+++ b/Libraries/LibTransport/http_listener.h
@@ -48,8 +48,16 @@
 // answered at any later time, by one Respond(), or by BeginStream(),
 // WriteStream()s and EndStream(). Malformed requests are answered 400 and
 // bodies over the limit 413, without a call of the handler.
+//
+// A turn takes in about kTurnBytes of all requests together; what is left is
+// read in later turns.
 class HttpListener final : public LoopParticipant, private ACE_Event_Handler {
  public:
+  // What a turn takes in, up to a block of each of a few connections over it.
+  static constexpr size_t kTurnBytes = size_t{64} * 1024;
+  static constexpr size_t kBlockBytes = size_t{16} * 1024;
+  static constexpr size_t kEventBatch = 8;
+
   using RequestHandler = std::function<void(IncomingRequest request)>;
   // Called when the client has disconnected before its answer was complete.
   using DisconnectHandler = std::function<void(ExchangeId exchange)>;
@@ -79,6 +87,8 @@
   void Abort(ExchangeId id);
 
   size_t exchange_count() const { return exchanges_.size(); }
+  // How many bytes the listener has taken in so far.
+  uint64_t received_bytes() const { return received_bytes_; }
 
   // Take effect on each connection from its next request on.
   void SetMaxBodyBytes(size_t bytes) { options_.max_body_bytes = bytes; }
@@ -153,9 +163,9 @@
   // An epoll descriptor for all connections, so that the reactor runs one turn
   // for all events that are due.
   int events_ = -1;
-  bool has_events_ = false;
   bool is_accepting_ = true;
   std::vector<char> receive_buffer_;
+  uint64_t received_bytes_ = 0;
   std::optional<std::chrono::seconds> idle_timeout_;
   base::TimePoint next_sweep_;
   uint64_t last_connection_ = 0;
--- a/Libraries/LibTransport/listener_connection.cc
+++ b/Libraries/LibTransport/listener_connection.cc
@@ -26,8 +26,6 @@
 // been refused.
 constexpr std::chrono::seconds kMaxDrainTime{2};
 constexpr size_t kMaxDrainedBytes = size_t{8} * 1024 * 1024;
-// Bounds the calls for one connection before the others have their turn.
-constexpr int kMaxReceives = 16;
 
 bool IsTransient(int error) {
   return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
@@ -58,29 +56,24 @@
   close(descriptor_);
 }
 
-bool ListenerConnection::Receive(std::span<char> buf, base::TimePoint now) {
-  for (int i = 0; i < kMaxReceives; ++i) {
-    const ssize_t n = recv(descriptor_, buf.data(), buf.size(), 0);
-    if (n < 0)
-      return IsTransient(errno);
-    if (n == 0) {
-      has_peer_closed_ = true;
-      return true;
-    }
-    const auto size = static_cast<size_t>(n);
-    if (phase_ == Phase::kDraining) {
-      discarded_bytes_ += size;
-      if (discarded_bytes_ > kMaxDrainedBytes)
-        return false;
-    } else {
-      last_activity_ = now;
-      input_.append(buf.data(), size);
-    }
-    if (size < buf.size() ||
-        (phase_ != Phase::kReading && input_.size() >= kMaxPipelinedBytes))
-      return true;
+std::optional<size_t> ListenerConnection::Receive(std::span<char> buf,
+                                                  base::TimePoint now) {
+  const ssize_t n = recv(descriptor_, buf.data(), buf.size(), 0);
+  if (n < 0)
+    return IsTransient(errno) ? std::optional<size_t>(0) : std::nullopt;
+  if (n == 0) {
+    has_peer_closed_ = true;
+    return 0;
   }
-  return true;
+  const auto size = static_cast<size_t>(n);
+  if (phase_ != Phase::kDraining) {
+    last_activity_ = now;
+    input_.append(buf.data(), size);
+    return size;
+  }
+  discarded_bytes_ += size;
+  return discarded_bytes_ > kMaxDrainedBytes ? std::nullopt
+                                             : std::optional(size);
 }
 
 ReadingState ListenerConnection::ReadRequest(const RequestLimits& limits) {
--- a/Libraries/LibTransport/listener_connection.h
+++ b/Libraries/LibTransport/listener_connection.h
@@ -50,9 +50,10 @@
   }
   ExchangeId exchange() const { return exchange_; }
 
-  // Reads what has arrived, through `buf`. Returns false if the connection is
-  // broken.
-  bool Receive(std::span<char> buf, base::TimePoint now);
+  // Reads what has arrived, as far as `buf` has room for it, so that other
+  // connections have their turn. Returns its size in bytes; empty if the
+  // connection is broken.
+  std::optional<size_t> Receive(std::span<char> buf, base::TimePoint now);
   bool has_input() const { return !input_.empty(); }
   bool has_peer_closed() const { return has_peer_closed_; }
   void NotePeerClosed() { has_peer_closed_ = true; }
