LibForward, LibTransport: Account for streams, and hold them for slow callers

A stream of comments was never an event too long, so it was never ended.

Now what is kept of a stream is in the memory budget and evicted as bodies are, with an attempt that fails and its log line. An endpoint isn't read while its caller has more than 64 KiB to take; such a caller isn't disconnected at 1 MiB any more, but when it takes nothing for the idle timeout. 256 KiB without an event with data fail the attempt.

Evidence: three tests, which fail without the change: streams without data are broken off, an endpoint isn't read while its caller's queue is full, unfinished events are in the account.

--- a/Libraries/LibForward/forward_node.h
+++ b/Libraries/LibForward/forward_node.h
@@ -41,6 +41,16 @@
     return context_.conditions().limits.Knows(endpoint);
   }
   bool is_stopping() const { return stop_began_.has_value(); }
+  // The caller to whom the attempt's answer goes; empty for an attempt that has
+  // ended.
+  std::optional<base::CallerId> CallerOf(const base::AttemptId& attempt) const {
+    return runs_.CallerOf(attempt);
+  }
+  // What is kept of the attempt's stream, in bytes: an event that isn't
+  // complete, and the id of the last one.
+  size_t KeptStreamBytes(const base::AttemptId& attempt) const {
+    return runs_.KeptStreamBytes(attempt);
+  }
   // The endpoints that this host places requests at, for operators.
   std::vector<EndpointPlacementStatus> PlacementStatus(
       base::TimePoint now) const {
--- a/Libraries/LibForward/forwarded_run.h
+++ b/Libraries/LibForward/forwarded_run.h
@@ -46,6 +46,8 @@
   std::optional<PlacementRequestId> placement = std::nullopt;
   PauseTracker pauses = {};
   std::string software_version = {};  // Of the endpoint.
+  // Bytes of whole events without data since the last one with data.
+  size_t bytes_without_data = 0;
 };
 
 // A placement that the run has not used yet.
--- a/Libraries/LibForward/forwarded_run_coordinator.cc
+++ b/Libraries/LibForward/forwarded_run_coordinator.cc
@@ -16,6 +16,7 @@
 // that no endpoint has executed.
 constexpr uint32_t kMaxRefusals = 2;
 // Maximum size of one event of a stream.
+// The same bounds what comes between two events with data.
 constexpr size_t kMaxEventBytes = size_t{256} * 1024;
 // A request that may have crashed this many endpoints is sent to one endpoint
 // at a time.
@@ -555,6 +556,8 @@
   std::string whole;
   for (StreamEvent& it : run.attempt->splitter.Add(event.bytes)) {
     whole += it.bytes;
+    run.attempt->bytes_without_data =
+        it.has_data ? 0 : run.attempt->bytes_without_data + it.bytes.size();
     run.has_unnamed_data = !it.id && (run.has_unnamed_data || it.has_data);
     if (it.id)
       run.last_event = std::move(it.id);
@@ -569,10 +572,21 @@
     run.pauses.NoteEvent(now);
     context_.Emit(StreamToCaller{*caller, std::move(whole)});
   }
-  if (run.attempt->splitter.rest_bytes() > kMaxEventBytes) {
-    context_.Emit(CancelAttempt{event.attempt});
-    FailAttempt(*caller, AttemptOutcome::kFailed, "an event without end", now);
-  }
+  if (run.attempt->bytes_without_data + run.attempt->splitter.rest_bytes() <=
+      kMaxEventBytes)
+    return;
+  context_.Emit(CancelAttempt{event.attempt});
+  FailAttempt(*caller, AttemptOutcome::kFailed, "bytes without an event", now);
+}
+
+size_t ForwardedRunCoordinator::KeptStreamBytes(
+    const base::AttemptId& attempt) const {
+  const auto caller = CallerOf(attempt);
+  if (!caller)
+    return 0;
+  const ForwardedRun& run = runs_.at(*caller);
+  return run.attempt->splitter.rest_bytes() +
+         (run.last_event ? run.last_event->size() : 0);
 }
 
 void ForwardedRunCoordinator::Handle(AttemptAnswer event, base::TimePoint now) {
--- a/Libraries/LibForward/forwarded_run_coordinator.h
+++ b/Libraries/LibForward/forwarded_run_coordinator.h
@@ -77,6 +77,12 @@
     return timers_.NextWakeup();
   }
   size_t run_count() const { return runs_.size(); }
+  // The caller to whom the attempt's answer goes; empty for an attempt that has
+  // ended.
+  std::optional<base::CallerId> CallerOf(const base::AttemptId& attempt) const;
+  // What is kept of the attempt's stream, in bytes: an event that isn't
+  // complete, and the id of the last one.
+  size_t KeptStreamBytes(const base::AttemptId& attempt) const;
 
  private:
   // Classification of an endpoint's answer.
@@ -170,7 +176,6 @@
   // Removes a run that has been answered or whose caller has left, and releases
   // its resources.
   void EndRun(base::CallerId caller, std::string outcome, base::TimePoint now);
-  std::optional<base::CallerId> CallerOf(const base::AttemptId& attempt) const;
 
   ForwardContext& context_;
   StageJobRouter& stage_job_router_;
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -51,9 +51,10 @@
 // Largest body of an error response in place of a stream; a longer one fails
 // the attempt.
 constexpr size_t kMaxErrorBody = size_t{64} * 1024;
-// A caller with more unsent bytes than this reads its stream too slowly and is
-// disconnected.
-constexpr size_t kMaxUnsentBytes = size_t{1024} * 1024;
+// While a caller has more unsent bytes than this, its endpoint's stream isn't
+// read; once it has half of them, it is again. A caller that takes nothing for
+// the idle timeout is disconnected.
+constexpr size_t kMaxUnsentBytes = size_t{64} * 1024;
 
 ExchangeId ExchangeOf(base::CallerId caller) {
   return ExchangeId{static_cast<uint64_t>(caller)};
@@ -216,8 +217,8 @@
 }
 
 void ForwardShell::RunTurn(base::TimePoint now) {
-  for (const ExchangeId exchange : std::exchange(slow_callers_, {}))
-    HandleCallerDisconnect(exchange);
+  FailEvicted();
+  ResumeStreams();
   const auto due = node_.NextWakeup();
   if (due && *due <= now)
     HandleEvent(forward::TimerDue{});
@@ -384,6 +385,8 @@
     it->second.error_body += bytes;
     if (it->second.error_body.size() > kMaxErrorBody)
       FailAttempt(attempt, "the body of an error response is too large");
+    else
+      BoundStream(attempt);
     return;
   }
   forward::AttemptChunk chunk;
@@ -395,6 +398,54 @@
   }
   chunk.bytes = std::move(bytes);
   HandleEvent(std::move(chunk));
+  BoundStream(attempt);
+}
+
+void ForwardShell::BoundStream(const base::AttemptId& attempt) {
+  const auto it = attempts_.find(attempt.number);
+  const auto caller = node_.CallerOf(attempt);
+  if (it == attempts_.end() || !caller)
+    return;
+  Attempt& stream = it->second;
+  const base::TimePoint now = reactor_.Now();
+  // An evicted attempt holds nothing from the end of this turn on.
+  if (!stream.memory)
+    stream.memory = std::make_unique<MemoryReservation>(
+        budget_, BudgetPart::kEndpoints, [this, attempt](LimitReason) {
+          evicted_.push_back(attempt);
+          attempts_.at(attempt.number).memory->Update({});
+        });
+  stream.memory->Update(
+      {stream.error_body.size() + node_.KeptStreamBytes(attempt), now,
+       std::nullopt});
+  if (!stream.is_held &&
+      callers_->UnsentBytes(ExchangeOf(*caller)) > kMaxUnsentBytes) {
+    stream.is_held = true;
+    http_->Hold(stream.transfer);
+    held_.push_back(attempt);
+  }
+  budget_.Enforce(now);
+}
+
+void ForwardShell::ResumeStreams() {
+  std::erase_if(held_, [this](const base::AttemptId& attempt) {
+    const auto it = attempts_.find(attempt.number);
+    const auto caller = node_.CallerOf(attempt);
+    if (it == attempts_.end() || !caller)
+      return true;
+    if (callers_->UnsentBytes(ExchangeOf(*caller)) > kMaxUnsentBytes / 2)
+      return false;
+    it->second.is_held = false;
+    http_->Resume(it->second.transfer);
+    return true;
+  });
+}
+
+void ForwardShell::FailEvicted() {
+  for (const base::AttemptId& attempt : std::exchange(evicted_, {})) {
+    if (attempts_.contains(attempt.number))
+      FailAttempt(attempt, "no memory is left for its stream");
+  }
 }
 
 void ForwardShell::FailAttempt(const base::AttemptId& attempt,
@@ -474,10 +525,7 @@
 }
 
 void ForwardShell::Execute(const forward::StreamToCaller& action) {
-  const ExchangeId exchange = ExchangeOf(action.caller);
-  callers_->WriteStream(exchange, action.bytes);
-  if (callers_->UnsentBytes(exchange) > kMaxUnsentBytes)
-    slow_callers_.push_back(exchange);
+  callers_->WriteStream(ExchangeOf(action.caller), action.bytes);
 }
 
 void ForwardShell::Execute(const forward::EndStream& action) {
--- a/Libraries/LibTransport/forward_shell.h
+++ b/Libraries/LibTransport/forward_shell.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include "LibBase/error.h"
 #include "LibDeclare/forward_settings.h"
@@ -15,6 +16,7 @@
 #include "LibTransport/http_listener.h"
 #include "LibTransport/json_log.h"
 #include "LibTransport/memory_budget.h"
+#include "LibTransport/memory_reservation.h"
 #include "LibTransport/reactor.h"
 
 namespace bilberry::transport {
@@ -60,6 +62,9 @@
     HttpTransferId transfer{};
     bool has_head = false;
     std::string error_body;  // Of a streamed answer with an error status.
+    // For what is kept of a streamed answer.
+    std::unique_ptr<MemoryReservation> memory;
+    bool is_held = false;  // Because the caller's queue is full.
   };
 
   ForwardShell(Reactor& reactor,
@@ -102,6 +107,13 @@
   void FailAttempt(const base::AttemptId& attempt, std::string detail);
   void HandleAttemptDone(const base::AttemptId& attempt, HttpOutcome outcome);
   void DisconnectCaller(ExchangeId exchange);
+  // Accounts for what is kept of the attempt's stream, and reads no more of it
+  // while its caller's queue is full.
+  void BoundStream(const base::AttemptId& attempt);
+  // Goes on reading the streams whose callers have taken enough.
+  void ResumeStreams();
+  // Fails the attempts that were evicted from the memory budget.
+  void FailEvicted();
 
   void HandleEvent(forward::Event event);
   void Execute(const forward::SendAttempt& action);
@@ -159,8 +171,11 @@
   std::map<forward::FeedKind, HttpTransferId> feed_calls_;
   // Callers whose streamed answer has begun.
   std::unordered_map<base::CallerId, bool> streams_;
-  // Callers that read their stream too slowly; disconnected in the next turn.
-  std::vector<ExchangeId> slow_callers_;
+  // Attempts whose streams are held back for their callers.
+  std::vector<base::AttemptId> held_;
+  // Attempts that are to fail in this turn, because the budget has no room for
+  // what is kept of their streams.
+  std::vector<base::AttemptId> evicted_;
   bool has_exited_ = false;
   base::TimePoint exited_at_;
 };
--- a/Tests/LibForward/test_forward_node.cc
+++ b/Tests/LibForward/test_forward_node.cc
@@ -392,6 +392,32 @@
   CHECK(bench.Last<CancelAttempt>() != nullptr);
 }
 
+// Guards against endpoints that keep a host busy with bytes that tell the
+// caller nothing: comments, empty lines, events without data.
+TEST_CASE("a stream without data for too long is broken off") {
+  constexpr size_t kMaxBytes = size_t{256} * 1024;
+  for (const std::string filler : {"\n", ":\n\n", "id: 1\n\n", ": x\n"}) {
+    for (const bool has_data_between : {false, true}) {
+      CAPTURE(filler);
+      CAPTURE(has_data_between);
+      NodeBench bench;
+      ForwardedRequest request = NodeBench::Request(1);
+      request.piece_counts = {};
+      bench.Feed(std::move(request));
+      const base::AttemptId attempt = bench.Last<SendAttempt>()->attempt;
+      bench.Feed(AttemptChunk{attempt, GoodHead("r1"), "id: 0\n\n"});
+      std::string block;
+      while (block.size() < 4096)
+        block += filler;
+      const std::string data = "data: a\n\n";
+      for (size_t n = 0; n <= kMaxBytes + block.size(); n += block.size())
+        bench.Feed(AttemptChunk{attempt, std::nullopt,
+                                has_data_between ? block + data : block});
+      CHECK((bench.Last<CancelAttempt>() == nullptr) == has_data_between);
+    }
+  }
+}
+
 TEST_CASE("the first-event limit no longer applies once a stream has begun") {
   for (const bool begins : {false, true}) {
     CAPTURE(begins);
--- a/Tests/LibTransport/flood_server.h
+++ b/Tests/LibTransport/flood_server.h
@@ -16,8 +16,8 @@
 
 namespace bilberry::transport {
 
-// How a server ends a connection.
-enum class ServerEnd { kClose, kReset };
+// How a server ends a connection; kWait leaves it to the client.
+enum class ServerEnd { kClose, kReset, kWait };
 
 // Sends each connection one prefix and then an endless repetition of other
 // bytes, until the client closes. If there are no other bytes, reads the
@@ -93,7 +93,8 @@
       close(connection);
       return;
     }
-    shutdown(connection, SHUT_WR);
+    if (end_ == ServerEnd::kClose)
+      shutdown(connection, SHUT_WR);
     while (recv(connection, buf, sizeof(buf), 0) > 0) {
     }
     close(connection);
--- a/Tests/Platform/test_endless_answers.cc
+++ b/Tests/Platform/test_endless_answers.cc
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "../LibTransport/flood_server.h"
+#include "../LibTransport/raw_connection.h"
 #include "platform/wire_names.h"
 #include "platform_fixture.h"
 
@@ -49,6 +50,85 @@
   }
 }
 
+// An engine that answers the first request of a fixture with this stream.
+std::string StreamHead() {
+  return std::string("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n") +
+         wire::kServerSeal + ": 1\r\n" + wire::kRequestId +
+         ": req-1\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+void ListOnlyEngine(PlatformFixture& fixture,
+                    const transport::FloodServer& server) {
+  fixture.store.Put(wire::kEndpointTable, "endless",
+                    R"({"service":"llm","address":")" +
+                        base::ToText(server.address()) +
+                        R"(","zone":"z1","state":"ready","seq":1})");
+  for (const char* name : {"llm-1", "llm-2"})
+    fixture.store.Remove(wire::kEndpointTable, name);
+  fixture.RunFor(std::chrono::milliseconds(1500));
+}
+
+std::string StreamRequestText() {
+  return std::string("POST /resume/x HTTP/1.1\r\nHost: shop.example\r\n") +
+         wire::kRequestId + ": req-1\r\n" + wire::kRemainingTime +
+         ": 20000\r\n" + wire::kApiKey + ": " + wire::kApiKeyScheme +
+         "key-1\r\n" + wire::kTokenCounts +
+         ": 200,20\r\nContent-Length: 0\r\n\r\n";
+}
+
+// Guards against streams that pile up in a host for a caller who doesn't read:
+// they are left with the endpoint, and go on when the caller reads.
+TEST_CASE("an endpoint is not read while its caller's queue is full") {
+  const std::string event = "data: " + std::string(1000, 'x') + "\n\n";
+  const transport::FloodServer server(StreamHead(), "3f0\r\n" + event + "\r\n");
+  REQUIRE(event.size() == 0x3f0);
+  PlatformFixture fixture;
+  ListOnlyEngine(fixture, server);
+  transport::RawConnection caller(fixture.settings[0].callers);
+  REQUIRE(caller.Send(StreamRequestText()));
+  size_t before = 0;
+  // The sockets' buffers take some megabytes.
+  CHECK(fixture.RunUntil([&] {
+    const size_t sent = server.sent_bytes();
+    fixture.RunFor(std::chrono::milliseconds(300));
+    before = server.sent_bytes();
+    return sent > 0 && sent == before;
+  }));
+  fixture.RunFor(std::chrono::milliseconds(300));
+  CHECK(server.sent_bytes() == before);
+  caller.Receive();
+  CHECK(caller.received().starts_with("HTTP/1.1 200 OK"));
+  CHECK(fixture.RunUntil([&] {
+    caller.Receive();
+    return server.sent_bytes() > before + 1'000'000;
+  }));
+  CHECK_FALSE(caller.has_ended());
+}
+
+// Guards against a host that runs out of memory because many streams stop in
+// the middle of long events, which no account knew.
+TEST_CASE("unfinished events of streams are in the account of memory") {
+  const transport::FloodServer server(
+      StreamHead() + "10000\r\ndata: " + std::string(0x10000 - 6, 'x') + "\r\n",
+      "", transport::ServerEnd::kWait);
+  PlatformFixture fixture;
+  ListOnlyEngine(fixture, server);
+  transport::RawConnection caller(fixture.settings[0].callers);
+  REQUIRE(caller.Send(StreamRequestText()));
+  const auto held_bytes = [&fixture] {
+    transport::HttpRequest request;
+    request.address = fixture.settings[0].peers;
+    request.path = "/metrics";
+    request.connection = node::ConnectionUse::kFresh;
+    const std::string text = fixture.Answer(request).body;
+    const std::string name = R"(bilberry_held_bytes{part="endpoints"} )";
+    const size_t at = text.find(name);
+    REQUIRE(at != std::string::npos);
+    return std::stoul(text.substr(at + name.size()));
+  };
+  CHECK(fixture.RunUntil([&] { return held_bytes() >= 0x10000; }));
+}
+
 TEST_SUITE_END();
 
 }  // namespace
