--- a/Libraries/LibEmulation/emulation.cc
+++ b/Libraries/LibEmulation/emulation.cc
@@ -892,6 +892,7 @@
     crashes_.NotePartQuarantined(action.fields.front().value);
 }
 
+// No host of an emulation stops, so that each write adds a row.
 void Emulation::Execute(size_t host, const forward::WriteOwnRow& action) {
   timeline_.After(kStoreDelay, [this, host, row = action.host] {
     host_rows_.push_back(row);
