LibTransport: One epoll set of a component's sockets for client and listeners

HttpClient had written the listener's epoll descriptor, its registration with the reactor and its loop over batches a second time. SocketEvents has them once, with the reason why the reactor only wakes up for them; both components lose their ACE handler.

The bound on rounds of sending in one turn shared its constant with the bound on events by chance (256); it has a name of its own. MustWait() asks each question once. The client's sockets aren't registered with the reactor any more, so that the reactor's handling of closed descriptors no longer names libcurl as its reason.

Behaviour stays: the same bounds, batches and order. A listener's new connection costs one refused system call more, as the set is changed first and added to then. Tests keep their checks; test_turns names the batch where it stands now.

--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -4,12 +4,9 @@
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
-#include <array>
 #include <cerrno>
-#include <cstring>
 #include <utility>
 
 #include "LibBase/release_memory.h"
@@ -32,10 +29,6 @@
 // The budget of a client that shares none.
 constexpr size_t kOwnBudgetBytes = size_t{64} * 1024 * 1024;
 constexpr long kMaxPooledConnections = 2048;
-// Events are handled in batches until the turn's bytes are used up, and at most
-// so many in one turn.
-constexpr size_t kEventBatch = 8;
-constexpr size_t kMaxEvents = 256;
 
 void AppendHeader(curl_slist*& list,
                   const std::string& name,
@@ -93,40 +86,26 @@
     Reactor& reactor,
     MemoryBudget* budget) {
   std::unique_ptr<HttpClient> client(new HttpClient(reactor, budget));
-  TRY(client->SetUpMulti());
-  reactor.Watch(client->events_, *client, ACE_Event_Handler::READ_MASK);
+  if (client->multi_ == nullptr)
+    return base::Error{base::ErrorCode::kSystem, base::Step::kListen, "",
+                       "failed to initialize libcurl"};
+  TRY(events, SocketEvents::Create(reactor));
+  client->events_ = std::move(events);
+  curl_multi_setopt(client->multi_, CURLMOPT_SOCKETFUNCTION, OnSocket);
+  curl_multi_setopt(client->multi_, CURLMOPT_SOCKETDATA, client.get());
+  curl_multi_setopt(client->multi_, CURLMOPT_TIMERFUNCTION, OnTimer);
+  curl_multi_setopt(client->multi_, CURLMOPT_TIMERDATA, client.get());
+  curl_multi_setopt(client->multi_, CURLMOPT_MAXCONNECTS,
+                    kMaxPooledConnections);
   reactor.Add(*client);
   return client;
 }
 
-base::Result<void> HttpClient::SetUpMulti() {
-  const auto failure = [](std::string reason) {
-    return base::Error{base::ErrorCode::kSystem, base::Step::kListen, "",
-                       std::move(reason)};
-  };
-  if (multi_ == nullptr)
-    return failure("failed to initialize libcurl");
-  events_ = epoll_create1(EPOLL_CLOEXEC);
-  if (events_ < 0)
-    return failure(std::string("failed to create an epoll descriptor: ") +
-                   std::strerror(errno));
-  curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, OnSocket);
-  curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
-  curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, OnTimer);
-  curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
-  curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kMaxPooledConnections);
-  return base::Success();
-}
-
 HttpClient::~HttpClient() {
   reactor_.Remove(*this);
   for (auto& [id, transfer] : transfers_)
     Release(*transfer);
   curl_multi_cleanup(multi_);
-  if (events_ < 0)
-    return;
-  reactor_.Unwatch(events_);
-  close(events_);
 }
 
 HttpTransferId HttpClient::Send(HttpRequest request,
@@ -270,31 +249,16 @@
   return it != fresh_connections_until_.end() && reactor_.Now() < it->second;
 }
 
-// The reactor wakes up for the event; the turn handles it.
-int HttpClient::handle_input(ACE_HANDLE /*descriptor*/) {
-  return 0;
-}
-
 void HttpClient::HandleEvents() {
-  std::array<epoll_event, kEventBatch> events{};
-  size_t handled = 0;
-  for (;;) {
-    const int n =
-        epoll_wait(events_, events.data(), static_cast<int>(kEventBatch), 0);
-    for (int i = 0; i < n; ++i) {
-      const epoll_event& it = events.at(static_cast<size_t>(i));
-      int mask = (it.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0;
-      mask |= (it.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
-      // libcurl finds out itself what is wrong with a broken connection.
-      if (mask == 0)
-        mask = CURL_CSELECT_IN | CURL_CSELECT_OUT;
-      HandleSocketEvents(it.data.fd, mask);
-    }
-    handled += static_cast<size_t>(std::max(n, 0));
-    if (n < static_cast<int>(kEventBatch) || handled >= kMaxEvents ||
-        turn_bytes_ >= kTurnBytes)
-      return;
-  }
+  const auto handle = [this](uint64_t socket, uint32_t events) {
+    int mask = (events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0;
+    mask |= (events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
+    // libcurl finds out itself what is wrong with a broken connection.
+    if (mask == 0)
+      mask = CURL_CSELECT_IN | CURL_CSELECT_OUT;
+    HandleSocketEvents(static_cast<curl_socket_t>(socket), mask);
+  };
+  events_->Handle(handle, [this] { return turn_bytes_ >= kTurnBytes; });
 }
 
 void HttpClient::ContinueWaiting() {
@@ -336,12 +300,12 @@
   // A head has a bound of its own.
   if (!transfer.reader->has_head())
     return false;
-  const bool is_late = turn_bytes_ >= kTurnBytes;
-  if (!transfer.is_held && !is_late)
-    return false;
-  transfer.is_paused = true;
-  if (!transfer.is_held)
+  if (!transfer.is_held) {
+    if (turn_bytes_ < kTurnBytes)
+      return false;
     waiting_.push_back(transfer.id);
+  }
+  transfer.is_paused = true;
   return true;
 }
 
@@ -361,20 +325,11 @@
     events |= EPOLLIN;
   if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
     events |= EPOLLOUT;
-  client.WatchSocket(socket, events);
-  return 0;
-}
-
-// libcurl tells of a socket's end after closing it, which has removed it from
-// epoll's set, so that failures of a removal are expected.
-void HttpClient::WatchSocket(curl_socket_t socket, uint32_t events) {
-  epoll_event event{};
-  event.events = events;
-  event.data.fd = socket;
   if (events == 0)
-    epoll_ctl(events_, EPOLL_CTL_DEL, socket, nullptr);
-  else if (epoll_ctl(events_, EPOLL_CTL_MOD, socket, &event) != 0)
-    epoll_ctl(events_, EPOLL_CTL_ADD, socket, &event);
+    client.events_->Remove(socket);
+  else
+    client.events_->Watch(socket, events, static_cast<uint64_t>(socket));
+  return 0;
 }
 
 int HttpClient::OnTimer(CURLM* /*multi*/, long timeout_ms, void* self) {
--- a/Libraries/LibTransport/http_client.h
+++ b/Libraries/LibTransport/http_client.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <ace/Event_Handler.h>
 #include <curl/curl.h>
 
 #include <chrono>
@@ -25,6 +24,7 @@
 #include "LibTransport/http_message.h"
 #include "LibTransport/memory_budget.h"
 #include "LibTransport/reactor.h"
+#include "LibTransport/socket_events.h"
 
 namespace bilberry::transport {
 
@@ -84,7 +84,7 @@
 // A turn takes in about kTurnBytes of all answers together. Transfers with more
 // to read wait, without being read from, and go on in later turns in the order
 // in which they began to wait.
-class HttpClient final : public LoopParticipant, private ACE_Event_Handler {
+class HttpClient final : public LoopParticipant {
  public:
   // Receives the response's head and the next part of its body, in order.
   using ChunkHandler =
@@ -154,8 +154,6 @@
 
   HttpClient(Reactor& reactor, MemoryBudget* budget);
 
-  int handle_input(ACE_HANDLE descriptor) override;
-
   static int OnSocket(CURL* easy, curl_socket_t, int what, void* self, void*);
   static int OnTimer(CURLM* multi, long timeout_ms, void* self);
   static int OnSocketOpened(void* self, curl_socket_t socket, curlsocktype);
@@ -179,8 +177,6 @@
   static void SetForwardedMethod(Transfer& transfer);
   static void SetBody(Transfer& transfer);
   static void SetHeaders(Transfer& transfer);
-  base::Result<void> SetUpMulti();
-  void WatchSocket(curl_socket_t socket, uint32_t events);
   // Continues waiting transfers, at least one, until the turn's bytes are used
   // up.
   void ContinueWaiting();
@@ -209,9 +205,7 @@
   std::unique_ptr<MemoryBudget> own_budget_;
   MemoryBudget& budget_;
   CURLM* multi_ = nullptr;
-  // An epoll descriptor for libcurl's sockets, so that a turn handles the
-  // events of many and takes in a bounded number of bytes.
-  int events_ = -1;
+  std::unique_ptr<SocketEvents> events_;  // Of libcurl's sockets.
   MalformedHandler on_malformed_;
   uint64_t last_id_ = 0;
   std::unordered_map<HttpTransferId, std::unique_ptr<Transfer>> transfers_;
--- a/Libraries/LibTransport/http_listener.cc
+++ b/Libraries/LibTransport/http_listener.cc
@@ -7,8 +7,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <algorithm>
-#include <array>
 #include <cerrno>
 #include <cstring>
 #include <limits>
@@ -23,16 +21,16 @@
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeadTooLarge = 431;
 constexpr int kUnavailable = 503;
-// Events are handled in batches of kEventBatch until the turn's bytes are used
-// up, and at most so many in one turn.
-constexpr size_t kMaxEvents = 256;
+// Bounds the rounds of answers and next requests in one turn.
+constexpr size_t kMaxSendRounds = 256;
 constexpr int kMaxAccepts = 64;
 // How often timeouts of connections are looked for.
 constexpr std::chrono::milliseconds kSweepInterval{500};
 // A connection in the middle of a request gives way to a new one at the limit
 // of connections only after it has been silent for this time.
 constexpr std::chrono::seconds kStallTime{1};
-// In epoll's data, stands for the listening socket; connections count from 1.
+// In the data of events, stands for the listening socket; connections count
+// from 1.
 constexpr uint64_t kListeningSocket = 0;
 
 HttpResponse BodyTooLarge() {
@@ -85,7 +83,6 @@
       new HttpListener(reactor, options, std::move(request_handler),
                        std::move(disconnect_handler)));
   TRY(listener->Listen());
-  reactor.Watch(listener->events_, *listener, ACE_Event_Handler::READ_MASK);
   reactor.Add(*listener);
   return listener;
 }
@@ -101,7 +98,8 @@
   if (inet_pton(AF_INET, options_.address.ip.c_str(), &address.sin_addr) != 1)
     return failure("not an IPv4 address");
   listening_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  events_ = epoll_create1(EPOLL_CLOEXEC);
+  TRY(events, SocketEvents::Create(reactor_));
+  events_ = std::move(events);
   const int on = 1;
   setsockopt(listening_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   // Accepted sockets take on the buffer's size.
@@ -111,34 +109,22 @@
                sizeof(options_.receive_buffer_bytes));
   auto* native = reinterpret_cast<sockaddr*>(&address);
   socklen_t size = sizeof(address);
-  if (listening_ < 0 || events_ < 0 || bind(listening_, native, size) != 0 ||
+  if (listening_ < 0 || bind(listening_, native, size) != 0 ||
       listen(listening_, SOMAXCONN) != 0 ||
       getsockname(listening_, native, &size) != 0)
     return failure(std::string("failed to listen: ") + std::strerror(errno));
   options_.address.port = ntohs(address.sin_port);
-  epoll_event event{};
-  event.events = EPOLLIN;
-  event.data.u64 = kListeningSocket;
-  if (epoll_ctl(events_, EPOLL_CTL_ADD, listening_, &event) != 0)
+  if (!events_->Watch(listening_, EPOLLIN, kListeningSocket))
     return failure(std::string("failed to listen: ") + std::strerror(errno));
   return base::Success();
 }
 
 HttpListener::~HttpListener() {
   reactor_.Remove(*this);
-  if (events_ >= 0) {
-    reactor_.Unwatch(events_);
-    close(events_);
-  }
   if (listening_ >= 0)
     close(listening_);
 }
 
-// The reactor wakes up for the event; the turn handles it.
-int HttpListener::handle_input(ACE_HANDLE /*descriptor*/) {
-  return 0;
-}
-
 void HttpListener::RunTurn(base::TimePoint now) {
   HandleEvents(now);
   DropEvicted();
@@ -159,23 +145,14 @@
 
 void HttpListener::HandleEvents(base::TimePoint now) {
   const uint64_t begin = received_bytes_;
-  std::array<epoll_event, kEventBatch> events{};
-  size_t handled = 0;
-  for (;;) {
-    const int n =
-        epoll_wait(events_, events.data(), static_cast<int>(kEventBatch), 0);
-    for (int i = 0; i < n; ++i) {
-      const epoll_event& it = events.at(static_cast<size_t>(i));
-      if (it.data.u64 == kListeningSocket)
-        AcceptConnections(now);
-      else
-        HandleConnectionEvents(ConnectionId{it.data.u64}, it.events, now);
-    }
-    handled += static_cast<size_t>(std::max(n, 0));
-    if (n < static_cast<int>(kEventBatch) || handled >= kMaxEvents ||
-        received_bytes_ - begin >= kTurnBytes)
-      return;
-  }
+  const auto handle = [this, now](uint64_t id, uint32_t events) {
+    if (id == kListeningSocket)
+      AcceptConnections(now);
+    else
+      HandleConnectionEvents(ConnectionId{id}, events, now);
+  };
+  events_->Handle(
+      handle, [this, begin] { return received_bytes_ - begin >= kTurnBytes; });
 }
 
 void HttpListener::AcceptConnections(base::TimePoint now) {
@@ -212,7 +189,7 @@
                           .emplace(id, std::make_unique<ListenerConnection>(
                                            descriptor, now, std::move(memory)))
                           .first->second;
-  Watch(id, connection, EPOLL_CTL_ADD);
+  Watch(id, connection);
 }
 
 bool HttpListener::CloseForAnother(base::TimePoint now) {
@@ -256,25 +233,15 @@
 }
 
 void HttpListener::WatchListening(bool is_accepting) {
-  if (std::exchange(is_accepting_, is_accepting) == is_accepting)
-    return;
-  epoll_event event{};
-  if (is_accepting)
-    event.events = EPOLLIN;
-  event.data.u64 = kListeningSocket;
-  epoll_ctl(events_, EPOLL_CTL_MOD, listening_, &event);
-}
-
-void HttpListener::Watch(ConnectionId id,
-                         ListenerConnection& connection,
-                         int operation) {
-  const auto interest = connection.TakeNewInterest();
-  if (!interest)
-    return;
-  epoll_event event{};
-  event.events = *interest;
-  event.data.u64 = static_cast<uint64_t>(id);
-  epoll_ctl(events_, operation, connection.descriptor(), &event);
+  if (std::exchange(is_accepting_, is_accepting) != is_accepting)
+    events_->Watch(listening_, is_accepting ? uint32_t{EPOLLIN} : 0,
+                   kListeningSocket);
+}
+
+void HttpListener::Watch(ConnectionId id, ListenerConnection& connection) {
+  if (const auto interest = connection.TakeNewInterest())
+    events_->Watch(connection.descriptor(), *interest,
+                   static_cast<uint64_t>(id));
 }
 
 void HttpListener::HandleConnectionEvents(ConnectionId id,
@@ -423,7 +390,7 @@
 void HttpListener::SendPending(base::TimePoint now) {
   // A response may let the next request of its connection be read, whose
   // handler may respond at once.
-  for (size_t turns = 0; !pending_.empty() && turns < kMaxEvents; ++turns) {
+  for (size_t n = 0; !pending_.empty() && n < kMaxSendRounds; ++n) {
     for (const ConnectionId id : std::exchange(pending_, {}))
       Send(id, now);
   }
@@ -447,7 +414,7 @@
     ReadRequests(id, *connection, now);
   }
   connection->UpdateMemory();
-  Watch(id, *connection, EPOLL_CTL_MOD);
+  Watch(id, *connection);
   budget_.Enforce(now);
 }
 
--- a/Libraries/LibTransport/http_listener.h
+++ b/Libraries/LibTransport/http_listener.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <ace/Event_Handler.h>
-
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -17,6 +15,7 @@
 #include "LibTransport/listener_connection.h"
 #include "LibTransport/memory_budget.h"
 #include "LibTransport/reactor.h"
+#include "LibTransport/socket_events.h"
 
 namespace bilberry::transport {
 
@@ -51,12 +50,11 @@
 //
 // A turn takes in about kTurnBytes of all requests together; what is left is
 // read in later turns.
-class HttpListener final : public LoopParticipant, private ACE_Event_Handler {
+class HttpListener final : public LoopParticipant {
  public:
   // What a turn takes in, up to a block of each of a few connections over it.
   static constexpr size_t kTurnBytes = size_t{64} * 1024;
   static constexpr size_t kBlockBytes = size_t{16} * 1024;
-  static constexpr size_t kEventBatch = 8;
 
   using RequestHandler = std::function<void(IncomingRequest request)>;
   // Called when the client has disconnected before its answer was complete.
@@ -107,7 +105,6 @@
                DisconnectHandler disconnect_handler);
 
   base::Result<void> Listen();
-  int handle_input(ACE_HANDLE descriptor) override;
 
   void HandleEvents(base::TimePoint now);
   // Closes the connection that has been idle longest, or else one whose request
@@ -145,7 +142,7 @@
   // complete response yet.
   void Drop(ConnectionId id);
 
-  void Watch(ConnectionId id, ListenerConnection& connection, int operation);
+  void Watch(ConnectionId id, ListenerConnection& connection);
   void WatchListening(bool is_accepting);
   ListenerConnection* Find(ConnectionId id) const;
   // The connection of a request that has no complete response yet, to be sent
@@ -160,9 +157,8 @@
   std::unique_ptr<MemoryBudget> own_budget_;
   MemoryBudget& budget_;
   int listening_ = -1;
-  // An epoll descriptor for all connections, so that the reactor runs one turn
-  // for all events that are due.
-  int events_ = -1;
+  // Of the listening socket and all connections.
+  std::unique_ptr<SocketEvents> events_;
   bool is_accepting_ = true;
   std::vector<char> receive_buffer_;
   uint64_t received_bytes_ = 0;
--- a/Libraries/LibTransport/reactor.cc
+++ b/Libraries/LibTransport/reactor.cc
@@ -14,10 +14,10 @@
 
 }  // namespace
 
-// The handler registered with ACE in place of the real one. libcurl closes a
-// socket before it unregisters the socket, and ACE fails to remove a closed
-// descriptor: it keeps the pointer to the registered handler, which must
-// therefore outlive the real handler.
+// The handler registered with ACE in place of the real one. If a descriptor is
+// closed before it is unregistered, ACE fails to remove it and keeps the
+// pointer to the registered handler, which must therefore outlive the real
+// handler.
 class Reactor::Registration final : public ACE_Event_Handler {
  public:
   int handle_input(ACE_HANDLE descriptor) override {
--- a/Tests/LibTransport/test_reactor.cc
+++ b/Tests/LibTransport/test_reactor.cc
@@ -24,8 +24,8 @@
   int outputs = 0;
 };
 
-// libcurl closes a socket before it unregisters the socket, so that ACE keeps a
-// stale registration.
+// Guards against the stale registration that ACE keeps of a descriptor that was
+// closed before it was unregistered.
 TEST_CASE("a descriptor closed while watched can be registered again") {
   Reactor reactor;
   std::array<int, 2> pipe_ends{};
--- a/Tests/LibTransport/test_turns.cc
+++ b/Tests/LibTransport/test_turns.cc
@@ -9,7 +9,6 @@
 
 #include "flood_server.h"
 #include "http_pair.h"
-#include "raw_connection.h"
 
 // How much one turn of the loop takes in, and in which order. The tests count
 // bytes and turns, so that they don't depend on how fast the machine is.
@@ -86,7 +85,7 @@
 // bytes left.
 TEST_CASE("an ordinary answer comes between the bytes of endless ones") {
   constexpr size_t kAnswers = 16;
-  // A request of its own listener takes a few turns, each answer's block one.
+  // Far more than the few turns that connecting, asking and answering take.
   constexpr size_t kTurns = 40;
   HttpPair pair([&pair](const IncomingRequest& it) {
     pair.listener->Respond(it.exchange, {200, {}, "ok"});
@@ -210,7 +209,7 @@
     return arrived == kCallers;
   }));
   CHECK(most <= HttpListener::kTurnBytes +
-                    HttpListener::kEventBatch * HttpListener::kBlockBytes);
+                    SocketEvents::kBatch * HttpListener::kBlockBytes);
 }
 
 // Guards against a host that is kept from its other work, because it searches
