--- a/Libraries/LibForward/forwarded_run_coordinator.cc
+++ b/Libraries/LibForward/forwarded_run_coordinator.cc
@@ -15,8 +15,8 @@
 // Number of additional attempts, beyond the pipeline's maximum, for requests
 // that no endpoint has executed.
 constexpr uint32_t kMaxRefusals = 2;
-// Maximum size of one event of a stream.
-// The same bounds what comes between two events with data.
+// Maximum size of one event of a stream, and of all that comes between two
+// events with data.
 constexpr size_t kMaxEventBytes = size_t{256} * 1024;
 // A request that may have crashed this many endpoints is sent to one endpoint
 // at a time.
--- a/Libraries/LibForward/own_row_writer.cc
+++ b/Libraries/LibForward/own_row_writer.cc
@@ -10,7 +10,7 @@
 constexpr std::chrono::milliseconds kRetryDelay{700};
 // A stopping host ends soon.
 constexpr std::chrono::milliseconds kRemovalRetryDelay{300};
-// The delay doubles with each failure, up to this many times.
+// The delay doubles with each second failure in a row, up to this many times.
 constexpr uint32_t kMaxDoublings = 2;
 // Within this time, or within kSpreadPerHost for each host if that is longer,
 // all hosts write their rows again, so that the store isn't asked by all of
@@ -35,7 +35,8 @@
   failures_ = 0;
   conflicts_ = 0;
   fence_version_ = version;
-  // While a stop is ordered during a write, the removal is still due.
+  // Another write has become due meanwhile: the store was restored, or a stop
+  // was ordered.
   if (due_)
     return;
   written_version_ = version;
--- a/Libraries/LibForward/store_synchronizer.cc
+++ b/Libraries/LibForward/store_synchronizer.cc
@@ -452,20 +452,22 @@
 
 void StoreSynchronizer::Handle(const OwnRowWritten& event,
                                base::TimePoint now) {
-  const EraOrder order = NoteEra(event.era, Source::kStore, now);
-  if (order == EraOrder::kSame)
+  if (AcceptOwnRowAnswer(event.era, now))
     own_row_.HandleWritten(event.version, now);
-  else
-    own_row_.HandleFailed(now);
 }
 
 void StoreSynchronizer::Handle(const OwnRowConflict& event,
                                base::TimePoint now) {
-  const EraOrder order = NoteEra(event.era, Source::kStore, now);
-  if (order == EraOrder::kSame)
+  if (AcceptOwnRowAnswer(event.era, now))
     own_row_.HandleConflict(event.fence, now);
-  else
-    own_row_.HandleFailed(now);
+}
+
+// What an answer of another era tells of versions can't be used.
+bool StoreSynchronizer::AcceptOwnRowAnswer(StoreEra era, base::TimePoint now) {
+  if (NoteEra(era, Source::kStore, now) == EraOrder::kSame)
+    return true;
+  own_row_.HandleFailed(now);
+  return false;
 }
 
 void StoreSynchronizer::Handle(const OwnRowFailed& event, base::TimePoint now) {
--- a/Libraries/LibForward/store_synchronizer.h
+++ b/Libraries/LibForward/store_synchronizer.h
@@ -105,6 +105,8 @@
   // Takes note of an answer's era. Returns whether the answer itself can be
   // used.
   bool AcceptAnswer(FeedKind feed, StoreEra era, base::TimePoint now);
+  // The same for an answer to a write of this host's own row.
+  bool AcceptOwnRowAnswer(StoreEra era, base::TimePoint now);
   void DropUnconfirmed(std::vector<FeedRow>& rows) const;
 
   ForwardContext& context_;
--- a/Tests/LibForward/store_fleet.cc
+++ b/Tests/LibForward/store_fleet.cc
@@ -41,9 +41,8 @@
 
 }  // namespace
 
-StoreFleet::StoreFleet(size_t hosts, uint64_t seed) {
-  seed_ = seed;
-  hosts_.resize(hosts);
+StoreFleet::StoreFleet(size_t hosts, uint64_t seed)
+    : seed_(seed), hosts_(hosts) {
   for (size_t i = 0; i < hosts; ++i)
     Start(i);
 }
@@ -176,20 +175,15 @@
 }
 
 bool StoreFleet::IsTableRight() const {
-  const auto table = tables_.rows.find(FeedKind::kHosts);
+  std::map<std::string, PeerHost> listed;
+  for (const FeedRow& row : RowsSince(FeedKind::kHosts, 0))
+    listed.emplace(row.key, std::get<PeerHost>(row.content));
+  std::map<std::string, PeerHost> running;
   for (size_t i = 0; i < hosts_.size(); ++i) {
-    const PeerHost own = HostOf(i);
-    const Row* row = nullptr;
-    if (table != tables_.rows.end()) {
-      const auto it = table->second.find(own.name.value);
-      row = it == table->second.end() ? nullptr : &it->second;
-    }
-    const auto* listed =
-        row == nullptr ? nullptr : std::get_if<PeerHost>(&row->content);
-    if (is_running(i) != (listed != nullptr && *listed == own))
-      return false;
+    if (is_running(i))
+      running.emplace(HostOf(i).name.value, HostOf(i));
   }
-  return true;
+  return listed == running;
 }
 
 size_t StoreFleet::CountLimitOwners(const std::string& endpoint,
@@ -208,10 +202,10 @@
 
 size_t StoreFleet::FewestKnownHosts() const {
   size_t fewest = hosts_.size();
-  for (const Host& it : hosts_)
-    fewest = it.synchronizer == nullptr
-                 ? fewest
-                 : std::min(fewest, it.synchronizer->hosts().size());
+  for (const Host& it : hosts_) {
+    if (it.synchronizer != nullptr)
+      fewest = std::min(fewest, it.synchronizer->hosts().size());
+  }
   return fewest;
 }
 
--- a/Tests/LibForward/test_forward_node.cc
+++ b/Tests/LibForward/test_forward_node.cc
@@ -373,13 +373,19 @@
   }
 }
 
-TEST_CASE("an oversized event truncates its stream at a bounded size") {
-  NodeBench bench;
+// Begins the stream of a request without stages; returns its attempt.
+base::AttemptId StartStream(NodeBench& bench) {
   ForwardedRequest request = NodeBench::Request(1);
   request.piece_counts = {};
   bench.Feed(std::move(request));
   const base::AttemptId attempt = bench.Last<SendAttempt>()->attempt;
   bench.Feed(AttemptChunk{attempt, GoodHead("r1"), "id: 0\n\n"});
+  return attempt;
+}
+
+TEST_CASE("an oversized event truncates its stream at a bounded size") {
+  NodeBench bench;
+  const base::AttemptId attempt = StartStream(bench);
   const std::string block(16'384, 'x');
   size_t bytes = 0;
   while (bench.Last<EndStream>() == nullptr && bytes < 4'000'000) {
@@ -401,11 +407,7 @@
       CAPTURE(filler);
       CAPTURE(has_data_between);
       NodeBench bench;
-      ForwardedRequest request = NodeBench::Request(1);
-      request.piece_counts = {};
-      bench.Feed(std::move(request));
-      const base::AttemptId attempt = bench.Last<SendAttempt>()->attempt;
-      bench.Feed(AttemptChunk{attempt, GoodHead("r1"), "id: 0\n\n"});
+      const base::AttemptId attempt = StartStream(bench);
       std::string block;
       while (block.size() < 4096)
         block += filler;
--- a/Tests/Platform/test_endless_answers.cc
+++ b/Tests/Platform/test_endless_answers.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <string>
+#include <vector>
 
 #include "../LibTransport/flood_server.h"
 #include "../LibTransport/raw_connection.h"
@@ -10,14 +11,17 @@
 namespace bilberry::platform {
 namespace {
 
-// Lists an endpoint of the pool "desk" beside a sound one.
+// Lists an endpoint of a pool in place of others.
 void ListEndpoint(PlatformFixture& fixture,
-                  const transport::FloodServer& server) {
+                  const transport::FloodServer& server,
+                  const std::string& pool,
+                  const std::vector<const char*>& replaced) {
   fixture.store.Put(wire::kEndpointTable, "endless",
-                    R"({"service":"desk","address":")" +
+                    R"({"service":")" + pool + R"(","address":")" +
                         base::ToText(server.address()) +
                         R"(","zone":"z1","state":"ready","seq":1})");
-  fixture.store.Remove(wire::kEndpointTable, "desk-2");
+  for (const char* name : replaced)
+    fixture.store.Remove(wire::kEndpointTable, name);
   fixture.RunFor(std::chrono::milliseconds(1500));
 }
 
@@ -37,7 +41,8 @@
     CAPTURE(kind.name);
     const transport::FloodServer server(kind.begin, kind.rest);
     PlatformFixture fixture;
-    ListEndpoint(fixture, server);
+    // A sound one stays beside it.
+    ListEndpoint(fixture, server, "desk", {"desk-2"});
     // The first of them may be left without a retry: the host's budget is empty
     // when it starts.
     for (int i = 0; i < 12; ++i)
@@ -50,24 +55,13 @@
   }
 }
 
-// An engine that answers the first request of a fixture with this stream.
+// The head of a stream that answers the first request of a fixture.
 std::string StreamHead() {
   return std::string("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n") +
          wire::kServerSeal + ": 1\r\n" + wire::kRequestId +
          ": req-1\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
-void ListOnlyEngine(PlatformFixture& fixture,
-                    const transport::FloodServer& server) {
-  fixture.store.Put(wire::kEndpointTable, "endless",
-                    R"({"service":"llm","address":")" +
-                        base::ToText(server.address()) +
-                        R"(","zone":"z1","state":"ready","seq":1})");
-  for (const char* name : {"llm-1", "llm-2"})
-    fixture.store.Remove(wire::kEndpointTable, name);
-  fixture.RunFor(std::chrono::milliseconds(1500));
-}
-
 std::string StreamRequestText() {
   return std::string("POST /resume/x HTTP/1.1\r\nHost: shop.example\r\n") +
          wire::kRequestId + ": req-1\r\n" + wire::kRemainingTime +
@@ -83,7 +77,7 @@
   const transport::FloodServer server(StreamHead(), "3f0\r\n" + event + "\r\n");
   REQUIRE(event.size() == 0x3f0);
   PlatformFixture fixture;
-  ListOnlyEngine(fixture, server);
+  ListEndpoint(fixture, server, "llm", {"llm-1", "llm-2"});
   transport::RawConnection caller(fixture.settings[0].callers);
   REQUIRE(caller.Send(StreamRequestText()));
   size_t before = 0;
@@ -112,7 +106,7 @@
       StreamHead() + "10000\r\ndata: " + std::string(0x10000 - 6, 'x') + "\r\n",
       "", transport::ServerEnd::kWait);
   PlatformFixture fixture;
-  ListOnlyEngine(fixture, server);
+  ListEndpoint(fixture, server, "llm", {"llm-1", "llm-2"});
   transport::RawConnection caller(fixture.settings[0].callers);
   REQUIRE(caller.Send(StreamRequestText()));
   const auto held_bytes = [&fixture] {
--- a/Utilities/bilberrybench/reading_bench.cc
+++ b/Utilities/bilberrybench/reading_bench.cc
@@ -1,6 +1,5 @@
 #include "reading_bench.h"
 
-#include <functional>
 #include <string>
 
 #include "LibForward/event_splitter.h"
@@ -69,7 +68,7 @@
 
 const struct {
   std::string_view what;
-  std::function<void(size_t)> read;
+  void (*read)(size_t pieces);
 } kReaders[] = {
     {"answer: chunks", ReadChunks},
     {"answer: a chunk's extension", ReadChunkExtension},
