LibTransport: Tell how much of an answer had come when a call failed

The detail of a failed call names the bytes received, and bilberry_table_bytes_total counts them by call.

--- a/Libraries/LibTransport/forward_metrics.cc
+++ b/Libraries/LibTransport/forward_metrics.cc
@@ -43,6 +43,7 @@
 };
 
 constexpr std::string_view kStoreCalls = "bilberry_store_calls_total";
+constexpr std::string_view kTableBytes = "bilberry_table_bytes_total";
 constexpr std::string_view kLinesLeftOut = "bilberry_log_lines_left_out_total";
 constexpr double kSecondsPerMillisecond = 0.001;
 constexpr std::array kSecondBounds{0.005, 0.01, 0.025, 0.05, 0.1, 0.2,
@@ -176,6 +177,10 @@
        "Calls to the platform's store.",
        {"call", "answer"},
        std::nullopt},
+      {kTableBytes,
+       "Bytes received of answers that bring the store's tables.",
+       {"call"},
+       std::nullopt},
       {kLinesLeftOut,
        "Log lines left out to keep the volume bounded.",
        {"event"},
@@ -267,8 +272,10 @@
 
 }  // namespace
 
-void ForwardMetrics::Count(std::string_view family, Labels labels) {
-  ++SeriesOf(counters_[family], std::move(labels));
+void ForwardMetrics::Count(std::string_view family,
+                           Labels labels,
+                           uint64_t n) {
+  SeriesOf(counters_[family], std::move(labels)) += n;
 }
 
 void ForwardMetrics::RecordLine(const forward::WriteLog& line) {
@@ -302,6 +309,10 @@
   Count(kStoreCalls, {std::string(call), std::string(answer)});
 }
 
+void ForwardMetrics::RecordTableBytes(std::string_view call, size_t bytes) {
+  Count(kTableBytes, {std::string(call)}, bytes);
+}
+
 void ForwardMetrics::SetDroppedLines(
     const std::map<std::string_view, uint64_t>& lines) {
   for (const auto& [event, count] : lines)
--- a/Libraries/LibTransport/forward_metrics.h
+++ b/Libraries/LibTransport/forward_metrics.h
@@ -23,6 +23,10 @@
   // Counts one call to the store: `call` is the operation, `answer` the status
   // code of the response or "none".
   void RecordStoreCall(std::string_view call, std::string_view answer);
+  // Counts what has been received of the answer to a call for tables of the
+  // store, whole or not. `call` is the operation, "peer" if it was made to
+  // another host.
+  void RecordTableBytes(std::string_view call, size_t bytes);
   // Sets the counters of dropped log lines: totals by event name since the
   // process began.
   void SetDroppedLines(const std::map<std::string_view, uint64_t>& lines);
@@ -43,7 +47,7 @@
     double sum = 0;
   };
 
-  void Count(std::string_view family, Labels labels);
+  void Count(std::string_view family, Labels labels, uint64_t n = 1);
   void PrintCounters(std::string& out) const;
   void PrintHistograms(std::string& out) const;
   void PrintPlacements(std::string& out) const;
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -718,6 +718,7 @@
                                EncodeStoreSyncRequest(action.request));
   request.timeout = kStoreSyncTimeout;
   http_->Send(std::move(request), [this](const HttpOutcome& outcome) {
+    RecordTableBytes("peer", outcome);
     if (const auto* failure = std::get_if<HttpFailure>(&outcome)) {
       HandleEvent(forward::StoreSyncFailed{failure->detail});
       return;
@@ -760,6 +761,7 @@
   CallStore(action.feed, std::move(request),
             [this, feed = action.feed](const HttpOutcome& outcome) {
               RecordStoreCall("list", outcome);
+              RecordTableBytes("list", outcome);
               HandleEvent(adapter_.DecodeListResponse(feed, outcome));
             });
 }
@@ -770,6 +772,7 @@
   CallStore(action.feed, std::move(request),
             [this, feed = action.feed](const HttpOutcome& outcome) {
               RecordStoreCall("follow", outcome);
+              RecordTableBytes("follow", outcome);
               HandleEvent(adapter_.DecodeFollowResponse(feed, outcome));
             });
 }
@@ -815,6 +818,15 @@
       call, response == nullptr ? "none" : std::to_string(response->status));
 }
 
+void ForwardShell::RecordTableBytes(std::string_view call,
+                                    const HttpOutcome& outcome) {
+  const auto* response = std::get_if<HttpResponse>(&outcome);
+  metrics_.RecordTableBytes(call,
+                            response != nullptr
+                                ? response->body.size()
+                                : std::get<HttpFailure>(outcome).received_bytes);
+}
+
 void ForwardShell::Execute(const forward::WriteLog& action) {
   metrics_.RecordLine(action);
   log_.Add(action, reactor_.Now());
--- a/Libraries/LibTransport/forward_shell.h
+++ b/Libraries/LibTransport/forward_shell.h
@@ -81,6 +81,7 @@
   void HandlePeer(const IncomingRequest& request);
   void AnswerMetrics(ExchangeId exchange);
   void RecordStoreCall(std::string_view call, const HttpOutcome& outcome);
+  void RecordTableBytes(std::string_view call, const HttpOutcome& outcome);
   void CallStore(forward::FeedKind feed,
                  HttpRequest request,
                  HttpClient::DoneHandler done);
--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -66,6 +66,7 @@
   curl_slist* headers = nullptr;
   std::optional<AnswerReader> reader;
   std::unique_ptr<MemoryReservation> memory;  // Once the body has begun.
+  size_t received_bytes = 0;  // Of the body.
   // Whether the body was dropped because the budget had no room for it.
   bool was_body_dropped = false;
   // Whether libcurl keeps what it has read until the transfer is continued.
@@ -407,6 +408,7 @@
 }
 
 bool HttpClient::AddBody(Transfer& transfer, std::string bytes) {
+  transfer.received_bytes += bytes.size();
   // Chunks are delivered after curl has returned, since a handler may call into
   // curl.
   if (transfer.chunk) {
@@ -540,7 +542,10 @@
     return failure;
   }
   if (code != CURLE_OK) {
-    HttpFailure failure = FailureOf(transfer, curl_easy_strerror(code));
+    std::string detail = curl_easy_strerror(code);
+    if (transfer.received_bytes > 0)
+      detail += " after " + std::to_string(transfer.received_bytes) + " bytes";
+    HttpFailure failure = FailureOf(transfer, std::move(detail));
     failure.was_refused = WasRefused(transfer, code);
     return failure;
   }
@@ -593,6 +598,7 @@
                                   std::string detail) {
   HttpFailure failure;
   failure.detail = std::move(detail);
+  failure.received_bytes = transfer.received_bytes;
   long new_connections = 0;
   curl_easy_getinfo(transfer.easy, CURLINFO_NUM_CONNECTS, &new_connections);
   // When a reused connection closes before the first byte of the response, curl
--- a/Libraries/LibTransport/http_client.h
+++ b/Libraries/LibTransport/http_client.h
@@ -65,6 +65,8 @@
   bool was_refused = false;  // The peer's address refused the connection.
   // Bytes came that are no answer in the protocol.
   bool is_malformed = false;
+  // Of the answer's body, until the failure.
+  size_t received_bytes = 0;
   std::string detail;
 };
 
--- a/Tests/LibTransport/test_forward_metrics.cc
+++ b/Tests/LibTransport/test_forward_metrics.cc
@@ -29,10 +29,13 @@
   metrics.RecordLine(EndedLine("draft", ""));
   metrics.RecordStoreCall("list", "200");
   metrics.RecordStoreCall("list", "none");
+  metrics.RecordTableBytes("peer", 300);
+  metrics.RecordTableBytes("peer", 42);
   metrics.SetDroppedLines({{"request-ended", 7}});
   metrics.SetReady(true);
   const std::string text = metrics.Print();
   CHECK(Holds(text, "bilberry_ready 1"));
+  CHECK(Holds(text, "bilberry_table_bytes_total{call=\"peer\"} 342"));
   CHECK(Holds(text,
               "bilberry_requests_total{pipeline=\"draft\",urgency=\"1\","
               "outcome=\"answered 200\"} 2"));
