LibForward: State in actions for how long the store and peers are waited for

The timeouts of calls for tables were constants of the shell, so that the decisions that rest on them could be tested with copies only. The simulated fleet of store-fleet takes them from the actions.

--- a/Libraries/LibForward/forward_action.h
+++ b/Libraries/LibForward/forward_action.h
@@ -175,6 +175,7 @@
 struct RequestStoreSync {
   base::SocketAddress address;
   StoreSyncRequest request;
+  std::chrono::milliseconds timeout{0};
 };
 
 struct AnswerStoreSync {
@@ -187,6 +188,7 @@
 struct ListTable {
   FeedKind feed{};
   std::string start_after;
+  std::chrono::milliseconds timeout{0};
 };
 
 // Long-polls for changes after `version`.
@@ -194,6 +196,7 @@
   FeedKind feed{};
   uint64_t version = 0;
   std::chrono::milliseconds wait{0};
+  std::chrono::milliseconds timeout{0};
 };
 
 // Writes this host's row in the hosts' table, or removes it if the fence says
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -33,14 +33,9 @@
 // answered by then is considered lost.
 constexpr std::chrono::milliseconds kPeerJobMargin{500};
 constexpr std::chrono::milliseconds kNotificationTimeout{1000};
-constexpr std::chrono::milliseconds kStoreSyncTimeout{600};
 constexpr std::chrono::milliseconds kFreeTimeout{1000};
 constexpr std::chrono::milliseconds kHealthCheckTimeout{500};
 constexpr std::chrono::milliseconds kStoreTimeout{1500};
-// Added to the time for which the store holds a follow call open, to get the
-// timeout of that call. Together with the backoff after a failed call it bounds
-// how long a host works without a store that is reachable again.
-constexpr std::chrono::milliseconds kFollowMargin{1000};
 // Subtracted from the grace period of a shutdown, to leave time for writing the
 // last answers.
 constexpr std::chrono::milliseconds kStopMargin{1000};
@@ -716,7 +711,7 @@
 void ForwardShell::Execute(const forward::RequestStoreSync& action) {
   HttpRequest request = PostTo(action.address, kStoreSyncPath,
                                EncodeStoreSyncRequest(action.request));
-  request.timeout = kStoreSyncTimeout;
+  request.timeout = action.timeout;
   http_->Send(std::move(request), [this](const HttpOutcome& outcome) {
     RecordTableBytes("peer", outcome);
     if (const auto* failure = std::get_if<HttpFailure>(&outcome)) {
@@ -757,7 +752,7 @@
 
 void ForwardShell::Execute(const forward::ListTable& action) {
   HttpRequest request = adapter_.EncodeList(action);
-  request.timeout = kStoreTimeout;
+  request.timeout = action.timeout;
   CallStore(action.feed, std::move(request),
             [this, feed = action.feed](const HttpOutcome& outcome) {
               RecordStoreCall("list", outcome);
@@ -768,7 +763,7 @@
 
 void ForwardShell::Execute(const forward::FollowTable& action) {
   HttpRequest request = adapter_.EncodeFollow(action);
-  request.timeout = action.wait + kFollowMargin;
+  request.timeout = action.timeout;
   CallStore(action.feed, std::move(request),
             [this, feed = action.feed](const HttpOutcome& outcome) {
               RecordStoreCall("follow", outcome);
--- a/Tests/LibForward/store_fleet.cc
+++ b/Tests/LibForward/store_fleet.cc
@@ -11,7 +11,6 @@
 
 constexpr int64_t kStepMs = 2;
 constexpr int64_t kAnswerMs = 4;
-constexpr int64_t kTimeoutSlackMs = 1000;
 constexpr int64_t kPeerDelayMs = 2;
 constexpr int64_t kHeartbeatMs = 1200;
 constexpr int64_t kWriteTimeoutMs = 1500;
@@ -28,9 +27,8 @@
           is_large ? 200.0 : 10.0};
 }
 
-milliseconds WaitOf(const std::variant<ListTable, FollowTable>& action) {
-  const auto* follow = std::get_if<FollowTable>(&action);
-  return follow == nullptr ? milliseconds(0) : follow->wait;
+milliseconds TimeoutOf(const std::variant<ListTable, FollowTable>& action) {
+  return std::visit([](const auto& call) { return call.timeout; }, action);
 }
 
 bool LosesAnswer(StoreAccess access, FeedKind feed) {
@@ -367,7 +365,7 @@
     return;
   const Call call = found->second;
   const int64_t taken = now_ms_ - call.began;
-  if (taken >= WaitOf(call.action).count() + kTimeoutSlackMs) {
+  if (taken >= TimeoutOf(call.action).count()) {
     it.calls.erase(found);
     it.synchronizer->Handle(TableCallFailed{feed, "Timeout was reached"},
                             now());
