Tests: Large configurations on slow links, which fail

StoreFleet now has links with a bandwidth (SimulatedLinks), on which answers take their time and share it, and ends calls by the timeouts that the actions state. 78 of 180 checks fail, in each of the six cases: e.g. 62 of 68 hosts lack a change of 5,642 routes after 3 s; one that takes 3.7 s to transfer isn't everywhere after 12 s; hosts receive a document of 890 KB more than six times for five changes. With real sockets, a host whose store is behind a link that takes 3 s for its configuration (Relay::LimitRate) isn't ready after 20 s.

--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -816,10 +816,10 @@
 void ForwardShell::RecordTableBytes(std::string_view call,
                                     const HttpOutcome& outcome) {
   const auto* response = std::get_if<HttpResponse>(&outcome);
-  metrics_.RecordTableBytes(call,
-                            response != nullptr
-                                ? response->body.size()
-                                : std::get<HttpFailure>(outcome).received_bytes);
+  metrics_.RecordTableBytes(
+      call, response != nullptr
+                ? response->body.size()
+                : std::get<HttpFailure>(outcome).received_bytes);
 }
 
 void ForwardShell::Execute(const forward::WriteLog& action) {
--- a/Tests/LibForward/store_fleet.cc
+++ b/Tests/LibForward/store_fleet.cc
@@ -31,6 +31,40 @@
   return std::visit([](const auto& call) { return call.timeout; }, action);
 }
 
+// The size of rows in an answer of the store, or of another host, in bytes.
+enum class Sender { kStore, kPeer };
+size_t SizeOf(const std::vector<FeedRow>& rows, Sender sender) {
+  constexpr size_t kRowBytes = 300;
+  size_t bytes = 0;
+  for (const FeedRow& row : rows) {
+    bytes += kRowBytes;
+    const auto* it =
+        std::get_if<std::shared_ptr<const ForwardConfiguration>>(&row.content);
+    if (it == nullptr)
+      continue;
+    // The store encodes values in base64, hosts escape quotes.
+    const size_t size = (*it)->document.size();
+    bytes += sender == Sender::kStore ? size * 4 / 3 : size * 6 / 5;
+  }
+  return bytes;
+}
+
+size_t SizeOf(const Event& answer) {
+  constexpr size_t kHeadBytes = 300;
+  if (const auto* listed = std::get_if<TableListed>(&answer))
+    return kHeadBytes + SizeOf(listed->rows, Sender::kStore);
+  if (const auto* changed = std::get_if<TableChanged>(&answer))
+    return kHeadBytes + SizeOf(changed->rows, Sender::kStore);
+  return kHeadBytes;
+}
+
+size_t SizeOf(const StoreSyncResponse& response) {
+  size_t bytes = 600;
+  for (const TableUpdate& it : response.tables)
+    bytes += SizeOf(it.rows, Sender::kPeer);
+  return bytes;
+}
+
 bool LosesAnswer(StoreAccess access, FeedKind feed) {
   return access == StoreAccess::kSilent ||
          (access == StoreAccess::kLosesConfiguration &&
@@ -45,6 +79,16 @@
     Start(i);
 }
 
+void StoreFleet::LimitLinks(const LinkLimits& limits) {
+  std::vector<double> mbps;
+  for (size_t i = 0; i < hosts_.size(); ++i)
+    mbps.push_back(HostOf(i).link_mbps * (1 - limits.load));
+  mbps.push_back(limits.store_mbps);
+  links_.emplace(std::move(mbps));
+  if (limits.answer_mbps)
+    links_->LimitTransfersFrom(hosts_.size(), *limits.answer_mbps);
+}
+
 void StoreFleet::Start(size_t host) {
   Host& it = hosts_[host];
   ++it.starts;
@@ -54,6 +98,8 @@
   options.seed = (seed_ * 1000 + host) * 100 + it.starts;
   it.context = std::make_unique<ForwardContext>(std::move(options));
   it.synchronizer = std::make_unique<StoreSynchronizer>(*it.context);
+  for (const auto& [feed, call] : it.calls)
+    DropTransfer(call.transfer);
   it.calls.clear();
   it.seen_host_changes = 0;
   it.ends_at.reset();
@@ -82,8 +128,11 @@
 
 void StoreFleet::SetAccess(size_t host, StoreAccess access) {
   hosts_[host].access = access;
-  for (auto& [feed, call] : hosts_[host].calls)
+  for (auto& [feed, call] : hosts_[host].calls) {
     call.is_lost |= LosesAnswer(access, feed);
+    if (call.is_lost && call.transfer)
+      links_->Stall(*call.transfer);
+  }
 }
 
 void StoreFleet::SetAccessOfEach(size_t n, StoreAccess access) {
@@ -97,10 +146,13 @@
   tables_.rows[feed][key] = {std::move(content), ++tables_.version};
 }
 
-void StoreFleet::WriteConfiguration(uint64_t revision) {
+void StoreFleet::WriteConfiguration(uint64_t revision, size_t routes) {
+  constexpr size_t kRouteBytes = 235;
   ForwardConfiguration configuration;
   configuration.revision = revision;
   configuration.document = std::to_string(revision);
+  configuration.document.resize(configuration.document.size() +
+                                routes * kRouteBytes);
   Put(FeedKind::kConfiguration, "config",
       std::make_shared<const ForwardConfiguration>(configuration));
 }
@@ -220,6 +272,9 @@
   if (now_ms_ % kHeartbeatMs < kStepMs)
     RefreshEndpoints();
   PerformLateWrites();
+  if (links_)
+    links_->Advance(milliseconds(kStepMs));
+  EndPolls();
   std::vector<Message> due;
   std::erase_if(messages_, [&](Message& it) {
     if (it.due > now_ms_)
@@ -230,11 +285,8 @@
   for (Message& it : due) {
     if (!is_running(it.to))
       continue;
-    StoreSynchronizer& to = *hosts_[it.to].synchronizer;
-    if (auto* request = std::get_if<PeerStoreSyncRequested>(&it.event))
-      to.Handle(*request, now());
-    else
-      to.Handle(std::move(std::get<StoreSyncReceived>(it.event)), now());
+    hosts_[it.to].synchronizer->Handle(
+        std::get<PeerStoreSyncRequested>(it.event), now());
   }
   for (size_t i = 0; i < hosts_.size(); ++i) {
     if (hosts_[i].ends_at && now_ms_ >= *hosts_[i].ends_at)
@@ -322,25 +374,78 @@
     } else if (const auto* write = std::get_if<WriteOwnRow>(&action)) {
       WriteRow(host, *write);
     } else if (auto* sync = std::get_if<RequestStoreSync>(&action)) {
-      ++poll_count_;
-      if (!is_running(FindHost(sync->address).value())) {
-        it.synchronizer->Handle(StoreSyncFailed{"refused"}, now());
-        continue;
-      }
-      const PeerExchangeId exchange{++last_exchange_};
-      requesters_[exchange] = host;
-      messages_.push_back(
-          {now_ms_ + kPeerDelayMs, FindHost(sync->address).value(),
-           PeerStoreSyncRequested{exchange, std::move(sync->request)}});
+      BeginPoll(host, std::move(*sync));
     } else if (auto* answer = std::get_if<AnswerStoreSync>(&action)) {
-      messages_.push_back({now_ms_ + kPeerDelayMs,
-                           requesters_.at(answer->exchange),
-                           StoreSyncReceived{std::move(answer->response)}});
-      requesters_.erase(answer->exchange);
+      AnswerPoll(host, std::move(*answer));
+    }
+  }
+}
+
+void StoreFleet::BeginPoll(size_t host, RequestStoreSync request) {
+  ++poll_count_;
+  const size_t to = FindHost(request.address).value();
+  if (!is_running(to)) {
+    hosts_[host].synchronizer->Handle(StoreSyncFailed{"refused"}, now());
+    return;
+  }
+  const PeerExchangeId exchange{++last_exchange_};
+  polls_[exchange] = {
+      host, hosts_[host].starts, now_ms_, request.timeout, {}, {}, {}};
+  messages_.push_back(
+      {now_ms_ + kPeerDelayMs, to,
+       PeerStoreSyncRequested{exchange, std::move(request.request)}});
+}
+
+void StoreFleet::AnswerPoll(size_t host, AnswerStoreSync answer) {
+  const auto it = polls_.find(answer.exchange);
+  if (it == polls_.end())
+    return;
+  Poll& poll = it->second;
+  poll.response = std::move(answer.response);
+  poll.answered_at = now_ms_;
+  if (links_)
+    poll.transfer = links_->Begin(host, poll.host, SizeOf(poll.response));
+}
+
+bool StoreFleet::IsWhole(const Poll& poll) const {
+  return poll.answered_at && now_ms_ >= *poll.answered_at + kPeerDelayMs &&
+         (!poll.transfer || links_->is_whole(*poll.transfer));
+}
+
+void StoreFleet::EndPolls() {
+  struct Ended {
+    Poll poll;
+    bool is_whole = false;
+  };
+  std::vector<Ended> ended;
+  for (auto it = polls_.begin(); it != polls_.end();) {
+    Poll& poll = it->second;
+    const bool is_whole = IsWhole(poll);
+    if (!is_whole && now_ms_ - poll.began < poll.timeout.count()) {
+      ++it;
+      continue;
     }
+    DropTransfer(poll.transfer);
+    ended.push_back({std::move(poll), is_whole});
+    it = polls_.erase(it);
+  }
+  for (Ended& it : ended) {
+    const size_t host = it.poll.host;
+    if (!is_running(host) || hosts_[host].starts != it.poll.start)
+      continue;
+    StoreSynchronizer& to = *hosts_[host].synchronizer;
+    if (it.is_whole)
+      to.Handle(StoreSyncReceived{std::move(it.poll.response)}, now());
+    else
+      to.Handle(StoreSyncFailed{"Timeout was reached"}, now());
   }
 }
 
+void StoreFleet::DropTransfer(const std::optional<TransferId>& transfer) {
+  if (transfer && links_)
+    links_->Cancel(*transfer);
+}
+
 std::optional<size_t> StoreFleet::FindHost(
     const base::SocketAddress& address) const {
   for (size_t i = 0; i < hosts_.size(); ++i) {
@@ -355,7 +460,11 @@
   Host& it = hosts_[host];
   const FeedKind feed =
       std::visit([](const auto& call) { return call.feed; }, action);
-  it.calls[feed] = {std::move(action), now_ms_, LosesAnswer(it.access, feed)};
+  const auto earlier = it.calls.find(feed);
+  if (earlier != it.calls.end())
+    DropTransfer(earlier->second.transfer);
+  it.calls[feed] = {
+      std::move(action), now_ms_, LosesAnswer(it.access, feed), {}, TimerDue()};
 }
 
 void StoreFleet::AnswerIfDue(size_t host, FeedKind feed) {
@@ -363,46 +472,67 @@
   const auto found = it.calls.find(feed);
   if (found == it.calls.end())
     return;
-  const Call call = found->second;
+  Call& call = found->second;
   const int64_t taken = now_ms_ - call.began;
+  if (call.transfer && links_->is_whole(*call.transfer)) {
+    DeliverAnswer(host, feed);
+    return;
+  }
   if (taken >= TimeoutOf(call.action).count()) {
+    DropTransfer(call.transfer);
     it.calls.erase(found);
     it.synchronizer->Handle(TableCallFailed{feed, "Timeout was reached"},
                             now());
     return;
   }
-  if (call.is_lost || taken < kAnswerMs)
+  if (call.is_lost || call.transfer || taken < kAnswerMs)
     return;
   if (it.access == StoreAccess::kRejects) {
     it.calls.erase(found);
     it.synchronizer->Handle(TableCallFailed{feed, "answered 503"}, now());
     return;
   }
-  if (const auto* follow = std::get_if<FollowTable>(&call.action)) {
-    AnswerFollow(host, *follow);
+  if (!MakeAnswer(call, call.answer))
     return;
-  }
-  it.calls.erase(found);
-  it.synchronizer->Handle(
-      TableListed{feed, RowsSince(feed, 0), false, tables_.version, era_},
-      now());
+  if (links_)
+    call.transfer = links_->Begin(hosts_.size(), host, SizeOf(call.answer));
+  else
+    DeliverAnswer(host, feed);
 }
 
-void StoreFleet::AnswerFollow(size_t host, const FollowTable& follow) {
+void StoreFleet::DeliverAnswer(size_t host, FeedKind feed) {
   Host& it = hosts_[host];
-  const FeedKind feed = follow.feed;
-  const int64_t taken = now_ms_ - it.calls.at(feed).began;
+  Call call = std::move(it.calls.at(feed));
+  DropTransfer(call.transfer);
+  it.calls.erase(feed);
+  if (auto* listed = std::get_if<TableListed>(&call.answer))
+    it.synchronizer->Handle(std::move(*listed), now());
+  else if (auto* changed = std::get_if<TableChanged>(&call.answer))
+    it.synchronizer->Handle(std::move(*changed), now());
+  else
+    it.synchronizer->Handle(std::get<TableHistoryLost>(call.answer), now());
+}
+
+bool StoreFleet::MakeAnswer(const Call& call, Event& answer) const {
+  if (const auto* follow = std::get_if<FollowTable>(&call.action))
+    return MakeAnswer(*follow, now_ms_ - call.began, answer);
+  const FeedKind feed = std::get<ListTable>(call.action).feed;
+  answer = TableListed{feed, RowsSince(feed, 0), false, tables_.version, era_};
+  return true;
+}
+
+bool StoreFleet::MakeAnswer(const FollowTable& follow,
+                            int64_t taken,
+                            Event& answer) const {
   if (follow.version > tables_.version) {
-    it.calls.erase(feed);
-    it.synchronizer->Handle(TableHistoryLost{feed, era_}, now());
-    return;
+    answer = TableHistoryLost{follow.feed, era_};
+    return true;
   }
-  std::vector<FeedRow> rows = RowsSince(feed, follow.version);
+  std::vector<FeedRow> rows = RowsSince(follow.feed, follow.version);
   if (rows.empty() && taken < follow.wait.count() + kAnswerMs)
-    return;
-  it.calls.erase(feed);
-  it.synchronizer->Handle(
-      TableChanged{feed, std::move(rows), tables_.version, era_}, now());
+    return false;
+  answer = TableChanged{follow.feed, std::move(rows), tables_.version, era_};
+  return true;
 }
 
 // A listing (version 0) leaves out removed rows.
--- a/Tests/LibForward/store_fleet.h
+++ b/Tests/LibForward/store_fleet.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "LibForward/simulated_links.h"
 #include "LibForward/store_synchronizer.h"
 
 namespace bilberry::forward {
@@ -22,6 +23,15 @@
   kLosesConfiguration,
 };
 
+// What limits the transfers of a fleet.
+struct LinkLimits {
+  double store_mbps = 4000;
+  // Of one answer of the store; empty if only links limit it.
+  std::optional<double> answer_mbps = std::nullopt;
+  // The part of each host's link that other traffic takes.
+  double load = 0;
+};
+
 // The StoreSynchronizers of a fleet in three zones, which poll each other and a
 // simulated store in virtual time. Hosts can be killed, stopped and started,
 // and the store can perform their writes late.
@@ -30,6 +40,8 @@
   StoreFleet(size_t hosts, uint64_t seed);
 
   void RunFor(milliseconds time);
+  // From now on answers take the time that the hosts' links take for them.
+  void LimitLinks(const LinkLimits& limits);
   void SetAccess(size_t host, StoreAccess access);
   // Each n-th host, beginning with the first.
   void SetAccessOfEach(size_t n, StoreAccess access);
@@ -51,7 +63,7 @@
   void RemoveHostRow(size_t host);
 
   // Writes by operators and endpoints.
-  void WriteConfiguration(uint64_t revision);
+  void WriteConfiguration(uint64_t revision, size_t routes = 0);
   void WriteEndpoint(const std::string& name, EndpointState state);
   void RemoveEndpoint(const std::string& name);
   void EvacuateZone(const std::string& zone);
@@ -65,6 +77,10 @@
   void WriteElsewhere(uint64_t n) { tables_.version += n; }
 
   uint64_t revision_of(size_t host) const;
+  // What the host has received of answers since the links were limited.
+  double received_bytes(size_t host) const {
+    return links_->received_bytes(host);
+  }
   // The number of hosts whose configuration is older than this revision.
   size_t CountOlderThan(uint64_t revision) const;
   // The number of hosts that would send requests to this endpoint.
@@ -99,6 +115,9 @@
     std::variant<ListTable, FollowTable> action;
     int64_t began = 0;
     bool is_lost = false;
+    // Once the store has begun to answer.
+    std::optional<TransferId> transfer;
+    Event answer;
   };
   // The synchronizer is null while the host doesn't run.
   struct Host {
@@ -123,6 +142,17 @@
     size_t host = 0;
     uint64_t start = 0;  // Of the process that made it.
   };
+  // A host's request for another host's copy of the tables.
+  struct Poll {
+    size_t host = 0;
+    uint64_t start = 0;  // Of the process that made it.
+    int64_t began = 0;
+    milliseconds timeout{0};
+    // Once the other host has begun to answer.
+    std::optional<int64_t> answered_at;
+    std::optional<TransferId> transfer;  // If links are limited.
+    StoreSyncResponse response;
+  };
   // A message between hosts on its way.
   struct Message {
     int64_t due = 0;
@@ -142,7 +172,17 @@
   void Deliver(size_t host, const Event& event);
   void Begin(size_t host, std::variant<ListTable, FollowTable> action);
   void AnswerIfDue(size_t host, FeedKind feed);
-  void AnswerFollow(size_t host, const FollowTable& follow);
+  // Returns false if the store holds the call.
+  bool MakeAnswer(const Call& call, Event& answer) const;
+  bool MakeAnswer(const FollowTable& follow,
+                  int64_t taken,
+                  Event& answer) const;
+  void DeliverAnswer(size_t host, FeedKind feed);
+  void DropTransfer(const std::optional<TransferId>& transfer);
+  void BeginPoll(size_t host, RequestStoreSync request);
+  void AnswerPoll(size_t host, AnswerStoreSync answer);
+  bool IsWhole(const Poll& poll) const;
+  void EndPolls();
   std::vector<FeedRow> RowsSince(FeedKind feed, uint64_t version) const;
   std::optional<size_t> FindHost(const base::SocketAddress& address) const;
   size_t CountEndpoint(const std::string& endpoint, EndpointState state) const;
@@ -153,7 +193,8 @@
   std::vector<LostWrite> lost_writes_;
   uint64_t write_count_ = 0;
   std::vector<Message> messages_;
-  std::map<PeerExchangeId, size_t> requesters_;
+  std::map<PeerExchangeId, Poll> polls_;
+  std::optional<SimulatedLinks> links_;
   Tables tables_;
   Tables copy_;
   StoreEra era_ = 0;
--- a/Tests/Platform/platform_fixture.cc
+++ b/Tests/Platform/platform_fixture.cc
@@ -27,13 +27,18 @@
 }
 
 void PlatformFixture::AddHost(const std::string& name) {
+  AddHost(name, store.address());
+}
+
+void PlatformFixture::AddHost(const std::string& name,
+                              const base::SocketAddress& store_at) {
   transport::ForwardShellOptions options;
   options.settings.host.value = name;
   options.settings.zone.value = "z1";
   options.settings.callers = standins::FreeAddress(reactor);
   options.settings.readiness = standins::FreeAddress(reactor);
   options.settings.peers = standins::FreeAddress(reactor);
-  options.settings.store = store.address();
+  options.settings.store = store_at;
   options.incarnation = base::Incarnation{++last_boot_};
   options.seed = last_boot_;
   options.log_descriptor = NullDescriptor();
--- a/Tests/Platform/platform_fixture.h
+++ b/Tests/Platform/platform_fixture.h
@@ -19,6 +19,8 @@
   explicit PlatformFixture(size_t hosts = 1);
 
   void AddHost(const std::string& name);
+  // A host that reaches the store at another address.
+  void AddHost(const std::string& name, const base::SocketAddress& store_at);
   void WaitUntilReady();
 
   template <typename Condition>
--- a/Tests/Standins/relay.cc
+++ b/Tests/Standins/relay.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <chrono>
@@ -147,8 +148,8 @@
     return;
   const bool does_forward = DoesForward(it->second);
   // Bytes behind delayed bytes must not overtake them.
-  const bool is_delayed =
-      state_ == LinkState::kSlow || it->second.delayed_blocks > 0;
+  const bool is_delayed = state_ == LinkState::kSlow || bytes_per_second_ > 0 ||
+                          it->second.delayed_blocks > 0;
   if (n <= 0) {
     // A silent link doesn't forward the end of a connection either.
     if (does_forward && is_delayed)
@@ -178,11 +179,26 @@
 void Relay::ForwardLater(int descriptor, Side& from, std::string bytes) {
   if (bytes.empty())
     reactor_.Unwatch(descriptor);
+  // Holds the sender back.
+  if (bytes_per_second_ > 0)
+    reactor_.Unwatch(descriptor);
   ++from.delayed_blocks;
-  timers_.After(kSlowLinkDelay, [this, descriptor, serial = from.serial,
-                                 text = std::move(bytes)] {
-    ForwardDelayed(descriptor, serial, text);
-  });
+  const base::Duration delay = DelayOf(bytes.size());
+  timers_.After(
+      delay, [this, descriptor, serial = from.serial, text = std::move(bytes)] {
+        ForwardDelayed(descriptor, serial, text);
+      });
+}
+
+base::Duration Relay::DelayOf(size_t bytes) {
+  if (bytes_per_second_ == 0)
+    return kSlowLinkDelay;
+  const base::TimePoint now = reactor_.Now();
+  busy_until_ =
+      std::max(busy_until_, now) +
+      std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(
+          static_cast<double>(bytes) / static_cast<double>(bytes_per_second_)));
+  return busy_until_ - now;
 }
 
 void Relay::ForwardDelayed(int descriptor,
@@ -198,6 +214,8 @@
     Close(descriptor);
     return;
   }
+  if (bytes_per_second_ > 0)
+    reactor_.Watch(descriptor, *this, ACE_Event_Handler::READ_MASK);
   const int peer = it->second.peer;
   sides_.at(peer).unsent.append(bytes);
   Flush(peer);
--- a/Tests/Standins/relay.h
+++ b/Tests/Standins/relay.h
@@ -44,6 +44,11 @@
   const base::SocketAddress& address() const { return listen_; }
 
   void Order(LinkState state);
+  // Limits the rate of all connections and both directions together; 0 for no
+  // limit.
+  void LimitRate(uint64_t bytes_per_second) {
+    bytes_per_second_ = bytes_per_second;
+  }
 
   // Bytes forwarded in both directions.
   uint64_t passed_bytes() const { return passed_bytes_; }
@@ -69,6 +74,8 @@
   void Accept();
   void Forward(int descriptor);
   void ForwardLater(int descriptor, Side& from, std::string bytes);
+  // How long what is sent next is held back.
+  base::Duration DelayOf(size_t bytes);
   void ForwardDelayed(int descriptor,
                       uint64_t serial,
                       const std::string& bytes);
@@ -83,6 +90,8 @@
   LinkState state_ = LinkState::kHealthy;
   int listener_ = -1;
   uint64_t passed_bytes_ = 0;
+  uint64_t bytes_per_second_ = 0;
+  base::TimePoint busy_until_;  // With a limited rate.
   uint64_t last_serial_ = 0;
   std::map<int, Side> sides_;
 };
--- a/Tests/Standins/small_platform.h
+++ b/Tests/Standins/small_platform.h
@@ -12,7 +12,8 @@
 // "shop.example": /read/ and /book/ on the pool "desk"; /open/ for callers
 // without an API key; /draft/, a stream with two stages on "maker"; and
 // /resume/, a resumable stream on "llm".
-std::string SmallConfiguration(uint64_t revision);
+// `more_routes` come before these: /more-1/ and so on, to the pool "desk".
+std::string SmallConfiguration(uint64_t revision, size_t more_routes = 0);
 
 // A small stand-in of the platform: its store with a configuration, and three
 // pools of one or two endpoints.
