LibTransport, LibForward: An answer of any size may take its time

Cause: each call for the store's tables, and each poll of a peer, had one timeout for the whole of its answer: 1.5 s for a listing, 1 s beyond its wait for a follow call, 0.6 s for a poll. An answer whose bytes still came was thrown away, and asked for again under the same limit. Now the actions state until when an answer's body has to begin, and for how long it may stop (AnswerTimeouts); HttpClient ends a transfer that brings less than 1 KiB in that time, also one that trickles. libcurl's low speed limit was weighed: it counts the wait of a long poll and whole seconds.

--- a/Libraries/LibForward/feed_follower.cc
+++ b/Libraries/LibForward/feed_follower.cc
@@ -16,9 +16,10 @@
 constexpr std::chrono::milliseconds kMaxRetryDelay{400};
 constexpr std::chrono::milliseconds kListTimeout{1500};
 // Added to the time for which the store holds a follow call open, to get the
-// timeout of that call. Together with the backoff after a failed call it bounds
-// how long a host works without a store that is reachable again.
+// timeout until its answer begins. Together with the backoff after a failed
+// call it bounds how long a host works without a store that is reachable again.
 constexpr std::chrono::milliseconds kFollowMargin{1000};
+constexpr std::chrono::milliseconds kStallTimeout{1000};
 
 }  // namespace
 
@@ -31,13 +32,15 @@
   call_began_ = now;
   not_before_ = now + pace_.interval;
   if (phase_ == Phase::kListing)
-    return ListTable{feed_, listed_rows_.empty() ? "" : listed_rows_.back().key,
-                     kListTimeout};
+    return ListTable{feed_,
+                     listed_rows_.empty() ? "" : listed_rows_.back().key,
+                     {kListTimeout, kStallTimeout}};
   // A store that has just failed may still not answer, and a long-poll would
   // only show this at its timeout.
   const auto wait = is_failing() ? std::chrono::milliseconds(0)
                                  : std::min(pace_.wait, longest_wait);
-  return FollowTable{feed_, version_, wait, wait + kFollowMargin};
+  return FollowTable{
+      feed_, version_, wait, {wait + kFollowMargin, kStallTimeout}};
 }
 
 void FeedFollower::RestartCallBegunBefore(base::TimePoint time) {
--- a/Libraries/LibForward/forward_action.h
+++ b/Libraries/LibForward/forward_action.h
@@ -10,6 +10,7 @@
 
 #include "LibBase/ids.h"
 #include "LibBase/log_event.h"
+#include "LibForward/answer_timeouts.h"
 #include "LibForward/forward_event.h"
 #include "LibForward/local_answer_code.h"
 #include "LibForward/own_row_fence.h"
@@ -175,7 +176,7 @@
 struct RequestStoreSync {
   base::SocketAddress address;
   StoreSyncRequest request;
-  std::chrono::milliseconds timeout{0};
+  AnswerTimeouts timeouts;
 };
 
 struct AnswerStoreSync {
@@ -188,7 +189,7 @@
 struct ListTable {
   FeedKind feed{};
   std::string start_after;
-  std::chrono::milliseconds timeout{0};
+  AnswerTimeouts timeouts;
 };
 
 // Long-polls for changes after `version`.
@@ -196,7 +197,7 @@
   FeedKind feed{};
   uint64_t version = 0;
   std::chrono::milliseconds wait{0};
-  std::chrono::milliseconds timeout{0};
+  AnswerTimeouts timeouts;
 };
 
 // Writes this host's row in the hosts' table, or removes it if the fence says
--- a/Libraries/LibForward/store_synchronizer.cc
+++ b/Libraries/LibForward/store_synchronizer.cc
@@ -32,7 +32,8 @@
 // Interval between calls of a failing feed while the relays that answer don't
 // reach the store either.
 constexpr std::chrono::milliseconds kProbeInterval{2000};
-constexpr std::chrono::milliseconds kStoreSyncTimeout{600};
+constexpr AnswerTimeouts kStoreSyncTimeouts{std::chrono::milliseconds(600),
+                                            std::chrono::milliseconds(1000)};
 
 }  // namespace
 
@@ -333,7 +334,7 @@
   if (!relay)
     return;
   relay_polled_at_ = now;
-  RequestStoreSync request{relay->address, {}, kStoreSyncTimeout};
+  RequestStoreSync request{relay->address, {}, kStoreSyncTimeouts};
   request.request.era = era_;
   for (const FeedKind feed : kFeedKinds) {
     const FeedFollower& follower = FollowerOf(feed);
--- a/Libraries/LibTransport/forward_metrics.cc
+++ b/Libraries/LibTransport/forward_metrics.cc
@@ -272,9 +272,7 @@
 
 }  // namespace
 
-void ForwardMetrics::Count(std::string_view family,
-                           Labels labels,
-                           uint64_t n) {
+void ForwardMetrics::Count(std::string_view family, Labels labels, uint64_t n) {
   SeriesOf(counters_[family], std::move(labels)) += n;
 }
 
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -35,7 +35,8 @@
 constexpr std::chrono::milliseconds kNotificationTimeout{1000};
 constexpr std::chrono::milliseconds kFreeTimeout{1000};
 constexpr std::chrono::milliseconds kHealthCheckTimeout{500};
-constexpr std::chrono::milliseconds kStoreTimeout{1500};
+constexpr forward::AnswerTimeouts kStoreTimeouts{
+    std::chrono::milliseconds(1500), std::chrono::milliseconds(1000)};
 // Subtracted from the grace period of a shutdown, to leave time for writing the
 // last answers.
 constexpr std::chrono::milliseconds kStopMargin{1000};
@@ -84,6 +85,12 @@
   return request;
 }
 
+void SetTimeouts(HttpRequest& request,
+                 const forward::AnswerTimeouts& timeouts) {
+  request.timeout = timeouts.first_byte;
+  request.stall_timeout = timeouts.stall;
+}
+
 std::chrono::milliseconds RoundUp(base::Duration duration) {
   return std::chrono::ceil<std::chrono::milliseconds>(duration);
 }
@@ -711,7 +718,7 @@
 void ForwardShell::Execute(const forward::RequestStoreSync& action) {
   HttpRequest request = PostTo(action.address, kStoreSyncPath,
                                EncodeStoreSyncRequest(action.request));
-  request.timeout = action.timeout;
+  SetTimeouts(request, action.timeouts);
   http_->Send(std::move(request), [this](const HttpOutcome& outcome) {
     RecordTableBytes("peer", outcome);
     if (const auto* failure = std::get_if<HttpFailure>(&outcome)) {
@@ -752,7 +759,7 @@
 
 void ForwardShell::Execute(const forward::ListTable& action) {
   HttpRequest request = adapter_.EncodeList(action);
-  request.timeout = action.timeout;
+  SetTimeouts(request, action.timeouts);
   CallStore(action.feed, std::move(request),
             [this, feed = action.feed](const HttpOutcome& outcome) {
               RecordStoreCall("list", outcome);
@@ -763,7 +770,7 @@
 
 void ForwardShell::Execute(const forward::FollowTable& action) {
   HttpRequest request = adapter_.EncodeFollow(action);
-  request.timeout = action.timeout;
+  SetTimeouts(request, action.timeouts);
   CallStore(action.feed, std::move(request),
             [this, feed = action.feed](const HttpOutcome& outcome) {
               RecordStoreCall("follow", outcome);
@@ -776,7 +783,7 @@
     std::string_view call,
     HttpRequest request,
     std::function<forward::Event(const HttpOutcome&)> decode) {
-  request.timeout = kStoreTimeout;
+  SetTimeouts(request, kStoreTimeouts);
   http_->Send(std::move(request), [this, call, decode = std::move(decode)](
                                       const HttpOutcome& outcome) {
     RecordStoreCall(call, outcome);
--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -66,7 +66,8 @@
   curl_slist* headers = nullptr;
   std::optional<AnswerReader> reader;
   std::unique_ptr<MemoryReservation> memory;  // Once the body has begun.
-  size_t received_bytes = 0;  // Of the body.
+  size_t received_bytes = 0;                  // Of the body.
+  size_t progress_bytes = 0;  // How many of these its stall deadline is behind.
   // Whether the body was dropped because the budget had no room for it.
   bool was_body_dropped = false;
   // Whether libcurl keeps what it has read until the transfer is continued.
@@ -148,8 +149,13 @@
                    static_cast<long>(kIdleLimit.count()));
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(kConnectTimeout.count()));
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-                   static_cast<long>(request.timeout.count()));
+  // libcurl's timeout is for the whole transfer, and what it offers against
+  // stalls counts the time before the first byte, in whole seconds.
+  if (request.stall_timeout.count() > 0)
+    stall_deadlines_[transfer.id] = reactor_.Now() + request.timeout;
+  else
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                     static_cast<long>(request.timeout.count()));
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, OnSocketOpened);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, OnSending);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
@@ -233,6 +239,7 @@
 
 void HttpClient::Release(Transfer& transfer) {
   transfer.memory.reset();
+  stall_deadlines_.erase(transfer.id);
   curl_multi_remove_handle(multi_, transfer.easy);
   curl_easy_cleanup(transfer.easy);
   curl_slist_free_all(transfer.headers);
@@ -409,6 +416,7 @@
 
 bool HttpClient::AddBody(Transfer& transfer, std::string bytes) {
   transfer.received_bytes += bytes.size();
+  NoteProgress(transfer);
   // Chunks are delivered after curl has returned, since a handler may call into
   // curl.
   if (transfer.chunk) {
@@ -423,6 +431,29 @@
   return UpdateMemory(transfer);
 }
 
+void HttpClient::NoteProgress(Transfer& transfer) {
+  const auto it = stall_deadlines_.find(transfer.id);
+  if (it == stall_deadlines_.end() ||
+      (transfer.progress_bytes > 0 &&
+       transfer.received_bytes < transfer.progress_bytes))
+    return;
+  transfer.progress_bytes = transfer.received_bytes + kProgressBytes;
+  it->second = reactor_.Now() + transfer.request.stall_timeout;
+}
+
+void HttpClient::FailStalled(base::TimePoint now) {
+  for (auto& [id, deadline] : stall_deadlines_) {
+    if (now < deadline)
+      continue;
+    const Transfer& transfer = *transfers_.at(id);
+    // A paused transfer waits for this client.
+    if (transfer.is_paused)
+      deadline = now + transfer.request.stall_timeout;
+    else
+      failed_.push_back({id, CURLE_OPERATION_TIMEDOUT});
+  }
+}
+
 bool HttpClient::UpdateMemory(Transfer& transfer) {
   if (!transfer.memory)
     transfer.memory = std::make_unique<MemoryReservation>(
@@ -472,6 +503,7 @@
   }
   DeliverSendings();
   DeliverChunks();
+  FailStalled(now);
   DeliverDone();
   cancelled_.clear();
   std::erase_if(fresh_connections_until_,
@@ -481,7 +513,12 @@
 std::optional<base::TimePoint> HttpClient::NextTurn() const {
   if (!waiting_.empty())
     return base::TimePoint();
-  return curl_due_;
+  std::optional<base::TimePoint> next = curl_due_;
+  for (const auto& [id, deadline] : stall_deadlines_) {
+    if (!next || deadline < *next)
+      next = deadline;
+  }
+  return next;
 }
 
 void HttpClient::DeliverSendings() {
--- a/Libraries/LibTransport/http_client.h
+++ b/Libraries/LibTransport/http_client.h
@@ -38,8 +38,12 @@
   std::string body;
   // Sent in place of `body`, which saves a copy of it.
   std::shared_ptr<const std::string> shared_body;
-  // 0 for no timeout: the sender cancels the request itself.
+  // For the whole transfer, or only until the answer's body begins if there is
+  // a stall_timeout. 0 for no timeout: the sender cancels the request itself.
   std::chrono::milliseconds timeout{0};
+  // Once the answer's body has begun, a transfer that has brought less than
+  // kProgressBytes in this time fails. 0 if `timeout` is for the whole.
+  std::chrono::milliseconds stall_timeout{0};
   // A longer body fails the transfer, unless the body is delivered in chunks.
   // So do all bodies together if the memory budget has no room for them.
   size_t max_body_bytes = size_t{8} * 1024 * 1024;
@@ -100,11 +104,13 @@
   using MalformedHandler = std::function<void(const base::SocketAddress& peer,
                                               const std::string& fault)>;
 
-  // Has a budget of its own if none is given. The budget must outlive the
-  // client.
   // What a turn takes in, up to one block of libcurl's over it.
   static constexpr size_t kTurnBytes = size_t{64} * 1024;
+  // What a transfer with a stall timeout has to bring in that time.
+  static constexpr size_t kProgressBytes = 1024;
 
+  // Has a budget of its own if none is given. The budget must outlive the
+  // client.
   static base::Result<std::unique_ptr<HttpClient>> Create(
       Reactor& reactor,
       MemoryBudget* budget = nullptr);
@@ -183,6 +189,10 @@
   // up.
   void ContinueWaiting();
   void Continue(Transfer& transfer);
+  // Records that the body of a transfer with a stall timeout has gone on.
+  void NoteProgress(Transfer& transfer);
+  // Ends the transfers that have missed their deadline for the next bytes.
+  void FailStalled(base::TimePoint now);
   void HandleEvents();
   void HandleSocketEvents(curl_socket_t socket, int events);
   void DeliverSendings();
@@ -219,6 +229,8 @@
   size_t turn_bytes_ = 0;
   std::deque<HttpTransferId> waiting_;
   std::vector<Failure> failed_;
+  // Of transfers with a stall timeout: when they fail unless they go on.
+  std::map<HttpTransferId, base::TimePoint> stall_deadlines_;
   uint64_t searched_bytes_ = 0;
   std::optional<base::TimePoint> curl_due_;
   // By peer: the time until which requests must open new connections.
--- a/Tests/LibForward/store_fleet.cc
+++ b/Tests/LibForward/store_fleet.cc
@@ -27,8 +27,8 @@
           is_large ? 200.0 : 10.0};
 }
 
-milliseconds TimeoutOf(const std::variant<ListTable, FollowTable>& action) {
-  return std::visit([](const auto& call) { return call.timeout; }, action);
+AnswerTimeouts TimeoutsOf(const std::variant<ListTable, FollowTable>& action) {
+  return std::visit([](const auto& call) { return call.timeouts; }, action);
 }
 
 // The size of rows in an answer of the store, or of another host, in bytes.
@@ -390,7 +390,7 @@
   }
   const PeerExchangeId exchange{++last_exchange_};
   polls_[exchange] = {
-      host, hosts_[host].starts, now_ms_, request.timeout, {}, {}, {}};
+      host, hosts_[host].starts, now_ms_, request.timeouts, {}, {}, {}};
   messages_.push_back(
       {now_ms_ + kPeerDelayMs, to,
        PeerStoreSyncRequested{exchange, std::move(request.request)}});
@@ -421,7 +421,7 @@
   for (auto it = polls_.begin(); it != polls_.end();) {
     Poll& poll = it->second;
     const bool is_whole = IsWhole(poll);
-    if (!is_whole && now_ms_ - poll.began < poll.timeout.count()) {
+    if (!is_whole && !HasTimedOut(poll.began, poll.timeouts, poll.transfer)) {
       ++it;
       continue;
     }
@@ -441,6 +441,14 @@
   }
 }
 
+bool StoreFleet::HasTimedOut(int64_t began,
+                             const AnswerTimeouts& timeouts,
+                             const std::optional<TransferId>& transfer) const {
+  if (transfer)
+    return links_->silence(*transfer) >= timeouts.stall;
+  return now_ms_ - began >= timeouts.first_byte.count();
+}
+
 void StoreFleet::DropTransfer(const std::optional<TransferId>& transfer) {
   if (transfer && links_)
     links_->Cancel(*transfer);
@@ -478,7 +486,7 @@
     DeliverAnswer(host, feed);
     return;
   }
-  if (taken >= TimeoutOf(call.action).count()) {
+  if (HasTimedOut(call.began, TimeoutsOf(call.action), call.transfer)) {
     DropTransfer(call.transfer);
     it.calls.erase(found);
     it.synchronizer->Handle(TableCallFailed{feed, "Timeout was reached"},
--- a/Tests/LibForward/store_fleet.h
+++ b/Tests/LibForward/store_fleet.h
@@ -147,7 +147,7 @@
     size_t host = 0;
     uint64_t start = 0;  // Of the process that made it.
     int64_t began = 0;
-    milliseconds timeout{0};
+    AnswerTimeouts timeouts;
     // Once the other host has begun to answer.
     std::optional<int64_t> answered_at;
     std::optional<TransferId> transfer;  // If links are limited.
@@ -182,6 +182,10 @@
   void BeginPoll(size_t host, RequestStoreSync request);
   void AnswerPoll(size_t host, AnswerStoreSync answer);
   bool IsWhole(const Poll& poll) const;
+  // Whether a call ends unanswered, or amid its answer.
+  bool HasTimedOut(int64_t began,
+                   const AnswerTimeouts& timeouts,
+                   const std::optional<TransferId>& transfer) const;
   void EndPolls();
   std::vector<FeedRow> RowsSince(FeedKind feed, uint64_t version) const;
   std::optional<size_t> FindHost(const base::SocketAddress& address) const;
