LibForward: One configuration on its way to a host at a time

Cause: polls of peers carried the configuration beside the store's own answer, and each poll that named a higher revision gave that answer up and began anew, as did any other table's call that succeeded after a failure. Now polls only tell how new the operators' rows are. A host that lacks some calls the store again once, unless its answer is arriving; if none begins within 0.1 s, or calls fail, it asks the peer in a call of its own (OperatorsRowsFetcher). Hosts learn of newer rows from those that poll them, too, and relays poll other relays in turn with peers drawn from all: without that, hosts whose relay the store left without an answer had a change after more than 3 s. An answer that has begun is let end. Found on the way, and ruled out by the order of the calls: in the moment between two answers of the store a peer was asked, and the copies halved the link.

--- a/Libraries/LibEmulation/emulation.cc
+++ b/Libraries/LibEmulation/emulation.cc
@@ -828,20 +828,22 @@
   if (!to || !hosts_[*to].is_alive || IsPartitioned(host) ||
       IsPartitioned(*to)) {
     DeliverAfter(kStoreSyncTimeout, host,
-                 forward::StoreSyncFailed{"no answer"});
+                 forward::StoreSyncFailed{"no answer", action.kind});
     return;
   }
   const forward::PeerExchangeId exchange{++last_exchange_};
-  store_sync_requesters_[exchange] = host;
+  store_sync_requesters_[exchange] = {host, action.kind};
   DeliverToPeer(host, *to,
                 forward::PeerStoreSyncRequested{exchange, action.request});
 }
 
 void Emulation::Execute(size_t host, const forward::AnswerStoreSync& action) {
   const auto node = store_sync_requesters_.extract(action.exchange);
-  if (!node.empty())
-    DeliverToPeer(host, node.mapped(),
-                  forward::StoreSyncReceived{action.response});
+  if (node.empty())
+    return;
+  const auto [requester, kind] = node.mapped();
+  DeliverToPeer(host, requester,
+                forward::StoreSyncReceived{action.response, kind});
 }
 
 void Emulation::Execute(size_t host, const forward::ListTable& action) {
--- a/Libraries/LibEmulation/emulation.h
+++ b/Libraries/LibEmulation/emulation.h
@@ -211,7 +211,8 @@
            std::pair<size_t, forward::PlacementRequestId>>
       placement_requesters_;
   // Hosts that wait for a store sync response.
-  std::map<forward::PeerExchangeId, size_t> store_sync_requesters_;
+  std::map<forward::PeerExchangeId, std::pair<size_t, forward::StoreSyncKind>>
+      store_sync_requesters_;
   std::set<uint64_t> open_probes_;  // Unanswered probes.
   std::map<std::pair<size_t, forward::JobRequestId>, forward::PeerExchangeId>
       exchanges_;
--- a/Libraries/LibForward/feed_follower.cc
+++ b/Libraries/LibForward/feed_follower.cc
@@ -29,6 +29,7 @@
   if (is_calling_ || now < not_before_)
     return std::nullopt;
   is_calling_ = true;
+  is_answering_ = false;
   call_began_ = now;
   not_before_ = now + pace_.interval;
   if (phase_ == Phase::kListing)
@@ -44,7 +45,7 @@
 }
 
 void FeedFollower::RestartCallBegunBefore(base::TimePoint time) {
-  if (!is_calling_ || call_began_ >= time)
+  if (!is_calling_ || is_answering_ || call_began_ >= time)
     return;
   is_calling_ = false;
   not_before_ = base::TimePoint();
--- a/Libraries/LibForward/feed_follower.h
+++ b/Libraries/LibForward/feed_follower.h
@@ -52,9 +52,11 @@
   Update HandleChanged(TableChanged event);
   void HandleHistoryLost();
   void HandleFailed(base::TimePoint now);
-  // If a call is in flight that began before `time`, makes the next call at
-  // once in its place. An answer to the earlier call must not be passed in any
-  // more.
+  // The answer to the call in flight has begun to arrive.
+  void HandleAnswerBegun() { is_answering_ = is_calling_; }
+  // If a call is in flight that began before `time` and has no answer yet,
+  // makes the next call at once in its place. An answer to the earlier call
+  // must not be passed in any more.
   void RestartCallBegunBefore(base::TimePoint time);
 
   // Whether an update from a peer has what this host lacks: a later version
@@ -87,6 +89,8 @@
   // Empty while a call is in flight.
   std::optional<base::TimePoint> NextWakeup() const;
   bool is_failing() const { return failures_ > 0; }
+  // Whether an answer is arriving.
+  bool is_answering() const { return is_calling_ && is_answering_; }
   // When the last call began.
   base::TimePoint call_began() const { return call_began_; }
 
@@ -99,6 +103,7 @@
   Phase phase_ = Phase::kListing;
   bool is_restored_ = false;  // The next whole table is of a restored store.
   bool is_calling_ = false;
+  bool is_answering_ = false;
   uint32_t failures_ = 0;  // Consecutive failures.
   base::TimePoint call_began_;
   base::TimePoint listing_began_;
--- a/Libraries/LibForward/forward_action.h
+++ b/Libraries/LibForward/forward_action.h
@@ -172,8 +172,9 @@
 };
 
 // Asks a peer for its copy of the store's state. Results in one
-// StoreSyncReceived or StoreSyncFailed.
+// StoreSyncReceived or StoreSyncFailed of this kind.
 struct RequestStoreSync {
+  StoreSyncKind kind{};
   base::SocketAddress address;
   StoreSyncRequest request;
   AnswerTimeouts timeouts;
--- a/Libraries/LibForward/forward_event.h
+++ b/Libraries/LibForward/forward_event.h
@@ -187,9 +187,16 @@
 
 struct StoreSyncReceived {
   StoreSyncResponse response;
+  StoreSyncKind kind = StoreSyncKind::kNews;
 };
 struct StoreSyncFailed {
   std::string detail;
+  StoreSyncKind kind = StoreSyncKind::kNews;
+};
+
+// The body of the answer to this feed's call has begun to arrive.
+struct TableAnswerBegun {
+  FeedKind feed{};
 };
 
 // One page of a table, in answer to ListTable.
@@ -281,6 +288,7 @@
                            PeerStoreSyncRequested,
                            StoreSyncReceived,
                            StoreSyncFailed,
+                           TableAnswerBegun,
                            TableListed,
                            TableChanged,
                            TableHistoryLost,
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -117,6 +117,7 @@
             store_.Handle(std::move(it), now);
           },
           [&](const StoreSyncFailed& it) { store_.Handle(it, now); },
+          [&](const TableAnswerBegun& it) { store_.Handle(it); },
           [&](TableListed& it) { store_.Handle(std::move(it), now); },
           [&](TableChanged& it) { store_.Handle(std::move(it), now); },
           [&](const TableHistoryLost& it) { store_.Handle(it, now); },
--- a/Libraries/LibForward/relay_poller.cc
+++ b/Libraries/LibForward/relay_poller.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -60,24 +61,43 @@
       hosts, std::back_inserter(peers_),
       [this](const PeerHost& it) { return it.name != own_.name; });
   relays_.clear();
+  other_relays_.clear();
   if (IsSmallFleet(hosts))
     return;
   std::vector<PeerHost> relays = RelaysOf(hosts, own_.zone);
   // Relays follow the store themselves.
-  if (std::ranges::find(relays, own_.name, &PeerHost::name) != relays.end())
+  if (std::ranges::find(relays, own_.name, &PeerHost::name) != relays.end()) {
+    SetOtherRelays(hosts);
     return;
+  }
   relays_ = std::move(relays);
   relay_index_ =
       RendezvousWeight(own_.name.value, own_.zone.value) % relays_.size();
 }
 
+void RelayPoller::SetOtherRelays(std::span<const PeerHost> hosts) {
+  std::set<base::ZoneName> zones;
+  for (const PeerHost& it : hosts)
+    zones.insert(it.zone);
+  std::set<base::HostName> seen{own_.name};
+  for (const base::ZoneName& zone : zones) {
+    for (PeerHost& it : RelaysOf(hosts, zone)) {
+      if (seen.insert(it.name).second)
+        other_relays_.push_back(std::move(it));
+    }
+  }
+}
+
 std::optional<PeerHost> RelayPoller::TakeDue(base::TimePoint now) {
   if (peers_.empty() || is_polling_ || now < next_poll_)
     return std::nullopt;
   is_polling_ = true;
   if (misses_ < relays_.size())
     return relays_[relay_index_ % relays_.size()];
-  return peers_[random_.Below(peers_.size())];
+  const bool is_relays_turn = ++poll_count_ % 2 == 1;
+  const std::vector<PeerHost>& drawn_from =
+      is_relays_turn && !other_relays_.empty() ? other_relays_ : peers_;
+  return drawn_from[random_.Below(drawn_from.size())];
 }
 
 void RelayPoller::PollAfter(base::Duration delay, base::TimePoint now) {
--- a/Libraries/LibForward/relay_poller.h
+++ b/Libraries/LibForward/relay_poller.h
@@ -49,6 +49,7 @@
   std::optional<base::TimePoint> NextWakeup() const;
 
  private:
+  void SetOtherRelays(std::span<const PeerHost> hosts);
   void PollAfter(base::Duration delay, base::TimePoint now);
 
   PeerHost own_;
@@ -56,6 +57,11 @@
   // Empty if this host follows the store itself.
   std::vector<PeerHost> relays_;
   std::vector<PeerHost> peers_;  // All other hosts.
+  // The other relays of all zones, if this host is a relay itself. They are
+  // polled in turn with peers drawn from all: most that any host knows is known
+  // to one of them, and they have the links to pass on much.
+  std::vector<PeerHost> other_relays_;
+  uint64_t poll_count_ = 0;
   size_t relay_index_ = 0;
   // Consecutive polls that brought no current copy.
   size_t misses_ = 0;
--- a/Libraries/LibForward/store_sync_messages.h
+++ b/Libraries/LibForward/store_sync_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "LibBase/ids.h"
@@ -30,6 +31,30 @@
   std::vector<FeedRow> rows;
 };
 
+// What a host asks a peer for.
+enum class StoreSyncKind : uint8_t {
+  // What changes all the time: endpoints, hosts, and notices of endpoints.
+  kNews,
+  kOperatorsRows,
+};
+
+// How new a copy of the operators' rows is.
+struct OperatorsRowsAge {
+  uint64_t revision = 0;  // Of the configuration; 0 if there is none.
+  // Of the store's table, at the last change of one of the rows.
+  uint64_t version = 0;
+
+  bool IsNewerThan(const OperatorsRowsAge& other) const {
+    return revision > other.revision || version > other.version;
+  }
+};
+
+// The operators' rows that the sender of a request can pass on.
+struct OfferedOperatorsRows {
+  base::SocketAddress sender;
+  OperatorsRowsAge age;
+};
+
 struct StoreSyncRequest {
   std::vector<KnownVersion> known;
   // Recent departures known to the requesting host.
@@ -37,6 +62,9 @@
   // Recent crashes that the requesting host observed.
   CrashNews crashes;
   StoreEra era = std::nullopt;  // Of the known versions.
+  // So that a host learns of newer rows from those that poll it, too. Empty in
+  // messages of earlier versions.
+  std::optional<OfferedOperatorsRows> offer = std::nullopt;
 };
 
 struct StoreSyncResponse {
--- a/Libraries/LibForward/store_synchronizer.cc
+++ b/Libraries/LibForward/store_synchronizer.cc
@@ -56,6 +56,10 @@
   return source == Source::kStore ? "store" : "peer";
 }
 
+void StoreSynchronizer::Handle(const TableAnswerBegun& event) {
+  FollowerOf(event.feed).HandleAnswerBegun();
+}
+
 void StoreSynchronizer::Handle(TableListed event, base::TimePoint now) {
   const FeedKind feed = event.feed;
   if (!AcceptAnswer(feed, event.era, now))
@@ -170,6 +174,7 @@
     it.BeginEra();
   ++restorations_;
   operators_version_ = 0;
+  fetcher_.BeginEra();
   directory_.NoteStoreRestored(now);
   own_row_.HandleStoreRestored(now);
 }
@@ -334,18 +339,58 @@
   if (!relay)
     return;
   relay_polled_at_ = now;
-  RequestStoreSync request{relay->address, {}, kStoreSyncTimeouts};
+  polled_relay_ = relay->address;
+  RequestStoreSync request{
+      StoreSyncKind::kNews, relay->address, {}, kStoreSyncTimeouts};
   request.request.era = era_;
-  for (const FeedKind feed : kFeedKinds) {
-    const FeedFollower& follower = FollowerOf(feed);
-    request.request.known.push_back(
-        {feed, follower.has_listed() ? follower.version() : 0});
-  }
+  for (const FeedKind feed : {FeedKind::kEndpoints, FeedKind::kHosts})
+    request.request.known.push_back({feed, KnownVersionOf(feed)});
   request.request.departures = directory_.RecentDepartures(now);
   request.request.crashes = context_.conditions().crashes.OwnNews();
+  request.request.offer = {context_.options().own.address, OwnOperatorsRows()};
+  context_.Emit(std::move(request));
+}
+
+void StoreSynchronizer::FetchOperatorsRows(base::TimePoint now) {
+  const auto peer =
+      fetcher_.TakeDue(AgeOfOperatorsRows(), ConfigurationCall(), now);
+  if (!peer)
+    return;
+  RequestStoreSync request{
+      StoreSyncKind::kOperatorsRows, *peer, {}, kStoreSyncTimeouts};
+  request.request.era = era_;
+  request.request.known = {
+      {FeedKind::kConfiguration, KnownVersionOf(FeedKind::kConfiguration)}};
   context_.Emit(std::move(request));
 }
 
+void StoreSynchronizer::NoteOffered(const OfferedOperatorsRows& offer,
+                                    base::TimePoint now) {
+  // The answer to the open call may be lost.
+  if (fetcher_.NoteOffered(offer.sender, offer.age, AgeOfOperatorsRows(), now))
+    FollowerOf(FeedKind::kConfiguration).RestartCallBegunBefore(now);
+}
+
+OperatorsRowsAge StoreSynchronizer::OwnOperatorsRows() const {
+  return {configuration_ ? configuration_->revision : 0, operators_version_};
+}
+
+OperatorsRowsFetcher::StoreCall StoreSynchronizer::ConfigurationCall() const {
+  const FeedFollower& follower = FollowerOf(FeedKind::kConfiguration);
+  return {follower.is_failing(), follower.is_answering(),
+          follower.call_began()};
+}
+
+OperatorsRowsAge StoreSynchronizer::AgeOfOperatorsRows() const {
+  return {configuration_ ? configuration_->revision : 0,
+          KnownVersionOf(FeedKind::kConfiguration)};
+}
+
+uint64_t StoreSynchronizer::KnownVersionOf(FeedKind feed) const {
+  const FeedFollower& follower = FollowerOf(feed);
+  return follower.has_listed() ? follower.version() : 0;
+}
+
 bool StoreSynchronizer::IsStoreFailing() const {
   return std::ranges::any_of(
       followers_, [](const FeedFollower& it) { return it.is_failing(); });
@@ -353,7 +398,9 @@
 
 void StoreSynchronizer::Handle(const PeerStoreSyncRequested& event,
                                base::TimePoint now) {
-  NoteEra(event.request.era, Source::kPeer, now);
+  const EraOrder order = NoteEra(event.request.era, Source::kPeer, now);
+  if (event.request.offer && order != EraOrder::kEarlier)
+    NoteOffered(*event.request.offer, now);
   ApplyDepartures(event.request.departures, now);
   CrashTracker& crashes = context_.conditions().crashes;
   crashes.Apply(event.request.crashes, now);
@@ -363,8 +410,9 @@
                              crashes.NewsToRepeat(now)};
   answer.response.limits = context_.conditions().limits.RecentReports(now);
   answer.response.age = now - endpoints_as_of_;
-  answer.response.revision = configuration_ ? configuration_->revision : 0;
-  answer.response.operators_version = operators_version_;
+  const OperatorsRowsAge own_rows = OwnOperatorsRows();
+  answer.response.revision = own_rows.revision;
+  answer.response.operators_version = own_rows.version;
   answer.response.era = era_;
   const bool is_comparable = event.request.era == era_;
   for (const KnownVersion& it : event.request.known) {
@@ -376,10 +424,33 @@
 }
 
 void StoreSynchronizer::Handle(StoreSyncReceived event, base::TimePoint now) {
-  const base::TimePoint valid_until =
-      now - event.response.age + kRelayedValidity;
+  const bool is_fresh = event.response.age < kRelayedValidity;
   const bool is_earlier =
       NoteEra(event.response.era, Source::kPeer, now) == EraOrder::kEarlier;
+  if (event.kind == StoreSyncKind::kNews)
+    HandleNews(event.response, is_earlier, now);
+  for (TableUpdate& it : event.response.tables) {
+    // What operators have written holds, however long ago the sender heard it;
+    // an outdated copy of the other tables may lack an endpoint that lives.
+    if (is_earlier || (!is_fresh && it.feed != FeedKind::kConfiguration))
+      continue;
+    if (event.kind == StoreSyncKind::kNews)
+      FollowerOf(it.feed).NoteRelayedAsOf(relay_polled_at_ -
+                                          event.response.age);
+    ApplyUpdate(std::move(it), now);
+  }
+  if (event.kind != StoreSyncKind::kOperatorsRows)
+    return;
+  fetcher_.NoteEnded();
+  // The store hasn't answered meanwhile, so its answer may be lost. The next
+  // call only asks for what comes after the peer's rows.
+  FollowerOf(FeedKind::kConfiguration).RestartCallBegunBefore(now);
+}
+
+void StoreSynchronizer::HandleNews(const StoreSyncResponse& response,
+                                   bool is_earlier,
+                                   base::TimePoint now) {
+  const base::TimePoint valid_until = now - response.age + kRelayedValidity;
   const bool is_fresh = !is_earlier && now < valid_until;
   const bool needs_copy = relays_.has_relays() || IsStoreFailing();
   relays_.NoteAnswered(now, needs_copy && !is_fresh);
@@ -387,26 +458,13 @@
   // departures from one to the other.
   if (!directory_.RecentDepartures(now).empty())
     relays_.RotateRelay();
-  const uint64_t own_revision = configuration_ ? configuration_->revision : 0;
-  FeedFollower& follower = FollowerOf(FeedKind::kConfiguration);
-  const bool knows_less =
-      !is_earlier && event.response.operators_version > follower.version();
-  if (event.response.revision > own_revision || knows_less)
-    follower.RestartCallBegunBefore(now);
+  if (!is_earlier)
+    NoteOffered(
+        {polled_relay_, {response.revision, response.operators_version}}, now);
   if (is_fresh)
     NoteFreshCopy(valid_until, now);
   else if (relays_.has_relays())
     SpaceOutFailingCalls();
-  if (is_earlier)
-    return;
-  for (TableUpdate& it : event.response.tables) {
-    // What operators have written holds, however long ago the sender heard it;
-    // an outdated copy of the other tables may lack an endpoint that lives.
-    if (!is_fresh && it.feed != FeedKind::kConfiguration)
-      continue;
-    FollowerOf(it.feed).NoteRelayedAsOf(relay_polled_at_ - event.response.age);
-    ApplyUpdate(std::move(it), now);
-  }
 }
 
 // A copy from a relay replaces this host's own calls. The configuration's long
@@ -447,7 +505,10 @@
 
 void StoreSynchronizer::Handle(const StoreSyncFailed& event,
                                base::TimePoint now) {
-  relays_.NoteFailed(now);
+  if (event.kind == StoreSyncKind::kOperatorsRows)
+    fetcher_.NoteEnded();
+  else
+    relays_.NoteFailed(now);
   if (relays_.has_relays())
     context_.Log(base::LogEventId::kRelayLost, "", {{"reason", event.detail}});
 }
@@ -491,9 +552,19 @@
                             : now < short_polls_until_ ? kShortPollWait
                                                        : kWaitWithoutRelay;
   for (FeedFollower& follower : followers_) {
-    if (auto call = follower.NextCall(now, longest_wait))
-      std::visit([this](const auto& it) { context_.Emit(it); }, *call);
+    const bool is_asked_for_lack =
+        &follower == &FollowerOf(FeedKind::kConfiguration) &&
+        fetcher_.is_store_to_be_asked();
+    const auto call = follower.NextCall(
+        now, is_asked_for_lack ? std::chrono::milliseconds(0) : longest_wait);
+    if (!call)
+      continue;
+    if (is_asked_for_lack)
+      fetcher_.NoteStoreAsked();
+    std::visit([this](const auto& it) { context_.Emit(it); }, *call);
   }
+  // Behind the calls to the store: one that has just begun goes first.
+  FetchOperatorsRows(now);
 }
 
 std::optional<base::TimePoint> StoreSynchronizer::NextWakeup() const {
@@ -506,6 +577,7 @@
     consider(follower.NextWakeup());
   consider(directory_.NextWakeup());
   consider(relays_.NextWakeup());
+  consider(fetcher_.NextWakeup(ConfigurationCall()));
   return next;
 }
 
--- a/Libraries/LibForward/store_synchronizer.h
+++ b/Libraries/LibForward/store_synchronizer.h
@@ -9,6 +9,7 @@
 #include "LibForward/evacuated_zones.h"
 #include "LibForward/feed_follower.h"
 #include "LibForward/forward_context.h"
+#include "LibForward/operators_rows_fetcher.h"
 #include "LibForward/own_row_writer.h"
 #include "LibForward/relay_poller.h"
 #include "LibForward/table_change_log.h"
@@ -21,6 +22,7 @@
  public:
   explicit StoreSynchronizer(ForwardContext& context);
 
+  void Handle(const TableAnswerBegun& event);
   void Handle(TableListed event, base::TimePoint now);
   void Handle(TableChanged event, base::TimePoint now);
   void Handle(const TableHistoryLost& event, base::TimePoint now);
@@ -99,6 +101,18 @@
   void ApplyUpdate(TableUpdate update, base::TimePoint now);
   void SpaceOutFailingCalls();
   void PollRelay(base::TimePoint now);
+  // Asks a peer for newer operators' rows that it has told of.
+  void FetchOperatorsRows(base::TimePoint now);
+  void HandleNews(const StoreSyncResponse& response,
+                  bool is_earlier,
+                  base::TimePoint now);
+  void NoteOffered(const OfferedOperatorsRows& offer, base::TimePoint now);
+  // What this host tells peers of, and up to when it has asked for changes.
+  OperatorsRowsAge OwnOperatorsRows() const;
+  OperatorsRowsAge AgeOfOperatorsRows() const;
+  OperatorsRowsFetcher::StoreCall ConfigurationCall() const;
+  // Up to which this host knows the table; 0 if it hasn't been listed.
+  uint64_t KnownVersionOf(FeedKind feed) const;
   void LogUnreadable(FeedKind feed, const FeedRow& row);
   EraOrder NoteEra(StoreEra era, Source source, base::TimePoint now);
   void BeginEra(Source source, base::TimePoint now);
@@ -120,6 +134,8 @@
   // the peer that passed it on.
   base::TimePoint endpoints_as_of_;
   base::TimePoint relay_polled_at_;
+  base::SocketAddress polled_relay_;
+  OperatorsRowsFetcher fetcher_;
   // Until then the copy that a peer has passed on is valid.
   base::TimePoint relayed_until_;
   StoreEra era_;  // The latest one known.
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -719,10 +719,11 @@
   HttpRequest request = PostTo(action.address, kStoreSyncPath,
                                EncodeStoreSyncRequest(action.request));
   SetTimeouts(request, action.timeouts);
-  http_->Send(std::move(request), [this](const HttpOutcome& outcome) {
+  http_->Send(std::move(request), [this, kind = action.kind](
+                                      const HttpOutcome& outcome) {
     RecordTableBytes("peer", outcome);
     if (const auto* failure = std::get_if<HttpFailure>(&outcome)) {
-      HandleEvent(forward::StoreSyncFailed{failure->detail});
+      HandleEvent(forward::StoreSyncFailed{failure->detail, kind});
       return;
     }
     if (auto response = DecodeStoreSyncResponse(
@@ -730,9 +731,9 @@
             [this](std::string_view document) {
               return adapter_.DecodeConfiguration(document);
             }))
-      HandleEvent(forward::StoreSyncReceived{std::move(*response)});
+      HandleEvent(forward::StoreSyncReceived{std::move(*response), kind});
     else
-      HandleEvent(forward::StoreSyncFailed{"malformed answer"});
+      HandleEvent(forward::StoreSyncFailed{"malformed answer", kind});
   });
 }
 
@@ -749,12 +750,15 @@
   const auto earlier = feed_calls_.find(feed);
   if (earlier != feed_calls_.end())
     http_->Cancel(earlier->second);
-  feed_calls_[feed] =
-      http_->Send(std::move(request),
-                  [this, feed, done = std::move(done)](HttpOutcome outcome) {
-                    feed_calls_.erase(feed);
-                    done(std::move(outcome));
-                  });
+  HttpClient::Handlers handlers;
+  handlers.done = [this, feed, done = std::move(done)](HttpOutcome outcome) {
+    feed_calls_.erase(feed);
+    done(std::move(outcome));
+  };
+  handlers.begun = [this, feed] {
+    HandleEvent(forward::TableAnswerBegun{feed});
+  };
+  feed_calls_[feed] = http_->Send(std::move(request), std::move(handlers));
 }
 
 void ForwardShell::Execute(const forward::ListTable& action) {
--- a/Libraries/LibTransport/http_client.cc
+++ b/Libraries/LibTransport/http_client.cc
@@ -58,9 +58,7 @@
   HttpClient* client = nullptr;
   HttpTransferId id{};
   HttpRequest request;
-  DoneHandler done;
-  ChunkHandler chunk;
-  SendingHandler sending;
+  Handlers handlers;
   bool was_sent = false;
   CURL* easy = nullptr;
   curl_slist* headers = nullptr;
@@ -110,18 +108,13 @@
   curl_multi_cleanup(multi_);
 }
 
-HttpTransferId HttpClient::Send(HttpRequest request,
-                                DoneHandler done,
-                                ChunkHandler chunk,
-                                SendingHandler sending) {
+HttpTransferId HttpClient::Send(HttpRequest request, Handlers handlers) {
   auto transfer = std::make_unique<Transfer>();
   transfer->client = this;
   transfer->id = HttpTransferId{++last_id_};
   transfer->request = std::move(request);
   transfer->reader.emplace(AnswerBodyOf(transfer->request));
-  transfer->done = std::move(done);
-  transfer->chunk = std::move(chunk);
-  transfer->sending = std::move(sending);
+  transfer->handlers = std::move(handlers);
   // Each transfer has a handle of its own: libcurl 7.88 keeps a reference to
   // the last header of an answer beyond a reset, and joins a folded line at the
   // beginning of the next answer to it, in memory that has been freed.
@@ -374,7 +367,7 @@
                           int /*own_port*/) {
   auto& it = *static_cast<Transfer*>(transfer);
   it.was_sent = true;
-  if (!it.sending)
+  if (!it.handlers.sending)
     return CURL_PREREQFUNC_OK;
   long new_connections = 0;
   curl_easy_getinfo(it.easy, CURLINFO_NUM_CONNECTS, &new_connections);
@@ -415,11 +408,13 @@
 }
 
 bool HttpClient::AddBody(Transfer& transfer, std::string bytes) {
+  if (transfer.received_bytes == 0 && transfer.handlers.begun)
+    begun_.push_back(transfer.id);
   transfer.received_bytes += bytes.size();
   NoteProgress(transfer);
   // Chunks are delivered after curl has returned, since a handler may call into
   // curl.
-  if (transfer.chunk) {
+  if (transfer.handlers.chunk) {
     chunks_.push_back({transfer.id, std::move(bytes)});
     return true;
   }
@@ -505,6 +500,7 @@
   DeliverChunks();
   FailStalled(now);
   DeliverDone();
+  DeliverBegun();
   cancelled_.clear();
   std::erase_if(fresh_connections_until_,
                 [now](const auto& it) { return it.second <= now; });
@@ -526,7 +522,7 @@
     const auto it = transfers_.find(sending.id);
     if (it == transfers_.end())
       continue;
-    it->second->sending(sending.connection);
+    it->second->handlers.sending(sending.connection);
   }
 }
 
@@ -536,7 +532,7 @@
     if (it == transfers_.end())
       continue;
     Transfer& transfer = *it->second;
-    transfer.chunk(transfer.response, std::move(chunk.bytes));
+    transfer.handlers.chunk(transfer.response, std::move(chunk.bytes));
   }
 }
 
@@ -556,6 +552,14 @@
   }
 }
 
+void HttpClient::DeliverBegun() {
+  for (const HttpTransferId id : std::exchange(begun_, {})) {
+    const auto it = transfers_.find(id);
+    if (it != transfers_.end())
+      it->second->handlers.begun();
+  }
+}
+
 void HttpClient::Finish(Transfer& transfer, CURLcode code) {
   HttpOutcome outcome = OutcomeOf(transfer, code);
   const auto node = transfers_.extract(transfer.id);
@@ -563,7 +567,7 @@
   const auto* failure = std::get_if<HttpFailure>(&outcome);
   if (failure != nullptr && failure->is_malformed && on_malformed_)
     on_malformed_(node.mapped()->request.address, failure->detail);
-  node.mapped()->done(std::move(outcome));
+  node.mapped()->handlers.done(std::move(outcome));
 }
 
 HttpOutcome HttpClient::OutcomeOf(Transfer& transfer, CURLcode code) {
--- a/Libraries/LibTransport/http_client.h
+++ b/Libraries/LibTransport/http_client.h
@@ -100,6 +100,15 @@
   // Called exactly once, after all other callbacks. The body is empty if a
   // ChunkHandler was given.
   using DoneHandler = std::function<void(HttpOutcome outcome)>;
+  // Called when the answer's body has begun to arrive, unless the transfer ends
+  // in the same turn.
+  using BegunHandler = std::function<void()>;
+  struct Handlers {
+    DoneHandler done;
+    ChunkHandler chunk = nullptr;
+    SendingHandler sending = nullptr;
+    BegunHandler begun = nullptr;
+  };
   // Told of each malformed answer, before the transfer's own callback.
   using MalformedHandler = std::function<void(const base::SocketAddress& peer,
                                               const std::string& fault)>;
@@ -120,10 +129,14 @@
     on_malformed_ = std::move(handler);
   }
 
+  HttpTransferId Send(HttpRequest request, Handlers handlers);
   HttpTransferId Send(HttpRequest request,
                       DoneHandler done,
                       ChunkHandler chunk = nullptr,
-                      SendingHandler sending = nullptr);
+                      SendingHandler sending = nullptr) {
+    return Send(std::move(request), Handlers{std::move(done), std::move(chunk),
+                                             std::move(sending)});
+  }
 
   // Cancels a transfer; its callbacks won't run. Unknown IDs are ignored. A
   // callback may cancel its own transfer: what the callback holds lives on
@@ -198,6 +211,7 @@
   void DeliverSendings();
   void DeliverChunks();
   void DeliverDone();
+  void DeliverBegun();
   // Ends the transfer with libcurl's result.
   void Finish(Transfer& transfer, CURLcode code);
   HttpOutcome OutcomeOf(Transfer& transfer, CURLcode code);
@@ -225,6 +239,7 @@
   std::vector<std::unique_ptr<Transfer>> cancelled_;
   std::vector<Sending> sendings_;
   std::vector<Chunk> chunks_;
+  std::vector<HttpTransferId> begun_;
   // Bytes taken in by this turn so far.
   size_t turn_bytes_ = 0;
   std::deque<HttpTransferId> waiting_;
--- a/Libraries/LibTransport/store_sync_codec.cc
+++ b/Libraries/LibTransport/store_sync_codec.cc
@@ -348,6 +348,31 @@
   return object ? NoticesOf(*object) : std::nullopt;
 }
 
+namespace {
+
+Json::Value JsonOf(const forward::OfferedOperatorsRows& offer) {
+  Json::Value object;
+  object["sender"] = base::ToText(offer.sender);
+  object["revision"] = static_cast<Json::UInt64>(offer.age.revision);
+  object["version"] = static_cast<Json::UInt64>(offer.age.version);
+  return object;
+}
+
+// Empty if it is malformed.
+std::optional<forward::OfferedOperatorsRows> OfferOf(
+    const Json::Value& object) {
+  if (!object.isObject() || !HasStringMembers(object, {"sender"}) ||
+      !object["revision"].isUInt64() || !object["version"].isUInt64())
+    return std::nullopt;
+  const auto sender = base::ParseSocketAddress(object["sender"].asString());
+  if (!sender)
+    return std::nullopt;
+  return forward::OfferedOperatorsRows{
+      *sender, {object["revision"].asUInt64(), object["version"].asUInt64()}};
+}
+
+}  // namespace
+
 std::string EncodeStoreSyncRequest(
     const forward::StoreSyncRequest& sync_request) {
   Json::Value object;
@@ -359,6 +384,8 @@
   object["departures"] = JsonOf(sync_request.departures);
   if (!sync_request.crashes.is_empty())
     object["crashes"] = JsonOf(sync_request.crashes);
+  if (sync_request.offer)
+    object["offer"] = JsonOf(*sync_request.offer);
   return PrintCompact(object);
 }
 
@@ -373,6 +400,11 @@
   if (!departures || !crashes)
     return std::nullopt;
   forward::StoreSyncRequest sync_request;
+  if (object->isMember("offer")) {
+    sync_request.offer = OfferOf((*object)["offer"]);
+    if (!sync_request.offer)
+      return std::nullopt;
+  }
   sync_request.era = EraOf(*object);
   sync_request.crashes = std::move(*crashes);
   sync_request.departures = std::move(*departures);
--- a/Tests/LibForward/store_fleet.cc
+++ b/Tests/LibForward/store_fleet.cc
@@ -385,12 +385,19 @@
   ++poll_count_;
   const size_t to = FindHost(request.address).value();
   if (!is_running(to)) {
-    hosts_[host].synchronizer->Handle(StoreSyncFailed{"refused"}, now());
+    hosts_[host].synchronizer->Handle(StoreSyncFailed{"refused", request.kind},
+                                      now());
     return;
   }
   const PeerExchangeId exchange{++last_exchange_};
-  polls_[exchange] = {
-      host, hosts_[host].starts, now_ms_, request.timeouts, {}, {}, {}};
+  polls_[exchange] = {host,
+                      hosts_[host].starts,
+                      request.kind,
+                      now_ms_,
+                      request.timeouts,
+                      {},
+                      {},
+                      {}};
   messages_.push_back(
       {now_ms_ + kPeerDelayMs, to,
        PeerStoreSyncRequested{exchange, std::move(request.request)}});
@@ -435,9 +442,10 @@
       continue;
     StoreSynchronizer& to = *hosts_[host].synchronizer;
     if (it.is_whole)
-      to.Handle(StoreSyncReceived{std::move(it.poll.response)}, now());
+      to.Handle(StoreSyncReceived{std::move(it.poll.response), it.poll.kind},
+                now());
     else
-      to.Handle(StoreSyncFailed{"Timeout was reached"}, now());
+      to.Handle(StoreSyncFailed{"Timeout was reached", it.poll.kind}, now());
   }
 }
 
@@ -502,10 +510,12 @@
   }
   if (!MakeAnswer(call, call.answer))
     return;
-  if (links_)
-    call.transfer = links_->Begin(hosts_.size(), host, SizeOf(call.answer));
-  else
+  if (!links_) {
     DeliverAnswer(host, feed);
+    return;
+  }
+  call.transfer = links_->Begin(hosts_.size(), host, SizeOf(call.answer));
+  it.synchronizer->Handle(TableAnswerBegun{feed});
 }
 
 void StoreFleet::DeliverAnswer(size_t host, FeedKind feed) {
--- a/Tests/LibForward/store_fleet.h
+++ b/Tests/LibForward/store_fleet.h
@@ -146,6 +146,7 @@
   struct Poll {
     size_t host = 0;
     uint64_t start = 0;  // Of the process that made it.
+    StoreSyncKind kind{};
     int64_t began = 0;
     AnswerTimeouts timeouts;
     // Once the other host has begun to answer.
--- a/Tests/LibForward/test_store_synchronizer.cc
+++ b/Tests/LibForward/test_store_synchronizer.cc
@@ -285,6 +285,10 @@
     synchronizer_.Handle(
         TableChanged{FeedKind::kEndpoints, std::move(rows), version}, now_);
   }
+  void AnswerConfiguration(uint64_t version) {
+    synchronizer_.Handle(TableChanged{FeedKind::kConfiguration, {}, version},
+                         now_);
+  }
   void AnswerHosts() {
     synchronizer_.Handle(TableChanged{FeedKind::kHosts, {}, 103}, now_);
   }
@@ -422,5 +426,28 @@
   }));
 }
 
+// Guards against calls without a pause to a store that lacks what a peer has.
+TEST_CASE("a peer's rows that the store lacks cause few calls to the store") {
+  FollowerBench bench;
+  StoreSyncResponse response = FollowerBench::ResponseOf(102, {});
+  response.revision = 7;
+  bench.Receive(StoreSyncReceived{response});
+  size_t calls = 0;
+  for (uint64_t i = 0; i < 500; ++i) {
+    const auto actions = bench.RunFor(10);
+    if (CallsFor(actions, FeedKind::kConfiguration) == 0)
+      continue;
+    ++calls;
+    // The store holds a call that may wait.
+    const auto* follow = std::get_if<FollowTable>(
+        &*std::ranges::find_if(actions, [](const Action& it) {
+          return std::holds_alternative<FollowTable>(it);
+        }));
+    if (follow->wait == milliseconds(0))
+      bench.AnswerConfiguration(110 + i);
+  }
+  CHECK(calls <= 3);
+}
+
 }  // namespace
 }  // namespace bilberry::forward
--- a/Tests/LibTransport/test_store_sync_codec.cc
+++ b/Tests/LibTransport/test_store_sync_codec.cc
@@ -183,9 +183,14 @@
       {{{forward::FeedKind::kEndpoints, 40}},
        {{{"e1"}, base::Incarnation{7}, milliseconds(20)}},
        {{{"digest", {"e2"}, milliseconds(30)}}, {}, {}},
-       4}));
+       4,
+       forward::OfferedOperatorsRows{{"10.0.0.3", 7740}, {12, 39}}}));
   REQUIRE(sync_request.has_value());
   CHECK(sync_request->era == 4);
+  REQUIRE(sync_request->offer.has_value());
+  CHECK(sync_request->offer->sender == base::SocketAddress{"10.0.0.3", 7740});
+  CHECK(sync_request->offer->age.revision == 12);
+  CHECK(sync_request->offer->age.version == 39);
   REQUIRE(sync_request->known.size() == 1);
   CHECK(sync_request->known.front().version == 40);
   REQUIRE(sync_request->departures.size() == 1);
@@ -196,6 +201,7 @@
        {"", "{}", "{\"known\":{}}",
         "{\"era\":\"1\",\"known\":{},\"departures\":[]}",
         "{\"known\":{},\"departures\":[1]}",
+        "{\"known\":{},\"departures\":[],\"offer\":{\"sender\":1}}",
         "{\"known\":{\"x\":1},\"departures\":[]}",
         "{\"known\":{\"endpoints\":\"1\"},\"departures\":[]}",
         "{\"known\":{},\"departures\":[{\"endpoint\":\"e\"}]}"})
