--- a/Libraries/LibForward/admission_control.cc
+++ b/Libraries/LibForward/admission_control.cc
@@ -26,6 +26,7 @@
 void AdmissionControl::SetConfiguration(
     std::shared_ptr<const ForwardConfiguration> configuration) {
   configuration_ = std::move(configuration);
+  routes_ = RouteIndex(configuration_);
 }
 
 void AdmissionControl::Refuse(const ForwardedRequest& request,
@@ -50,7 +51,7 @@
     return true;
   if (!request.key)
     return run.pipeline->allows_anonymous;
-  const ForwardedTeam* team = configuration_->FindTeamOfKey(*request.key);
+  const ForwardedTeam* team = routes_.FindTeamOfKey(*request.key);
   if (team == nullptr)
     return false;
   run.team = team->name;
@@ -100,7 +101,7 @@
     return std::nullopt;
   }
   run.configuration = configuration_;
-  run.pipeline = configuration_->FindPipeline(request.host, request.path);
+  run.pipeline = routes_.FindPipeline(request.host, request.path);
   if (run.pipeline == nullptr || run.pipeline->final_pools.empty()) {
     Refuse(request, run, {LocalAnswerCode::kUnknownPipeline, {}, {}, {}});
     return std::nullopt;
--- a/Libraries/LibForward/admission_control.h
+++ b/Libraries/LibForward/admission_control.h
@@ -8,6 +8,7 @@
 #include "LibForward/endpoint_chooser.h"
 #include "LibForward/forward_context.h"
 #include "LibForward/forwarded_run.h"
+#include "LibForward/route_index.h"
 #include "LibForward/run_placements.h"
 #include "LibForward/stage_job_router.h"
 #include "LibForward/stream_versions.h"
@@ -71,6 +72,7 @@
   const StreamVersions& stream_versions_;
   base::Random& random_;
   std::shared_ptr<const ForwardConfiguration> configuration_;
+  RouteIndex routes_;  // Of that configuration.
   bool is_accepting_ = true;
 };
 
--- a/Libraries/LibForward/forward_configuration.h
+++ b/Libraries/LibForward/forward_configuration.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "LibBase/ids.h"
@@ -102,12 +101,7 @@
   std::vector<ForwardedTeam> teams;
   CallerLimits limits;
 
-  // Returns the pipeline of this host with the longest path prefix that matches
-  // `path`; null if there is none.
-  const ForwardedPipeline* FindPipeline(std::string_view host,
-                                        std::string_view path) const;
   const ForwardedPool* FindPool(const base::PoolName& name) const;
-  const ForwardedTeam* FindTeamOfKey(std::string_view key) const;
 };
 
 }  // namespace bilberry::forward
