--- a/Libraries/LibEmulation/emulation.cc
+++ b/Libraries/LibEmulation/emulation.cc
@@ -19,6 +19,9 @@
 constexpr seconds kCatchUpTime{3};
 // Timeout of a store sync request to a host that doesn't answer.
 constexpr milliseconds kStoreSyncTimeout{600};
+// As the shell's.
+constexpr milliseconds kConnectTimeout{400};
+constexpr milliseconds kUserTimeout{1500};
 // Incarnation of all endpoints; none of them restarts.
 constexpr base::Incarnation kIncarnation{1};
 // One-way delay between a caller and its host.
@@ -165,6 +168,9 @@
       host.in_touch_from = host.partitioned_until + kCatchUpTime;
       notices_.Exempt(cut.host);
     });
+  cuts_.Begin(timeline_.now());
+  for (const EndpointCut& cut : scenario_.endpoint_cuts)
+    timeline_.After(cut.at, [this, cut] { BreakAttempts(cut.host); });
   crashes_.Begin(timeline_.now());
   deadly_callers_.Begin(
       [this](forward::ForwardedRequest it) { SendToHost(std::move(it)); });
@@ -254,6 +260,30 @@
   return timeline_.now() >= hosts_[host].in_touch_from;
 }
 
+base::Duration Emulation::ConnectTimeOf(size_t host) const {
+  const bool refuses = std::ranges::any_of(
+      scenario_.endpoint_cuts,
+      [host](const EndpointCut& it) { return it.host == host && it.refuses; });
+  return refuses ? base::Duration(milliseconds(2)) : kConnectTimeout;
+}
+
+// Data that isn't acknowledged ends a connection.
+void Emulation::BreakAttempts(size_t host) {
+  std::vector<uint64_t> broken;
+  for (const auto& [key, attempt] : attempts_) {
+    if (attempt.host == host)
+      broken.push_back(key);
+  }
+  for (const uint64_t key : broken) {
+    const base::AttemptId id = attempts_.at(key).id;
+    EndAttempt(key);
+    DeliverAfter(
+        kUserTimeout, host,
+        forward::AttemptFailure{id, forward::AttemptFailureKind::kBroken,
+                                "the link is cut"});
+  }
+}
+
 bool Emulation::IsPartitioned(size_t host) const {
   return timeline_.now() < hosts_[host].partitioned_until;
 }
@@ -337,6 +367,7 @@
   if (std::ranges::all_of(request.piece_counts,
                           [](uint32_t it) { return it == 0; }))
     unsent_[request.caller] = timeline_.now() + kCallerDelay;
+  cuts_.NoteRequest(request.caller, *host, timeline_.now());
   DeliverAfter(kCallerDelay, *host, std::move(request));
 }
 
@@ -358,6 +389,13 @@
 }
 
 bool Emulation::Reaches(size_t host, const forward::SendAttempt& action) {
+  if (IsCut(host)) {
+    DeliverAfter(ConnectTimeOf(host), host,
+                 forward::AttemptFailure{
+                     action.attempt, forward::AttemptFailureKind::kUnreachable,
+                     "the link is cut"});
+    return false;
+  }
   const EmulatedEngine& engine = *engines_by_name_.at(action.endpoint);
   const base::Duration delay =
       DelayBetween(hosts_[host].self.zone, engine.listed().zone);
@@ -381,6 +419,13 @@
 
 void Emulation::Execute(size_t host,
                         const forward::CheckEndpointHealth& action) {
+  if (IsCut(host)) {
+    DeliverAfter(ConnectTimeOf(host), host,
+                 forward::EndpointHealthChecked{
+                     action.endpoint.name, action.endpoint.incarnation,
+                     forward::HealthCheckResult::kUnknown});
+    return;
+  }
   const base::Duration delay =
       DelayBetween(hosts_[host].self.zone, action.endpoint.zone);
   timeline_.After(delay, [this, host, delay, endpoint = action.endpoint] {
@@ -552,6 +597,7 @@
 
 void Emulation::Execute(size_t /*host*/, const forward::AnswerCaller& action) {
   host_of_caller_.erase(action.caller);
+  cuts_.NoteAnswered(action.caller, false);
   const bool may_have_run =
       action.code == forward::LocalAnswerCode::kAttemptFailed ||
       action.code == forward::LocalAnswerCode::kTimeout ||
@@ -568,6 +614,8 @@
 
 void Emulation::Execute(size_t /*host*/, const forward::EndStream& action) {
   host_of_caller_.erase(action.caller);
+  cuts_.NoteAnswered(action.caller,
+                     action.outcome == forward::StreamOutcome::kWhole);
   if (action.outcome == forward::StreamOutcome::kWhole) {
     crashes_.NoteAnswered(request_of_caller_[action.caller]);
     callers_.NoteDone(action.caller);
@@ -615,6 +663,12 @@
 }
 
 void Emulation::Execute(size_t host, const forward::CallStage& action) {
+  if (IsCut(host)) {
+    DeliverAfter(ConnectTimeOf(host), host,
+                 forward::StageCallEnded{
+                     action.call.id, forward::StageCallFailure::kUnreachable});
+    return;
+  }
   EmulatedPieceEndpoint* producer =
       piece_endpoints_by_address_.at(action.call.address);
   const base::Duration delay =
@@ -659,6 +713,8 @@
 }
 
 void Emulation::Execute(size_t host, const forward::FreeResults& action) {
+  if (IsCut(host))
+    return;
   EmulatedPieceEndpoint* producer =
       piece_endpoints_by_address_.at(action.free_request.address);
   const base::Duration delay =
--- a/Libraries/LibEmulation/emulation.h
+++ b/Libraries/LibEmulation/emulation.h
@@ -14,6 +14,7 @@
 #include "LibEmulation/emulated_callers.h"
 #include "LibEmulation/emulated_cold_endpoints.h"
 #include "LibEmulation/emulated_crashes.h"
+#include "LibEmulation/emulated_cuts.h"
 #include "LibEmulation/emulated_engine.h"
 #include "LibEmulation/emulated_notices.h"
 #include "LibEmulation/emulated_piece_endpoint.h"
@@ -181,6 +182,11 @@
   void RestartLater(const base::EndpointName& endpoint);
   void Freeze(const HostFreeze& freeze);
   bool IsPartitioned(size_t host) const;
+  bool IsCut(size_t host) const { return cuts_.IsCut(host, timeline_.now()); }
+  // How long a host that is cut off takes to notice it at a new connection.
+  base::Duration ConnectTimeOf(size_t host) const;
+  // Breaks the attempts of a host whose cut begins.
+  void BreakAttempts(size_t host);
   bool IsInTouch(size_t host) const;
 
   LoadScenario scenario_;
@@ -199,6 +205,7 @@
   EmulatedRetries retries_{scenario_, report_};
   EmulatedColdEndpoints cold_endpoints_{scenario_, report_};
   EmulatedCrashes crashes_{scenario_, report_};
+  EmulatedCuts cuts_{scenario_, report_};
   EmulatedCallers callers_;
   DeadlyCallers deadly_callers_{timeline_, scenario_, callers_, crashes_};
   std::map<base::CallerId, size_t> host_of_caller_;
--- a/Libraries/LibEmulation/emulation_report.h
+++ b/Libraries/LibEmulation/emulation_report.h
@@ -39,6 +39,18 @@
   double fill() const;
 };
 
+// Requests, and how many of them were answered by an endpoint.
+struct ServedTally {
+  uint64_t requests = 0;
+  uint64_t served = 0;
+
+  double share() const {
+    return requests == 0
+               ? 1
+               : static_cast<double>(served) / static_cast<double>(requests);
+  }
+};
+
 struct EmulationReport {
   std::string scenario;
   uint32_t hosts = 0;
@@ -52,9 +64,12 @@
   double worth_requested = 0;
   uint64_t bytes_between_zones = 0;   // Fetched results.
   double tokens_prefilled_again = 0;  // Tokens of shared prompt parts.
-  uint64_t messages = 0;              // Exchanged between hosts.
-  uint64_t most_messages = 0;         // Received by the busiest host.
-  uint64_t store_calls = 0;           // By all hosts, including their start.
+  // While hosts are cut off from all endpoints: at these, and at the others.
+  ServedTally at_cut_hosts;
+  ServedTally beside_cut_hosts;
+  uint64_t messages = 0;       // Exchanged between hosts.
+  uint64_t most_messages = 0;  // Received by the busiest host.
+  uint64_t store_calls = 0;    // By all hosts, including their start.
   // Arrivals at an endpoint that had asked the host not to send it anything.
   uint64_t sent_despite_retry_after = 0;
   uint64_t sent_to_leaving = 0;
--- a/Libraries/LibEmulation/load_scenario.h
+++ b/Libraries/LibEmulation/load_scenario.h
@@ -114,6 +114,15 @@
   base::Duration lasts{};
 };
 
+// A host that is partitioned from all endpoints, and from nothing else.
+struct EndpointCut {
+  uint32_t host = 0;
+  base::Duration at{};
+  base::Duration lasts{};
+  // Whether new connections are refused at once, instead of hanging.
+  bool refuses = false;
+};
+
 // Hosts of one size, assigned to the zones round-robin.
 struct HostKind {
   uint32_t count = 0;
@@ -211,6 +220,7 @@
   std::vector<HostCrash> crashes;
   std::vector<HostFreeze> freezes;
   std::vector<HostPartition> partitions;
+  std::vector<EndpointCut> endpoint_cuts;
   std::vector<PoolRefusals> refusals;
   std::vector<PoolDeparture> departures;
   std::vector<PoolLimit> limits;
