--- a/Libraries/LibBase/log_event.cc
+++ b/Libraries/LibBase/log_event.cc
@@ -44,6 +44,8 @@
     {kDispatcherLost, kWarning, "dispatcher-lost"},
     {kDispatcherBack, kInfo, "dispatcher-back"},
     {kRelayLost, kInfo, "relay-lost"},
+    {kEndpointsCutOff, kWarning, "endpoints-cut-off"},
+    {kEndpointsInReach, kInfo, "endpoints-in-reach"},
     {kAttemptFailed, kWarning, "attempt-failed"},
     {kAnswerMismatched, kError, "answer-mismatched"},
     {kEndpointEjected, kWarning, "endpoint-ejected"},
@@ -67,6 +69,7 @@
     {kPermitEnded, kInfo, "permit-ended"},
     {kPlacementEnded, kInfo, "placement-ended"},
     {kStreamLookedUp, kInfo, "stream-looked-up"},
+    {kRequestCarried, kInfo, "request-carried"},
 });
 
 }  // namespace
--- a/Libraries/LibBase/log_event.h
+++ b/Libraries/LibBase/log_event.h
@@ -42,6 +42,8 @@
   kDispatcherLost = 1311,
   kDispatcherBack = 1312,
   kRelayLost = 1313,
+  kEndpointsCutOff = 1314,
+  kEndpointsInReach = 1315,
   kAttemptFailed = 1401,
   kAnswerMismatched = 1402,
   kEndpointEjected = 1403,
@@ -65,6 +67,7 @@
   kPermitEnded = 1607,
   kPlacementEnded = 1608,
   kStreamLookedUp = 1609,
+  kRequestCarried = 1610,
 };
 
 enum class LogSeverity { kInfo, kWarning, kError };
--- a/Libraries/LibEmulation/emulation.cc
+++ b/Libraries/LibEmulation/emulation.cc
@@ -22,6 +22,8 @@
 // As the shell's.
 constexpr milliseconds kConnectTimeout{400};
 constexpr milliseconds kUserTimeout{1500};
+// Ids of callers whose requests other hosts pass on.
+constexpr uint64_t kFirstCarriedCaller = uint64_t{1} << 63;
 // Incarnation of all endpoints; none of them restarts.
 constexpr base::Incarnation kIncarnation{1};
 // One-way delay between a caller and its host.
@@ -591,11 +593,88 @@
     node.mapped().engine->NoteEnded();
 }
 
+void Emulation::Execute(size_t host, const forward::CarryRequest& action) {
+  const auto to = FindHost(action.address);
+  if (!to || !hosts_[*to].is_alive || IsPartitioned(host) ||
+      IsPartitioned(*to)) {
+    DeliverAfter(kConnectTimeout, host,
+                 forward::AttemptFailure{
+                     action.attempt, forward::AttemptFailureKind::kUnreachable,
+                     "no answer"});
+    return;
+  }
+  forward::ForwardedRequest request = *action.request;
+  request.caller = base::CallerId{kFirstCarriedCaller + ++last_carried_};
+  request.is_carried = true;
+  request.budget = action.left;
+  carried_[request.caller] = {host, *to, action.attempt, request.request_id};
+  ++report_.carried_requests;
+  DeliverToPeer(host, *to, std::move(request));
+}
+
+bool Emulation::AnswerCarried(base::CallerId caller, forward::Event answer) {
+  const auto it = carried_.find(caller);
+  if (it == carried_.end())
+    return false;
+  DeliverToPeer(it->second.carrier, it->second.from, std::move(answer));
+  return true;
+}
+
+void Emulation::EndCarried(base::CallerId caller) {
+  carried_.erase(caller);
+}
+
+void Emulation::Execute(size_t host, const forward::ProbeEndpoint& action) {
+  const bool is_connected =
+      !IsCut(host) && !crashes_.IsDown(action.endpoint.name);
+  DeliverAfter(
+      IsCut(host)
+          ? ConnectTimeOf(host)
+          : DelayBetween(hosts_[host].self.zone, action.endpoint.zone) * 2,
+      host,
+      forward::EndpointProbed{action.endpoint.name, timeline_.now(),
+                              is_connected});
+}
+
+void Emulation::Execute(size_t /*host*/,
+                        const forward::StreamToCaller& action) {
+  const auto it = carried_.find(action.caller);
+  if (it != carried_.end())
+    AnswerCarried(
+        action.caller,
+        forward::AttemptChunk{it->second.attempt, std::nullopt, action.bytes});
+}
+
 void Emulation::Execute(size_t host, const forward::CancelAttempt& action) {
   EndAttempt(AttemptKey(host, action.attempt));
+  const auto it = std::ranges::find_if(carried_, [&](const auto& entry) {
+    return entry.second.from == host &&
+           entry.second.attempt.number == action.attempt.number;
+  });
+  if (it == carried_.end())
+    return;
+  const auto [caller, carried] = *it;
+  carried_.erase(it);
+  DeliverToPeer(host, carried.carrier, forward::CallerDisconnected{caller});
 }
 
 void Emulation::Execute(size_t /*host*/, const forward::AnswerCaller& action) {
+  if (const auto it = carried_.find(action.caller); it != carried_.end()) {
+    const base::AttemptId attempt = it->second.attempt;
+    if (action.code == forward::LocalAnswerCode::kCutOff) {
+      AnswerCarried(
+          action.caller,
+          forward::AttemptFailure{
+              attempt, forward::AttemptFailureKind::kUnreachable, "declined"});
+    } else {
+      forward::AnswerHead head;
+      head.status = kUnavailable;
+      head.echoed_request_id = it->second.request_id;
+      AnswerCarried(action.caller, forward::AttemptAnswer{attempt, head, ""});
+    }
+    EndCarried(action.caller);
+    return;
+  }
   host_of_caller_.erase(action.caller);
   cuts_.NoteAnswered(action.caller, false);
   const bool may_have_run =
@@ -608,11 +687,39 @@
     callers_.NoteRefused(action.caller, action.retry_after);
 }
 
+// A refusal that a peer has given.
+void Emulation::Execute(size_t /*host*/, const forward::ForwardAnswer& action) {
+  host_of_caller_.erase(action.caller);
+  cuts_.NoteAnswered(action.caller, false);
+  callers_.NoteRefused(action.caller, std::nullopt);
+}
+
 void Emulation::Execute(size_t /*host*/, const forward::BeginStream& action) {
+  if (const auto it = carried_.find(action.caller); it != carried_.end()) {
+    AnswerCarried(action.caller,
+                  forward::AttemptChunk{it->second.attempt, action.head, ""});
+    return;
+  }
   callers_.NoteBegun(action.caller);
 }
 
 void Emulation::Execute(size_t /*host*/, const forward::EndStream& action) {
+  if (const auto it = carried_.find(action.caller); it != carried_.end()) {
+    const base::AttemptId attempt = it->second.attempt;
+    forward::AnswerHead head;
+    head.status = 200;
+    head.echoed_request_id = it->second.request_id;
+    head.is_sealed = true;
+    if (action.outcome == forward::StreamOutcome::kWhole)
+      AnswerCarried(action.caller, forward::AttemptAnswer{attempt, head, ""});
+    else
+      AnswerCarried(
+          action.caller,
+          forward::AttemptFailure{attempt, forward::AttemptFailureKind::kBroken,
+                                  "the peer's stream broke off"});
+    EndCarried(action.caller);
+    return;
+  }
   host_of_caller_.erase(action.caller);
   cuts_.NoteAnswered(action.caller,
                      action.outcome == forward::StreamOutcome::kWhole);
@@ -780,6 +887,9 @@
   if (!to || !hosts_[*to].is_alive || IsPartitioned(host) || IsPartitioned(*to))
     return;
   ++hosts_[*to].messages;
+  // A host that is cut off says so, which counts as no answer.
+  if (hosts_[*to].node->is_cut_off())
+    return;
   const base::Duration delay =
       DelayBetween(hosts_[host].self.zone, hosts_[*to].self.zone);
   timeline_.After(delay, [this, host, to, delay, probe, name = action.host] {
--- a/Libraries/LibEmulation/emulation.h
+++ b/Libraries/LibEmulation/emulation.h
@@ -76,6 +76,14 @@
     std::string request_id;
   };
 
+  // A request that one host has another one carry.
+  struct CarriedRequest {
+    size_t from = 0;
+    size_t carrier = 0;
+    base::AttemptId attempt;  // Of the host that passes it on.
+    std::string request_id;
+  };
+
   // An answer whose events are emulated one by one.
   struct EmulatedStream {
     uint64_t key = 0;  // In `attempts_`.
@@ -116,9 +124,17 @@
   // Returns false if the endpoint's process is not the one that the host knows;
   // the host is told so then.
   bool Reaches(size_t host, const forward::SendAttempt& action);
+  void Execute(size_t host, const forward::CarryRequest& action);
+  void Execute(size_t host, const forward::ProbeEndpoint& action);
+  void Execute(size_t host, const forward::StreamToCaller& action);
+  // Answers the host that passed the request on. Returns false if the caller is
+  // none such.
+  bool AnswerCarried(base::CallerId caller, forward::Event answer);
+  void EndCarried(base::CallerId caller);
   void Execute(size_t host, const forward::CancelAttempt& action);
   void Execute(size_t host, const forward::CheckEndpointHealth& action);
   void Execute(size_t host, const forward::AnswerCaller& action);
+  void Execute(size_t host, const forward::ForwardAnswer& action);
   void Execute(size_t host, const forward::BeginStream& action);
   void Execute(size_t host, const forward::EndStream& action);
   void Execute(size_t host, const forward::CallStage& action);
@@ -210,6 +226,8 @@
   DeadlyCallers deadly_callers_{timeline_, scenario_, callers_, crashes_};
   std::map<base::CallerId, size_t> host_of_caller_;
   std::map<uint64_t, Attempt> attempts_;
+  std::map<base::CallerId, CarriedRequest> carried_;
+  uint64_t last_carried_ = 0;
   std::map<forward::PeerExchangeId, PeerJob> peer_jobs_;
   // Hosts that wait for the answer to a permit request.
   std::map<forward::PeerExchangeId, std::pair<size_t, forward::PermitRequestId>>
--- a/Libraries/LibEmulation/emulation_report.h
+++ b/Libraries/LibEmulation/emulation_report.h
@@ -67,9 +67,10 @@
   // While hosts are cut off from all endpoints: at these, and at the others.
   ServedTally at_cut_hosts;
   ServedTally beside_cut_hosts;
-  uint64_t messages = 0;       // Exchanged between hosts.
-  uint64_t most_messages = 0;  // Received by the busiest host.
-  uint64_t store_calls = 0;    // By all hosts, including their start.
+  uint64_t carried_requests = 0;  // Passed on by one host to another.
+  uint64_t messages = 0;          // Exchanged between hosts.
+  uint64_t most_messages = 0;     // Received by the busiest host.
+  uint64_t store_calls = 0;       // By all hosts, including their start.
   // Arrivals at an endpoint that had asked the host not to send it anything.
   uint64_t sent_despite_retry_after = 0;
   uint64_t sent_to_leaving = 0;
--- a/Libraries/LibForward/admission_control.cc
+++ b/Libraries/LibForward/admission_control.cc
@@ -143,6 +143,15 @@
   run.stages = InitialStages(*run.pipeline, request);
   run.last_event = request.last_event;
   run.request = std::make_shared<const ForwardedRequest>(std::move(request));
+  if (context_.conditions().reach.IsCutFrom(run.final_pool)) {
+    if (run.request->is_carried) {
+      Refuse(*run.request, run, {LocalAnswerCode::kCutOff, {}, {}, {}});
+      return std::nullopt;
+    }
+    run.uses_carrier = carriers_.Choose({}, now).has_value();
+    if (run.uses_carrier)
+      return run;
+  }
   const EndpointChoice probable =
       chooser_.Choose(EndpointCriteriaOf(run, now), now);
   if (const auto* endpoint = std::get_if<ListedEndpoint>(&probable)) {
--- a/Libraries/LibForward/admission_control.h
+++ b/Libraries/LibForward/admission_control.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "LibBase/random.h"
+#include "LibForward/carrier_chooser.h"
 #include "LibForward/endpoint_chooser.h"
 #include "LibForward/forward_context.h"
 #include "LibForward/forwarded_run.h"
@@ -28,12 +29,14 @@
                    EndpointChooser& chooser,
                    const RunPlacements& placements,
                    const StreamVersions& streams,
+                   CarrierChooser& carriers,
                    base::Random& random)
       : context_(context),
         stage_job_router_(stages),
         chooser_(chooser),
         placements_(placements),
         stream_versions_(streams),
+        carriers_(carriers),
         random_(random) {}
 
   void SetConfiguration(
@@ -70,6 +73,7 @@
   EndpointChooser& chooser_;
   const RunPlacements& placements_;
   const StreamVersions& stream_versions_;
+  CarrierChooser& carriers_;
   base::Random& random_;
   std::shared_ptr<const ForwardConfiguration> configuration_;
   RouteIndex routes_;  // Of that configuration.
--- a/Libraries/LibForward/endpoint_conditions.h
+++ b/Libraries/LibForward/endpoint_conditions.h
@@ -10,6 +10,7 @@
 #include "LibForward/endpoint_limits.h"
 #include "LibForward/endpoint_work_factors.h"
 #include "LibForward/outlier_ejector.h"
+#include "LibForward/reach_monitor.h"
 
 namespace bilberry::forward {
 
@@ -23,6 +24,7 @@
   ColdEndpoints cold_endpoints;
   CrashTracker crashes;
   EndpointWorkFactors work_factors;
+  ReachMonitor reach;
 
   // Returns the rate, in requests per second, that all hosts together may send
   // to this incarnation: the lower of its announced limit and its limit while
--- a/Libraries/LibForward/forward_action.h
+++ b/Libraries/LibForward/forward_action.h
@@ -39,6 +39,18 @@
   std::optional<std::string> resume_after;
 };
 
+// Has a peer carry a request, because this host can't reach the endpoints
+// itself. Ends as SendAttempt does, and is cancelled likewise; a peer that
+// declines counts as unreachable.
+struct CarryRequest {
+  base::AttemptId attempt;
+  base::SocketAddress address;  // Of the peer.
+  std::shared_ptr<const ForwardedRequest> request;
+  declare::Delivery delivery = declare::Delivery::kWhole;
+  declare::Repeatability repeatability = declare::Repeatability::kAtMostOnce;
+  base::Duration left{};  // Until the caller's deadline.
+};
+
 struct CancelAttempt {
   base::AttemptId attempt;
 };
@@ -55,6 +67,12 @@
   std::string path;  // Of the pool's health check.
 };
 
+// Tries a new connection to an endpoint. Results in one EndpointProbed.
+struct ProbeEndpoint {
+  ListedEndpoint endpoint;
+  std::string path;  // Of the pool's health check.
+};
+
 // A final answer that this host itself gives. kAttemptFailed and kTimeout leave
 // open whether the request ran; the other codes guarantee that it did not.
 struct AnswerCaller {
@@ -248,6 +266,8 @@
 struct Exit {};
 
 using Action = std::variant<SendAttempt,
+                            CarryRequest,
+                            ProbeEndpoint,
                             CancelAttempt,
                             RetireConnections,
                             CheckEndpointHealth,
--- a/Libraries/LibForward/forward_context.h
+++ b/Libraries/LibForward/forward_context.h
@@ -47,7 +47,9 @@
 class ForwardContext {
  public:
   explicit ForwardContext(ForwardOptions options)
-      : options_(std::move(options)) {}
+      : options_(std::move(options)) {
+    conditions_.reach = ReachMonitor(options_.seed + 7);
+  }
 
   const ForwardOptions& options() const { return options_; }
 
--- a/Libraries/LibForward/forward_event.h
+++ b/Libraries/LibForward/forward_event.h
@@ -86,6 +86,12 @@
   HealthCheckResult result = HealthCheckResult::kUnknown;
 };
 
+struct EndpointProbed {
+  base::EndpointName endpoint;
+  base::TimePoint began;
+  bool is_connected = false;
+};
+
 struct StageCallEnded {
   StageCallId call{};
   StageCallOutcome outcome;
@@ -267,6 +273,7 @@
                            AttemptAnswer,
                            AttemptFailure,
                            EndpointHealthChecked,
+                           EndpointProbed,
                            StageCallEnded,
                            ResultsFreed,
                            PeerJobRequested,
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -33,7 +33,8 @@
             stages_,
             permits_,
             placements_,
-            stream_versions_) {
+            stream_versions_,
+            peers_) {
   context_.Log(base::LogEventId::kHostStarted, "",
                {{"host", context_.options().own.name.value},
                 {"zone", context_.options().own.zone.value}});
@@ -49,6 +50,7 @@
   stream_versions_.HandleTimer(now);
   runs_.HandleTimer(now);
   WatchCrashes(now);
+  WatchReach(now);
   notices_.SendDue(now);
   peers_.SendProbes(now);
   stages_.Dispatch(now);
@@ -78,10 +80,16 @@
           [&](AttemptAnswer& it) { runs_.Handle(std::move(it), now); },
           [&](const AttemptFailure& it) { runs_.Handle(it, now); },
           [&](const EndpointHealthChecked& it) {
-            context_.conditions().crashes.NoteChecked(
-                it.endpoint, it.incarnation, it.result, now);
+            HandleChecked(it, now);
             runs_.SendDecided(now);
           },
+          [&](const EndpointProbed& it) {
+            ReachMonitor& reach = context_.conditions().reach;
+            if (it.is_connected)
+              reach.NoteReached(it.endpoint, it.began, now);
+            else
+              reach.NoteUnreachable(it.endpoint, it.began, now);
+          },
           [&](const StageCallEnded& it) { stages_.Handle(it, now); },
           [&](const ResultsFreed& it) { stages_.Handle(it); },
           [&](const PeerJobRequested& it) { stages_.Handle(it, now); },
@@ -184,6 +192,48 @@
   permits_.UpdateLimitOwners();
 }
 
+// A host that can't reach the endpoint's pool knows nothing of its process.
+void ForwardNode::HandleChecked(const EndpointHealthChecked& event,
+                                base::TimePoint now) {
+  const auto endpoints = store_.endpoints();
+  const auto it =
+      std::ranges::find(endpoints, event.endpoint, &ListedEndpoint::name);
+  const bool is_cut =
+      it != endpoints.end() && context_.conditions().reach.IsCutFrom(it->pool);
+  context_.conditions().crashes.NoteChecked(
+      event.endpoint, event.incarnation,
+      is_cut ? HealthCheckResult::kUnknown : event.result, now);
+}
+
+void ForwardNode::WatchReach(base::TimePoint now) {
+  ReachMonitor& reach = context_.conditions().reach;
+  for (ListedEndpoint& it : reach.TakeDueProbes(now)) {
+    const ForwardedPool* pool = store_.configuration()->FindPool(it.pool);
+    // Without a path to ask for, requests have to find out.
+    if (pool == nullptr || pool->health_path.empty())
+      reach.NoteReached(it.name, now, now);
+    else
+      context_.Emit(ProbeEndpoint{std::move(it), pool->health_path});
+  }
+  if (seen_reach_changes_ == reach.changes())
+    return;
+  seen_reach_changes_ = reach.changes();
+  std::vector<base::PoolName> cut = reach.CutPools();
+  for (const base::PoolName& pool : cut) {
+    if (std::ranges::find(cut_pools_, pool) == cut_pools_.end())
+      context_.Log(base::LogEventId::kEndpointsCutOff, "",
+                   {{"pool", pool.value}});
+  }
+  for (const base::PoolName& pool : cut_pools_) {
+    if (std::ranges::find(cut, pool) == cut.end())
+      context_.Log(base::LogEventId::kEndpointsInReach, "",
+                   {{"pool", pool.value}});
+  }
+  cut_pools_ = std::move(cut);
+  stages_.GiveUpUnreachable(now);
+  runs_.CarryUnreachable(now);
+}
+
 void ForwardNode::WatchCrashes(base::TimePoint now) {
   CrashTracker& crashes = context_.conditions().crashes;
   for (ListedEndpoint& it : crashes.TakeDueChecks(now)) {
@@ -249,6 +299,7 @@
     context_.conditions().ejector.KeepOnly(endpoints);
     context_.conditions().work_factors.KeepOnly(endpoints);
     context_.conditions().crashes.SetEndpoints(endpoints, now);
+    context_.conditions().reach.SetEndpoints(endpoints, now);
     chooser_.SetEndpoints(endpoints);
     placements_.SetEndpoints(endpoints);
     stream_versions_.SetEndpoints(endpoints, now);
@@ -328,6 +379,7 @@
   consider(context_.conditions().backoffs.NextEnd());
   consider(context_.conditions().cold_endpoints.NextStep());
   consider(context_.conditions().crashes.NextWakeup());
+  consider(context_.conditions().reach.NextWakeup());
   if (stop_began_ && !has_exited_) {
     const base::TimePoint lingered = *stop_began_ + kLinger;
     consider(runs_.is_accepting() ? lingered
--- a/Libraries/LibForward/forward_node.h
+++ b/Libraries/LibForward/forward_node.h
@@ -35,6 +35,9 @@
   // Readiness: whether a configuration and endpoints are known and no stop was
   // ordered.
   bool is_ready() const;
+  // Whether this host can't reach any endpoint, so that others should do what
+  // it does for them.
+  bool is_cut_off() const { return context_.conditions().reach.is_cut_off(); }
   // Whether answers of the endpoint are to be reported even if they carry no
   // notice, because they show that the endpoint's limit is gone.
   bool KnowsLimitOf(const base::EndpointName& endpoint) const {
@@ -68,7 +71,11 @@
   // Checks the endpoints whose connections broke, and logs those that crashed
   // and the requests that are refused for it.
   void WatchCrashes(base::TimePoint now);
+  // Probes endpoints that may be out of reach, and acts when pools turn out to
+  // be, or no longer are.
+  void WatchReach(base::TimePoint now);
   void LogCrash(const EndpointCrash& crash);
+  void HandleChecked(const EndpointHealthChecked& event, base::TimePoint now);
   void ApplyChanges(base::TimePoint now);
   void HandleStop(base::TimePoint now);
   // From when on a stopping host sends no more requests to endpoints.
@@ -91,6 +98,8 @@
   uint64_t seen_peer_changes_ = 0;
   uint64_t seen_cold_changes_ = 0;
   uint64_t seen_restorations_ = 0;
+  uint64_t seen_reach_changes_ = 0;
+  std::vector<base::PoolName> cut_pools_;
   bool was_ready_ = false;
   std::optional<base::TimePoint> stop_began_;
   bool has_exited_ = false;
--- a/Libraries/LibForward/forwarded_request.h
+++ b/Libraries/LibForward/forwarded_request.h
@@ -46,6 +46,9 @@
   // that brought the stream's first event. Empty if the caller doesn't state
   // it.
   std::string resumed_stream;
+  // Whether a peer that can't reach the endpoints passes the request on. It is
+  // served here or declined, but not passed on again.
+  bool is_carried = false;
 };
 
 // Returns the digest of what makes two requests of a team the same: method,
--- a/Libraries/LibForward/forwarded_run.h
+++ b/Libraries/LibForward/forwarded_run.h
@@ -48,6 +48,9 @@
   std::string software_version = {};  // Of the endpoint.
   // Bytes of whole events without data since the last one with data.
   size_t bytes_without_data = 0;
+  // Set if a peer carries the request: `endpoint` is empty then, and `address`
+  // the peer's.
+  std::optional<base::HostName> carrier = std::nullopt;
 };
 
 // A placement that the run has not used yet.
@@ -105,6 +108,10 @@
   // Whether the request waits for the health check of an endpoint that may have
   // crashed under it.
   bool is_undecided = false;
+  // Whether a peer carries the request, with its stages, because this host
+  // can't reach the final pool's endpoints.
+  bool uses_carrier = false;
+  std::vector<base::HostName> carriers_tried;
   std::vector<base::EndpointName> tried;
   uint32_t runs = 0;  // Number of attempts that may have been executed.
   bool has_begun_stream = false;
--- a/Libraries/LibForward/forwarded_run_coordinator.cc
+++ b/Libraries/LibForward/forwarded_run_coordinator.cc
@@ -23,6 +23,8 @@
 constexpr size_t kCrashesToSerialize = 2;
 // Retry-After of a request whose repeat is being tried.
 constexpr std::chrono::milliseconds kTrialRetry{500};
+// Number of peers that are asked to carry a request before it is refused.
+constexpr size_t kMaxCarriers = 3;
 // Number of cells tried for a stage before its request is refused.
 constexpr size_t kMaxCells = 2;
 
@@ -80,14 +82,22 @@
     StageJobRouter& stages,
     PermitCoordinator& permits,
     PlacementCoordinator& placements,
-    StreamVersions& streams)
+    StreamVersions& streams,
+    const PeerDirectory& peers)
     : context_(context),
       stage_job_router_(stages),
       chooser_(chooser),
       random_(context.options().seed + 1),
       placements_(context, placements, chooser),
       stream_versions_(streams),
-      admission_(context, stages, chooser, placements_, streams, random_),
+      carriers_(peers, context.options().own, context.options().seed + 8),
+      admission_(context,
+                 stages,
+                 chooser,
+                 placements_,
+                 streams,
+                 carriers_,
+                 random_),
       permits_(context, permits, chooser_),
       budgets_(context.options().retry_allowance) {}
 
@@ -97,9 +107,11 @@
   auto run = admission_.Admit(std::move(request), now);
   if (!run)
     return;
-  budgets_.Of(run->final_pool).NoteFirstAttempt();
+  // The peer that carries it counts it.
+  if (!run->uses_carrier)
+    budgets_.Of(run->final_pool).NoteFirstAttempt();
   timers_.Add(caller, *run);
-  if (run->awaits_origin)
+  if (run->awaits_origin && !run->uses_carrier)
     stream_versions_.LookUp(run->request->resumed_stream, run->final_pool,
                             caller, now);
   runs_.emplace(caller, std::move(*run));
@@ -109,6 +121,11 @@
 void ForwardedRunCoordinator::Advance(base::CallerId caller,
                                       base::TimePoint now) {
   ForwardedRun& run = runs_.at(caller);
+  if (run.uses_carrier) {
+    if (!run.attempt)
+      SendToCarrier(caller, now);
+    return;
+  }
   for (const size_t stage : run.ReadyStages()) {
     const base::TimePoint due = run_times_.StartTimeOf(run, stage, now);
     if (due <= now)
@@ -225,6 +242,10 @@
       if (RetryInOtherCell(caller, stage, failure, now))
         continue;
       runs_.at(caller).stages[stage].phase = StagePhase::kDone;
+      if (IsToBeCarried(runs_.at(caller), now)) {
+        BeginCarrying(caller, now);
+        continue;
+      }
       AnswerAndEnd(caller,
                    failure.kind == JobFailureKind::kTooLate
                        ? LocalAnswerCode::kTooLate
@@ -495,6 +516,67 @@
   context_.Emit(std::move(send));
 }
 
+bool ForwardedRunCoordinator::IsToBeCarried(const ForwardedRun& run,
+                                            base::TimePoint now) {
+  return !run.uses_carrier && !run.request->is_carried && !run.may_have_run() &&
+         !run.has_begun_stream && is_sending_ &&
+         context_.conditions().reach.IsCutFrom(run.final_pool) &&
+         carriers_.Choose({}, now).has_value();
+}
+
+void ForwardedRunCoordinator::CarryUnreachable(base::TimePoint now) {
+  std::vector<base::CallerId> unreachable;
+  for (const auto& [caller, run] : runs_) {
+    if (IsToBeCarried(run, now))
+      unreachable.push_back(caller);
+  }
+  for (const base::CallerId caller : unreachable)
+    BeginCarrying(caller, now);
+}
+
+void ForwardedRunCoordinator::BeginCarrying(base::CallerId caller,
+                                            base::TimePoint now) {
+  ForwardedRun& run = runs_.at(caller);
+  WithdrawRequests(run, now);
+  run.permit_request.reset();
+  run.permit.reset();
+  run.awaits_origin = false;
+  run.uses_carrier = true;
+  SendToCarrier(caller, now);
+}
+
+void ForwardedRunCoordinator::SendToCarrier(base::CallerId caller,
+                                            base::TimePoint now) {
+  ForwardedRun& run = runs_.at(caller);
+  const auto peer = run.carriers_tried.size() < kMaxCarriers
+                        ? carriers_.Choose(run.carriers_tried, now)
+                        : std::nullopt;
+  if (!peer) {
+    AnswerAndEnd(caller, NoEndpointCode(run), kNoEndpointRetry, now);
+    return;
+  }
+  CarryRequest carry;
+  carry.attempt = {context_.options().incarnation, ++last_attempt_};
+  carry.address = peer->address;
+  carry.request = run.request;
+  carry.delivery = run.pipeline->delivery;
+  carry.repeatability = run.pipeline->repeatability;
+  carry.left = run.deadline - now;
+  run.attempt.emplace();
+  run.attempt->id = carry.attempt;
+  run.attempt->address = peer->address;
+  run.attempt->sent = now;
+  run.attempt->carrier = peer->name;
+  run.carriers_tried.push_back(peer->name);
+  carriers_.NoteBegun(peer->name);
+  attempts_.emplace(carry.attempt.number, caller);
+  context_.Log(base::LogEventId::kRequestCarried, run.request->request_id,
+               {{"host", peer->name.value},
+                {"pool", run.final_pool.value},
+                {"left_ms", ToMilliseconds(carry.left)}});
+  context_.Emit(std::move(carry));
+}
+
 std::optional<base::CallerId> ForwardedRunCoordinator::CallerOf(
     const base::AttemptId& attempt) const {
   const auto it = attempts_.find(attempt.number);
@@ -506,6 +588,11 @@
 ForwardedRunCoordinator::AnswerClass ForwardedRunCoordinator::ClassifyAnswer(
     const ForwardedRun& run,
     const AnswerHead& head) const {
+  // What a peer answers has been judged there.
+  if (run.attempt->carrier)
+    return head.echoed_request_id == run.request->request_id
+               ? AnswerClass::kPass
+               : AnswerClass::kInvalid;
   if (!IsOwnAnswer(run, head))
     return AnswerClass::kInvalid;
   // Once events have been streamed, the request was executed, even if a later
@@ -527,7 +614,8 @@
 void ForwardedRunCoordinator::BeginStreaming(ForwardedRun& run,
                                              AnswerHead head,
                                              base::TimePoint now) {
-  run_times_.NoteFirstByte(run, now);
+  if (!run.attempt->carrier)
+    run_times_.NoteFirstByte(run, now);
   run.attempt->has_begun = true;
   if (!run.first_byte)
     run.first_byte = now;
@@ -563,7 +651,7 @@
       run.last_event = std::move(it.id);
   }
   if (!whole.empty()) {
-    if (!std::exchange(run.attempt->has_event, true)) {
+    if (!std::exchange(run.attempt->has_event, true) && !run.uses_carrier) {
       context_.conditions().crashes.NoteBegun(run.parts, now);
       placements_.NoteFirstEvent(run, now);
       NoteStreamBegun(run, now);
@@ -595,8 +683,9 @@
     return;
   ForwardedRun& run = runs_.at(*caller);
   const AnswerClass answer_class = ClassifyAnswer(run, event.head);
-  if (answer_class == AnswerClass::kPass ||
-      (answer_class == AnswerClass::kFailed && event.head.is_sealed))
+  if (!run.uses_carrier &&
+      (answer_class == AnswerClass::kPass ||
+       (answer_class == AnswerClass::kFailed && event.head.is_sealed)))
     context_.conditions().crashes.NoteAnswered(run.digest, now);
   switch (answer_class) {
     case AnswerClass::kNotRun:
@@ -625,15 +714,17 @@
                 "stream ended inside an event", now);
     return;
   }
-  context_.conditions().crashes.NoteBegun(run.parts, now);
+  if (!run.uses_carrier)
+    context_.conditions().crashes.NoteBegun(run.parts, now);
   EndAttempt(run, AttemptOutcome::kAnswered, now);
   if (!run.first_byte)
     run.first_byte = now;
   std::string outcome = "answered " + std::to_string(event.head.status);
   if (run.has_begun_stream) {
-    stream_versions_.Forget(run.request->last_event
-                                ? run.request->resumed_stream
-                                : run.request->request_id);
+    if (!run.uses_carrier)
+      stream_versions_.Forget(run.request->last_event
+                                  ? run.request->resumed_stream
+                                  : run.request->request_id);
     context_.Emit(EndStream{*caller, StreamOutcome::kWhole});
   } else {
     context_.Emit(
@@ -648,7 +739,14 @@
   if (!caller)
     return;
   const ForwardedRun& run = runs_.at(*caller);
-  if (event.kind == AttemptFailureKind::kBroken)
+  ReachMonitor& reach = context_.conditions().reach;
+  const bool is_unreachable = event.kind == AttemptFailureKind::kUnreachable;
+  if (run.uses_carrier && is_unreachable)
+    carriers_.NoteDeclined(*run.attempt->carrier, now);
+  else if (is_unreachable)
+    reach.NoteUnreachable(run.attempt->endpoint, run.attempt->sent, now);
+  // Behind a cut the connection says nothing about the endpoint.
+  else if (!run.uses_carrier && !reach.IsCutFrom(run.final_pool))
     context_.conditions().crashes.NoteBroken(run.attempt->endpoint,
                                              SuspectsOf(run), now);
   FailAttempt(*caller,
@@ -661,9 +759,13 @@
 void ForwardedRunCoordinator::EndAttempt(ForwardedRun& run,
                                          AttemptOutcome outcome,
                                          base::TimePoint now) {
-  chooser_.NoteEnded(run.attempt->endpoint, outcome, run.attempt->is_suspect,
-                     now);
-  placements_.NoteAttemptEnded(run, outcome, now);
+  if (run.attempt->carrier) {
+    carriers_.NoteEnded(*run.attempt->carrier);
+  } else {
+    chooser_.NoteEnded(run.attempt->endpoint, outcome, run.attempt->is_suspect,
+                       now);
+    placements_.NoteAttemptEnded(run, outcome, now);
+  }
   attempts_.erase(run.attempt->id.number);
   run.attempt.reset();
 }
@@ -679,6 +781,9 @@
       (run.pipeline->may_resume && !run.has_unnamed_data);
   if (runs > 0 && (!may_repeat || runs >= run.pipeline->max_attempts))
     return false;
+  // The peer has sent the request as often as it may be sent.
+  if (run.uses_carrier)
+    return !may_have_run && !run.has_begun_stream;
   if (run.tried.size() >= run.pipeline->max_attempts + kMaxRefusals)
     return false;
   // An attempt that never reached an endpoint puts no load on the pool and
@@ -704,6 +809,10 @@
   EndAttempt(run, outcome, now);
   if (outcome == AttemptOutcome::kFailed)
     ++run.runs;
+  if (IsToBeCarried(run, now)) {
+    BeginCarrying(caller, now);
+    return;
+  }
   if (may_send_again) {
     if (outcome != AttemptOutcome::kUnreachable)
       budgets_.Of(run.final_pool).TryTake();
@@ -759,13 +868,8 @@
     ReleaseStage(stage, now);
 }
 
-void ForwardedRunCoordinator::EndRun(base::CallerId caller,
-                                     std::string outcome,
-                                     base::TimePoint now) {
-  const auto node = runs_.extract(caller);
-  if (node.empty())
-    return;
-  ForwardedRun& run = node.mapped();
+void ForwardedRunCoordinator::WithdrawRequests(ForwardedRun& run,
+                                               base::TimePoint now) {
   for (const StageState& stage : run.stages) {
     if (stage.phase != StagePhase::kRequested)
       continue;
@@ -775,6 +879,16 @@
   ReleaseAll(run, now);
   permits_.Withdraw(run);
   placements_.Withdraw(run, now);
+}
+
+void ForwardedRunCoordinator::EndRun(base::CallerId caller,
+                                     std::string outcome,
+                                     base::TimePoint now) {
+  const auto node = runs_.extract(caller);
+  if (node.empty())
+    return;
+  ForwardedRun& run = node.mapped();
+  WithdrawRequests(run, now);
   if (run.attempt) {
     context_.Emit(CancelAttempt{run.attempt->id});
     EndAttempt(run, AttemptOutcome::kCancelled, now);
--- a/Libraries/LibForward/forwarded_run_coordinator.h
+++ b/Libraries/LibForward/forwarded_run_coordinator.h
@@ -8,6 +8,7 @@
 
 #include "LibBase/random.h"
 #include "LibForward/admission_control.h"
+#include "LibForward/carrier_chooser.h"
 #include "LibForward/endpoint_chooser.h"
 #include "LibForward/forward_context.h"
 #include "LibForward/forwarded_run.h"
@@ -32,7 +33,8 @@
                           StageJobRouter& stages,
                           PermitCoordinator& permits,
                           PlacementCoordinator& placements,
-                          StreamVersions& streams);
+                          StreamVersions& streams,
+                          const PeerDirectory& peers);
 
   void SetConfiguration(
       std::shared_ptr<const ForwardConfiguration> configuration) {
@@ -57,6 +59,9 @@
   void Handle(AttemptChunk event, base::TimePoint now);
   void Handle(AttemptAnswer event, base::TimePoint now);
   void Handle(const AttemptFailure& event, base::TimePoint now);
+  // Has peers carry the requests that wait and whose endpoints this host can't
+  // reach any more.
+  void CarryUnreachable(base::TimePoint now);
   // Sends the requests again that waited for the health check of an endpoint
   // and don't any more.
   void SendDecided(base::TimePoint now);
@@ -129,6 +134,12 @@
   // false if there is no usable permit.
   bool SendWithPermit(base::CallerId caller, base::TimePoint now);
   void SendFinal(base::CallerId caller, base::TimePoint now);
+  // Whether a peer is to carry the request: its endpoints are out of this
+  // host's reach, and none has run it.
+  bool IsToBeCarried(const ForwardedRun& run, base::TimePoint now);
+  // Gives up what was done for the request here, and has a peer carry it.
+  void BeginCarrying(base::CallerId caller, base::TimePoint now);
+  void SendToCarrier(base::CallerId caller, base::TimePoint now);
   // Holds back or ends a request that may crash endpoints. Returns false if it
   // may be sent now.
   bool HoldSuspect(base::CallerId caller, base::TimePoint now);
@@ -165,6 +176,8 @@
   void EndAttempt(ForwardedRun& run,
                   AttemptOutcome outcome,
                   base::TimePoint now);
+  // Withdraws what the run waits for, except an attempt.
+  void WithdrawRequests(ForwardedRun& run, base::TimePoint now);
   void ReleaseAll(ForwardedRun& run, base::TimePoint now);
   void ReleaseStage(StageState& stage, base::TimePoint now);
   void AnswerAndEnd(base::CallerId caller,
@@ -183,6 +196,7 @@
   base::Random random_;
   RunPlacements placements_;
   StreamVersions& stream_versions_;
+  CarrierChooser carriers_;
   AdmissionControl admission_;
   RunPermits permits_;
   RetryBudgets budgets_;
--- a/Libraries/LibForward/local_answer_code.cc
+++ b/Libraries/LibForward/local_answer_code.cc
@@ -16,6 +16,8 @@
       return "stopping";
     case LocalAnswerCode::kNoEndpoint:
       return "no_endpoint";
+    case LocalAnswerCode::kCutOff:
+      return "cut_off";
     case LocalAnswerCode::kTooLate:
       return "too_late";
     case LocalAnswerCode::kRefusedByEndpoint:
--- a/Libraries/LibForward/local_answer_code.h
+++ b/Libraries/LibForward/local_answer_code.h
@@ -12,6 +12,7 @@
   kNotReady,           // This host has no configuration yet.
   kStopping,           // This host is shutting down.
   kNoEndpoint,         // The pool has no available endpoint.
+  kCutOff,             // This host can't reach the pool's endpoints.
   kTooLate,            // The request can't meet its deadline.
   kRefusedByEndpoint,  // Endpoints refused the request without executing it.
   // Endpoints crashed while they ran the same request, or requests that share
--- a/Libraries/LibForward/local_dispatchers.cc
+++ b/Libraries/LibForward/local_dispatchers.cc
@@ -122,7 +122,11 @@
   const OpenCall& call = node.mapped();
   LogCall(call, event.outcome, now);
   const auto* failure = std::get_if<StageCallFailure>(&event.outcome);
-  if (failure != nullptr && *failure == StageCallFailure::kBroken)
+  ReachMonitor& reach = context_.conditions().reach;
+  if (failure != nullptr && *failure == StageCallFailure::kUnreachable)
+    reach.NoteUnreachable(call.endpoint, call.sent, now);
+  if (failure != nullptr && *failure == StageCallFailure::kBroken &&
+      !reach.IsCutFrom(call.at.pool))
     context_.conditions().crashes.NoteBroken(call.endpoint, call.suspects, now);
   const auto it = entries_.find(call.at);
   if (it == entries_.end())
--- a/Libraries/LibForward/stage_job_router.cc
+++ b/Libraries/LibForward/stage_job_router.cc
@@ -189,7 +189,8 @@
                             base::TimePoint now) {
   const CellPool at{event.job.cell, event.job.pool};
   // In a fleet with a single cell there is no other cell to fall back to.
-  const bool is_accepted = at.cell.HasAllZones() || IsDispatcherOf(at, now);
+  const bool is_accepted = !context_.conditions().reach.IsCutFrom(at.pool) &&
+                           (at.cell.HasAllZones() || IsDispatcherOf(at, now));
   const auto job =
       is_accepted ? Submit(at, event.job, event.exchange, now) : std::nullopt;
   if (job) {
@@ -202,11 +203,28 @@
        {"cell", at.cell.zone.value},
        {"reason", "not_dispatcher"},
        {"dispatcher", peers_.assignment().DispatcherOf(at).name.value}});
+  Decline(event.exchange);
+}
+
+void StageJobRouter::Decline(PeerExchangeId exchange) {
   context_.Emit(AnswerPeerJob{
-      event.exchange, JobFailure{JobFailureKind::kHostLost, kRetryAfterLoss},
+      exchange, JobFailure{JobFailureKind::kHostLost, kRetryAfterLoss},
       base::Duration(0)});
 }
 
+void StageJobRouter::GiveUpUnreachable(base::TimePoint /*now*/) {
+  for (auto it = peer_jobs_.begin(); it != peer_jobs_.end();) {
+    const auto& [at, job] = it->second;
+    if (!context_.conditions().reach.IsCutFrom(at.pool)) {
+      ++it;
+      continue;
+    }
+    dispatchers_.Withdraw(at, job);
+    Decline(it->first);
+    it = peer_jobs_.erase(it);
+  }
+}
+
 void StageJobRouter::Handle(const PeerJobCancelled& event) {
   const auto node = peer_jobs_.extract(event.exchange);
   if (!node.empty())
@@ -226,9 +244,10 @@
   peers_.NoteHeard(pending.host, now);
   const auto* failure = std::get_if<JobFailure>(&event.outcome);
   if (failure != nullptr && failure->kind == JobFailureKind::kHostLost) {
-    // The caller falls back to another cell. Without one, this host takes over.
+    // The caller falls back to another cell. Without one, the host's successor
+    // takes over, or at last this host.
     if (pending.job.cell.HasAllZones()) {
-      pending.hosts_lost = kMaxHostsLost;
+      peers_.MarkSuspect(pending.host, "declined", now);
       Reroute(event.id, pending, now);
       return;
     }
--- a/Libraries/LibForward/stage_job_router.h
+++ b/Libraries/LibForward/stage_job_router.h
@@ -57,6 +57,8 @@
     dispatchers_.Handle(event, now);
   }
 
+  // Hands the jobs of peers back whose endpoints this host can't reach.
+  void GiveUpUnreachable(base::TimePoint now);
   // Starts the calls and sends the answers that are due.
   void Dispatch(base::TimePoint now);
   std::optional<base::TimePoint> NextWakeup() const;
@@ -92,6 +94,7 @@
               base::Duration backlog,
               base::TimePoint now);
   bool IsDispatcherOf(const CellPool& at, base::TimePoint now);
+  void Decline(PeerExchangeId exchange);
   // Ends in one outcome. Returns nothing if the pool doesn't produce pieces.
   std::optional<JobId> Submit(const CellPool& at,
                               StageJob job,
--- a/Libraries/LibTransport/forward_adapter.h
+++ b/Libraries/LibTransport/forward_adapter.h
@@ -34,6 +34,10 @@
   // Calls to endpoints, and what their answers hold.
   virtual HttpRequest EncodeAttempt(
       const forward::SendAttempt& attempt) const = 0;
+  // Encodes a request for a peer, which decodes it by DecodeRequest(): with its
+  // own method and target, which the caller replaces, and without an address.
+  virtual HttpRequest EncodeCarried(
+      const forward::CarryRequest& carry) const = 0;
   virtual forward::AnswerHead DecodeHead(
       const HttpResponse& response) const = 0;
   virtual forward::EndpointNotice DecodeNotice(
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -20,6 +20,8 @@
 constexpr const char* kConnectionHeader = "Connection";
 constexpr const char* kJobsPath = "/v1/jobs";
 constexpr const char* kAlivePath = "/v1/alive";
+// Of a host that lives but can't reach any endpoint.
+constexpr int kCutOffStatus = 503;
 constexpr const char* kStoreSyncPath = "/v1/news";
 constexpr const char* kPermitsPath = "/v1/permits";
 constexpr const char* kLimitsPath = "/v1/limits";
@@ -28,6 +30,12 @@
 constexpr const char* kPlacementReportsPath = "/v1/placement-reports";
 constexpr const char* kResultsReadPath = "/v1/results-read";
 constexpr const char* kMetricsPath = "/metrics";
+// A request that another host passes on: its method and target are in headers.
+constexpr const char* kCarryPath = "/v1/carry";
+constexpr const char* kCarriedMethodHeader = "Carried-Method";
+constexpr const char* kCarriedTargetHeader = "Carried-Target";
+// On the answer of a host that doesn't serve it. Nothing was run.
+constexpr const char* kDeclinedHeader = "Carry-Declined";
 // Added to a job's remaining deadline to get the timeout of the call to its
 // dispatcher. Jobs end by their own deadline before, so a peer that has not
 // answered by then is considered lost.
@@ -44,6 +52,8 @@
 // The adapter refuses heads over the configured limit, which is lower.
 constexpr size_t kMaxCallerHead = size_t{32} * 1024;
 constexpr size_t kMaxPeerBody = size_t{1024} * 1024;
+// With the headers of a request that is passed on.
+constexpr size_t kMaxPeerHead = kMaxCallerHead + size_t{8} * 1024;
 // Largest body of an error response in place of a stream; a longer one fails
 // the attempt.
 constexpr size_t kMaxErrorBody = size_t{64} * 1024;
@@ -52,14 +62,36 @@
 // the idle timeout is disconnected.
 constexpr size_t kMaxUnsentBytes = size_t{64} * 1024;
 
+// Marks the ids of callers whose requests a peer passes on. The two listeners
+// count their exchanges by themselves.
+constexpr uint64_t kCarriedCaller = uint64_t{1} << 63;
+
 ExchangeId ExchangeOf(base::CallerId caller) {
-  return ExchangeId{static_cast<uint64_t>(caller)};
+  return ExchangeId{static_cast<uint64_t>(caller) & ~kCarriedCaller};
 }
 
 base::CallerId CallerOf(ExchangeId exchange) {
   return base::CallerId{static_cast<uint64_t>(exchange)};
 }
 
+base::CallerId CarriedCallerOf(ExchangeId exchange) {
+  return base::CallerId{static_cast<uint64_t>(exchange) | kCarriedCaller};
+}
+
+bool IsCarried(base::CallerId caller) {
+  return (static_cast<uint64_t>(caller) & kCarriedCaller) != 0;
+}
+
+// Whether another host may serve a request that this one refuses so: the host
+// that passed it on has checked it by its own configuration.
+bool IsDeclined(forward::LocalAnswerCode code) {
+  return code == forward::LocalAnswerCode::kCutOff ||
+         code == forward::LocalAnswerCode::kNotReady ||
+         code == forward::LocalAnswerCode::kStopping ||
+         code == forward::LocalAnswerCode::kUnknownPipeline ||
+         code == forward::LocalAnswerCode::kUnknownKey;
+}
+
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
 }
@@ -162,17 +194,21 @@
   ListenerOptions peer_options;
   peer_options.address = settings_.peers;
   peer_options.max_body_bytes = kMaxPeerBody;
+  peer_options.max_head_bytes = kMaxPeerHead;
   peer_options.budget = &budget_;
   peer_options.part = BudgetPart::kPeers;
   peer_options.echoes_exchange_ids = true;
-  TRY(peers, HttpListener::Create(
-                 reactor_, peer_options,
-                 [this](const IncomingRequest& it) { HandlePeer(it); },
-                 [this](ExchangeId it) {
-                   HandleEvent(forward::PeerJobCancelled{
-                       forward::PeerExchangeId{static_cast<uint64_t>(it)}});
-                   peers_->Abort(it);
-                 }));
+  TRY(peers,
+      HttpListener::Create(
+          reactor_, peer_options,
+          [this](IncomingRequest it) { HandlePeer(std::move(it)); },
+          [this](ExchangeId it) {
+            HandleEvent(forward::PeerJobCancelled{
+                forward::PeerExchangeId{static_cast<uint64_t>(it)}});
+            HandleEvent(forward::CallerDisconnected{CarriedCallerOf(it)});
+            streams_.erase(CarriedCallerOf(it));
+            peers_->Abort(it);
+          }));
   peers_ = std::move(peers);
   ListenerOptions readiness_options;
   readiness_options.address = settings_.readiness;
@@ -260,7 +296,36 @@
   readiness_->Respond(request.exchange, {node_.is_ready() ? 200 : 503, {}, ""});
 }
 
-void ForwardShell::HandlePeer(const IncomingRequest& request) {
+void ForwardShell::HandleCarried(IncomingRequest request) {
+  const std::string* method = FindHeader(request.headers, kCarriedMethodHeader);
+  const std::string* target = FindHeader(request.headers, kCarriedTargetHeader);
+  if (method == nullptr || target == nullptr) {
+    peers_->Respond(request.exchange, {400, {}, ""});
+    return;
+  }
+  request.method = *method;
+  request.target = *target;
+  std::erase_if(request.headers, [](const HttpHeader& it) {
+    return base::IsSameHeader(it.name, kCarriedMethodHeader) ||
+           base::IsSameHeader(it.name, kCarriedTargetHeader);
+  });
+  const base::CallerId caller = CarriedCallerOf(request.exchange);
+  forward::ForwardedRequest decoded =
+      adapter_.DecodeRequest(std::move(request));
+  decoded.caller = caller;
+  decoded.is_carried = true;
+  HandleEvent(std::move(decoded));
+}
+
+HttpListener& ForwardShell::ListenerOf(base::CallerId caller) {
+  return IsCarried(caller) ? *peers_ : *callers_;
+}
+
+void ForwardShell::HandlePeer(IncomingRequest request) {
+  if (request.path == kCarryPath) {
+    HandleCarried(std::move(request));
+    return;
+  }
   const forward::PeerExchangeId exchange{
       static_cast<uint64_t>(request.exchange)};
   if (request.path == kJobsPath) {
@@ -269,7 +334,8 @@
       return;
     }
   } else if (request.path == kAlivePath) {
-    peers_->Respond(request.exchange, {204, {}, ""});
+    peers_->Respond(request.exchange,
+                    {node_.is_cut_off() ? kCutOffStatus : 204, {}, ""});
     return;
   } else if (request.path == kPermitsPath) {
     if (auto decoded = DecodePermitRequest(request.body)) {
@@ -341,15 +407,38 @@
       action.repeatability == declare::Repeatability::kRepeatable
           ? node::ConnectionUse::kPooled
           : node::ConnectionUse::kFresh;
-  const base::AttemptId id = action.attempt;
+  Attempt& attempt = attempts_[action.attempt.number];
+  attempt.endpoint = action.endpoint;
+  attempt.incarnation = action.incarnation;
+  Send(action.attempt, action.delivery, std::move(request));
+}
+
+// The peer decodes the request as it does those of its own callers.
+void ForwardShell::Execute(const forward::CarryRequest& action) {
+  HttpRequest request = adapter_.EncodeCarried(action);
+  request.headers.push_back(
+      {kCarriedMethodHeader, std::move(*request.forwarded_method)});
+  request.headers.push_back({kCarriedTargetHeader, std::move(request.path)});
+  request.forwarded_method = "POST";
+  request.path = kCarryPath;
+  request.address = action.address;
+  request.connection =
+      action.repeatability == declare::Repeatability::kRepeatable
+          ? node::ConnectionUse::kPooled
+          : node::ConnectionUse::kFresh;
+  attempts_[action.attempt.number].is_carried = true;
+  Send(action.attempt, action.delivery, std::move(request));
+}
+
+void ForwardShell::Send(const base::AttemptId& id,
+                        declare::Delivery delivery,
+                        HttpRequest request) {
   HttpClient::ChunkHandler on_chunk;
-  if (action.delivery == declare::Delivery::kStreamed)
+  if (delivery == declare::Delivery::kStreamed)
     on_chunk = [this, id](const HttpResponse& head, std::string bytes) {
       HandleAttemptChunk(id, head, std::move(bytes));
     };
-  Attempt& attempt = attempts_[id.number];
-  attempt.endpoint = action.endpoint;
-  attempt.incarnation = action.incarnation;
+  Attempt& attempt = attempts_.at(id.number);
   attempt.sent = reactor_.Now();
   attempt.transfer = http_->Send(
       std::move(request),
@@ -394,8 +483,9 @@
   forward::AttemptChunk chunk;
   chunk.attempt = attempt;
   if (!std::exchange(it->second.has_head, true)) {
-    HandleNotice(it->second.endpoint, it->second.incarnation, it->second.sent,
-                 head);
+    if (!it->second.is_carried)
+      HandleNotice(it->second.endpoint, it->second.incarnation, it->second.sent,
+                   head);
     chunk.head = adapter_.DecodeHead(head);
   }
   chunk.bytes = std::move(bytes);
@@ -421,7 +511,7 @@
       {stream.error_body.size() + node_.KeptStreamBytes(attempt), now,
        std::nullopt});
   if (!stream.is_held &&
-      callers_->UnsentBytes(ExchangeOf(*caller)) > kMaxUnsentBytes) {
+      ListenerOf(*caller).UnsentBytes(ExchangeOf(*caller)) > kMaxUnsentBytes) {
     stream.is_held = true;
     http_->Hold(stream.transfer);
     held_.push_back(attempt);
@@ -435,7 +525,8 @@
     const auto caller = node_.CallerOf(attempt);
     if (it == attempts_.end() || !caller)
       return true;
-    if (callers_->UnsentBytes(ExchangeOf(*caller)) > kMaxUnsentBytes / 2)
+    if (ListenerOf(*caller).UnsentBytes(ExchangeOf(*caller)) >
+        kMaxUnsentBytes / 2)
       return false;
     it->second.is_held = false;
     http_->Resume(it->second.transfer);
@@ -471,6 +562,10 @@
     return;
   }
   auto& response = std::get<HttpResponse>(outcome);
+  if (node.mapped().is_carried) {
+    HandleCarriedDone(attempt, node.mapped(), std::move(response));
+    return;
+  }
   // A stream's trailers may hold a notice too, so that notices are decoded
   // again at its end. A limit from the head was applied when the head arrived
   // and is dropped here.
@@ -486,6 +581,37 @@
                                      std::move(response.body)});
 }
 
+// What the answer says of endpoints, the peer has heard.
+void ForwardShell::HandleCarriedDone(const base::AttemptId& id,
+                                     const Attempt& attempt,
+                                     HttpResponse response) {
+  if (FindHeader(response.headers, kDeclinedHeader) != nullptr) {
+    HandleEvent(forward::AttemptFailure{
+        id, forward::AttemptFailureKind::kUnreachable, "declined"});
+    return;
+  }
+  if (!attempt.error_body.empty())
+    response.body = attempt.error_body;
+  forward::AnswerHead head = adapter_.DecodeHead(response);
+  HandleEvent(
+      forward::AttemptAnswer{id, std::move(head), std::move(response.body)});
+}
+
+void ForwardShell::Execute(const forward::ProbeEndpoint& action) {
+  HttpRequest request =
+      adapter_.EncodeHealthCheck({action.endpoint, action.path});
+  request.timeout = kHealthCheckTimeout;
+  http_->Send(std::move(request),
+              [this, name = action.endpoint.name,
+               began = reactor_.Now()](const HttpOutcome& outcome) {
+                const auto* failure = std::get_if<HttpFailure>(&outcome);
+                const bool is_connected =
+                    failure == nullptr ||
+                    failure->kind != node::EndpointFailureKind::kUnreachable;
+                HandleEvent(forward::EndpointProbed{name, began, is_connected});
+              });
+}
+
 void ForwardShell::Execute(const forward::CancelAttempt& action) {
   const auto node = attempts_.extract(action.attempt.number);
   if (!node.empty())
@@ -509,33 +635,38 @@
 
 void ForwardShell::Execute(const forward::AnswerCaller& action) {
   HttpResponse response = adapter_.EncodeLocalAnswer(action);
+  if (IsCarried(action.caller) && IsDeclined(action.code))
+    response.headers.push_back({kDeclinedHeader, "1"});
   AddConnectionHeader(response.headers);
-  callers_->Respond(ExchangeOf(action.caller), response);
+  ListenerOf(action.caller).Respond(ExchangeOf(action.caller), response);
 }
 
 void ForwardShell::Execute(const forward::ForwardAnswer& action) {
   HttpResponse response{action.head.status, action.head.headers, action.body};
   AddConnectionHeader(response.headers);
-  callers_->Respond(ExchangeOf(action.caller), response);
+  ListenerOf(action.caller).Respond(ExchangeOf(action.caller), response);
 }
 
 void ForwardShell::Execute(const forward::BeginStream& action) {
   HttpHeaders headers = action.head.headers;
   AddConnectionHeader(headers);
   streams_.emplace(action.caller, true);
-  callers_->BeginStream(ExchangeOf(action.caller), action.head.status, headers);
+  ListenerOf(action.caller)
+      .BeginStream(ExchangeOf(action.caller), action.head.status, headers);
 }
 
 void ForwardShell::Execute(const forward::StreamToCaller& action) {
-  callers_->WriteStream(ExchangeOf(action.caller), action.bytes);
+  ListenerOf(action.caller)
+      .WriteStream(ExchangeOf(action.caller), action.bytes);
 }
 
 void ForwardShell::Execute(const forward::EndStream& action) {
   streams_.erase(action.caller);
-  callers_->EndStream(ExchangeOf(action.caller),
-                      action.outcome == forward::StreamOutcome::kWhole
-                          ? StreamEnd::kWhole
-                          : StreamEnd::kCut);
+  ListenerOf(action.caller)
+      .EndStream(ExchangeOf(action.caller),
+                 action.outcome == forward::StreamOutcome::kWhole
+                     ? StreamEnd::kWhole
+                     : StreamEnd::kCut);
 }
 
 void ForwardShell::Execute(const forward::CallStage& action) {
@@ -623,13 +754,15 @@
 void ForwardShell::Execute(const forward::ProbePeer& action) {
   HttpRequest request = GetFrom(action.address, kAlivePath);
   request.timeout = action.timeout;
-  http_->Send(std::move(request),
-              [this, host = action.host](const HttpOutcome& outcome) {
-                if (const auto* failure = std::get_if<HttpFailure>(&outcome))
-                  HandleEvent(forward::PeerProbeFailed{host, failure->detail});
-                else
-                  HandleEvent(forward::PeerProbeAnswered{host});
-              });
+  http_->Send(std::move(request), [this, host = action.host](
+                                      const HttpOutcome& outcome) {
+    if (const auto* failure = std::get_if<HttpFailure>(&outcome))
+      HandleEvent(forward::PeerProbeFailed{host, failure->detail});
+    else if (std::get<HttpResponse>(outcome).status == kCutOffStatus)
+      HandleEvent(forward::PeerProbeFailed{host, "cut off from all endpoints"});
+    else
+      HandleEvent(forward::PeerProbeAnswered{host});
+  });
 }
 
 void ForwardShell::Execute(const forward::RequestPermit& action) {
@@ -841,6 +974,8 @@
 void ForwardShell::Execute(const forward::ApplyCallerLimits& action) {
   adapter_.SetLimits(action.limits);
   callers_->SetMaxBodyBytes(action.limits.max_body_bytes);
+  // Peers pass on what their callers may send.
+  peers_->SetMaxBodyBytes(std::max(kMaxPeerBody, action.limits.max_body_bytes));
   // Callers reuse connections that have been idle for almost this long, so that
   // the timeout is rounded up.
   callers_->SetIdleTimeout(
--- a/Libraries/LibTransport/forward_shell.h
+++ b/Libraries/LibTransport/forward_shell.h
@@ -64,7 +64,8 @@
     std::string error_body;  // Of a streamed answer with an error status.
     // For what is kept of a streamed answer.
     std::unique_ptr<MemoryReservation> memory;
-    bool is_held = false;  // Because the caller's queue is full.
+    bool is_held = false;     // Because the caller's queue is full.
+    bool is_carried = false;  // By a peer; there is no endpoint then.
   };
 
   ForwardShell(Reactor& reactor,
@@ -78,7 +79,12 @@
   void HandleCaller(IncomingRequest request);
   void HandleCallerDisconnect(ExchangeId exchange);
   void HandleReadiness(const IncomingRequest& request);
-  void HandlePeer(const IncomingRequest& request);
+  void HandlePeer(IncomingRequest request);
+  // A request that a peer passes on.
+  void HandleCarried(IncomingRequest request);
+  // The listener at which the caller, or the peer that passed its request on,
+  // waits for the answer.
+  HttpListener& ListenerOf(base::CallerId caller);
   void AnswerMetrics(ExchangeId exchange);
   void RecordStoreCall(std::string_view call, const HttpOutcome& outcome);
   void RecordTableBytes(std::string_view call, const HttpOutcome& outcome);
@@ -107,6 +113,13 @@
   // the node.
   void FailAttempt(const base::AttemptId& attempt, std::string detail);
   void HandleAttemptDone(const base::AttemptId& attempt, HttpOutcome outcome);
+  void HandleCarriedDone(const base::AttemptId& id,
+                         const Attempt& attempt,
+                         HttpResponse response);
+  // Sends the request of an attempt that is in `attempts_`.
+  void Send(const base::AttemptId& id,
+            declare::Delivery delivery,
+            HttpRequest request);
   void DisconnectCaller(ExchangeId exchange);
   // Accounts for what is kept of the attempt's stream, and reads no more of it
   // while its caller's queue is full.
@@ -118,6 +131,8 @@
 
   void HandleEvent(forward::Event event);
   void Execute(const forward::SendAttempt& action);
+  void Execute(const forward::CarryRequest& action);
+  void Execute(const forward::ProbeEndpoint& action);
   void Execute(const forward::CancelAttempt& action);
   void Execute(const forward::RetireConnections& action);
   void Execute(const forward::CheckEndpointHealth& action);
