--- a/Libraries/LibForward/route_index.cc
+++ b/Libraries/LibForward/route_index.cc
@@ -15,9 +15,9 @@
     routes.prefix_lengths.push_back(it.path_prefix.size());
   }
   for (auto& [host, routes] : hosts_) {
-    std::ranges::sort(routes.prefix_lengths, std::greater());
-    const auto rest = std::ranges::unique(routes.prefix_lengths);
-    routes.prefix_lengths.erase(rest.begin(), rest.end());
+    std::vector<size_t>& lengths = routes.prefix_lengths;
+    std::ranges::sort(lengths, std::greater());
+    lengths.erase(std::unique(lengths.begin(), lengths.end()), lengths.end());
   }
   for (const ForwardedTeam& team : configuration_->teams) {
     for (const std::string& key : team.keys)
--- a/Tests/Standins/small_platform.cc
+++ b/Tests/Standins/small_platform.cc
@@ -29,10 +29,11 @@
   std::string more;
   for (size_t i = 1; i <= more_routes; ++i) {
     const std::string name = "more-" + std::to_string(i);
-    more += R"({"name":")" + name +
-            R"(","host":"shop.example","pathPrefix":"/)" + name +
-            R"(/","kind":"idempotent","timeoutMs":2000,"targetLatencyMs":300,)"
-            R"("priority":1,"service":"desk","maxAttempts":2,"stages":[]},)";
+    more.append(R"({"name":")").append(name);
+    more.append(R"(","host":"shop.example","pathPrefix":"/)").append(name);
+    more.append(
+        R"(/","kind":"idempotent","timeoutMs":2000,"targetLatencyMs":300,)"
+        R"("priority":1,"service":"desk","maxAttempts":2,"stages":[]},)");
   }
   return R"({"version":)" + std::to_string(revision) + R"(,
     "routes":[)" +
