--- a/Libraries/LibForward/carrier_chooser.cc
+++ b/Libraries/LibForward/carrier_chooser.cc
@@ -37,8 +37,9 @@
     return std::nullopt;
   // Ties are broken at random, so that hosts don't all choose the same peer.
   const size_t first = random_.Below(candidates.size());
-  std::ranges::rotate(candidates,
-                      candidates.begin() + static_cast<long>(first));
+  std::rotate(candidates.begin(),
+              candidates.begin() + static_cast<ptrdiff_t>(first),
+              candidates.end());
   return **std::ranges::min_element(
       candidates, {}, [this](const PeerHost* it) { return LoadOf(*it); });
 }
--- a/Tests/LibForward/test_reach_monitor.cc
+++ b/Tests/LibForward/test_reach_monitor.cc
@@ -38,7 +38,7 @@
 
 TEST_CASE("failures at single endpoints are no cut") {
   ReachMonitor monitor = Monitor();
-  for (int i = 0; i < 10; ++i)
+  for (int64_t i = 0; i < 10; ++i)
     monitor.NoteUnreachable({"a0"}, At(100 * i), At(100 * i + 50));
   monitor.NoteUnreachable({"a1"}, At(1000), At(1050));
   CHECK_FALSE(monitor.IsCutFrom(kA));
