LibForward: A pool whose endpoints crash is not taken for a cut

Three engines that had crashed within 3 s made their pool count as cut at a host, whose health checks then didn't count any more. A pool is cut after failures at half of its endpoints now, and what is seen of processes is left out only by a host that is cut off from the endpoints of all pools.

--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -192,17 +192,13 @@
   permits_.UpdateLimitOwners();
 }
 
-// A host that can't reach the endpoint's pool knows nothing of its process.
+// A host that is cut off from all endpoints knows nothing of their processes.
+// The endpoints of a single pool may all have crashed.
 void ForwardNode::HandleChecked(const EndpointHealthChecked& event,
                                 base::TimePoint now) {
-  const auto endpoints = store_.endpoints();
-  const auto it =
-      std::ranges::find(endpoints, event.endpoint, &ListedEndpoint::name);
-  const bool is_cut =
-      it != endpoints.end() && context_.conditions().reach.IsCutFrom(it->pool);
   context_.conditions().crashes.NoteChecked(
       event.endpoint, event.incarnation,
-      is_cut ? HealthCheckResult::kUnknown : event.result, now);
+      is_cut_off() ? HealthCheckResult::kUnknown : event.result, now);
 }
 
 void ForwardNode::WatchReach(base::TimePoint now) {
--- a/Libraries/LibForward/forwarded_run_coordinator.cc
+++ b/Libraries/LibForward/forwarded_run_coordinator.cc
@@ -746,7 +746,7 @@
   else if (is_unreachable)
     reach.NoteUnreachable(run.attempt->endpoint, run.attempt->sent, now);
   // Behind a cut the connection says nothing about the endpoint.
-  else if (!run.uses_carrier && !reach.IsCutFrom(run.final_pool))
+  else if (!run.uses_carrier && !reach.is_cut_off())
     context_.conditions().crashes.NoteBroken(run.attempt->endpoint,
                                              SuspectsOf(run), now);
   FailAttempt(*caller,
--- a/Libraries/LibForward/local_dispatchers.cc
+++ b/Libraries/LibForward/local_dispatchers.cc
@@ -126,7 +126,7 @@
   if (failure != nullptr && *failure == StageCallFailure::kUnreachable)
     reach.NoteUnreachable(call.endpoint, call.sent, now);
   if (failure != nullptr && *failure == StageCallFailure::kBroken &&
-      !reach.IsCutFrom(call.at.pool))
+      !reach.is_cut_off())
     context_.conditions().crashes.NoteBroken(call.endpoint, call.suspects, now);
   const auto it = entries_.find(call.at);
   if (it == entries_.end())
--- a/Libraries/LibForward/reach_monitor.cc
+++ b/Libraries/LibForward/reach_monitor.cc
@@ -6,8 +6,8 @@
 
 namespace {
 
-// A pool counts as cut after failures at this many of its endpoints, or all if
-// it has fewer, and this many failures in all.
+// A pool counts as cut after failures at half of its endpoints, but at this
+// many of them or all if it has fewer, and this many failures in all.
 constexpr size_t kEndpointsToCut = 3;
 constexpr uint32_t kFailuresToCut = 3;
 // All pools count as cut after failures at this many endpoints of this many
@@ -103,9 +103,10 @@
   uint32_t count = 0;
   for (const auto& [name, failure] : pool.failures)
     count += failure.count;
-  return pool.failures.size() >=
-             std::min(kEndpointsToCut, pool.serving.size()) &&
-         count >= kFailuresToCut;
+  const size_t serving = pool.serving.size();
+  const size_t endpoints =
+      std::max(std::min(kEndpointsToCut, serving), (serving + 1) / 2);
+  return pool.failures.size() >= endpoints && count >= kFailuresToCut;
 }
 
 bool ReachMonitor::IsCutOff() const {
