LibForward: Crowded endpoints that refuse connections are no cut

Only probes counted as evidence that endpoints are reached. Now each answer over a new connection does, and a probe has to have failed, too, before a pool counts as cut. cut-off-hosts and carried-requests still pass.

--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -88,7 +88,8 @@
             if (it.is_connected)
               reach.NoteReached(it.endpoint, it.began, now);
             else
-              reach.NoteUnreachable(it.endpoint, it.began, now);
+              reach.NoteUnreachable(it.endpoint, ReachMonitor::Purpose::kProbe,
+                                    it.began, now);
           },
           [&](const StageCallEnded& it) { stages_.Handle(it, now); },
           [&](const ResultsFreed& it) { stages_.Handle(it); },
--- a/Libraries/LibForward/forwarded_run_coordinator.cc
+++ b/Libraries/LibForward/forwarded_run_coordinator.cc
@@ -639,8 +639,10 @@
     FailAttempt(*caller, AttemptOutcome::kFailed, "unusable stream head", now);
     return;
   }
-  if (event.head)
+  if (event.head) {
+    NoteReached(run, now);
     BeginStreaming(run, std::move(*event.head), now);
+  }
   std::string whole;
   for (StreamEvent& it : run.attempt->splitter.Add(event.bytes)) {
     whole += it.bytes;
@@ -667,6 +669,15 @@
   FailAttempt(*caller, AttemptOutcome::kFailed, "bytes without an event", now);
 }
 
+// A request that may be repeated may have gone over an open connection.
+void ForwardedRunCoordinator::NoteReached(const ForwardedRun& run,
+                                          base::TimePoint now) {
+  if (!run.attempt->carrier &&
+      run.pipeline->repeatability == declare::Repeatability::kAtMostOnce)
+    context_.conditions().reach.NoteReached(run.attempt->endpoint,
+                                            run.attempt->sent, now);
+}
+
 size_t ForwardedRunCoordinator::KeptStreamBytes(
     const base::AttemptId& attempt) const {
   const auto caller = CallerOf(attempt);
@@ -682,6 +693,7 @@
   if (!caller)
     return;
   ForwardedRun& run = runs_.at(*caller);
+  NoteReached(run, now);
   const AnswerClass answer_class = ClassifyAnswer(run, event.head);
   if (!run.uses_carrier &&
       (answer_class == AnswerClass::kPass ||
@@ -744,7 +756,8 @@
   if (run.uses_carrier && is_unreachable)
     carriers_.NoteDeclined(*run.attempt->carrier, now);
   else if (is_unreachable)
-    reach.NoteUnreachable(run.attempt->endpoint, run.attempt->sent, now);
+    reach.NoteUnreachable(run.attempt->endpoint, ReachMonitor::Purpose::kWork,
+                          run.attempt->sent, now);
   // Behind a cut the connection says nothing about the endpoint.
   else if (!run.uses_carrier && !reach.is_cut_off())
     context_.conditions().crashes.NoteBroken(run.attempt->endpoint,
--- a/Libraries/LibForward/forwarded_run_coordinator.h
+++ b/Libraries/LibForward/forwarded_run_coordinator.h
@@ -126,6 +126,8 @@
   // Whether an endpoint serves at which the run's stream can go on.
   bool CanGoOn(const ForwardedRun& run, base::TimePoint now);
   void NoteStreamBegun(const ForwardedRun& run, base::TimePoint now);
+  // The endpoint of the run's attempt has answered.
+  void NoteReached(const ForwardedRun& run, base::TimePoint now);
   // Processes the outcomes of permit or placement requests. Returns false if
   // there was none.
   template <typename Requests>
--- a/Libraries/LibForward/local_dispatchers.cc
+++ b/Libraries/LibForward/local_dispatchers.cc
@@ -124,7 +124,8 @@
   const auto* failure = std::get_if<StageCallFailure>(&event.outcome);
   ReachMonitor& reach = context_.conditions().reach;
   if (failure != nullptr && *failure == StageCallFailure::kUnreachable)
-    reach.NoteUnreachable(call.endpoint, call.sent, now);
+    reach.NoteUnreachable(call.endpoint, ReachMonitor::Purpose::kWork,
+                          call.sent, now);
   if (failure != nullptr && *failure == StageCallFailure::kBroken &&
       !reach.is_cut_off())
     context_.conditions().crashes.NoteBroken(call.endpoint, call.suspects, now);
--- a/Libraries/LibForward/reach_monitor.cc
+++ b/Libraries/LibForward/reach_monitor.cc
@@ -14,6 +14,9 @@
 // pools.
 constexpr size_t kEndpointsToCutOff = 4;
 constexpr size_t kPoolsToCutOff = 2;
+// In either case a probe has to have failed in each of these pools: endpoints
+// that crowds keep busy, or that crash at the same moment, refuse connections,
+// too.
 // Probes are sent after failures at this many endpoints.
 constexpr size_t kEndpointsToProbe = 2;
 // How long a failure counts if it doesn't lead to a cut.
@@ -48,6 +51,7 @@
 }
 
 void ReachMonitor::NoteUnreachable(const base::EndpointName& name,
+                                   Purpose purpose,
                                    base::TimePoint began,
                                    base::TimePoint now) {
   Pool* const pool = PoolOf(name);
@@ -56,6 +60,7 @@
   Failure& failure = pool->failures[name];
   failure.began = std::max(failure.began, began);
   ++failure.count;
+  failure.has_failed_probe |= purpose == Purpose::kProbe;
   Judge(now);
 }
 
@@ -101,23 +106,30 @@
 
 bool ReachMonitor::IsCut(const Pool& pool) {
   uint32_t count = 0;
-  for (const auto& [name, failure] : pool.failures)
+  bool has_failed_probe = false;
+  for (const auto& [name, failure] : pool.failures) {
     count += failure.count;
+    has_failed_probe |= failure.has_failed_probe;
+  }
   const size_t serving = pool.serving.size();
   const size_t endpoints =
       std::max(std::min(kEndpointsToCut, serving), (serving + 1) / 2);
-  return pool.failures.size() >= endpoints && count >= kFailuresToCut;
+  return has_failed_probe && pool.failures.size() >= endpoints &&
+         count >= kFailuresToCut;
 }
 
 bool ReachMonitor::IsCutOff() const {
   size_t endpoints = 0;
   size_t pools = 0;
   for (const auto& [name, pool] : pools_) {
-    const auto n = static_cast<size_t>(std::ranges::count_if(
-        pool.failures,
-        [this](const auto& it) { return it.second.began > reached_as_of_; }));
-    endpoints += n;
-    pools += n > 0 ? 1 : 0;
+    bool has_failed_probe = false;
+    for (const auto& [endpoint, failure] : pool.failures) {
+      if (failure.began <= reached_as_of_)
+        continue;
+      ++endpoints;
+      has_failed_probe |= failure.has_failed_probe;
+    }
+    pools += has_failed_probe ? 1 : 0;
   }
   return endpoints >= kEndpointsToCutOff && pools >= kPoolsToCutOff;
 }
--- a/Libraries/LibForward/reach_monitor.h
+++ b/Libraries/LibForward/reach_monitor.h
@@ -25,8 +25,12 @@
 
   void SetEndpoints(std::span<const ListedEndpoint> endpoints,
                     base::TimePoint now);
+  // Why a connection was begun.
+  enum class Purpose { kWork, kProbe };
+
   // A connection that was begun at `began` could not be made.
   void NoteUnreachable(const base::EndpointName& name,
+                       Purpose purpose,
                        base::TimePoint began,
                        base::TimePoint now);
   // A connection that was begun at `began` was made.
@@ -51,6 +55,7 @@
   struct Failure {
     base::TimePoint began;  // Of the latest failed connection.
     uint32_t count = 0;
+    bool has_failed_probe = false;
   };
   struct Pool {
     std::vector<ListedEndpoint> serving;
