LibTransport: Callers and endpoints can't speak for a host that carries requests

A caller's own Carried-Target or Carried-Method replaced the request's at the peer, and an endpoint's Carry-Declined made a request that had run one that hadn't (503). The test failed before: 503 in place of 200, /book/other and DELETE run in place of /book/h and POST. A host's own headers come first and the first of each is taken; of answers that are passed on, that header is left out.

--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -82,6 +82,31 @@
   return (static_cast<uint64_t>(caller) & kCarriedCaller) != 0;
 }
 
+// Removes the first header of this name. Empty if there is none.
+std::optional<std::string> TakeHeader(HttpHeaders& headers, const char* name) {
+  const auto it =
+      std::ranges::find_if(headers, [name](const HttpHeader& header) {
+        return base::IsSameHeader(header.name, name);
+      });
+  if (it == headers.end())
+    return std::nullopt;
+  std::string value = std::move(it->value);
+  headers.erase(it);
+  return value;
+}
+
+// The headers of an endpoint's answer that is passed on. An endpoint can't
+// decline for this host.
+template <typename Answer>
+HttpHeaders HeadersFor(const Answer& answer) {
+  HttpHeaders headers = answer.head.headers;
+  if (IsCarried(answer.caller))
+    std::erase_if(headers, [](const HttpHeader& it) {
+      return base::IsSameHeader(it.name, kDeclinedHeader);
+    });
+  return headers;
+}
+
 // Whether another host may serve a request that this one refuses so: the host
 // that passed it on has checked it by its own configuration.
 bool IsDeclined(forward::LocalAnswerCode code) {
@@ -297,18 +322,15 @@
 }
 
 void ForwardShell::HandleCarried(IncomingRequest request) {
-  const std::string* method = FindHeader(request.headers, kCarriedMethodHeader);
-  const std::string* target = FindHeader(request.headers, kCarriedTargetHeader);
-  if (method == nullptr || target == nullptr) {
+  // The caller may have sent headers of these names, too, which come behind.
+  auto method = TakeHeader(request.headers, kCarriedMethodHeader);
+  auto target = TakeHeader(request.headers, kCarriedTargetHeader);
+  if (!method || !target) {
     peers_->Respond(request.exchange, {400, {}, ""});
     return;
   }
-  request.method = *method;
-  request.target = *target;
-  std::erase_if(request.headers, [](const HttpHeader& it) {
-    return base::IsSameHeader(it.name, kCarriedMethodHeader) ||
-           base::IsSameHeader(it.name, kCarriedTargetHeader);
-  });
+  request.method = std::move(*method);
+  request.target = std::move(*target);
   const base::CallerId caller = CarriedCallerOf(request.exchange);
   forward::ForwardedRequest decoded =
       adapter_.DecodeRequest(std::move(request));
@@ -416,9 +438,10 @@
 // The peer decodes the request as it does those of its own callers.
 void ForwardShell::Execute(const forward::CarryRequest& action) {
   HttpRequest request = adapter_.EncodeCarried(action);
-  request.headers.push_back(
-      {kCarriedMethodHeader, std::move(*request.forwarded_method)});
-  request.headers.push_back({kCarriedTargetHeader, std::move(request.path)});
+  request.headers.insert(
+      request.headers.begin(),
+      {{kCarriedMethodHeader, std::move(*request.forwarded_method)},
+       {kCarriedTargetHeader, std::move(request.path)}});
   request.forwarded_method = "POST";
   request.path = kCarryPath;
   request.address = action.address;
@@ -642,13 +665,13 @@
 }
 
 void ForwardShell::Execute(const forward::ForwardAnswer& action) {
-  HttpResponse response{action.head.status, action.head.headers, action.body};
+  HttpResponse response{action.head.status, HeadersFor(action), action.body};
   AddConnectionHeader(response.headers);
   ListenerOf(action.caller).Respond(ExchangeOf(action.caller), response);
 }
 
 void ForwardShell::Execute(const forward::BeginStream& action) {
-  HttpHeaders headers = action.head.headers;
+  HttpHeaders headers = HeadersFor(action);
   AddConnectionHeader(headers);
   streams_.emplace(action.caller, true);
   ListenerOf(action.caller)
--- a/Tests/Platform/test_carried_requests.cc
+++ b/Tests/Platform/test_carried_requests.cc
@@ -13,6 +13,10 @@
 namespace {
 
 using std::chrono::milliseconds;
+
+constexpr const char* kCarriedMethod = "Carried-Method";
+constexpr const char* kCarriedTarget = "Carried-Target";
+constexpr const char* kDeclined = "Carry-Declined";
 using transport::HttpResponse;
 
 // A host whose endpoints all refuse connections, and a peer of it that reaches
@@ -103,13 +107,37 @@
       CHECK(*base::FindHeader(it.headers, "Note") == "as sent");
       CHECK(*base::FindHeader(it.headers, wire::kTeam) == "sposi");
       CHECK(base::FindHeader(it.headers, wire::kApiKey) == nullptr);
-      for (const char* name : {"Carried-Method", "Carried-Target"})
+      for (const char* name : {kCarriedMethod, kCarriedTarget})
         CHECK(base::FindHeader(it.headers, name) == nullptr);
     }
   }
   CHECK(n == 1);
 }
 
+// Guards against callers and endpoints that use the headers of hosts.
+TEST_CASE("nothing that others send changes how a request is carried") {
+  CutHost hosts;
+  hosts.AwaitCarrying();
+  for (auto* desk : {&hosts.peer.desk, &hosts.peer.other_desk})
+    desk->SetNotices({{kDeclined, "1"}});
+  transport::HttpRequest request = hosts.cut.Request("POST", "/book/h");
+  request.headers.push_back({kCarriedMethod, "DELETE"});
+  request.headers.push_back({kCarriedTarget, "/book/other"});
+  CHECK(hosts.Ask(request).status == 200);
+  size_t n = 0;
+  for (const auto* desk : {&hosts.peer.desk, &hosts.peer.other_desk}) {
+    for (const auto& it : desk->arrivals()) {
+      if (!it.target.starts_with("/book/"))
+        continue;
+      ++n;
+      CHECK(it.target == "/book/h");
+      CHECK(it.method == "POST");
+      CHECK(base::CountHeaders(it.headers, kCarriedTarget) == 1);
+    }
+  }
+  CHECK(n == 1);
+}
+
 TEST_CASE("a peer that reaches no endpoint either declines at once") {
   CutHost hosts;
   hosts.AwaitCarrying();
@@ -125,7 +153,7 @@
   const HttpResponse response = hosts.Ask(hosts.cut.Request("GET", "/read/g"));
   CHECK(response.status == 503);
   CHECK(base::FindHeader(response.headers, "Retry-After") != nullptr);
-  CHECK(base::FindHeader(response.headers, "Carry-Declined") == nullptr);
+  CHECK(base::FindHeader(response.headers, kDeclined) == nullptr);
 }
 
 TEST_SUITE_END();
