--- a/Libraries/LibForward/peer_directory.cc
+++ b/Libraries/LibForward/peer_directory.cc
@@ -1,6 +1,5 @@
 #include "LibForward/peer_directory.h"
 
-#include <map>
 #include <utility>
 
 #include "LibForward/relay_poller.h"
@@ -20,18 +19,11 @@
 }
 
 void PeerDirectory::UpdateStoreSyncSources() {
-  std::set<base::ZoneName> zones;
-  for (const PeerHost& it : assignment_.listed_hosts())
-    zones.insert(it.zone);
-  std::map<base::HostName, PeerHost> found;
-  for (const base::ZoneName& zone : zones) {
-    for (PeerHost& it : RelaysOf(assignment_.listed_hosts(), zone))
-      found.emplace(it.name, std::move(it));
-  }
-  is_store_sync_source_ = found.erase(context_.options().own.name) > 0;
-  store_sync_sources_.clear();
-  for (auto& [name, host] : found)
-    store_sync_sources_.push_back(std::move(host));
+  store_sync_sources_ = RelaysOfAllZones(assignment_.listed_hosts());
+  is_store_sync_source_ =
+      std::erase_if(store_sync_sources_, [this](const PeerHost& it) {
+        return it.name == context_.options().own.name;
+      }) > 0;
 }
 
 void PeerDirectory::NoteChanged(base::TimePoint now) {
--- a/Libraries/LibForward/relay_poller.cc
+++ b/Libraries/LibForward/relay_poller.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -55,6 +56,21 @@
   return relays;
 }
 
+std::vector<PeerHost> RelaysOfAllZones(std::span<const PeerHost> hosts) {
+  std::set<base::ZoneName> zones;
+  for (const PeerHost& it : hosts)
+    zones.insert(it.zone);
+  std::map<base::HostName, PeerHost> found;
+  for (const base::ZoneName& zone : zones) {
+    for (PeerHost& it : RelaysOf(hosts, zone))
+      found.emplace(it.name, std::move(it));
+  }
+  std::vector<PeerHost> relays;
+  for (auto& [name, host] : found)
+    relays.push_back(std::move(host));
+  return relays;
+}
+
 void RelayPoller::SetHosts(std::span<const PeerHost> hosts) {
   peers_.clear();
   std::ranges::copy_if(
@@ -67,7 +83,9 @@
   std::vector<PeerHost> relays = RelaysOf(hosts, own_.zone);
   // Relays follow the store themselves.
   if (std::ranges::find(relays, own_.name, &PeerHost::name) != relays.end()) {
-    SetOtherRelays(hosts);
+    other_relays_ = RelaysOfAllZones(hosts);
+    std::erase_if(other_relays_,
+                  [this](const PeerHost& it) { return it.name == own_.name; });
     return;
   }
   relays_ = std::move(relays);
@@ -75,19 +93,6 @@
       RendezvousWeight(own_.name.value, own_.zone.value) % relays_.size();
 }
 
-void RelayPoller::SetOtherRelays(std::span<const PeerHost> hosts) {
-  std::set<base::ZoneName> zones;
-  for (const PeerHost& it : hosts)
-    zones.insert(it.zone);
-  std::set<base::HostName> seen{own_.name};
-  for (const base::ZoneName& zone : zones) {
-    for (PeerHost& it : RelaysOf(hosts, zone)) {
-      if (seen.insert(it.name).second)
-        other_relays_.push_back(std::move(it));
-    }
-  }
-}
-
 std::optional<PeerHost> RelayPoller::TakeDue(base::TimePoint now) {
   if (peers_.empty() || is_polling_ || now < next_poll_)
     return std::nullopt;
--- a/Libraries/LibForward/relay_poller.h
+++ b/Libraries/LibForward/relay_poller.h
@@ -17,6 +17,9 @@
 std::vector<PeerHost> RelaysOf(std::span<const PeerHost> hosts,
                                const base::ZoneName& zone);
 
+// Returns the relays of all zones, each once, by their names.
+std::vector<PeerHost> RelaysOfAllZones(std::span<const PeerHost> hosts);
+
 // Decides which other host this one polls for updates of the store, and when.
 // In a large fleet a few hosts of each zone follow the store and the others
 // poll one of these relays; in a small fleet each host follows the store
@@ -49,7 +52,6 @@
   std::optional<base::TimePoint> NextWakeup() const;
 
  private:
-  void SetOtherRelays(std::span<const PeerHost> hosts);
   void PollAfter(base::Duration delay, base::TimePoint now);
 
   PeerHost own_;
