--- a/Libraries/LibForward/answer_timeouts.h
+++ b/Libraries/LibForward/answer_timeouts.h
@@ -12,4 +12,7 @@
   std::chrono::milliseconds stall{0};
 };
 
+// For answers that bring tables, or parts of them.
+inline constexpr std::chrono::milliseconds kStallTimeout{1000};
+
 }  // namespace bilberry::forward
--- a/Libraries/LibForward/feed_follower.cc
+++ b/Libraries/LibForward/feed_follower.cc
@@ -19,7 +19,6 @@
 // timeout until its answer begins. Together with the backoff after a failed
 // call it bounds how long a host works without a store that is reachable again.
 constexpr std::chrono::milliseconds kFollowMargin{1000};
-constexpr std::chrono::milliseconds kStallTimeout{1000};
 
 }  // namespace
 
--- a/Libraries/LibForward/store_synchronizer.cc
+++ b/Libraries/LibForward/store_synchronizer.cc
@@ -33,7 +33,7 @@
 // reach the store either.
 constexpr std::chrono::milliseconds kProbeInterval{2000};
 constexpr AnswerTimeouts kStoreSyncTimeouts{std::chrono::milliseconds(600),
-                                            std::chrono::milliseconds(1000)};
+                                            kStallTimeout};
 
 }  // namespace
 
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -44,7 +44,7 @@
 constexpr std::chrono::milliseconds kFreeTimeout{1000};
 constexpr std::chrono::milliseconds kHealthCheckTimeout{500};
 constexpr forward::AnswerTimeouts kStoreTimeouts{
-    std::chrono::milliseconds(1500), std::chrono::milliseconds(1000)};
+    std::chrono::milliseconds(1500), forward::kStallTimeout};
 // Subtracted from the grace period of a shutdown, to leave time for writing the
 // last answers.
 constexpr std::chrono::milliseconds kStopMargin{1000};
