LibForward: Keep the order in which relays are drawn

With relays ordered by name a check of large-configurations failed (one of 68 hosts late by 0.4 s). The order is again zone by zone; who needs names sorts.

--- a/Libraries/LibForward/peer_directory.cc
+++ b/Libraries/LibForward/peer_directory.cc
@@ -1,5 +1,6 @@
 #include "LibForward/peer_directory.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "LibForward/relay_poller.h"
@@ -20,6 +21,7 @@
 
 void PeerDirectory::UpdateStoreSyncSources() {
   store_sync_sources_ = RelaysOfAllZones(assignment_.listed_hosts());
+  std::ranges::sort(store_sync_sources_, {}, &PeerHost::name);
   is_store_sync_source_ =
       std::erase_if(store_sync_sources_, [this](const PeerHost& it) {
         return it.name == context_.options().own.name;
--- a/Libraries/LibForward/relay_poller.cc
+++ b/Libraries/LibForward/relay_poller.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <map>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -60,14 +59,14 @@
   std::set<base::ZoneName> zones;
   for (const PeerHost& it : hosts)
     zones.insert(it.zone);
-  std::map<base::HostName, PeerHost> found;
+  std::set<base::HostName> seen;
+  std::vector<PeerHost> relays;
   for (const base::ZoneName& zone : zones) {
-    for (PeerHost& it : RelaysOf(hosts, zone))
-      found.emplace(it.name, std::move(it));
+    for (PeerHost& it : RelaysOf(hosts, zone)) {
+      if (seen.insert(it.name).second)
+        relays.push_back(std::move(it));
+    }
   }
-  std::vector<PeerHost> relays;
-  for (auto& [name, host] : found)
-    relays.push_back(std::move(host));
   return relays;
 }
 
--- a/Libraries/LibForward/relay_poller.h
+++ b/Libraries/LibForward/relay_poller.h
@@ -17,7 +17,7 @@
 std::vector<PeerHost> RelaysOf(std::span<const PeerHost> hosts,
                                const base::ZoneName& zone);
 
-// Returns the relays of all zones, each once, by their names.
+// Returns the relays of all zones, each once, zone by zone.
 std::vector<PeerHost> RelaysOfAllZones(std::span<const PeerHost> hosts);
 
 // Decides which other host this one polls for updates of the store, and when.
