--- a/Libraries/LibEmulation/emulation.cc
+++ b/Libraries/LibEmulation/emulation.cc
@@ -612,16 +612,17 @@
   DeliverToPeer(host, *to, std::move(request));
 }
 
-bool Emulation::AnswerCarried(base::CallerId caller, forward::Event answer) {
-  const auto it = carried_.find(caller);
-  if (it == carried_.end())
-    return false;
-  DeliverToPeer(it->second.carrier, it->second.from, std::move(answer));
-  return true;
+void Emulation::AnswerCarried(const CarriedRequest& carried,
+                              forward::Event answer) {
+  DeliverToPeer(carried.carrier, carried.from, std::move(answer));
 }
 
-void Emulation::EndCarried(base::CallerId caller) {
-  carried_.erase(caller);
+std::optional<Emulation::CarriedRequest> Emulation::TakeCarried(
+    base::CallerId caller) {
+  auto node = carried_.extract(caller);
+  if (node.empty())
+    return std::nullopt;
+  return std::move(node.mapped());
 }
 
 void Emulation::Execute(size_t host, const forward::ProbeEndpoint& action) {
@@ -641,7 +642,7 @@
   const auto it = carried_.find(action.caller);
   if (it != carried_.end())
     AnswerCarried(
-        action.caller,
+        it->second,
         forward::AttemptChunk{it->second.attempt, std::nullopt, action.bytes});
 }
 
@@ -659,20 +660,18 @@
 }
 
 void Emulation::Execute(size_t /*host*/, const forward::AnswerCaller& action) {
-  if (const auto it = carried_.find(action.caller); it != carried_.end()) {
-    const base::AttemptId attempt = it->second.attempt;
+  if (const auto carried = TakeCarried(action.caller)) {
     if (action.code == forward::LocalAnswerCode::kCutOff) {
-      AnswerCarried(
-          action.caller,
-          forward::AttemptFailure{
-              attempt, forward::AttemptFailureKind::kUnreachable, "declined"});
-    } else {
-      forward::AnswerHead head;
-      head.status = kUnavailable;
-      head.echoed_request_id = it->second.request_id;
-      AnswerCarried(action.caller, forward::AttemptAnswer{attempt, head, ""});
+      AnswerCarried(*carried,
+                    forward::AttemptFailure{
+                        carried->attempt,
+                        forward::AttemptFailureKind::kUnreachable, "declined"});
+      return;
     }
-    EndCarried(action.caller);
+    forward::AnswerHead head;
+    head.status = kUnavailable;
+    head.echoed_request_id = carried->request_id;
+    AnswerCarried(*carried, forward::AttemptAnswer{carried->attempt, head, ""});
     return;
   }
   host_of_caller_.erase(action.caller);
@@ -696,7 +695,7 @@
 
 void Emulation::Execute(size_t /*host*/, const forward::BeginStream& action) {
   if (const auto it = carried_.find(action.caller); it != carried_.end()) {
-    AnswerCarried(action.caller,
+    AnswerCarried(it->second,
                   forward::AttemptChunk{it->second.attempt, action.head, ""});
     return;
   }
@@ -704,20 +703,19 @@
 }
 
 void Emulation::Execute(size_t /*host*/, const forward::EndStream& action) {
-  if (const auto it = carried_.find(action.caller); it != carried_.end()) {
-    const base::AttemptId attempt = it->second.attempt;
+  if (const auto carried = TakeCarried(action.caller)) {
+    if (action.outcome == forward::StreamOutcome::kCut) {
+      AnswerCarried(*carried,
+                    forward::AttemptFailure{
+                        carried->attempt, forward::AttemptFailureKind::kBroken,
+                        "the peer's stream broke off"});
+      return;
+    }
     forward::AnswerHead head;
     head.status = 200;
-    head.echoed_request_id = it->second.request_id;
+    head.echoed_request_id = carried->request_id;
     head.is_sealed = true;
-    if (action.outcome == forward::StreamOutcome::kWhole)
-      AnswerCarried(action.caller, forward::AttemptAnswer{attempt, head, ""});
-    else
-      AnswerCarried(
-          action.caller,
-          forward::AttemptFailure{attempt, forward::AttemptFailureKind::kBroken,
-                                  "the peer's stream broke off"});
-    EndCarried(action.caller);
+    AnswerCarried(*carried, forward::AttemptAnswer{carried->attempt, head, ""});
     return;
   }
   host_of_caller_.erase(action.caller);
--- a/Libraries/LibEmulation/emulation.h
+++ b/Libraries/LibEmulation/emulation.h
@@ -127,10 +127,11 @@
   void Execute(size_t host, const forward::CarryRequest& action);
   void Execute(size_t host, const forward::ProbeEndpoint& action);
   void Execute(size_t host, const forward::StreamToCaller& action);
-  // Answers the host that passed the request on. Returns false if the caller is
-  // none such.
-  bool AnswerCarried(base::CallerId caller, forward::Event answer);
-  void EndCarried(base::CallerId caller);
+  // Answers the host that passed the request on.
+  void AnswerCarried(const CarriedRequest& carried, forward::Event answer);
+  // Removes the request of a caller for whom a host passed it on; empty if the
+  // caller is none such.
+  std::optional<CarriedRequest> TakeCarried(base::CallerId caller);
   void Execute(size_t host, const forward::CancelAttempt& action);
   void Execute(size_t host, const forward::CheckEndpointHealth& action);
   void Execute(size_t host, const forward::AnswerCaller& action);
--- a/Libraries/LibForward/admission_control.cc
+++ b/Libraries/LibForward/admission_control.cc
@@ -148,7 +148,7 @@
       Refuse(*run.request, run, {LocalAnswerCode::kCutOff, {}, {}, {}});
       return std::nullopt;
     }
-    run.uses_carrier = carriers_.Choose({}, now).has_value();
+    run.uses_carrier = carriers_.HasAny(now);
     if (run.uses_carrier)
       return run;
   }
--- a/Libraries/LibForward/admission_control.h
+++ b/Libraries/LibForward/admission_control.h
@@ -29,7 +29,7 @@
                    EndpointChooser& chooser,
                    const RunPlacements& placements,
                    const StreamVersions& streams,
-                   CarrierChooser& carriers,
+                   const CarrierChooser& carriers,
                    base::Random& random)
       : context_(context),
         stage_job_router_(stages),
@@ -73,7 +73,7 @@
   EndpointChooser& chooser_;
   const RunPlacements& placements_;
   const StreamVersions& stream_versions_;
-  CarrierChooser& carriers_;
+  const CarrierChooser& carriers_;
   base::Random& random_;
   std::shared_ptr<const ForwardConfiguration> configuration_;
   RouteIndex routes_;  // Of that configuration.
--- a/Libraries/LibForward/carrier_chooser.cc
+++ b/Libraries/LibForward/carrier_chooser.cc
@@ -21,18 +21,26 @@
   return host.zone == own_.zone ? load : load * kOtherZoneFactor;
 }
 
-std::optional<PeerHost> CarrierChooser::Choose(
+std::vector<const PeerHost*> CarrierChooser::CandidatesOf(
     std::span<const base::HostName> tried,
-    base::TimePoint now) {
-  std::erase_if(avoided_until_,
-                [now](const auto& it) { return it.second <= now; });
+    base::TimePoint now) const {
   std::vector<const PeerHost*> candidates;
   for (const PeerHost& it : peers_.assignment().listed_hosts()) {
-    if (it.name != own_.name && !avoided_until_.contains(it.name) &&
+    const auto avoided = avoided_until_.find(it.name);
+    const bool is_avoided =
+        avoided != avoided_until_.end() && now < avoided->second;
+    if (it.name != own_.name && !is_avoided &&
         !peers_.assignment().IsSuspect(it.name) &&
         std::ranges::find(tried, it.name) == tried.end())
       candidates.push_back(&it);
   }
+  return candidates;
+}
+
+std::optional<PeerHost> CarrierChooser::Choose(
+    std::span<const base::HostName> tried,
+    base::TimePoint now) {
+  std::vector<const PeerHost*> candidates = CandidatesOf(tried, now);
   if (candidates.empty())
     return std::nullopt;
   // Ties are broken at random, so that hosts don't all choose the same peer.
@@ -52,6 +60,8 @@
 
 void CarrierChooser::NoteDeclined(const base::HostName& host,
                                   base::TimePoint now) {
+  std::erase_if(avoided_until_,
+                [now](const auto& it) { return it.second <= now; });
   avoided_until_[host] = now + kDeclinedTime;
 }
 
--- a/Libraries/LibForward/carrier_chooser.h
+++ b/Libraries/LibForward/carrier_chooser.h
@@ -4,6 +4,8 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <utility>
+#include <vector>
 
 #include "LibBase/random.h"
 #include "LibForward/peer_directory.h"
@@ -20,6 +22,10 @@
   CarrierChooser(const PeerDirectory& peers, PeerHost own, uint64_t seed)
       : peers_(peers), own_(std::move(own)), random_(seed) {}
 
+  // Whether there is any peer to choose.
+  bool HasAny(base::TimePoint now) const {
+    return !CandidatesOf({}, now).empty();
+  }
   // Returns one that isn't among `tried`; empty if there is none.
   std::optional<PeerHost> Choose(std::span<const base::HostName> tried,
                                  base::TimePoint now);
@@ -30,6 +36,9 @@
   void NoteDeclined(const base::HostName& host, base::TimePoint now);
 
  private:
+  std::vector<const PeerHost*> CandidatesOf(
+      std::span<const base::HostName> tried,
+      base::TimePoint now) const;
   // Requests of this host at the peer, with one more, for the peer's size.
   double LoadOf(const PeerHost& host) const;
 
--- a/Libraries/LibForward/forward_node.cc
+++ b/Libraries/LibForward/forward_node.cc
@@ -227,7 +227,7 @@
                    {{"pool", pool.value}});
   }
   cut_pools_ = std::move(cut);
-  stages_.GiveUpUnreachable(now);
+  stages_.GiveUpUnreachable();
   runs_.CarryUnreachable(now);
 }
 
--- a/Libraries/LibForward/forwarded_run.h
+++ b/Libraries/LibForward/forwarded_run.h
@@ -48,9 +48,6 @@
   std::string software_version = {};  // Of the endpoint.
   // Bytes of whole events without data since the last one with data.
   size_t bytes_without_data = 0;
-  // Set if a peer carries the request: `endpoint` is empty then, and `address`
-  // the peer's.
-  std::optional<base::HostName> carrier = std::nullopt;
 };
 
 // A placement that the run has not used yet.
@@ -109,7 +106,8 @@
   // crashed under it.
   bool is_undecided = false;
   // Whether a peer carries the request, with its stages, because this host
-  // can't reach the final pool's endpoints.
+  // can't reach the final pool's endpoints. An attempt is one at the peer that
+  // was tried last then, and has no endpoint.
   bool uses_carrier = false;
   std::vector<base::HostName> carriers_tried;
   std::vector<base::EndpointName> tried;
--- a/Libraries/LibForward/forwarded_run_coordinator.cc
+++ b/Libraries/LibForward/forwarded_run_coordinator.cc
@@ -521,7 +521,7 @@
   return !run.uses_carrier && !run.request->is_carried && !run.may_have_run() &&
          !run.has_begun_stream && is_sending_ &&
          context_.conditions().reach.IsCutFrom(run.final_pool) &&
-         carriers_.Choose({}, now).has_value();
+         carriers_.HasAny(now);
 }
 
 void ForwardedRunCoordinator::CarryUnreachable(base::TimePoint now) {
@@ -566,7 +566,6 @@
   run.attempt->id = carry.attempt;
   run.attempt->address = peer->address;
   run.attempt->sent = now;
-  run.attempt->carrier = peer->name;
   run.carriers_tried.push_back(peer->name);
   carriers_.NoteBegun(peer->name);
   attempts_.emplace(carry.attempt.number, caller);
@@ -589,7 +588,7 @@
     const ForwardedRun& run,
     const AnswerHead& head) const {
   // What a peer answers has been judged there.
-  if (run.attempt->carrier)
+  if (run.uses_carrier)
     return head.echoed_request_id == run.request->request_id
                ? AnswerClass::kPass
                : AnswerClass::kInvalid;
@@ -614,7 +613,7 @@
 void ForwardedRunCoordinator::BeginStreaming(ForwardedRun& run,
                                              AnswerHead head,
                                              base::TimePoint now) {
-  if (!run.attempt->carrier)
+  if (!run.uses_carrier)
     run_times_.NoteFirstByte(run, now);
   run.attempt->has_begun = true;
   if (!run.first_byte)
@@ -672,7 +671,7 @@
 // A request that may be repeated may have gone over an open connection.
 void ForwardedRunCoordinator::NoteReached(const ForwardedRun& run,
                                           base::TimePoint now) {
-  if (!run.attempt->carrier &&
+  if (!run.uses_carrier &&
       run.pipeline->repeatability == declare::Repeatability::kAtMostOnce)
     context_.conditions().reach.NoteReached(run.attempt->endpoint,
                                             run.attempt->sent, now);
@@ -754,7 +753,7 @@
   ReachMonitor& reach = context_.conditions().reach;
   const bool is_unreachable = event.kind == AttemptFailureKind::kUnreachable;
   if (run.uses_carrier && is_unreachable)
-    carriers_.NoteDeclined(*run.attempt->carrier, now);
+    carriers_.NoteDeclined(run.carriers_tried.back(), now);
   else if (is_unreachable)
     reach.NoteUnreachable(run.attempt->endpoint, ReachMonitor::Purpose::kWork,
                           run.attempt->sent, now);
@@ -772,8 +771,8 @@
 void ForwardedRunCoordinator::EndAttempt(ForwardedRun& run,
                                          AttemptOutcome outcome,
                                          base::TimePoint now) {
-  if (run.attempt->carrier) {
-    carriers_.NoteEnded(*run.attempt->carrier);
+  if (run.uses_carrier) {
+    carriers_.NoteEnded(run.carriers_tried.back());
   } else {
     chooser_.NoteEnded(run.attempt->endpoint, outcome, run.attempt->is_suspect,
                        now);
--- a/Libraries/LibForward/reach_monitor.cc
+++ b/Libraries/LibForward/reach_monitor.cc
@@ -7,16 +7,15 @@
 namespace {
 
 // A pool counts as cut after failures at half of its endpoints, but at this
-// many of them or all if it has fewer, and this many failures in all.
+// many of them or all if it has fewer, and this many failures in all. One of
+// them has to be a probe's, as endpoints that crowds keep busy, or that crash
+// at the same moment, refuse connections as well.
 constexpr size_t kEndpointsToCut = 3;
 constexpr uint32_t kFailuresToCut = 3;
-// All pools count as cut after failures at this many endpoints of this many
-// pools.
+// All pools count as cut after failures at this many endpoints, and failures of
+// probes in this many pools.
 constexpr size_t kEndpointsToCutOff = 4;
 constexpr size_t kPoolsToCutOff = 2;
-// In either case a probe has to have failed in each of these pools: endpoints
-// that crowds keep busy, or that crash at the same moment, refuse connections,
-// too.
 // Probes are sent after failures at this many endpoints.
 constexpr size_t kEndpointsToProbe = 2;
 // How long a failure counts if it doesn't lead to a cut.
@@ -149,11 +148,17 @@
     ++changes_;
 }
 
+bool ReachMonitor::HasCut() const {
+  return is_cut_off_ || std::ranges::any_of(pools_, [](const auto& it) {
+           return it.second.is_cut;
+         });
+}
+
 bool ReachMonitor::IsSuspicious() const {
   size_t endpoints = 0;
   for (const auto& [name, pool] : pools_)
     endpoints += pool.failures.size();
-  return endpoints >= kEndpointsToProbe || !CutPools().empty();
+  return endpoints >= kEndpointsToProbe || HasCut();
 }
 
 // One that hasn't failed tells more.
@@ -169,9 +174,10 @@
 
 std::vector<ListedEndpoint> ReachMonitor::TakeDueProbes(base::TimePoint now) {
   std::vector<ListedEndpoint> probed;
-  if (now < next_probe_)
+  // Nearly always there is no suspicion.
+  if (now < next_probe_ || !IsSuspicious())
     return probed;
-  Judge(now);
+  DropOldFailures(now);
   if (!IsSuspicious())
     return probed;
   next_probe_ = now + kProbeInterval;
--- a/Libraries/LibForward/reach_monitor.h
+++ b/Libraries/LibForward/reach_monitor.h
@@ -65,6 +65,7 @@
   };
 
   Pool* PoolOf(const base::EndpointName& name);
+  bool HasCut() const;
   bool IsSuspicious() const;
   void DropOldFailures(base::TimePoint now);
   void Judge(base::TimePoint now);
--- a/Libraries/LibForward/stage_job_router.cc
+++ b/Libraries/LibForward/stage_job_router.cc
@@ -212,7 +212,7 @@
       base::Duration(0)});
 }
 
-void StageJobRouter::GiveUpUnreachable(base::TimePoint /*now*/) {
+void StageJobRouter::GiveUpUnreachable() {
   for (auto it = peer_jobs_.begin(); it != peer_jobs_.end();) {
     const auto& [at, job] = it->second;
     if (!context_.conditions().reach.IsCutFrom(at.pool)) {
--- a/Libraries/LibForward/stage_job_router.h
+++ b/Libraries/LibForward/stage_job_router.h
@@ -58,7 +58,7 @@
   }
 
   // Hands the jobs of peers back whose endpoints this host can't reach.
-  void GiveUpUnreachable(base::TimePoint now);
+  void GiveUpUnreachable();
   // Starts the calls and sends the answers that are due.
   void Dispatch(base::TimePoint now);
   std::optional<base::TimePoint> NextWakeup() const;
--- a/Libraries/LibTransport/forward_shell.cc
+++ b/Libraries/LibTransport/forward_shell.cc
@@ -142,6 +142,12 @@
   return request;
 }
 
+node::ConnectionUse ConnectionUseOf(declare::Repeatability repeatability) {
+  return repeatability == declare::Repeatability::kRepeatable
+             ? node::ConnectionUse::kPooled
+             : node::ConnectionUse::kFresh;
+}
+
 void SetTimeouts(HttpRequest& request,
                  const forward::AnswerTimeouts& timeouts) {
   request.timeout = timeouts.first_byte;
@@ -425,10 +431,7 @@
 
 void ForwardShell::Execute(const forward::SendAttempt& action) {
   HttpRequest request = adapter_.EncodeAttempt(action);
-  request.connection =
-      action.repeatability == declare::Repeatability::kRepeatable
-          ? node::ConnectionUse::kPooled
-          : node::ConnectionUse::kFresh;
+  request.connection = ConnectionUseOf(action.repeatability);
   Attempt& attempt = attempts_[action.attempt.number];
   attempt.endpoint = action.endpoint;
   attempt.incarnation = action.incarnation;
@@ -445,10 +448,7 @@
   request.forwarded_method = "POST";
   request.path = kCarryPath;
   request.address = action.address;
-  request.connection =
-      action.repeatability == declare::Repeatability::kRepeatable
-          ? node::ConnectionUse::kPooled
-          : node::ConnectionUse::kFresh;
+  request.connection = ConnectionUseOf(action.repeatability);
   attempts_[action.attempt.number].is_carried = true;
   Send(action.attempt, action.delivery, std::move(request));
 }
