--- a/Tests/LibEmulation/test_cut_off_hosts.cc
+++ b/Tests/LibEmulation/test_cut_off_hosts.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "LibEmulation/emulation.h"
+#include "LibEmulation/half_load.h"
 
 // Hosts that are partitioned from all endpoints, while callers, the store and
 // the other hosts still reach them.
@@ -12,13 +13,6 @@
 
 using std::chrono::seconds;
 
-// Load that two thirds of the endpoints can serve.
-LoadScenario AtHalfLoad(LoadScenario scenario) {
-  for (CallerKind& kind : scenario.kinds)
-    kind.per_second *= 0.5;
-  return scenario;
-}
-
 // Checks the rule: from three seconds after the cut began, requests at these
 // hosts are served at least two thirds as often as those at the others, or no
 // more than 10 and one in fifty of all fail there.
--- a/Tests/LibEmulation/test_notices.cc
+++ b/Tests/LibEmulation/test_notices.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "LibEmulation/emulation.h"
+#include "LibEmulation/half_load.h"
 
 // Notices that endpoints put into their answers.
 namespace bilberry::emulation {
@@ -11,13 +12,6 @@
 
 using std::chrono::seconds;
 
-// Load that two thirds of the endpoints can serve.
-LoadScenario AtHalfLoad(LoadScenario scenario) {
-  for (CallerKind& kind : scenario.kinds)
-    kind.per_second *= 0.5;
-  return scenario;
-}
-
 EmulationReport RunScenario(const LoadScenario& scenario) {
   return Emulation(scenario, {1}).Run();
 }
